--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,213 @@
+//! What users ask. Every answer rests on a read of the state service begun after the request
+//! came, or on a final stage known to be written; without one the answer is 503.
+
+use serde_json::json;
+
+use crate::config::Config;
+use crate::http::{Request, Response};
+use crate::jobs::{final_key, job_key, FinalRecord, JobRecord};
+use crate::node::Node;
+use crate::sched::TeamUse;
+use crate::state::{Applied, StateError, Urgency};
+use crate::time::wall;
+use crate::wire::{is_job_id, Change, Guard, JobSpec, JobStatus, MachineType, Shape, Stage, Txn};
+
+/// Why a submission can never run.
+pub fn never_runs(s: &JobSpec, cfg: &Config, types: &[MachineType]) -> Option<String> {
+    let Some(team) = cfg.team(&s.team) else {
+        return Some(format!("owner: no team {}", s.team));
+    };
+    if let Some(zone) = &s.zone {
+        let zones = &cfg.platform.settings.zones;
+        if !zones.is_empty() && !zones.contains(zone) {
+            return Some(format!("field: no zone {zone}"));
+        }
+    }
+    let allowed = crate::fleet::allowed_types(types, s);
+    if allowed.is_empty() {
+        return Some("a task fits no allowed machine type".into());
+    }
+    let limit = TeamUse { cpus_max: team.cpus_max, gpus_max: team.gpus_max, ..TeamUse::default() };
+    let least = if s.shape == Shape::Gang { s.tasks } else { 1 };
+    if limit.allows(&crate::fleet::need_of(s)) < least {
+        return Some(format!("over the limit of team {}", s.team));
+    }
+    None
+}
+
+/// What is known of a job from the state service.
+enum Known {
+    Live(JobRecord, u64),
+    Over(FinalRecord),
+    Never,
+}
+
+fn look_up(node: &Node, id: &str) -> Result<Known, StateError> {
+    if let Some(f) = node.final_of(id) {
+        return Ok(Known::Over(f));
+    }
+    // The live record first: a job goes from one to the other in one transaction, so one of the
+    // two reads finds it.
+    if let Some(row) = node.state.get(&job_key(id), Urgency::User)? {
+        let r = serde_json::from_value(row.value).map_err(|e| StateError::Malformed(e.to_string()))?;
+        return Ok(Known::Live(r, row.stamp));
+    }
+    match node.state.get(&final_key(id), Urgency::User)? {
+        Some(row) => {
+            let f: FinalRecord =
+                serde_json::from_value(row.value).map_err(|e| StateError::Malformed(e.to_string()))?;
+            node.learn_final(id, f);
+            Ok(Known::Over(f))
+        }
+        None => Ok(Known::Never),
+    }
+}
+
+fn status(node: &Node, id: &str, known: &Known) -> Option<JobStatus> {
+    let (stage, done, running) = match known {
+        Known::Live(..) => {
+            let c = node.counts(id);
+            (if c.running > 0 { Stage::Running } else { Stage::Queued }, c.done, c.running)
+        }
+        Known::Over(f) => (f.stage, if f.stage == Stage::Done { f.tasks } else { 0 }, 0),
+        Known::Never => return None,
+    };
+    Some(JobStatus { id: id.to_string(), stage, done, running })
+}
+
+fn unavailable(e: &StateError) -> Response {
+    Response::error(503, &format!("the state service cannot be asked: {e}")).later(1)
+}
+
+/// Answers a user's request here, or has a controller answer that can reach the state service.
+pub fn handle(node: &Node, req: &Request, relayed: bool) -> Response {
+    let path = req.path.split('?').next().unwrap_or("");
+    let result = match path.strip_prefix("/api/jobs") {
+        Some("") | Some("/") => match req.method.as_str() {
+            "POST" => submit(node, &req.body),
+            _ => Ok(Response::error(405, "only POST")),
+        },
+        Some(rest) => {
+            let rest = rest.trim_start_matches('/');
+            match (rest.split_once('/'), req.method.as_str()) {
+                (None, "GET") => show(node, rest),
+                (None, _) => Ok(Response::error(405, "only GET")),
+                (Some((id, "withdraw")), "POST") => withdraw(node, id),
+                (Some((_, "withdraw")), _) => Ok(Response::error(405, "only POST")),
+                _ => Ok(Response::error(404, "no such path")),
+            }
+        }
+        None => Ok(Response::error(404, "no such path")),
+    };
+    match result {
+        Ok(r) => r,
+        Err(e) => {
+            tracing::debug!(path, error = %e, "the state service could not be asked");
+            if !relayed {
+                if let Some(r) = node.relay_to_any(req) {
+                    return r;
+                }
+            }
+            unavailable(&e)
+        }
+    }
+}
+
+fn show(node: &Node, id: &str) -> Result<Response, StateError> {
+    if !is_job_id(id) {
+        return Ok(Response::error(404, "no such job"));
+    }
+    let known = look_up(node, id)?;
+    Ok(match status(node, id, &known) {
+        Some(s) => Response::json(200, &s),
+        None => Response::error(404, "no such job"),
+    })
+}
+
+/// The known job, if there is one, for a submission that would otherwise be refused: a repeat of
+/// an accepted job is never answered with a refusal, whatever its body.
+fn known_or(node: &Node, id: Option<&str>, refusal: Response) -> Result<Response, StateError> {
+    if let Some(id) = id.filter(|i| is_job_id(i)) {
+        let known = look_up(node, id)?;
+        if let Some(s) = status(node, id, &known) {
+            return Ok(Response::json(200, &s));
+        }
+    }
+    Ok(refusal)
+}
+
+fn submit(node: &Node, body: &[u8]) -> Result<Response, StateError> {
+    let spec = match JobSpec::parse(body) {
+        Ok(s) => s,
+        Err(why) => {
+            let v: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+            return known_or(node, v.get("nameId").and_then(|i| i.as_str()), Response::error(400, &why));
+        }
+    };
+    let Some(types) = node.types() else {
+        return known_or(node, Some(&spec.id), Response::error(503, "machine types not known yet").later(1));
+    };
+    if let Some(why) = never_runs(&spec, &node.cfg, &types) {
+        return known_or(node, Some(&spec.id), Response::error(422, &why));
+    }
+    let id = spec.id.clone();
+    let record = JobRecord { spec, submitted_us: wall().0, high: 0 };
+    let value = json!(record);
+    if value.to_string().len() > node.cfg.value_bytes() {
+        return known_or(node, Some(&id), Response::error(400, "the description is too long"));
+    }
+    let guard = |key: String| Guard { key, stamp: 0 };
+    let txn = Txn {
+        guards: vec![guard(job_key(&id)), guard(final_key(&id))],
+        then: vec![Change::put(job_key(&id), value)],
+    };
+    let mut result = node.state.txn(&txn, Urgency::User);
+    if matches!(result, Err(StateError::Unknown(_))) {
+        // The guards make a repeat harmless, and tell whether the first try was carried out.
+        result = node.state.txn(&txn, Urgency::User);
+    }
+    match result? {
+        Applied::Yes(revision) => {
+            node.job_written(&id, Some(record), revision);
+            let body = json!({ "nameId": id, "stage": Stage::Queued });
+            Ok(Response::json(201, &body))
+        }
+        Applied::Conflict(_) => {
+            let known = look_up(node, &id)?;
+            Ok(match status(node, &id, &known) {
+                Some(s) => Response::json(200, &s),
+                None => Response::error(503, "try again").later(1),
+            })
+        }
+    }
+}
+
+fn withdraw(node: &Node, id: &str) -> Result<Response, StateError> {
+    if !is_job_id(id) {
+        return Ok(Response::error(404, "no such job"));
+    }
+    for _ in 0..6 {
+        match look_up(node, id)? {
+            Known::Never => return Ok(Response::error(404, "no such job")),
+            Known::Over(f) => return Ok(Response::json(200, &json!({ "nameId": id, "stage": f.stage }))),
+            Known::Live(record, stamp) => {
+                let over = FinalRecord { stage: Stage::Cancelled, tasks: record.spec.tasks };
+                let txn = Txn {
+                    guards: vec![Guard { key: job_key(id), stamp }, Guard { key: final_key(id), stamp: 0 }],
+                    then: vec![Change::drop(job_key(id)), Change::put(final_key(id), json!(over))],
+                };
+                match node.state.txn(&txn, Urgency::User) {
+                    Ok(Applied::Yes(revision)) => {
+                        node.learn_final(id, over);
+                        node.job_written(id, None, revision);
+                        return Ok(Response::json(200, &json!({ "nameId": id, "stage": Stage::Cancelled })));
+                    }
+                    // The owner wrote in between, or it is not known what happened: look again.
+                    Ok(Applied::Conflict(_)) | Err(StateError::Unknown(_)) => {}
+                    Err(e) => return Err(e),
+                }
+            }
+        }
+    }
+    Ok(Response::error(503, "try again").later(1))
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,169 @@
+//! The command line.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+use clap::{Parser, Subcommand};
+
+use crate::config::Config;
+use crate::http::{CallError, Client};
+use crate::node::Node;
+use crate::time::Micros;
+
+/// Schedules jobs on rented machines.
+#[derive(Parser, Debug)]
+#[command(name = "milletlock", version, args_conflicts_with_subcommands = true)]
+struct Args {
+    /// Run a controller with the platform's settings (JSON)
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// The operators' own settings (HCL); MILLETLOCK_OPERATOR names them too
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand, Debug)]
+enum Command {
+    /// Check settings and say what they amount to
+    Check {
+        /// The platform's settings (JSON)
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// The operators' own settings (HCL)
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+    },
+    /// Submit, show or withdraw a job on a running service
+    Job {
+        /// A controller's address for users
+        #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:8080")]
+        server: SocketAddr,
+        #[command(subcommand)]
+        what: JobCommand,
+    },
+}
+
+#[derive(Subcommand, Debug)]
+enum JobCommand {
+    /// Submit a job described in a JSON file
+    Submit {
+        /// The file; - for standard input
+        file: PathBuf,
+    },
+    /// Show a job
+    Show {
+        /// The job's id
+        id: String,
+    },
+    /// Withdraw a job
+    Withdraw {
+        /// The job's id
+        id: String,
+    },
+}
+
+fn operator_file(given: Option<PathBuf>) -> Option<PathBuf> {
+    given.or_else(|| std::env::var_os("MILLETLOCK_OPERATOR").map(PathBuf::from))
+}
+
+fn start_log() {
+    let level = match std::env::var("LOG_LEVEL").as_deref() {
+        Ok("debug") => tracing::Level::DEBUG,
+        Ok("info") => tracing::Level::INFO,
+        _ => tracing::Level::ERROR,
+    };
+    // The time is the platform's to add; a line is written whole.
+    let _ = tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .with_target(false)
+        .without_time()
+        .try_init();
+}
+
+fn fail(code: u8, why: impl std::fmt::Display) -> ExitCode {
+    eprintln!("milletlock: {why}");
+    ExitCode::from(code)
+}
+
+/// Runs the program.
+pub fn main() -> ExitCode {
+    let args = Args::parse();
+    match (args.command, args.config) {
+        (None, Some(config)) => run(config, args.operator),
+        (None, None) => fail(2, "--config FILE is needed to run a controller; see --help"),
+        (Some(Command::Check { config, operator }), _) => check(config, operator),
+        (Some(Command::Job { server, what }), _) => job(server, what),
+    }
+}
+
+fn run(config: PathBuf, operator: Option<PathBuf>) -> ExitCode {
+    let cfg = match Config::load(&config, operator_file(operator).as_deref()) {
+        Ok(c) => c,
+        Err(e) => return fail(2, e),
+    };
+    start_log();
+    match Node::run(cfg, Arc::new(AtomicBool::new(false))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(1, e),
+    }
+}
+
+fn check(config: PathBuf, operator: Option<PathBuf>) -> ExitCode {
+    match Config::load(&config, operator_file(operator).as_deref()) {
+        Ok(c) => {
+            let s = &c.platform.settings;
+            println!(
+                "ok: {} of {} controllers, {} teams, {} zones; renews workers for {:.1} s without the state service",
+                c.platform.label,
+                c.nodes(),
+                s.teams.len(),
+                s.zones.len(),
+                c.blind_bound().secs()
+            );
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(2, e),
+    }
+}
+
+fn job(server: SocketAddr, what: JobCommand) -> ExitCode {
+    let client = Client::new(server, 1);
+    let call = |method: &str, path: &str, body: Option<&[u8]>| {
+        client.call(method, path, body, Micros::from_secs(5.0))
+    };
+    let result: Result<(u16, Vec<u8>), CallError> = match what {
+        JobCommand::Submit { file } => {
+            let mut body = Vec::new();
+            let read = if file.as_os_str() == "-" {
+                std::io::stdin().read_to_end(&mut body).map(|_| ())
+            } else {
+                std::fs::read(&file).map(|b| body = b)
+            };
+            if let Err(e) = read {
+                return fail(2, format!("{}: {e}", file.display()));
+            }
+            call("POST", "/api/jobs", Some(&body))
+        }
+        JobCommand::Show { id } => call("GET", &format!("/api/jobs/{id}"), None),
+        JobCommand::Withdraw { id } => call("POST", &format!("/api/jobs/{id}/withdraw"), Some(b"{}")),
+    };
+    match result {
+        Ok((status, body)) => {
+            println!("{}", String::from_utf8_lossy(&body));
+            if status < 300 {
+                ExitCode::SUCCESS
+            } else {
+                fail(1, format!("the service answered {status}"))
+            }
+        }
+        Err(e) => fail(1, format!("{server}: {e}")),
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,389 @@
+//! Settings: the platform's JSON file and the operators' own HCL file. Both are checked in full
+//! before anything starts; a mistake is one line that names the field.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use crate::time::Micros;
+
+/// What is wrong with the settings, in one line.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file could not be read.
+    #[error("{path}: cannot be read: {why}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// The system's reason.
+        why: String,
+    },
+    /// The file is not of the right form.
+    #[error("{path}: {why}")]
+    Malformed {
+        /// The file.
+        path: String,
+        /// The parser's reason, with the field's name.
+        why: String,
+    },
+    /// A field's value cannot be used.
+    #[error("{field}: {why}")]
+    Field {
+        /// The field, with its place.
+        field: String,
+        /// What it must be.
+        why: String,
+    },
+}
+
+fn bad(field: impl Into<String>, why: impl Into<String>) -> ConfigError {
+    ConfigError::Field { field: field.into(), why: why.into() }
+}
+
+/// Another controller.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    /// Its label.
+    pub label: String,
+    /// Its zone.
+    #[serde(default)]
+    pub location: String,
+    /// Where it listens for the other controllers.
+    pub addr: SocketAddr,
+}
+
+/// Addresses of the regional services.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Services {
+    /// The cloud's interface.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+}
+
+/// A team's guarantee and limit; zero means none.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Team {
+    /// The team's name.
+    pub name: String,
+    /// Guaranteed processors.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most processors its tasks may use; 0 for no limit.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed accelerator cards.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most cards its tasks may use; 0 for no limit.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim that users state for a class of jobs.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    /// `wait`, `finished` or `deadline`; other kinds are ignored.
+    pub kind: String,
+    /// The class of jobs.
+    #[serde(default)]
+    pub class: String,
+    /// Seconds, where the kind has them.
+    #[serde(default)]
+    pub within_s: f64,
+}
+
+/// Times that workers keep to.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    /// Seconds between reports.
+    pub report_s: f64,
+    /// Seconds a worker keeps its tasks without an answer.
+    pub lease_s: f64,
+    /// Seconds a gang task waits for the others.
+    pub gang_wait_s: f64,
+    /// Seconds within which the tasks of a gang notice a loss.
+    pub gang_peer_s: f64,
+    /// Seconds within which a cancelled job's tasks must be gone.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Puts and deletes a second.
+    pub write_rps: f64,
+    /// KiB in a value.
+    pub value_kb: f64,
+    /// Puts and deletes in a transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud's interface.
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Seconds that the machine list is late.
+    pub list_lag_s: f64,
+}
+
+/// What this process may use.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    /// Share of a core.
+    pub cpu: f64,
+    /// Memory in MB.
+    pub ram_mb: f64,
+    /// Open sockets.
+    pub max_sockets: usize,
+}
+
+/// The `settings` object of the platform's file.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// How many controllers there are.
+    #[serde(default)]
+    pub initial_size: usize,
+    /// The zones.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// The teams.
+    pub teams: Vec<Team>,
+    /// The users' aims.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Workers' times.
+    pub workers: Workers,
+    /// The state service's limits.
+    pub state: StateLimits,
+    /// The cloud's limits.
+    pub cloud: CloudLimits,
+    /// This process's limits.
+    pub limits: Limits,
+    /// How far the time of day may be off, in milliseconds.
+    #[serde(default)]
+    pub skew_ms: f64,
+}
+
+/// The platform's settings file.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Platform {
+    /// This controller's label.
+    pub label: String,
+    /// This controller's zone.
+    #[serde(default)]
+    pub location: String,
+    /// Where users, workers and health checks connect.
+    pub serve_on: SocketAddr,
+    /// Where the other controllers connect.
+    pub internal_addr: SocketAddr,
+    /// The other controllers.
+    #[serde(default)]
+    pub members: Vec<Member>,
+    /// The regional services.
+    pub services: Services,
+    /// Everything else.
+    pub settings: Settings,
+}
+
+/// The operators' own settings, all with defaults.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Operator {
+    /// How long the leader's lease lasts, in seconds.
+    pub leader_ttl_s: f64,
+    /// A machine that stays silent this long after a takeover is returned, in seconds.
+    pub fence_after_s: f64,
+    /// Spare room is rented so that waiting array work drains in this time, in seconds.
+    pub drain_s: f64,
+    /// An idle machine is returned after this time, in seconds.
+    pub idle_s: f64,
+    /// An idle machine that a higher-ranked class depends on is returned after this time.
+    pub idle_protected_s: f64,
+    /// A machine that is not up after this many times its nominal boot time gets a second one
+    /// beside it.
+    pub slow_boot: f64,
+    /// Most users' and workers' connections at once; 0 derives it from the platform's limit.
+    pub max_connections: usize,
+    /// Past jobs kept for each key of the history.
+    pub history_per_key: usize,
+    /// False switches the adjustment of run times off (for measuring).
+    pub adjust: bool,
+    /// False switches the reservation off (for measuring).
+    pub reserve: bool,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            leader_ttl_s: 3.0,
+            fence_after_s: 15.0,
+            drain_s: 40.0,
+            idle_s: 25.0,
+            idle_protected_s: 60.0,
+            slow_boot: 2.0,
+            max_connections: 0,
+            history_per_key: 64,
+            adjust: true,
+            reserve: true,
+        }
+    }
+}
+
+/// All settings, checked.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The platform's file.
+    pub platform: Platform,
+    /// The operators' file, or its defaults.
+    pub operator: Operator,
+}
+
+fn positive(field: &str, v: f64) -> Result<(), ConfigError> {
+    if v.is_finite() && v > 0.0 {
+        Ok(())
+    } else {
+        Err(bad(field, format!("must be a number above 0, not {v}")))
+    }
+}
+
+fn not_negative(field: &str, v: f64) -> Result<(), ConfigError> {
+    if v.is_finite() && v >= 0.0 {
+        Ok(())
+    } else {
+        Err(bad(field, format!("must be a number of at least 0, not {v}")))
+    }
+}
+
+impl Config {
+    /// Reads and checks both files; no operators' file means the defaults.
+    pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Config, ConfigError> {
+        let text = read(platform)?;
+        let platform = Platform::parse(&text, &platform.display().to_string())?;
+        let operator = match operator {
+            Some(p) => Operator::parse(&read(p)?, &p.display().to_string())?,
+            None => Operator::default(),
+        };
+        Ok(Config { platform, operator })
+    }
+
+    /// How many controllers there are in all.
+    pub fn nodes(&self) -> usize {
+        self.platform.members.len() + 1
+    }
+
+    /// The workers' lease.
+    pub fn lease(&self) -> Micros {
+        Micros::from_secs(self.platform.settings.workers.lease_s)
+    }
+
+    /// How long an owner that cannot see cancellations may go on renewing leases: the last
+    /// renewal plus the lease must fall within `cancel_s` of the last fresh view, with drift and
+    /// the worker's own answer time allowed for.
+    pub fn blind_bound(&self) -> Micros {
+        let w = &self.platform.settings.workers;
+        Micros::from_secs((w.cancel_s - w.lease_s) * 0.998 - 2.0)
+    }
+
+    /// Bytes that a value may hold.
+    pub fn value_bytes(&self) -> usize {
+        (self.platform.settings.state.value_kb * 1024.0) as usize
+    }
+
+    /// A team by name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.platform.settings.teams.iter().find(|t| t.name == name)
+    }
+}
+
+fn read(path: &Path) -> Result<String, ConfigError> {
+    std::fs::read_to_string(path)
+        .map_err(|e| ConfigError::Unreadable { path: path.display().to_string(), why: e.to_string() })
+}
+
+impl Platform {
+    /// Parses and checks the platform's JSON.
+    pub fn parse(text: &str, path: &str) -> Result<Platform, ConfigError> {
+        let p: Platform = serde_json::from_str(text)
+            .map_err(|e| ConfigError::Malformed { path: path.into(), why: e.to_string() })?;
+        p.check()?;
+        Ok(p)
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        if self.label.is_empty() || self.label.len() > 100 || self.label.contains(['/', ' ']) {
+            return Err(bad("label", "must be 1 to 100 bytes with no slash or space"));
+        }
+        for (i, m) in self.members.iter().enumerate() {
+            if m.label == self.label || self.members[..i].iter().any(|o| o.label == m.label) {
+                return Err(bad(format!("members[{i}].label"), format!("{} is there twice", m.label)));
+            }
+        }
+        let s = &self.settings;
+        for (i, t) in s.teams.iter().enumerate() {
+            let at = |f: &str| format!("settings.teams[{i}].{f}");
+            if t.name.is_empty() {
+                return Err(bad(at("name"), "must not be empty"));
+            }
+            if s.teams[..i].iter().any(|o| o.name == t.name) {
+                return Err(bad(at("name"), format!("{} is there twice", t.name)));
+            }
+            not_negative(&at("cpus"), t.cpus)?;
+            not_negative(&at("cpus_max"), t.cpus_max)?;
+            not_negative(&at("gpus"), t.gpus)?;
+            not_negative(&at("gpus_max"), t.gpus_max)?;
+        }
+        let w = &s.workers;
+        positive("settings.workers.report_s", w.report_s)?;
+        positive("settings.workers.lease_s", w.lease_s)?;
+        not_negative("settings.workers.gang_wait_s", w.gang_wait_s)?;
+        not_negative("settings.workers.gang_peer_s", w.gang_peer_s)?;
+        positive("settings.workers.cancel_s", w.cancel_s)?;
+        if w.cancel_s <= w.lease_s {
+            return Err(bad("settings.workers.cancel_s", "must be above lease_s"));
+        }
+        positive("settings.state.rps", s.state.rps)?;
+        positive("settings.state.write_rps", s.state.write_rps)?;
+        positive("settings.state.value_kb", s.state.value_kb)?;
+        if s.state.value_kb < 1.0 {
+            return Err(bad("settings.state.value_kb", "must be at least 1"));
+        }
+        if s.state.txn_ops < 4 {
+            return Err(bad("settings.state.txn_ops", "must be at least 4"));
+        }
+        positive("settings.cloud.rps", s.cloud.rps)?;
+        not_negative("settings.cloud.list_lag_s", s.cloud.list_lag_s)?;
+        positive("settings.limits.cpu", s.limits.cpu)?;
+        positive("settings.limits.ram_mb", s.limits.ram_mb)?;
+        if s.limits.max_sockets < 16 {
+            return Err(bad("settings.limits.max_sockets", "must be at least 16"));
+        }
+        not_negative("settings.skew_ms", s.skew_ms)
+    }
+}
+
+impl Operator {
+    /// Parses and checks the operators' HCL.
+    pub fn parse(text: &str, path: &str) -> Result<Operator, ConfigError> {
+        let o: Operator = hcl::from_str(text).map_err(|e| ConfigError::Malformed {
+            path: path.into(),
+            why: e.to_string().replace('\n', " "),
+        })?;
+        positive("leader_ttl_s", o.leader_ttl_s)?;
+        if !(1.0..=60.0).contains(&o.leader_ttl_s) {
+            return Err(bad("leader_ttl_s", "must be from 1 to 60"));
+        }
+        positive("fence_after_s", o.fence_after_s)?;
+        positive("drain_s", o.drain_s)?;
+        not_negative("idle_s", o.idle_s)?;
+        not_negative("idle_protected_s", o.idle_protected_s)?;
+        positive("slow_boot", o.slow_boot)?;
+        if o.history_per_key < 10 || o.history_per_key > 10_000 {
+            return Err(bad("history_per_key", "must be from 10 to 10000"));
+        }
+        Ok(o)
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,1435 @@
+//! The owner's world: its jobs, its machines, and what workers report. No I/O and no clock; the
+//! moments are handed in. What has to be written or asked of the cloud is collected by others.
+//!
+//! A task is *possibly there* from the moment a start may leave until a newer report lacks it or
+//! shows it exited, or the machine is gone for certain. Nothing is started elsewhere before.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::capacity::{Offer, Policy, Upkeep, View};
+use crate::config::{Config, Team};
+use crate::history::{History, Key};
+use crate::jobs::{split_task, GangAttempt, Job, JobId, JobRecord, MachineId, Ranges};
+use crate::sched::{self, Class, Held, Keep, Need, Plan, Room, Snapshot, TeamUse};
+use crate::time::{Micros, Steady, Wall};
+use crate::wire::{
+    JobSpec, ListedMachine, MachineType, Order, Rank, Report, ReportReply, Shape, TaskReport, TaskStage, Why,
+};
+
+/// A task on a machine, by job, number and attempt.
+pub type TaskKey = (JobId, u32, u64);
+
+/// A task that is or may be on a machine.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Where it stands; none: its start has left and no newer report has come.
+    pub stage: Option<TaskStage>,
+    /// What it takes; none if its job is not known.
+    pub need: Option<Need>,
+    /// When its start left or it was first seen.
+    pub since: Steady,
+    /// When it was first seen running, if its start was seen.
+    pub running: Option<Steady>,
+    /// To be stopped, with this grace.
+    pub stop: Option<f64>,
+    /// Why it ended, if it did.
+    pub ended: Option<Why>,
+}
+
+impl Entry {
+    fn live(&self) -> bool {
+        self.ended.is_none()
+    }
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Machine {
+    /// Its name.
+    pub id: MachineId,
+    /// The worker's address.
+    pub addr: String,
+    /// Type, by the catalogue's index.
+    pub ty: Option<usize>,
+    /// Type's name.
+    pub ty_name: String,
+    /// Zone by index.
+    pub zone: usize,
+    /// Spot machine.
+    pub spot: bool,
+    /// Its record is written.
+    pub enrolled: bool,
+    /// Version of its record.
+    pub stamp: u64,
+    /// Enrolled by an earlier owner: not known to be free of its commands until it shows our
+    /// token.
+    pub inherited: bool,
+    /// A report has shown our token, or no earlier owner can have used it.
+    pub heard: bool,
+    /// A report has come.
+    pub up: bool,
+    /// Newest message.
+    pub seen: (u64, u64),
+    /// When a report was last answered with 200.
+    pub answered: Option<Steady>,
+    /// When it was first known here.
+    pub known: Steady,
+    /// Its age when it was first known.
+    pub age: Micros,
+    /// When the cloud takes it.
+    pub notice: Option<Steady>,
+    /// It is to be returned, or is being returned.
+    pub leaving: bool,
+    /// Known from the cloud's list.
+    pub listed: bool,
+    /// Missing from a newer list, or listed as failed.
+    pub missing: bool,
+    /// Its lease ran out here.
+    pub expired: bool,
+    /// The tasks.
+    pub tasks: BTreeMap<TaskKey, Entry>,
+    /// Images, the most recently used last.
+    pub images: Vec<(u32, f64)>,
+    /// Since when it has had no task.
+    pub idle: Steady,
+    /// Not placed on before this.
+    pub not_before: Steady,
+    /// Jobs whose tasks failed here with no success since.
+    pub failed: BTreeSet<JobId>,
+    /// Last report.
+    pub report: Steady,
+}
+
+impl Machine {
+    fn new(id: &str, now: Steady) -> Machine {
+        Machine {
+            id: id.into(),
+            addr: String::new(),
+            ty: None,
+            ty_name: String::new(),
+            zone: 0,
+            spot: false,
+            enrolled: false,
+            stamp: 0,
+            inherited: false,
+            heard: true,
+            up: false,
+            seen: (0, 0),
+            answered: None,
+            known: now,
+            age: Micros::ZERO,
+            notice: None,
+            leaving: false,
+            listed: false,
+            missing: false,
+            expired: false,
+            tasks: BTreeMap::new(),
+            images: Vec::new(),
+            idle: now,
+            not_before: Steady(0),
+            failed: BTreeSet::new(),
+            report: Steady(0),
+        }
+    }
+
+    /// A task of a job that is not known takes an unknown share.
+    fn unknown_use(&self) -> bool {
+        self.tasks.values().any(|e| e.live() && e.need.is_none())
+    }
+
+    fn free(&self, total: Need) -> Need {
+        self.tasks.values().filter(|e| e.live()).filter_map(|e| e.need).fold(total, |t, n| t.less(&n, 1))
+    }
+
+    fn usable(&self, now: Steady) -> bool {
+        self.up && self.enrolled && self.heard && !self.leaving && !self.expired && now >= self.not_before
+    }
+}
+
+/// Outcome of a check-in.
+#[derive(Debug, PartialEq)]
+pub enum CheckIn {
+    /// Answer 200 with this.
+    Reply(ReportReply),
+    /// Another has a higher token: this owner is replaced.
+    Superseded(u64),
+    /// Not to be answered with 200.
+    Refuse,
+}
+
+/// Something to write for the owner.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Pending {
+    /// A job is over: all tasks are done.
+    Final(JobId),
+    /// A machine's record, before the first start on it.
+    Enrol(MachineId),
+    /// Tasks below this may be started.
+    High(JobId, u32),
+    /// A chunk of done ranges.
+    Done(JobId, u32),
+    /// A machine is gone.
+    Unenrol(MachineId, u64),
+}
+
+/// Numbers for polls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Tasks done.
+    pub done: u32,
+    /// Tasks running.
+    pub running: u32,
+}
+
+/// The owner's world.
+pub struct Fleet {
+    /// This owner's token.
+    pub token: u64,
+    /// Jobs that are not over, or whose tasks are not all gone.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Machines.
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Past jobs.
+    pub history: History,
+    /// The latest plan's unmet tasks and reservation, for renting and the log.
+    pub plan: Plan,
+    /// Something changed since the last plan.
+    pub dirty: bool,
+    cfg: Arc<Config>,
+    types: Vec<MachineType>,
+    zones: Vec<String>,
+    images: BTreeMap<String, u32>,
+    counter: u64,
+    taken: Steady,
+    planned: Steady,
+    assigned: BTreeMap<MachineId, Vec<(JobId, u32)>>,
+    /// Revisions at which jobs ended, so that a late message does not bring them back.
+    over: BTreeMap<JobId, u64>,
+    /// Machines that are gone; reports from them are late.
+    gone: BTreeMap<MachineId, Steady>,
+    unenrol: BTreeMap<MachineId, u64>,
+    refused: BTreeMap<Offer, Steady>,
+    /// Demands of recent jobs by type, for what low ranks leave free.
+    demands: Vec<(Steady, Need, Rank, Vec<usize>)>,
+    lease: Micros,
+}
+
+const MARGIN: Micros = Micros(1_500_000);
+
+impl Fleet {
+    /// A new owner's world; records are loaded into it before anything is placed.
+    pub fn new(cfg: Arc<Config>, types: Vec<MachineType>, token: u64, now: Steady) -> Fleet {
+        let lease = cfg.lease().scale(1.001) + MARGIN;
+        Fleet {
+            token,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            history: History::new(cfg.operator.history_per_key),
+            plan: Plan::default(),
+            dirty: true,
+            zones: cfg.platform.settings.zones.clone(),
+            cfg,
+            types,
+            images: BTreeMap::new(),
+            counter: 0,
+            taken: now,
+            planned: Steady(0),
+            assigned: BTreeMap::new(),
+            over: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            unenrol: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            demands: Vec::new(),
+            lease,
+        }
+    }
+
+    /// Takes new prices, and the types if they were not known.
+    pub fn set_types(&mut self, types: Vec<MachineType>) {
+        self.types = types;
+        let index: BTreeMap<String, usize> =
+            self.types.iter().enumerate().map(|(i, t)| (t.name.clone(), i)).collect();
+        for m in self.machines.values_mut() {
+            m.ty = index.get(&m.ty_name).copied();
+        }
+        self.dirty = true;
+    }
+
+    /// The machine types.
+    pub fn types(&self) -> &[MachineType] {
+        &self.types
+    }
+
+    /// Name of a zone.
+    pub fn zone_name(&self, zone: usize) -> &str {
+        self.zones.get(zone).map_or("", String::as_str)
+    }
+
+    fn zone(&mut self, name: &str) -> usize {
+        self.zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            self.zones.push(name.to_string());
+            self.zones.len() - 1
+        })
+    }
+
+    fn image(&mut self, name: &str) -> u32 {
+        let next = self.images.len() as u32;
+        *self.images.entry(name.to_string()).or_insert(next)
+    }
+
+    fn describe(&mut self, id: &MachineId, addr: &str, ty: &str, zone: &str, spot: bool) {
+        let zone = self.zone(zone);
+        let index = self.types.iter().position(|t| t.name == ty);
+        if let Some(m) = self.machines.get_mut(id) {
+            if !addr.is_empty() {
+                m.addr = addr.to_string();
+            }
+            if m.ty_name.is_empty() && !ty.is_empty() {
+                (m.ty_name, m.ty, m.zone, m.spot) = (ty.to_string(), index, zone, spot);
+            }
+        }
+    }
+
+    // ---- records ----
+
+    /// Takes over a machine from its record: tasks may be on it until it is heard.
+    pub fn inherit_machine(
+        &mut self,
+        id: &str,
+        addr: &str,
+        ty: &str,
+        zone: &str,
+        spot: bool,
+        stamp: u64,
+        now: Steady,
+    ) {
+        let mut m = Machine::new(id, now);
+        (m.enrolled, m.stamp, m.inherited, m.heard) = (true, stamp, true, false);
+        let id = m.id.clone();
+        self.machines.insert(id.clone(), m);
+        self.describe(&id, addr, ty, zone, spot);
+    }
+
+    /// Learns of a job, new or changed. Late copies of what is over are ignored.
+    pub fn job_put(&mut self, record: JobRecord, stamp: u64, now: Steady) {
+        let id: JobId = record.spec.id.as_str().into();
+        if self.over.get(&id).is_some_and(|&r| r >= stamp) {
+            return;
+        }
+        if let Some(j) = self.jobs.get_mut(&id) {
+            if stamp > j.stamp {
+                j.stamp = stamp;
+                j.high = j.high.max(record.high);
+                j.high_wanted = j.high_wanted.max(j.high);
+            }
+            return;
+        }
+        let job = Job::new(record, stamp, now);
+        let types = self.allowed_types(&job.spec);
+        let need = need_of(&job.spec);
+        self.demands.push((now, need, job.spec.rank, types));
+        // Tasks of the job may have been reported before its record was known.
+        for m in self.machines.values_mut() {
+            for (k, e) in m.tasks.iter_mut().filter(|(k, _)| k.0 == id) {
+                e.need = Some(need);
+                let _ = k;
+            }
+        }
+        self.jobs.insert(id.clone(), job);
+        for n in self.located(&id) {
+            self.refresh(&id, n);
+        }
+        self.dirty = true;
+    }
+
+    fn located(&self, id: &JobId) -> BTreeSet<u32> {
+        self.machines.values().flat_map(|m| m.tasks.keys().filter(|k| k.0 == *id).map(|k| k.1)).collect()
+    }
+
+    /// Learns done ranges from their record.
+    pub fn inherit_done(&mut self, id: &str, chunk: u32, text: &str, stamp: u64) -> bool {
+        let Some(j) = self.jobs.get_mut(id) else { return false };
+        let mut r = Ranges::new();
+        r.add_text(text, j.spec.tasks);
+        for n in r.iter() {
+            j.done.insert(n);
+            j.done_written.insert(n);
+            j.waiting.remove(n);
+        }
+        j.chunks.insert(chunk, stamp);
+        true
+    }
+
+    /// A job's record is gone at this revision: it is over, by its user's wish or because this
+    /// owner wrote its end. What is left of it is stopped.
+    pub fn job_over(&mut self, id: &str, revision: u64) {
+        let id: JobId = id.into();
+        let r = self.over.entry(id.clone()).or_insert(0);
+        *r = (*r).max(revision);
+        if self.over.len() > 4000 {
+            let mut all: Vec<u64> = self.over.values().copied().collect();
+            all.sort_unstable();
+            let old = all[1000];
+            self.over.retain(|_, r| *r > old);
+        }
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        if j.stamp > revision {
+            return;
+        }
+        j.cancelled = true;
+        j.gang = None;
+        for m in self.machines.values_mut() {
+            for (k, e) in m.tasks.iter_mut() {
+                if k.0 == id && e.live() {
+                    e.stop = Some(0.0);
+                }
+            }
+        }
+        self.clear_job(&id);
+        self.dirty = true;
+    }
+
+    fn clear_job(&mut self, id: &JobId) {
+        if self.jobs.get(id).is_some_and(|j| j.cancelled && j.live.is_empty()) {
+            self.jobs.remove(id);
+        }
+    }
+
+    // ---- where tasks are ----
+
+    /// Brings a task's standing in its job in line with the machines.
+    fn refresh(&mut self, id: &JobId, n: u32) {
+        let at: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.tasks.range((id.clone(), n, 0)..=(id.clone(), n, u64::MAX)).any(|(_, e)| e.live()))
+            .map(|m| m.id.clone())
+            .collect();
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        if n >= j.spec.tasks {
+            return;
+        }
+        if at.is_empty() {
+            j.live.remove(&n);
+            if !j.done.contains(n) {
+                j.waiting.insert(n);
+            }
+        } else {
+            j.waiting.remove(n);
+            j.live.insert(n, at);
+        }
+        self.dirty = true;
+        self.clear_job(id);
+    }
+
+    /// A task's entry is gone from its machine without a word of how it ended.
+    fn vanished(&mut self, key: &TaskKey) {
+        self.gang_broken(&key.0, key.2);
+        self.refresh(&key.0, key.1);
+    }
+
+    /// A gang's attempt lost a task: the rest is stopped, and a new attempt waits until all are
+    /// gone.
+    fn gang_broken(&mut self, id: &JobId, attempt: u64) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        if j.spec.shape != Shape::Gang {
+            return;
+        }
+        if let Some(g) = j.gang.as_mut().filter(|g| g.attempt == attempt) {
+            g.stopping.get_or_insert(0.0);
+        }
+        for m in self.machines.values_mut() {
+            for (k, e) in m.tasks.iter_mut() {
+                if k.0 == *id && k.2 == attempt && e.live() && e.stop.is_none() {
+                    e.stop = Some(0.0);
+                }
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// All that is on the machine is gone for certain.
+    fn emptied(&mut self, id: &MachineId) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let tasks = std::mem::take(&mut m.tasks);
+        for (k, e) in tasks {
+            if e.live() {
+                self.vanished(&k);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Machines that may hold commands of an earlier owner.
+    pub fn unheard(&self) -> usize {
+        self.machines.values().filter(|m| !m.heard).count()
+    }
+
+    // ---- check-ins ----
+
+    /// Takes a report and says what to answer.
+    pub fn check_in(&mut self, r: &Report, now: Steady, wall: Wall) -> CheckIn {
+        if r.token > self.token {
+            return CheckIn::Superseded(r.token);
+        }
+        let id: MachineId = r.machine.as_str().into();
+        if self.gone.contains_key(&id) {
+            return CheckIn::Refuse;
+        }
+        if !self.machines.contains_key(&id) {
+            if r.machine.is_empty()
+                || r.machine.len() > 100
+                || r.machine.contains([' ', '/', '?', '&', '%', '#'])
+            {
+                return CheckIn::Refuse;
+            }
+            tracing::info!(machine = %id, ty = %r.ty, zone = %r.zone, "a machine reports for the first time");
+            self.machines.insert(id.clone(), Machine::new(&id, now));
+        }
+        self.describe(&id, &r.addr, &r.ty, &r.zone, r.spot);
+        let newer = self.take_report(&id, r, now, wall);
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.answered = Some(now);
+            m.report = now;
+            m.expired = false;
+            m.missing = false;
+        }
+        let orders = if newer { self.orders(&id, now, wall) } else { Vec::new() };
+        CheckIn::Reply(ReportReply { token: self.token, orders })
+    }
+
+    /// Takes the report that a direct command returned: it only tells that our token has arrived.
+    /// Its task list may be older than a start on its way, so once the machine is heard it is not
+    /// used at all. Returns a higher token, if one shows.
+    pub fn raised(&mut self, r: &Report, now: Steady, wall: Wall) -> Option<u64> {
+        if r.token > self.token {
+            return Some(r.token);
+        }
+        let id: MachineId = r.machine.as_str().into();
+        if self.machines.get(&id).is_some_and(|m| !m.heard) {
+            self.take_report(&id, r, now, wall);
+        }
+        None
+    }
+
+    fn take_report(&mut self, id: &MachineId, r: &Report, now: Steady, wall: Wall) -> bool {
+        let Some(m) = self.machines.get_mut(id) else { return false };
+        if (r.season, r.tally) <= m.seen {
+            return false;
+        }
+        m.seen = (r.season, r.tally);
+        if !m.up {
+            m.up = true;
+            m.idle = now;
+            self.dirty = true;
+        }
+        if !m.heard && r.token == self.token {
+            m.heard = true;
+            self.dirty = true;
+        }
+        let notice = r.notice_s.filter(|s| s.is_finite()).map(|s| now + Micros::from_secs(s));
+        if notice.is_some() != m.notice.is_some() {
+            tracing::info!(machine = %id, seconds = r.notice_s, "spot notice");
+            self.dirty = true;
+        }
+        m.notice = notice;
+        let mut there: BTreeSet<TaskKey> = BTreeSet::new();
+        for t in r.tasks.iter().take(10_000) {
+            let Some((job, n)) = split_task(&t.task) else {
+                tracing::error!(machine = %id, task = %t.task, "a report names a malformed task");
+                continue;
+            };
+            let key: TaskKey = (job.into(), n, t.attempt);
+            there.insert(key.clone());
+            self.take_task(id, key, t, now, wall);
+        }
+        let Some(m) = self.machines.get_mut(id) else { return false };
+        let absent: Vec<TaskKey> = m.tasks.keys().filter(|k| !there.contains(*k)).cloned().collect();
+        for k in absent {
+            let Some(e) = self.machines.get_mut(id).and_then(|m| m.tasks.remove(&k)) else { continue };
+            if e.live() {
+                // The start did not arrive, or the worker's lease ran out and it forgot all.
+                tracing::debug!(machine = %id, job = %k.0, task = k.1, "a task is not there");
+                self.vanished(&k);
+            }
+        }
+        if let Some(m) = self.machines.get_mut(id) {
+            if !m.tasks.is_empty() {
+                m.idle = now;
+            }
+        }
+        true
+    }
+
+    fn take_task(&mut self, id: &MachineId, key: TaskKey, t: &TaskReport, now: Steady, wall: Wall) {
+        let job = self
+            .jobs
+            .get(&key.0)
+            .map(|j| (need_of(&j.spec), j.cancelled, j.spec.image.clone(), j.spec.image_gb));
+        let image = match &job {
+            Some((_, _, Some(name), gb)) => Some((self.image(name), *gb)),
+            _ => None,
+        };
+        let cache = self
+            .machines
+            .get(id)
+            .and_then(|m| m.ty)
+            .and_then(|t| self.types.get(t))
+            .map_or(0.0, |t| t.cache_gb);
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let fresh = !m.tasks.contains_key(&key);
+        let e = m.tasks.entry(key.clone()).or_insert_with(|| Entry {
+            stage: None,
+            need: job.as_ref().map(|j| j.0),
+            since: now,
+            running: None,
+            stop: None,
+            ended: None,
+        });
+        if e.ended.is_some() {
+            return;
+        }
+        if job.as_ref().is_none_or(|j| j.1) {
+            // The job is over: withdrawn, or done while this task was out of sight.
+            e.stop = Some(0.0);
+        }
+        let before = e.stage;
+        e.stage = Some(t.stage);
+        if t.stage == TaskStage::Running
+            && e.running.is_none()
+            && !fresh
+            && before != Some(TaskStage::Running)
+        {
+            e.running = Some(now);
+        }
+        if let Some((image, gb)) = image {
+            if before != e.stage {
+                m.images.retain(|i| i.0 != image);
+                m.images.push((image, gb));
+                let mut held: f64 = m.images.iter().map(|i| i.1).sum();
+                while held > cache && m.images.len() > 1 {
+                    held -= m.images.remove(0).1;
+                }
+            }
+        }
+        if t.stage == TaskStage::Exited {
+            let why = t.why.unwrap_or(Why::Other);
+            e.ended = Some(why);
+            let ran = e.running.map(|r| now - r);
+            self.exited(id, &key, why, ran, now, wall);
+        } else if before != e.stage && (fresh || before.is_none()) {
+            self.refresh(&key.0, key.1);
+        }
+    }
+
+    fn exited(
+        &mut self,
+        id: &MachineId,
+        key: &TaskKey,
+        why: Why,
+        ran: Option<Micros>,
+        now: Steady,
+        _wall: Wall,
+    ) {
+        tracing::debug!(machine = %id, job = %key.0, task = key.1, ?why, "a task ended");
+        if let Some(m) = self.machines.get_mut(id) {
+            match why {
+                Why::Done => m.failed.clear(),
+                Why::Error => {
+                    m.failed.insert(key.0.clone());
+                    if m.failed.len() >= 2 && !m.leaving {
+                        // Errors across different jobs: the machine is at fault.
+                        tracing::info!(machine = %id, "returned: tasks of several jobs failed on it");
+                        m.leaving = true;
+                    }
+                }
+                Why::NoRoom => m.not_before = now + Micros::from_secs(2.0),
+                _ => {}
+            }
+        }
+        if let Some(j) = self.jobs.get_mut(&key.0) {
+            match why {
+                Why::Done if key.1 < j.spec.tasks => {
+                    j.errors = 0;
+                    if j.spec.shape == Shape::Gang {
+                        // A gang completes together.
+                        j.done = Ranges::span(0, j.spec.tasks);
+                        j.waiting = Ranges::new();
+                    } else {
+                        j.done.insert(key.1);
+                        j.waiting.remove(key.1);
+                    }
+                    if let Some(r) = ran {
+                        j.ran = (j.ran.0 + r, j.ran.1 + 1);
+                    }
+                }
+                Why::Error | Why::Unknown => {
+                    // Backed off by the job, so that a mistaken job does not hold room.
+                    j.errors = (j.errors + 1).min(1000);
+                    let wait = if j.errors <= 2 { 0.5 } else { f64::from(1u32 << j.errors.min(7)).min(60.0) };
+                    j.not_before = now + Micros::from_secs(wait);
+                }
+                _ => {}
+            }
+        }
+        if why != Why::Done {
+            self.gang_broken(&key.0, key.2);
+        }
+        self.refresh(&key.0, key.1);
+    }
+
+    fn orders(&mut self, id: &MachineId, now: Steady, wall: Wall) -> Vec<Order> {
+        let mut out = Vec::new();
+        if let Some(m) = self.machines.get(id) {
+            for (k, e) in &m.tasks {
+                let task = format!("{}/{}", k.0, k.1);
+                match (e.ended, e.stop) {
+                    (Some(why), _) => {
+                        let written = match self.jobs.get(&k.0) {
+                            Some(j) if why == Why::Done && !j.cancelled => j.done_written.contains(k.1),
+                            _ => true,
+                        };
+                        if written {
+                            out.push(Order::Forget { task, attempt: k.2 });
+                        }
+                    }
+                    (None, Some(grace_s)) => out.push(Order::Halt { task, attempt: k.2, grace_s }),
+                    (None, None) => {}
+                }
+            }
+        }
+        self.replan(now, wall);
+        self.start_on(id, now, &mut out);
+        out
+    }
+
+    /// Starts what is assigned to the machine that is being answered.
+    fn start_on(&mut self, id: &MachineId, now: Steady, out: &mut Vec<Order>) {
+        let mut list = self.assigned.remove(id).unwrap_or_default();
+        for j in self.jobs.values() {
+            if let Some(g) = j.gang.as_ref().filter(|g| g.stopping.is_none()) {
+                let here = g.places.iter().filter(|(n, m)| *m == id && !g.sent.contains(**n));
+                list.extend(here.map(|(n, _)| (j.id.clone(), *n)));
+            }
+        }
+        for (job, n) in list {
+            if !self.may_start(&job, n, id, now) {
+                continue;
+            }
+            let fresh_attempt = self.next_attempt();
+            let Some(j) = self.jobs.get_mut(&job) else { continue };
+            let attempt = match j.gang.as_mut() {
+                Some(g) => {
+                    g.sent.insert(n);
+                    g.since.get_or_insert(now);
+                    g.attempt
+                }
+                None => fresh_attempt,
+            };
+            let need = need_of(&j.spec);
+            if j.first_start.is_none() {
+                j.first_start = Some(now);
+                tracing::debug!(job = %job, machine = %id, "first start");
+            }
+            if let Some(m) = self.machines.get_mut(id) {
+                let e = Entry {
+                    stage: None,
+                    need: Some(need),
+                    since: now,
+                    running: None,
+                    stop: None,
+                    ended: None,
+                };
+                m.tasks.insert((job.clone(), n, attempt), e);
+                m.idle = now;
+            }
+            self.refresh(&job, n);
+            out.push(Order::Start { task: format!("{job}/{n}"), attempt });
+        }
+    }
+
+    /// Attempt numbers come from token and counter: never reused, without a write.
+    fn next_attempt(&mut self) -> u64 {
+        self.counter += 1;
+        (self.token << 24) | (self.counter & 0xff_ffff)
+    }
+
+    /// The one place where a start is checked, with everything that is possibly there counted.
+    fn may_start(&self, job: &JobId, n: u32, id: &MachineId, now: Steady) -> bool {
+        let (Some(j), Some(m)) = (self.jobs.get(job), self.machines.get(id)) else { return false };
+        let Some(ty) = m.ty else { return false };
+        let s = &j.spec;
+        if j.cancelled
+            || !m.usable(now)
+            || m.unknown_use()
+            || !j.waiting.contains(n)
+            || j.live.contains_key(&n)
+        {
+            return false;
+        }
+        if n >= j.high || now < j.not_before {
+            return false;
+        }
+        if self.unheard() > 0 && !self.startable_blind(j, n) {
+            return false;
+        }
+        let total = self.total(ty);
+        if !self.allowed_types(s).contains(&ty) || m.free(total).fits(&need_of(s)) == 0 {
+            return false;
+        }
+        if s.zone.as_deref().is_some_and(|z| z != self.zone_name(m.zone)) || (m.spot && !s.spot) {
+            return false;
+        }
+        let zones = self.zones_of(j);
+        let here = zones.get(m.zone).copied().unwrap_or(0);
+        if s.one_zone && zones.iter().sum::<u32>() > here {
+            return false;
+        }
+        if s.spread && here >= s.tasks.div_ceil(2) {
+            return false;
+        }
+        self.team_use(&s.team).allows(&need_of(s)) > 0
+    }
+
+    /// While some machine is not heard, only what cannot be on it may start.
+    fn startable_blind(&self, j: &Job, n: u32) -> bool {
+        let tied = j.spec.one_zone || j.spec.spread || j.spec.shape == Shape::Gang;
+        if tied {
+            j.inherited == 0
+        } else {
+            n >= j.inherited
+        }
+    }
+
+    fn zones_of(&self, j: &Job) -> Vec<u32> {
+        let mut v = vec![0; self.zones.len()];
+        for at in j.live.values() {
+            for id in at {
+                if let Some(m) = self.machines.get(id) {
+                    v[m.zone] += 1;
+                }
+            }
+        }
+        v
+    }
+
+    fn total(&self, ty: usize) -> Need {
+        self.types
+            .get(ty)
+            .map(|t| Need { cpus: t.cpus, gpus: t.gpus, memory: t.memory_gb })
+            .unwrap_or_default()
+    }
+
+    /// Types that a job's tasks may use and fit.
+    pub fn allowed_types(&self, s: &JobSpec) -> Vec<usize> {
+        allowed_types(&self.types, s)
+    }
+
+    fn team(&self, name: &str) -> Option<(usize, &Team)> {
+        self.cfg.platform.settings.teams.iter().enumerate().find(|t| t.1.name == name)
+    }
+
+    /// What a team uses, with all that may be somewhere counted against its limit.
+    fn team_use(&self, name: &str) -> TeamUse {
+        let Some((_, t)) = self.team(name) else { return TeamUse::default() };
+        let mut u = TeamUse { used: Need::default(), cpus_max: t.cpus_max, gpus_max: t.gpus_max };
+        if t.cpus_max <= 0.0 && t.gpus_max <= 0.0 {
+            return u;
+        }
+        for m in self.machines.values() {
+            if !m.heard || m.unknown_use() {
+                // Nothing is known of what is there: it may all be this team's.
+                u.used = u
+                    .used
+                    .plus(&m.ty.map_or(Need { cpus: 1e9, gpus: 1e9, memory: 0.0 }, |t| self.total(t)), 1);
+                continue;
+            }
+            for (k, e) in m.tasks.iter().filter(|x| x.1.live()) {
+                if let (Some(n), true) = (e.need, self.jobs.get(&k.0).is_none_or(|j| j.spec.team == name)) {
+                    u.used = u.used.plus(&n, 1);
+                }
+            }
+        }
+        u
+    }
+
+    // ---- planning ----
+
+    /// A for a waiting job.
+    pub fn adjusted(&self, s: &JobSpec, wall: Wall) -> Micros {
+        let stated = Micros::from_secs(s.estimate_s);
+        if !self.cfg.operator.adjust {
+            return stated;
+        }
+        stated.scale(self.history.factor(&Key { team: s.team.clone(), stated }, wall))
+    }
+
+    /// Until the stated end of a task; overrunning ones have a tenth of it, at least a second.
+    fn stated_left(&self, e: &Entry, s: Option<&JobSpec>, now: Steady) -> Micros {
+        let stated = Micros::from_secs(s.map_or(60.0, |s| s.estimate_s));
+        let fetch =
+            if matches!(e.stage, None | Some(TaskStage::Fetching | TaskStage::Waiting)) { 5.0 } else { 0.0 };
+        let left = stated - (now - e.running.unwrap_or(e.since)) + Micros::from_secs(fetch);
+        left.max(stated.scale(0.1)).max(Micros::from_secs(1.0))
+    }
+
+    fn snapshot(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>, Vec<JobId>) {
+        self.demands.retain(|d| (now - d.0).secs() < 600.0);
+        let demands = std::mem::take(&mut self.demands);
+        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
+        let mut s = Snapshot {
+            zones: self.zones.len(),
+            reserve: self.cfg.operator.reserve,
+            preempt_after: report.scale(2.0),
+            keep: self.keep(&demands),
+            ..Snapshot::default()
+        };
+        self.demands = demands;
+        let mut machines = Vec::new();
+        for m in self.machines.values() {
+            let Some(ty) = m.ty else { continue };
+            if m.leaving || m.expired || m.missing || !m.heard || (m.up && m.unknown_use()) {
+                continue;
+            }
+            let t = &self.types[ty];
+            let total = self.total(ty);
+            let held: Vec<Held> = m
+                .tasks
+                .iter()
+                .filter(|x| x.1.live())
+                .map(|(k, e)| {
+                    let spec = self.jobs.get(&k.0).map(|j| &j.spec);
+                    let ran = e.running.map_or(Micros::ZERO, |r| now - r);
+                    let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0);
+                    Held {
+                        need: e.need.unwrap_or_default(),
+                        rank: spec.map_or(Rank::Idle, |s| s.rank),
+                        team: spec.and_then(|s| self.team(&s.team)).map_or(usize::MAX, |t| t.0),
+                        left: self.stated_left(e, spec, now),
+                        lost: if saves {
+                            Micros::ZERO
+                        } else {
+                            ran.scale(e.need.map_or(1.0, |n| n.cpus.max(0.1)))
+                        },
+                        stoppable: e.stop.is_none()
+                            && spec.is_some_and(|s| s.shape == Shape::Array || s.tasks == 1),
+                        stopping: e.stop.is_some(),
+                    }
+                })
+                .collect();
+            let boot = Micros::from_secs(t.boot_s);
+            let opens_in = if m.up {
+                // A silent machine is not counted on until it reports again.
+                let silent = now - m.report;
+                if silent > report.scale(2.5) {
+                    report.scale(3.0)
+                } else {
+                    (report - silent).max(Micros::ZERO)
+                }
+            } else {
+                (boot.scale(1.1) - (m.age + (now - m.known))).max(Micros::from_secs(2.0))
+            };
+            let mut free = m.free(total);
+            // Places promised to gangs whose starts have not left yet.
+            for j in self.jobs.values() {
+                if let Some(g) = &j.gang {
+                    let promised =
+                        g.places.iter().filter(|(n, at)| **at == m.id && !g.sent.contains(**n)).count();
+                    free = free.less(&need_of(&j.spec), promised as u32);
+                }
+            }
+            s.rooms.push(Room {
+                ty,
+                zone: m.zone,
+                spot: m.spot,
+                total,
+                free,
+                open: m.usable(now) && now - m.report < report.scale(2.5),
+                opens_in,
+                images: m.images.iter().map(|i| i.0).collect(),
+                fetch_rate: t.fetch_gb_per_s,
+                penalty: Micros::from_secs(10.0 * m.failed.len() as f64),
+                until: m.notice.map(|n| n - now),
+                held,
+            });
+            machines.push(m.id.clone());
+        }
+        let blind = self.unheard() > 0;
+        let mut jobs = Vec::new();
+        let mut guaranteed: BTreeMap<String, Need> = BTreeMap::new();
+        let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
+        by_age.sort_by_key(|j| j.submitted);
+        let image_of: Vec<Option<String>> = by_age.iter().map(|j| j.spec.image.clone()).collect();
+        let mut classes = Vec::new();
+        for j in &by_age {
+            let sp = &j.spec;
+            let within = match self.team(&sp.team) {
+                Some((_, t)) if t.cpus > 0.0 || t.gpus > 0.0 => {
+                    let left = sp.tasks - j.done.len();
+                    let sum = guaranteed.entry(sp.team.clone()).or_default();
+                    *sum = sum.plus(&need_of(sp), left);
+                    sum.cpus <= t.cpus + 1e-6 && sum.gpus <= t.gpus + 1e-6
+                }
+                _ => false,
+            };
+            let gang = sp.shape == Shape::Gang;
+            let count = if now < j.not_before || (gang && (j.gang.is_some() || !j.live.is_empty())) {
+                0
+            } else if blind {
+                let tied = sp.one_zone || sp.spread || gang;
+                if tied && j.inherited > 0 {
+                    0
+                } else {
+                    j.waiting.count_from(j.inherited)
+                }
+            } else {
+                j.waiting.len()
+            };
+            jobs.push(j.id.clone());
+            classes.push(Class {
+                rank: sp.rank,
+                team: self.team(&sp.team).map_or(usize::MAX, |t| t.0),
+                guaranteed: within,
+                count,
+                tasks: sp.tasks,
+                gang,
+                need: need_of(sp),
+                types: self.allowed_types(sp),
+                zone: sp.zone.as_ref().map(|z| self.zones.iter().position(|x| x == z).unwrap_or(usize::MAX)),
+                one_zone: sp.one_zone,
+                spread: sp.spread,
+                spot: sp.spot,
+                image: None,
+                image_gb: sp.image_gb,
+                adjusted: self.adjusted(sp, wall),
+                waited: wall - j.submitted,
+                zones: self.zones_of(j),
+            });
+        }
+        for (c, name) in classes.iter_mut().zip(image_of) {
+            c.image = name.map(|n| self.image(&n));
+        }
+        s.classes = classes;
+        s.teams = self.cfg.platform.settings.teams.iter().map(|t| self.team_use(&t.name)).collect();
+        (s, machines, jobs)
+    }
+
+    /// By type: the largest recent demand of a higher rank that no smaller type takes.
+    fn keep(&self, demands: &[(Steady, Need, Rank, Vec<usize>)]) -> Vec<Option<Keep>> {
+        let size = |t: &MachineType| t.cpus + 8.0 * t.gpus;
+        (0..self.types.len())
+            .map(|ty| {
+                demands
+                    .iter()
+                    .filter(|d| d.2 > Rank::Idle && d.3.contains(&ty))
+                    .filter(|d| d.3.iter().all(|&o| size(&self.types[o]) >= size(&self.types[ty])))
+                    .filter(|d| self.total(ty).fits(&d.1) == 1)
+                    .max_by(|a, b| a.2.cmp(&b.2).then(a.1.cpus.total_cmp(&b.1.cpus)))
+                    .map(|d| Keep { need: d.1, rank: d.2 })
+            })
+            .collect()
+    }
+
+    /// Plans anew if something changed, or the plan is old.
+    pub fn replan(&mut self, now: Steady, wall: Wall) {
+        let old = now - self.planned;
+        if !(self.dirty && old > Micros::from_millis(20) || old > Micros::from_secs(1.0)) {
+            return;
+        }
+        self.plan_now(now, wall);
+    }
+
+    /// Plans, and returns what the plan's indices mean.
+    fn plan_now(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>) {
+        self.dirty = false;
+        self.planned = now;
+        self.drop_unsent_gangs(now);
+        let (snapshot, machines, jobs) = self.snapshot(now, wall);
+        let plan = sched::plan(&snapshot);
+        self.assign(&snapshot, &plan, &machines, &jobs);
+        self.stop_for(&plan, &machines, now);
+        self.plan = plan;
+        (snapshot, machines)
+    }
+
+    /// A gang none of whose starts has left is planned anew each time; one whose starts have left
+    /// but that lost a place is stopped.
+    fn drop_unsent_gangs(&mut self, now: Steady) {
+        let wait = Micros::from_secs(self.cfg.platform.settings.workers.gang_wait_s);
+        let mut broken = Vec::new();
+        for j in self.jobs.values_mut() {
+            let Some(g) = &j.gang else { continue };
+            let over = g.stopping.is_some() || g.sent.is_empty();
+            if over && j.live.is_empty() {
+                j.gang = None;
+            } else if g.stopping.is_none() {
+                let unsent = g.places.keys().any(|n| !g.sent.contains(*n));
+                let lost = g.places.iter().any(|(n, m)| {
+                    !g.sent.contains(*n)
+                        && self
+                            .machines
+                            .get(m)
+                            .is_none_or(|m| m.leaving || m.expired || m.missing || m.notice.is_some())
+                });
+                if lost || (unsent && g.since.is_some_and(|s| now - s > wait)) {
+                    broken.push((j.id.clone(), g.attempt));
+                }
+            }
+        }
+        for (id, attempt) in broken {
+            self.gang_broken(&id, attempt);
+        }
+    }
+
+    fn assign(&mut self, s: &Snapshot, plan: &Plan, machines: &[MachineId], jobs: &[JobId]) {
+        self.assigned.clear();
+        let blind = self.unheard() > 0;
+        let mut taken: BTreeMap<usize, usize> = BTreeMap::new();
+        let mut gangs: BTreeMap<usize, Vec<MachineId>> = BTreeMap::new();
+        for st in &plan.starts {
+            let id = &machines[st.room];
+            if s.classes[st.class].gang {
+                let at = gangs.entry(st.class).or_default();
+                at.extend((0..st.count).map(|_| id.clone()));
+                continue;
+            }
+            let Some(j) = self.jobs.get_mut(&jobs[st.class]) else { continue };
+            let from = if blind { j.inherited } else { 0 };
+            let skip = taken.entry(st.class).or_insert(0);
+            let tasks: Vec<u32> =
+                j.waiting.within(from, u32::MAX).iter().skip(*skip).take(st.count as usize).collect();
+            *skip += tasks.len();
+            if let Some(top) = tasks.last() {
+                if *top >= j.high {
+                    // A little ahead, so that starts do not wait for the write each time.
+                    let ahead = (tasks.len() as u32).max(16);
+                    j.high_wanted = j.high_wanted.max(top.saturating_add(1 + ahead).min(j.spec.tasks));
+                }
+            }
+            self.assigned.entry(id.clone()).or_default().extend(tasks.into_iter().map(|n| (j.id.clone(), n)));
+        }
+        for (class, at) in gangs {
+            let attempt = self.next_attempt();
+            let Some(j) = self.jobs.get_mut(&jobs[class]) else { continue };
+            let places = j.waiting.iter().zip(at).collect();
+            j.high_wanted = j.spec.tasks;
+            j.gang = Some(GangAttempt { attempt, places, sent: Ranges::new(), since: None, stopping: None });
+        }
+    }
+
+    fn stop_for(&mut self, plan: &Plan, machines: &[MachineId], now: Steady) {
+        let mut stops: Vec<(MachineId, TaskKey, f64)> = Vec::new();
+        for &(room, held) in &plan.preempt {
+            let id = &machines[room];
+            let Some(m) = self.machines.get(id) else { continue };
+            // The planner's `held` lists the live tasks in this very order.
+            if let Some((k, _)) = m.tasks.iter().filter(|x| x.1.live()).nth(held) {
+                stops.push((id.clone(), k.clone(), self.grace(&k.0)));
+                tracing::info!(machine = %id, job = %k.0, task = k.1, "preempted");
+            }
+        }
+        // Before a spot machine is taken, what can save is told to.
+        let report = self.cfg.platform.settings.workers.report_s;
+        for m in self.machines.values() {
+            let Some(n) = m.notice else { continue };
+            for (k, e) in m.tasks.iter().filter(|x| x.1.live() && x.1.stop.is_none()) {
+                let grace = self.grace(&k.0);
+                if grace > 0.0 && (n - now).secs() < grace + 2.5 * report && e.stage.is_some() {
+                    stops.push((m.id.clone(), k.clone(), grace));
+                }
+            }
+        }
+        for (id, k, grace) in stops {
+            let gang = self.jobs.get(&k.0).is_some_and(|j| j.spec.shape == Shape::Gang);
+            for m in self.machines.values_mut().filter(|m| gang || m.id == id) {
+                for (o, e) in m.tasks.iter_mut() {
+                    if (*o == k || (gang && o.0 == k.0 && o.2 == k.2)) && e.live() && e.stop.is_none() {
+                        e.stop = Some(grace);
+                    }
+                }
+            }
+            if let Some(g) = self.jobs.get_mut(&k.0).and_then(|j| j.gang.as_mut()) {
+                g.stopping.get_or_insert(grace);
+            }
+        }
+    }
+
+    fn grace(&self, id: &JobId) -> f64 {
+        self.jobs.get(id).filter(|j| j.spec.checkpoint_s > 0.0).map_or(0.0, |j| j.spec.save_s + 0.5)
+    }
+
+    // ---- time passing ----
+
+    /// Leases that ran out, machines silent since a takeover, and boots that never end.
+    pub fn tick(&mut self, now: Steady, wall: Wall) {
+        let fence = Micros::from_secs(self.cfg.operator.fence_after_s);
+        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
+        let lease = self.lease;
+        let mut ended = Vec::new();
+        for m in self.machines.values_mut() {
+            if m.leaving {
+                continue;
+            }
+            if !m.heard {
+                if now - self.taken > fence {
+                    tracing::info!(machine = %m.id, "returned: silent since the takeover");
+                    m.leaving = true;
+                }
+                continue;
+            }
+            match m.answered {
+                // The last answer was this owner's and its token had arrived: the lease is ours to
+                // count. Otherwise somebody else may still be renewing it.
+                Some(a) if now - a > lease && !m.expired => {
+                    tracing::info!(machine = %m.id, "returned: its lease ran out");
+                    m.expired = true;
+                    m.leaving = true;
+                    ended.push(m.id.clone());
+                }
+                Some(a) if m.missing && now - a > report.scale(3.0) => {
+                    tracing::info!(machine = %m.id, "returned: silent and not in the cloud's list");
+                    m.leaving = true;
+                }
+                Some(_) => {}
+                None => {
+                    let boot = m.ty.and_then(|t| self.types.get(t)).map_or(60.0, |t| t.boot_s);
+                    let age = m.age + (now - m.known);
+                    if m.missing || age.secs() > (boot * 4.0).max(90.0) {
+                        tracing::info!(machine = %m.id, age = age.secs(), "returned: it never came up");
+                        m.leaving = true;
+                    }
+                }
+            }
+        }
+        for id in ended {
+            self.emptied(&id);
+        }
+        self.gone.retain(|_, at| (now - *at).secs() < 900.0);
+        self.refused.retain(|_, until| now < *until);
+        self.replan(now, wall);
+    }
+
+    // ---- the cloud ----
+
+    /// What to rent, and idle machines marked as leaving.
+    pub fn capacity(&mut self, now: Steady, wall: Wall) -> Vec<(Offer, u32)> {
+        // Always on a plan of this very moment: its indices are the snapshot's.
+        let (snapshot, machines) = self.plan_now(now, wall);
+        let upkeep: Vec<Upkeep> = machines
+            .iter()
+            .filter_map(|id| self.machines.get(id))
+            .map(|m| Upkeep {
+                age: m.age + (now - m.known),
+                idle: (m.up && m.tasks.is_empty()).then(|| now - m.idle),
+                booting: !m.up,
+            })
+            .collect();
+        let type_zones: Vec<Vec<usize>> =
+            self.types.clone().iter().map(|t| t.zones.iter().map(|z| self.zone(z)).collect()).collect();
+        let refused: Vec<Offer> = self.refused.keys().copied().collect();
+        let o = &self.cfg.operator;
+        let view = View {
+            snapshot: &snapshot,
+            plan: &self.plan,
+            upkeep: &upkeep,
+            types: &self.types,
+            zones: &type_zones,
+            refused: &refused,
+            policy: Policy {
+                drain: Micros::from_secs(o.drain_s),
+                idle: Micros::from_secs(o.idle_s),
+                idle_kept: Micros::from_secs(o.idle_protected_s),
+                slow_boot: o.slow_boot,
+            },
+        };
+        let d = view.decide();
+        for m in d.returns {
+            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.tasks.is_empty()) {
+                tracing::info!(machine = %m.id, "returned: idle");
+                m.leaving = true;
+            }
+        }
+        d.rents.into_iter().map(|r| (r.offer, r.count)).collect()
+    }
+
+    /// The cloud had nothing of this for now.
+    pub fn offer_refused(&mut self, offer: Offer, until: Steady) {
+        self.refused.insert(offer, until);
+    }
+
+    /// Machines that the cloud rented to this owner.
+    pub fn rented(&mut self, ids: &[String], offer: Offer, now: Steady) {
+        let (ty, zone) =
+            (self.types.get(offer.ty).map(|t| t.name.clone()), self.zone_name(offer.zone).to_string());
+        for id in ids {
+            let id: MachineId = id.as_str().into();
+            if !self.machines.contains_key(&id) && !self.gone.contains_key(&id) {
+                self.machines.insert(id.clone(), Machine::new(&id, now));
+                self.describe(&id, "", ty.as_deref().unwrap_or(""), &zone, offer.spot);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Takes the cloud's list; it may be late, and older than the one before.
+    pub fn listed(&mut self, list: &[ListedMachine], now: Steady) {
+        let there: BTreeSet<&str> = list.iter().map(|m| m.id.as_str()).collect();
+        for m in self.machines.values_mut() {
+            if m.listed && !there.contains(&*m.id) {
+                m.missing = true;
+            }
+        }
+        for l in list {
+            let id: MachineId = l.id.as_str().into();
+            if self.gone.contains_key(&id) {
+                continue;
+            }
+            if !self.machines.contains_key(&id) {
+                if l.stage == "failed" {
+                    continue;
+                }
+                let mut m = Machine::new(&id, now);
+                m.age = Micros::from_secs(l.age_s);
+                self.machines.insert(id.clone(), m);
+            }
+            self.describe(&id, l.addr.as_deref().unwrap_or(""), &l.ty, &l.zone, l.spot);
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.listed = true;
+                m.missing = l.stage == "failed";
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Machines to be returned now.
+    pub fn leaving(&self) -> Vec<String> {
+        self.machines.values().filter(|m| m.leaving).map(|m| m.id.to_string()).collect()
+    }
+
+    /// The cloud answered a return: the machines and all on them are gone.
+    pub fn returned(&mut self, ids: &[String], now: Steady) {
+        for id in ids {
+            let id: MachineId = id.as_str().into();
+            self.emptied(&id);
+            if let Some(m) = self.machines.remove(&id) {
+                if m.enrolled || m.stamp > 0 {
+                    self.unenrol.insert(id.clone(), m.stamp);
+                }
+                self.gone.insert(id, now);
+            }
+        }
+        self.dirty = true;
+    }
+
+    // ---- what to write ----
+
+    /// What waits to be written, the most urgent first.
+    pub fn pending(&self, now: Steady, batch: Micros, chunk: u32) -> Vec<Pending> {
+        let mut v = Vec::new();
+        for j in self.jobs.values().filter(|j| !j.cancelled) {
+            if j.complete() {
+                v.push(Pending::Final(j.id.clone()));
+                continue;
+            }
+            if j.high_wanted > j.high {
+                v.push(Pending::High(j.id.clone(), j.high_wanted));
+            }
+            if now - j.wrote_done >= batch && j.done.len() > j.done_written.len() {
+                for c in 0..j.spec.tasks.div_ceil(chunk) {
+                    let (a, b) = (c * chunk, (c + 1) * chunk);
+                    if j.done.within(a, b) != j.done_written.within(a, b) {
+                        v.push(Pending::Done(j.id.clone(), c));
+                    }
+                }
+            }
+        }
+        for m in self.machines.values() {
+            if m.up && !m.enrolled && !m.leaving && m.ty.is_some() {
+                v.push(Pending::Enrol(m.id.clone()));
+            }
+        }
+        v.extend(self.unenrol.iter().map(|(id, s)| Pending::Unenrol(id.clone(), *s)));
+        v.sort();
+        v
+    }
+
+    /// A write has been applied at a revision.
+    pub fn written(&mut self, p: &Pending, revision: u64, done: Option<&Ranges>, now: Steady) {
+        match p {
+            Pending::Final(id) => self.job_over(id, revision),
+            Pending::Enrol(id) => {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.enrolled = true;
+                    m.stamp = revision;
+                }
+            }
+            Pending::High(id, high) => {
+                if let Some(j) = self.jobs.get_mut(id) {
+                    j.high = j.high.max(*high);
+                    j.stamp = revision;
+                }
+            }
+            Pending::Done(id, chunk) => {
+                if let Some(j) = self.jobs.get_mut(id) {
+                    for n in done.iter().flat_map(|r| r.iter()) {
+                        j.done_written.insert(n);
+                    }
+                    j.chunks.insert(*chunk, revision);
+                    j.wrote_done = now;
+                }
+            }
+            Pending::Unenrol(id, _) => {
+                self.unenrol.remove(id);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// A machine's record as read back.
+    pub fn learn_machine(&mut self, id: &str, stamp: u64) {
+        if let Some(s) = self.unenrol.get_mut(id) {
+            if stamp == 0 {
+                self.unenrol.remove(id);
+            } else {
+                *s = stamp;
+            }
+        }
+        if let Some(m) = self.machines.get_mut(id) {
+            m.stamp = stamp;
+        }
+    }
+
+    // ---- polls ----
+
+    /// Numbers for a poll.
+    pub fn counts(&self, id: &str) -> Option<Counts> {
+        let j = self.jobs.get(id).filter(|j| !j.cancelled)?;
+        let running = self
+            .machines
+            .values()
+            .flat_map(|m| m.tasks.range((j.id.clone(), 0, 0)..=(j.id.clone(), u32::MAX, u64::MAX)))
+            .filter(|(_, e)| e.live() && matches!(e.stage, Some(TaskStage::Running | TaskStage::Saving)))
+            .count();
+        Some(Counts { done: j.done.len(), running: running as u32 })
+    }
+}
+
+/// What a task of the job takes.
+pub fn need_of(s: &JobSpec) -> Need {
+    Need { cpus: s.cpus, gpus: s.gpus, memory: s.memory_gb }
+}
+
+/// Types, by index, that a job allows and its tasks fit.
+pub fn allowed_types(types: &[MachineType], s: &JobSpec) -> Vec<usize> {
+    let need = need_of(s);
+    (0..types.len())
+        .filter(|&i| {
+            let t = &types[i];
+            let total = Need { cpus: t.cpus, gpus: t.gpus, memory: t.memory_gb };
+            s.types.as_ref().is_none_or(|a| a.iter().any(|n| *n == t.name))
+                && s.zone.as_ref().is_none_or(|z| t.zones.is_empty() || t.zones.contains(z))
+                && total.fits(&need) > 0
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,298 @@
+//! Jobs: ranges of tasks, the records kept in the state service, and the owner's view of a job.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::{Micros, Steady, Wall};
+use crate::wire::{JobSpec, Stage};
+
+/// A job's id.
+pub type JobId = Arc<str>;
+/// A machine's id.
+pub type MachineId = Arc<str>;
+
+/// A set of task numbers as sorted, disjoint, non-adjacent half-open ranges.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ranges(Vec<(u32, u32)>);
+
+impl Ranges {
+    /// The empty set.
+    pub fn new() -> Ranges {
+        Ranges(Vec::new())
+    }
+
+    /// All numbers from `a` up to but not including `b`.
+    pub fn span(a: u32, b: u32) -> Ranges {
+        Ranges(if a < b { vec![(a, b)] } else { Vec::new() })
+    }
+
+    /// Whether the set holds `x`.
+    pub fn contains(&self, x: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 <= x);
+        self.0.get(i).is_some_and(|r| r.0 <= x)
+    }
+
+    /// Adds `x`; false if it was there.
+    pub fn insert(&mut self, x: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 < x);
+        match self.0.get(i).copied() {
+            Some((a, b)) if a <= x && x < b => false,
+            Some((a, b)) if b == x => {
+                match self.0.get(i + 1).copied() {
+                    Some((c, d)) if c == x + 1 => {
+                        self.0[i] = (a, d);
+                        self.0.remove(i + 1);
+                    }
+                    _ => self.0[i] = (a, x + 1),
+                }
+                true
+            }
+            Some((a, b)) if a == x + 1 => {
+                self.0[i] = (x, b);
+                true
+            }
+            _ => {
+                self.0.insert(i, (x, x + 1));
+                true
+            }
+        }
+    }
+
+    /// Takes `x` out; false if it was not there.
+    pub fn remove(&mut self, x: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 <= x);
+        let Some((a, b)) = self.0.get(i).copied().filter(|r| r.0 <= x) else { return false };
+        match (a == x, b == x + 1) {
+            (true, true) => {
+                self.0.remove(i);
+            }
+            (true, false) => self.0[i].0 = x + 1,
+            (false, true) => self.0[i].1 = x,
+            (false, false) => {
+                self.0[i] = (a, x);
+                self.0.insert(i + 1, (x + 1, b));
+            }
+        }
+        true
+    }
+
+    /// How many numbers the set holds.
+    pub fn len(&self) -> u32 {
+        self.0.iter().map(|r| r.1 - r.0).sum()
+    }
+
+    /// Whether it is empty.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The numbers, in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.0.iter().flat_map(|r| r.0..r.1)
+    }
+
+    /// How many numbers are at least `x`.
+    pub fn count_from(&self, x: u32) -> u32 {
+        self.0.iter().map(|r| r.1.saturating_sub(r.0.max(x))).sum()
+    }
+
+    /// The part from `a` up to but not including `b`.
+    pub fn within(&self, a: u32, b: u32) -> Ranges {
+        Ranges(self.0.iter().map(|r| (r.0.max(a), r.1.min(b))).filter(|r| r.0 < r.1).collect())
+    }
+
+    /// The compact text: `0-4,7`, inclusive.
+    pub fn text(&self) -> String {
+        let one = |&(a, b): &(u32, u32)| if b == a + 1 { a.to_string() } else { format!("{a}-{}", b - 1) };
+        self.0.iter().map(one).collect::<Vec<_>>().join(",")
+    }
+
+    /// Adds the numbers of a compact text; numbers from `limit` on are left out.
+    pub fn add_text(&mut self, text: &str, limit: u32) {
+        for part in text.split(',').filter(|p| !p.is_empty()) {
+            let (a, b) = part.split_once('-').unwrap_or((part, part));
+            if let (Ok(a), Ok(b)) = (a.parse::<u32>(), b.parse::<u32>()) {
+                for x in a..=b.min(limit.saturating_sub(1)) {
+                    self.insert(x);
+                }
+            }
+        }
+    }
+}
+
+/// What is written for a live job, under `job/<id>`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The job as its user described it.
+    pub spec: JobSpec,
+    /// When it was accepted, in microseconds of the time of day.
+    pub submitted_us: i64,
+    /// Tasks below this may have been started.
+    #[serde(default)]
+    pub high: u32,
+}
+
+/// What is kept for ever of a job that is over, under `final/<id>`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    /// `done` or `cancelled`.
+    pub stage: Stage,
+    /// Number of tasks.
+    pub tasks: u32,
+}
+
+/// Key of a live job.
+pub fn job_key(id: &str) -> String {
+    format!("job/{id}")
+}
+
+/// Key of a job that is over.
+pub fn final_key(id: &str) -> String {
+    format!("final/{id}")
+}
+
+/// Key of a chunk of a job's done ranges.
+pub fn done_key(id: &str, chunk: u32) -> String {
+    format!("done/{id}/{chunk}")
+}
+
+/// Tasks in a chunk of done ranges, so that the longest text fits a value: ranges of one task
+/// each, apart by one, take up to seven bytes for two tasks.
+pub fn chunk_tasks(value_bytes: usize) -> u32 {
+    ((value_bytes / 4).saturating_sub(8)).max(64) as u32
+}
+
+/// Where a gang's present attempt stands.
+#[derive(Clone, Debug)]
+pub struct GangAttempt {
+    /// The attempt number, shared by all its tasks.
+    pub attempt: u64,
+    /// Where each task goes; a start may have left already or not.
+    pub places: BTreeMap<u32, MachineId>,
+    /// Tasks whose start has left.
+    pub sent: Ranges,
+    /// When the first start left.
+    pub since: Option<Steady>,
+    /// Being stopped, with this grace.
+    pub stopping: Option<f64>,
+}
+
+/// The owner's view of a live job.
+#[derive(Debug)]
+pub struct Job {
+    /// The id.
+    pub id: JobId,
+    /// The description.
+    pub spec: JobSpec,
+    /// When it was accepted.
+    pub submitted: Wall,
+    /// When this owner came to know it.
+    pub known: Steady,
+    /// Version of its record.
+    pub stamp: u64,
+    /// Tasks below this may be started: written.
+    pub high: u32,
+    /// Tasks below this are to be made startable next.
+    pub high_wanted: u32,
+    /// `high` as this owner found it: tasks below may be anywhere until all machines are heard.
+    pub inherited: u32,
+    /// Tasks that are neither done nor anywhere.
+    pub waiting: Ranges,
+    /// Tasks that are done.
+    pub done: Ranges,
+    /// Done tasks whose ranges are written.
+    pub done_written: Ranges,
+    /// Versions of the chunks of done ranges.
+    pub chunks: BTreeMap<u32, u64>,
+    /// When done ranges were last written.
+    pub wrote_done: Steady,
+    /// Where tasks possibly are.
+    pub live: BTreeMap<u32, Vec<MachineId>>,
+    /// The gang's present attempt.
+    pub gang: Option<GangAttempt>,
+    /// The user withdrew it; only its remains are left to clear.
+    pub cancelled: bool,
+    /// Failures in a row, across machines.
+    pub errors: u32,
+    /// After failures, not started before this.
+    pub not_before: Steady,
+    /// Run times seen whole: their sum and number.
+    pub ran: (Micros, u32),
+    /// A start has been counted (for the log).
+    pub first_start: Option<Steady>,
+}
+
+impl Job {
+    /// A job from its record.
+    pub fn new(record: JobRecord, stamp: u64, now: Steady) -> Job {
+        Job {
+            id: record.spec.id.as_str().into(),
+            waiting: Ranges::span(0, record.spec.tasks),
+            submitted: Wall(record.submitted_us),
+            known: now,
+            stamp,
+            high: record.high,
+            high_wanted: record.high,
+            inherited: record.high,
+            spec: record.spec,
+            done: Ranges::new(),
+            done_written: Ranges::new(),
+            chunks: BTreeMap::new(),
+            wrote_done: Steady(0),
+            live: BTreeMap::new(),
+            gang: None,
+            cancelled: false,
+            errors: 0,
+            not_before: Steady(0),
+            ran: (Micros::ZERO, 0),
+            first_start: None,
+        }
+    }
+
+    /// Whether all tasks are done.
+    pub fn complete(&self) -> bool {
+        self.done.len() == self.spec.tasks
+    }
+
+    /// The record as it should stand.
+    pub fn record(&self, high: u32) -> JobRecord {
+        JobRecord { spec: self.spec.clone(), submitted_us: self.submitted.0, high }
+    }
+}
+
+/// Splits `wk-000412/3`.
+pub fn split_task(task: &str) -> Option<(&str, u32)> {
+    let (job, n) = task.rsplit_once('/')?;
+    Some((job, n.parse().ok()?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeSet;
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..Default::default() })]
+        #[test]
+        fn ranges_are_a_set(ops in prop::collection::vec((any::<bool>(), 0u32..40), 0..120)) {
+            let (mut r, mut model) = (Ranges::new(), BTreeSet::new());
+            for (add, x) in ops {
+                if add {
+                    prop_assert_eq!(r.insert(x), model.insert(x));
+                } else {
+                    prop_assert_eq!(r.remove(x), model.remove(&x));
+                }
+                prop_assert!(r.0.windows(2).all(|w| w[0].1 < w[1].0));
+            }
+            prop_assert_eq!(r.iter().collect::<Vec<_>>(), model.iter().copied().collect::<Vec<_>>());
+            prop_assert_eq!(r.len() as usize, model.len());
+            prop_assert_eq!(r.count_from(17) as usize, model.range(17..).count());
+            let mut back = Ranges::new();
+            back.add_text(&r.text(), 100_000);
+            prop_assert_eq!(back, r);
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! milletlock: a cluster scheduler. A few controllers accept jobs, rent machines and tell workers
+//! what to run; all that must outlive a process is kept in the platform's state service.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod api;
+pub mod capacity;
+pub mod cli;
+pub mod cloud;
+pub mod cluster;
+pub mod config;
+pub mod fleet;
+pub mod history;
+pub mod http;
+pub mod jobs;
+pub mod node;
+pub mod peer;
+pub mod sched;
+pub mod state;
+pub mod time;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,9 @@
+//! The milletlock program.
+
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    milletlock::cli::main()
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,1015 @@
+//! A controller: wires the duties together. Each long-lived duty has a routine of its own; all
+//! share one lock around the owner's world, held only for computing.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::Duration;
+
+use rand::Rng;
+use serde_json::json;
+
+use crate::api;
+use crate::cloud::{CloudClient, CloudError};
+use crate::cluster::{self, Claim, MachineRecord, Owner, LEADER, PART};
+use crate::config::Config;
+use crate::fleet::{CheckIn, Counts, Fleet, Pending};
+use crate::history::Key;
+use crate::http::{self, Client, Request, Response};
+use crate::jobs::{
+    chunk_tasks, done_key, final_key, job_key, FinalRecord, JobId, JobRecord, MachineId, Ranges,
+};
+use crate::peer::{Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
+use crate::state::{Applied, StateClient, StateError, Urgency};
+use crate::time::{steady, wall, Micros, Steady};
+use crate::wire::{Change, Commands, Guard, MachineType, RentRequest, Report, Stage, Txn};
+
+/// What an owner has.
+struct Own {
+    fleet: Fleet,
+    claim: Claim,
+    /// Start of the last successful look at the jobs' changes.
+    fresh: Steady,
+    /// Revision to watch from.
+    watched: u64,
+    /// When a worker's report was last taken.
+    last_report: Steady,
+    /// When another controller last answered.
+    last_peer: Steady,
+}
+
+#[derive(Default)]
+struct Core {
+    own: Option<Own>,
+    /// A claim is being made: reports wait for it a moment.
+    claiming: bool,
+    leader: Option<Owner>,
+    highest: u64,
+    types: Option<Vec<MachineType>>,
+    finals: BTreeMap<String, FinalRecord>,
+    finals_order: VecDeque<String>,
+    counts: BTreeMap<String, Counts>,
+    redirected: BTreeMap<String, Steady>,
+    no_relay_until: Steady,
+    /// After resigning, others go first.
+    hold_off: Steady,
+}
+
+const FINALS_KEPT: usize = 20_000;
+
+/// A controller.
+pub struct Node {
+    /// Settings.
+    pub cfg: Arc<Config>,
+    /// The state service.
+    pub state: StateClient,
+    cloud: CloudClient,
+    peers: PeerHub,
+    core: Mutex<Core>,
+    wake: Condvar,
+    stop: Arc<AtomicBool>,
+    incarnation: u64,
+}
+
+impl Node {
+    /// Starts all duties; returns when `stop` is set.
+    pub fn run(cfg: Config, stop: Arc<AtomicBool>) -> anyhow::Result<()> {
+        let p = &cfg.platform;
+        let (peers, inbound) = PeerHub::start(p.internal_addr, p.members.iter().map(|m| m.addr).collect())?;
+        let listener = TcpListener::bind(p.serve_on)?;
+        let nodes = cfg.nodes() as f64;
+        let st = &p.settings.state;
+        // The leader writes for all, so it is allowed more of the changes than the others.
+        let share = if cfg.nodes() == 1 { 0.9 } else { 0.9 * 2.0 / (nodes + 1.0) };
+        let node = Arc::new(Node {
+            state: StateClient::new(p.services.state, st.rps * share, st.write_rps * share),
+            cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
+            peers,
+            core: Mutex::new(Core::default()),
+            wake: Condvar::new(),
+            stop,
+            incarnation: rand::rng().random_range(1..=u64::MAX >> 12),
+            cfg: Arc::new(cfg),
+        });
+        tracing::info!(label = %node.cfg.platform.label, incarnation = node.incarnation, "started");
+        let mut duties = Vec::new();
+        let mut duty = |name: &str, f: fn(&Node)| -> std::io::Result<()> {
+            let n = node.clone();
+            let t =
+                std::thread::Builder::new().name(name.into()).stack_size(512 * 1024).spawn(move || f(&n))?;
+            duties.push(t);
+            Ok(())
+        };
+        duty("keeper", Node::keep)?;
+        duty("watcher", Node::watch)?;
+        duty("writer", Node::write)?;
+        duty("cloud", Node::tend)?;
+        duty("announcer", Node::announce)?;
+        duty("raiser", Node::raise)?;
+        let inbound = Arc::new(Mutex::new(inbound));
+        for i in 0..3 {
+            let (n, inbound) = (node.clone(), inbound.clone());
+            let t = std::thread::Builder::new()
+                .name(format!("peer-{i}"))
+                .stack_size(512 * 1024)
+                .spawn(move || n.answer_peers(&inbound))?;
+            duties.push(t);
+        }
+        let most = match node.cfg.operator.max_connections {
+            0 => node.cfg.platform.settings.limits.max_sockets.saturating_sub(64).clamp(8, 600),
+            n => n,
+        };
+        let n = node.clone();
+        let handler: http::Handler = Arc::new(move |r| n.answer(&r, false));
+        http::serve(listener, most, node.stop.clone(), handler);
+        node.wake.notify_all();
+        for t in duties {
+            let _ = t.join();
+        }
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Core> {
+        // A panic elsewhere must not take the others along.
+        self.core.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn stopping(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    fn sleep(&self, t: Micros) {
+        if !self.stopping() {
+            std::thread::sleep(t.std());
+        }
+    }
+
+    // ---- requests ----
+
+    /// Answers a request of a user, a worker or the load balancer.
+    pub fn answer(&self, req: &Request, relayed: bool) -> Response {
+        match req.path.as_str() {
+            "/checkin" if req.method == "POST" => self.check_in(req, relayed),
+            "/up" if req.method == "GET" => self.up(),
+            "/checkin" | "/up" => Response::error(405, "wrong method"),
+            _ => api::handle(self, req, relayed),
+        }
+    }
+
+    fn up(&self) -> Response {
+        if self.lock().types.is_some() {
+            Response::json(200, &json!({ "up": true }))
+        } else {
+            Response::error(503, "starting")
+        }
+    }
+
+    fn check_in(&self, req: &Request, relayed: bool) -> Response {
+        let report: Report = match serde_json::from_slice(&req.body) {
+            Ok(r) => r,
+            Err(e) => {
+                tracing::error!(error = %e, "a worker's report cannot be read");
+                return Response::error(400, &e.to_string());
+            }
+        };
+        let now = steady();
+        let mut core = self.lock();
+        while core.claiming && core.own.is_none() && (steady() - now).secs() < 1.5 {
+            core = match self.wake.wait_timeout(core, Duration::from_millis(200)) {
+                Ok((g, _)) => g,
+                Err(e) => e.into_inner().0,
+            };
+        }
+        let now = steady();
+        let bound = self.cfg.blind_bound();
+        if let Some(own) = core.own.as_mut() {
+            if now - own.fresh > bound {
+                // Cancellations cannot be seen any more: leases must be let run out.
+                return Response::error(503, "out of touch with the state service");
+            }
+            own.last_report = now;
+            return match own.fleet.check_in(&report, now, wall()) {
+                CheckIn::Reply(r) => Response::json(200, &r),
+                CheckIn::Refuse => Response::error(503, "not now"),
+                CheckIn::Superseded(token) => {
+                    self.step_down(&mut core, token, "a worker has seen a higher token");
+                    Response::error(503, "not the owner")
+                }
+            };
+        }
+        if relayed {
+            return Response::error(503, "not the owner");
+        }
+        let Some(leader) = core.leader.clone().filter(|l| l.label != self.cfg.platform.label) else {
+            return Response::error(503, "no owner known");
+        };
+        core.redirected.retain(|_, at| (now - *at).secs() < 30.0);
+        let again = core.redirected.get(&report.machine).is_some_and(|at| (now - *at).secs() < 12.0);
+        if !again {
+            core.redirected.insert(report.machine.clone(), now);
+            return Response::json(421, &json!({ "steward": leader.label }));
+        }
+        drop(core);
+        // It was sent to the owner and is back: it cannot get through, so its report is carried.
+        let to = self.cfg.platform.members.iter().position(|m| m.label == leader.label);
+        match to.and_then(|to| self.relay(to, req, Micros::from_millis(2500))) {
+            Some(r) => r,
+            None => Response::error(503, "the owner does not answer"),
+        }
+    }
+
+    fn relay(&self, to: usize, req: &Request, timeout: Micros) -> Option<Response> {
+        let call = Call { method: req.method.clone(), path: req.path.clone(), body: req.body.clone() };
+        match self.peers.call(to, Message::Relay(call), timeout) {
+            Ok(Outcome::Answer(a)) => Some(Response {
+                status: u16::try_from(a.status).unwrap_or(503),
+                body: a.body,
+                retry_after: (a.retry_after > 0).then_some(a.retry_after),
+            }),
+            _ => None,
+        }
+    }
+
+    /// Has another controller answer a user whom this one cannot.
+    pub fn relay_to_any(&self, req: &Request) -> Option<Response> {
+        if steady() < self.lock().no_relay_until {
+            return None;
+        }
+        for to in 0..self.peers.count() {
+            if let Some(r) = self.relay(to, req, Micros::from_millis(900)).filter(|r| r.status != 503) {
+                return Some(r);
+            }
+        }
+        // Most likely the state service is out for all: no need to ask each time.
+        self.lock().no_relay_until = steady() + Micros::from_secs(2.0);
+        None
+    }
+
+    /// A final stage that is known to be written.
+    pub fn final_of(&self, id: &str) -> Option<FinalRecord> {
+        self.lock().finals.get(id).copied()
+    }
+
+    /// Keeps a final stage; final stages never change.
+    pub fn learn_final(&self, id: &str, f: FinalRecord) {
+        let mut core = self.lock();
+        if core.finals.insert(id.to_string(), f).is_none() {
+            core.finals_order.push_back(id.to_string());
+            if core.finals_order.len() > FINALS_KEPT {
+                if let Some(old) = core.finals_order.pop_front() {
+                    core.finals.remove(&old);
+                }
+            }
+        }
+    }
+
+    /// Machine types, once known.
+    pub fn types(&self) -> Option<Vec<MachineType>> {
+        self.lock().types.clone()
+    }
+
+    /// Numbers of a live job: the owner's own, or those it announced.
+    pub fn counts(&self, id: &str) -> Counts {
+        let core = self.lock();
+        match &core.own {
+            Some(own) => own.fleet.counts(id).unwrap_or_default(),
+            None => core.counts.get(id).copied().unwrap_or_default(),
+        }
+    }
+
+    /// A job was written (or ended, without a record) by this node: the owner is told.
+    pub fn job_written(&self, id: &str, record: Option<JobRecord>, revision: u64) {
+        let to = {
+            let mut core = self.lock();
+            if let Some(own) = core.own.as_mut() {
+                match record {
+                    Some(r) => own.fleet.job_put(r, revision, steady()),
+                    None => own.fleet.job_over(id, revision),
+                }
+                self.wake.notify_all();
+                return;
+            }
+            let leader = core.leader.as_ref().map(|l| l.label.clone());
+            self.cfg.platform.members.iter().position(|m| Some(&m.label) == leader.as_ref())
+        };
+        let Some(to) = to else { return };
+        let record = record.and_then(|r| serde_json::to_vec(&r).ok()).unwrap_or_default();
+        // Not waited for: the owner's watch sees it in any case, a little later.
+        let _ = self.peers.begin(
+            to,
+            Message::Notify(JobNews { id: id.to_string(), record, revision }),
+            Micros::from_millis(1000),
+        );
+    }
+
+    // ---- other controllers ----
+
+    fn answer_peers(&self, inbound: &Mutex<Receiver<Inbound>>) {
+        while !self.stopping() {
+            let next =
+                inbound.lock().unwrap_or_else(|e| e.into_inner()).recv_timeout(Duration::from_millis(500));
+            let msg = match next {
+                Ok(m) => m,
+                Err(RecvTimeoutError::Timeout) => continue,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let out = match &msg.message {
+                Message::Announce(s) => self.announced(s),
+                Message::Notify(n) => self.notified(n),
+                Message::Relay(c) => {
+                    let req =
+                        Request { method: c.method.clone(), path: c.path.clone(), body: c.body.clone() };
+                    let r = if req.body.len() > http::MAX_BODY {
+                        Response::error(413, "body over 64 KiB")
+                    } else {
+                        self.answer(&req, true)
+                    };
+                    Outcome::Answer(Answer {
+                        status: u32::from(r.status),
+                        body: r.body,
+                        retry_after: r.retry_after.unwrap_or(0),
+                    })
+                }
+            };
+            msg.answer(out);
+        }
+    }
+
+    fn announced(&self, s: &Summary) -> Outcome {
+        let mut core = self.lock();
+        if s.token > core.highest {
+            self.step_down(&mut core, s.token, "another controller leads with a higher token");
+        }
+        if s.token == core.highest && core.own.is_none() {
+            core.leader = Some(Owner { label: s.leader.clone(), incarnation: 0, token: s.token });
+            core.counts =
+                s.jobs.iter().map(|j| (j.id.clone(), Counts { done: j.done, running: j.running })).collect();
+        }
+        Outcome::Ack(Ack { token: core.highest })
+    }
+
+    fn notified(&self, n: &JobNews) -> Outcome {
+        let mut core = self.lock();
+        if let Some(own) = core.own.as_mut() {
+            if n.record.is_empty() {
+                own.fleet.job_over(&n.id, n.revision);
+            } else if let Ok(r) = serde_json::from_slice::<JobRecord>(&n.record) {
+                own.fleet.job_put(r, n.revision, steady());
+            }
+            self.wake.notify_all();
+        }
+        Outcome::Ack(Ack { token: core.highest })
+    }
+
+    fn announce(&self) {
+        while !self.stopping() {
+            let summary = {
+                let core = self.lock();
+                core.own.as_ref().map(|own| Summary {
+                    leader: self.cfg.platform.label.clone(),
+                    token: own.claim.token,
+                    jobs: own
+                        .fleet
+                        .jobs
+                        .keys()
+                        .take(2000)
+                        .filter_map(|id| {
+                            let c = own.fleet.counts(id).filter(|c| *c != Counts::default())?;
+                            Some(JobCounts { id: id.to_string(), done: c.done, running: c.running })
+                        })
+                        .collect(),
+                })
+            };
+            if let Some(s) = summary {
+                let sent: Vec<_> = (0..self.peers.count())
+                    .filter_map(|to| {
+                        self.peers.begin(to, Message::Announce(s.clone()), Micros::from_millis(900)).ok()
+                    })
+                    .collect();
+                for w in sent {
+                    if let Ok(Outcome::Ack(a)) = w.wait() {
+                        let mut core = self.lock();
+                        if let Some(own) = core.own.as_mut() {
+                            own.last_peer = steady();
+                        }
+                        if a.token > core.highest {
+                            self.step_down(&mut core, a.token, "another controller knows a higher token");
+                        }
+                    }
+                }
+            }
+            self.sleep(Micros::from_millis(1000));
+        }
+    }
+
+    // ---- ownership ----
+
+    fn step_down(&self, core: &mut Core, token: u64, why: &str) {
+        core.highest = core.highest.max(token);
+        if let Some(own) = core.own.take() {
+            tracing::info!(token = own.claim.token, higher = token, why, "gives its parts up");
+            core.leader = None;
+            self.wake.notify_all();
+        }
+    }
+
+    /// Keeps the leader's lease, or waits for its end and takes over.
+    fn keep(&self) {
+        self.learn_types();
+        let ttl = Micros::from_secs(self.cfg.operator.leader_ttl_s);
+        while !self.stopping() {
+            let lease = self.lock().own.as_ref().map(|o| (o.claim.lease, o.claim.token));
+            match lease {
+                Some((lease, token)) => {
+                    self.hold(lease, token);
+                    self.sleep(ttl.scale(0.3));
+                }
+                None => {
+                    if let Err(e) = self.follow(ttl) {
+                        tracing::debug!(error = %e, "the leader's record cannot be read");
+                        self.sleep(Micros::from_millis(300));
+                    }
+                }
+            }
+        }
+    }
+
+    fn hold(&self, lease: u64, token: u64) {
+        let r = self.state.renew(lease);
+        let mut core = self.lock();
+        if core.own.as_ref().is_none_or(|o| o.claim.token != token) {
+            return;
+        }
+        match r {
+            Ok(()) => {}
+            Err(StateError::NoLease) => self.step_down(&mut core, 0, "its lease ended"),
+            Err(e) => tracing::info!(error = %e, "the lease could not be renewed"),
+        }
+        // Cut off from workers and controllers alike while the state service answers: others can
+        // serve the workers before their leases run out, this one cannot.
+        let quiet = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 2.5);
+        let now = steady();
+        let alone = core.own.as_ref().is_some_and(|o| {
+            self.peers.count() > 0
+                && now - o.last_report > quiet
+                && now - o.last_peer > Micros::from_secs(3.0)
+                && o.fleet.machines.values().filter(|m| m.up).count() > 1
+        });
+        if alone && r_ok(&self.state, lease) {
+            core.hold_off = now + Micros::from_secs(8.0);
+            self.step_down(&mut core, 0, "hears neither workers nor controllers");
+            drop(core);
+            let _ = self.state.end_lease(lease);
+        }
+    }
+
+    fn follow(&self, ttl: Micros) -> Result<(), StateError> {
+        let (rows, revision) = self.state.list(LEADER)?;
+        let row = rows.into_iter().find(|r| r.key == LEADER);
+        let owner: Option<Owner> = row.as_ref().and_then(|r| serde_json::from_value(r.value.clone()).ok());
+        let stamp = row.as_ref().map_or(0, |r| r.stamp);
+        let mine = owner.as_ref().is_some_and(|o| o.label == self.cfg.platform.label);
+        if let (Some(o), false) = (&owner, mine) {
+            {
+                let mut core = self.lock();
+                core.highest = core.highest.max(o.token);
+                core.leader = Some(o.clone());
+            }
+            let e = self.state.watch(LEADER, revision, Micros::from_millis(3000))?;
+            if !e.events.iter().any(|e| e.drop.as_deref() == Some(LEADER)) {
+                return Ok(());
+            }
+            self.lock().leader = None;
+            tracing::info!(leader = %o.label, "the leader's lease ended");
+            // Most of the time one of the others is a little faster, and the guard decides.
+            self.sleep(Micros::from_millis(rand::rng().random_range(5..120)));
+            return self.take(ttl, 0);
+        }
+        // Nobody leads, or an earlier life of this very process did.
+        if steady() < self.lock().hold_off {
+            self.sleep(Micros::from_millis(300));
+            return Ok(());
+        }
+        self.take(ttl, stamp)
+    }
+
+    fn take(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
+        if steady() < self.lock().hold_off {
+            return Ok(());
+        }
+        let begun = steady();
+        let label = &self.cfg.platform.label;
+        let Some(claim) = cluster::claim(&self.state, label, self.incarnation, ttl, seen)? else {
+            return Ok(());
+        };
+        tracing::info!(token = claim.token, "takes over");
+        {
+            let mut core = self.lock();
+            core.claiming = true;
+            core.highest = core.highest.max(claim.token);
+        }
+        let types = self.types().unwrap_or_default();
+        let r = cluster::rebuild(&self.state, self.cfg.clone(), types, claim.token);
+        let mut core = self.lock();
+        core.claiming = false;
+        match r {
+            Ok((mut fleet, watched)) if core.highest == claim.token => {
+                if let Some(t) = &core.types {
+                    fleet.set_types(t.clone());
+                }
+                let now = steady();
+                tracing::info!(
+                    token = claim.token,
+                    jobs = fleet.jobs.len(),
+                    machines = fleet.machines.len(),
+                    ms = (now - begun).0 / 1000,
+                    "rebuilt"
+                );
+                core.leader =
+                    Some(Owner { label: label.clone(), incarnation: self.incarnation, token: claim.token });
+                core.own =
+                    Some(Own { fleet, claim, fresh: begun, watched, last_report: now, last_peer: now });
+                self.wake.notify_all();
+                Ok(())
+            }
+            Ok(_) => Ok(()),
+            Err(e) => {
+                tracing::info!(error = %e, "could not rebuild");
+                drop(core);
+                let _ = self.state.end_lease(claim.lease);
+                Err(e)
+            }
+        }
+    }
+
+    fn learn_types(&self) {
+        while !self.stopping() {
+            let found = match cluster::catalog(&self.state) {
+                Ok(Some(t)) => Some(t),
+                _ => self.cloud.catalog().ok().inspect(|t| self.write_types(t)),
+            };
+            if let Some(t) = found {
+                self.lock().types = Some(t);
+                return;
+            }
+            self.sleep(Micros::from_millis(500));
+        }
+    }
+
+    fn write_types(&self, types: &[MachineType]) {
+        let value = json!(types);
+        if value.to_string().len() <= self.cfg.value_bytes() {
+            let guards = vec![Guard { key: cluster::CATALOG.into(), stamp: 0 }];
+            let _ = self
+                .state
+                .txn(&Txn { guards, then: vec![Change::put(cluster::CATALOG, value)] }, Urgency::Rest);
+        }
+    }
+
+    /// Sees the jobs that other controllers accept and end.
+    fn watch(&self) {
+        while !self.stopping() {
+            let Some((token, from)) = self.lock().own.as_ref().map(|o| (o.claim.token, o.watched)) else {
+                self.sleep(Micros::from_millis(100));
+                continue;
+            };
+            let begun = steady();
+            match self.state.watch("job/", from, Micros::from_millis(1000)) {
+                Ok(e) => {
+                    let mut core = self.lock();
+                    let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { continue };
+                    own.fresh = own.fresh.max(begun);
+                    own.watched = own.watched.max(e.revision);
+                    for e in e.events {
+                        if let Some(id) = e.drop.as_deref().and_then(|k| k.strip_prefix("job/")) {
+                            own.fleet.job_over(id, e.stamp);
+                        } else if e.put.is_some() {
+                            match serde_json::from_value::<JobRecord>(e.value) {
+                                Ok(r) => own.fleet.job_put(r, e.stamp, steady()),
+                                Err(e) => tracing::error!(error = %e, "a job's record cannot be read"),
+                            }
+                        }
+                    }
+                    drop(core);
+                    self.sleep(Micros::from_millis(100));
+                }
+                Err(StateError::TooOld) => {
+                    let mut core = self.lock();
+                    if core.own.as_ref().is_some_and(|o| o.claim.token == token) {
+                        self.step_down(&mut core, 0, "missed changes, reads all anew");
+                    }
+                }
+                Err(e) => {
+                    tracing::debug!(error = %e, "no view of the jobs");
+                    self.sleep(Micros::from_millis(250));
+                }
+            }
+        }
+    }
+
+    /// Brings this owner's token to the machines it has inherited.
+    fn raise(&self) {
+        while !self.stopping() {
+            let due = {
+                let core = self.lock();
+                core.own.as_ref().map(|o| {
+                    let f = &o.fleet;
+                    let list: Vec<(MachineId, String, u64)> = f
+                        .machines
+                        .values()
+                        .filter(|m| !m.heard && !m.addr.is_empty())
+                        .map(|m| (m.id.clone(), m.addr.clone(), m.seen.0.max(1)))
+                        .collect();
+                    (f.token, list)
+                })
+            };
+            let Some((token, list)) = due.filter(|d| !d.1.is_empty()) else {
+                self.sleep(Micros::from_millis(100));
+                continue;
+            };
+            let each = list.len().div_ceil(6);
+            std::thread::scope(|s| {
+                for part in list.chunks(each.max(1)) {
+                    s.spawn(move || part.iter().for_each(|m| self.raise_one(token, m)));
+                }
+            });
+            self.sleep(Micros::from_millis(1500));
+        }
+    }
+
+    fn raise_one(&self, token: u64, (id, addr, season): &(MachineId, String, u64)) {
+        let Ok(addr) = addr.parse() else { return };
+        let client = Client::new(addr, 1);
+        let mut season = *season;
+        for _ in 0..2 {
+            let Ok(body) = serde_json::to_vec(&Commands { token, season, orders: Vec::new() }) else {
+                return;
+            };
+            let Ok((status, body)) = client.call("POST", "/commands", Some(&body), Micros::from_millis(1500))
+            else {
+                tracing::debug!(machine = %id, "does not answer");
+                return;
+            };
+            let Ok(r) = serde_json::from_slice::<Report>(&body) else { return };
+            if r.machine != **id {
+                return;
+            }
+            if status == 409 && r.token < token {
+                season = r.season;
+                continue;
+            }
+            let mut core = self.lock();
+            let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
+            if let Some(higher) = own.fleet.raised(&r, steady(), wall()) {
+                self.step_down(&mut core, higher, "a worker has seen a higher token");
+            }
+            return;
+        }
+    }
+
+    // ---- writing ----
+
+    /// Lets time pass for the owner's world and writes what waits.
+    fn write(&self) {
+        let chunk = chunk_tasks(self.cfg.value_bytes());
+        while !self.stopping() {
+            let work = {
+                let core = self.lock();
+                let (mut core, _) = match self.wake.wait_timeout(core, Duration::from_millis(150)) {
+                    Ok(x) => x,
+                    Err(e) => e.into_inner(),
+                };
+                let now = steady();
+                core.own.as_mut().map(|own| {
+                    own.fleet.tick(now, wall());
+                    let pending = own.fleet.pending(now, Micros::from_millis(1500), chunk);
+                    (own.claim.clone(), self.batches(&mut own.fleet, &own.claim, pending, chunk))
+                })
+            };
+            let Some((claim, batches)) = work else { continue };
+            for b in batches {
+                if !self.write_batch(&claim, b) {
+                    self.sleep(Micros::from_millis(150));
+                    break;
+                }
+            }
+        }
+    }
+
+    fn batches(&self, fleet: &mut Fleet, claim: &Claim, pending: Vec<Pending>, chunk: u32) -> Vec<Batch> {
+        let ops = self.cfg.platform.settings.state.txn_ops;
+        let mut out: Vec<Batch> = Vec::new();
+        for p in pending {
+            let Some(w) = self.compose(fleet, claim, p, ops, chunk) else { continue };
+            let fits = |b: &Batch| {
+                b.txn.then.len() + w.then.len() <= ops
+                    && b.txn.guards.len() + w.guards.len() <= 4 * ops
+                    && b.bytes + w.bytes <= 40_000
+            };
+            if !out.last().is_some_and(fits) {
+                if out.len() >= 4 {
+                    break;
+                }
+                let guards = vec![Guard { key: PART.into(), stamp: claim.part }];
+                out.push(Batch { txn: Txn { guards, then: Vec::new() }, items: Vec::new(), bytes: 0 });
+            }
+            if let Some(b) = out.last_mut() {
+                for g in w.guards {
+                    if !b.txn.guards.contains(&g) {
+                        b.txn.guards.push(g);
+                    }
+                }
+                b.txn.then.extend(w.then);
+                b.bytes += w.bytes;
+                b.items.push((w.item, w.done));
+            }
+        }
+        out
+    }
+
+    fn compose(&self, fleet: &mut Fleet, claim: &Claim, p: Pending, ops: usize, chunk: u32) -> Option<Write> {
+        let guard = |key: String, stamp: u64| Guard { key, stamp };
+        let (mut guards, mut then, mut done) = (Vec::new(), Vec::new(), None);
+        match &p {
+            Pending::Final(id) => {
+                let (spec, stamp, chunks, ran) =
+                    fleet.jobs.get(id).map(|j| (j.spec.clone(), j.stamp, j.chunks.clone(), j.ran))?;
+                guards.push(guard(job_key(id), stamp));
+                guards.push(guard(final_key(id), 0));
+                then.push(Change::drop(job_key(id)));
+                then.push(Change::put(
+                    final_key(id),
+                    json!(FinalRecord { stage: Stage::Done, tasks: spec.tasks }),
+                ));
+                if ran.1 > 0 {
+                    let key = Key { team: spec.team.clone(), stated: Micros::from_secs(spec.estimate_s) };
+                    let ratio = ran.0.secs() / f64::from(ran.1) / spec.estimate_s.max(0.001);
+                    let record = fleet.history.add(&key, wall(), ratio);
+                    then.push(Change::put(key.path(), json!(record)));
+                    if let Some(j) = fleet.jobs.get_mut(id) {
+                        // Counted once, even if the write has to be repeated.
+                        j.ran.1 = 0;
+                    }
+                }
+                for c in chunks.keys().take(ops.saturating_sub(then.len())) {
+                    then.push(Change::drop(done_key(id, *c)));
+                }
+            }
+            Pending::High(id, high) => {
+                let j = fleet.jobs.get(id)?;
+                guards.push(guard(job_key(id), j.stamp));
+                then.push(Change::put(job_key(id), json!(j.record(*high))));
+            }
+            Pending::Done(id, c) => {
+                let j = fleet.jobs.get(id)?;
+                let part = j.done.within(c * chunk, (c + 1) * chunk);
+                guards.push(guard(job_key(id), j.stamp));
+                guards.push(guard(done_key(id, *c), j.chunks.get(c).copied().unwrap_or(0)));
+                then.push(Change::put(done_key(id, *c), json!(part.text())));
+                done = Some(part);
+            }
+            Pending::Enrol(id) => {
+                let m = fleet.machines.get(id)?;
+                let record = MachineRecord {
+                    part: 0,
+                    token: claim.token,
+                    addr: m.addr.clone(),
+                    ty: m.ty_name.clone(),
+                    zone: fleet.zone_name(m.zone).to_string(),
+                    spot: m.spot,
+                };
+                guards.push(guard(format!("machine/{id}"), m.stamp));
+                then.push(Change::put(format!("machine/{id}"), json!(record)));
+            }
+            Pending::Unenrol(id, stamp) => {
+                guards.push(guard(format!("machine/{id}"), *stamp));
+                then.push(Change::drop(format!("machine/{id}")));
+            }
+        }
+        let bytes = then.iter().map(|c| serde_json::to_string(c).map_or(0, |s| s.len())).sum();
+        Some(Write { item: p, guards, then, done, bytes })
+    }
+
+    /// Writes a batch; false if writing should pause.
+    fn write_batch(&self, claim: &Claim, b: Batch) -> bool {
+        let urgency = if b.items.iter().any(|i| matches!(i.0, Pending::Done(..) | Pending::Unenrol(..))) {
+            Urgency::Rest
+        } else {
+            Urgency::User
+        };
+        let result = self.state.txn(&b.txn, urgency);
+        let ours = |c: &Core| c.own.as_ref().is_some_and(|o| o.claim.token == claim.token);
+        match result {
+            Ok(Applied::Yes(revision)) => {
+                let mut finals: Vec<(JobId, u32)> = Vec::new();
+                {
+                    let mut core = self.lock();
+                    if !ours(&core) {
+                        return false;
+                    }
+                    let now = steady();
+                    if let Some(own) = core.own.as_mut() {
+                        for (item, done) in &b.items {
+                            if let Pending::Final(id) = item {
+                                if let Some(j) = own.fleet.jobs.get(id) {
+                                    finals.push((id.clone(), j.spec.tasks));
+                                }
+                            }
+                            own.fleet.written(item, revision, done.as_ref(), now);
+                        }
+                    }
+                }
+                for (id, tasks) in finals {
+                    tracing::debug!(job = %id, "done");
+                    self.learn_final(&id, FinalRecord { stage: Stage::Done, tasks });
+                }
+                true
+            }
+            Ok(Applied::Conflict(keys)) => {
+                if keys.iter().any(|k| k == PART) {
+                    let mut core = self.lock();
+                    if ours(&core) {
+                        self.step_down(&mut core, 0, "another owner has taken the part");
+                    }
+                    return false;
+                }
+                self.read_back(claim, &keys)
+            }
+            Err(StateError::Unknown(e)) => {
+                tracing::info!(error = %e, "a write has no answer, reads back");
+                let keys: Vec<String> =
+                    b.txn.guards.iter().map(|g| g.key.clone()).filter(|k| k != PART).collect();
+                self.read_back(claim, &keys)
+            }
+            Err(e) => {
+                tracing::debug!(error = %e, "a write has to wait");
+                false
+            }
+        }
+    }
+
+    /// Learns how keys stand after a conflict or an unknown outcome.
+    fn read_back(&self, claim: &Claim, keys: &[String]) -> bool {
+        for key in keys {
+            let Ok(row) = self.state.get(key, Urgency::User) else { return false };
+            let mut core = self.lock();
+            let Some(own) = core.own.as_mut().filter(|o| o.claim.token == claim.token) else { return false };
+            let stamp = row.as_ref().map_or(0, |r| r.stamp);
+            let mut parts = key.split('/');
+            match (parts.next(), parts.next(), parts.next()) {
+                (Some("job"), Some(id), _) => {
+                    match row.and_then(|r| serde_json::from_value::<JobRecord>(r.value).ok()) {
+                        Some(r) => own.fleet.job_put(r, stamp, steady()),
+                        None => {
+                            let known = own.fleet.jobs.get(id).map_or(0, |j| j.stamp);
+                            own.fleet.job_over(id, own.watched.max(known) + 1);
+                        }
+                    }
+                }
+                (Some("machine"), Some(id), _) => own.fleet.learn_machine(id, stamp),
+                (Some("done"), Some(id), Some(c)) => {
+                    if let (Ok(c), Some(text)) =
+                        (c.parse(), row.as_ref().map_or(Some(""), |r| r.value.as_str()))
+                    {
+                        own.fleet.inherit_done(id, c, text, stamp);
+                    }
+                }
+                _ => {}
+            }
+        }
+        true
+    }
+
+    // ---- the cloud ----
+
+    /// Rents and returns, and keeps an eye on the cloud's list.
+    fn tend(&self) {
+        let s = &self.cfg.platform.settings;
+        let lag = Micros::from_secs(s.cloud.list_lag_s);
+        let every = lag.scale(0.75).max(Micros::from_secs(2.0));
+        let (mut listed, mut priced, mut counter, mut began) =
+            (Steady(0), Steady(0), 0u64, (0u64, Steady(0)));
+        while !self.stopping() {
+            self.sleep(Micros::from_millis(500));
+            let Some((token, first)) = self.lock().own.as_ref().map(|o| (o.claim.token, o.claim.first))
+            else {
+                continue;
+            };
+            let now = steady();
+            if began.0 != token {
+                began = (token, now);
+                listed = Steady(0);
+            }
+            if now - priced > Micros::from_secs(45.0) {
+                if let Ok(t) = self.cloud.catalog() {
+                    priced = now;
+                    let mut core = self.lock();
+                    core.types = Some(t.clone());
+                    if let Some(own) = core.own.as_mut() {
+                        own.fleet.set_types(t);
+                    }
+                }
+            }
+            if now - listed > every {
+                if let Ok(list) = self.cloud.list() {
+                    listed = now;
+                    if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == token) {
+                        own.fleet.listed(&list, steady());
+                    }
+                }
+            }
+            self.give_back(token);
+            // What the last owner rented shows in the list only after a while.
+            if first || steady() - began.1 > lag.scale(1.2) {
+                self.rent(token, &mut counter);
+            }
+        }
+    }
+
+    fn give_back(&self, token: u64) {
+        let ids = match self.lock().own.as_ref().filter(|o| o.claim.token == token) {
+            Some(own) => own.fleet.leaving(),
+            None => return,
+        };
+        if ids.is_empty() {
+            return;
+        }
+        match self.cloud.give_back(&ids) {
+            Ok(()) => {
+                if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == token) {
+                    own.fleet.returned(&ids, steady());
+                }
+                self.wake.notify_all();
+            }
+            Err(e) => tracing::info!(error = %e, machines = ids.len(), "could not be returned yet"),
+        }
+    }
+
+    fn rent(&self, token: u64, counter: &mut u64) {
+        let wants = match self.lock().own.as_mut().filter(|o| o.claim.token == token) {
+            Some(own) => {
+                let w = own.fleet.capacity(steady(), wall());
+                w.into_iter()
+                    .filter_map(|(o, n)| {
+                        let ty = own.fleet.types().get(o.ty)?.name.clone();
+                        Some((o, n, ty, own.fleet.zone_name(o.zone).to_string()))
+                    })
+                    .collect::<Vec<_>>()
+            }
+            None => return,
+        };
+        for (offer, count, ty, zone) in wants {
+            *counter += 1;
+            let request = format!("r-{token}-{}-{counter}", self.incarnation);
+            let r = RentRequest { request, ty, zone, spot: offer.spot, count: count.clamp(1, 50) };
+            let mut outcome = self.cloud.rent(&r);
+            // The same request may be repeated: it rents nothing twice.
+            for _ in 0..2 {
+                if !matches!(outcome, Err(CloudError::Unknown(_))) {
+                    break;
+                }
+                outcome = self.cloud.rent(&r);
+            }
+            let mut core = self.lock();
+            let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
+            match outcome {
+                Ok(ids) => {
+                    tracing::info!(ty = %r.ty, zone = %r.zone, spot = r.spot, asked = r.count, got = ids.len(), "rented");
+                    if (ids.len() as u32) < r.count {
+                        own.fleet.offer_refused(offer, steady() + Micros::from_secs(10.0));
+                    }
+                    own.fleet.rented(&ids, offer, steady());
+                }
+                Err(CloudError::NoCapacity) => {
+                    tracing::debug!(ty = %r.ty, zone = %r.zone, spot = r.spot, "no capacity");
+                    own.fleet.offer_refused(offer, steady() + Micros::from_secs(10.0));
+                }
+                Err(e) => {
+                    tracing::info!(error = %e, "the cloud rents nothing now");
+                    own.fleet.offer_refused(offer, steady() + Micros::from_secs(2.0));
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn r_ok(state: &StateClient, lease: u64) -> bool {
+    state.renew(lease).is_ok()
+}
+
+struct Write {
+    item: Pending,
+    guards: Vec<Guard>,
+    then: Vec<Change>,
+    done: Option<Ranges>,
+    bytes: usize,
+}
+
+struct Batch {
+    txn: Txn,
+    items: Vec<(Pending, Option<Ranges>)>,
+    bytes: usize,
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,232 @@
+//! gRPC between the controllers. `tonic` is asynchronous: it has one runtime on one thread, and
+//! channels lead to and from the blocking routines. Nothing else in the program is asynchronous.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
+use std::time::Duration;
+
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status};
+
+use crate::time::Micros;
+
+/// The messages and services, generated from `proto/peer.proto`.
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod proto {
+    tonic::include_proto!("milletlock.peer.v1");
+}
+
+use proto::peer_client::PeerClient;
+use proto::peer_server::{Peer, PeerServer};
+pub use proto::{Ack, Answer, Call, JobCounts, JobNews, Summary};
+
+/// A message to another controller.
+#[derive(Clone, Debug)]
+pub enum Message {
+    /// Who leads, and numbers for polls.
+    Announce(Summary),
+    /// A job was written or ended.
+    Notify(JobNews),
+    /// A request to be answered by the other.
+    Relay(Call),
+}
+
+/// The answer to a message.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// To an announcement or to news.
+    Ack(Ack),
+    /// To a relayed request.
+    Answer(Answer),
+}
+
+/// A message from another controller, with the way back.
+pub struct Inbound {
+    /// What it says.
+    pub message: Message,
+    reply: tokio::sync::oneshot::Sender<Outcome>,
+}
+
+impl Inbound {
+    /// Answers it.
+    pub fn answer(self, o: Outcome) {
+        // The other side may have given up by now.
+        let _ = self.reply.send(o);
+    }
+}
+
+struct Outbound {
+    to: usize,
+    message: Message,
+    timeout: Duration,
+    reply: SyncSender<Result<Outcome, String>>,
+}
+
+/// Sends messages to the other controllers.
+#[derive(Clone)]
+pub struct PeerHub {
+    out: tokio::sync::mpsc::Sender<Outbound>,
+    count: usize,
+}
+
+impl PeerHub {
+    /// Starts the runtime's thread; messages from others come out of the receiver.
+    pub fn start(
+        listen: SocketAddr,
+        members: Vec<SocketAddr>,
+    ) -> std::io::Result<(PeerHub, Receiver<Inbound>)> {
+        let (out, orders) = tokio::sync::mpsc::channel(64);
+        let (inbound, messages) = sync_channel(64);
+        let count = members.len();
+        let listener = std::net::TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        std::thread::Builder::new().name("peer".into()).stack_size(1024 * 1024).spawn(move || {
+            if let Err(e) = run(listener, members, orders, inbound) {
+                tracing::error!(error = %e, "the runtime between controllers ended");
+            }
+        })?;
+        Ok((PeerHub { out, count }, messages))
+    }
+
+    /// How many other controllers there are.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Sends and waits for the answer.
+    pub fn call(&self, to: usize, message: Message, timeout: Micros) -> Result<Outcome, String> {
+        self.begin(to, message, timeout)?.wait()
+    }
+
+    /// Sends without waiting yet.
+    pub fn begin(&self, to: usize, message: Message, timeout: Micros) -> Result<Waiting, String> {
+        let (reply, answer) = sync_channel(1);
+        let timeout = timeout.std();
+        self.out.try_send(Outbound { to, message, timeout, reply }).map_err(|e| e.to_string())?;
+        Ok(Waiting { answer, timeout })
+    }
+}
+
+/// An answer to come.
+pub struct Waiting {
+    answer: Receiver<Result<Outcome, String>>,
+    timeout: Duration,
+}
+
+impl Waiting {
+    /// Waits for it, no longer than the message's time-out and a little.
+    pub fn wait(self) -> Result<Outcome, String> {
+        match self.answer.recv_timeout(self.timeout + Duration::from_millis(200)) {
+            Ok(r) => r,
+            Err(RecvTimeoutError::Timeout) => Err("time-out".into()),
+            Err(RecvTimeoutError::Disconnected) => Err("the runtime is gone".into()),
+        }
+    }
+}
+
+struct Service {
+    inbound: SyncSender<Inbound>,
+}
+
+impl Service {
+    async fn ask(&self, message: Message) -> Result<Outcome, Status> {
+        let (reply, answer) = tokio::sync::oneshot::channel();
+        match self.inbound.try_send(Inbound { message, reply }) {
+            Ok(()) => answer.await.map_err(|_| Status::unavailable("not answered")),
+            Err(TrySendError::Full(_)) => Err(Status::resource_exhausted("busy")),
+            Err(TrySendError::Disconnected(_)) => Err(Status::unavailable("stopping")),
+        }
+    }
+
+    async fn ack(&self, message: Message) -> Result<Response<Ack>, Status> {
+        match self.ask(message).await? {
+            Outcome::Ack(a) => Ok(Response::new(a)),
+            Outcome::Answer(_) => Err(Status::internal("wrong answer")),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn announce(&self, r: Request<Summary>) -> Result<Response<Ack>, Status> {
+        self.ack(Message::Announce(r.into_inner())).await
+    }
+
+    async fn notify(&self, r: Request<JobNews>) -> Result<Response<Ack>, Status> {
+        self.ack(Message::Notify(r.into_inner())).await
+    }
+
+    async fn relay(&self, r: Request<Call>) -> Result<Response<Answer>, Status> {
+        match self.ask(Message::Relay(r.into_inner())).await? {
+            Outcome::Answer(a) => Ok(Response::new(a)),
+            Outcome::Ack(_) => Err(Status::internal("wrong answer")),
+        }
+    }
+}
+
+fn run(
+    listener: std::net::TcpListener,
+    members: Vec<SocketAddr>,
+    orders: tokio::sync::mpsc::Receiver<Outbound>,
+    inbound: SyncSender<Inbound>,
+) -> anyhow::Result<()> {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+    rt.block_on(async move {
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let incoming = tokio_stream::wrappers::TcpListenerStream::new(listener);
+        let server = Server::builder()
+            .max_concurrent_streams(64)
+            .timeout(Duration::from_secs(5))
+            .add_service(PeerServer::new(Service { inbound }))
+            .serve_with_incoming(incoming);
+        let sending = send_all(members, orders);
+        tokio::select! {
+            r = server => r?,
+            () = sending => {}
+        }
+        Ok(())
+    })
+}
+
+async fn send_all(members: Vec<SocketAddr>, mut orders: tokio::sync::mpsc::Receiver<Outbound>) {
+    let fresh = |a: &SocketAddr| -> Option<Channel> {
+        let e = Endpoint::from_shared(format!("http://{a}")).ok()?;
+        Some(e.connect_timeout(Duration::from_millis(800)).tcp_nodelay(true).connect_lazy())
+    };
+    let channels: Vec<std::rc::Rc<std::cell::RefCell<Option<Channel>>>> =
+        members.iter().map(|_| std::rc::Rc::default()).collect();
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async move {
+            while let Some(o) = orders.recv().await {
+                let (Some(slot), Some(addr)) = (channels.get(o.to).cloned(), members.get(o.to)) else {
+                    continue;
+                };
+                if slot.borrow().is_none() {
+                    *slot.borrow_mut() = fresh(addr);
+                }
+                let Some(channel) = slot.borrow().clone() else { continue };
+                tokio::task::spawn_local(async move {
+                    let r = match tokio::time::timeout(o.timeout, send(channel, o.message)).await {
+                        Ok(r) => r.map_err(|s| s.message().to_string()),
+                        // A cut holds a connection without a word: the next message gets a new one.
+                        Err(_) => Err("time-out".to_string()),
+                    };
+                    if r.is_err() {
+                        *slot.borrow_mut() = None;
+                    }
+                    let _ = o.reply.try_send(r);
+                });
+            }
+        })
+        .await;
+}
+
+async fn send(channel: Channel, message: Message) -> Result<Outcome, Status> {
+    let mut c = PeerClient::new(channel);
+    Ok(match message {
+        Message::Announce(m) => Outcome::Ack(c.announce(m).await?.into_inner()),
+        Message::Notify(m) => Outcome::Ack(c.notify(m).await?.into_inner()),
+        Message::Relay(m) => Outcome::Answer(c.relay(m).await?.into_inner()),
+    })
+}
--- /dev/null
+++ b/src/sched.rs
@@ -0,0 +1,567 @@
+//! The planner: a snapshot goes in, decisions come out. No clock, no I/O, no lock.
+//!
+//! Jobs are classes of like tasks and are decided by count. The queue goes by rank, then by
+//! (wait / adjusted time)^3 x size. The first blocked job that can have one gets a reservation at
+//! the earliest time its room frees by the running tasks' *stated* times; jobs behind it start now
+//! only if, by their *adjusted* times, they do not delay it.
+
+use crate::time::Micros;
+use crate::wire::Rank;
+
+const EPS: f64 = 1e-6;
+
+/// What a task takes, or a machine has.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Need {
+    /// Processors.
+    pub cpus: f64,
+    /// Cards.
+    pub gpus: f64,
+    /// Memory in GB.
+    pub memory: f64,
+}
+
+impl Need {
+    /// How many tasks of need `n` fit into this.
+    pub fn fits(&self, n: &Need) -> u32 {
+        let one = |have: f64, need: f64| {
+            if need <= EPS {
+                u32::MAX
+            } else {
+                ((have + EPS) / need).floor().clamp(0.0, 1e9) as u32
+            }
+        };
+        one(self.cpus, n.cpus).min(one(self.gpus, n.gpus)).min(one(self.memory, n.memory))
+    }
+
+    /// This less `k` tasks of need `n`.
+    pub fn less(&self, n: &Need, k: u32) -> Need {
+        let k = f64::from(k);
+        Need {
+            cpus: self.cpus - n.cpus * k,
+            gpus: self.gpus - n.gpus * k,
+            memory: self.memory - n.memory * k,
+        }
+    }
+
+    /// This and `k` tasks of need `n`.
+    pub fn plus(&self, n: &Need, k: u32) -> Need {
+        let k = f64::from(k);
+        Need {
+            cpus: self.cpus + n.cpus * k,
+            gpus: self.gpus + n.gpus * k,
+            memory: self.memory + n.memory * k,
+        }
+    }
+}
+
+/// A task that is, or may be, on a machine.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// What it takes.
+    pub need: Need,
+    /// Its job's rank.
+    pub rank: Rank,
+    /// Its team.
+    pub team: usize,
+    /// Until its stated end; overrunning tasks have a little left.
+    pub left: Micros,
+    /// Work lost if it is stopped now.
+    pub lost: Micros,
+    /// Whether it may be stopped for others: it runs and is not being stopped already.
+    pub stoppable: bool,
+    /// Whether it is being stopped.
+    pub stopping: bool,
+}
+
+/// A machine.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// Index of its type.
+    pub ty: usize,
+    /// Index of its zone.
+    pub zone: usize,
+    /// Spot machine.
+    pub spot: bool,
+    /// All it has.
+    pub total: Need,
+    /// What is free.
+    pub free: Need,
+    /// Whether tasks may start on it now.
+    pub open: bool,
+    /// When it is expected to take a start: its next report, or the end of its boot.
+    pub opens_in: Micros,
+    /// Images it has or is fetching.
+    pub images: Vec<u32>,
+    /// Image fetch rate in GB a second.
+    pub fetch_rate: f64,
+    /// Added to its cost, for machines that did badly.
+    pub penalty: Micros,
+    /// Only tasks that end within this may start (a spot notice).
+    pub until: Option<Micros>,
+    /// The tasks on it.
+    pub held: Vec<Held>,
+}
+
+/// A job with tasks that could start.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Rank.
+    pub rank: Rank,
+    /// The team's index.
+    pub team: usize,
+    /// Whether the job fits its team's guarantee.
+    pub guaranteed: bool,
+    /// Tasks that could start now.
+    pub count: u32,
+    /// All tasks of the job.
+    pub tasks: u32,
+    /// All or none.
+    pub gang: bool,
+    /// What a task takes.
+    pub need: Need,
+    /// Allowed types by index; empty: none at all.
+    pub types: Vec<usize>,
+    /// The only allowed zone.
+    pub zone: Option<usize>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half in one zone.
+    pub spread: bool,
+    /// May use spot machines.
+    pub spot: bool,
+    /// The image.
+    pub image: Option<u32>,
+    /// Its size in GB.
+    pub image_gb: f64,
+    /// Adjusted run time of a task.
+    pub adjusted: Micros,
+    /// Time since it was accepted.
+    pub waited: Micros,
+    /// Its tasks that are or may be somewhere, by zone.
+    pub zones: Vec<u32>,
+}
+
+/// A team's use and limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TeamUse {
+    /// What its tasks take, those possibly there included.
+    pub used: Need,
+    /// Most processors; 0: no limit.
+    pub cpus_max: f64,
+    /// Most cards; 0: no limit.
+    pub gpus_max: f64,
+}
+
+impl TeamUse {
+    /// How many more tasks of need `n` the limit allows.
+    pub fn allows(&self, n: &Need) -> u32 {
+        let one = |max: f64, used: f64, need: f64| {
+            if max <= 0.0 || need <= EPS {
+                u32::MAX
+            } else {
+                ((max - used + EPS) / need).floor().clamp(0.0, 1e9) as u32
+            }
+        };
+        one(self.cpus_max, self.used.cpus, n.cpus).min(one(self.gpus_max, self.used.gpus, n.gpus))
+    }
+}
+
+/// Room of a type kept for tasks of this need and at least this rank.
+#[derive(Clone, Copy, Debug)]
+pub struct Keep {
+    /// What such a task takes.
+    pub need: Need,
+    /// Its rank.
+    pub rank: Rank,
+}
+
+/// All that the planner sees.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Number of zones.
+    pub zones: usize,
+    /// The machines.
+    pub rooms: Vec<Room>,
+    /// The jobs.
+    pub classes: Vec<Class>,
+    /// The teams.
+    pub teams: Vec<TeamUse>,
+    /// By type, what lower ranks leave free.
+    pub keep: Vec<Option<Keep>>,
+    /// Whether the blocked head job gets a reservation.
+    pub reserve: bool,
+    /// Preempt only if the reservation is further away than this.
+    pub preempt_after: Micros,
+}
+
+/// Tasks of a class to start on a room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// The class.
+    pub class: usize,
+    /// The room.
+    pub room: usize,
+    /// How many.
+    pub count: u32,
+}
+
+/// The blocked head job's reservation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// The class.
+    pub class: usize,
+    /// When its room is free.
+    pub at: Micros,
+    /// The rooms, with the tasks on each.
+    pub rooms: Vec<(usize, u32)>,
+}
+
+/// The planner's decisions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Tasks to start now.
+    pub starts: Vec<Start>,
+    /// The reservation.
+    pub reservation: Option<Reservation>,
+    /// Tasks to stop: room and place in its `held`.
+    pub preempt: Vec<(usize, usize)>,
+    /// Tasks that found no room, by class, in queue order.
+    pub unmet: Vec<(usize, u32)>,
+}
+
+/// The queue's score within a rank: (wait / adjusted time)^3 x size.
+pub fn score(c: &Class) -> f64 {
+    let wait = c.waited.secs().max(0.001);
+    let time = c.adjusted.secs().max(0.001);
+    let size = c.need.cpus.max(c.need.gpus).max(0.1) * f64::from(c.count.max(1));
+    (wait / time).powi(3) * size
+}
+
+/// The queue's order: guaranteed work, then rank, then score.
+pub fn order(classes: &[Class]) -> Vec<usize> {
+    let mut by: Vec<(usize, f64)> = classes.iter().map(score).enumerate().collect();
+    by.sort_by(|a, b| {
+        let (x, y) = (&classes[a.0], &classes[b.0]);
+        (y.guaranteed, y.rank).cmp(&(x.guaranteed, x.rank)).then(b.1.total_cmp(&a.1)).then(a.0.cmp(&b.0))
+    });
+    by.into_iter().map(|x| x.0).collect()
+}
+
+struct Work<'a> {
+    s: &'a Snapshot,
+    free: Vec<Need>,
+    /// Room that low ranks may still take where some is kept for others.
+    spare: Vec<Option<Need>>,
+    teams: Vec<TeamUse>,
+    /// With a reservation: what is left at its time on its rooms.
+    shadow: Vec<Option<Need>>,
+    at: Micros,
+    zones: Vec<Vec<u32>>,
+}
+
+impl<'a> Work<'a> {
+    fn new(s: &'a Snapshot) -> Work<'a> {
+        let spare = s
+            .rooms
+            .iter()
+            .map(|r| {
+                let k = s.keep.get(r.ty).copied().flatten()?;
+                let low = r.held.iter().filter(|h| h.rank < k.rank);
+                Some(low.fold(r.total.less(&k.need, 1), |n, h| n.less(&h.need, 1)))
+            })
+            .collect();
+        Work {
+            s,
+            free: s.rooms.iter().map(|r| r.free).collect(),
+            spare,
+            teams: s.teams.clone(),
+            shadow: vec![None; s.rooms.len()],
+            at: Micros::ZERO,
+            zones: s.classes.iter().map(|c| c.zones.clone()).collect(),
+        }
+    }
+
+    fn allowed(&self, c: &Class, r: &Room) -> bool {
+        c.types.contains(&r.ty) && c.zone.is_none_or(|z| z == r.zone) && (c.spot || !r.spot)
+    }
+
+    fn low(&self, c: &Class, r: &Room) -> bool {
+        self.s.keep.get(r.ty).copied().flatten().is_some_and(|k| c.rank < k.rank)
+    }
+
+    /// Seconds until a task of the class would run there.
+    fn delay(&self, c: &Class, r: &Room) -> Micros {
+        let fetch = match c.image {
+            Some(i) if !r.images.contains(&i) => Micros::from_secs(c.image_gb / r.fetch_rate.max(0.001)),
+            _ => Micros::ZERO,
+        };
+        r.opens_in + fetch + r.penalty
+    }
+
+    /// How many tasks of the class could start there now.
+    fn fit(&self, c: &Class, m: usize) -> u32 {
+        let r = &self.s.rooms[m];
+        if !r.open || !self.allowed(c, r) {
+            return 0;
+        }
+        let mut n = self.free[m].fits(&c.need);
+        if n > 0 && self.low(c, r) {
+            n = n.min(self.spare[m].map_or(n, |s| s.fits(&c.need)));
+        }
+        let runs = self.delay(c, r) + c.adjusted;
+        if r.until.is_some_and(|u| runs > u) {
+            return 0;
+        }
+        match &self.shadow[m] {
+            // It would still be there when the reserved job comes: only what that job leaves.
+            Some(left) if runs > self.at => n.min(left.fits(&c.need)),
+            _ => n,
+        }
+    }
+
+    fn take(&mut self, class: usize, m: usize, n: u32) {
+        let c = &self.s.classes[class];
+        let r = &self.s.rooms[m];
+        self.free[m] = self.free[m].less(&c.need, n);
+        if self.low(c, r) {
+            self.spare[m] = self.spare[m].map(|x| x.less(&c.need, n));
+        }
+        if self.delay(c, r) + c.adjusted > self.at {
+            self.shadow[m] = self.shadow[m].map(|x| x.less(&c.need, n));
+        }
+        if let Some(t) = self.teams.get_mut(c.team) {
+            t.used = t.used.plus(&c.need, n);
+        }
+        self.zones[class][r.zone] += n;
+    }
+
+    /// The rooms for a class, best first.
+    fn candidates(&self, c: &Class) -> Vec<usize> {
+        let mut v: Vec<(bool, i64, i64, usize)> = (0..self.s.rooms.len())
+            .filter(|&m| self.fit(c, m) > 0)
+            .map(|m| {
+                let r = &self.s.rooms[m];
+                let delay = self.delay(c, r).0 / 1_000_000;
+                (self.low(c, r), delay, (self.free[m].cpus * 10.0) as i64, m)
+            })
+            .collect();
+        v.sort_unstable();
+        v.into_iter().map(|x| x.3).collect()
+    }
+
+    /// How many tasks of the class may still go to the zone.
+    fn zone_room(&self, class: usize, zone: usize) -> u32 {
+        let c = &self.s.classes[class];
+        let at = &self.zones[class];
+        if c.one_zone && at.iter().enumerate().any(|(z, &n)| z != zone && n > 0) {
+            return 0;
+        }
+        if c.spread {
+            return c.tasks.div_ceil(2).saturating_sub(at[zone]);
+        }
+        u32::MAX
+    }
+
+    fn want(&self, class: usize) -> u32 {
+        let c = &self.s.classes[class];
+        self.teams.get(c.team).map_or(c.count, |t| c.count.min(t.allows(&c.need)))
+    }
+
+    fn start_array(&mut self, class: usize, starts: &mut Vec<Start>) -> u32 {
+        let c = &self.s.classes[class];
+        let mut want = self.want(class);
+        for m in self.candidates(c) {
+            if want == 0 {
+                break;
+            }
+            let n = self.fit(c, m).min(want).min(self.zone_room(class, self.s.rooms[m].zone));
+            if n > 0 {
+                self.take(class, m, n);
+                starts.push(Start { class, room: m, count: n });
+                want -= n;
+            }
+        }
+        want
+    }
+
+    /// Places a whole gang, or nothing. `fit` says how many tasks a room takes.
+    fn whole(&self, class: usize, rooms: &[usize], fit: &dyn Fn(usize) -> u32) -> Option<Vec<(usize, u32)>> {
+        let c = &self.s.classes[class];
+        let zones: Vec<Option<usize>> =
+            if c.one_zone { (0..self.s.zones).map(Some).collect() } else { vec![None] };
+        for only in zones {
+            let mut left = c.count;
+            let mut at = self.zones[class].clone();
+            let mut places = Vec::new();
+            for &m in rooms {
+                let z = self.s.rooms[m].zone;
+                if left == 0 {
+                    break;
+                }
+                if only.is_some_and(|o| o != z) {
+                    continue;
+                }
+                let mut n = fit(m).min(left);
+                if c.one_zone && at.iter().enumerate().any(|(o, &k)| o != z && k > 0) {
+                    n = 0;
+                }
+                if c.spread {
+                    n = n.min(c.tasks.div_ceil(2).saturating_sub(at[z]));
+                }
+                if n > 0 {
+                    at[z] += n;
+                    left -= n;
+                    places.push((m, n));
+                }
+            }
+            if left == 0 {
+                return Some(places);
+            }
+        }
+        None
+    }
+
+    fn start_gang(&mut self, class: usize, starts: &mut Vec<Start>) -> bool {
+        let c = &self.s.classes[class];
+        if self.want(class) < c.count {
+            return false;
+        }
+        let rooms = self.candidates(c);
+        let Some(places) = self.whole(class, &rooms, &|m| self.fit(c, m)) else { return false };
+        for (m, n) in places {
+            self.take(class, m, n);
+            starts.push(Start { class, room: m, count: n });
+        }
+        true
+    }
+
+    /// What is free on a room at a time, by stated ends.
+    fn free_at(&self, m: usize, at: Micros) -> Need {
+        let r = &self.s.rooms[m];
+        if r.opens_in > at && !r.open {
+            return Need::default();
+        }
+        r.held.iter().filter(|h| h.left <= at).fold(self.free[m], |n, h| n.plus(&h.need, 1))
+    }
+
+    fn reserve(&mut self, class: usize) -> Option<Reservation> {
+        let c = &self.s.classes[class];
+        let rooms: Vec<usize> = (0..self.s.rooms.len())
+            .filter(|&m| {
+                let r = &self.s.rooms[m];
+                self.allowed(c, r) && r.until.is_none() && r.total.fits(&c.need) > 0
+            })
+            .collect();
+        let mut times: Vec<Micros> = rooms
+            .iter()
+            .flat_map(|&m| {
+                let r = &self.s.rooms[m];
+                r.held.iter().map(|h| h.left).chain((!r.open).then_some(r.opens_in))
+            })
+            .collect();
+        times.sort_unstable();
+        times.dedup();
+        for at in times {
+            let fit = |m: usize| self.free_at(m, at).fits(&c.need);
+            let places = if c.gang {
+                self.whole(class, &rooms, &fit)
+            } else {
+                rooms
+                    .iter()
+                    .find(|&&m| fit(m) > 0 && self.zone_room(class, self.s.rooms[m].zone) > 0)
+                    .map(|&m| vec![(m, 1)])
+            };
+            if let Some(places) = places {
+                self.at = at;
+                for &(m, n) in &places {
+                    self.shadow[m] = Some(self.free_at(m, at).less(&c.need, n));
+                }
+                return Some(Reservation { class, at, rooms: places });
+            }
+        }
+        None
+    }
+
+    /// Tasks to stop so that the class can start, those losing least first.
+    fn preempt(&self, class: usize) -> Vec<(usize, usize)> {
+        let c = &self.s.classes[class];
+        let mut options: Vec<(Micros, usize, Vec<usize>, u32)> = Vec::new();
+        for (m, r) in self.s.rooms.iter().enumerate() {
+            if !r.open || r.until.is_some() || !self.allowed(c, r) {
+                continue;
+            }
+            let coming = r.held.iter().filter(|h| h.stopping).fold(self.free[m], |n, h| n.plus(&h.need, 1));
+            if coming.fits(&c.need) > 0 {
+                options.push((Micros::ZERO, m, Vec::new(), coming.fits(&c.need)));
+                continue;
+            }
+            let mut victims: Vec<usize> =
+                (0..r.held.len()).filter(|&h| r.held[h].stoppable && r.held[h].rank < c.rank).collect();
+            victims.sort_by_key(|&h| r.held[h].lost);
+            let (mut free, mut lost, mut chosen) = (coming, Micros::ZERO, Vec::new());
+            for h in victims {
+                if free.fits(&c.need) > 0 {
+                    break;
+                }
+                free = free.plus(&r.held[h].need, 1);
+                lost = lost + r.held[h].lost;
+                chosen.push(h);
+            }
+            if free.fits(&c.need) > 0 {
+                options.push((lost, m, chosen, free.fits(&c.need)));
+            }
+        }
+        options.sort();
+        let rooms: Vec<usize> = options.iter().map(|o| o.1).collect();
+        let fit = |m: usize| options.iter().find(|o| o.1 == m).map_or(0, |o| o.3);
+        let places = if c.gang {
+            self.whole(class, &rooms, &fit)
+        } else {
+            rooms.iter().find(|&&m| self.zone_room(class, self.s.rooms[m].zone) > 0).map(|&m| vec![(m, 1)])
+        };
+        let chosen = |m: usize| options.iter().find(|o| o.1 == m).map(|o| o.2.clone()).unwrap_or_default();
+        places
+            .unwrap_or_default()
+            .into_iter()
+            .flat_map(|(m, _)| chosen(m).into_iter().map(move |h| (m, h)))
+            .collect()
+    }
+}
+
+/// Decides.
+pub fn plan(s: &Snapshot) -> Plan {
+    let mut out = Plan::default();
+    let mut w = Work::new(s);
+    for class in order(&s.classes) {
+        let c = &s.classes[class];
+        if c.count == 0 {
+            continue;
+        }
+        // A limit holds a job back without giving it a claim to room.
+        let limited = w.want(class);
+        let left = if c.gang {
+            if w.start_gang(class, &mut out.starts) {
+                0
+            } else if limited < c.count {
+                continue;
+            } else {
+                c.count
+            }
+        } else {
+            w.start_array(class, &mut out.starts)
+        };
+        if left == 0 {
+            continue;
+        }
+        out.unmet.push((class, left));
+        if out.reservation.is_none() && s.reserve {
+            out.reservation = w.reserve(class);
+            let far = out.reservation.as_ref().is_none_or(|r| r.at > s.preempt_after);
+            if far {
+                out.preempt = w.preempt(class);
+            }
+        }
+    }
+    out
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,309 @@
+//! Client of the state service: reads, guarded transactions, leases and watches, within this
+//! node's share of the service's limits.
+
+use std::net::SocketAddr;
+use std::sync::{Condvar, Mutex};
+
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use crate::http::{CallError, Client};
+use crate::time::{steady, Micros, Steady};
+use crate::wire::{Events, Row, Rows, Txn};
+
+/// Why a call to the state service has no result.
+#[derive(Debug, thiserror::Error, PartialEq, Eq, Clone)]
+pub enum StateError {
+    /// The service, or its limits, refused: nothing was executed.
+    #[error("refused with {0}")]
+    Refused(u16),
+    /// Over this node's own share: nothing was sent.
+    #[error("over this node's share of the state service")]
+    Budget,
+    /// No answer: it may have been executed, or may yet be.
+    #[error("unknown: {0}")]
+    Unknown(String),
+    /// The lease is gone.
+    #[error("the lease is gone")]
+    NoLease,
+    /// The watch's revision is too old.
+    #[error("the revision is too old")]
+    TooOld,
+    /// The answer makes no sense.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+/// Result of a transaction that was answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// Executed at this revision.
+    Yes(u64),
+    /// Some conditions did not hold.
+    Conflict(Vec<String>),
+}
+
+/// How much a call matters when the budget is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// Ownership: never waits for the budget.
+    Ownership,
+    /// Acceptance and cancellation: users wait for it.
+    User,
+    /// Everything else.
+    Rest,
+}
+
+struct Bucket {
+    rate: f64,
+    level: f64,
+    at: Steady,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Bucket {
+        Bucket { rate, level: rate, at: steady() }
+    }
+
+    fn refill(&mut self, now: Steady) {
+        self.level = (self.level + (now - self.at).secs() * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+    }
+
+    /// Takes `n`; returns how long to wait first. What is kept back is for urgent calls.
+    fn take(&mut self, now: Steady, n: f64, keep: f64) -> Result<(), Micros> {
+        self.refill(now);
+        // A request larger than the whole bucket passes when the bucket is full.
+        let need = (n + keep).min(self.rate.max(1.0));
+        if self.level >= need {
+            self.level -= n;
+            return Ok(());
+        }
+        Err(Micros::from_secs(((need - self.level) / self.rate).clamp(0.002, 1.0)))
+    }
+}
+
+struct Budget {
+    requests: Bucket,
+    writes: Bucket,
+    pause_until: Steady,
+}
+
+/// The client.
+pub struct StateClient {
+    http: Client,
+    watch: Client,
+    budget: Mutex<Budget>,
+    waiting: Condvar,
+}
+
+#[derive(Deserialize)]
+struct Granted {
+    tenure: u64,
+}
+
+#[derive(Deserialize)]
+struct Revision {
+    harvest: u64,
+}
+
+#[derive(Deserialize)]
+struct Failed {
+    #[serde(default)]
+    failed: Vec<String>,
+}
+
+const CALL: Micros = Micros::from_millis(2000);
+
+impl StateClient {
+    /// A client that keeps to `rps` requests and `write_rps` changes a second.
+    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64) -> StateClient {
+        StateClient {
+            http: Client::new(addr, 8),
+            watch: Client::new(addr, 2),
+            budget: Mutex::new(Budget {
+                requests: Bucket::new(rps),
+                writes: Bucket::new(write_rps),
+                pause_until: Steady(0),
+            }),
+            waiting: Condvar::new(),
+        }
+    }
+
+    /// Waits for room in the budget, at most `patience`.
+    fn admit(&self, writes: usize, urgency: Urgency, patience: Micros) -> Result<(), StateError> {
+        let deadline = steady() + patience;
+        let Ok(mut b) = self.budget.lock() else { return Err(StateError::Budget) };
+        loop {
+            let now = steady();
+            let keep = match urgency {
+                Urgency::Ownership => {
+                    b.requests.refill(now);
+                    b.requests.level -= 1.0;
+                    b.writes.refill(now);
+                    b.writes.level -= writes as f64;
+                    return Ok(());
+                }
+                Urgency::User => 0.0,
+                Urgency::Rest => 0.25,
+            };
+            let wait = if now < b.pause_until {
+                b.pause_until - now
+            } else {
+                let kept_writes = b.writes.rate * keep;
+                let kept_requests = b.requests.rate * keep;
+                match b.writes.take(now, writes as f64, if writes > 0 { kept_writes } else { -1e9 }) {
+                    Err(w) => w,
+                    Ok(()) => match b.requests.take(now, 1.0, kept_requests) {
+                        Ok(()) => return Ok(()),
+                        Err(w) => {
+                            b.writes.level += writes as f64;
+                            w
+                        }
+                    },
+                }
+            };
+            if now + wait > deadline {
+                return Err(StateError::Budget);
+            }
+            match self.waiting.wait_timeout(b, wait.std()) {
+                Ok((guard, _)) => b = guard,
+                Err(_) => return Err(StateError::Budget),
+            }
+        }
+    }
+
+    fn call(
+        &self,
+        client: &Client,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+        timeout: Micros,
+    ) -> Result<(u16, Vec<u8>), StateError> {
+        let body = body.map(|b| b.to_string());
+        match client.call(method, path, body.as_deref().map(str::as_bytes), timeout) {
+            Ok((429, _)) => {
+                if let Ok(mut b) = self.budget.lock() {
+                    b.pause_until = steady() + Micros::from_millis(150);
+                    b.requests.level = b.requests.level.min(0.0);
+                }
+                Err(StateError::Refused(429))
+            }
+            Ok((503, _)) => Err(StateError::Refused(503)),
+            Ok(r) => Ok(r),
+            Err(CallError::NotSent(_)) => Err(StateError::Refused(0)),
+            Err(CallError::NoAnswer(e)) => Err(StateError::Unknown(e)),
+        }
+    }
+
+    /// Reads a key.
+    pub fn get(&self, key: &str, urgency: Urgency) -> Result<Option<Row>, StateError> {
+        self.admit(0, urgency, Micros::from_millis(1500))?;
+        match self.call(&self.http, "GET", &format!("/keys/{key}"), None, CALL)? {
+            (200, b) => parse(&b).map(Some),
+            (404, _) => Ok(None),
+            (s, _) => Err(StateError::Refused(s)),
+        }
+    }
+
+    /// Reads all keys with a prefix; the revision is that of the first page, so that a watch
+    /// from it misses nothing.
+    pub fn list(&self, prefix: &str) -> Result<(Vec<Row>, u64), StateError> {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut revision = None;
+        loop {
+            let from = rows.last().map(|r| format!("&from={}", r.key)).unwrap_or_default();
+            self.admit(0, Urgency::Ownership, CALL)?;
+            let path = format!("/keys?starts={prefix}{from}&most=500");
+            let page: Rows = match self.call(&self.http, "GET", &path, None, CALL)? {
+                (200, b) => parse(&b)?,
+                (s, _) => return Err(StateError::Refused(s)),
+            };
+            let at = *revision.get_or_insert(page.revision);
+            let empty = page.rows.is_empty();
+            rows.extend(page.rows);
+            if !page.more || empty {
+                return Ok((rows, at));
+            }
+        }
+    }
+
+    /// Executes a transaction.
+    pub fn txn(&self, txn: &Txn, urgency: Urgency) -> Result<Applied, StateError> {
+        self.admit(txn.then.len(), urgency, Micros::from_millis(1500))?;
+        let body = serde_json::to_value(txn).map_err(|e| StateError::Malformed(e.to_string()))?;
+        match self.call(&self.http, "POST", "/txn", Some(&body), CALL)? {
+            (200, b) => parse::<Revision>(&b).map(|r| Applied::Yes(r.harvest)),
+            (409, b) => parse::<Failed>(&b).map(|f| Applied::Conflict(f.failed)),
+            (400, b) => {
+                let text = String::from_utf8_lossy(&b).into_owned();
+                if text.contains("no such lease") {
+                    Err(StateError::NoLease)
+                } else {
+                    Err(StateError::Malformed(text))
+                }
+            }
+            (s, _) => Err(StateError::Refused(s)),
+        }
+    }
+
+    /// Takes a new lease.
+    pub fn lease(&self, ttl: Micros) -> Result<u64, StateError> {
+        self.admit(0, Urgency::Ownership, CALL)?;
+        let body = json!({ "ttlMs": ttl.0 / 1000 });
+        match self.call(&self.http, "POST", "/leases", Some(&body), CALL)? {
+            (200 | 201, b) => parse::<Granted>(&b).map(|g| g.tenure),
+            (s, _) => Err(StateError::Refused(s)),
+        }
+    }
+
+    /// Renews a lease.
+    pub fn renew(&self, lease: u64) -> Result<(), StateError> {
+        self.admit(0, Urgency::Ownership, CALL)?;
+        let path = format!("/leases/{lease}/renew");
+        match self.call(&self.http, "POST", &path, Some(&json!({})), Micros::from_millis(1000))? {
+            (200, _) => Ok(()),
+            (404, _) => Err(StateError::NoLease),
+            (s, _) => Err(StateError::Refused(s)),
+        }
+    }
+
+    /// Ends a lease.
+    pub fn end_lease(&self, lease: u64) -> Result<(), StateError> {
+        self.admit(0, Urgency::Ownership, CALL)?;
+        self.call(&self.http, "DELETE", &format!("/leases/{lease}"), None, Micros::from_millis(1000))
+            .map(|_| ())
+    }
+
+    /// Waits for changes under a prefix.
+    pub fn watch(&self, prefix: &str, from: u64, block: Micros) -> Result<Events, StateError> {
+        self.admit(0, Urgency::Ownership, CALL)?;
+        let path = format!("/watch?starts={prefix}&from={from}&blockMs={}", block.0 / 1000);
+        match self.call(&self.watch, "GET", &path, None, block + CALL)? {
+            (200, b) => parse(&b),
+            (410, _) => Err(StateError::TooOld),
+            (s, _) => Err(StateError::Refused(s)),
+        }
+    }
+}
+
+fn parse<T: for<'a> Deserialize<'a>>(b: &[u8]) -> Result<T, StateError> {
+    serde_json::from_slice(b).map_err(|e| StateError::Malformed(e.to_string()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_budget_lets_a_burst_through_then_the_rate() {
+        let now = Steady(5_000_000);
+        let mut b = Bucket { rate: 10.0, level: 10.0, at: now };
+        let through = (0..20).filter(|_| b.take(now, 1.0, 0.0).is_ok()).count();
+        assert_eq!(through, 10);
+        let later = now + Micros::from_secs(0.5);
+        let through = (0..20).filter(|_| b.take(later, 1.0, 0.0).is_ok()).count();
+        assert_eq!(through, 5);
+    }
+}
