--- a/src/api.rs
+++ b/src/api.rs
@@ -37,7 +37,7 @@
 
 /// What is known of a job from the state service.
 enum Known {
-    Live(JobRecord, u64),
+    Live(Box<JobRecord>, u64),
     Over(FinalRecord),
     Never,
 }
@@ -50,7 +50,7 @@
     // two reads finds it.
     if let Some(row) = node.state.get(&job_key(id), Urgency::User)? {
         let r = serde_json::from_value(row.value).map_err(|e| StateError::Malformed(e.to_string()))?;
-        return Ok(Known::Live(r, row.stamp));
+        return Ok(Known::Live(Box::new(r), row.stamp));
     }
     match node.state.get(&final_key(id), Urgency::User)? {
         Some(row) => {
@@ -140,6 +140,7 @@
     let spec = match JobSpec::parse(body) {
         Ok(s) => s,
         Err(why) => {
+            tracing::debug!(why, "a submission is malformed");
             let v: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
             return known_or(node, v.get("nameId").and_then(|i| i.as_str()), Response::error(400, &why));
         }
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -10,7 +10,7 @@
 use crate::config::Config;
 use crate::fleet::Fleet;
 use crate::history::Record;
-use crate::jobs::JobRecord;
+use crate::jobs::{JobRecord, MachineRecord};
 use crate::state::{Applied, StateClient, StateError, Urgency};
 use crate::time::{steady, Micros};
 use crate::wire::{Change, Guard, MachineType, Txn};
@@ -53,23 +53,6 @@
     pub first: bool,
 }
 
-/// A machine's record.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct MachineRecord {
-    /// The part it belongs to.
-    pub part: u32,
-    /// The token it was enrolled with.
-    pub token: u64,
-    /// The worker's address.
-    pub addr: String,
-    /// Type.
-    pub ty: String,
-    /// Zone.
-    pub zone: String,
-    /// Spot.
-    pub spot: bool,
-}
-
 /// Reads the leader's record.
 pub fn leader(state: &StateClient) -> Result<Option<(Owner, u64)>, StateError> {
     let row = state.get(LEADER, Urgency::Ownership)?;
@@ -159,11 +142,11 @@
     for r in machines {
         let id = r.key.trim_start_matches("machine/").to_string();
         match serde_json::from_value::<MachineRecord>(r.value) {
-            Ok(m) => fleet.inherit_machine(&id, &m.addr, &m.ty, &m.zone, m.spot, r.stamp, now),
+            Ok(m) => fleet.inherit_machine(&id, &m, r.stamp, now),
             // It may hold tasks all the same: it stays unheard until it reports or is returned.
             Err(e) => {
                 tracing::error!(key = %r.key, error = %e, "a machine's record cannot be read");
-                fleet.inherit_machine(&id, "", "", "", false, r.stamp, now);
+                fleet.inherit_machine(&id, &MachineRecord::default(), r.stamp, now);
             }
         }
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::capacity::{Offer, Policy, Upkeep, View};
 use crate::config::{Config, Team};
 use crate::history::{History, Key};
-use crate::jobs::{split_task, GangAttempt, Job, JobId, JobRecord, MachineId, Ranges};
+use crate::jobs::{split_task, GangAttempt, Job, JobId, JobRecord, MachineId, MachineRecord, Ranges};
 use crate::sched::{self, Class, Held, Keep, Need, Plan, Room, Snapshot, TeamUse};
 use crate::time::{Micros, Steady, Wall};
 use crate::wire::{
@@ -294,21 +294,12 @@
     // ---- records ----
 
     /// Takes over a machine from its record: tasks may be on it until it is heard.
-    pub fn inherit_machine(
-        &mut self,
-        id: &str,
-        addr: &str,
-        ty: &str,
-        zone: &str,
-        spot: bool,
-        stamp: u64,
-        now: Steady,
-    ) {
+    pub fn inherit_machine(&mut self, id: &str, r: &MachineRecord, stamp: u64, now: Steady) {
         let mut m = Machine::new(id, now);
         (m.enrolled, m.stamp, m.inherited, m.heard) = (true, stamp, true, false);
         let id = m.id.clone();
         self.machines.insert(id.clone(), m);
-        self.describe(&id, addr, ty, zone, spot);
+        self.describe(&id, &r.addr, &r.ty, &r.zone, r.spot);
     }
 
     /// Learns of a job, new or changed. Late copies of what is over are ignored.
@@ -858,7 +849,7 @@
 
     /// A for a waiting job.
     pub fn adjusted(&self, s: &JobSpec, wall: Wall) -> Micros {
-        let stated = Micros::from_secs(s.estimate_s);
+        let stated = stated(s);
         if !self.cfg.operator.adjust {
             return stated;
         }
@@ -867,7 +858,7 @@
 
     /// Until the stated end of a task; overrunning ones have a tenth of it, at least a second.
     fn stated_left(&self, e: &Entry, s: Option<&JobSpec>, now: Steady) -> Micros {
-        let stated = Micros::from_secs(s.map_or(60.0, |s| s.estimate_s));
+        let stated = s.map_or(Micros::from_secs(60.0), stated);
         let fetch =
             if matches!(e.stage, None | Some(TaskStage::Fetching | TaskStage::Waiting)) { 5.0 } else { 0.0 };
         let left = stated - (now - e.running.unwrap_or(e.since)) + Micros::from_secs(fetch);
@@ -1420,6 +1411,15 @@
     Need { cpus: s.cpus, gpus: s.gpus, memory: s.memory_gb }
 }
 
+/// The stated run time of a job's tasks; services are endless, which is a day to the planner.
+fn stated(s: &JobSpec) -> Micros {
+    if s.shape == Shape::Service {
+        Micros::from_secs(86_400.0)
+    } else {
+        Micros::from_secs(s.estimate_s)
+    }
+}
+
 /// Types, by index, that a job allows and its tasks fit.
 pub fn allowed_types(types: &[MachineType], s: &JobSpec) -> Vec<usize> {
     let need = need_of(s);
@@ -1427,7 +1427,7 @@
         .filter(|&i| {
             let t = &types[i];
             let total = Need { cpus: t.cpus, gpus: t.gpus, memory: t.memory_gb };
-            s.types.as_ref().is_none_or(|a| a.iter().any(|n| *n == t.name))
+            s.types.as_ref().is_none_or(|a| a.contains(&t.name))
                 && s.zone.as_ref().is_none_or(|z| t.zones.is_empty() || t.zones.contains(z))
                 && total.fits(&need) > 0
         })
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -143,6 +143,23 @@
     pub tasks: u32,
 }
 
+/// What is written for a machine, under `machine/<id>`, before the first start on it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// The part it belongs to.
+    pub part: u32,
+    /// The token it was enrolled with.
+    pub token: u64,
+    /// The worker's address.
+    pub addr: String,
+    /// Type.
+    pub ty: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+}
+
 /// Key of a live job.
 pub fn job_key(id: &str) -> String {
     format!("job/{id}")
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,7 +13,7 @@
 
 use crate::api;
 use crate::cloud::{CloudClient, CloudError};
-use crate::cluster::{self, Claim, MachineRecord, Owner, LEADER, PART};
+use crate::cluster::{self, Claim, Owner, LEADER, PART};
 use crate::config::Config;
 use crate::fleet::{CheckIn, Counts, Fleet, Pending};
 use crate::history::Key;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -13,6 +13,9 @@
     /// Tasks that run together or not at all.
     #[serde(rename = "gang")]
     Gang,
+    /// Tasks that run until their user withdraws the job.
+    #[serde(rename = "daemon")]
+    Service,
 }
 
 /// Priority; a greater rank goes first.
@@ -77,8 +80,8 @@
     /// May use spot machines.
     #[serde(rename = "gleanings", default, deserialize_with = "null_is_default")]
     pub spot: bool,
-    /// The owner's estimate of a task's run time in seconds.
-    #[serde(rename = "expectS")]
+    /// The owner's estimate of a task's run time in seconds; none for a service.
+    #[serde(rename = "expectS", default, deserialize_with = "null_is_default")]
     pub estimate_s: f64,
     /// Progress between checkpoints; 0: never saves.
     #[serde(rename = "stashEveryS", default, deserialize_with = "null_is_default")]
@@ -142,7 +145,7 @@
         }
         amount("pullGb", self.image_gb, 0.0)?;
         amount("expectS", self.estimate_s, 0.0)?;
-        if self.estimate_s <= 0.0 {
+        if self.estimate_s <= 0.0 && self.shape != Shape::Service {
             return Err("expectS: must be above 0".into());
         }
         amount("stashEveryS", self.checkpoint_s, 0.0)?;
