--- a/src/node.rs
+++ b/src/node.rs
@@ -19,7 +19,8 @@
 use crate::history::Key;
 use crate::http::{self, Client, Request, Response};
 use crate::jobs::{
-    chunk_tasks, done_key, final_key, job_key, FinalRecord, JobId, JobRecord, MachineId, Ranges,
+    chunk_tasks, done_key, final_key, job_key, FinalRecord, JobId, JobRecord, MachineId, MachineRecord,
+    Ranges,
 };
 use crate::peer::{Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
 use crate::state::{Applied, StateClient, StateError, Urgency};
