--- a/src/config.rs
+++ b/src/config.rs
@@ -208,6 +208,8 @@
     pub slow_boot: f64,
     /// Most users' and workers' connections at once; 0 derives it from the platform's limit.
     pub max_connections: usize,
+    /// Rooms of a large type kept clear of low ranks.
+    pub keep_clear: usize,
     /// Past jobs kept for each key of the history.
     pub history_per_key: usize,
     /// False switches the adjustment of run times off (for measuring).
@@ -226,6 +228,7 @@
             idle_protected_s: 60.0,
             slow_boot: 2.0,
             max_connections: 0,
+            keep_clear: 1,
             history_per_key: 64,
             adjust: true,
             reserve: true,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -872,7 +872,8 @@
         let mut s = Snapshot {
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
-            preempt_after: report.scale(2.0),
+            clear: self.cfg.operator.keep_clear,
+            coarse: report.scale(1.5),
             keep: self.keep(&demands),
             ..Snapshot::default()
         };
@@ -996,6 +997,7 @@
                 adjusted: self.adjusted(sp, wall),
                 waited: wall - j.submitted,
                 zones: self.zones_of(j),
+                patience: self.patience(sp) - (wall - j.submitted),
             });
         }
         for (c, name) in classes.iter_mut().zip(image_of) {
@@ -1006,6 +1008,14 @@
         (s, machines, jobs)
     }
 
+    /// How long a job may wait before others are stopped for it: most of what its class's aim
+    /// allows, with time left for the report and the stop.
+    fn patience(&self, s: &JobSpec) -> Micros {
+        let w = &self.cfg.platform.settings;
+        let aim = w.objectives.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
+        Micros::from_secs(aim.map_or(2.0 * w.workers.report_s, |o| (o.within_s * 0.7 - w.workers.report_s).max(0.0)))
+    }
+
     /// By type: the largest recent demand of a higher rank that no smaller type takes.
     fn keep(&self, demands: &[(Steady, Need, Rank, Vec<usize>)]) -> Vec<Option<Keep>> {
         let size = |t: &MachineType| t.cpus + 8.0 * t.gpus;
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -140,6 +140,8 @@
     pub waited: Micros,
     /// Its tasks that are or may be somewhere, by zone.
     pub zones: Vec<u32>,
+    /// How long it may still wait before others are stopped for it.
+    pub patience: Micros,
 }
 
 /// A team's use and limit.
@@ -191,8 +193,11 @@
     pub keep: Vec<Option<Keep>>,
     /// Whether the blocked head job gets a reservation.
     pub reserve: bool,
-    /// Preempt only if the reservation is further away than this.
-    pub preempt_after: Micros,
+    /// Delays that differ by less than this count as alike.
+    pub coarse: Micros,
+    /// Rooms of a type that are kept clear for the tasks in `keep`; low ranks use the others and
+    /// are stopped if need be.
+    pub clear: usize,
 }
 
 /// Tasks of a class to start on a room.
@@ -262,11 +267,17 @@
 
 impl<'a> Work<'a> {
     fn new(s: &'a Snapshot) -> Work<'a> {
+        // Of each type, the first few rooms that could take the kept task stay clear for it.
+        let mut clear = vec![0usize; s.keep.len()];
         let spare = s
             .rooms
             .iter()
             .map(|r| {
                 let k = s.keep.get(r.ty).copied().flatten()?;
+                if clear[r.ty] >= s.clear || r.free.fits(&k.need) == 0 || r.until.is_some() {
+                    return None;
+                }
+                clear[r.ty] += 1;
                 let low = r.held.iter().filter(|h| h.rank < k.rank);
                 Some(low.fold(r.total.less(&k.need, 1), |n, h| n.less(&h.need, 1)))
             })
@@ -342,7 +353,9 @@
             .filter(|&m| self.fit(c, m) > 0)
             .map(|m| {
                 let r = &self.s.rooms[m];
-                let delay = self.delay(c, r).0 / 1_000_000;
+                // Reports come every few seconds anyway: within that, the fullest room goes first,
+                // so that others empty and can be returned.
+                let delay = self.delay(c, r).0 / self.s.coarse.0.max(1);
                 (self.low(c, r), delay, (self.free[m].cpus * 10.0) as i64, m)
             })
             .collect();
@@ -557,7 +570,7 @@
         out.unmet.push((class, left));
         if out.reservation.is_none() && s.reserve {
             out.reservation = w.reserve(class);
-            let far = out.reservation.as_ref().is_none_or(|r| r.at > s.preempt_after);
+            let far = out.reservation.as_ref().is_none_or(|r| r.at > c.patience);
             if far {
                 out.preempt = w.preempt(class);
             }
