--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -8,12 +8,12 @@
 use serde_json::json;
 
 use crate::config::Config;
-use crate::fleet::Fleet;
-use crate::history::Record;
-use crate::jobs::{JobRecord, MachineRecord};
+use crate::fleet::{Fleet, Pending};
+use crate::history::{Key, Record};
+use crate::jobs::{done_key, final_key, job_key, FinalRecord, JobRecord, MachineRecord, Ranges};
 use crate::state::{Applied, StateClient, StateError, Urgency};
-use crate::time::{steady, Micros};
-use crate::wire::{Change, Guard, MachineType, Txn};
+use crate::time::{steady, Micros, Steady, Wall};
+use crate::wire::{Change, Guard, MachineType, Row, Stage, Txn};
 
 /// Key of the leader's leased record.
 pub const LEADER: &str = "leader";
@@ -132,38 +132,192 @@
     let now = steady();
     let mut fleet = Fleet::new(cfg, types, token, now);
     let (jobs, revision) = state.list("job/")?;
-    for r in jobs {
-        match serde_json::from_value::<JobRecord>(r.value) {
-            Ok(j) => fleet.job_put(j, r.stamp, now),
-            Err(e) => tracing::error!(key = %r.key, error = %e, "a job's record cannot be read"),
+    let (machines, _) = state.list("machine/")?;
+    let (done, _) = state.list("done/")?;
+    let (history, _) = state.list("hist/")?;
+    load(&mut fleet, [jobs, machines, done, history].concat(), now);
+    Ok((fleet, revision))
+}
+
+/// Takes records over into a new owner's world.
+pub fn load(fleet: &mut Fleet, rows: Vec<Row>, now: Steady) {
+    let unreadable =
+        |key: &str, e: &dyn std::fmt::Display| tracing::error!(key, error = %e, "a record cannot be read");
+    for r in rows {
+        let mut parts = r.key.split('/');
+        match (parts.next(), parts.next(), parts.next()) {
+            (Some("job"), Some(_), None) => match serde_json::from_value::<JobRecord>(r.value) {
+                Ok(j) => fleet.job_put(j, r.stamp, now),
+                Err(e) => unreadable(&r.key, &e),
+            },
+            (Some("machine"), Some(id), None) => {
+                // One that cannot be read may hold tasks all the same: it stays unheard until it
+                // reports or is returned.
+                let m = serde_json::from_value::<MachineRecord>(r.value).unwrap_or_else(|e| {
+                    unreadable(&r.key, &e);
+                    MachineRecord::default()
+                });
+                fleet.inherit_machine(id, &m, r.stamp, now);
+            }
+            (Some("done"), Some(id), Some(chunk)) => {
+                if let (Ok(chunk), Some(text)) = (chunk.parse(), r.value.as_str()) {
+                    fleet.inherit_done(id, chunk, text, r.stamp);
+                }
+            }
+            (Some("hist"), Some(_), Some(_)) => match serde_json::from_value::<Record>(r.value) {
+                Ok(h) => fleet.history.load(h),
+                Err(e) => unreadable(&r.key, &e),
+            },
+            _ => {}
         }
     }
-    let (machines, _) = state.list("machine/")?;
-    for r in machines {
-        let id = r.key.trim_start_matches("machine/").to_string();
-        match serde_json::from_value::<MachineRecord>(r.value) {
-            Ok(m) => fleet.inherit_machine(&id, &m, r.stamp, now),
-            // It may hold tasks all the same: it stays unheard until it reports or is returned.
-            Err(e) => {
-                tracing::error!(key = %r.key, error = %e, "a machine's record cannot be read");
-                fleet.inherit_machine(&id, &MachineRecord::default(), r.stamp, now);
+}
+
+/// Puts what waits to be written into transactions, each guarded by the part.
+pub fn batches(
+    fleet: &mut Fleet,
+    part: u64,
+    pending: Vec<Pending>,
+    ops: usize,
+    chunk: u32,
+    wall: Wall,
+) -> Vec<Batch> {
+    let mut out: Vec<Batch> = Vec::new();
+    for p in pending {
+        let Some(w) = compose(fleet, p, ops, chunk, wall) else { continue };
+        let fits = |b: &Batch| {
+            b.txn.then.len() + w.then.len() <= ops
+                && b.txn.guards.len() + w.guards.len() <= 4 * ops
+                && b.bytes + w.bytes <= 40_000
+        };
+        if !out.last().is_some_and(fits) {
+            if out.len() >= 4 {
+                break;
+            }
+            let guards = vec![Guard { key: PART.into(), stamp: part }];
+            out.push(Batch { txn: Txn { guards, then: Vec::new() }, items: Vec::new(), bytes: 0 });
+        }
+        if let Some(b) = out.last_mut() {
+            for g in w.guards {
+                if !b.txn.guards.contains(&g) {
+                    b.txn.guards.push(g);
+                }
             }
+            b.txn.then.extend(w.then);
+            b.bytes += w.bytes;
+            b.items.push((w.item, w.done));
         }
     }
-    let (done, _) = state.list("done/")?;
-    for r in done {
-        let mut parts = r.key.split('/').skip(1);
-        if let (Some(id), Some(Ok(chunk)), Some(text)) =
-            (parts.next(), parts.next().map(str::parse::<u32>), r.value.as_str())
-        {
-            fleet.inherit_done(id, chunk, text, r.stamp);
+    out
+}
+
+fn compose(fleet: &mut Fleet, p: Pending, ops: usize, chunk: u32, wall: Wall) -> Option<Write> {
+    let guard = |key: String, stamp: u64| Guard { key, stamp };
+    let (mut guards, mut then, mut done) = (Vec::new(), Vec::new(), None);
+    match &p {
+        Pending::Final(id) => {
+            let (spec, stamp, chunks, ran) =
+                fleet.jobs.get(id).map(|j| (j.spec.clone(), j.stamp, j.chunks.clone(), j.ran))?;
+            guards.push(guard(job_key(id), stamp));
+            guards.push(guard(final_key(id), 0));
+            then.push(Change::drop(job_key(id)));
+            then.push(Change::put(
+                final_key(id),
+                json!(FinalRecord { stage: Stage::Done, tasks: spec.tasks }),
+            ));
+            if ran.1 > 0 {
+                let key = Key { team: spec.team.clone(), stated: Micros::from_secs(spec.estimate_s) };
+                let ratio = ran.0.secs() / f64::from(ran.1) / spec.estimate_s.max(0.001);
+                let record = fleet.history.add(&key, wall, ratio);
+                then.push(Change::put(key.path(), json!(record)));
+                if let Some(j) = fleet.jobs.get_mut(id) {
+                    // Counted once, even if the write has to be repeated.
+                    j.ran.1 = 0;
+                }
+            }
+            for c in chunks.keys().take(ops.saturating_sub(then.len())) {
+                then.push(Change::drop(done_key(id, *c)));
+            }
+        }
+        Pending::High(id, high) => {
+            let j = fleet.jobs.get(id)?;
+            guards.push(guard(job_key(id), j.stamp));
+            then.push(Change::put(job_key(id), json!(j.record(*high))));
+        }
+        Pending::Done(id, c) => {
+            let j = fleet.jobs.get(id)?;
+            let part = j.done.within(c * chunk, (c + 1) * chunk);
+            guards.push(guard(job_key(id), j.stamp));
+            guards.push(guard(done_key(id, *c), j.chunks.get(c).copied().unwrap_or(0)));
+            then.push(Change::put(done_key(id, *c), json!(part.text())));
+            done = Some(part);
+        }
+        Pending::Enrol(id) => {
+            let m = fleet.machines.get(id)?;
+            let record = MachineRecord {
+                part: 0,
+                token: fleet.token,
+                addr: m.addr.clone(),
+                ty: m.ty_name.clone(),
+                zone: fleet.zone_name(m.zone).to_string(),
+                spot: m.spot,
+            };
+            guards.push(guard(format!("machine/{id}"), m.stamp));
+            then.push(Change::put(format!("machine/{id}"), json!(record)));
+        }
+        Pending::Orphan(key, stamp) => {
+            guards.push(guard(key.clone(), *stamp));
+            then.push(Change::drop(key.clone()));
+        }
+        Pending::Unenrol(id, stamp) => {
+            guards.push(guard(format!("machine/{id}"), *stamp));
+            then.push(Change::drop(format!("machine/{id}")));
         }
     }
-    let (history, _) = state.list("hist/")?;
-    for r in history {
-        if let Ok(h) = serde_json::from_value::<Record>(r.value) {
-            fleet.history.load(h);
+    let bytes = then.iter().map(|c| serde_json::to_string(c).map_or(0, |s| s.len())).sum();
+    Some(Write { item: p, guards, then, done, bytes })
+}
+
+/// Learns how a key stands after a conflict or an unknown outcome.
+pub fn learn(fleet: &mut Fleet, key: &str, row: Option<Row>, watched: u64, now: Steady) {
+    let stamp = row.as_ref().map_or(0, |r| r.stamp);
+    let mut parts = key.split('/');
+    match (parts.next(), parts.next(), parts.next()) {
+        (Some("job"), Some(id), _) => {
+            match row.and_then(|r| serde_json::from_value::<JobRecord>(r.value).ok()) {
+                Some(r) => fleet.job_put(r, stamp, now),
+                None => {
+                    let known = fleet.jobs.get(id).map_or(0, |j| j.stamp);
+                    fleet.job_over(id, watched.max(known) + 1);
+                }
+            }
+        }
+        (Some("machine"), Some(id), _) => fleet.learn_machine(id, stamp),
+        (Some("done"), Some(id), Some(c)) => {
+            fleet.learn_orphan(key, stamp);
+            if let (true, Ok(c), Some(text)) =
+                (fleet.jobs.contains_key(id), c.parse(), row.as_ref().map_or(Some(""), |r| r.value.as_str()))
+            {
+                fleet.inherit_done(id, c, text, stamp);
+            }
         }
+        _ => {}
     }
-    Ok((fleet, revision))
+}
+
+struct Write {
+    item: Pending,
+    guards: Vec<Guard>,
+    then: Vec<Change>,
+    done: Option<Ranges>,
+    bytes: usize,
+}
+
+/// A transaction and what it writes.
+pub struct Batch {
+    /// The transaction.
+    pub txn: Txn,
+    /// What it writes, with done ranges where it writes some.
+    pub items: Vec<(Pending, Option<Ranges>)>,
+    bytes: usize,
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,7 +10,9 @@
 use crate::capacity::{Offer, Policy, Upkeep, View};
 use crate::config::{Config, Team};
 use crate::history::{History, Key};
-use crate::jobs::{split_task, GangAttempt, Job, JobId, JobRecord, MachineId, MachineRecord, Ranges};
+use crate::jobs::{
+    done_key, split_task, GangAttempt, Job, JobId, JobRecord, MachineId, MachineRecord, Ranges,
+};
 use crate::sched::{self, Class, Held, Keep, Need, Plan, Room, Snapshot, TeamUse};
 use crate::time::{Micros, Steady, Wall};
 use crate::wire::{
@@ -171,6 +173,8 @@
     Done(JobId, u32),
     /// A machine is gone.
     Unenrol(MachineId, u64),
+    /// A chunk of done ranges that is no job's any more.
+    Orphan(String, u64),
 }
 
 /// Numbers for polls.
@@ -209,6 +213,7 @@
     /// Machines that are gone; reports from them are late.
     gone: BTreeMap<MachineId, Steady>,
     unenrol: BTreeMap<MachineId, u64>,
+    orphans: BTreeMap<String, u64>,
     refused: BTreeMap<Offer, Steady>,
     /// Demands of recent jobs by type, for what low ranks leave free.
     demands: Vec<(Steady, Need, Rank, Vec<usize>)>,
@@ -239,6 +244,7 @@
             over: BTreeMap::new(),
             gone: BTreeMap::new(),
             unenrol: BTreeMap::new(),
+            orphans: BTreeMap::new(),
             refused: BTreeMap::new(),
             demands: Vec::new(),
             lease,
@@ -338,9 +344,12 @@
         self.machines.values().flat_map(|m| m.tasks.keys().filter(|k| k.0 == *id).map(|k| k.1)).collect()
     }
 
-    /// Learns done ranges from their record.
-    pub fn inherit_done(&mut self, id: &str, chunk: u32, text: &str, stamp: u64) -> bool {
-        let Some(j) = self.jobs.get_mut(id) else { return false };
+    /// Learns done ranges from their record. Those of a job that is over are to be removed.
+    pub fn inherit_done(&mut self, id: &str, chunk: u32, text: &str, stamp: u64) {
+        let Some(j) = self.jobs.get_mut(id) else {
+            self.orphans.insert(done_key(id, chunk), stamp);
+            return;
+        };
         let mut r = Ranges::new();
         r.add_text(text, j.spec.tasks);
         for n in r.iter() {
@@ -349,7 +358,6 @@
             j.waiting.remove(n);
         }
         j.chunks.insert(chunk, stamp);
-        true
     }
 
     /// A job's record is gone at this revision: it is over, by its user's wish or because this
@@ -370,6 +378,9 @@
         }
         j.cancelled = true;
         j.gang = None;
+        for (c, stamp) in std::mem::take(&mut j.chunks).into_iter().filter(|c| c.1 > 0) {
+            self.orphans.insert(done_key(&id, c), stamp);
+        }
         for m in self.machines.values_mut() {
             for (k, e) in m.tasks.iter_mut() {
                 if k.0 == id && e.live() {
@@ -1013,7 +1024,9 @@
     fn patience(&self, s: &JobSpec) -> Micros {
         let w = &self.cfg.platform.settings;
         let aim = w.objectives.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
-        Micros::from_secs(aim.map_or(2.0 * w.workers.report_s, |o| (o.within_s * 0.7 - w.workers.report_s).max(0.0)))
+        Micros::from_secs(
+            aim.map_or(2.0 * w.workers.report_s, |o| (o.within_s * 0.7 - w.workers.report_s).max(0.0)),
+        )
     }
 
     /// By type: the largest recent demand of a higher rank that no smaller type takes.
@@ -1351,6 +1364,7 @@
             }
         }
         v.extend(self.unenrol.iter().map(|(id, s)| Pending::Unenrol(id.clone(), *s)));
+        v.extend(self.orphans.iter().map(|(k, s)| Pending::Orphan(k.clone(), *s)));
         v.sort();
         v
     }
@@ -1358,7 +1372,13 @@
     /// A write has been applied at a revision.
     pub fn written(&mut self, p: &Pending, revision: u64, done: Option<&Ranges>, now: Steady) {
         match p {
-            Pending::Final(id) => self.job_over(id, revision),
+            Pending::Final(id) => {
+                self.job_over(id, revision);
+                // Most went in the same transaction; a guard tells which did not.
+            }
+            Pending::Orphan(key, _) => {
+                self.orphans.remove(key);
+            }
             Pending::Enrol(id) => {
                 if let Some(m) = self.machines.get_mut(id) {
                     m.enrolled = true;
@@ -1387,6 +1407,15 @@
         self.dirty = true;
     }
 
+    /// How a chunk that is no job's stands, as read back.
+    pub fn learn_orphan(&mut self, key: &str, stamp: u64) {
+        if stamp == 0 {
+            self.orphans.remove(key);
+        } else if let Some(s) = self.orphans.get_mut(key) {
+            *s = stamp;
+        }
+    }
+
     /// A machine's record as read back.
     pub fn learn_machine(&mut self, id: &str, stamp: u64) {
         if let Some(s) = self.unenrol.get_mut(id) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,15 +13,11 @@
 
 use crate::api;
 use crate::cloud::{CloudClient, CloudError};
-use crate::cluster::{self, Claim, Owner, LEADER, PART};
+use crate::cluster::{self, Batch, Claim, Owner, LEADER, PART};
 use crate::config::Config;
 use crate::fleet::{CheckIn, Counts, Fleet, Pending};
-use crate::history::Key;
 use crate::http::{self, Client, Request, Response};
-use crate::jobs::{
-    chunk_tasks, done_key, final_key, job_key, FinalRecord, JobId, JobRecord, MachineId, MachineRecord,
-    Ranges,
-};
+use crate::jobs::{chunk_tasks, FinalRecord, JobId, JobRecord, MachineId};
 use crate::peer::{Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
 use crate::state::{Applied, StateClient, StateError, Urgency};
 use crate::time::{steady, wall, Micros, Steady};
@@ -675,6 +671,7 @@
     /// Lets time pass for the owner's world and writes what waits.
     fn write(&self) {
         let chunk = chunk_tasks(self.cfg.value_bytes());
+        let ops = self.cfg.platform.settings.state.txn_ops;
         while !self.stopping() {
             let work = {
                 let core = self.lock();
@@ -686,7 +683,10 @@
                 core.own.as_mut().map(|own| {
                     own.fleet.tick(now, wall());
                     let pending = own.fleet.pending(now, Micros::from_millis(1500), chunk);
-                    (own.claim.clone(), self.batches(&mut own.fleet, &own.claim, pending, chunk))
+                    (
+                        own.claim.clone(),
+                        cluster::batches(&mut own.fleet, own.claim.part, pending, ops, chunk, wall()),
+                    )
                 })
             };
             let Some((claim, batches)) = work else { continue };
@@ -699,100 +699,6 @@
         }
     }
 
-    fn batches(&self, fleet: &mut Fleet, claim: &Claim, pending: Vec<Pending>, chunk: u32) -> Vec<Batch> {
-        let ops = self.cfg.platform.settings.state.txn_ops;
-        let mut out: Vec<Batch> = Vec::new();
-        for p in pending {
-            let Some(w) = self.compose(fleet, claim, p, ops, chunk) else { continue };
-            let fits = |b: &Batch| {
-                b.txn.then.len() + w.then.len() <= ops
-                    && b.txn.guards.len() + w.guards.len() <= 4 * ops
-                    && b.bytes + w.bytes <= 40_000
-            };
-            if !out.last().is_some_and(fits) {
-                if out.len() >= 4 {
-                    break;
-                }
-                let guards = vec![Guard { key: PART.into(), stamp: claim.part }];
-                out.push(Batch { txn: Txn { guards, then: Vec::new() }, items: Vec::new(), bytes: 0 });
-            }
-            if let Some(b) = out.last_mut() {
-                for g in w.guards {
-                    if !b.txn.guards.contains(&g) {
-                        b.txn.guards.push(g);
-                    }
-                }
-                b.txn.then.extend(w.then);
-                b.bytes += w.bytes;
-                b.items.push((w.item, w.done));
-            }
-        }
-        out
-    }
-
-    fn compose(&self, fleet: &mut Fleet, claim: &Claim, p: Pending, ops: usize, chunk: u32) -> Option<Write> {
-        let guard = |key: String, stamp: u64| Guard { key, stamp };
-        let (mut guards, mut then, mut done) = (Vec::new(), Vec::new(), None);
-        match &p {
-            Pending::Final(id) => {
-                let (spec, stamp, chunks, ran) =
-                    fleet.jobs.get(id).map(|j| (j.spec.clone(), j.stamp, j.chunks.clone(), j.ran))?;
-                guards.push(guard(job_key(id), stamp));
-                guards.push(guard(final_key(id), 0));
-                then.push(Change::drop(job_key(id)));
-                then.push(Change::put(
-                    final_key(id),
-                    json!(FinalRecord { stage: Stage::Done, tasks: spec.tasks }),
-                ));
-                if ran.1 > 0 {
-                    let key = Key { team: spec.team.clone(), stated: Micros::from_secs(spec.estimate_s) };
-                    let ratio = ran.0.secs() / f64::from(ran.1) / spec.estimate_s.max(0.001);
-                    let record = fleet.history.add(&key, wall(), ratio);
-                    then.push(Change::put(key.path(), json!(record)));
-                    if let Some(j) = fleet.jobs.get_mut(id) {
-                        // Counted once, even if the write has to be repeated.
-                        j.ran.1 = 0;
-                    }
-                }
-                for c in chunks.keys().take(ops.saturating_sub(then.len())) {
-                    then.push(Change::drop(done_key(id, *c)));
-                }
-            }
-            Pending::High(id, high) => {
-                let j = fleet.jobs.get(id)?;
-                guards.push(guard(job_key(id), j.stamp));
-                then.push(Change::put(job_key(id), json!(j.record(*high))));
-            }
-            Pending::Done(id, c) => {
-                let j = fleet.jobs.get(id)?;
-                let part = j.done.within(c * chunk, (c + 1) * chunk);
-                guards.push(guard(job_key(id), j.stamp));
-                guards.push(guard(done_key(id, *c), j.chunks.get(c).copied().unwrap_or(0)));
-                then.push(Change::put(done_key(id, *c), json!(part.text())));
-                done = Some(part);
-            }
-            Pending::Enrol(id) => {
-                let m = fleet.machines.get(id)?;
-                let record = MachineRecord {
-                    part: 0,
-                    token: claim.token,
-                    addr: m.addr.clone(),
-                    ty: m.ty_name.clone(),
-                    zone: fleet.zone_name(m.zone).to_string(),
-                    spot: m.spot,
-                };
-                guards.push(guard(format!("machine/{id}"), m.stamp));
-                then.push(Change::put(format!("machine/{id}"), json!(record)));
-            }
-            Pending::Unenrol(id, stamp) => {
-                guards.push(guard(format!("machine/{id}"), *stamp));
-                then.push(Change::drop(format!("machine/{id}")));
-            }
-        }
-        let bytes = then.iter().map(|c| serde_json::to_string(c).map_or(0, |s| s.len())).sum();
-        Some(Write { item: p, guards, then, done, bytes })
-    }
-
     /// Writes a batch; false if writing should pause.
     fn write_batch(&self, claim: &Claim, b: Batch) -> bool {
         let urgency = if b.items.iter().any(|i| matches!(i.0, Pending::Done(..) | Pending::Unenrol(..))) {
@@ -857,28 +763,8 @@
             let Ok(row) = self.state.get(key, Urgency::User) else { return false };
             let mut core = self.lock();
             let Some(own) = core.own.as_mut().filter(|o| o.claim.token == claim.token) else { return false };
-            let stamp = row.as_ref().map_or(0, |r| r.stamp);
-            let mut parts = key.split('/');
-            match (parts.next(), parts.next(), parts.next()) {
-                (Some("job"), Some(id), _) => {
-                    match row.and_then(|r| serde_json::from_value::<JobRecord>(r.value).ok()) {
-                        Some(r) => own.fleet.job_put(r, stamp, steady()),
-                        None => {
-                            let known = own.fleet.jobs.get(id).map_or(0, |j| j.stamp);
-                            own.fleet.job_over(id, own.watched.max(known) + 1);
-                        }
-                    }
-                }
-                (Some("machine"), Some(id), _) => own.fleet.learn_machine(id, stamp),
-                (Some("done"), Some(id), Some(c)) => {
-                    if let (Ok(c), Some(text)) =
-                        (c.parse(), row.as_ref().map_or(Some(""), |r| r.value.as_str()))
-                    {
-                        own.fleet.inherit_done(id, c, text, stamp);
-                    }
-                }
-                _ => {}
-            }
+            let watched = own.watched;
+            cluster::learn(&mut own.fleet, key, row, watched, steady());
         }
         true
     }
@@ -1000,17 +886,3 @@
 fn r_ok(state: &StateClient, lease: u64) -> bool {
     state.renew(lease).is_ok()
 }
-
-struct Write {
-    item: Pending,
-    guards: Vec<Guard>,
-    then: Vec<Change>,
-    done: Option<Ranges>,
-    bytes: usize,
-}
-
-struct Batch {
-    txn: Txn,
-    items: Vec<(Pending, Option<Ranges>)>,
-    bytes: usize,
-}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,147 @@
+//! Stand-ins and builders shared by the tests.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use milletlock::config::{Config, Operator, Platform};
+use milletlock::jobs::JobRecord;
+use milletlock::wire::{Change, JobSpec, MachineType, Report, Row, TaskReport, TaskStage, Txn, Why};
+use serde_json::{json, Value};
+
+/// A platform's settings file, with one limited and one free team.
+pub fn platform_json() -> Value {
+    json!({
+        "label": "c-0", "location": "north", "serve_on": "127.0.0.1:0", "internal_addr": "127.0.0.1:0",
+        "members": [], "services": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2"},
+        "unheard_of": 3,
+        "settings": {
+            "initial_size": 1, "zones": ["north", "south"],
+            "teams": [
+                {"name": "free", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0},
+                {"name": "tight", "cpus": 4.0, "cpus_max": 6.0, "gpus": 0.0, "gpus_max": 0.0}
+            ],
+            "objectives": [{"kind": "wait", "class": "quick", "within_s": 20.0, "share": 0.8}],
+            "workers": {"report_s": 3.0, "lease_s": 22.0, "gang_wait_s": 40.0, "gang_peer_s": 8.0, "cancel_s": 47.0},
+            "state": {"rps": 500.0, "write_rps": 500.0, "value_kb": 4.0, "txn_ops": 8},
+            "cloud": {"rps": 50.0, "list_lag_s": 1.0},
+            "limits": {"cpu": 1.0, "ram_mb": 200.0, "max_sockets": 500},
+            "skew_ms": 100.0
+        }
+    })
+}
+
+/// Checked settings.
+pub fn config() -> Arc<Config> {
+    let platform = Platform::parse(&platform_json().to_string(), "test").expect("settings");
+    Arc::new(Config { platform, operator: Operator::default() })
+}
+
+/// A small and a large machine type, in both zones.
+pub fn types() -> Vec<MachineType> {
+    let ty = |name: &str, cpus: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 2.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: cpus * 0.1,
+        spot_price: Some(cpus * 0.03),
+        boot_s: 20.0,
+        zones: vec!["north".into(), "south".into()],
+    };
+    vec![ty("small", 4.0), ty("large", 16.0)]
+}
+
+/// A job of one-processor tasks.
+pub fn spec(n: u32, tasks: u32, shape: &str) -> JobSpec {
+    let v = json!({
+        "nameId": format!("wk-{n:06}"), "grain": "any", "owner": "free", "shape": shape, "rank": "normal",
+        "kernels": tasks, "cpus": 1.0, "cards": 0.0, "ramGb": 1.0, "seed": "img", "pullGb": 0.5,
+        "breeds": null, "field": null, "oneZone": false, "spread": false, "gleanings": true,
+        "expectS": 20.0, "stashEveryS": 0.0, "stashS": 0.0, "dueS": null
+    });
+    JobSpec::parse(v.to_string().as_bytes()).expect("a good description")
+}
+
+/// A job's record.
+pub fn record(spec: JobSpec) -> JobRecord {
+    JobRecord { spec, submitted_us: 0, high: 0 }
+}
+
+/// A report of a small machine in the north.
+pub fn report(
+    machine: &str,
+    tally: u64,
+    token: u64,
+    tasks: &[(&str, u64, TaskStage, Option<Why>)],
+) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: "127.0.0.1:9".into(),
+        ty: "small".into(),
+        zone: "north".into(),
+        spot: false,
+        season: 1,
+        tally,
+        token,
+        notice_s: None,
+        tasks: tasks
+            .iter()
+            .map(|t| TaskReport { task: t.0.into(), attempt: t.1, stage: t.2, why: t.3, saved: None })
+            .collect(),
+    }
+}
+
+/// A plain model of the state service's keys.
+#[derive(Default)]
+pub struct Store {
+    /// Key to value and version.
+    pub keys: BTreeMap<String, (Value, u64)>,
+    /// Revision.
+    pub revision: u64,
+    /// All changes, with the value where one was put.
+    pub log: Vec<(u64, String, Option<Value>)>,
+}
+
+impl Store {
+    /// Executes a transaction: its revision, or the keys whose conditions failed.
+    pub fn txn(&mut self, t: &Txn) -> Result<u64, Vec<String>> {
+        let failed: Vec<String> =
+            t.guards.iter().filter(|g| self.stamp(&g.key) != g.stamp).map(|g| g.key.clone()).collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        self.revision += 1;
+        for c in &t.then {
+            match c {
+                Change::Put { put, value, .. } => {
+                    self.keys.insert(put.clone(), (value.clone(), self.revision));
+                    self.log.push((self.revision, put.clone(), Some(value.clone())));
+                }
+                Change::Drop { drop } => {
+                    if self.keys.remove(drop).is_some() {
+                        self.log.push((self.revision, drop.clone(), None));
+                    }
+                }
+            }
+        }
+        Ok(self.revision)
+    }
+
+    /// A key's version; 0: it does not exist.
+    pub fn stamp(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |k| k.1)
+    }
+
+    /// A key as a row.
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.keys.get(key).map(|k| Row { key: key.into(), value: k.0.clone(), stamp: k.1 })
+    }
+
+    /// All keys with a prefix.
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        self.keys.keys().filter(|k| k.starts_with(prefix)).filter_map(|k| self.row(k)).collect()
+    }
+}
