--- a/src/config.rs
+++ b/src/config.rs
@@ -310,7 +310,7 @@
 impl Platform {
     /// Parses and checks the platform's JSON.
     pub fn parse(text: &str, path: &str) -> Result<Platform, ConfigError> {
-        let p: Platform = serde_json::from_str(text)
+        let p: Platform = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))
             .map_err(|e| ConfigError::Malformed { path: path.into(), why: e.to_string() })?;
         p.check()?;
         Ok(p)
@@ -371,10 +371,10 @@
 impl Operator {
     /// Parses and checks the operators' HCL.
     pub fn parse(text: &str, path: &str) -> Result<Operator, ConfigError> {
-        let o: Operator = hcl::from_str(text).map_err(|e| ConfigError::Malformed {
-            path: path.into(),
-            why: e.to_string().replace('\n', " "),
-        })?;
+        let bad_file =
+            |why: String| ConfigError::Malformed { path: path.into(), why: why.replace('\n', " ") };
+        let v: serde_json::Value = hcl::from_str(text).map_err(|e| bad_file(e.to_string()))?;
+        let o: Operator = serde_path_to_error::deserialize(v).map_err(|e| bad_file(e.to_string()))?;
         positive("leader_ttl_s", o.leader_ttl_s)?;
         if !(1.0..=60.0).contains(&o.leader_ttl_s) {
             return Err(bad("leader_ttl_s", "must be from 1 to 60"));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -118,7 +118,7 @@
         if !v.is_object() {
             return Err("not an object".into());
         }
-        let spec: JobSpec = serde_json::from_value(v).map_err(|e| e.to_string())?;
+        let spec: JobSpec = serde_path_to_error::deserialize(v).map_err(|e| e.to_string())?;
         spec.check()?;
         Ok(spec)
     }
--- /dev/null
+++ b/tests/end_to_end.rs
@@ -0,0 +1,268 @@
+//! A whole controller on loopback, between stand-ins for the state service, the cloud and a
+//! worker: bad input of each kind, and a job from its submission to its end.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use common::{platform_json, spec, types, Store};
+use milletlock::config::{Config, Operator, Platform};
+use milletlock::http::{self, Client, Request, Response};
+use milletlock::node::Node;
+use milletlock::time::Micros;
+use milletlock::wire::{Order, ReportReply, TaskStage, Txn, Why};
+use serde_json::{json, Value};
+
+fn serve(f: impl Fn(Request) -> Response + Send + Sync + 'static) -> SocketAddr {
+    let l = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = l.local_addr().expect("an address");
+    std::thread::spawn(move || http::serve(l, 100, Arc::new(AtomicBool::new(false)), Arc::new(f)));
+    addr
+}
+
+/// The state service, as far as the controller uses it.
+fn state_service(out: Arc<AtomicBool>) -> SocketAddr {
+    let store = Arc::new(Mutex::new(Store::default()));
+    serve(move |r| {
+        if out.load(Ordering::SeqCst) {
+            return Response::error(503, "trouble");
+        }
+        let mut s = store.lock().expect("the store");
+        let (path, query) = r.path.split_once('?').unwrap_or((&r.path, ""));
+        let param = |k: &str| {
+            query.split('&').find_map(|p| p.strip_prefix(&format!("{k}="))).unwrap_or("").to_string()
+        };
+        match (r.method.as_str(), path) {
+            ("POST", "/leases") => Response::json(200, &json!({ "tenure": 1 })),
+            ("POST", p) if p.ends_with("/renew") => Response::json(200, &json!({})),
+            ("POST", "/txn") => {
+                match s.txn(&serde_json::from_slice::<Txn>(&r.body).expect("a transaction")) {
+                    Ok(rev) => Response::json(200, &json!({ "harvest": rev })),
+                    Err(keys) => Response::json(409, &json!({ "failed": keys, "harvest": s.revision })),
+                }
+            }
+            ("GET", "/keys") => {
+                let rows = s.rows(&param("starts"));
+                Response::json(200, &json!({ "rows": rows, "more": false, "harvest": s.revision }))
+            }
+            ("GET", "/watch") => {
+                let (prefix, from) = (param("starts"), param("from").parse().unwrap_or(0));
+                let events: Vec<Value> = s
+                    .log
+                    .iter()
+                    .filter(|l| l.0 > from && l.1.starts_with(&prefix))
+                    .map(|l| match &l.2 {
+                        Some(v) => json!({ "put": l.1, "value": v, "stamp": l.0 }),
+                        None => json!({ "drop": l.1, "stamp": l.0 }),
+                    })
+                    .collect();
+                Response::json(200, &json!({ "harvest": s.revision, "events": events }))
+            }
+            ("GET", p) => match s.row(p.trim_start_matches("/keys/")) {
+                Some(row) => Response::json(200, &row),
+                None => Response::json(404, &json!({ "harvest": s.revision })),
+            },
+            _ => Response::error(404, "no such path"),
+        }
+    })
+}
+
+fn cloud() -> SocketAddr {
+    serve(|r| match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
+        ("GET", "/catalog") => Response::json(200, &json!({ "breeds": types() })),
+        ("GET", "/rentals") => Response::json(200, &json!({ "husks": [], "more": false })),
+        ("POST", "/rentals/return") => Response::json(200, &json!({})),
+        _ => Response::error(503, "no capacity"),
+    })
+}
+
+struct Service {
+    addr: SocketAddr,
+    out: Arc<AtomicBool>,
+}
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+fn start() -> Service {
+    let out = Arc::new(AtomicBool::new(false));
+    let addr = free_port();
+    let mut p = platform_json();
+    p["serve_on"] = json!(addr);
+    p["internal_addr"] = json!(free_port());
+    p["services"] = json!({ "cloud": cloud(), "state": state_service(out.clone()) });
+    let platform = Platform::parse(&p.to_string(), "test").expect("settings");
+    std::thread::spawn(move || {
+        Node::run(Config { platform, operator: Operator::default() }, Arc::new(AtomicBool::new(false)))
+    });
+    let s = Service { addr, out };
+    until("the controller is up", || s.get("/up").0 == 200);
+    s
+}
+
+/// Waits for a condition that is bound to come; the deadline only ends a broken run.
+fn until(what: &str, mut f: impl FnMut() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(20);
+    while !f() {
+        assert!(Instant::now() < deadline, "never: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+impl Service {
+    fn call(&self, method: &str, path: &str, body: Option<&[u8]>) -> (u16, Value) {
+        match Client::new(self.addr, 0).call(method, path, body, Micros::from_secs(10.0)) {
+            Ok((s, b)) => (s, serde_json::from_slice(&b).unwrap_or(Value::Null)),
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    fn get(&self, path: &str) -> (u16, Value) {
+        self.call("GET", path, None)
+    }
+
+    fn submit(&self, v: &Value) -> (u16, Value) {
+        self.call("POST", "/api/jobs", Some(v.to_string().as_bytes()))
+    }
+
+    fn report(&self, tally: u64, token: u64, tasks: &[(&str, u64, TaskStage, Option<Why>)]) -> ReportReply {
+        let r = common::report("i-000001", tally, token, tasks);
+        let body = serde_json::to_vec(&r).expect("a report");
+        let mut reply = None;
+        until("a report is answered", || {
+            let (status, v) = self.call("POST", "/checkin", Some(&body));
+            reply = (status == 200).then(|| serde_json::from_value(v).expect("a reply"));
+            reply.is_some()
+        });
+        reply.expect("a reply")
+    }
+}
+
+fn raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut s = TcpStream::connect(addr).expect("a connection");
+    s.write_all(bytes).expect("sent");
+    let mut out = String::new();
+    let _ = s.set_read_timeout(Some(Duration::from_secs(10)));
+    let _ = s.read_to_string(&mut out);
+    out
+}
+
+#[test]
+fn what_cannot_be_taken_is_refused_in_one_line() {
+    let s = start();
+    let good = json!(spec(1, 2, "batch"));
+    let with = |k: &str, v: Value| {
+        let mut g = good.clone();
+        g[k] = v;
+        g
+    };
+    let without = |k: &str| {
+        let mut g = good.clone();
+        g.as_object_mut().expect("an object").remove(k);
+        g
+    };
+    let cases = [
+        (json!([1]), 400),
+        (json!("x"), 400),
+        (without("nameId"), 400),
+        (without("kernels"), 400),
+        (without("cpus"), 400),
+        (without("expectS"), 400),
+        (with("nameId", json!("job-1")), 400),
+        (with("nameId", json!("wk-1/2")), 400),
+        (with("nameId", json!(5)), 400),
+        (with("kernels", json!(0)), 400),
+        (with("kernels", json!(100_001)), 400),
+        (with("kernels", json!(-1)), 400),
+        (with("kernels", json!(1.5)), 400),
+        (with("cpus", json!("many")), 400),
+        (with("cpus", json!(-1.0)), 400),
+        (with("cpus", json!(1e300)), 400),
+        (with("expectS", json!(0.0)), 400),
+        (with("shape", json!("cloud")), 400),
+        (with("rank", json!("highest")), 400),
+        (with("breeds", json!([])), 400),
+        (with("gleanings", json!("yes")), 400),
+        (with("owner", json!("nobody")), 422),
+        (with("cpus", json!(64.0)), 422),
+        (with("breeds", json!(["unheard"])), 422),
+        (with("field", json!("moon")), 422),
+    ];
+    for (body, status) in cases {
+        let (got, v) = s.submit(&body);
+        assert_eq!(got, status, "{body}");
+        assert!(v["error"].as_str().is_some_and(|e| !e.is_empty() && !e.contains('\n')), "{v}");
+    }
+    let mut tight = with("owner", json!("tight"));
+    tight["shape"] = json!("gang");
+    tight["kernels"] = json!(7);
+    assert_eq!(s.submit(&tight).0, 422, "a gang over its team's limit");
+    assert_eq!(s.call("POST", "/api/jobs", Some(b"{not json")).0, 400);
+    assert_eq!(s.get("/nowhere").0, 404);
+    assert_eq!(s.get("/api/jobs/wk-000404").0, 404);
+    assert_eq!(s.get("/api/jobs/%00").0, 404);
+    assert_eq!(s.get("/api/jobs").0, 405);
+    assert_eq!(s.call("POST", "/up", Some(b"")).0, 405);
+    assert_eq!(s.call("POST", "/checkin", Some(b"{}")).0, 400);
+    let huge = format!("POST /api/jobs HTTP/1.1\r\nContent-Length: {}\r\n\r\n", 70_000);
+    assert!(raw(s.addr, huge.as_bytes()).starts_with("HTTP/1.1 413"), "refused before it is read");
+    assert!(raw(s.addr, b"nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    // A connection that stops half-way costs only itself.
+    let mut half = TcpStream::connect(s.addr).expect("a connection");
+    half.write_all(b"POST /api/jobs HTTP/1.1\r\nContent-Len").expect("sent");
+    assert_eq!(s.get("/up").0, 200);
+}
+
+#[test]
+fn a_job_runs_to_its_end_and_an_outage_is_said_to_be_one() {
+    let s = start();
+    let job = json!(spec(1, 1, "batch"));
+    assert_eq!(s.submit(&job), (201, json!({ "nameId": "wk-000001", "stage": "queued" })));
+    // A repeat, whatever its body, is the known job.
+    let mut other = job.clone();
+    other["kernels"] = json!(9);
+    other["owner"] = json!("nobody");
+    assert_eq!(s.submit(&other).0, 200);
+    assert_eq!(s.get("/api/jobs/wk-000001").1["stage"], "queued");
+
+    let mut tally = 0;
+    let mut token = 0;
+    let mut started = None;
+    until("the task is started", || {
+        tally += 1;
+        let r = s.report(tally, token, &[]);
+        token = r.token;
+        started = r.orders.iter().find_map(|o| match o {
+            Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+            _ => None,
+        });
+        started.is_some()
+    });
+    let (task, attempt) = started.expect("a start");
+    s.report(tally + 1, token, &[(&task, attempt, TaskStage::Running, None)]);
+    let v = s.get("/api/jobs/wk-000001").1;
+    assert_eq!((v["stage"].as_str(), v["running"].as_u64()), (Some("running"), Some(1)));
+
+    s.out.store(true, Ordering::SeqCst);
+    assert_eq!(s.get("/api/jobs/wk-000001").0, 503);
+    assert_eq!(s.submit(&json!(spec(2, 1, "batch"))).0, 503);
+    // Workers are answered all the same.
+    s.report(tally + 2, token, &[(&task, attempt, TaskStage::Running, None)]);
+    s.out.store(false, Ordering::SeqCst);
+
+    s.report(tally + 3, token, &[(&task, attempt, TaskStage::Exited, Some(Why::Done))]);
+    until("the job is done", || s.get("/api/jobs/wk-000001").1["stage"] == "done");
+    assert_eq!(s.call("POST", "/api/jobs/wk-000001/withdraw", Some(b"{}")).1["stage"], "done");
+    assert_eq!(s.submit(&job).1["stage"], "done");
+
+    assert_eq!(s.submit(&json!(spec(3, 1, "batch"))).0, 201);
+    let cancelled = json!({ "nameId": "wk-000003", "stage": "cancelled" });
+    assert_eq!(s.call("POST", "/api/jobs/wk-000003/withdraw", Some(b"{}")), (200, cancelled));
+    assert_eq!(s.get("/api/jobs/wk-000003").1["stage"], "cancelled");
+    assert_eq!(s.call("POST", "/api/jobs/wk-000009/withdraw", Some(b"{}")).0, 404);
+}
--- /dev/null
+++ b/tests/planner.rs
@@ -0,0 +1,344 @@
+//! The planner against a slow plain model, task by task, on random cases.
+
+use milletlock::sched::{plan, Class, Held, Keep, Need, Plan, Room, Snapshot, Start, TeamUse};
+use milletlock::time::Micros;
+use milletlock::wire::Rank;
+use proptest::prelude::*;
+
+fn secs(s: i64) -> Micros {
+    Micros(s * 1_000_000)
+}
+
+fn need(cpus: f64) -> Need {
+    Need { cpus, gpus: 0.0, memory: cpus }
+}
+
+fn rank() -> impl Strategy<Value = Rank> {
+    prop_oneof![Just(Rank::Idle), Just(Rank::Normal), Just(Rank::Urgent), Just(Rank::Critical)]
+}
+
+prop_compose! {
+    fn room()(ty in 0usize..2, zone in 0usize..2, spot in any::<bool>(), open in prop::bool::weighted(0.85),
+              opens in 0i64..30, has in any::<bool>(), until in prop::option::weighted(0.1, 1i64..60),
+              held in prop::collection::vec((1u32..3, rank(), 1i64..90, any::<bool>()), 0..4)) -> Room {
+        let total = need(if ty == 0 { 4.0 } else { 16.0 });
+        let held: Vec<Held> = held.into_iter().map(|(cpus, rank, left, stoppable)| Held {
+            need: need(f64::from(cpus)), rank, team: 1, left: secs(left), lost: secs(left), stoppable, stopping: false,
+        }).scan(0.0, |sum, h| { *sum += h.need.cpus; Some((*sum, h)) }).filter(|x| x.0 <= total.cpus).map(|x| x.1).collect();
+        let free = held.iter().fold(total, |f, h| f.less(&h.need, 1));
+        Room { ty, zone, spot, total, free, open, opens_in: secs(if open { opens % 4 } else { opens }),
+               images: if has { vec![1] } else { vec![] }, fetch_rate: 0.5, penalty: Micros::ZERO,
+               until: until.map(secs), held }
+    }
+}
+
+prop_compose! {
+    fn class()(rank in rank(), team in 0usize..2, count in 1u32..9, gang in any::<bool>(), cpus in 1u32..5,
+               types in prop_oneof![Just(vec![0]), Just(vec![1]), Just(vec![0, 1])],
+               zone in prop::option::weighted(0.2, 0usize..2), tie in 0u8..3, spot in any::<bool>(),
+               adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
+        Class { rank, team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
+                one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, adjusted: secs(adjusted),
+                waited: secs(waited), zones: vec![live, 0], patience: secs(1000) }
+    }
+}
+
+prop_compose! {
+    fn snapshot()(rooms in prop::collection::vec(room(), 0..7), classes in prop::collection::vec(class(), 0..7),
+                  limit in 0u32..12, keep in any::<bool>(), reserve in any::<bool>()) -> Snapshot {
+        Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), clear: 1,
+                   teams: vec![TeamUse { used: Need::default(), cpus_max: f64::from(limit), gpus_max: 0.0 }, TeamUse::default()],
+                   keep: vec![None, keep.then(|| Keep { need: need(15.0), rank: Rank::Urgent })] }
+    }
+}
+
+/// The model keeps single tasks and asks each question anew from all that was placed.
+struct Model<'a> {
+    s: &'a Snapshot,
+    placed: Vec<(usize, usize)>,
+    reserved: Option<(usize, Micros, Vec<(usize, u32)>)>,
+}
+
+impl Model<'_> {
+    fn delay(&self, c: &Class, r: &Room) -> Micros {
+        let fetch = if r.images.contains(&1) { 0.0 } else { c.image_gb / r.fetch_rate };
+        r.opens_in + Micros::from_secs(fetch) + r.penalty
+    }
+
+    fn low(&self, class: usize, m: usize) -> bool {
+        self.s.keep[self.s.rooms[m].ty].is_some_and(|k| self.s.classes[class].rank < k.rank)
+    }
+
+    fn free(&self, m: usize) -> f64 {
+        let used: f64 = self.placed.iter().filter(|p| p.1 == m).map(|p| self.s.classes[p.0].need.cpus).sum();
+        self.s.rooms[m].free.cpus - used
+    }
+
+    fn clear(&self, m: usize) -> bool {
+        let ty = self.s.rooms[m].ty;
+        let could = |r: &Room| {
+            r.ty == ty && r.until.is_none() && self.s.keep[ty].is_some_and(|k| r.free.fits(&k.need) > 0)
+        };
+        could(&self.s.rooms[m]) && self.s.rooms.iter().take(m).filter(|r| could(r)).count() < self.s.clear
+    }
+
+    /// What a reservation leaves on the room at its time.
+    fn shadow(&self, m: usize) -> Option<f64> {
+        let (class, at, rooms) = self.reserved.as_ref()?;
+        let n = rooms.iter().find(|r| r.0 == m)?.1;
+        let r = &self.s.rooms[m];
+        let back: f64 = r.held.iter().filter(|h| h.left <= *at).map(|h| h.need.cpus).sum();
+        // What was placed before the reservation counts as there; afterwards by its end.
+        let before: f64 = self.placed_before(m);
+        let after: f64 = self
+            .placed_after(m)
+            .filter(|c| self.delay(&self.s.classes[*c], r) + self.s.classes[*c].adjusted > *at)
+            .map(|c| self.s.classes[c].need.cpus)
+            .sum();
+        Some(r.free.cpus + back - before - after - f64::from(n) * self.s.classes[*class].need.cpus)
+    }
+
+    fn placed_before(&self, m: usize) -> f64 {
+        let head = self.reserved.as_ref().map(|r| r.0);
+        let order = milletlock::sched::order(&self.s.classes);
+        let pos = |c: usize| order.iter().position(|&o| o == c);
+        self.placed
+            .iter()
+            .filter(|p| p.1 == m && head.is_some_and(|h| pos(p.0) <= pos(h)))
+            .map(|p| self.s.classes[p.0].need.cpus)
+            .sum()
+    }
+
+    fn placed_after(&self, m: usize) -> impl Iterator<Item = usize> + '_ {
+        let head = self.reserved.as_ref().map(|r| r.0);
+        let order = milletlock::sched::order(&self.s.classes);
+        let pos = move |c: usize| order.iter().position(|&o| o == c);
+        self.placed.iter().filter(move |p| p.1 == m && head.is_some_and(|h| pos(p.0) > pos(h))).map(|p| p.0)
+    }
+
+    fn room_for_one(&self, class: usize, m: usize) -> bool {
+        let (c, r) = (&self.s.classes[class], &self.s.rooms[m]);
+        let placed = || self.placed.iter().filter(|p| p.0 == class);
+        let ends = self.delay(c, r) + c.adjusted;
+        let place =
+            r.open && c.types.contains(&r.ty) && c.zone.is_none_or(|z| z == r.zone) && (c.spot || !r.spot);
+        let fits = self.free(m) + 1e-6 >= c.need.cpus;
+        let notice = r.until.is_none_or(|u| ends <= u);
+        let kept = !self.low(class, m) || !self.clear(m) || {
+            let k = self.s.keep[r.ty].expect("kept").need.cpus;
+            let low: f64 = r.held.iter().filter(|h| h.rank < Rank::Urgent).map(|h| h.need.cpus).sum();
+            let new: f64 = self
+                .placed
+                .iter()
+                .filter(|p| p.1 == m && self.low(p.0, m))
+                .map(|p| self.s.classes[p.0].need.cpus)
+                .sum();
+            r.total.cpus - k - low - new + 1e-6 >= c.need.cpus
+        };
+        let back = match (&self.reserved, self.shadow(m)) {
+            (Some((_, at, _)), Some(left)) => ends <= *at || left + 1e-6 >= c.need.cpus,
+            _ => true,
+        };
+        let zone = |z: usize| c.zones[z] + placed().filter(|p| self.s.rooms[p.1].zone == z).count() as u32;
+        let tied = !c.one_zone || zone(1 - r.zone) == 0;
+        let spread = !c.spread || zone(r.zone) < c.tasks.div_ceil(2);
+        place && fits && notice && kept && back && tied && spread
+    }
+
+    fn limit_left(&self, class: usize) -> u32 {
+        let c = &self.s.classes[class];
+        let used: f64 = self
+            .placed
+            .iter()
+            .filter(|p| self.s.classes[p.0].team == c.team)
+            .map(|p| self.s.classes[p.0].need.cpus)
+            .sum();
+        let max = self.s.teams[c.team].cpus_max;
+        if max <= 0.0 {
+            u32::MAX
+        } else {
+            ((max - used + 1e-6) / c.need.cpus).floor().max(0.0) as u32
+        }
+    }
+
+    fn best_first(&self, class: usize) -> Vec<usize> {
+        let c = &self.s.classes[class];
+        let mut v: Vec<usize> = (0..self.s.rooms.len())
+            .filter(|&m| {
+                // The zone's ties are looked at task by task.
+                let free = Class { one_zone: false, spread: false, ..c.clone() };
+                let mut s = self.s.clone();
+                s.classes[class] = free;
+                Model { s: &s, placed: self.placed.clone(), reserved: self.reserved.clone() }
+                    .room_for_one(class, m)
+            })
+            .collect();
+        v.sort_by_key(|&m| {
+            let d = self.delay(c, &self.s.rooms[m]).0 / self.s.coarse.0;
+            (self.low(class, m), d, (self.free(m) * 10.0) as i64, m)
+        });
+        v
+    }
+
+    fn run(&mut self) {
+        for class in milletlock::sched::order(&self.s.classes) {
+            let c = &self.s.classes[class];
+            let limited = self.limit_left(class) < c.count;
+            if c.gang && limited {
+                continue;
+            }
+            let want = c.count.min(self.limit_left(class));
+            let zones: Vec<Option<usize>> =
+                if c.gang && c.one_zone { vec![Some(0), Some(1)] } else { vec![None] };
+            let rooms = self.best_first(class);
+            let mut left = want;
+            for only in zones {
+                let before = self.placed.len();
+                left = want;
+                for &m in rooms.iter().filter(|&&m| only.is_none_or(|z| z == self.s.rooms[m].zone)) {
+                    while left > 0 && self.room_for_one(class, m) {
+                        self.placed.push((class, m));
+                        left -= 1;
+                    }
+                }
+                if c.gang && left > 0 {
+                    self.placed.truncate(before);
+                    left = want;
+                } else {
+                    break;
+                }
+            }
+            if left > 0 && self.reserved.is_none() && self.s.reserve {
+                self.reserved = plan_reservation(self.s, class, &self.placed);
+            }
+        }
+    }
+}
+
+/// The reservation as the planner says it; that it is right is tested by itself below.
+fn plan_reservation(
+    s: &Snapshot,
+    _class: usize,
+    _placed: &[(usize, usize)],
+) -> Option<(usize, Micros, Vec<(usize, u32)>)> {
+    plan(s).reservation.map(|r| (r.class, r.at, r.rooms))
+}
+
+fn by_room(starts: &[Start]) -> Vec<(usize, usize, u32)> {
+    let mut v: Vec<_> = starts.iter().map(|s| (s.class, s.room, s.count)).collect();
+    v.sort_unstable();
+    v
+}
+
+fn model_starts(s: &Snapshot) -> Vec<(usize, usize, u32)> {
+    let mut m = Model { s, placed: Vec::new(), reserved: None };
+    m.run();
+    let mut v: Vec<(usize, usize, u32)> = Vec::new();
+    for (c, r) in m.placed {
+        match v.iter_mut().find(|x| x.0 == c && x.1 == r) {
+            Some(x) => x.2 += 1,
+            None => v.push((c, r, 1)),
+        }
+    }
+    v.sort_unstable();
+    v
+}
+
+/// Free processors of a room at a time, with what the plan starts before a class in the queue.
+fn free_at(s: &Snapshot, p: &Plan, m: usize, at: Micros, before: usize) -> f64 {
+    let order = milletlock::sched::order(&s.classes);
+    let pos = |c: usize| order.iter().position(|&o| o == c);
+    let r = &s.rooms[m];
+    if !r.open && r.opens_in > at {
+        return 0.0;
+    }
+    let back: f64 = r.held.iter().filter(|h| h.left <= at).map(|h| h.need.cpus).sum();
+    let new: f64 = p
+        .starts
+        .iter()
+        .filter(|x| x.room == m && pos(x.class) <= pos(before))
+        .map(|x| f64::from(x.count) * s.classes[x.class].need.cpus)
+        .sum();
+    r.free.cpus + back - new
+}
+
+fn settings() -> ProptestConfig {
+    ProptestConfig {
+        cases: 1500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(settings())]
+
+    #[test]
+    fn starts_are_those_of_the_plain_model(s in snapshot()) {
+        prop_assert_eq!(by_room(&plan(&s).starts), model_starts(&s));
+    }
+
+    #[test]
+    fn the_reservation_is_the_earliest_and_is_not_delayed(s in snapshot()) {
+        let p = plan(&s);
+        let Some(r) = &p.reservation else { return Ok(()) };
+        let c = &s.classes[r.class];
+        for &(m, n) in &r.rooms {
+            let need = f64::from(n) * c.need.cpus;
+            prop_assert!(free_at(&s, &p, m, r.at, r.class) + 1e-6 >= need, "there is no room at its time");
+            // With all that was started behind it and still runs then.
+            let room = &s.rooms[m];
+            let order = milletlock::sched::order(&s.classes);
+            let pos = |c: usize| order.iter().position(|&o| o == c);
+            let late: f64 = p.starts.iter().filter(|x| x.room == m && pos(x.class) > pos(r.class)).filter(|x| {
+                let c = &s.classes[x.class];
+                let fetch = if room.images.contains(&1) { 0.0 } else { c.image_gb / room.fetch_rate };
+                room.opens_in + Micros::from_secs(fetch) + c.adjusted > r.at
+            }).map(|x| f64::from(x.count) * s.classes[x.class].need.cpus).sum();
+            prop_assert!(free_at(&s, &p, m, r.at, r.class) - late + 1e-6 >= need, "backfill delays the reservation");
+        }
+        if !c.gang && !c.one_zone && !c.spread {
+            // No room has place for a task at any earlier end.
+            for m in (0..s.rooms.len()).filter(|&m| {
+                let x = &s.rooms[m];
+                c.types.contains(&x.ty) && c.zone.is_none_or(|z| z == x.zone) && (c.spot || !x.spot) && x.until.is_none()
+            }) {
+                let ends = s.rooms[m].held.iter().map(|h| h.left).chain((!s.rooms[m].open).then_some(s.rooms[m].opens_in));
+                for at in ends.filter(|e| *e < r.at) {
+                    prop_assert!(free_at(&s, &p, m, at, r.class) + 1e-6 < c.need.cpus, "room at {:?} already", at);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn the_queue_goes_by_rank_then_by_the_cubed_ratio_times_size() {
+    let base = Class {
+        rank: Rank::Normal,
+        team: 0,
+        guaranteed: false,
+        count: 2,
+        tasks: 2,
+        gang: false,
+        need: need(1.0),
+        types: vec![0],
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: None,
+        image_gb: 0.0,
+        adjusted: secs(10),
+        waited: secs(20),
+        zones: vec![0, 0],
+        patience: secs(10),
+    };
+    // (20/10)^3 x 2 = 16; (30/10)^3 x 1 = 27; (20/10)^3 x 4 = 32; urgent whatever its score.
+    let b = Class { waited: secs(30), count: 1, ..base.clone() };
+    let c = Class { count: 4, ..base.clone() };
+    let d = Class { rank: Rank::Urgent, waited: secs(1), ..base.clone() };
+    let e = Class { guaranteed: true, rank: Rank::Idle, waited: secs(1), ..base.clone() };
+    assert_eq!(milletlock::sched::order(&[base, b, c, d, e]), [4, 3, 2, 1, 0]);
+}
--- /dev/null
+++ b/tests/safety.rs
@@ -0,0 +1,364 @@
+//! One test or more for each numbered point of the safety design that the owner's world decides.
+
+mod common;
+
+use common::{config, record, report, spec, types};
+use milletlock::fleet::{CheckIn, Fleet, Pending};
+use milletlock::jobs::{JobRecord, MachineRecord};
+use milletlock::time::{Micros, Steady, Wall};
+use milletlock::wire::{JobSpec, Order, TaskStage, Why};
+
+const T0: Steady = Steady(1_000_000_000);
+
+fn at(s: f64) -> Steady {
+    T0 + Micros::from_secs(s)
+}
+
+fn wall(s: f64) -> Wall {
+    Wall(at(s).0)
+}
+
+fn fleet(token: u64) -> Fleet {
+    Fleet::new(config(), types(), token, T0)
+}
+
+fn started(spec: JobSpec, high: u32) -> JobRecord {
+    JobRecord { high, ..record(spec) }
+}
+
+fn machine(ty: &str) -> MachineRecord {
+    MachineRecord {
+        part: 0,
+        token: 1,
+        addr: "127.0.0.1:9".into(),
+        ty: ty.into(),
+        zone: "north".into(),
+        spot: false,
+    }
+}
+
+/// Acknowledges all writes that wait.
+fn write_all(f: &mut Fleet, s: f64) {
+    for p in f.pending(at(s), Micros::ZERO, 1000) {
+        let done = match &p {
+            Pending::Done(id, _) => Some(f.jobs[id].done.clone()),
+            _ => None,
+        };
+        f.written(&p, 1000, done.as_ref(), at(s));
+    }
+}
+
+fn orders(f: &mut Fleet, s: f64, r: &milletlock::wire::Report) -> Vec<Order> {
+    match f.check_in(r, at(s), wall(s)) {
+        CheckIn::Reply(r) => r.orders,
+        other => panic!("not answered: {other:?}"),
+    }
+}
+
+fn starts(orders: &[Order]) -> Vec<(String, u64)> {
+    orders
+        .iter()
+        .filter_map(|o| match o {
+            Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// A machine that is enrolled and has reported, and a job that may start on it.
+fn ready(job: JobSpec) -> Fleet {
+    let mut f = fleet(7);
+    f.job_put(record(job), 1, T0);
+    orders(&mut f, 0.0, &report("i-1", 1, 0, &[]));
+    write_all(&mut f, 0.0);
+    f.tick(at(0.1), wall(0.1));
+    write_all(&mut f, 0.1);
+    f
+}
+
+#[test]
+fn p01_a_start_that_a_newer_report_lacks_is_started_again() {
+    let mut f = ready(spec(1, 1, "batch"));
+    let first = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
+    assert_eq!(first.len(), 1);
+    // The same report once more decides nothing.
+    assert!(starts(&orders(&mut f, 1.5, &report("i-1", 2, 7, &[]))).is_empty());
+    let second = starts(&orders(&mut f, 2.0, &report("i-1", 3, 7, &[])));
+    assert_eq!(second.len(), 1);
+    assert_ne!(first[0].1, second[0].1, "an attempt number is used twice");
+}
+
+#[test]
+fn p02_attempts_of_a_later_token_are_greater() {
+    let mut early = ready(spec(1, 4, "batch"));
+    let a = starts(&orders(&mut early, 1.0, &report("i-1", 2, 7, &[])));
+    let mut late = fleet(8);
+    late.job_put(record(spec(2, 4, "batch")), 1, T0);
+    orders(&mut late, 0.0, &report("i-9", 1, 0, &[]));
+    write_all(&mut late, 0.0);
+    late.tick(at(0.1), wall(0.1));
+    write_all(&mut late, 0.1);
+    let b = starts(&orders(&mut late, 1.0, &report("i-9", 2, 8, &[])));
+    assert_eq!((a.len(), b.len()), (4, 4));
+    assert!(a.iter().all(|x| b.iter().all(|y| x.1 < y.1)));
+}
+
+#[test]
+fn p03_a_silent_machine_keeps_its_tasks_until_its_lease_has_surely_run_out() {
+    let mut f = ready(spec(1, 1, "batch"));
+    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
+    let running = [(s[0].0.as_str(), s[0].1, TaskStage::Running, None)];
+    orders(&mut f, 2.0, &report("i-1", 3, 7, &running));
+    orders(&mut f, 2.0, &report("i-2", 1, 0, &[]));
+    write_all(&mut f, 2.0);
+    for (k, t) in (3..23).enumerate() {
+        f.tick(at(t as f64), wall(t as f64));
+        let o = orders(&mut f, t as f64, &report("i-2", k as u64 + 2, 7, &[]));
+        assert!(starts(&o).is_empty(), "started elsewhere after {t} s");
+    }
+    // Lease 22 s from the last answer at 2 s, and the margin.
+    f.tick(at(26.0), wall(26.0));
+    assert_eq!(starts(&orders(&mut f, 26.0, &report("i-2", 50, 7, &[]))).len(), 1);
+    assert_eq!(f.leaving(), ["i-1"]);
+}
+
+#[test]
+fn p03_the_lease_of_a_machine_that_is_not_heard_is_not_counted() {
+    let mut f = fleet(9);
+    f.inherit_machine("i-1", &machine("small"), 5, T0);
+    f.job_put(started(spec(1, 1, "batch"), 1), 6, T0);
+    // It reports once, still with the old owner's token: that owner may yet renew its lease.
+    orders(&mut f, 1.0, &report("i-1", 5, 8, &[]));
+    orders(&mut f, 1.0, &report("i-2", 1, 0, &[]));
+    write_all(&mut f, 1.0);
+    for t in [10.0, 14.0, 30.0, 45.0, 60.0] {
+        f.tick(at(t), wall(t));
+        assert!(starts(&orders(&mut f, t, &report("i-2", t as u64, 9, &[]))).is_empty());
+    }
+    // Only its return ends the doubt.
+    assert_eq!(f.leaving(), ["i-1"]);
+    f.returned(&["i-1".into()], at(61.0));
+    f.tick(at(61.1), wall(61.1));
+    assert_eq!(starts(&orders(&mut f, 62.0, &report("i-2", 99, 9, &[]))).len(), 1);
+}
+
+#[test]
+fn p04_after_a_takeover_only_what_cannot_be_elsewhere_starts() {
+    let mut f = fleet(9);
+    f.inherit_machine("i-1", &machine("small"), 5, T0);
+    f.inherit_machine("i-2", &machine("small"), 5, T0);
+    f.job_put(started(spec(1, 8, "batch"), 6), 6, T0);
+    f.job_put(started(spec(2, 2, "gang"), 2), 7, T0);
+    orders(&mut f, 0.5, &report("i-2", 9, 9, &[]));
+    f.tick(at(0.6), wall(0.6));
+    write_all(&mut f, 0.6);
+    let s = starts(&orders(&mut f, 1.0, &report("i-2", 10, 9, &[])));
+    let names: Vec<&str> = s.iter().map(|x| x.0.as_str()).collect();
+    assert_eq!(names, ["wk-000001/6", "wk-000001/7"]);
+    // The missing machine shows our token and holds one of the tasks: the others may start.
+    let there = [("wk-000001/0", 77, TaskStage::Running, None)];
+    orders(&mut f, 1.5, &report("i-1", 40, 9, &there));
+    f.tick(at(1.6), wall(1.6));
+    write_all(&mut f, 1.6);
+    let rest = starts(&orders(&mut f, 2.0, &report("i-1", 41, 9, &there)));
+    assert!(!rest.is_empty() && rest.iter().all(|x| x.0 != "wk-000001/0"));
+}
+
+#[test]
+fn p04_a_limited_team_counts_unheard_machines_as_its_own() {
+    let mut f = fleet(9);
+    f.inherit_machine("i-1", &machine("small"), 5, T0);
+    let mut s = spec(1, 8, "batch");
+    s.team = "tight".into();
+    f.job_put(record(s), 6, T0);
+    orders(&mut f, 0.5, &report("i-2", 1, 0, &[]));
+    write_all(&mut f, 0.5);
+    f.tick(at(0.6), wall(0.6));
+    write_all(&mut f, 0.6);
+    // The limit is 6 and the unheard machine has 4 processors: two are left.
+    assert_eq!(starts(&orders(&mut f, 1.0, &report("i-2", 2, 9, &[]))).len(), 2);
+}
+
+#[test]
+fn p05_a_higher_token_ends_ownership_and_is_never_answered_with_200() {
+    let mut f = ready(spec(1, 1, "batch"));
+    assert_eq!(f.check_in(&report("i-1", 2, 8, &[]), at(1.0), wall(1.0)), CheckIn::Superseded(8));
+    assert_eq!(f.raised(&report("i-1", 3, 9, &[]), at(1.0), wall(1.0)), Some(9));
+}
+
+#[test]
+fn p06_the_time_without_a_view_ends_early_enough_for_cancellations() {
+    let c = config();
+    let w = &c.platform.settings.workers;
+    assert!(c.blind_bound().secs() + w.lease_s * 1.001 < w.cancel_s);
+    assert!(c.blind_bound().secs() > 0.0);
+}
+
+#[test]
+fn p07_nothing_starts_before_its_mark_and_its_machine_are_written() {
+    let mut f = fleet(7);
+    f.job_put(record(spec(1, 1, "batch")), 1, T0);
+    assert!(starts(&orders(&mut f, 0.0, &report("i-1", 1, 0, &[]))).is_empty(), "not enrolled");
+    for p in f.pending(at(0.0), Micros::ZERO, 1000) {
+        assert!(matches!(p, Pending::Enrol(_)));
+        f.written(&p, 2, None, at(0.0));
+    }
+    assert!(starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[]))).is_empty(), "not marked as started");
+    assert!(f.pending(at(1.0), Micros::ZERO, 1000).iter().any(|p| matches!(p, Pending::High(..))));
+    write_all(&mut f, 1.0);
+    assert_eq!(starts(&orders(&mut f, 2.0, &report("i-1", 3, 7, &[]))).len(), 1);
+}
+
+#[test]
+fn p08_forget_follows_the_written_done_range() {
+    let mut f = ready(spec(1, 2, "batch"));
+    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
+    assert_eq!(s.len(), 2);
+    let done = [
+        (s[0].0.as_str(), s[0].1, TaskStage::Exited, Some(Why::Done)),
+        (s[1].0.as_str(), s[1].1, TaskStage::Running, None),
+    ];
+    let o = orders(&mut f, 2.0, &report("i-1", 3, 7, &done));
+    assert!(!o.iter().any(|o| matches!(o, Order::Forget { .. })), "forgotten before it is written");
+    write_all(&mut f, 3.0);
+    let o = orders(&mut f, 4.0, &report("i-1", 4, 7, &done));
+    assert_eq!(o, [Order::Forget { task: s[0].0.clone(), attempt: s[0].1 }]);
+}
+
+#[test]
+fn p09_a_late_copy_does_not_bring_a_job_back() {
+    let mut f = ready(spec(1, 1, "batch"));
+    f.job_over("wk-000001", 1000);
+    f.job_put(record(spec(1, 1, "batch")), 999, at(1.0));
+    assert!(f.jobs.is_empty());
+    assert!(starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[]))).is_empty());
+}
+
+#[test]
+fn p10_places_are_checked_at_the_start_with_all_that_is_possibly_there() {
+    let mut one_zone = spec(1, 6, "batch");
+    one_zone.one_zone = true;
+    let mut f = ready(one_zone);
+    let mut south = report("i-2", 1, 0, &[]);
+    south.zone = "south".into();
+    orders(&mut f, 0.5, &south);
+    write_all(&mut f, 0.5);
+    assert_eq!(starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[]))).len(), 4);
+    south.tally = 2;
+    south.token = 7;
+    write_all(&mut f, 1.1);
+    assert!(starts(&orders(&mut f, 1.2, &south)).is_empty(), "a second zone beside starts on their way");
+
+    let mut spread = spec(2, 3, "batch");
+    spread.spread = true;
+    let mut f = ready(spread);
+    assert_eq!(starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[]))).len(), 2);
+
+    let mut no_spot = spec(3, 1, "batch");
+    no_spot.spot = false;
+    let mut f = fleet(7);
+    f.job_put(record(no_spot), 1, T0);
+    let mut r = report("i-1", 1, 0, &[]);
+    r.spot = true;
+    orders(&mut f, 0.0, &r);
+    write_all(&mut f, 0.0);
+    r.tally = 2;
+    r.token = 7;
+    assert!(starts(&orders(&mut f, 1.0, &r)).is_empty());
+}
+
+#[test]
+fn p10_a_limit_holds_across_jobs_and_machines() {
+    let mut f = fleet(7);
+    for n in 1..=2 {
+        let mut s = spec(n, 4, "batch");
+        s.team = "tight".into();
+        f.job_put(record(s), u64::from(n), T0);
+    }
+    for m in ["i-1", "i-2"] {
+        orders(&mut f, 0.0, &report(m, 1, 0, &[]));
+    }
+    write_all(&mut f, 0.0);
+    f.tick(at(0.1), wall(0.1));
+    write_all(&mut f, 0.1);
+    let a = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[]))).len();
+    let b = starts(&orders(&mut f, 1.1, &report("i-2", 2, 7, &[]))).len();
+    assert_eq!(a + b, 6);
+}
+
+#[test]
+fn p11_unknown_machines_are_enrolled_and_returned_ones_stay_gone() {
+    let mut f = fleet(7);
+    orders(&mut f, 0.0, &report("i-5", 1, 0, &[]));
+    assert!(f
+        .pending(T0, Micros::ZERO, 1000)
+        .iter()
+        .any(|p| matches!(p, Pending::Enrol(m) if &**m == "i-5")));
+    f.returned(&["i-5".into()], at(1.0));
+    assert_eq!(f.check_in(&report("i-5", 2, 7, &[]), at(2.0), wall(2.0)), CheckIn::Refuse);
+}
+
+#[test]
+fn tasks_of_a_job_that_is_over_are_halted_and_hold_their_machine() {
+    let mut f = fleet(7);
+    f.job_put(record(spec(2, 4, "batch")), 1, T0);
+    let there = [("wk-000001/0", 3, TaskStage::Running, None)];
+    orders(&mut f, 0.0, &report("i-1", 1, 0, &there));
+    write_all(&mut f, 0.0);
+    f.tick(at(0.1), wall(0.1));
+    write_all(&mut f, 0.1);
+    let o = orders(&mut f, 1.0, &report("i-1", 2, 7, &there));
+    assert_eq!(o, [Order::Halt { task: "wk-000001/0".into(), attempt: 3, grace_s: 0.0 }]);
+    let ended = [("wk-000001/0", 3, TaskStage::Exited, Some(Why::Stopped))];
+    let o = orders(&mut f, 2.0, &report("i-1", 3, 7, &ended));
+    assert_eq!(o[0], Order::Forget { task: "wk-000001/0".into(), attempt: 3 });
+    f.tick(at(2.1), wall(2.1));
+    write_all(&mut f, 2.1);
+    assert_eq!(starts(&orders(&mut f, 3.0, &report("i-1", 4, 7, &[]))).len(), 4);
+}
+
+#[test]
+fn a_gang_that_lost_a_task_is_stopped_before_it_starts_again() {
+    let mut f = ready(spec(1, 2, "gang"));
+    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
+    assert_eq!(s.len(), 2);
+    assert_eq!(s[0].1, s[1].1, "the tasks of a gang share their attempt");
+    let half = [
+        (s[0].0.as_str(), s[0].1, TaskStage::Running, None),
+        (s[1].0.as_str(), s[1].1, TaskStage::Exited, Some(Why::Error)),
+    ];
+    let o = orders(&mut f, 2.0, &report("i-1", 3, 7, &half));
+    assert!(o.iter().any(|o| matches!(o, Order::Halt { task, .. } if *task == s[0].0)));
+    assert!(starts(&o).is_empty());
+    let gone = [(s[0].0.as_str(), s[0].1, TaskStage::Exited, Some(Why::Stopped))];
+    orders(&mut f, 5.0, &report("i-1", 4, 7, &gone));
+    let again = starts(&orders(&mut f, 6.0, &report("i-1", 5, 7, &[])));
+    assert_eq!(again.len(), 2);
+    assert_ne!(again[0].1, s[0].1);
+}
+
+#[test]
+fn a_failing_job_is_backed_off_and_a_failing_machine_returned() {
+    let mut f = ready(spec(1, 1, "batch"));
+    let mut tally = 2;
+    let mut tries = 0;
+    for t in 1..60 {
+        let s = starts(&orders(&mut f, t as f64, &report("i-1", tally, 7, &[])));
+        tally += 1;
+        if let Some((task, attempt)) = s.first() {
+            tries += 1;
+            let ended = [(task.as_str(), *attempt, TaskStage::Exited, Some(Why::Error))];
+            orders(&mut f, t as f64 + 0.5, &report("i-1", tally, 7, &ended));
+            tally += 1;
+        }
+    }
+    assert!((3..=6).contains(&tries), "{tries} tries within a minute");
+    assert!(f.leaving().is_empty(), "one mistaken job does not condemn a machine");
+    f.job_put(record(spec(2, 1, "batch")), 50, at(60.0));
+    f.tick(at(61.0), wall(61.0));
+    write_all(&mut f, 61.0);
+    let s = starts(&orders(&mut f, 62.0, &report("i-1", tally, 7, &[])));
+    let ended = [(s[0].0.as_str(), s[0].1, TaskStage::Exited, Some(Why::Error))];
+    orders(&mut f, 63.0, &report("i-1", tally + 1, 7, &ended));
+    assert_eq!(f.leaving(), ["i-1"]);
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,57 @@
+//! Settings: what is wrong is said in one line that names the field.
+
+mod common;
+
+use common::platform_json;
+use milletlock::config::{Operator, Platform};
+use serde_json::{json, Value};
+
+fn said(v: &Value) -> String {
+    Platform::parse(&v.to_string(), "f.json").err().map(|e| e.to_string()).unwrap_or_default()
+}
+
+fn with(path: &[&str], v: Value) -> Value {
+    let mut p = platform_json();
+    let last = path.iter().fold(&mut p, |at, k| &mut at[*k]);
+    *last = v;
+    p
+}
+
+#[test]
+fn good_settings_are_taken_and_unknown_fields_ignored() {
+    assert_eq!(said(&platform_json()), "");
+}
+
+#[test]
+fn each_mistake_names_its_field() {
+    let s = "settings";
+    let cases = [
+        (with(&["label"], json!("")), "label"),
+        (with(&["serve_on"], json!("somewhere")), "serve_on"),
+        (with(&["members"], json!([{"label": "c-0", "addr": "1.2.3.4:5"}])), "members[0].label"),
+        (with(&[s, "teams"], json!([{"name": "a"}, {"name": "a"}])), "settings.teams[1].name"),
+        (with(&[s, "teams"], json!([{"name": "a", "cpus_max": -1.0}])), "settings.teams[0].cpus_max"),
+        (with(&[s, "workers", "lease_s"], json!(0.0)), "settings.workers.lease_s"),
+        (with(&[s, "workers", "cancel_s"], json!(10.0)), "settings.workers.cancel_s"),
+        (with(&[s, "state", "rps"], json!(0)), "settings.state.rps"),
+        (with(&[s, "state", "txn_ops"], json!(1)), "settings.state.txn_ops"),
+        (with(&[s, "cloud", "rps"], json!(-3)), "settings.cloud.rps"),
+        (with(&[s, "limits", "max_sockets"], json!(2)), "settings.limits.max_sockets"),
+    ];
+    for (v, field) in cases {
+        let e = said(&v);
+        assert!(e.contains(field.rsplit('.').next().unwrap_or(field)) && !e.contains('\n'), "{field}: {e:?}");
+    }
+}
+
+#[test]
+fn operators_settings_are_checked_as_well() {
+    let said = |t: &str| Operator::parse(t, "f.hcl").err().map(|e| e.to_string()).unwrap_or_default();
+    assert_eq!(said(""), "");
+    assert_eq!(said("idle_s = 10\nkeep_clear = 2\nadjust = false\n"), "");
+    assert!(said("idle_z = 10").contains("idle_z"));
+    assert!(said("idle_s = \"soon\"").contains("idle_s"));
+    assert!(said("leader_ttl_s = 0.2").contains("leader_ttl_s"));
+    assert!(said("history_per_key = 3").contains("history_per_key"));
+    assert!(!said("idle_s = ").is_empty());
+}
