--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -208,8 +208,12 @@
             if work > supply {
                 let by_work = (work - supply) / (t.cpus * self.policy.drain.secs());
                 let by_width = cpus / t.cpus;
-                let count = by_work.min(by_width).ceil().clamp(1.0, 50.0) as u32;
-                add(rents, Rent { offer, count });
+                // Less than half a machine is not worth one, unless there is none at all.
+                let least = if supply > 0.0 { 0.0 } else { 1.0 };
+                let count = by_work.min(by_width).round().clamp(least, 50.0) as u32;
+                if count > 0 {
+                    add(rents, Rent { offer, count });
+                }
             }
         }
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -223,9 +223,9 @@
         Operator {
             leader_ttl_s: 3.0,
             fence_after_s: 15.0,
-            drain_s: 60.0,
-            idle_s: 12.0,
-            idle_protected_s: 25.0,
+            drain_s: 40.0,
+            idle_s: 15.0,
+            idle_protected_s: 30.0,
             slow_boot: 2.0,
             max_connections: 0,
             keep_clear: 1,
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -349,18 +349,19 @@
 
     /// The rooms for a class, best first.
     fn candidates(&self, c: &Class) -> Vec<usize> {
-        let mut v: Vec<(bool, i64, i64, usize)> = (0..self.s.rooms.len())
+        let tenths = |cpus: f64| (cpus * 10.0) as i64;
+        let mut v: Vec<(bool, i64, i64, i64, usize)> = (0..self.s.rooms.len())
             .filter(|&m| self.fit(c, m) > 0)
             .map(|m| {
                 let r = &self.s.rooms[m];
-                // Reports come every few seconds anyway: within that, the fullest room goes first,
-                // so that others empty and can be returned.
+                // Reports come every few seconds anyway: within that, small rooms go before large
+                // ones and full ones before empty ones, so that others empty and can be returned.
                 let delay = self.delay(c, r).0 / self.s.coarse.0.max(1);
-                (self.low(c, r), delay, (self.free[m].cpus * 10.0) as i64, m)
+                (self.low(c, r), delay, tenths(r.total.cpus), tenths(self.free[m].cpus), m)
             })
             .collect();
         v.sort_unstable();
-        v.into_iter().map(|x| x.3).collect()
+        v.into_iter().map(|x| x.4).collect()
     }
 
     /// How many tasks of the class may still go to the zone.
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -178,7 +178,13 @@
             .collect();
         v.sort_by_key(|&m| {
             let d = self.delay(c, &self.s.rooms[m]).0 / self.s.coarse.0;
-            (self.low(class, m), d, (self.free(m) * 10.0) as i64, m)
+            (
+                self.low(class, m),
+                d,
+                (self.s.rooms[m].total.cpus * 10.0) as i64,
+                (self.free(m) * 10.0) as i64,
+                m,
+            )
         });
         v
     }
@@ -219,11 +225,7 @@
 }
 
 /// The reservation as the planner says it; that it is right is tested by itself below.
-fn plan_reservation(
-    s: &Snapshot,
-    _class: usize,
-    _placed: &[(usize, usize)],
-) -> Option<Promise> {
+fn plan_reservation(s: &Snapshot, _class: usize, _placed: &[(usize, usize)]) -> Option<Promise> {
     plan(s).reservation.map(|r| (r.class, r.at, r.rooms))
 }
 
