--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -63,6 +63,8 @@
     pub zones: &'a [Vec<usize>],
     /// Offers refused lately.
     pub refused: &'a [Offer],
+    /// By type, how many machines stay though idle.
+    pub warm: &'a [usize],
     /// Settings.
     pub policy: Policy,
 }
@@ -223,15 +225,22 @@
             self.plan.reservation.as_ref().is_some_and(|r| r.rooms.iter().any(|x| x.0 == m))
                 || self.plan.starts.iter().any(|s| s.room == m)
         };
-        (0..self.snapshot.rooms.len())
-            .filter(|&m| {
-                let (r, u) = (&self.snapshot.rooms[m], &self.upkeep[m]);
-                let kept = self.snapshot.keep.get(r.ty).copied().flatten().is_some();
-                let after = if kept { self.policy.idle_kept } else { self.policy.idle };
-                // Under the least charge nothing is saved by giving a machine back.
-                u.idle.is_some_and(|i| i > after) && u.age > LEAST_CHARGE && !reserved(m)
-            })
-            .collect()
+        let mut left: Vec<usize> = vec![0; self.types.len()];
+        for (r, u) in self.snapshot.rooms.iter().zip(self.upkeep) {
+            left[r.ty] += usize::from(!u.booting && r.until.is_none());
+        }
+        let mut out = Vec::new();
+        for (m, (r, u)) in self.snapshot.rooms.iter().zip(self.upkeep).enumerate() {
+            let warm = self.warm.get(r.ty).copied().unwrap_or(0);
+            let after = if warm > 0 { self.policy.idle_kept } else { self.policy.idle };
+            // Under the least charge nothing is saved by giving a machine back.
+            if u.idle.is_some_and(|i| i > after) && u.age > LEAST_CHARGE && !reserved(m) && left[r.ty] > warm
+            {
+                left[r.ty] -= 1;
+                out.push(m);
+            }
+        }
+        out
     }
 
     /// Decides.
--- a/src/config.rs
+++ b/src/config.rs
@@ -201,7 +201,8 @@
     pub drain_s: f64,
     /// An idle machine is returned after this time, in seconds.
     pub idle_s: f64,
-    /// An idle machine that a higher-ranked class depends on is returned after this time.
+    /// An idle machine of a type that hasty jobs depend on is returned after this time, if there
+    /// are more of them than those jobs kept busy.
     pub idle_protected_s: f64,
     /// A machine that is not up after this many times its nominal boot time gets a second one
     /// beside it.
@@ -224,9 +225,9 @@
             leader_ttl_s: 3.0,
             fence_after_s: 15.0,
             drain_s: 40.0,
-            idle_s: 15.0,
+            idle_s: 20.0,
             idle_protected_s: 30.0,
-            slow_boot: 2.0,
+            slow_boot: 1.6,
             max_connections: 0,
             keep_clear: 1,
             history_per_key: 64,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -186,6 +186,22 @@
     pub running: u32,
 }
 
+/// A recent job, for what large machines are kept for.
+#[derive(Clone, Debug)]
+struct Demand {
+    at: Steady,
+    need: Need,
+    rank: Rank,
+    types: Vec<usize>,
+    /// Task-seconds, by the stated time.
+    work: f64,
+    /// Its class should start sooner than a machine boots and fetches.
+    hasty: bool,
+}
+
+/// How far back jobs count for what is kept.
+const RECENT: Micros = Micros(300_000_000);
+
 /// The owner's world.
 pub struct Fleet {
     /// This owner's token.
@@ -216,7 +232,7 @@
     orphans: BTreeMap<String, u64>,
     refused: BTreeMap<Offer, Steady>,
     /// Demands of recent jobs by type, for what low ranks leave free.
-    demands: Vec<(Steady, Need, Rank, Vec<usize>)>,
+    demands: Vec<Demand>,
     lease: Micros,
 }
 
@@ -259,6 +275,12 @@
         for m in self.machines.values_mut() {
             m.ty = index.get(&m.ty_name).copied();
         }
+        if self.demands.is_empty() {
+            // Jobs that came before the types were known.
+            let specs: Vec<(Steady, JobSpec)> =
+                self.jobs.values().map(|j| (j.known, j.spec.clone())).collect();
+            specs.iter().for_each(|(known, s)| self.demand(s, *known));
+        }
         self.dirty = true;
     }
 
@@ -323,9 +345,8 @@
             return;
         }
         let job = Job::new(record, stamp, now);
-        let types = self.allowed_types(&job.spec);
         let need = need_of(&job.spec);
-        self.demands.push((now, need, job.spec.rank, types));
+        self.demand(&job.spec, now);
         // Tasks of the job may have been reported before its record was known.
         for m in self.machines.values_mut() {
             for (k, e) in m.tasks.iter_mut().filter(|(k, _)| k.0 == id) {
@@ -340,6 +361,45 @@
         self.dirty = true;
     }
 
+    fn demand(&mut self, s: &JobSpec, now: Steady) {
+        let types = self.allowed_types(s);
+        let slowest = types
+            .iter()
+            .filter_map(|&t| self.types.get(t))
+            .map(|t| t.boot_s + s.image_gb / t.fetch_gb_per_s.max(0.001));
+        let ready = slowest.fold(f64::INFINITY, f64::min);
+        let aims = &self.cfg.platform.settings.objectives;
+        let aim = aims.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
+        self.demands.push(Demand {
+            at: now,
+            need: need_of(s),
+            rank: s.rank,
+            types,
+            work: stated(s).secs().min(3600.0) * f64::from(s.tasks),
+            hasty: aim.is_some_and(|a| a.within_s < ready),
+        });
+    }
+
+    /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, and
+    /// one more, since a new machine would come too late for the next.
+    fn warm(&self, now: Steady) -> Vec<usize> {
+        let first = self.demands.iter().map(|d| d.at).min().unwrap_or(now);
+        let span = (now - first).secs().clamp(60.0, RECENT.secs());
+        (0..self.types.len())
+            .map(|ty| {
+                let of = self.demands.iter().filter(|d| d.hasty && d.types.first() == Some(&ty));
+                let (work, any) = of.fold((0.0, false), |(w, _), d| {
+                    (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true)
+                });
+                if any {
+                    (work / span + 1.0).ceil() as usize
+                } else {
+                    0
+                }
+            })
+            .collect()
+    }
+
     fn located(&self, id: &JobId) -> BTreeSet<u32> {
         self.machines.values().flat_map(|m| m.tasks.keys().filter(|k| k.0 == *id).map(|k| k.1)).collect()
     }
@@ -877,7 +937,7 @@
     }
 
     fn snapshot(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>, Vec<JobId>) {
-        self.demands.retain(|d| (now - d.0).secs() < 600.0);
+        self.demands.retain(|d| now - d.at < RECENT);
         let demands = std::mem::take(&mut self.demands);
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
         let mut s = Snapshot {
@@ -1030,17 +1090,17 @@
     }
 
     /// By type: the largest recent demand of a higher rank that no smaller type takes.
-    fn keep(&self, demands: &[(Steady, Need, Rank, Vec<usize>)]) -> Vec<Option<Keep>> {
+    fn keep(&self, demands: &[Demand]) -> Vec<Option<Keep>> {
         let size = |t: &MachineType| t.cpus + 8.0 * t.gpus;
         (0..self.types.len())
             .map(|ty| {
                 demands
                     .iter()
-                    .filter(|d| d.2 > Rank::Idle && d.3.contains(&ty))
-                    .filter(|d| d.3.iter().all(|&o| size(&self.types[o]) >= size(&self.types[ty])))
-                    .filter(|d| self.total(ty).fits(&d.1) == 1)
-                    .max_by(|a, b| a.2.cmp(&b.2).then(a.1.cpus.total_cmp(&b.1.cpus)))
-                    .map(|d| Keep { need: d.1, rank: d.2 })
+                    .filter(|d| d.rank > Rank::Idle && d.types.contains(&ty))
+                    .filter(|d| d.types.iter().all(|&o| size(&self.types[o]) >= size(&self.types[ty])))
+                    .filter(|d| self.total(ty).fits(&d.need) == 1)
+                    .max_by(|a, b| a.rank.cmp(&b.rank).then(a.need.cpus.total_cmp(&b.need.cpus)))
+                    .map(|d| Keep { need: d.need, rank: d.rank })
             })
             .collect()
     }
@@ -1243,7 +1303,9 @@
             self.types.clone().iter().map(|t| t.zones.iter().map(|z| self.zone(z)).collect()).collect();
         let refused: Vec<Offer> = self.refused.keys().copied().collect();
         let o = &self.cfg.operator;
+        let warm = self.warm(now);
         let view = View {
+            warm: &warm,
             snapshot: &snapshot,
             plan: &self.plan,
             upkeep: &upkeep,
