--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -230,7 +230,11 @@
             left[r.ty] += usize::from(!u.booting && r.until.is_none());
         }
         let mut out = Vec::new();
-        for (m, (r, u)) in self.snapshot.rooms.iter().zip(self.upkeep).enumerate() {
+        // The dear ones first.
+        let mut rooms: Vec<(usize, (&Room, &Upkeep))> =
+            self.snapshot.rooms.iter().zip(self.upkeep).enumerate().collect();
+        rooms.sort_by_key(|x| std::cmp::Reverse(x.1 .0.rate));
+        for (m, (r, u)) in rooms {
             let warm = self.warm.get(r.ty).copied().unwrap_or(0);
             let after = if warm > 0 { self.policy.idle_kept } else { self.policy.idle };
             // Under the least charge nothing is saved by giving a machine back.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -236,6 +236,8 @@
     lease: Micros,
 }
 
+/// How long a machine that the cloud says is running is waited for after its lease ran out.
+const CUT: Micros = Micros(40_000_000);
 const MARGIN: Micros = Micros(1_500_000);
 
 impl Fleet {
@@ -383,8 +385,15 @@
     /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, and
     /// one more, since a new machine would come too late for the next.
     fn warm(&self, now: Steady) -> Vec<usize> {
-        let first = self.demands.iter().map(|d| d.at).min().unwrap_or(now);
+        let hasty = || self.demands.iter().filter(|d| d.hasty).map(|d| d.at);
+        let (Some(first), Some(last)) = (hasty().min(), hasty().max()) else {
+            return vec![0; self.types.len()];
+        };
         let span = (now - first).secs().clamp(60.0, RECENT.secs());
+        // No such job for much longer than usual: no more are expected.
+        if (now - last).secs() > (4.0 * span / hasty().count() as f64).max(60.0) {
+            return vec![0; self.types.len()];
+        }
         (0..self.types.len())
             .map(|ty| {
                 let of = self.demands.iter().filter(|d| d.hasty && d.types.first() == Some(&ty));
@@ -1012,6 +1021,8 @@
                 opens_in,
                 images: m.images.iter().map(|i| i.0).collect(),
                 fetch_rate: t.fetch_gb_per_s,
+                rate: (if m.spot { t.spot_price.unwrap_or(t.price) } else { t.price } / t.cpus.max(0.1) * 1e3)
+                    as i64,
                 penalty: Micros::from_secs(10.0 * m.failed.len() as f64),
                 until: m.notice.map(|n| n - now),
                 held,
@@ -1256,11 +1267,15 @@
                 // The last answer was this owner's and its token had arrived: the lease is ours to
                 // count. Otherwise somebody else may still be renewing it.
                 Some(a) if now - a > lease && !m.expired => {
-                    tracing::info!(machine = %m.id, "returned: its lease ran out");
+                    tracing::info!(machine = %m.id, "its lease ran out");
                     m.expired = true;
-                    m.leaving = true;
                     ended.push(m.id.clone());
                 }
+                // The cloud says it runs: cut off, most likely, and good again afterwards.
+                Some(a) if m.expired && now - a > lease + CUT => {
+                    tracing::info!(machine = %m.id, "returned: silent for long");
+                    m.leaving = true;
+                }
                 Some(a) if m.missing && now - a > report.scale(3.0) => {
                     tracing::info!(machine = %m.id, "returned: silent and not in the cloud's list");
                     m.leaving = true;
@@ -1301,7 +1316,18 @@
             .collect();
         let type_zones: Vec<Vec<usize>> =
             self.types.clone().iter().map(|t| t.zones.iter().map(|z| self.zone(z)).collect()).collect();
-        let refused: Vec<Offer> = self.refused.keys().copied().collect();
+        let mut refused: Vec<Offer> = self.refused.keys().copied().collect();
+        // Where most machines are silent the zone is cut off: new ones could not report either.
+        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
+        for z in 0..self.zones.len() {
+            let up = || self.machines.values().filter(|m| m.up && m.zone == z && !m.leaving);
+            let silent = up().filter(|m| now - m.report > report.scale(3.0)).count();
+            if silent >= 2 && silent * 2 > up().count() {
+                let all = (0..self.types.len())
+                    .flat_map(|ty| [false, true].map(|spot| Offer { ty, zone: z, spot }));
+                refused.extend(all);
+            }
+        }
         let o = &self.cfg.operator;
         let warm = self.warm(now);
         let view = View {
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -95,6 +95,8 @@
     pub images: Vec<u32>,
     /// Image fetch rate in GB a second.
     pub fetch_rate: f64,
+    /// Price an hour of a processor, in thousandths.
+    pub rate: i64,
     /// Added to its cost, for machines that did badly.
     pub penalty: Micros,
     /// Only tasks that end within this may start (a spot notice).
@@ -263,6 +265,10 @@
     shadow: Vec<Option<Need>>,
     at: Micros,
     zones: Vec<Vec<u32>>,
+    /// Types for whose kept tasks some wait: nothing lower starts on them now.
+    wanted: Vec<bool>,
+    /// Rooms on which tasks are being stopped for a class already.
+    claimed: Vec<bool>,
 }
 
 impl<'a> Work<'a> {
@@ -290,6 +296,8 @@
             shadow: vec![None; s.rooms.len()],
             at: Micros::ZERO,
             zones: s.classes.iter().map(|c| c.zones.clone()).collect(),
+            wanted: vec![false; s.keep.len()],
+            claimed: vec![false; s.rooms.len()],
         }
     }
 
@@ -318,6 +326,9 @@
         }
         let mut n = self.free[m].fits(&c.need);
         if n > 0 && self.low(c, r) {
+            if self.wanted[r.ty] {
+                return 0;
+            }
             n = n.min(self.spare[m].map_or(n, |s| s.fits(&c.need)));
         }
         let runs = self.delay(c, r) + c.adjusted;
@@ -350,18 +361,18 @@
     /// The rooms for a class, best first.
     fn candidates(&self, c: &Class) -> Vec<usize> {
         let tenths = |cpus: f64| (cpus * 10.0) as i64;
-        let mut v: Vec<(bool, i64, i64, i64, usize)> = (0..self.s.rooms.len())
+        let mut v: Vec<(bool, i64, i64, i64, i64, usize)> = (0..self.s.rooms.len())
             .filter(|&m| self.fit(c, m) > 0)
             .map(|m| {
                 let r = &self.s.rooms[m];
-                // Reports come every few seconds anyway: within that, small rooms go before large
+                // Reports come every few seconds anyway: within that, cheap and small rooms go before large
                 // ones and full ones before empty ones, so that others empty and can be returned.
                 let delay = self.delay(c, r).0 / self.s.coarse.0.max(1);
-                (self.low(c, r), delay, tenths(r.total.cpus), tenths(self.free[m].cpus), m)
+                (self.low(c, r), delay, r.rate, tenths(r.total.cpus), tenths(self.free[m].cpus), m)
             })
             .collect();
         v.sort_unstable();
-        v.into_iter().map(|x| x.4).collect()
+        v.into_iter().map(|x| x.5).collect()
     }
 
     /// How many tasks of the class may still go to the zone.
@@ -497,12 +508,46 @@
         None
     }
 
+    /// Tasks of the same team and lower rank to stop so that the limit lets the class start, once
+    /// it has waited long enough.
+    fn within_limit(&self, class: usize) -> Vec<(usize, usize)> {
+        let c = &self.s.classes[class];
+        let Some(mut t) = self.teams.get(c.team).copied() else { return Vec::new() };
+        if c.patience.0 > 0 {
+            return Vec::new();
+        }
+        let mut victims: Vec<(Micros, usize, usize)> = Vec::new();
+        for (m, r) in self.s.rooms.iter().enumerate() {
+            for (i, h) in r.held.iter().enumerate().filter(|x| x.1.team == c.team) {
+                if h.stopping {
+                    t.used = t.used.less(&h.need, 1);
+                } else if h.stoppable && h.rank < c.rank {
+                    victims.push((h.lost, m, i));
+                }
+            }
+        }
+        victims.sort_unstable();
+        let mut out = Vec::new();
+        for (_, m, i) in victims {
+            if t.allows(&c.need) >= c.count {
+                return out;
+            }
+            t.used = t.used.less(&self.s.rooms[m].held[i].need, 1);
+            out.push((m, i));
+        }
+        if t.allows(&c.need) >= c.count {
+            out
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Tasks to stop so that the class can start, those losing least first.
-    fn preempt(&self, class: usize) -> Vec<(usize, usize)> {
+    fn preempt(&mut self, class: usize) -> Vec<(usize, usize)> {
         let c = &self.s.classes[class];
         let mut options: Vec<(Micros, usize, Vec<usize>, u32)> = Vec::new();
         for (m, r) in self.s.rooms.iter().enumerate() {
-            if !r.open || r.until.is_some() || !self.allowed(c, r) {
+            if !r.open || r.until.is_some() || self.claimed[m] || !self.allowed(c, r) {
                 continue;
             }
             let coming = r.held.iter().filter(|h| h.stopping).fold(self.free[m], |n, h| n.plus(&h.need, 1));
@@ -534,12 +579,12 @@
         } else {
             rooms.iter().find(|&&m| self.zone_room(class, self.s.rooms[m].zone) > 0).map(|&m| vec![(m, 1)])
         };
+        let places = places.unwrap_or_default();
+        for &(m, _) in &places {
+            self.claimed[m] = true;
+        }
         let chosen = |m: usize| options.iter().find(|o| o.1 == m).map(|o| o.2.clone()).unwrap_or_default();
-        places
-            .unwrap_or_default()
-            .into_iter()
-            .flat_map(|(m, _)| chosen(m).into_iter().map(move |h| (m, h)))
-            .collect()
+        places.into_iter().flat_map(|(m, _)| chosen(m).into_iter().map(move |h| (m, h))).collect()
     }
 }
 
@@ -558,6 +603,12 @@
             if w.start_gang(class, &mut out.starts) {
                 0
             } else if limited < c.count {
+                // Held back by its team's limit: the team's lower jobs must not take what frees,
+                // or a gang would starve behind its own team's small tasks.
+                out.preempt.extend(w.within_limit(class));
+                if let Some(t) = w.teams.get_mut(c.team) {
+                    t.used = t.used.plus(&c.need, c.count);
+                }
                 continue;
             } else {
                 c.count
@@ -569,12 +620,21 @@
             continue;
         }
         out.unmet.push((class, left));
+        for &ty in &c.types {
+            let kept = s.keep.get(ty).copied().flatten().is_some_and(|k| c.rank >= k.rank);
+            if let (true, Some(w)) = (kept, w.wanted.get_mut(ty)) {
+                *w = true;
+            }
+        }
         if out.reservation.is_none() && s.reserve {
             out.reservation = w.reserve(class);
             let far = out.reservation.as_ref().is_none_or(|r| r.at > c.patience);
             if far {
-                out.preempt = w.preempt(class);
+                out.preempt.extend(w.preempt(class));
             }
+        } else if c.patience.0 <= 0 {
+            // Not the head, but out of patience as well: each finds rooms of its own.
+            out.preempt.extend(w.preempt(class));
         }
     }
     out
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -18,7 +18,7 @@
 }
 
 prop_compose! {
-    fn room()(ty in 0usize..2, zone in 0usize..2, spot in any::<bool>(), open in prop::bool::weighted(0.85),
+    fn room()(rate in 0i64..3, ty in 0usize..2, zone in 0usize..2, spot in any::<bool>(), open in prop::bool::weighted(0.85),
               opens in 0i64..30, has in any::<bool>(), until in prop::option::weighted(0.1, 1i64..60),
               held in prop::collection::vec((1u32..3, rank(), 1i64..90, any::<bool>()), 0..4)) -> Room {
         let total = need(if ty == 0 { 4.0 } else { 16.0 });
@@ -26,7 +26,7 @@
             need: need(f64::from(cpus)), rank, team: 1, left: secs(left), lost: secs(left), stoppable, stopping: false,
         }).scan(0.0, |sum, h| { *sum += h.need.cpus; Some((*sum, h)) }).filter(|x| x.0 <= total.cpus).map(|x| x.1).collect();
         let free = held.iter().fold(total, |f, h| f.less(&h.need, 1));
-        Room { ty, zone, spot, total, free, open, opens_in: secs(if open { opens % 4 } else { opens }),
+        Room { ty, zone, spot, total, free, rate, open, opens_in: secs(if open { opens % 4 } else { opens }),
                images: if has { vec![1] } else { vec![] }, fetch_rate: 0.5, penalty: Micros::ZERO,
                until: until.map(secs), held }
     }
@@ -60,6 +60,8 @@
     s: &'a Snapshot,
     placed: Vec<(usize, usize)>,
     reserved: Option<Promise>,
+    claims: Vec<(usize, f64)>,
+    wanted: [bool; 2],
 }
 
 impl Model<'_> {
@@ -127,6 +129,7 @@
             r.open && c.types.contains(&r.ty) && c.zone.is_none_or(|z| z == r.zone) && (c.spot || !r.spot);
         let fits = self.free(m) + 1e-6 >= c.need.cpus;
         let notice = r.until.is_none_or(|u| ends <= u);
+        let wanted = self.low(class, m) && self.wanted[r.ty];
         let kept = !self.low(class, m) || !self.clear(m) || {
             let k = self.s.keep[r.ty].expect("kept").need.cpus;
             let low: f64 = r.held.iter().filter(|h| h.rank < Rank::Urgent).map(|h| h.need.cpus).sum();
@@ -145,7 +148,7 @@
         let zone = |z: usize| c.zones[z] + placed().filter(|p| self.s.rooms[p.1].zone == z).count() as u32;
         let tied = !c.one_zone || zone(1 - r.zone) == 0;
         let spread = !c.spread || zone(r.zone) < c.tasks.div_ceil(2);
-        place && fits && notice && kept && back && tied && spread
+        place && fits && notice && !wanted && kept && back && tied && spread
     }
 
     fn limit_left(&self, class: usize) -> u32 {
@@ -156,6 +159,7 @@
             .filter(|p| self.s.classes[p.0].team == c.team)
             .map(|p| self.s.classes[p.0].need.cpus)
             .sum();
+        let used = used + self.claims.iter().filter(|x| x.0 == c.team).map(|x| x.1).sum::<f64>();
         let max = self.s.teams[c.team].cpus_max;
         if max <= 0.0 {
             u32::MAX
@@ -172,8 +176,14 @@
                 let free = Class { one_zone: false, spread: false, ..c.clone() };
                 let mut s = self.s.clone();
                 s.classes[class] = free;
-                Model { s: &s, placed: self.placed.clone(), reserved: self.reserved.clone() }
-                    .room_for_one(class, m)
+                Model {
+                    s: &s,
+                    placed: self.placed.clone(),
+                    reserved: self.reserved.clone(),
+                    claims: Vec::new(),
+                    wanted: self.wanted,
+                }
+                .room_for_one(class, m)
             })
             .collect();
         v.sort_by_key(|&m| {
@@ -181,6 +191,7 @@
             (
                 self.low(class, m),
                 d,
+                self.s.rooms[m].rate,
                 (self.s.rooms[m].total.cpus * 10.0) as i64,
                 (self.free(m) * 10.0) as i64,
                 m,
@@ -194,6 +205,8 @@
             let c = &self.s.classes[class];
             let limited = self.limit_left(class) < c.count;
             if c.gang && limited {
+                // Its team's lower jobs leave it what it needs.
+                self.claims.push((c.team, f64::from(c.count) * c.need.cpus));
                 continue;
             }
             let want = c.count.min(self.limit_left(class));
@@ -217,6 +230,9 @@
                     break;
                 }
             }
+            if left > 0 && self.s.keep[1].is_some_and(|k| c.rank >= k.rank) && c.types.contains(&1) {
+                self.wanted[1] = true;
+            }
             if left > 0 && self.reserved.is_none() && self.s.reserve {
                 self.reserved = plan_reservation(self.s, class, &self.placed);
             }
@@ -236,7 +252,7 @@
 }
 
 fn model_starts(s: &Snapshot) -> Vec<(usize, usize, u32)> {
-    let mut m = Model { s, placed: Vec::new(), reserved: None };
+    let mut m = Model { s, placed: Vec::new(), reserved: None, claims: Vec::new(), wanted: [false; 2] };
     m.run();
     let mut v: Vec<(usize, usize, u32)> = Vec::new();
     for (c, r) in m.placed {
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -119,6 +119,11 @@
     // Lease 22 s from the last answer at 2 s, and the margin.
     f.tick(at(26.0), wall(26.0));
     assert_eq!(starts(&orders(&mut f, 26.0, &report("i-2", 50, 7, &[]))).len(), 1);
+    assert!(f.leaving().is_empty(), "a machine that may only be cut off is waited for");
+    for t in [45, 60, 70] {
+        orders(&mut f, t as f64, &report("i-2", t, 7, &[]));
+        f.tick(at(t as f64), wall(t as f64));
+    }
     assert_eq!(f.leaving(), ["i-1"]);
 }
 
@@ -286,6 +291,36 @@
     assert_eq!(a + b, 6);
 }
 
+#[test]
+fn a_gang_does_not_starve_behind_small_tasks_of_its_own_limited_team() {
+    let mut small = spec(1, 30, "batch");
+    small.team = "tight".into();
+    let mut f = ready(small);
+    orders(&mut f, 0.5, &report("i-2", 1, 0, &[]));
+    write_all(&mut f, 0.5);
+    let mut gang = spec(2, 3, "gang");
+    gang.team = "tight".into();
+    gang.rank = milletlock::wire::Rank::Urgent;
+    let held = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
+    let more = starts(&orders(&mut f, 1.1, &report("i-2", 2, 7, &[])));
+    assert_eq!((held.len(), more.len()), (4, 2), "the limit of 6 is used up");
+    f.job_put(record(gang), 9, at(1.2));
+    // Two end; four are in use and the gang needs three of six: the small ones may not refill.
+    let mut there: Vec<_> =
+        more.iter().map(|s| (s.0.as_str(), s.1, TaskStage::Exited, Some(Why::Done))).collect();
+    let o = orders(&mut f, 2.0, &report("i-2", 3, 7, &there));
+    assert!(starts(&o).is_empty());
+    there.clear();
+    let left = [(held[0].0.as_str(), held[0].1, TaskStage::Exited, Some(Why::Done))];
+    let running: Vec<_> = held[1..].iter().map(|s| (s.0.as_str(), s.1, TaskStage::Running, None)).collect();
+    orders(&mut f, 3.0, &report("i-1", 3, 7, &[&left[..], &running[..]].concat()));
+    f.tick(at(3.1), wall(3.1));
+    write_all(&mut f, 3.1);
+    let mut s = starts(&orders(&mut f, 4.0, &report("i-2", 4, 7, &[])));
+    s.extend(starts(&orders(&mut f, 4.1, &report("i-1", 4, 7, &running))));
+    assert_eq!(s.iter().filter(|s| s.0.starts_with("wk-000002/")).count(), 3);
+}
+
 #[test]
 fn p11_unknown_machines_are_enrolled_and_returned_ones_stay_gone() {
     let mut f = fleet(7);
