--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1079,6 +1079,7 @@
                 adjusted: self.adjusted(sp, wall),
                 waited: wall - j.submitted,
                 zones: self.zones_of(j),
+                late: self.late(sp, wall - j.submitted, wall),
                 patience: self.patience(sp) - (wall - j.submitted),
             });
         }
@@ -1090,6 +1091,18 @@
         (s, machines, jobs)
     }
 
+    /// Whether a job's aim is lost. So that nothing starves, that stops counting against it after
+    /// five times the aim.
+    fn late(&self, s: &JobSpec, waited: Micros, wall: Wall) -> bool {
+        let aims = &self.cfg.platform.settings.objectives;
+        let finished = aims.iter().filter(|o| o.kind == "finished" && Some(&o.class) == s.class.as_ref());
+        let due = s.deadline_s.or(finished.map(|o| o.within_s).reduce(f64::max));
+        due.is_some_and(|due| {
+            let end = waited.secs() + 0.7 * self.adjusted(s, wall).secs();
+            end > due && waited.secs() < 5.0 * due
+        })
+    }
+
     /// How long a job may wait before others are stopped for it: most of what its class's aim
     /// allows, with time left for the report and the stop.
     fn patience(&self, s: &JobSpec) -> Micros {
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -142,6 +142,9 @@
     pub waited: Micros,
     /// Its tasks that are or may be somewhere, by zone.
     pub zones: Vec<u32>,
+    /// It has missed its aim already, or will even if it starts now: beyond capacity, those that
+    /// can still make theirs go first.
+    pub late: bool,
     /// How long it may still wait before others are stopped for it.
     pub patience: Micros,
 }
@@ -245,12 +248,15 @@
     (wait / time).powi(3) * size
 }
 
-/// The queue's order: guaranteed work, then rank, then score.
+/// The queue's order: guaranteed work, then rank, then those not late, then score.
 pub fn order(classes: &[Class]) -> Vec<usize> {
     let mut by: Vec<(usize, f64)> = classes.iter().map(score).enumerate().collect();
     by.sort_by(|a, b| {
         let (x, y) = (&classes[a.0], &classes[b.0]);
-        (y.guaranteed, y.rank).cmp(&(x.guaranteed, x.rank)).then(b.1.total_cmp(&a.1)).then(a.0.cmp(&b.0))
+        (y.guaranteed, y.rank, x.late)
+            .cmp(&(x.guaranteed, x.rank, y.late))
+            .then(b.1.total_cmp(&a.1))
+            .then(a.0.cmp(&b.0))
     });
     by.into_iter().map(|x| x.0).collect()
 }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -33,13 +33,13 @@
 }
 
 prop_compose! {
-    fn class()(rank in rank(), team in 0usize..2, count in 1u32..9, gang in any::<bool>(), cpus in 1u32..5,
+    fn class()(late in any::<bool>(), rank in rank(), team in 0usize..2, count in 1u32..9, gang in any::<bool>(), cpus in 1u32..5,
                types in prop_oneof![Just(vec![0]), Just(vec![1]), Just(vec![0, 1])],
                zone in prop::option::weighted(0.2, 0usize..2), tie in 0u8..3, spot in any::<bool>(),
                adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
         Class { rank, team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
                 one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, adjusted: secs(adjusted),
-                waited: secs(waited), zones: vec![live, 0], patience: secs(1000) }
+                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), late }
     }
 }
 
@@ -355,11 +355,13 @@
         waited: secs(20),
         zones: vec![0, 0],
         patience: secs(10),
+        late: false,
     };
     // (20/10)^3 x 2 = 16; (30/10)^3 x 1 = 27; (20/10)^3 x 4 = 32; urgent whatever its score.
     let b = Class { waited: secs(30), count: 1, ..base.clone() };
     let c = Class { count: 4, ..base.clone() };
     let d = Class { rank: Rank::Urgent, waited: secs(1), ..base.clone() };
     let e = Class { guaranteed: true, rank: Rank::Idle, waited: secs(1), ..base.clone() };
-    assert_eq!(milletlock::sched::order(&[base, b, c, d, e]), [4, 3, 2, 1, 0]);
+    let f = Class { late: true, waited: secs(900), ..base.clone() };
+    assert_eq!(milletlock::sched::order(&[f, base, b, c, d, e]), [5, 4, 3, 2, 1, 0]);
 }
