--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -69,7 +69,7 @@
     pub refused: &'a [Offer],
     /// By type, how many machines stay though idle.
     pub warm: &'a [usize],
-    /// Processors that the jobs of late keep busy on average.
+    /// Processors that the arrays of late keep busy on average.
     pub load: f64,
     /// Settings.
     pub policy: Policy,
@@ -276,15 +276,11 @@
         let need = self.load * self.policy.spare + waiting / self.policy.drain.secs();
         let counts = |m: usize| {
             let (r, u) = (&self.snapshot.rooms[m], &self.upkeep[m]);
-            !u.booting && r.until.is_none()
+            let warm = self.warm.get(r.ty).copied().unwrap_or(0) > 0;
+            !u.booting && !warm && r.until.is_none()
         };
-        let warm = |m: &usize| self.warm.get(self.snapshot.rooms[*m].ty).copied().unwrap_or(0) > 0;
         let mut rooms: Vec<usize> = (0..self.snapshot.rooms.len()).filter(|&m| counts(m)).collect();
-        let cpus = |m: &usize| self.snapshot.rooms[*m].total.cpus;
-        // Large rooms serve small tasks too, but for the one that is kept clear.
-        let mut have: f64 = rooms.iter().map(cpus).sum::<f64>()
-            - rooms.iter().filter(|m| warm(m)).map(cpus).fold(0.0, f64::max);
-        rooms.retain(|m| !warm(m));
+        let mut have: f64 = rooms.iter().map(|&m| self.snapshot.rooms[m].total.cpus).sum();
         rooms.sort_by_key(|&m| {
             let r = &self.snapshot.rooms[m];
             // What is being emptied already stays so.
--- a/src/config.rs
+++ b/src/config.rs
@@ -227,7 +227,7 @@
             leader_ttl_s: 3.0,
             fence_after_s: 15.0,
             drain_s: 40.0,
-            spare: 1.3,
+            spare: 1.4,
             idle_s: 20.0,
             idle_protected_s: 30.0,
             slow_boot: 1.6,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -198,6 +198,8 @@
     types: Vec<usize>,
     /// Task-seconds, by the stated time.
     work: f64,
+    /// A gang.
+    gang: bool,
     /// Its class should start sooner than a machine boots and fetches.
     hasty: bool,
 }
@@ -382,6 +384,7 @@
             need: need_of(s),
             rank: s.rank,
             types,
+            gang: s.shape == Shape::Gang,
             work: stated(s).secs().min(3600.0) * f64::from(s.tasks),
             hasty: aim.is_some_and(|a| a.within_s < ready),
         });
@@ -414,9 +417,9 @@
             .collect()
     }
 
-    /// Processors that the jobs of the last minutes keep busy on average.
+    /// Processors that the arrays of the last minutes keep busy on average.
     fn load(&self, now: Steady) -> f64 {
-        let of = || self.demands.iter().filter(|d| now - d.at < LOAD);
+        let of = || self.demands.iter().filter(|d| !d.gang && now - d.at < LOAD);
         let Some(first) = self.demands.iter().map(|d| d.at).min() else { return 0.0 };
         let span = (now - first).secs().clamp(30.0, LOAD.secs());
         of().map(|d| d.work * d.need.cpus).sum::<f64>() / span
