--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -14,8 +14,6 @@
     pub idle: Option<Micros>,
     /// Still booting.
     pub booting: bool,
-    /// Being emptied: nothing new starts on it.
-    pub winding: bool,
 }
 
 /// An offer of the cloud: type, zone, kind.
@@ -49,8 +47,6 @@
     pub idle_kept: Micros,
     /// A boot longer than this many nominal ones does not count as coming.
     pub slow_boot: f64,
-    /// Room kept for arrays, as a factor of their average load.
-    pub spare: f64,
 }
 
 /// All that is looked at.
@@ -69,8 +65,6 @@
     pub refused: &'a [Offer],
     /// By type, how many machines stay though idle.
     pub warm: &'a [usize],
-    /// Processors that the arrays of late keep busy on average.
-    pub load: f64,
     /// Settings.
     pub policy: Policy,
 }
@@ -85,8 +79,6 @@
     pub rents: Vec<Rent>,
     /// Rooms to return.
     pub returns: Vec<usize>,
-    /// Rooms to empty, so that they can be returned; all others take work.
-    pub wind: Vec<usize>,
 }
 
 fn allowed(c: &Class, r: &Room) -> bool {
@@ -244,13 +236,7 @@
         rooms.sort_by_key(|x| std::cmp::Reverse(x.1 .0.rate));
         for (m, (r, u)) in rooms {
             let warm = self.warm.get(r.ty).copied().unwrap_or(0);
-            let after = if u.winding {
-                Micros::ZERO
-            } else if warm > 0 {
-                self.policy.idle_kept
-            } else {
-                self.policy.idle
-            };
+            let after = if warm > 0 { self.policy.idle_kept } else { self.policy.idle };
             // Under the least charge nothing is saved by giving a machine back.
             if u.idle.is_some_and(|i| i > after) && u.age > LEAST_CHARGE && !reserved(m) && left[r.ty] > warm
             {
@@ -261,43 +247,6 @@
         out
     }
 
-    /// Small jobs arrive in bursts that touch every machine, so that none is ever idle for long
-    /// though half would do. What the average load and the waiting work do not need is emptied,
-    /// the dear and the emptiest first.
-    fn wind(&self) -> Vec<usize> {
-        let waiting: f64 = self
-            .plan
-            .unmet
-            .iter()
-            .map(|&(class, left)| (&self.snapshot.classes[class], f64::from(left)))
-            .filter(|(c, _)| !c.gang)
-            .map(|(c, left)| left * c.need.cpus * c.adjusted.secs())
-            .sum();
-        let need = self.load * self.policy.spare + waiting / self.policy.drain.secs();
-        let counts = |m: usize| {
-            let (r, u) = (&self.snapshot.rooms[m], &self.upkeep[m]);
-            let warm = self.warm.get(r.ty).copied().unwrap_or(0) > 0;
-            !u.booting && !warm && r.until.is_none()
-        };
-        let mut rooms: Vec<usize> = (0..self.snapshot.rooms.len()).filter(|&m| counts(m)).collect();
-        let mut have: f64 = rooms.iter().map(|&m| self.snapshot.rooms[m].total.cpus).sum();
-        rooms.sort_by_key(|&m| {
-            let r = &self.snapshot.rooms[m];
-            // What is being emptied already stays so.
-            (!self.upkeep[m].winding, std::cmp::Reverse(r.rate), r.held.len(), m)
-        });
-        let mut out = Vec::new();
-        for m in rooms {
-            let cpus = self.snapshot.rooms[m].total.cpus;
-            if have - cpus < need {
-                break;
-            }
-            have -= cpus;
-            out.push(m);
-        }
-        out
-    }
-
     /// Decides.
     pub fn decide(&self) -> Decision {
         let mut rents = Vec::new();
@@ -306,7 +255,7 @@
         for r in &mut rents {
             r.count = r.count.min(50);
         }
-        Decision { rents, returns: self.returns(), wind: self.wind() }
+        Decision { rents, returns: self.returns() }
     }
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -199,8 +199,6 @@
     pub fence_after_s: f64,
     /// Spare room is rented so that waiting array work drains in this time, in seconds.
     pub drain_s: f64,
-    /// Room kept for arrays, as a factor of their average load; the rest is emptied and returned.
-    pub spare: f64,
     /// An idle machine is returned after this time, in seconds.
     pub idle_s: f64,
     /// An idle machine of a type that hasty jobs depend on is returned after this time, if there
@@ -227,7 +225,6 @@
             leader_ttl_s: 3.0,
             fence_after_s: 15.0,
             drain_s: 40.0,
-            spare: 1.4,
             idle_s: 20.0,
             idle_protected_s: 30.0,
             slow_boot: 1.6,
@@ -385,7 +382,6 @@
         }
         positive("fence_after_s", o.fence_after_s)?;
         positive("drain_s", o.drain_s)?;
-        positive("spare", o.spare)?;
         not_negative("idle_s", o.idle_s)?;
         not_negative("idle_protected_s", o.idle_protected_s)?;
         positive("slow_boot", o.slow_boot)?;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -83,8 +83,6 @@
     pub notice: Option<Steady>,
     /// It is to be returned, or is being returned.
     pub leaving: bool,
-    /// Being emptied: nothing new starts on it unless it is needed again.
-    pub winding: bool,
     /// Known from the cloud's list.
     pub listed: bool,
     /// Missing from a newer list, or listed as failed.
@@ -125,7 +123,6 @@
             age: Micros::ZERO,
             notice: None,
             leaving: false,
-            winding: false,
             listed: false,
             missing: false,
             expired: false,
@@ -198,14 +195,10 @@
     types: Vec<usize>,
     /// Task-seconds, by the stated time.
     work: f64,
-    /// A gang.
-    gang: bool,
     /// Its class should start sooner than a machine boots and fetches.
     hasty: bool,
 }
 
-/// How far back arrays count for their average load.
-const LOAD: Micros = Micros(120_000_000);
 /// How far back jobs count for what is kept.
 const RECENT: Micros = Micros(300_000_000);
 
@@ -384,7 +377,6 @@
             need: need_of(s),
             rank: s.rank,
             types,
-            gang: s.shape == Shape::Gang,
             work: stated(s).secs().min(3600.0) * f64::from(s.tasks),
             hasty: aim.is_some_and(|a| a.within_s < ready),
         });
@@ -417,14 +409,6 @@
             .collect()
     }
 
-    /// Processors that the arrays of the last minutes keep busy on average.
-    fn load(&self, now: Steady) -> f64 {
-        let of = || self.demands.iter().filter(|d| !d.gang && now - d.at < LOAD);
-        let Some(first) = self.demands.iter().map(|d| d.at).min() else { return 0.0 };
-        let span = (now - first).secs().clamp(30.0, LOAD.secs());
-        of().map(|d| d.work * d.need.cpus).sum::<f64>() / span
-    }
-
     fn located(&self, id: &JobId) -> BTreeSet<u32> {
         self.machines.values().flat_map(|m| m.tasks.keys().filter(|k| k.0 == *id).map(|k| k.1)).collect()
     }
@@ -1033,7 +1017,7 @@
                 spot: m.spot,
                 total,
                 free,
-                open: m.usable(now) && !m.winding && now - m.report < report.scale(2.5),
+                open: m.usable(now) && now - m.report < report.scale(2.5),
                 opens_in,
                 images: m.images.iter().map(|i| i.0).collect(),
                 fetch_rate: t.fetch_gb_per_s,
@@ -1313,7 +1297,7 @@
                 None => {
                     let boot = m.ty.and_then(|t| self.types.get(t)).map_or(60.0, |t| t.boot_s);
                     let age = m.age + (now - m.known);
-                    if m.missing || age.secs() > (boot * 2.5).max(60.0) {
+                    if m.missing || age.secs() > (boot * 4.0).max(90.0) {
                         tracing::info!(machine = %m.id, age = age.secs(), "returned: it never came up");
                         m.leaving = true;
                     }
@@ -1341,7 +1325,6 @@
                 age: m.age + (now - m.known),
                 idle: (m.up && m.tasks.is_empty()).then(|| now - m.idle),
                 booting: !m.up,
-                winding: m.winding,
             })
             .collect();
         let type_zones: Vec<Vec<usize>> =
@@ -1362,7 +1345,6 @@
         let warm = self.warm(now);
         let view = View {
             warm: &warm,
-            load: self.load(now),
             snapshot: &snapshot,
             plan: &self.plan,
             upkeep: &upkeep,
@@ -1374,18 +1356,9 @@
                 idle: Micros::from_secs(o.idle_s),
                 idle_kept: Micros::from_secs(o.idle_protected_s),
                 slow_boot: o.slow_boot,
-                spare: o.spare,
             },
         };
         let d = view.decide();
-        for m in self.machines.values_mut() {
-            m.winding = false;
-        }
-        for m in &d.wind {
-            if let Some(m) = self.machines.get_mut(&machines[*m]) {
-                m.winding = true;
-            }
-        }
         for m in d.returns {
             if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.tasks.is_empty()) {
                 tracing::info!(machine = %m.id, "returned: idle");
