--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -401,7 +401,7 @@
                     (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true)
                 });
                 if any {
-                    (work / span + 1.0).ceil() as usize
+                    (work / span + 0.5).round() as usize
                 } else {
                     0
                 }
@@ -1297,7 +1297,7 @@
                 None => {
                     let boot = m.ty.and_then(|t| self.types.get(t)).map_or(60.0, |t| t.boot_s);
                     let age = m.age + (now - m.known);
-                    if m.missing || age.secs() > (boot * 4.0).max(90.0) {
+                    if m.missing || age.secs() > (boot * 2.5).max(60.0) {
                         tracing::info!(machine = %m.id, age = age.secs(), "returned: it never came up");
                         m.leaving = true;
                     }
