--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1091,24 +1091,16 @@
         (s, machines, jobs)
     }
 
-    /// Whether a job's next aim is lost: to start in time, or else to finish in time. One that has
-    /// lost its start counts again when its finish comes into danger. So that nothing starves, all
-    /// that stops counting against it after five times its last aim.
+    /// Whether a job's aim is lost. So that nothing starves, that stops counting against it after
+    /// five times the aim.
     fn late(&self, s: &JobSpec, waited: Micros, wall: Wall) -> bool {
-        let aims =
-            || self.cfg.platform.settings.objectives.iter().filter(|o| Some(&o.class) == s.class.as_ref());
-        let finished = aims().filter(|o| o.kind == "finished").map(|o| o.within_s).reduce(f64::max);
-        let start = aims().find(|o| o.kind == "wait").map(|o| o.within_s);
-        let (waited, time) = (waited.secs(), self.adjusted(s, wall).secs());
-        let Some(due) = s.deadline_s.or(finished) else {
-            return start.is_some_and(|w| waited > w && waited < 5.0 * w);
-        };
-        let lost = waited + 0.7 * time > due;
-        let missed = match start {
-            Some(w) if waited > w => lost || waited + 1.6 * time < due,
-            _ => lost,
-        };
-        missed && waited < 5.0 * due
+        let aims = &self.cfg.platform.settings.objectives;
+        let finished = aims.iter().filter(|o| o.kind == "finished" && Some(&o.class) == s.class.as_ref());
+        let due = s.deadline_s.or(finished.map(|o| o.within_s).reduce(f64::max));
+        due.is_some_and(|due| {
+            let end = waited.secs() + 0.7 * self.adjusted(s, wall).secs();
+            end > due && waited.secs() < 5.0 * due
+        })
     }
 
     /// How long a job may wait before others are stopped for it: most of what its class's aim
