--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -157,7 +157,10 @@
             let mut missing = 0u32;
             for _ in 0..left {
                 match self.slots(c, &used).first() {
-                    Some(&(at, m)) if at <= boot || self.upkeep[m].booting => used[m] += 1,
+                    // The promise of a room soon, by stated ends, counts only until it is broken.
+                    Some(&(at, m)) if (at <= boot && c.patience.0 > 0) || self.upkeep[m].booting => {
+                        used[m] += 1;
+                    }
                     _ => missing += 1,
                 }
             }
@@ -177,7 +180,10 @@
                 continue;
             }
             let cpus = c.need.cpus.max(0.1) * f64::from(left);
-            let work = cpus * c.adjusted.secs();
+            // Estimates may be mostly too low for a whole day; then room seems enough while jobs
+            // wait. What has waited long counts for more.
+            let pressed = (c.waited.secs() / (self.policy.drain.secs() / 2.0)).max(1.0);
+            let work = cpus * c.adjusted.secs() * pressed;
             match groups.iter_mut().find(|g| g.0.types == c.types && g.0.spot == c.spot && g.0.zone == c.zone)
             {
                 Some(g) => {
--- /dev/null
+++ b/tests/renting.rs
@@ -0,0 +1,137 @@
+//! Renting and returning: what a wrong estimate, a refused offer and an idle machine lead to.
+
+use milletlock::capacity::{Offer, Policy, Upkeep, View};
+use milletlock::sched::{plan, Class, Held, Need, Room, Snapshot};
+use milletlock::time::Micros;
+use milletlock::wire::{MachineType, Rank};
+
+fn secs(s: i64) -> Micros {
+    Micros(s * 1_000_000)
+}
+
+fn need(cpus: f64) -> Need {
+    Need { cpus, gpus: 0.0, memory: cpus }
+}
+
+fn class(count: u32, adjusted: i64, waited: i64) -> Class {
+    Class {
+        rank: Rank::Normal,
+        team: 0,
+        guaranteed: false,
+        count,
+        tasks: count,
+        gang: false,
+        need: need(1.0),
+        types: vec![0],
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: None,
+        image_gb: 0.0,
+        adjusted: secs(adjusted),
+        waited: secs(waited),
+        zones: vec![0],
+        late: false,
+        patience: secs(10),
+    }
+}
+
+/// A machine of eight processors with this many one-processor tasks.
+fn room(held: usize, left: i64) -> Room {
+    let one = Held {
+        need: need(1.0),
+        rank: Rank::Normal,
+        team: 0,
+        left: secs(left),
+        lost: secs(1),
+        stoppable: true,
+        stopping: false,
+    };
+    Room {
+        ty: 0,
+        zone: 0,
+        spot: false,
+        total: need(8.0),
+        free: need(8.0 - held as f64),
+        open: true,
+        opens_in: Micros::ZERO,
+        images: vec![],
+        fetch_rate: 1.0,
+        rate: 100,
+        penalty: Micros::ZERO,
+        until: None,
+        held: vec![one; held],
+    }
+}
+
+fn types() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "small".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 8.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: Some(0.3),
+        boot_s: 30.0,
+        zones: vec!["north".into()],
+    }]
+}
+
+fn decide(
+    rooms: Vec<Room>,
+    classes: Vec<Class>,
+    idle: Option<i64>,
+    refused: &[Offer],
+) -> (Vec<(bool, u32)>, usize) {
+    let s = Snapshot {
+        zones: 1,
+        rooms,
+        classes,
+        reserve: true,
+        coarse: secs(4),
+        keep: vec![None],
+        ..Snapshot::default()
+    };
+    let upkeep: Vec<Upkeep> =
+        s.rooms.iter().map(|_| Upkeep { age: secs(100), idle: idle.map(secs), booting: false }).collect();
+    let policy = Policy { drain: secs(40), idle: secs(20), idle_kept: secs(30), slow_boot: 1.6 };
+    let p = plan(&s);
+    let types = types();
+    let view = View {
+        snapshot: &s,
+        plan: &p,
+        upkeep: &upkeep,
+        types: &types,
+        zones: &[vec![0]],
+        refused,
+        warm: &[1],
+        policy,
+    };
+    let d = view.decide();
+    (d.rents.iter().map(|r| (r.offer.spot, r.count)).collect(), d.returns.len())
+}
+
+#[test]
+fn the_cheapest_offer_is_taken_and_a_refused_one_passed_over() {
+    let all = decide(vec![], vec![class(16, 40, 0)], None, &[]);
+    assert_eq!(all.0, [(true, 2)]);
+    let refused = Offer { ty: 0, zone: 0, spot: true };
+    assert_eq!(decide(vec![], vec![class(16, 40, 0)], None, &[refused]).0, [(false, 2)]);
+}
+
+#[test]
+fn work_that_drains_in_time_rents_nothing_until_it_has_waited_for_long() {
+    // Eight tasks of 20 s behind a machine that says it is free in a second: no need.
+    assert!(decide(vec![room(8, 1)], vec![class(8, 20, 1)], None, &[]).0.is_empty());
+    // They still wait after 100 s: the estimates are wrong, whatever they say.
+    assert!(!decide(vec![room(8, 1)], vec![class(8, 20, 100)], None, &[]).0.is_empty());
+}
+
+#[test]
+fn idle_machines_go_but_for_the_warm_ones() {
+    assert_eq!(decide(vec![room(0, 0), room(0, 0), room(0, 0)], vec![], Some(31), &[]).1, 2);
+    assert_eq!(decide(vec![room(0, 0), room(0, 0)], vec![], Some(10), &[]).1, 0);
+}
