--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,7 +11,8 @@
 
 use crate::config::Config;
 use crate::http::{CallError, Client};
-use crate::node::Node;
+use crate::node::{Node, STATUS};
+use crate::peer::{self, Call};
 use crate::time::Micros;
 
 /// Schedules jobs on rented machines.
@@ -39,6 +40,15 @@
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
     },
+    /// Show parts, machines, queue, reservation and A, for people on call
+    Status {
+        /// A controller's address for the other controllers
+        #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:8081")]
+        internal: SocketAddr,
+        /// Only what belongs to this team
+        #[arg(long)]
+        team: Option<String>,
+    },
     /// Submit, show or withdraw a job on a running service
     Job {
         /// A controller's address for users
@@ -100,6 +110,7 @@
         (None, Some(config)) => run(config, args.operator),
         (None, None) => fail(2, "--config FILE is needed to run a controller; see --help"),
         (Some(Command::Check { config, operator }), _) => check(config, operator),
+        (Some(Command::Status { internal, team }), _) => status(internal, team),
         (Some(Command::Job { server, what }), _) => job(server, what),
     }
 }
@@ -134,6 +145,19 @@
     }
 }
 
+fn status(internal: SocketAddr, team: Option<String>) -> ExitCode {
+    let path = team.map_or(STATUS.to_string(), |t| format!("{STATUS}/{t}"));
+    let call = Call { method: "GET".into(), path, body: Vec::new() };
+    match peer::ask(internal, call, Micros::from_secs(5.0)) {
+        Ok(a) => {
+            let v: serde_json::Value = serde_json::from_slice(&a.body).unwrap_or_default();
+            println!("{v:#}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(1, format!("{internal}: {e}")),
+    }
+}
+
 fn job(server: SocketAddr, what: JobCommand) -> ExitCode {
     let client = Client::new(server, 1);
     let call = |method: &str, path: &str, body: Option<&[u8]>| {
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::Duration;
 
+use hdrhistogram::Histogram;
 use rand::Rng;
 use serde_json::json;
 
@@ -54,6 +55,15 @@
     hold_off: Steady,
 }
 
+/// Path of the status view between controllers; a team's name may follow.
+pub const STATUS: &str = "/status";
+
+struct Latencies {
+    users: Histogram<u64>,
+    workers: Histogram<u64>,
+    said: Steady,
+}
+
 const FINALS_KEPT: usize = 20_000;
 
 /// A controller.
@@ -66,6 +76,7 @@
     peers: PeerHub,
     core: Mutex<Core>,
     wake: Condvar,
+    latencies: Mutex<Latencies>,
     stop: Arc<AtomicBool>,
     incarnation: u64,
 }
@@ -86,6 +97,7 @@
             peers,
             core: Mutex::new(Core::default()),
             wake: Condvar::new(),
+            latencies: Mutex::new(Latencies { users: histogram()?, workers: histogram()?, said: steady() }),
             stop,
             incarnation: rand::rng().random_range(1..=u64::MAX >> 12),
             cfg: Arc::new(cfg),
@@ -119,7 +131,14 @@
             n => n,
         };
         let n = node.clone();
-        let handler: http::Handler = Arc::new(move |r| n.answer(&r, false));
+        let handler: http::Handler = Arc::new(move |r| {
+            let since = steady();
+            let out = n.answer(&r, false);
+            if r.path != "/up" {
+                n.timed(&r.path, since);
+            }
+            out
+        });
         http::serve(listener, most, node.stop.clone(), handler);
         node.wake.notify_all();
         for t in duties {
@@ -151,10 +170,57 @@
             "/checkin" if req.method == "POST" => self.check_in(req, relayed),
             "/up" if req.method == "GET" => self.up(),
             "/checkin" | "/up" => Response::error(405, "wrong method"),
+            // For people on call, by the controllers' own interface: users' connections never
+            // reach it.
+            p if relayed && p.starts_with(STATUS) => self.status(req),
             _ => api::handle(self, req, relayed),
         }
     }
 
+    fn status(&self, req: &Request) -> Response {
+        let team = req.path.strip_prefix(STATUS).and_then(|r| r.strip_prefix('/'));
+        let core = self.lock();
+        let me = &self.cfg.platform.label;
+        let leader = core.leader.as_ref().map(|l| l.label.clone());
+        if let Some(own) = &core.own {
+            let out_of_touch = (steady() - own.fresh).secs();
+            let view = own.fleet.status(team, steady(), wall());
+            let parts = json!([{ "part": 0, "owner": me, "token": own.claim.token }]);
+            let body = json!({
+                "node": me, "leader": leader, "parts": parts, "state_seen_s_ago": out_of_touch, "owner": view,
+            });
+            return Response::json(200, &body);
+        }
+        Response::json(200, &json!({ "node": me, "leader": leader, "owner": null }))
+    }
+
+    /// Keeps how long a request took, and now and then says how long they take.
+    fn timed(&self, path: &str, since: Steady) {
+        let took = (steady() - since).0.clamp(1, 60_000_000) as u64;
+        let mut l = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
+        let h = if path == "/checkin" { &mut l.workers } else { &mut l.users };
+        // Within the bounds by the clamp above.
+        let _ = h.record(took);
+        if (steady() - l.said).secs() < 60.0 {
+            return;
+        }
+        for (who, h) in [("users", &l.users), ("workers", &l.workers)] {
+            if !h.is_empty() {
+                tracing::info!(
+                    who,
+                    answers = h.len(),
+                    p50_us = h.value_at_quantile(0.5),
+                    p99_us = h.value_at_quantile(0.99),
+                    max_us = h.max(),
+                    "answer times of the last minute"
+                );
+            }
+        }
+        l.users.reset();
+        l.workers.reset();
+        l.said = steady();
+    }
+
     fn up(&self) -> Response {
         if self.lock().types.is_some() {
             Response::json(200, &json!({ "up": true }))
@@ -883,6 +949,10 @@
     }
 }
 
+fn histogram() -> Result<Histogram<u64>, hdrhistogram::CreationError> {
+    Histogram::new_with_bounds(1, 60_000_000, 2)
+}
+
 fn r_ok(state: &StateClient, lease: u64) -> bool {
     state.renew(lease).is_ok()
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -230,3 +230,13 @@
         Message::Relay(m) => Outcome::Answer(c.relay(m).await?.into_inner()),
     })
 }
+
+/// Asks one controller once, for the command line: no runtime is left running.
+pub fn ask(addr: SocketAddr, call: Call, timeout: Micros) -> anyhow::Result<Answer> {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+    rt.block_on(async {
+        let e = Endpoint::from_shared(format!("http://{addr}"))?;
+        let channel = e.connect_timeout(timeout.std()).timeout(timeout.std()).connect().await?;
+        Ok(PeerClient::new(channel).relay(call).await?.into_inner())
+    })
+}
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -13,6 +13,7 @@
 use milletlock::config::{Config, Operator, Platform};
 use milletlock::http::{self, Client, Request, Response};
 use milletlock::node::Node;
+use milletlock::peer::{self, Call};
 use milletlock::time::Micros;
 use milletlock::wire::{Order, ReportReply, TaskStage, Txn, Why};
 use serde_json::{json, Value};
@@ -82,6 +83,7 @@
 
 struct Service {
     addr: SocketAddr,
+    internal: SocketAddr,
     out: Arc<AtomicBool>,
 }
 
@@ -94,13 +96,14 @@
     let addr = free_port();
     let mut p = platform_json();
     p["serve_on"] = json!(addr);
-    p["internal_addr"] = json!(free_port());
+    let internal = free_port();
+    p["internal_addr"] = json!(internal);
     p["services"] = json!({ "cloud": cloud(), "state": state_service(out.clone()) });
     let platform = Platform::parse(&p.to_string(), "test").expect("settings");
     std::thread::spawn(move || {
         Node::run(Config { platform, operator: Operator::default() }, Arc::new(AtomicBool::new(false)))
     });
-    let s = Service { addr, out };
+    let s = Service { addr, internal, out };
     until("the controller is up", || s.get("/up").0 == 200);
     s
 }
@@ -248,6 +251,13 @@
     let v = s.get("/api/jobs/wk-000001").1;
     assert_eq!((v["stage"].as_str(), v["running"].as_u64()), (Some("running"), Some(1)));
 
+    // People on call see it between controllers, users never.
+    let call = Call { method: "GET".into(), path: "/status".into(), body: Vec::new() };
+    let status = peer::ask(s.internal, call, Micros::from_secs(5.0)).expect("a status");
+    let v: Value = serde_json::from_slice(&status.body).expect("JSON");
+    assert_eq!(v["owner"]["jobs"][0]["id"], "wk-000001");
+    assert_eq!(s.get("/status").0, 404);
+
     s.out.store(true, Ordering::SeqCst);
     assert_eq!(s.get("/api/jobs/wk-000001").0, 503);
     assert_eq!(s.submit(&json!(spec(2, 1, "batch"))).0, 503);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -397,3 +397,16 @@
     orders(&mut f, 63.0, &report("i-1", tally + 1, 7, &ended));
     assert_eq!(f.leaving(), ["i-1"]);
 }
+
+#[test]
+fn a_teams_status_shows_only_what_is_its_own() {
+    let mut f = ready(spec(1, 1, "batch"));
+    let mut other = spec(2, 1, "batch");
+    other.team = "tight".into();
+    f.job_put(record(other), 2, T0);
+    let all = f.status(None, at(1.0), wall(1.0));
+    assert_eq!((all.jobs.len(), all.machines.len()), (2, 1));
+    let one = f.status(Some("tight"), at(1.0), wall(1.0));
+    let ids: Vec<&str> = one.jobs.iter().map(|j| j.id.as_str()).collect();
+    assert_eq!((ids, one.machines.len()), (vec!["wk-000002"], 0));
+}
