--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1136,7 +1136,10 @@
     /// Plans anew if something changed, or the plan is old.
     pub fn replan(&mut self, now: Steady, wall: Wall) {
         let old = now - self.planned;
-        if !(self.dirty && old > Micros::from_millis(20) || old > Micros::from_secs(1.0)) {
+        // A plan looks at each pair of job and machine: many pairs are planned less often.
+        let pairs = (self.jobs.len() * self.machines.len()) as i64;
+        let gap = Micros::from_millis(20).max(Micros(pairs.min(250_000) * 2));
+        if !(self.dirty && old > gap || old > Micros::from_secs(1.0)) {
             return;
         }
         self.plan_now(now, wall);
