--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -10,9 +10,9 @@
 use crate::config::Config;
 use crate::fleet::{Fleet, Pending};
 use crate::history::{Key, Record};
-use crate::jobs::{done_key, final_key, job_key, FinalRecord, JobRecord, MachineRecord, Ranges};
+use crate::jobs::{done_key, final_key, job_key, FinalRecord, JobRecord, MachineRecord, Ranges, RECENT_KEY};
 use crate::state::{Applied, StateClient, StateError, Urgency};
-use crate::time::{steady, Micros, Steady, Wall};
+use crate::time::{steady, wall, Micros, Steady, Wall};
 use crate::wire::{Change, Guard, MachineType, Row, Stage, Txn};
 
 /// Key of the leader's leased record.
@@ -135,12 +135,13 @@
     let (machines, _) = state.list("machine/")?;
     let (done, _) = state.list("done/")?;
     let (history, _) = state.list("hist/")?;
-    load(&mut fleet, [jobs, machines, done, history].concat(), now);
+    let (recent, _) = state.list(RECENT_KEY)?;
+    load(&mut fleet, [recent, jobs, machines, done, history].concat(), now, wall());
     Ok((fleet, revision))
 }
 
 /// Takes records over into a new owner's world.
-pub fn load(fleet: &mut Fleet, rows: Vec<Row>, now: Steady) {
+pub fn load(fleet: &mut Fleet, rows: Vec<Row>, now: Steady, wall: Wall) {
     let unreadable =
         |key: &str, e: &dyn std::fmt::Display| tracing::error!(key, error = %e, "a record cannot be read");
     for r in rows {
@@ -164,6 +165,10 @@
                     fleet.inherit_done(id, chunk, text, r.stamp);
                 }
             }
+            (Some(RECENT_KEY), None, None) => match serde_json::from_value(r.value) {
+                Ok(list) => fleet.inherit_recent(list, now, wall),
+                Err(e) => unreadable(&r.key, &e),
+            },
             (Some("hist"), Some(_), Some(_)) => match serde_json::from_value::<Record>(r.value) {
                 Ok(h) => fleet.history.load(h),
                 Err(e) => unreadable(&r.key, &e),
@@ -180,11 +185,12 @@
     pending: Vec<Pending>,
     ops: usize,
     chunk: u32,
+    now: Steady,
     wall: Wall,
 ) -> Vec<Batch> {
     let mut out: Vec<Batch> = Vec::new();
     for p in pending {
-        let Some(w) = compose(fleet, p, ops, chunk, wall) else { continue };
+        let Some(w) = compose(fleet, p, ops, chunk, now, wall) else { continue };
         let fits = |b: &Batch| {
             b.txn.then.len() + w.then.len() <= ops
                 && b.txn.guards.len() + w.guards.len() <= 4 * ops
@@ -211,7 +217,7 @@
     out
 }
 
-fn compose(fleet: &mut Fleet, p: Pending, ops: usize, chunk: u32, wall: Wall) -> Option<Write> {
+fn compose(fleet: &mut Fleet, p: Pending, ops: usize, chunk: u32, now: Steady, wall: Wall) -> Option<Write> {
     let guard = |key: String, stamp: u64| Guard { key, stamp };
     let (mut guards, mut then, mut done) = (Vec::new(), Vec::new(), None);
     match &p {
@@ -265,6 +271,10 @@
             guards.push(guard(format!("machine/{id}"), m.stamp));
             then.push(Change::put(format!("machine/{id}"), json!(record)));
         }
+        Pending::Recent => {
+            let list = fleet.recent(now, wall, fleet.value_bytes().saturating_sub(64));
+            then.push(Change::put(RECENT_KEY, json!(list)));
+        }
         Pending::Orphan(key, stamp) => {
             guards.push(guard(key.clone(), *stamp));
             then.push(Change::drop(key.clone()));
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::config::{Config, Team};
 use crate::history::{History, Key};
 use crate::jobs::{
-    done_key, split_task, GangAttempt, Job, JobId, JobRecord, MachineId, MachineRecord, Ranges,
+    done_key, split_task, DemandRecord, GangAttempt, Job, JobId, JobRecord, MachineId, MachineRecord, Ranges,
 };
 use crate::sched::{self, Class, Held, Keep, Need, Plan, Room, Snapshot, TeamUse};
 use crate::time::{Micros, Steady, Wall};
@@ -177,6 +177,8 @@
     Unenrol(MachineId, u64),
     /// A chunk of done ranges that is no job's any more.
     Orphan(String, u64),
+    /// The list of recent jobs.
+    Recent,
 }
 
 /// Numbers for polls.
@@ -201,6 +203,8 @@
     hasty: bool,
 }
 
+/// How often the list of recent jobs is written at the most.
+const NOTE: Micros = Micros(10_000_000);
 /// How far back jobs count for what is kept.
 const RECENT: Micros = Micros(300_000_000);
 
@@ -236,6 +240,9 @@
     refused: BTreeMap<Offer, Steady>,
     /// Demands of recent jobs by type, for what low ranks leave free.
     demands: Vec<Demand>,
+    /// When the list of them was last written, and how many jobs had come by then.
+    noted: (Steady, u64),
+    came: u64,
     lease: Micros,
 }
 
@@ -269,6 +276,8 @@
             orphans: BTreeMap::new(),
             refused: BTreeMap::new(),
             demands: Vec::new(),
+            noted: (now, 0),
+            came: 0,
             lease,
         }
     }
@@ -290,6 +299,11 @@
         self.dirty = true;
     }
 
+    /// Bytes that a value may hold.
+    pub fn value_bytes(&self) -> usize {
+        self.cfg.value_bytes()
+    }
+
     /// The machine types.
     pub fn types(&self) -> &[MachineType] {
         &self.types
@@ -376,6 +390,7 @@
         let ready = slowest.fold(f64::INFINITY, f64::min);
         let aims = &self.cfg.platform.settings.objectives;
         let aim = aims.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
+        self.came += 1;
         self.demands.push(Demand {
             at: now,
             need: need_of(s),
@@ -386,6 +401,46 @@
         });
     }
 
+    /// Recent jobs as they are written: only what large machines are kept for, the latest first,
+    /// no more than fit the bytes.
+    pub fn recent(&self, now: Steady, wall: Wall, bytes: usize) -> Vec<DemandRecord> {
+        let name = |t: &usize| self.types.get(*t).map(|t| t.name.clone());
+        let mut left = bytes;
+        let kept = self.demands.iter().rev().filter(|d| d.hasty || d.rank > Rank::Idle);
+        kept.map(|d| DemandRecord {
+            at_us: (wall - (now - d.at)).0,
+            need: (d.need.cpus, d.need.gpus, d.need.memory),
+            rank: d.rank,
+            types: d.types.iter().filter_map(name).collect(),
+            work: d.work,
+            hasty: d.hasty,
+        })
+        .take_while(|r| {
+            let size = 200 + r.types.iter().map(|t| t.len() + 3).sum::<usize>();
+            left = left.saturating_sub(size);
+            left > 0
+        })
+        .collect()
+    }
+
+    /// Takes over the list of recent jobs. Those that are still live are in it twice only if they
+    /// were loaded before; so it is loaded first.
+    pub fn inherit_recent(&mut self, list: Vec<DemandRecord>, now: Steady, wall: Wall) {
+        for r in list {
+            let age = (wall - Wall(r.at_us)).max(Micros::ZERO);
+            let index = |n: &String| self.types.iter().position(|t| t.name == *n);
+            self.demands.push(Demand {
+                at: now - age,
+                need: Need { cpus: r.need.0, gpus: r.need.1, memory: r.need.2 },
+                rank: r.rank,
+                types: r.types.iter().filter_map(index).collect(),
+                work: r.work,
+                hasty: r.hasty,
+            });
+        }
+        self.demands.retain(|d| now - d.at < RECENT);
+    }
+
     /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, and
     /// one more, since a new machine would come too late for the next.
     fn warm(&self, now: Steady) -> Vec<usize> {
@@ -1473,6 +1528,9 @@
             }
         }
         v.extend(self.unenrol.iter().map(|(id, s)| Pending::Unenrol(id.clone(), *s)));
+        if self.came > self.noted.1 && now - self.noted.0 > NOTE {
+            v.push(Pending::Recent);
+        }
         v.extend(self.orphans.iter().map(|(k, s)| Pending::Orphan(k.clone(), *s)));
         v.sort();
         v
@@ -1488,6 +1546,7 @@
             Pending::Orphan(key, _) => {
                 self.orphans.remove(key);
             }
+            Pending::Recent => self.noted = (now, self.came),
             Pending::Enrol(id) => {
                 if let Some(m) = self.machines.get_mut(id) {
                     m.enrolled = true;
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::time::{Micros, Steady, Wall};
-use crate::wire::{JobSpec, Stage};
+use crate::wire::{JobSpec, Rank, Stage};
 
 /// A job's id.
 pub type JobId = Arc<str>;
@@ -160,6 +160,27 @@
     pub spot: bool,
 }
 
+/// A recent job, as far as what is kept for its like goes. The list of them is written now and
+/// then under `recent`, so that a new owner does not return what the next such job needs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DemandRecord {
+    /// When it came, in microseconds of the time of day.
+    pub at_us: i64,
+    /// Processors, cards and memory of a task.
+    pub need: (f64, f64, f64),
+    /// Its rank.
+    pub rank: Rank,
+    /// Names of the types it may use.
+    pub types: Vec<String>,
+    /// Task-seconds, by the stated time.
+    pub work: f64,
+    /// Its class should start sooner than a machine boots and fetches.
+    pub hasty: bool,
+}
+
+/// Key of the list of recent jobs.
+pub const RECENT_KEY: &str = "recent";
+
 /// Key of a live job.
 pub fn job_key(id: &str) -> String {
     format!("job/{id}")
--- a/src/node.rs
+++ b/src/node.rs
@@ -751,7 +751,7 @@
                     let pending = own.fleet.pending(now, Micros::from_millis(1500), chunk);
                     (
                         own.claim.clone(),
-                        cluster::batches(&mut own.fleet, own.claim.part, pending, ops, chunk, wall()),
+                        cluster::batches(&mut own.fleet, own.claim.part, pending, ops, chunk, now, wall()),
                     )
                 })
             };
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -410,3 +410,25 @@
     let ids: Vec<&str> = one.jobs.iter().map(|j| j.id.as_str()).collect();
     assert_eq!((ids, one.machines.len()), (vec!["wk-000002"], 0));
 }
+
+#[test]
+fn a_new_owner_knows_what_large_machines_are_kept_for() {
+    // Without it, each takeover returned the idle machines that the next urgent job needed.
+    let mut hasty = spec(1, 1, "gang");
+    hasty.class = Some("quick".into());
+    hasty.image_gb = 5.0;
+    hasty.cpus = 15.0;
+    let mut f = fleet(7);
+    f.job_put(record(hasty), 1, T0);
+    assert!(f.pending(at(20.0), Micros::ZERO, 1000).contains(&Pending::Recent));
+    let list = f.recent(at(20.0), wall(20.0), 4000);
+    assert_eq!(list.len(), 1);
+    let mut next = fleet(8);
+    next.inherit_recent(list, at(30.0), wall(30.0));
+    let again = next.recent(at(30.0), wall(30.0), 4000);
+    assert_eq!(
+        (again[0].at_us, again[0].hasty, &again[0].types[..]),
+        (wall(0.0).0, true, &["large".to_string()][..])
+    );
+    assert!(f.recent(at(20.0), wall(20.0), 50).is_empty(), "a list that does not fit a value");
+}
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -154,8 +154,11 @@
         let then = vec![Change::put("term", json!(token)), Change::put("part/0", json!(token))];
         let part = self.store.txn(&Txn { guards: vec![], then }).expect("no guards");
         let mut fleet = Fleet::new(config(), types(), token, self.now);
-        let rows = ["job/", "machine/", "done/", "hist/"].iter().flat_map(|p| self.store.rows(p)).collect();
-        cluster::load(&mut fleet, rows, self.now);
+        let rows = ["recent", "job/", "machine/", "done/", "hist/"]
+            .iter()
+            .flat_map(|p| self.store.rows(p))
+            .collect();
+        cluster::load(&mut fleet, rows, self.now, self.wall());
         self.owners.push(Owner { fleet, part, watched: self.store.revision });
         if self.owners.len() > 3 {
             self.owners.remove(0);
@@ -218,7 +221,7 @@
             let o = &mut self.owners[i];
             o.fleet.tick(now, wall);
             let pending = o.fleet.pending(now, Micros(1_500_000), chunk);
-            for b in cluster::batches(&mut o.fleet, o.part, pending, 8, chunk, wall) {
+            for b in cluster::batches(&mut o.fleet, o.part, pending, 8, chunk, now, wall) {
                 if !self.apply(i, &b) {
                     break;
                 }
