--- a/src/config.rs
+++ b/src/config.rs
@@ -223,7 +223,7 @@
     fn default() -> Self {
         Operator {
             leader_ttl_s: 3.0,
-            fence_after_s: 15.0,
+            fence_after_s: 25.0,
             drain_s: 60.0,
             idle_s: 15.0,
             idle_protected_s: 20.0,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -441,8 +441,8 @@
         self.demands.retain(|d| now - d.at < RECENT);
     }
 
-    /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, and
-    /// one more, since a new machine would come too late for the next.
+    /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, with
+    /// some to spare, since a new machine would come too late for the next.
     fn warm(&self, now: Steady) -> Vec<usize> {
         let hasty = || self.demands.iter().filter(|d| d.hasty).map(|d| d.at);
         let (Some(first), Some(last)) = (hasty().min(), hasty().max()) else {
@@ -460,7 +460,11 @@
                     (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true)
                 });
                 if any {
-                    (work / span + 0.5).round() as usize
+                    {
+                        // Square-root staffing: the mean in use, and its spread beside it.
+                        let load = work / span;
+                        (load + load.sqrt()).round().max(1.0) as usize
+                    }
                 } else {
                     0
                 }
