--- a/src/node.rs
+++ b/src/node.rs
@@ -82,11 +82,22 @@
 }
 
 impl Node {
-    /// Starts all duties; returns when `stop` is set.
+    /// Listens where the settings say, and runs.
     pub fn run(cfg: Config, stop: Arc<AtomicBool>) -> anyhow::Result<()> {
+        let listener = TcpListener::bind(cfg.platform.serve_on)?;
+        let internal = TcpListener::bind(cfg.platform.internal_addr)?;
+        Node::run_on(cfg, listener, internal, stop)
+    }
+
+    /// Starts all duties; returns when `stop` is set.
+    pub fn run_on(
+        cfg: Config,
+        listener: TcpListener,
+        internal: TcpListener,
+        stop: Arc<AtomicBool>,
+    ) -> anyhow::Result<()> {
         let p = &cfg.platform;
-        let (peers, inbound) = PeerHub::start(p.internal_addr, p.members.iter().map(|m| m.addr).collect())?;
-        let listener = TcpListener::bind(p.serve_on)?;
+        let (peers, inbound) = PeerHub::start(internal, p.members.iter().map(|m| m.addr).collect())?;
         let nodes = cfg.nodes() as f64;
         let st = &p.settings.state;
         // The leader writes for all, so it is allowed more of the changes than the others.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,7 +1,7 @@
 //! gRPC between the controllers. `tonic` is asynchronous: it has one runtime on one thread, and
 //! channels lead to and from the blocking routines. Nothing else in the program is asynchronous.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::time::Duration;
 
@@ -78,7 +78,6 @@
         let (out, orders) = tokio::sync::mpsc::channel(64);
         let (inbound, messages) = sync_channel(64);
         let count = members.len();
-        let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
         std::thread::Builder::new().name("peer".into()).stack_size(1024 * 1024).spawn(move || {
             if let Err(e) = run(listener, members, orders, inbound) {
@@ -165,7 +164,7 @@
 }
 
 fn run(
-    listener: std::net::TcpListener,
+    listener: TcpListener,
     members: Vec<SocketAddr>,
     orders: tokio::sync::mpsc::Receiver<Outbound>,
     inbound: SyncSender<Inbound>,
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -87,22 +87,18 @@
     out: Arc<AtomicBool>,
 }
 
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
-}
-
 fn start() -> Service {
     let out = Arc::new(AtomicBool::new(false));
-    let addr = free_port();
+    // Bound here and handed over, so that no other test can take the port in between.
+    let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (users, others) = (bind(), bind());
+    let at = |l: &TcpListener| l.local_addr().expect("an address");
+    let (addr, internal) = (at(&users), at(&others));
     let mut p = platform_json();
-    p["serve_on"] = json!(addr);
-    let internal = free_port();
-    p["internal_addr"] = json!(internal);
     p["services"] = json!({ "cloud": cloud(), "state": state_service(out.clone()) });
     let platform = Platform::parse(&p.to_string(), "test").expect("settings");
-    std::thread::spawn(move || {
-        Node::run(Config { platform, operator: Operator::default() }, Arc::new(AtomicBool::new(false)))
-    });
+    let cfg = Config { platform, operator: Operator::default() };
+    std::thread::spawn(move || Node::run_on(cfg, users, others, Arc::new(AtomicBool::new(false))));
     let s = Service { addr, internal, out };
     until("the controller is up", || s.get("/up").0 == 200);
     s
