--- a/src/peer.rs
+++ b/src/peer.rs
@@ -72,7 +72,7 @@
 impl PeerHub {
     /// Starts the runtime's thread; messages from others come out of the receiver.
     pub fn start(
-        listen: SocketAddr,
+        listener: TcpListener,
         members: Vec<SocketAddr>,
     ) -> std::io::Result<(PeerHub, Receiver<Inbound>)> {
         let (out, orders) = tokio::sync::mpsc::channel(64);
