--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -200,7 +200,7 @@
             let horizon = self.policy.drain.secs() + boot;
             let mut supply = 0.0;
             for (m, r) in self.snapshot.rooms.iter().enumerate() {
-                let kept = self.snapshot.keep.get(r.ty).copied().flatten().is_some_and(|k| c.rank < k.rank);
+                let kept = self.snapshot.kept(r.ty).is_some_and(|k| c.rank < k.rank);
                 if !allowed(c, r)
                     || r.until.is_some()
                     || kept
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -53,12 +53,6 @@
     pub first: bool,
 }
 
-/// Reads the leader's record.
-pub fn leader(state: &StateClient) -> Result<Option<(Owner, u64)>, StateError> {
-    let row = state.get(LEADER, Urgency::Ownership)?;
-    Ok(row.and_then(|r| Some((serde_json::from_value(r.value).ok()?, r.stamp))))
-}
-
 /// Tries to take everything over, given the version of the leader's record that is to be
 /// replaced (0: there is none). `None`: another was faster.
 pub fn claim(
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -369,9 +369,8 @@
         self.demand(&job.spec, now);
         // Tasks of the job may have been reported before its record was known.
         for m in self.machines.values_mut() {
-            for (k, e) in m.tasks.iter_mut().filter(|(k, _)| k.0 == id) {
+            for (_, e) in m.tasks.iter_mut().filter(|(k, _)| k.0 == id) {
                 e.need = Some(need);
-                let _ = k;
             }
         }
         self.jobs.insert(id.clone(), job);
@@ -622,7 +621,7 @@
             self.machines.insert(id.clone(), Machine::new(&id, now));
         }
         self.describe(&id, &r.addr, &r.ty, &r.zone, r.spot);
-        let newer = self.take_report(&id, r, now, wall);
+        let newer = self.take_report(&id, r, now);
         if let Some(m) = self.machines.get_mut(&id) {
             m.answered = Some(now);
             m.report = now;
@@ -636,18 +635,18 @@
     /// Takes the report that a direct command returned: it only tells that our token has arrived.
     /// Its task list may be older than a start on its way, so once the machine is heard it is not
     /// used at all. Returns a higher token, if one shows.
-    pub fn raised(&mut self, r: &Report, now: Steady, wall: Wall) -> Option<u64> {
+    pub fn raised(&mut self, r: &Report, now: Steady) -> Option<u64> {
         if r.token > self.token {
             return Some(r.token);
         }
         let id: MachineId = r.machine.as_str().into();
         if self.machines.get(&id).is_some_and(|m| !m.heard) {
-            self.take_report(&id, r, now, wall);
+            self.take_report(&id, r, now);
         }
         None
     }
 
-    fn take_report(&mut self, id: &MachineId, r: &Report, now: Steady, wall: Wall) -> bool {
+    fn take_report(&mut self, id: &MachineId, r: &Report, now: Steady) -> bool {
         let Some(m) = self.machines.get_mut(id) else { return false };
         if (r.season, r.tally) <= m.seen {
             return false;
@@ -676,7 +675,7 @@
             };
             let key: TaskKey = (job.into(), n, t.attempt);
             there.insert(key.clone());
-            self.take_task(id, key, t, now, wall);
+            self.take_task(id, key, t, now);
         }
         let Some(m) = self.machines.get_mut(id) else { return false };
         let absent: Vec<TaskKey> = m.tasks.keys().filter(|k| !there.contains(*k)).cloned().collect();
@@ -696,7 +695,7 @@
         true
     }
 
-    fn take_task(&mut self, id: &MachineId, key: TaskKey, t: &TaskReport, now: Steady, wall: Wall) {
+    fn take_task(&mut self, id: &MachineId, key: TaskKey, t: &TaskReport, now: Steady) {
         let job = self
             .jobs
             .get(&key.0)
@@ -751,21 +750,13 @@
             let why = t.why.unwrap_or(Why::Other);
             e.ended = Some(why);
             let ran = e.running.map(|r| now - r);
-            self.exited(id, &key, why, ran, now, wall);
+            self.exited(id, &key, why, ran, now);
         } else if before != e.stage && (fresh || before.is_none()) {
             self.refresh(&key.0, key.1);
         }
     }
 
-    fn exited(
-        &mut self,
-        id: &MachineId,
-        key: &TaskKey,
-        why: Why,
-        ran: Option<Micros>,
-        now: Steady,
-        _wall: Wall,
-    ) {
+    fn exited(&mut self, id: &MachineId, key: &TaskKey, why: Why, ran: Option<Micros>, now: Steady) {
         tracing::debug!(machine = %id, job = %key.0, task = key.1, ?why, "a task ended");
         if let Some(m) = self.machines.get_mut(id) {
             match why {
@@ -1010,17 +1001,15 @@
 
     fn snapshot(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>, Vec<JobId>) {
         self.demands.retain(|d| now - d.at < RECENT);
-        let demands = std::mem::take(&mut self.demands);
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
         let mut s = Snapshot {
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
             clear: self.cfg.operator.keep_clear,
             coarse: report.scale(1.5),
-            keep: self.keep(&demands),
+            keep: self.keep(),
             ..Snapshot::default()
         };
-        self.demands = demands;
         let mut machines = Vec::new();
         for m in self.machines.values() {
             let Some(ty) = m.ty else { continue };
@@ -1123,6 +1112,7 @@
             } else {
                 j.waiting.len()
             };
+            let (waited, adjusted) = (wall - j.submitted, self.adjusted(sp, wall));
             jobs.push(j.id.clone());
             classes.push(Class {
                 rank: sp.rank,
@@ -1139,11 +1129,11 @@
                 spot: sp.spot,
                 image: None,
                 image_gb: sp.image_gb,
-                adjusted: self.adjusted(sp, wall),
-                waited: wall - j.submitted,
+                adjusted,
+                waited,
                 zones: self.zones_of(j),
-                late: self.late(sp, wall - j.submitted, wall),
-                patience: self.patience(sp) - (wall - j.submitted),
+                late: self.late(sp, waited, adjusted),
+                patience: self.patience(sp) - waited,
             });
         }
         for (c, name) in classes.iter_mut().zip(image_of) {
@@ -1156,12 +1146,12 @@
 
     /// Whether a job's aim is lost. So that nothing starves, that stops counting against it after
     /// five times the aim.
-    fn late(&self, s: &JobSpec, waited: Micros, wall: Wall) -> bool {
+    fn late(&self, s: &JobSpec, waited: Micros, adjusted: Micros) -> bool {
         let aims = &self.cfg.platform.settings.objectives;
         let finished = aims.iter().filter(|o| o.kind == "finished" && Some(&o.class) == s.class.as_ref());
         let due = s.deadline_s.or(finished.map(|o| o.within_s).reduce(f64::max));
         due.is_some_and(|due| {
-            let end = waited.secs() + 0.7 * self.adjusted(s, wall).secs();
+            let end = waited.secs() + 0.7 * adjusted.secs();
             end > due && waited.secs() < 5.0 * due
         })
     }
@@ -1177,11 +1167,11 @@
     }
 
     /// By type: the largest recent demand of a higher rank that no smaller type takes.
-    fn keep(&self, demands: &[Demand]) -> Vec<Option<Keep>> {
+    fn keep(&self) -> Vec<Option<Keep>> {
         let size = |t: &MachineType| t.cpus + 8.0 * t.gpus;
         (0..self.types.len())
             .map(|ty| {
-                demands
+                self.demands
                     .iter()
                     .filter(|d| d.rank > Rank::Idle && d.types.contains(&ty))
                     .filter(|d| d.types.iter().all(|&o| size(&self.types[o]) >= size(&self.types[ty])))
@@ -1543,10 +1533,8 @@
     /// A write has been applied at a revision.
     pub fn written(&mut self, p: &Pending, revision: u64, done: Option<&Ranges>, now: Steady) {
         match p {
-            Pending::Final(id) => {
-                self.job_over(id, revision);
-                // Most went in the same transaction; a guard tells which did not.
-            }
+            // Its chunks, most of them gone in the same transaction, become orphans to be removed.
+            Pending::Final(id) => self.job_over(id, revision),
             Pending::Orphan(key, _) => {
                 self.orphans.remove(key);
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -512,6 +512,7 @@
 
     fn hold(&self, lease: u64, token: u64) {
         let r = self.state.renew(lease);
+        let renewed = r.is_ok();
         let mut core = self.lock();
         if core.own.as_ref().is_none_or(|o| o.claim.token != token) {
             return;
@@ -531,7 +532,7 @@
                 && now - o.last_peer > Micros::from_secs(3.0)
                 && o.fleet.machines.values().filter(|m| m.up).count() > 1
         });
-        if alone && r_ok(&self.state, lease) {
+        if alone && renewed {
             core.hold_off = now + Micros::from_secs(8.0);
             self.step_down(&mut core, 0, "hears neither workers nor controllers");
             drop(core);
@@ -736,7 +737,7 @@
             }
             let mut core = self.lock();
             let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
-            if let Some(higher) = own.fleet.raised(&r, steady(), wall()) {
+            if let Some(higher) = own.fleet.raised(&r, steady()) {
                 self.step_down(&mut core, higher, "a worker has seen a higher token");
             }
             return;
@@ -963,7 +964,3 @@
 fn histogram() -> Result<Histogram<u64>, hdrhistogram::CreationError> {
     Histogram::new_with_bounds(1, 60_000_000, 2)
 }
-
-fn r_ok(state: &StateClient, lease: u64) -> bool {
-    state.renew(lease).is_ok()
-}
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -205,6 +205,13 @@
     pub clear: usize,
 }
 
+impl Snapshot {
+    /// What is kept on a type, if anything is.
+    pub fn kept(&self, ty: usize) -> Option<Keep> {
+        self.keep.get(ty).copied().flatten()
+    }
+}
+
 /// Tasks of a class to start on a room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Start {
@@ -285,7 +292,7 @@
             .rooms
             .iter()
             .map(|r| {
-                let k = s.keep.get(r.ty).copied().flatten()?;
+                let k = s.kept(r.ty)?;
                 if clear[r.ty] >= s.clear || r.free.fits(&k.need) == 0 || r.until.is_some() {
                     return None;
                 }
@@ -312,7 +319,7 @@
     }
 
     fn low(&self, c: &Class, r: &Room) -> bool {
-        self.s.keep.get(r.ty).copied().flatten().is_some_and(|k| c.rank < k.rank)
+        self.s.kept(r.ty).is_some_and(|k| c.rank < k.rank)
     }
 
     /// Seconds until a task of the class would run there.
@@ -627,7 +634,7 @@
         }
         out.unmet.push((class, left));
         for &ty in &c.types {
-            let kept = s.keep.get(ty).copied().flatten().is_some_and(|k| c.rank >= k.rank);
+            let kept = s.kept(ty).is_some_and(|k| c.rank >= k.rank);
             if let (true, Some(w)) = (kept, w.wanted.get_mut(ty)) {
                 *w = true;
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,7 +6,9 @@
 
 use milletlock::config::{Config, Operator, Platform};
 use milletlock::jobs::JobRecord;
-use milletlock::wire::{Change, JobSpec, MachineType, Report, Row, TaskReport, TaskStage, Txn, Why};
+use milletlock::sched::{Class, Need};
+use milletlock::time::Micros;
+use milletlock::wire::{Change, JobSpec, MachineType, Rank, Report, Row, TaskReport, TaskStage, Txn, Why};
 use serde_json::{json, Value};
 
 /// A platform's settings file, with one limited and one free team.
@@ -145,3 +147,38 @@
         self.keys.keys().filter(|k| k.starts_with(prefix)).filter_map(|k| self.row(k)).collect()
     }
 }
+
+/// Whole seconds.
+pub fn secs(s: i64) -> Micros {
+    Micros(s * 1_000_000)
+}
+
+/// So many processors, and as much memory.
+pub fn need(cpus: f64) -> Need {
+    Need { cpus, gpus: 0.0, memory: cpus }
+}
+
+/// An array's class of one-processor tasks on the first type.
+pub fn class(count: u32, adjusted: i64, waited: i64) -> Class {
+    Class {
+        rank: Rank::Normal,
+        team: 0,
+        guaranteed: false,
+        count,
+        tasks: count,
+        gang: false,
+        need: need(1.0),
+        types: vec![0],
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: None,
+        image_gb: 0.0,
+        adjusted: secs(adjusted),
+        waited: secs(waited),
+        zones: vec![0, 0],
+        late: false,
+        patience: secs(10),
+    }
+}
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -1,18 +1,13 @@
 //! The planner against a slow plain model, task by task, on random cases.
 
+mod common;
+
+use common::{need, secs};
 use milletlock::sched::{plan, Class, Held, Keep, Need, Plan, Room, Snapshot, Start, TeamUse};
 use milletlock::time::Micros;
 use milletlock::wire::Rank;
 use proptest::prelude::*;
 
-fn secs(s: i64) -> Micros {
-    Micros(s * 1_000_000)
-}
-
-fn need(cpus: f64) -> Need {
-    Need { cpus, gpus: 0.0, memory: cpus }
-}
-
 fn rank() -> impl Strategy<Value = Rank> {
     prop_oneof![Just(Rank::Idle), Just(Rank::Normal), Just(Rank::Urgent), Just(Rank::Critical)]
 }
@@ -336,27 +331,7 @@
 
 #[test]
 fn the_queue_goes_by_rank_then_by_the_cubed_ratio_times_size() {
-    let base = Class {
-        rank: Rank::Normal,
-        team: 0,
-        guaranteed: false,
-        count: 2,
-        tasks: 2,
-        gang: false,
-        need: need(1.0),
-        types: vec![0],
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        image: None,
-        image_gb: 0.0,
-        adjusted: secs(10),
-        waited: secs(20),
-        zones: vec![0, 0],
-        patience: secs(10),
-        late: false,
-    };
+    let base = common::class(2, 10, 20);
     // (20/10)^3 x 2 = 16; (30/10)^3 x 1 = 27; (20/10)^3 x 4 = 32; urgent whatever its score.
     let b = Class { waited: secs(30), count: 1, ..base.clone() };
     let c = Class { count: 4, ..base.clone() };
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -1,42 +1,13 @@
 //! Renting and returning: what a wrong estimate, a refused offer and an idle machine lead to.
 
+mod common;
+
+use common::{class, need, secs};
 use milletlock::capacity::{Offer, Policy, Upkeep, View};
-use milletlock::sched::{plan, Class, Held, Need, Room, Snapshot};
+use milletlock::sched::{plan, Class, Held, Room, Snapshot};
 use milletlock::time::Micros;
 use milletlock::wire::{MachineType, Rank};
 
-fn secs(s: i64) -> Micros {
-    Micros(s * 1_000_000)
-}
-
-fn need(cpus: f64) -> Need {
-    Need { cpus, gpus: 0.0, memory: cpus }
-}
-
-fn class(count: u32, adjusted: i64, waited: i64) -> Class {
-    Class {
-        rank: Rank::Normal,
-        team: 0,
-        guaranteed: false,
-        count,
-        tasks: count,
-        gang: false,
-        need: need(1.0),
-        types: vec![0],
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        image: None,
-        image_gb: 0.0,
-        adjusted: secs(adjusted),
-        waited: secs(waited),
-        zones: vec![0],
-        late: false,
-        patience: secs(10),
-    }
-}
-
 /// A machine of eight processors with this many one-processor tasks.
 fn room(held: usize, left: i64) -> Room {
     let one = Held {
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -188,7 +188,7 @@
 fn p05_a_higher_token_ends_ownership_and_is_never_answered_with_200() {
     let mut f = ready(spec(1, 1, "batch"));
     assert_eq!(f.check_in(&report("i-1", 2, 8, &[]), at(1.0), wall(1.0)), CheckIn::Superseded(8));
-    assert_eq!(f.raised(&report("i-1", 3, 9, &[]), at(1.0), wall(1.0)), Some(9));
+    assert_eq!(f.raised(&report("i-1", 3, 9, &[]), at(1.0)), Some(9));
 }
 
 #[test]
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -342,8 +342,8 @@
             }
             let r = self.workers[w].report();
             if !self.chance(0.2) {
-                let (now, wall) = (self.now, self.wall());
-                let _ = self.owners[i].fleet.raised(&r, now, wall);
+                let now = self.now;
+                let _ = self.owners[i].fleet.raised(&r, now);
             }
         }
     }
