Workers for whom a start waits are rung; plans are made beside the answers

Cause: a gang's starts wait for each machine's next report. An ended task is kept on each worker, and a direct command to forget it makes the worker report.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -108,6 +108,10 @@
     pub sent: Vec<TaskKey>,
     /// Answers in a row that by the next report did not arrive.
     pub deaf: u32,
+    /// An ended task that is kept on the worker, so that forgetting it makes the worker report.
+    pub bell: Option<TaskKey>,
+    /// When it was rung.
+    pub rung: Steady,
 }
 
 impl Machine {
@@ -141,9 +145,16 @@
             report: Steady(0),
             sent: Vec::new(),
             deaf: 0,
+            bell: None,
+            rung: Steady(0),
         }
     }
 
+    /// Nothing is on it but what is kept to ring it by.
+    fn idle(&self) -> bool {
+        self.tasks.keys().all(|k| self.bell.as_ref() == Some(k))
+    }
+
     /// A task of a job that is not known takes an unknown share.
     fn unknown_use(&self) -> bool {
         self.tasks.values().any(|e| e.live() && e.need.is_none())
@@ -174,6 +185,19 @@
     Refuse,
 }
 
+/// A command that makes a worker report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ring {
+    /// The machine.
+    pub machine: MachineId,
+    /// Where its worker takes commands.
+    pub addr: String,
+    /// Its session.
+    pub season: u64,
+    /// The command.
+    pub order: Order,
+}
+
 /// Something to write for the owner.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Pending {
@@ -312,6 +336,11 @@
 /// How long a machine that the cloud says is running is waited for after its lease ran out.
 const CUT: Micros = Micros(40_000_000);
 const MARGIN: Micros = Micros(1_500_000);
+/// With no more pairs of job and machine than this, each report is answered on a plan of the
+/// moment; with more, plans are made beside the answers.
+const SMALL: usize = 4_000;
+/// A worker reports at most once in this time.
+const RING_AFTER: Micros = Micros(450_000);
 /// So long a worker is waited for before a new owner's token is brought to it.
 const RAISE_AFTER: Micros = Micros(1_500_000);
 /// After so many answers in a row that did not arrive, a machine is returned.
@@ -851,7 +880,8 @@
             }
         }
         if let Some(m) = self.machines.get_mut(id) {
-            if !m.tasks.is_empty() {
+            m.bell = m.bell.take().filter(|b| m.tasks.contains_key(b));
+            if !m.idle() {
                 m.idle = now;
             }
         }
@@ -938,6 +968,7 @@
             && before != Some(TaskStage::Running)
         {
             e.running = Some(now);
+            tracing::debug!(machine = %id, job = %key.0, task = key.1, "runs");
         }
         if let Some((image, gb)) = image {
             if before != e.stage {
@@ -1009,6 +1040,7 @@
 
     fn orders(&mut self, id: &MachineId, now: Steady, wall: Wall) -> Vec<Order> {
         let mut out = Vec::new();
+        let mut bell = None;
         if let Some(m) = self.machines.get(id) {
             for (k, e) in &m.tasks {
                 let task = format!("{}/{}", k.0, k.1);
@@ -1018,7 +1050,9 @@
                             Some(j) if why == Why::Done && !j.cancelled => j.done_written.contains(k.1),
                             _ => true,
                         };
-                        if written {
+                        if written && (bell.is_none() || bell.as_ref() == Some(k)) {
+                            bell = Some(k.clone());
+                        } else if written {
                             out.push(Order::Forget { task, attempt: k.2 });
                         }
                     }
@@ -1027,11 +1061,60 @@
                 }
             }
         }
-        self.replan(now, wall);
+        if let Some(m) = self.machines.get_mut(id) {
+            m.bell = bell;
+        }
+        if self.jobs.len() * self.machines.len() <= SMALL {
+            // Cheap enough to be up to date with what was just reported.
+            self.replan(now, wall);
+        }
         self.start_on(id, now, &mut out);
         out
     }
 
+    /// Workers that should report before their time, since starts wait for them: each with the
+    /// command that makes it do so, to forget the ended task that was kept for this. Gangs first,
+    /// no more than `most`. Such a command does no harm if it is late or repeated.
+    pub fn rings(&mut self, now: Steady, most: usize) -> Vec<Ring> {
+        let gangs = self.promised.iter().filter(|(_, list)| list.iter().any(|(id, n)| self.marked(id, *n)));
+        let arrays = self.assigned.iter().filter(|(_, list)| list.iter().any(|(id, _)| self.marked(id, 0)));
+        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
+        let soon = |m: &Machine, left: f64| m.report + report.scale(0.75) < now + Micros::from_secs(left);
+        let due = |id: &MachineId, left: f64| {
+            self.machines
+                .get(id)
+                .filter(|m| m.bell.is_some() && m.usable(now) && !m.addr.is_empty())
+                .filter(|m| m.rung <= m.report && now - m.report > RING_AFTER && !soon(m, left))
+        };
+        let gangs = gangs.filter_map(|x| due(x.0, 0.5));
+        let arrays = arrays.filter_map(|x| due(x.0, 1.5));
+        let rings: Vec<Ring> = gangs
+            .chain(arrays)
+            .take(most)
+            .filter_map(|m| {
+                let (job, n, attempt) = m.bell.as_ref()?;
+                let order = Order::Forget { task: format!("{job}/{n}"), attempt: *attempt };
+                Some(Ring { machine: m.id.clone(), addr: m.addr.clone(), season: m.seen.0, order })
+            })
+            .collect();
+        for r in &rings {
+            if let Some(m) = self.machines.get_mut(&r.machine) {
+                m.rung = now;
+            }
+        }
+        rings
+    }
+
+    /// Whether starts wait for a mark to be written.
+    pub fn starts_wait(&self) -> bool {
+        self.jobs.values().any(|j| j.high_wanted > j.high && !j.cancelled)
+    }
+
+    /// Whether the mark that lets a task start is written.
+    fn marked(&self, id: &JobId, n: u32) -> bool {
+        self.jobs.get(id).is_some_and(|j| j.high > n)
+    }
+
     /// Starts what is assigned to the machine that is being answered, and what else of the waiting
     /// array tasks finds room there before the next plan.
     fn start_on(&mut self, id: &MachineId, now: Steady, out: &mut Vec<Order>) {
@@ -1097,6 +1180,9 @@
             Some(g) => {
                 g.sent.insert(n);
                 g.since.get_or_insert(now);
+                if g.sent.len() as usize == g.places.len() {
+                    tracing::debug!(job = %job, "all of the gang's starts have left");
+                }
                 g.attempt
             }
             None => fresh_attempt,
@@ -1549,6 +1635,7 @@
             let attempt = self.next_attempt();
             let Some(j) = self.jobs.get_mut(&jobs[class]) else { continue };
             let places = j.waiting.iter().zip(at).collect();
+            tracing::debug!(job = %j.id, tasks = j.spec.tasks, attempt, waited = s.classes[class].waited.secs(), "gang placed");
             j.high_wanted = j.spec.tasks;
             j.gang = Some(GangAttempt { attempt, places, sent: Ranges::new(), since: None, stopping: None });
         }
@@ -1670,7 +1757,7 @@
             .filter_map(|id| self.machines.get(id))
             .map(|m| Upkeep {
                 age: m.age + (now - m.known),
-                idle: (m.up && m.tasks.is_empty()).then(|| now - m.idle),
+                idle: (m.up && m.idle()).then(|| now - m.idle),
                 booting: !m.up,
             })
             .collect();
@@ -1707,7 +1794,7 @@
         };
         let d = view.decide();
         for m in d.returns {
-            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.tasks.is_empty()) {
+            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.idle()) {
                 tracing::info!(machine = %m.id, "returned: idle");
                 m.leaving = true;
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,7 +16,7 @@
 use crate::cloud::{CloudClient, CloudError};
 use crate::cluster::{self, Batch, Claim, Owner, LEADER, PART};
 use crate::config::Config;
-use crate::fleet::{CheckIn, Counts, Fleet, Pending};
+use crate::fleet::{CheckIn, Counts, Fleet, Pending, Ring};
 use crate::http::{self, Client, Request, Response};
 use crate::jobs::{chunk_tasks, FinalRecord, JobId, JobRecord, MachineId};
 use crate::peer::{Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
@@ -67,6 +67,8 @@
 const FINALS_KEPT: usize = 20_000;
 /// Routines that bring a new token to machines at once.
 const RAISERS: usize = 16;
+/// Most workers that are made to report at once.
+const MOST_RUNG: usize = 32;
 /// Most machines in one request for some.
 const MOST_RENTED: u32 = 50;
 /// How often the done ranges of a job that goes on are written; its workers keep the results.
@@ -131,6 +133,8 @@
         duty("cloud", Node::tend)?;
         duty("announcer", Node::announce)?;
         duty("raiser", Node::raise)?;
+        duty("planner", Node::plan)?;
+        duty("ringer", Node::ring)?;
         let inbound = Arc::new(Mutex::new(inbound));
         for i in 0..3 {
             let (n, inbound) = (node.clone(), inbound.clone());
@@ -688,6 +692,54 @@
         }
     }
 
+    /// Lets time pass for the owner's world and keeps its plan up to date.
+    fn plan(&self) {
+        while !self.stopping() {
+            self.sleep(Micros::from_millis(40));
+            let writes = self.lock().own.as_mut().is_some_and(|own| {
+                own.fleet.tick(steady(), wall());
+                own.fleet.starts_wait()
+            });
+            if writes {
+                self.wake.notify_all();
+            }
+        }
+    }
+
+    /// Has workers report for whom starts wait.
+    fn ring(&self) {
+        while !self.stopping() {
+            self.sleep(Micros::from_millis(60));
+            let (token, list) = match self.lock().own.as_mut() {
+                Some(own) => (own.claim.token, own.fleet.rings(steady(), MOST_RUNG)),
+                None => continue,
+            };
+            let next = AtomicUsize::new(0);
+            std::thread::scope(|s| {
+                for _ in 0..list.len().min(RAISERS) {
+                    let (next, list) = (&next, &list);
+                    let ring = move || {
+                        while let Some(r) = list.get(next.fetch_add(1, Ordering::Relaxed)) {
+                            self.ring_one(token, r);
+                        }
+                    };
+                    let _ = std::thread::Builder::new().stack_size(128 * 1024).spawn_scoped(s, ring);
+                }
+            });
+        }
+    }
+
+    fn ring_one(&self, token: u64, r: &Ring) {
+        let Ok(addr) = r.addr.parse() else { return };
+        let commands = Commands { token, season: r.season, orders: vec![r.order.clone()] };
+        let Ok(body) = serde_json::to_vec(&commands) else { return };
+        // Whatever it answers, its next report tells.
+        let done = Client::new(addr, 1).call("POST", "/commands", Some(&body), Micros::from_millis(700));
+        if let Err(e) = done {
+            tracing::debug!(machine = %r.machine, error = %e, "was not rung");
+        }
+    }
+
     /// Brings this owner's token to the machines it has inherited.
     fn raise(&self) {
         while !self.stopping() {
@@ -759,7 +811,7 @@
 
     // ---- writing ----
 
-    /// Lets time pass for the owner's world and writes what waits.
+    /// Writes what waits.
     fn write(&self) {
         let chunk = chunk_tasks(self.cfg.value_bytes());
         let ops = self.cfg.platform.settings.state.txn_ops;
@@ -772,7 +824,6 @@
                 };
                 let now = steady();
                 core.own.as_mut().map(|own| {
-                    own.fleet.tick(now, wall());
                     let pending = own.fleet.pending(now, DONE_EVERY, chunk);
                     (
                         own.claim.clone(),
