Answers to idle workers wait a little for a start; gangs keep their places

Cause: a gang's starts left five to eight seconds after it was placed, with each machine's next report. Now the answer to an idle worker's report waits up to 2.5 s, and an unsent gang keeps its places, counted against its team's limit, instead of moving with each plan.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -108,10 +108,6 @@
     pub sent: Vec<TaskKey>,
     /// Answers in a row that by the next report did not arrive.
     pub deaf: u32,
-    /// An ended task that is kept on the worker, so that forgetting it makes the worker report.
-    pub bell: Option<TaskKey>,
-    /// When it was rung.
-    pub rung: Steady,
 }
 
 impl Machine {
@@ -145,16 +141,9 @@
             report: Steady(0),
             sent: Vec::new(),
             deaf: 0,
-            bell: None,
-            rung: Steady(0),
         }
     }
 
-    /// Nothing is on it but what is kept to ring it by.
-    fn idle(&self) -> bool {
-        self.tasks.keys().all(|k| self.bell.as_ref() == Some(k))
-    }
-
     /// A task of a job that is not known takes an unknown share.
     fn unknown_use(&self) -> bool {
         self.tasks.values().any(|e| e.live() && e.need.is_none())
@@ -185,19 +174,6 @@
     Refuse,
 }
 
-/// A command that makes a worker report.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ring {
-    /// The machine.
-    pub machine: MachineId,
-    /// Where its worker takes commands.
-    pub addr: String,
-    /// Its session.
-    pub season: u64,
-    /// The command.
-    pub order: Order,
-}
-
 /// Something to write for the owner.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Pending {
@@ -339,8 +315,6 @@
 /// With no more pairs of job and machine than this, each report is answered on a plan of the
 /// moment; with more, plans are made beside the answers.
 const SMALL: usize = 4_000;
-/// A worker reports at most once in this time.
-const RING_AFTER: Micros = Micros(450_000);
 /// So long a worker is waited for before a new owner's token is brought to it.
 const RAISE_AFTER: Micros = Micros(1_500_000);
 /// After so many answers in a row that did not arrive, a machine is returned.
@@ -880,8 +854,7 @@
             }
         }
         if let Some(m) = self.machines.get_mut(id) {
-            m.bell = m.bell.take().filter(|b| m.tasks.contains_key(b));
-            if !m.idle() {
+            if !m.tasks.is_empty() {
                 m.idle = now;
             }
         }
@@ -1040,7 +1013,6 @@
 
     fn orders(&mut self, id: &MachineId, now: Steady, wall: Wall) -> Vec<Order> {
         let mut out = Vec::new();
-        let mut bell = None;
         if let Some(m) = self.machines.get(id) {
             for (k, e) in &m.tasks {
                 let task = format!("{}/{}", k.0, k.1);
@@ -1050,9 +1022,7 @@
                             Some(j) if why == Why::Done && !j.cancelled => j.done_written.contains(k.1),
                             _ => true,
                         };
-                        if written && (bell.is_none() || bell.as_ref() == Some(k)) {
-                            bell = Some(k.clone());
-                        } else if written {
+                        if written {
                             out.push(Order::Forget { task, attempt: k.2 });
                         }
                     }
@@ -1061,9 +1031,6 @@
                 }
             }
         }
-        if let Some(m) = self.machines.get_mut(id) {
-            m.bell = bell;
-        }
         if self.jobs.len() * self.machines.len() <= SMALL {
             // Cheap enough to be up to date with what was just reported.
             self.replan(now, wall);
@@ -1072,37 +1039,26 @@
         out
     }
 
-    /// Workers that should report before their time, since starts wait for them: each with the
-    /// command that makes it do so, to forget the ended task that was kept for this. Gangs first,
-    /// no more than `most`. Such a command does no harm if it is late or repeated.
-    pub fn rings(&mut self, now: Steady, most: usize) -> Vec<Ring> {
-        let gangs = self.promised.iter().filter(|(_, list)| list.iter().any(|(id, n)| self.marked(id, *n)));
-        let arrays = self.assigned.iter().filter(|(_, list)| list.iter().any(|(id, _)| self.marked(id, 0)));
-        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
-        let soon = |m: &Machine, left: f64| m.report + report.scale(0.75) < now + Micros::from_secs(left);
-        let due = |id: &MachineId, left: f64| {
-            self.machines
-                .get(id)
-                .filter(|m| m.bell.is_some() && m.usable(now) && !m.addr.is_empty())
-                .filter(|m| m.rung <= m.report && now - m.report > RING_AFTER && !soon(m, left))
-        };
-        let gangs = gangs.filter_map(|x| due(x.0, 0.5));
-        let arrays = arrays.filter_map(|x| due(x.0, 1.5));
-        let rings: Vec<Ring> = gangs
-            .chain(arrays)
-            .take(most)
-            .filter_map(|m| {
-                let (job, n, attempt) = m.bell.as_ref()?;
-                let order = Order::Forget { task: format!("{job}/{n}"), attempt: *attempt };
-                Some(Ring { machine: m.id.clone(), addr: m.addr.clone(), season: m.seen.0, order })
-            })
-            .collect();
-        for r in &rings {
-            if let Some(m) = self.machines.get_mut(&r.machine) {
-                m.rung = now;
-            }
+    /// Whether a report may be answered a little later: nothing is on the machine and nothing was
+    /// said to it, so that a start which comes up meanwhile can leave at once.
+    pub fn may_wait(&self, id: &str, now: Steady) -> bool {
+        let m = self.machines.get(id).filter(|m| m.usable(now));
+        m.is_some_and(|m| m.tasks.is_empty() && m.notice.is_none())
+    }
+
+    /// Whether a start for the machine may leave now.
+    pub fn start_waits(&self, id: &str) -> bool {
+        let gang = || self.promised.get(id).is_some_and(|l| l.iter().any(|(j, n)| self.marked(j, *n)));
+        gang() || self.assigned.get(id).is_some_and(|l| l.iter().any(|(j, _)| self.marked(j, 0)))
+    }
+
+    /// What a report that was kept waiting is answered, unless a newer one has come.
+    pub fn later(&mut self, r: &Report, now: Steady, wall: Wall) -> Vec<Order> {
+        let id: MachineId = r.machine.as_str().into();
+        if self.machines.get(&id).is_none_or(|m| m.seen != (r.season, r.tally)) {
+            return Vec::new();
         }
-        rings
+        self.orders(&id, now, wall)
     }
 
     /// Whether starts wait for a mark to be written.
@@ -1445,6 +1401,14 @@
         self.uses.clear();
         let names: Vec<String> = self.cfg.platform.settings.teams.iter().map(|t| t.name.clone()).collect();
         s.teams = names.iter().map(|t| self.team_use(t)).collect();
+        // Places promised to gangs count against their teams' limits: nothing lower takes them.
+        for j in self.jobs.values() {
+            let (Some(g), Some((at, _))) = (&j.gang, self.team(&j.spec.team)) else { continue };
+            let unsent = g.places.len() as u32 - g.sent.len().min(g.places.len() as u32);
+            if let Some(t) = s.teams.get_mut(at) {
+                t.used = t.used.plus(&need_of(&j.spec), unsent);
+            }
+        }
         (s, machines, jobs)
     }
 
@@ -1566,7 +1530,7 @@
         self.drop_unsent_gangs(now);
         let (snapshot, machines, jobs) = self.snapshot(now, wall);
         let plan = sched::plan(&snapshot);
-        self.assign(&snapshot, &plan, &machines, &jobs);
+        self.assign(&snapshot, &plan, &machines, &jobs, now);
         self.stop_for(&plan, &machines, now);
         let reserved = plan.reservation.iter().flat_map(|r| r.rooms.iter().map(|x| x.0));
         let closed = reserved.chain(plan.preempt.iter().map(|x| x.0));
@@ -1577,26 +1541,28 @@
         (snapshot, machines)
     }
 
-    /// A gang none of whose starts has left is planned anew each time; one whose starts have left
-    /// but that lost a place is stopped.
+    /// A gang keeps the places it was given, so that their workers can be told to report for it. One
+    /// none of whose starts has left is planned anew when a place is lost or it takes too long; one
+    /// whose starts have left is stopped then.
     fn drop_unsent_gangs(&mut self, now: Steady) {
         let wait = Micros::from_secs(self.cfg.platform.settings.workers.gang_wait_s);
+        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
         let mut broken = Vec::new();
         for j in self.jobs.values_mut() {
             let Some(g) = &j.gang else { continue };
-            let over = g.stopping.is_some() || g.sent.is_empty();
+            let lost = g.places.iter().any(|(n, m)| {
+                !g.sent.contains(*n)
+                    && self.machines.get(m).is_none_or(|m| {
+                        m.leaving || m.expired || m.missing || m.notice.is_some() || !m.usable(now)
+                    })
+            });
+            let stale = lost || now - g.placed > report.scale(1.5);
+            let over = g.stopping.is_some() || (g.sent.is_empty() && stale);
             if over && j.live.is_empty() {
                 j.gang = None;
             } else if g.stopping.is_none() {
                 let unsent = g.places.keys().any(|n| !g.sent.contains(*n));
-                let lost = g.places.iter().any(|(n, m)| {
-                    !g.sent.contains(*n)
-                        && self
-                            .machines
-                            .get(m)
-                            .is_none_or(|m| m.leaving || m.expired || m.missing || m.notice.is_some())
-                });
-                if lost || (unsent && g.since.is_some_and(|s| now - s > wait)) {
+                if (lost && !g.sent.is_empty()) || (unsent && g.since.is_some_and(|s| now - s > wait)) {
                     broken.push((j.id.clone(), g.attempt));
                 }
             }
@@ -1606,7 +1572,7 @@
         }
     }
 
-    fn assign(&mut self, s: &Snapshot, plan: &Plan, machines: &[MachineId], jobs: &[JobId]) {
+    fn assign(&mut self, s: &Snapshot, plan: &Plan, machines: &[MachineId], jobs: &[JobId], now: Steady) {
         self.assigned.clear();
         let mut taken: BTreeMap<usize, u32> = BTreeMap::new();
         let mut gangs: BTreeMap<usize, Vec<MachineId>> = BTreeMap::new();
@@ -1637,7 +1603,14 @@
             let places = j.waiting.iter().zip(at).collect();
             tracing::debug!(job = %j.id, tasks = j.spec.tasks, attempt, waited = s.classes[class].waited.secs(), "gang placed");
             j.high_wanted = j.spec.tasks;
-            j.gang = Some(GangAttempt { attempt, places, sent: Ranges::new(), since: None, stopping: None });
+            j.gang = Some(GangAttempt {
+                attempt,
+                places,
+                sent: Ranges::new(),
+                placed: now,
+                since: None,
+                stopping: None,
+            });
         }
         self.promised.clear();
         for j in self.jobs.values() {
@@ -1757,7 +1730,7 @@
             .filter_map(|id| self.machines.get(id))
             .map(|m| Upkeep {
                 age: m.age + (now - m.known),
-                idle: (m.up && m.idle()).then(|| now - m.idle),
+                idle: (m.up && m.tasks.is_empty()).then(|| now - m.idle),
                 booting: !m.up,
             })
             .collect();
@@ -1794,7 +1767,7 @@
         };
         let d = view.decide();
         for m in d.returns {
-            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.idle()) {
+            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.tasks.is_empty()) {
                 tracing::info!(machine = %m.id, "returned: idle");
                 m.leaving = true;
             }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -234,6 +234,8 @@
     pub places: BTreeMap<u32, MachineId>,
     /// Tasks whose start has left.
     pub sent: Ranges,
+    /// When the places were chosen.
+    pub placed: Steady,
     /// When the first start left.
     pub since: Option<Steady>,
     /// Being stopped, with this grace.
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,13 +16,13 @@
 use crate::cloud::{CloudClient, CloudError};
 use crate::cluster::{self, Batch, Claim, Owner, LEADER, PART};
 use crate::config::Config;
-use crate::fleet::{CheckIn, Counts, Fleet, Pending, Ring};
+use crate::fleet::{CheckIn, Counts, Fleet, Pending};
 use crate::http::{self, Client, Request, Response};
 use crate::jobs::{chunk_tasks, FinalRecord, JobId, JobRecord, MachineId};
 use crate::peer::{Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
 use crate::state::{Applied, StateClient, StateError, Urgency};
 use crate::time::{steady, wall, Micros, Steady};
-use crate::wire::{Change, Commands, Guard, MachineType, RentRequest, Report, Stage, Txn};
+use crate::wire::{Change, Commands, Guard, MachineType, RentRequest, Report, ReportReply, Stage, Txn};
 
 /// What an owner has.
 struct Own {
@@ -49,6 +49,8 @@
     finals: BTreeMap<String, FinalRecord>,
     finals_order: VecDeque<String>,
     counts: BTreeMap<String, Counts>,
+    /// Idle workers whose reports wait for an answer.
+    waiting: BTreeMap<MachineId, Arc<Condvar>>,
     redirected: BTreeMap<String, Steady>,
     no_relay_until: Steady,
     /// After resigning, others go first.
@@ -67,8 +69,9 @@
 const FINALS_KEPT: usize = 20_000;
 /// Routines that bring a new token to machines at once.
 const RAISERS: usize = 16;
-/// Most workers that are made to report at once.
-const MOST_RUNG: usize = 32;
+/// How long the answer to an idle worker's report waits for a start at the most; the worker gives
+/// up after four seconds.
+const ANSWER_WITHIN: Micros = Micros::from_millis(2500);
 /// Most machines in one request for some.
 const MOST_RENTED: u32 = 50;
 /// How often the done ranges of a job that goes on are written; its workers keep the results.
@@ -134,7 +137,6 @@
         duty("announcer", Node::announce)?;
         duty("raiser", Node::raise)?;
         duty("planner", Node::plan)?;
-        duty("ringer", Node::ring)?;
         let inbound = Arc::new(Mutex::new(inbound));
         for i in 0..3 {
             let (n, inbound) = (node.clone(), inbound.clone());
@@ -269,6 +271,9 @@
             }
             own.last_report = now;
             return match own.fleet.check_in(&report, now, wall()) {
+                CheckIn::Reply(r) if r.orders.is_empty() && !relayed => {
+                    self.answer_in_time(core, &report, now)
+                }
                 CheckIn::Reply(r) => Response::json(200, &r),
                 CheckIn::Refuse => Response::error(503, "not now"),
                 CheckIn::Superseded(token) => {
@@ -298,6 +303,63 @@
         }
     }
 
+    /// Answers the report of an idle worker when a start for it comes up, or after a while. Other
+    /// workers report when something changes, and must not be kept from it.
+    fn answer_in_time(&self, mut core: MutexGuard<'_, Core>, report: &Report, since: Steady) -> Response {
+        let Some(token) = core.own.as_ref().map(|o| o.claim.token) else {
+            return Response::error(503, "not the owner");
+        };
+        let id: MachineId = report.machine.as_str().into();
+        let mut orders = Vec::new();
+        let until = since + ANSWER_WITHIN;
+        if core.own.as_ref().is_some_and(|o| o.fleet.may_wait(&id, since)) {
+            let bell = Arc::new(Condvar::new());
+            core.waiting.insert(id.clone(), bell.clone());
+            loop {
+                let left = until - steady();
+                if left.0 <= 0 || self.stopping() {
+                    break;
+                }
+                core = match bell.wait_timeout(core, left.std()) {
+                    Ok((g, _)) => g,
+                    Err(e) => e.into_inner().0,
+                };
+                let now = steady();
+                let bound = self.cfg.blind_bound();
+                let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else {
+                    return Response::error(503, "not the owner");
+                };
+                if now - own.fresh > bound {
+                    return Response::error(503, "out of touch with the state service");
+                }
+                if own.fleet.start_waits(&id) {
+                    orders = own.fleet.later(report, now, wall());
+                    if !orders.is_empty() {
+                        break;
+                    }
+                }
+            }
+            if core.waiting.get(&id).is_some_and(|b| Arc::ptr_eq(b, &bell)) {
+                core.waiting.remove(&id);
+            }
+            if core.own.as_ref().is_none_or(|o| o.claim.token != token) {
+                return Response::error(503, "not the owner");
+            }
+        }
+        drop(core);
+        Response::json(200, &ReportReply { token, orders })
+    }
+
+    /// Wakes the answers that wait for a start which may leave now.
+    fn wake_answers(core: &Core) {
+        let Some(own) = &core.own else { return };
+        for (id, bell) in &core.waiting {
+            if own.fleet.start_waits(id) {
+                bell.notify_one();
+            }
+        }
+    }
+
     fn relay(&self, to: usize, req: &Request, timeout: Micros) -> Option<Response> {
         let call = Call { method: req.method.clone(), path: req.path.clone(), body: req.body.clone() };
         match self.peers.call(to, Message::Relay(call), timeout) {
@@ -491,6 +553,8 @@
             self.state.allow(rps, writes);
             tracing::info!(token = own.claim.token, higher = token, why, "gives its parts up");
             core.leader = None;
+            // Reports that wait for an answer go to another.
+            core.waiting.values().for_each(|w| w.notify_one());
             self.wake.notify_all();
         }
     }
@@ -696,50 +760,19 @@
     fn plan(&self) {
         while !self.stopping() {
             self.sleep(Micros::from_millis(40));
-            let writes = self.lock().own.as_mut().is_some_and(|own| {
+            let mut core = self.lock();
+            let writes = core.own.as_mut().is_some_and(|own| {
                 own.fleet.tick(steady(), wall());
                 own.fleet.starts_wait()
             });
+            Node::wake_answers(&core);
+            drop(core);
             if writes {
                 self.wake.notify_all();
             }
         }
     }
 
-    /// Has workers report for whom starts wait.
-    fn ring(&self) {
-        while !self.stopping() {
-            self.sleep(Micros::from_millis(60));
-            let (token, list) = match self.lock().own.as_mut() {
-                Some(own) => (own.claim.token, own.fleet.rings(steady(), MOST_RUNG)),
-                None => continue,
-            };
-            let next = AtomicUsize::new(0);
-            std::thread::scope(|s| {
-                for _ in 0..list.len().min(RAISERS) {
-                    let (next, list) = (&next, &list);
-                    let ring = move || {
-                        while let Some(r) = list.get(next.fetch_add(1, Ordering::Relaxed)) {
-                            self.ring_one(token, r);
-                        }
-                    };
-                    let _ = std::thread::Builder::new().stack_size(128 * 1024).spawn_scoped(s, ring);
-                }
-            });
-        }
-    }
-
-    fn ring_one(&self, token: u64, r: &Ring) {
-        let Ok(addr) = r.addr.parse() else { return };
-        let commands = Commands { token, season: r.season, orders: vec![r.order.clone()] };
-        let Ok(body) = serde_json::to_vec(&commands) else { return };
-        // Whatever it answers, its next report tells.
-        let done = Client::new(addr, 1).call("POST", "/commands", Some(&body), Micros::from_millis(700));
-        if let Err(e) = done {
-            tracing::debug!(machine = %r.machine, error = %e, "was not rung");
-        }
-    }
-
     /// Brings this owner's token to the machines it has inherited.
     fn raise(&self) {
         while !self.stopping() {
