--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1485,14 +1485,17 @@
         })
     }
 
-    /// How long a job may wait before others are stopped for it: most of what its class's aim
-    /// allows, with time left for the report and the stop.
+    /// How long a job may wait before others are stopped for it: what its class's aim allows, less
+    /// the reports that carry the stops and the starts, and the fetch of its image.
     fn patience(&self, s: &JobSpec) -> Micros {
         let w = &self.cfg.platform.settings;
         let aim = w.objectives.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
-        Micros::from_secs(
-            aim.map_or(2.0 * w.workers.report_s, |o| (o.within_s * 0.7 - w.workers.report_s).max(0.0)),
-        )
+        let Some(aim) = aim else { return Micros::from_secs(2.0 * w.workers.report_s) };
+        let types = self.allowed_types(s);
+        let fetch = types.iter().map(|&t| s.image_gb / self.types[t].fetch_gb_per_s.max(0.001));
+        let fetch = fetch.fold(f64::INFINITY, f64::min);
+        let fetch = if fetch.is_finite() { fetch } else { 0.0 };
+        Micros::from_secs((aim.within_s - 1.5 * w.workers.report_s - fetch).max(0.0))
     }
 
     /// By type: the largest recent demand of a higher rank that no smaller type takes.
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -606,7 +606,8 @@
         }
     }
 
-    /// Tasks to stop so that the class can start, those losing least first.
+    /// Tasks to stop so that the class can start: where least is lost, with the time that the
+    /// class's image would take to fetch counted as lost too.
     fn preempt(&mut self, class: usize) -> Vec<(usize, usize)> {
         let c = &self.s.classes[class];
         let mut options: Vec<(Micros, usize, Vec<usize>, u32)> = Vec::new();
@@ -614,15 +615,20 @@
             if !r.open || r.until.is_some() || self.claimed[m] || !allowed(c, r) {
                 continue;
             }
+            let fetch = match c.image {
+                Some(i) if !r.images.contains(&i) => c.image_gb / r.fetch_rate.max(0.001),
+                _ => 0.0,
+            };
+            let fetch = Micros::from_secs(fetch * c.need.cpus.max(0.1));
             let coming = r.held.iter().filter(|h| h.stopping).fold(self.free[m], |n, h| n.plus(&h.need, 1));
             if coming.fits(&c.need) > 0 {
-                options.push((Micros::ZERO, m, Vec::new(), coming.fits(&c.need)));
+                options.push((fetch, m, Vec::new(), coming.fits(&c.need)));
                 continue;
             }
             let mut victims: Vec<usize> =
                 (0..r.held.len()).filter(|&h| r.held[h].stoppable && r.held[h].rank < c.rank).collect();
             victims.sort_by_key(|&h| r.held[h].lost);
-            let (mut free, mut lost, mut chosen) = (coming, Micros::ZERO, Vec::new());
+            let (mut free, mut lost, mut chosen) = (coming, fetch, Vec::new());
             for h in victims {
                 if free.fits(&c.need) > 0 {
                     break;
