--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -246,6 +246,8 @@
     work: f64,
     /// Its class should start sooner than a machine boots and fetches.
     hasty: bool,
+    /// Machines that it takes at once, beyond the first: a gang's tasks.
+    beside: u32,
 }
 
 /// How long what nobody waits for is gathered before it is written.
@@ -509,6 +511,7 @@
             types,
             work: stated(s).secs().min(3600.0) * f64::from(s.tasks),
             hasty: aim.is_some_and(|a| a.within_s < ready),
+            beside: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
         });
     }
 
@@ -525,6 +528,7 @@
             types: d.types.iter().filter_map(name).collect(),
             work: d.work,
             hasty: d.hasty,
+            beside: d.beside,
         })
         .take_while(|r| {
             let size = 200 + r.types.iter().map(|t| t.len() + 3).sum::<usize>();
@@ -547,6 +551,7 @@
                 types: r.types.iter().filter_map(index).collect(),
                 work: r.work,
                 hasty: r.hasty,
+                beside: r.beside,
             });
         }
         self.demands.retain(|d| now - d.at < RECENT);
@@ -1309,12 +1314,11 @@
 
     fn snapshot(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>, Vec<JobId>) {
         self.demands.retain(|d| now - d.at < RECENT);
-        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
         let mut s = Snapshot {
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
-            clear: self.cfg.operator.keep_clear,
-            coarse: report.scale(1.5),
+            clear: self.clear(),
+            coarse: Micros::from_secs(2.0),
             keep: self.keep(),
             ..Snapshot::default()
         };
@@ -1498,6 +1502,13 @@
         Micros::from_secs((aim.within_s - 1.5 * w.workers.report_s - fetch).max(0.0))
     }
 
+    /// How many rooms of a large type low ranks leave clear: what the operators say, or as many
+    /// as the widest gang of late that should start at once takes.
+    fn clear(&self) -> usize {
+        let wide = self.demands.iter().filter(|d| d.hasty && d.beside > 0).map(|d| d.beside as usize + 1);
+        wide.max().unwrap_or(0).max(self.cfg.operator.keep_clear)
+    }
+
     /// By type: the largest recent demand of a higher rank that no smaller type takes.
     fn keep(&self) -> Vec<Option<Keep>> {
         let size = |t: &MachineType| t.cpus + 8.0 * t.gpus;
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -187,6 +187,9 @@
     pub work: f64,
     /// Its class should start sooner than a machine boots and fetches.
     pub hasty: bool,
+    /// Machines that it takes at once, beyond the first.
+    #[serde(default)]
+    pub beside: u32,
 }
 
 /// Key of the list of recent jobs.
--- a/src/node.rs
+++ b/src/node.rs
@@ -1067,14 +1067,15 @@
 }
 
 /// This node's share of the state service's requests and changes. The leader writes for all, so
-/// it is allowed more of the changes than the others.
+/// it is allowed more of the changes than the others. Those only accept and cancel, in bursts: their
+/// shares add up to more than there is, and what the service refuses then is tried again at once.
 fn share(cfg: &Config, leads: bool) -> (f64, f64) {
     let st = &cfg.platform.settings.state;
     let others = cfg.nodes().saturating_sub(1) as f64;
     let (rps, writes) = match (cfg.nodes(), leads) {
         (1, _) => (0.9, 0.9),
         (n, true) => (1.8 / (n as f64 + 1.0), 0.6),
-        (n, false) => (0.9 / (n as f64 + 1.0), (0.36 / others).max(0.1)),
+        (n, false) => (0.9 / (n as f64 + 1.0), (0.8 / others).min(0.4)),
     };
     (st.rps * rps, st.write_rps * writes)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -196,7 +196,7 @@
         match client.call(method, path, body.as_deref().map(str::as_bytes), timeout) {
             Ok((429, _)) => {
                 if let Ok(mut b) = self.budget.lock() {
-                    b.pause_until = steady() + Micros::from_millis(150);
+                    b.pause_until = steady() + Micros::from_millis(60);
                     b.requests.level = b.requests.level.min(0.0);
                 }
                 Err(StateError::Refused(429))
@@ -242,9 +242,18 @@
 
     /// Executes a transaction.
     pub fn txn(&self, txn: &Txn, urgency: Urgency) -> Result<Applied, StateError> {
-        self.admit(txn.then.len(), urgency, Micros::from_millis(1500))?;
         let body = serde_json::to_value(txn).map_err(|e| StateError::Malformed(e.to_string()))?;
-        match self.call(&self.http, "POST", "/txn", Some(&body), CALL)? {
+        let mut tries = if urgency == Urgency::User { 3 } else { 1 };
+        let answer = loop {
+            self.admit(txn.then.len(), urgency, Micros::from_millis(1500))?;
+            tries -= 1;
+            match self.call(&self.http, "POST", "/txn", Some(&body), CALL) {
+                // Too many changes at this moment, and a user waits: nothing was executed.
+                Err(StateError::Refused(429)) if tries > 0 => {}
+                other => break other?,
+            }
+        };
+        match answer {
             (200, b) => parse::<Revision>(&b).map(|r| Applied::Yes(r.harvest)),
             (409, b) => parse::<Failed>(&b).map(|f| Applied::Conflict(f.failed)),
             (400, b) => {
