--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -317,6 +317,10 @@
 /// With no more pairs of job and machine than this, each report is answered on a plan of the
 /// moment; with more, plans are made beside the answers.
 const SMALL: usize = 4_000;
+/// Delays that differ by less count as alike.
+const FINE: Micros = Micros(2_000_000);
+/// So many seconds after it came a job that missed its start yields to others no more.
+const YIELDS: f64 = 120.0;
 /// So long a worker is waited for before a new owner's token is brought to it.
 const RAISE_AFTER: Micros = Micros(1_500_000);
 /// After so many answers in a row that did not arrive, a machine is returned.
@@ -825,6 +829,10 @@
         if !m.heard && r.token == token {
             m.heard = true;
             self.silent = self.silent.saturating_sub(1);
+            if self.silent == 0 {
+                let after = (now - self.taken).secs();
+                tracing::info!(token, after, "all machines are heard");
+            }
             self.uses.clear();
             self.dirty = true;
         }
@@ -1318,7 +1326,8 @@
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
             clear: self.clear(),
-            coarse: Micros::from_secs(2.0),
+            coarse: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
+            fine: FINE,
             keep: self.keep(),
             ..Snapshot::default()
         };
@@ -1483,10 +1492,12 @@
         let aims = &self.cfg.platform.settings.objectives;
         let finished = aims.iter().filter(|o| o.kind == "finished" && Some(&o.class) == s.class.as_ref());
         let due = s.deadline_s.or(finished.map(|o| o.within_s).reduce(f64::max));
-        due.is_some_and(|due| {
-            let end = waited.secs() + 0.7 * adjusted.secs();
-            end > due && waited.secs() < 5.0 * due
-        })
+        let end = waited.secs() + 0.7 * adjusted.secs();
+        let done = due.is_some_and(|due| end > due && waited.secs() < 5.0 * due);
+        // One that should have started long ago yields to those that still can in time, but not
+        // for so long that it might be taken for forgotten.
+        let start = aims.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
+        done || start.is_some_and(|o| waited.secs() > o.within_s && waited.secs() < YIELDS)
     }
 
     /// How long a job may wait before others are stopped for it: what its class's aim allows, less
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -198,8 +198,11 @@
     pub keep: Vec<Option<Keep>>,
     /// Whether the blocked head job gets a reservation.
     pub reserve: bool,
-    /// Delays that differ by less than this count as alike.
+    /// Delays that differ by less than this count as alike for the lowest rank: it waits politely,
+    /// and fills machines up rather than starting a moment sooner.
     pub coarse: Micros,
+    /// The same for the others.
+    pub fine: Micros,
     /// Rooms of a type that are kept clear for the tasks in `keep`; low ranks use the others and
     /// are stopped if need be.
     pub clear: usize,
@@ -369,7 +372,8 @@
                 let r = &self.s.rooms[m];
                 // Reports come every few seconds anyway: within that, cheap and small rooms go before large
                 // ones and full ones before empty ones, so that others empty and can be returned.
-                let delay = delay(c, r).0 / self.s.coarse.0.max(1);
+                let step = if c.rank == Rank::Idle { self.s.coarse } else { self.s.fine };
+                let delay = delay(c, r).0 / step.0.max(1);
                 (self.low(c, r), delay, r.rate, tenths(r.total.cpus), tenths(self.free[m].cpus), m)
             })
             .collect();
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -41,7 +41,7 @@
 prop_compose! {
     fn snapshot()(rooms in prop::collection::vec(room(), 0..7), classes in prop::collection::vec(class(), 0..7),
                   limit in 0u32..12, keep in any::<bool>(), reserve in any::<bool>()) -> Snapshot {
-        Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), clear: 1,
+        Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear: 1,
                    teams: vec![TeamUse { used: Need::default(), cpus_max: f64::from(limit), gpus_max: 0.0 }, TeamUse::default()],
                    keep: vec![None, keep.then(|| Keep { need: need(15.0), rank: Rank::Urgent })] }
     }
@@ -182,7 +182,8 @@
             })
             .collect();
         v.sort_by_key(|&m| {
-            let d = self.delay(c, &self.s.rooms[m]).0 / self.s.coarse.0;
+            let step = if c.rank == Rank::Idle { self.s.coarse } else { self.s.fine };
+            let d = self.delay(c, &self.s.rooms[m]).0 / step.0;
             (
                 self.low(class, m),
                 d,
