--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -288,8 +288,9 @@
     closed: BTreeSet<MachineId>,
     /// Use of teams with limits, by index; counted anew when emptied.
     uses: Vec<Option<Need>>,
-    /// How many machines are not heard.
+    /// How many machines are not heard, and whether it was said that all are.
     silent: usize,
+    sighted: bool,
     /// Packed records.
     pub packs: Packs<MachineRecord>,
     /// Packed marks.
@@ -317,6 +318,10 @@
 /// With no more pairs of job and machine than this, each report is answered on a plan of the
 /// moment; with more, plans are made beside the answers.
 const SMALL: usize = 4_000;
+/// Silent machines that are few are fenced no sooner than this after a takeover.
+const FENCE_SOON: Micros = Micros(8_000_000);
+/// Silent machines that the cloud does not list are returned so long after a takeover.
+const NOT_LISTED: Micros = Micros(4_000_000);
 /// Delays that differ by less count as alike.
 const FINE: Micros = Micros(2_000_000);
 /// So many seconds after it came a job that missed its start yields to others no more.
@@ -350,6 +355,7 @@
             closed: BTreeSet::new(),
             uses: Vec::new(),
             silent: 0,
+            sighted: false,
             packs: Packs::new(cfg.value_bytes()),
             marks: Packs::new(cfg.value_bytes()),
             over: BTreeMap::new(),
@@ -829,10 +835,7 @@
         if !m.heard && r.token == token {
             m.heard = true;
             self.silent = self.silent.saturating_sub(1);
-            if self.silent == 0 {
-                let after = (now - self.taken).secs();
-                tracing::info!(token, after, "all machines are heard");
-            }
+
             self.uses.clear();
             self.dirty = true;
         }
@@ -1691,6 +1694,10 @@
     /// Leases that ran out, machines silent since a takeover, and boots that never end.
     pub fn tick(&mut self, now: Steady, wall: Wall) {
         let fence = Micros::from_secs(self.cfg.operator.fence_after_s);
+        // A few silent machines hold up all that was started: once the others are heard, the cloud
+        // is asked to end them. Where many are silent a zone is cut off, and they are waited for.
+        let few = self.silent * 10 <= self.machines.len();
+        let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(FENCE_SOON);
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
         let lease = self.lease;
         let mut ended = Vec::new();
@@ -1699,7 +1706,8 @@
                 continue;
             }
             if !m.heard {
-                if now - self.taken > fence {
+                let silent = now - self.taken;
+                if silent > fence || (few && silent > soon) || (m.missing && silent > NOT_LISTED) {
                     tracing::info!(machine = %m.id, "returned: silent since the takeover");
                     m.leaving = true;
                 }
@@ -1739,6 +1747,11 @@
         for id in ended {
             self.emptied(&id);
         }
+        if (self.silent == 0) != self.sighted {
+            self.sighted = self.silent == 0;
+            let after = (now - self.taken).secs();
+            tracing::info!(after, unheard = self.silent, "machines of the earlier owner are heard or ended");
+        }
         self.gone.retain(|_, at| (now - *at).secs() < 900.0);
         self.refused.retain(|_, until| now < *until);
         self.replan(now, wall);
@@ -1823,7 +1836,8 @@
     pub fn listed(&mut self, list: &[ListedMachine], now: Steady) {
         let there: BTreeSet<&str> = list.iter().map(|m| m.id.as_str()).collect();
         for m in self.machines.values_mut() {
-            if m.listed && !there.contains(&*m.id) {
+            // One that was enrolled by an earlier owner was up then, and so has been listed.
+            if (m.listed || (m.inherited && !m.heard)) && !there.contains(&*m.id) {
                 m.missing = true;
             }
         }
