--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -325,7 +325,7 @@
 /// Delays that differ by less count as alike.
 const FINE: Micros = Micros(2_000_000);
 /// So many seconds after it came a job that missed its start yields to others no more.
-const YIELDS: f64 = 120.0;
+const YIELDS: f64 = 90.0;
 /// So long a worker is waited for before a new owner's token is brought to it.
 const RAISE_AFTER: Micros = Micros(1_500_000);
 /// After so many answers in a row that did not arrive, a machine is returned.
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -89,13 +89,20 @@
 
 fn start() -> Service {
     let out = Arc::new(AtomicBool::new(false));
+    let state = state_service(out.clone());
+    start_with(state, out, |_| {})
+}
+
+/// A controller on a given state service, with settings changed.
+fn start_with(state: SocketAddr, out: Arc<AtomicBool>, change: impl Fn(&mut Value)) -> Service {
     // Bound here and handed over, so that no other test can take the port in between.
     let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
     let (users, others) = (bind(), bind());
     let at = |l: &TcpListener| l.local_addr().expect("an address");
     let (addr, internal) = (at(&users), at(&others));
     let mut p = platform_json();
-    p["services"] = json!({ "cloud": cloud(), "state": state_service(out.clone()) });
+    p["services"] = json!({ "cloud": cloud(), "state": state });
+    change(&mut p);
     let platform = Platform::parse(&p.to_string(), "test").expect("settings");
     let cfg = Config { platform, operator: Operator::default() };
     std::thread::spawn(move || Node::run_on(cfg, users, others, Arc::new(AtomicBool::new(false))));
@@ -272,3 +279,59 @@
     assert_eq!(s.get("/api/jobs/wk-000003").1["stage"], "cancelled");
     assert_eq!(s.call("POST", "/api/jobs/wk-000009/withdraw", Some(b"{}")).0, 404);
 }
+
+#[test]
+fn every_accepted_job_is_answered_by_each_controller_once_troubles_are_over() {
+    let out = Arc::new(AtomicBool::new(false));
+    let state = state_service(out.clone());
+    let first = start_with(state, out.clone(), |_| {});
+    let ids: Vec<String> = (1..=20).map(|n| spec(n, 3, "batch").id).collect();
+    for n in 1..=20 {
+        assert_eq!(first.submit(&json!(spec(n, 3, "batch"))).0, 201);
+    }
+    out.store(true, Ordering::SeqCst);
+    assert!(ids.iter().all(|id| first.get(&format!("/api/jobs/{id}")).0 == 503));
+    out.store(false, Ordering::SeqCst);
+    // A process is back at once under the same label, while the earlier one still runs: it knows
+    // nothing, takes over by the records, and no job is lost to either.
+    let second = start_with(state, out, |_| {});
+    for s in [&first, &second] {
+        for id in &ids {
+            until("the job is answered", || s.get(&format!("/api/jobs/{id}")).0 == 200);
+        }
+    }
+    assert_eq!(first.report(1, 0, &[]).token + 1, second.report(2, 0, &[]).token);
+    // The earlier one learns from a worker that has seen the later token, and gives up for good.
+    let late = common::report("i-000001", 3, 2, &[]);
+    let late = serde_json::to_vec(&late).expect("a report");
+    assert_eq!(first.call("POST", "/checkin", Some(&late)).0, 503);
+}
+
+#[test]
+fn an_owner_that_sees_no_cancellations_stops_renewing_leases_in_time() {
+    let out = Arc::new(AtomicBool::new(false));
+    let state = state_service(out.clone());
+    let s = start_with(state, out.clone(), |p| {
+        p["settings"]["workers"]["lease_s"] = json!(2.0);
+        p["settings"]["workers"]["cancel_s"] = json!(4.5);
+    });
+    let status = |tally: u64| {
+        let r = common::report("i-000001", tally, 1, &[]);
+        s.call("POST", "/checkin", Some(&serde_json::to_vec(&r).expect("a report"))).0
+    };
+    s.report(1, 0, &[]);
+    out.store(true, Ordering::SeqCst);
+    let since = Instant::now();
+    let mut tally = 2;
+    until("the worker is no longer answered", || {
+        tally += 1;
+        status(tally) == 503
+    });
+    // Half a second without a view, and the lease of two: well before the 4.5 s are over.
+    assert!(since.elapsed().as_secs_f64() + 2.0 < 4.5, "after {:?}", since.elapsed());
+    out.store(false, Ordering::SeqCst);
+    until("it is answered again", || {
+        tally += 1;
+        status(tally) == 200
+    });
+}
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -457,3 +457,82 @@
     );
     assert!(f.recent(at(20.0), wall(20.0), 50).is_empty(), "a list that does not fit a value");
 }
+
+#[test]
+fn late_copies_of_reports_renew_nothing_and_bring_nothing_back() {
+    let mut f = ready(spec(1, 1, "batch"));
+    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
+    let running = [(s[0].0.as_str(), s[0].1, TaskStage::Running, None)];
+    orders(&mut f, 2.0, &report("i-1", 3, 7, &running));
+    // Sent before the machine was cut off, this one arrives when its lease has run out.
+    let held = report("i-1", 4, 7, &running);
+    // A copy within the lease does not put off its end.
+    assert_eq!(f.check_in(&report("i-1", 3, 7, &running), at(20.0), wall(20.0)), CheckIn::Refuse);
+    f.tick(at(26.0), wall(26.0));
+    assert!(f.jobs["wk-000001"].waiting.contains(0), "the lease has surely run out");
+    assert_eq!(f.check_in(&held, at(27.0), wall(27.0)), CheckIn::Refuse);
+    assert!(f.jobs["wk-000001"].waiting.contains(0), "a late report brought back what has ended");
+    // The machine itself is back in its next session.
+    let mut back = report("i-1", 1, 7, &[]);
+    back.season = 2;
+    assert!(matches!(f.check_in(&back, at(30.0), wall(30.0)), CheckIn::Reply(_)));
+    // From before this owner came, of a machine that has no record any more.
+    let mut g = fleet(9);
+    assert_eq!(g.check_in(&report("i-7", 40, 8, &running), at(1.0), wall(1.0)), CheckIn::Refuse);
+    assert!(g.machines.is_empty());
+    // A copy that shows an older token ends nobody's ownership, and does not count as heard.
+    g.inherit_machine("i-8", &machine("small"), 0, T0);
+    assert!(matches!(g.check_in(&report("i-8", 40, 8, &[]), at(1.0), wall(1.0)), CheckIn::Reply(_)));
+    assert_eq!(g.unheard(), 1);
+}
+
+#[test]
+fn a_machine_that_answers_do_not_reach_gets_nothing_more_and_goes_back() {
+    let mut f = ready(spec(1, 400, "batch"));
+    let (mut tally, mut offered, mut t) = (2, Vec::new(), 1.0);
+    while f.leaving().is_empty() && t < 120.0 {
+        // What it was told to start never shows in what it reports.
+        offered.push(starts(&orders(&mut f, t, &report("i-1", tally, 7, &[]))).len());
+        write_all(&mut f, t + 0.1);
+        f.tick(at(t + 0.2), wall(t + 0.2));
+        (tally, t) = (tally + 1, t + 3.0);
+    }
+    assert_eq!(f.leaving(), ["i-1"]);
+    assert!(t < 90.0, "returned after {t} s only");
+    let busy = offered.iter().filter(|n| **n > 0).count();
+    assert!(busy <= 5 && offered.len() > busy, "work kept going to it: {offered:?}");
+    // Nothing counted as delivered: all is there to be started elsewhere.
+    f.returned(&["i-1".into()], at(t));
+    assert_eq!(f.jobs["wk-000001"].waiting.len(), 400);
+}
+
+#[test]
+fn a_machine_whose_lease_ends_although_it_is_answered_is_deaf_too() {
+    let mut f = ready(spec(1, 1, "batch"));
+    for season in 1..=3u64 {
+        for k in 0..8u64 {
+            let t = season as f64 * 24.0 + k as f64 * 3.0;
+            let mut r = report("i-1", 10 + k, 7, &[]);
+            r.season = season;
+            f.check_in(&r, at(t), wall(t));
+        }
+    }
+    assert_eq!(f.leaving(), ["i-1"]);
+}
+
+#[test]
+fn few_silent_machines_are_fenced_soon_and_many_are_waited_for() {
+    let after = |silent: usize, t: f64| {
+        let mut f = fleet(9);
+        for n in 0..20 {
+            f.inherit_machine(&format!("i-{n}"), &machine("small"), 0, T0);
+        }
+        for n in silent..20 {
+            orders(&mut f, 1.0, &report(&format!("i-{n}"), 9, 9, &[]));
+        }
+        f.tick(at(t), wall(t));
+        f.leaving().len()
+    };
+    assert_eq!((after(2, 7.0), after(2, 9.0)), (0, 2));
+    assert_eq!((after(8, 9.0), after(8, 24.0), after(8, 26.0)), (0, 0, 8));
+}
--- /dev/null
+++ b/tests/starving.rs
@@ -0,0 +1,176 @@
+//! Nothing starves: the widest gang and the widest array begin within four minutes in a steady
+//! stream of small ones. The owner's world against workers that run tasks for a fixed time.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{config, record, report, spec, types};
+use milletlock::cluster;
+use milletlock::fleet::{CheckIn, Fleet};
+use milletlock::time::{Micros, Steady, Wall};
+use milletlock::wire::{JobSpec, Order, Rank, TaskStage, Why};
+
+const STEP: Micros = Micros(500_000);
+
+struct Run {
+    task: String,
+    attempt: u64,
+    job: u32,
+    since: Steady,
+    ends: Option<Steady>,
+}
+
+struct World {
+    fleet: Fleet,
+    now: Steady,
+    specs: BTreeMap<u32, (JobSpec, Micros)>,
+    workers: Vec<(u64, Steady, Vec<Run>)>,
+    /// By job: when it came and when the first of its tasks, or the whole gang, ran.
+    began: BTreeMap<u32, (Steady, Option<Steady>)>,
+}
+
+fn number(task: &str) -> u32 {
+    task["wk-".len()..].split('/').next().and_then(|n| n.parse().ok()).expect("a job's number")
+}
+
+impl World {
+    fn new(machines: usize) -> World {
+        let now = Steady(1_000_000_000);
+        World {
+            fleet: Fleet::new(config(), types(), 7, now),
+            now,
+            specs: BTreeMap::new(),
+            workers: (0..machines).map(|i| (0, now + Micros(i as i64 * 150_000), Vec::new())).collect(),
+            began: BTreeMap::new(),
+        }
+    }
+
+    fn submit(&mut self, s: JobSpec, run_s: f64) {
+        let n = number(&s.id);
+        let mut r = record(s.clone());
+        r.submitted_us = self.now.0;
+        self.fleet.job_put(r, self.fleet.jobs.len() as u64 + 1, self.now);
+        self.specs.insert(n, (s, Micros::from_secs(run_s)));
+        self.began.insert(n, (self.now, None));
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        let (now, wall) = (self.now, Wall(self.now.0));
+        self.fleet.tick(now, wall);
+        let pending = self.fleet.pending(now, Micros::ZERO, 1000);
+        for b in cluster::batches(&mut self.fleet, 1, pending, 64, 1000, now, wall) {
+            for (p, said) in &b.items {
+                self.fleet.written(p, 1_000_000, said, now);
+            }
+        }
+        // A gang runs once all of its tasks are there.
+        let mut there: BTreeMap<(u32, u64), u32> = BTreeMap::new();
+        for r in self.workers.iter().flat_map(|w| &w.2) {
+            *there.entry((r.job, r.attempt)).or_default() += 1;
+        }
+        for r in self.workers.iter_mut().flat_map(|w| &mut w.2) {
+            let (s, run) = &self.specs[&r.job];
+            let gang = s.shape == milletlock::wire::Shape::Gang;
+            if r.ends.is_none() && (!gang || there[&(r.job, r.attempt)] == s.tasks) {
+                r.ends = Some(now + *run);
+                self.began.get_mut(&r.job).expect("a job").1.get_or_insert(now);
+            }
+        }
+        for i in 0..self.workers.len() {
+            let ended = self.workers[i].2.iter().any(|r| r.ends.is_some_and(|e| e <= now));
+            if self.workers[i].1 > now && !ended {
+                continue;
+            }
+            self.check_in(i, now, wall);
+        }
+    }
+
+    fn check_in(&mut self, i: usize, now: Steady, wall: Wall) {
+        let w = &mut self.workers[i];
+        w.0 += 1;
+        w.1 = now + Micros::from_secs(3.0);
+        let tasks: Vec<_> =
+            w.2.iter()
+                .map(|r| match r.ends {
+                    Some(e) if e <= now => (r.task.as_str(), r.attempt, TaskStage::Exited, Some(Why::Done)),
+                    Some(_) => (r.task.as_str(), r.attempt, TaskStage::Running, None),
+                    None => (r.task.as_str(), r.attempt, TaskStage::Waiting, None),
+                })
+                .collect();
+        let mut rep = report(&format!("i-{i:03}"), w.0, if w.0 > 1 { 7 } else { 0 }, &tasks);
+        rep.ty = "large".into();
+        let CheckIn::Reply(reply) = self.fleet.check_in(&rep, now, wall) else { panic!("not answered") };
+        for o in reply.orders {
+            match o {
+                Order::Start { task, attempt } => {
+                    let job = number(&task);
+                    w.2.push(Run { task, attempt, job, since: now, ends: None });
+                }
+                Order::Halt { task, attempt, .. } | Order::Forget { task, attempt } => {
+                    w.2.retain(|r| r.task != task || r.attempt != attempt);
+                }
+            }
+        }
+        assert!(w.2.iter().all(|r| r.since <= now));
+    }
+
+    fn waited(&self, n: u32) -> f64 {
+        let (came, began) = self.began[&n];
+        began.map_or(f64::INFINITY, |b| (b - came).secs())
+    }
+}
+
+fn gang(n: u32, tasks: u32, class: &str) -> JobSpec {
+    let mut s = spec(n, tasks, "gang");
+    (s.rank, s.cpus, s.estimate_s) = (Rank::Urgent, 15.0, 60.0);
+    s.class = Some(class.into());
+    s
+}
+
+#[test]
+fn the_widest_gang_begins_in_a_stream_of_single_ones_and_of_the_lowest_rank() {
+    let mut w = World::new(20);
+    for k in 0..720u32 {
+        // Single gangs that can still make their start take four fifths of the machines.
+        if k % 8 == 0 {
+            w.submit(gang(k + 1, 1, "quick"), 62.0);
+        }
+        // Small tasks of the lowest rank want all the rest, and more.
+        if k % 20 == 1 {
+            let mut s = spec(k + 1, 90, "batch");
+            (s.rank, s.estimate_s) = (Rank::Idle, 30.0);
+            w.submit(s, 30.0);
+        }
+        if k == 202 {
+            w.submit(gang(900, 16, "quick"), 62.0);
+        }
+        w.step();
+    }
+    let waited = w.waited(900);
+    assert!(waited < 240.0, "the widest gang began after {waited} s");
+}
+
+#[test]
+fn the_widest_array_begins_beside_a_higher_rank_that_takes_nearly_all() {
+    let mut w = World::new(10);
+    for k in 0..600u32 {
+        // 160 processors in all: 24 tasks of 30 s every five seconds take nine tenths.
+        if k % 10 == 0 {
+            let mut s = spec(k + 1, 24, "batch");
+            (s.rank, s.estimate_s) = (Rank::Normal, 30.0);
+            w.submit(s, 30.0);
+        }
+        if k == 105 {
+            let mut s = spec(900, 800, "batch");
+            (s.rank, s.estimate_s) = (Rank::Idle, 30.0);
+            w.submit(s, 30.0);
+        }
+        w.step();
+    }
+    let waited = w.waited(900);
+    assert!(waited < 240.0, "the widest array began after {waited} s");
+    let served = w.began.values().filter(|b| b.1.is_some()).count();
+    assert!(served * 10 >= w.began.len() * 9, "{served} of {} jobs began", w.began.len());
+}
