--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -45,6 +45,8 @@
     pub idle: Micros,
     /// The same for types that a higher rank depends on.
     pub idle_kept: Micros,
+    /// The same for types that jobs with deadlines use.
+    pub idle_due: Micros,
     /// A boot longer than this many nominal ones does not count as coming.
     pub slow_boot: f64,
 }
@@ -65,6 +67,8 @@
     pub refused: &'a [Offer],
     /// By type, how many machines stay though idle.
     pub warm: &'a [usize],
+    /// By type, whether jobs with deadlines used it of late.
+    pub due: &'a [bool],
     /// Settings.
     pub policy: Policy,
 }
@@ -247,7 +251,11 @@
         rooms.sort_by_key(|x| std::cmp::Reverse(x.1 .0.rate));
         for (m, (r, u)) in rooms {
             let warm = self.warm.get(r.ty).copied().unwrap_or(0);
-            let after = if warm > 0 { self.policy.idle_kept } else { self.policy.idle };
+            let after = match self.due.get(r.ty) {
+                Some(true) => self.policy.idle_due,
+                _ if warm > 0 => self.policy.idle_kept,
+                _ => self.policy.idle,
+            };
             // Under the least charge nothing is saved by giving a machine back.
             if u.idle.is_some_and(|i| i > after) && u.age > LEAST_CHARGE && !reserved(m) && left[r.ty] > warm
             {
--- a/src/config.rs
+++ b/src/config.rs
@@ -204,6 +204,9 @@
     /// An idle machine of a type that hasty jobs depend on is returned after this time, if there
     /// are more of them than those jobs kept busy.
     pub idle_protected_s: f64,
+    /// An idle machine of a type that jobs with deadlines used of late is returned after this: by
+    /// the time another is up and has their images, much of what a deadline leaves is gone.
+    pub idle_deadline_s: f64,
     /// A machine that is not up after this many times its nominal boot time gets a second one
     /// beside it.
     pub slow_boot: f64,
@@ -227,6 +230,7 @@
             drain_s: 60.0,
             idle_s: 8.0,
             idle_protected_s: 12.0,
+            idle_deadline_s: 60.0,
             slow_boot: 1.6,
             max_connections: 0,
             keep_clear: 0,
@@ -401,6 +405,7 @@
         positive("drain_s", o.drain_s)?;
         not_negative("idle_s", o.idle_s)?;
         not_negative("idle_protected_s", o.idle_protected_s)?;
+        not_negative("idle_deadline_s", o.idle_deadline_s)?;
         positive("slow_boot", o.slow_boot)?;
         if o.history_per_key < 10 || o.history_per_key > 10_000 {
             return Err(bad("history_per_key", "must be from 10 to 10000"));
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -248,6 +248,8 @@
     hasty: bool,
     /// Machines that it takes at once, beyond the first: a gang's tasks.
     beside: u32,
+    /// It has a deadline.
+    due: bool,
 }
 
 /// How long what nobody waits for is gathered before it is written.
@@ -522,6 +524,7 @@
             work: stated(s).secs().min(3600.0) * f64::from(s.tasks),
             hasty: aim.is_some_and(|a| a.within_s < ready),
             beside: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
+            due: s.deadline_s.is_some(),
         });
     }
 
@@ -539,6 +542,7 @@
             work: d.work,
             hasty: d.hasty,
             beside: d.beside,
+            due: d.due,
         })
         .take_while(|r| {
             let size = 200 + r.types.iter().map(|t| t.len() + 3).sum::<usize>();
@@ -562,6 +566,7 @@
                 work: r.work,
                 hasty: r.hasty,
                 beside: r.beside,
+                due: r.due,
             });
         }
         self.demands.retain(|d| now - d.at < RECENT);
@@ -1788,8 +1793,12 @@
         }
         let o = &self.cfg.operator;
         let warm = self.warm(now);
+        let due: Vec<bool> = (0..self.types.len())
+            .map(|t| self.demands.iter().any(|d| d.due && d.types.contains(&t)))
+            .collect();
         let view = View {
             warm: &warm,
+            due: &due,
             snapshot: &snapshot,
             plan: &self.plan,
             upkeep: &upkeep,
@@ -1800,6 +1809,7 @@
                 drain: Micros::from_secs(o.drain_s),
                 idle: Micros::from_secs(o.idle_s),
                 idle_kept: Micros::from_secs(o.idle_protected_s),
+                idle_due: Micros::from_secs(o.idle_deadline_s),
                 slow_boot: o.slow_boot,
             },
         };
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -190,6 +190,9 @@
     /// Machines that it takes at once, beyond the first.
     #[serde(default)]
     pub beside: u32,
+    /// It has a deadline.
+    #[serde(default)]
+    pub due: bool,
 }
 
 /// Key of the list of recent jobs.
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -56,6 +56,7 @@
     classes: Vec<Class>,
     idle: Option<i64>,
     refused: &[Offer],
+    due: bool,
 ) -> (Vec<(bool, u32)>, usize) {
     let s = Snapshot {
         zones: 1,
@@ -68,7 +69,8 @@
     };
     let upkeep: Vec<Upkeep> =
         s.rooms.iter().map(|_| Upkeep { age: secs(100), idle: idle.map(secs), booting: false }).collect();
-    let policy = Policy { drain: secs(40), idle: secs(20), idle_kept: secs(30), slow_boot: 1.6 };
+    let policy =
+        Policy { drain: secs(40), idle: secs(20), idle_due: secs(60), idle_kept: secs(30), slow_boot: 1.6 };
     let p = plan(&s);
     let types = types();
     let view = View {
@@ -79,6 +81,7 @@
         zones: &[vec![0]],
         refused,
         warm: &[1],
+        due: &[due],
         policy,
     };
     let d = view.decide();
@@ -87,22 +90,25 @@
 
 #[test]
 fn the_cheapest_offer_is_taken_and_a_refused_one_passed_over() {
-    let all = decide(vec![], vec![class(16, 40, 0)], None, &[]);
+    let all = decide(vec![], vec![class(16, 40, 0)], None, &[], false);
     assert_eq!(all.0, [(true, 2)]);
     let refused = Offer { ty: 0, zone: 0, spot: true };
-    assert_eq!(decide(vec![], vec![class(16, 40, 0)], None, &[refused]).0, [(false, 2)]);
+    assert_eq!(decide(vec![], vec![class(16, 40, 0)], None, &[refused], false).0, [(false, 2)]);
 }
 
 #[test]
 fn work_that_drains_in_time_rents_nothing_until_it_has_waited_for_long() {
     // Eight tasks of 20 s behind a machine that says it is free in a second: no need.
-    assert!(decide(vec![room(8, 1)], vec![class(8, 20, 1)], None, &[]).0.is_empty());
+    assert!(decide(vec![room(8, 1)], vec![class(8, 20, 1)], None, &[], false).0.is_empty());
     // They still wait after 100 s: the estimates are wrong, whatever they say.
-    assert!(!decide(vec![room(8, 1)], vec![class(8, 20, 100)], None, &[]).0.is_empty());
+    assert!(!decide(vec![room(8, 1)], vec![class(8, 20, 100)], None, &[], false).0.is_empty());
 }
 
 #[test]
 fn idle_machines_go_but_for_the_warm_ones() {
-    assert_eq!(decide(vec![room(0, 0), room(0, 0), room(0, 0)], vec![], Some(31), &[]).1, 2);
-    assert_eq!(decide(vec![room(0, 0), room(0, 0)], vec![], Some(10), &[]).1, 0);
+    assert_eq!(decide(vec![room(0, 0), room(0, 0), room(0, 0)], vec![], Some(31), &[], false).1, 2);
+    assert_eq!(decide(vec![room(0, 0), room(0, 0)], vec![], Some(10), &[], false).1, 0);
+    // Where deadlines are to be kept they stay longer.
+    assert_eq!(decide(vec![room(0, 0), room(0, 0)], vec![], Some(31), &[], true).1, 0);
+    assert_eq!(decide(vec![room(0, 0), room(0, 0)], vec![], Some(61), &[], true).1, 1);
 }
