--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{need, secs};
-use milletlock::sched::{plan, Class, Held, Keep, Need, Plan, Room, Snapshot, Start, TeamUse};
+use common::{class as job, need, secs};
+use milletlock::sched::{plan, top_up, Class, Held, Keep, Need, Plan, Room, Snapshot, Start, TeamUse};
 use milletlock::time::Micros;
 use milletlock::wire::Rank;
 use proptest::prelude::*;
@@ -341,3 +341,35 @@
     let f = Class { late: true, waited: secs(900), ..base.clone() };
     assert_eq!(milletlock::sched::order(&[f, base, b, c, d, e]), [5, 4, 3, 2, 1, 0]);
 }
+
+#[test]
+fn between_plans_a_machine_takes_first_what_it_has_the_image_for() {
+    let room = Room {
+        ty: 0,
+        zone: 0,
+        spot: false,
+        total: need(4.0),
+        free: need(4.0),
+        open: true,
+        opens_in: Micros::ZERO,
+        images: vec![7],
+        fetch_rate: 1.0,
+        rate: 1,
+        penalty: Micros::ZERO,
+        until: None,
+        held: vec![],
+    };
+    let with = |image: u32, waited: i64| Class { image: Some(image), image_gb: 5.0, ..job(3, 30, waited) };
+    let top = |classes: Vec<Class>| {
+        let s = Snapshot { zones: 1, classes, ..Snapshot::default() };
+        let mut unmet: Vec<(usize, u32)> =
+            milletlock::sched::order(&s.classes).into_iter().map(|c| (c, s.classes[c].count)).collect();
+        top_up(&s, &[false], &mut unmet, &room)
+    };
+    // The older one has to fetch: it gets what is left.
+    assert_eq!(top(vec![with(1, 20), with(7, 10)]), [(1, 3), (0, 1)]);
+    // Not for ever, and never past a higher rank or one that is not late.
+    assert_eq!(top(vec![with(1, 70), with(7, 10)]), [(0, 3), (1, 1)]);
+    assert_eq!(top(vec![Class { rank: Rank::Urgent, ..with(1, 20) }, with(7, 10)]), [(0, 3), (1, 1)]);
+    assert_eq!(top(vec![with(1, 20), Class { late: true, ..with(7, 90) }]), [(0, 3), (1, 1)]);
+}
