Tidy: one room check, one fetch time, one look-up of the start aim, one reader of packed values

The planner and renting each had the check whether a class may use a room; stopping others worked the image's fetch out beside the delay; the aim for a start was looked up in three places; the three kinds of packed values were each taken apart by hand.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -1,7 +1,7 @@
 //! Renting and returning: as pure as the planner. It sees the plan's unmet tasks and the rooms,
 //! and says what to rent and which idle machines to give back.
 
-use crate::sched::{Class, Plan, Room, Snapshot};
+use crate::sched::{allowed, Class, Plan, Room, Snapshot};
 use crate::time::Micros;
 use crate::wire::MachineType;
 
@@ -85,10 +85,6 @@
     pub returns: Vec<usize>,
 }
 
-fn allowed(c: &Class, r: &Room) -> bool {
-    c.types.contains(&r.ty) && c.zone.is_none_or(|z| z == r.zone) && (c.spot || !r.spot)
-}
-
 impl View<'_> {
     /// Whether a booting room can still be counted on.
     fn coming(&self, m: usize) -> bool {
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -2,7 +2,6 @@
 //! leased record and takes the parts; the term is the only source of tokens. Today all parts are
 //! one and are taken over whole.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -12,8 +11,8 @@
 use crate::fleet::{Fleet, Packed, Pending, Said};
 use crate::history::{Key, Record};
 use crate::jobs::{
-    done_key, final_key, job_key, slot_key, FinalRecord, JobId, JobRecord, MachineId, MachineRecord, HISTORY,
-    MACHINES, MARKS, RECENT_KEY,
+    done_key, final_key, job_key, slot_key, FinalRecord, JobRecord, MachineRecord, HISTORY, MACHINES, MARKS,
+    RECENT_KEY,
 };
 use crate::state::{Applied, StateClient, StateError, Urgency};
 use crate::time::{steady, wall, Micros, Steady, Wall};
@@ -140,6 +139,11 @@
     Ok((fleet, revision))
 }
 
+/// A packed value with its number.
+fn packed<T: serde::de::DeserializeOwned>(slot: &str, value: serde_json::Value) -> anyhow::Result<(u32, T)> {
+    Ok((slot.parse()?, serde_json::from_value(value)?))
+}
+
 /// Takes records over into a new owner's world.
 pub fn load(fleet: &mut Fleet, mut rows: Vec<Row>, now: Steady, wall: Wall) {
     // Values of many machines go first, so that single records of earlier versions fill them up.
@@ -162,18 +166,14 @@
                 });
                 fleet.inherit_machine(id, &m, r.stamp, now);
             }
-            (Some(MACHINES), Some(slot), None) => {
-                match (slot.parse(), serde_json::from_value::<BTreeMap<MachineId, MachineRecord>>(r.value)) {
-                    (Ok(slot), Ok(m)) => fleet.inherit_machines(slot, m, r.stamp, now),
-                    (_, e) => unreadable(&r.key, &e.err().map_or(String::new(), |e| e.to_string())),
-                }
-            }
-            (Some(MARKS), Some(slot), None) => {
-                match (slot.parse(), serde_json::from_value::<BTreeMap<JobId, u32>>(r.value)) {
-                    (Ok(slot), Ok(m)) => fleet.inherit_marks(slot, m, r.stamp),
-                    (_, e) => unreadable(&r.key, &e.err().map_or(String::new(), |e| e.to_string())),
-                }
-            }
+            (Some(MACHINES), Some(slot), None) => match packed(slot, r.value) {
+                Ok((slot, m)) => fleet.inherit_machines(slot, m, r.stamp, now),
+                Err(e) => unreadable(&r.key, &e),
+            },
+            (Some(MARKS), Some(slot), None) => match packed(slot, r.value) {
+                Ok((slot, m)) => fleet.inherit_marks(slot, m, r.stamp),
+                Err(e) => unreadable(&r.key, &e),
+            },
             (Some("done"), Some(id), Some(chunk)) => {
                 if let (Ok(chunk), Some(text)) = (chunk.parse(), r.value.as_str()) {
                     fleet.inherit_done(id, chunk, text, r.stamp);
@@ -183,15 +183,13 @@
                 Ok(list) => fleet.inherit_recent(list, now, wall),
                 Err(e) => unreadable(&r.key, &e),
             },
-            (Some(HISTORY), Some(bucket), None) => {
-                match (bucket.parse(), serde_json::from_value::<Vec<Record>>(r.value)) {
-                    (Ok(bucket), Ok(list)) => {
-                        list.into_iter().for_each(|h| fleet.history.load(h));
-                        fleet.history.learn(bucket, r.stamp);
-                    }
-                    (_, e) => unreadable(&r.key, &e.err().map_or(String::new(), |e| e.to_string())),
+            (Some(HISTORY), Some(bucket), None) => match packed::<Vec<Record>>(bucket, r.value) {
+                Ok((bucket, list)) => {
+                    list.into_iter().for_each(|h| fleet.history.load(h));
+                    fleet.history.learn(bucket, r.stamp);
                 }
-            }
+                Err(e) => unreadable(&r.key, &e),
+            },
             // As earlier versions wrote it.
             (Some(HISTORY), Some(_), Some(_)) => match serde_json::from_value::<Record>(r.value) {
                 Ok(h) => fleet.history.load_old(h),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -513,8 +513,7 @@
             .filter_map(|&t| self.types.get(t))
             .map(|t| t.boot_s + s.image_gb / t.fetch_gb_per_s.max(0.001));
         let ready = slowest.fold(f64::INFINITY, f64::min);
-        let aims = &self.cfg.platform.settings.objectives;
-        let aim = aims.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
+        let aim = self.start_aim(s);
         self.came += 1;
         self.demands.push(Demand {
             at: now,
@@ -522,12 +521,19 @@
             rank: s.rank,
             types,
             work: stated(s).secs().min(3600.0) * f64::from(s.tasks),
-            hasty: aim.is_some_and(|a| a.within_s < ready),
+            hasty: aim.is_some_and(|a| a < ready),
             beside: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
             due: s.deadline_s.is_some(),
         });
     }
 
+    /// Seconds within which its class's aim has a job start, if there is such an aim.
+    fn start_aim(&self, s: &JobSpec) -> Option<f64> {
+        let aims = &self.cfg.platform.settings.objectives;
+        let aim = aims.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
+        aim.map(|o| o.within_s)
+    }
+
     /// Recent jobs as they are written: only what large machines are kept for, the latest first,
     /// no more than fit the bytes.
     pub fn recent(&self, now: Steady, wall: Wall, bytes: usize) -> Vec<DemandRecord> {
@@ -1504,21 +1510,19 @@
         let done = due.is_some_and(|due| end > due && waited.secs() < 5.0 * due);
         // One that should have started long ago yields to those that still can in time, but not
         // for so long that it might be taken for forgotten.
-        let start = aims.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
-        done || start.is_some_and(|o| waited.secs() > o.within_s && waited.secs() < YIELDS)
+        done || self.start_aim(s).is_some_and(|aim| waited.secs() > aim && waited.secs() < YIELDS)
     }
 
     /// How long a job may wait before others are stopped for it: what its class's aim allows, less
     /// the reports that carry the stops and the starts, and the fetch of its image.
     fn patience(&self, s: &JobSpec) -> Micros {
         let w = &self.cfg.platform.settings;
-        let aim = w.objectives.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
-        let Some(aim) = aim else { return Micros::from_secs(2.0 * w.workers.report_s) };
+        let Some(aim) = self.start_aim(s) else { return Micros::from_secs(2.0 * w.workers.report_s) };
         let types = self.allowed_types(s);
         let fetch = types.iter().map(|&t| s.image_gb / self.types[t].fetch_gb_per_s.max(0.001));
         let fetch = fetch.fold(f64::INFINITY, f64::min);
         let fetch = if fetch.is_finite() { fetch } else { 0.0 };
-        Micros::from_secs((aim.within_s - 1.5 * w.workers.report_s - fetch).max(0.0))
+        Micros::from_secs((aim - 1.5 * w.workers.report_s - fetch).max(0.0))
     }
 
     /// How many rooms of a large type low ranks leave clear: what the operators say, or as many
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -619,11 +619,7 @@
             if !r.open || r.until.is_some() || self.claimed[m] || !allowed(c, r) {
                 continue;
             }
-            let fetch = match c.image {
-                Some(i) if !r.images.contains(&i) => c.image_gb / r.fetch_rate.max(0.001),
-                _ => 0.0,
-            };
-            let fetch = Micros::from_secs(fetch * c.need.cpus.max(0.1));
+            let fetch = Micros::from_secs(fetch_s(c, r) * c.need.cpus.max(0.1));
             let coming = r.held.iter().filter(|h| h.stopping).fold(self.free[m], |n, h| n.plus(&h.need, 1));
             if coming.fits(&c.need) > 0 {
                 options.push((fetch, m, Vec::new(), coming.fits(&c.need)));
@@ -767,15 +763,20 @@
     out
 }
 
-fn allowed(c: &Class, r: &Room) -> bool {
+/// Whether the class may use the room at all.
+pub(crate) fn allowed(c: &Class, r: &Room) -> bool {
     c.types.contains(&r.ty) && c.zone.is_none_or(|z| z == r.zone) && (c.spot || !r.spot)
 }
 
+/// Seconds that the class's image takes to fetch there.
+fn fetch_s(c: &Class, r: &Room) -> f64 {
+    match c.image {
+        Some(i) if !r.images.contains(&i) => c.image_gb / r.fetch_rate.max(0.001),
+        _ => 0.0,
+    }
+}
+
 /// Until a task of the class would run there.
 fn delay(c: &Class, r: &Room) -> Micros {
-    let fetch = match c.image {
-        Some(i) if !r.images.contains(&i) => Micros::from_secs(c.image_gb / r.fetch_rate.max(0.001)),
-        _ => Micros::ZERO,
-    };
-    r.opens_in + fetch + r.penalty
+    r.opens_in + Micros::from_secs(fetch_s(c, r)) + r.penalty
 }
