Connections cost no thread: readiness on one routine, rooms of their own for each kind of caller

Cause: each connection held a thread, bounded by sockets and memory alone: 2,022 and 2,406 on the fleet sites, over the 2,000 that a process may have. One controller has to serve every worker when the others are down. Probes, users and workers have room of their own in connections and threads; beyond it they are told at once.

--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use crate::http::{Room, READERS};
 use crate::time::Micros;
 
 /// What is wrong with the settings, in one line.
@@ -212,6 +213,8 @@
     pub slow_boot: f64,
     /// Most users' and workers' connections at once; 0 derives it from the platform's limit.
     pub max_connections: usize,
+    /// Most threads of this process at once, every duty counted.
+    pub max_threads: usize,
     /// Rooms of a large type kept clear of low ranks.
     pub keep_clear: usize,
     /// Past jobs kept for each key of the history.
@@ -233,6 +236,7 @@
             idle_deadline_s: 60.0,
             slow_boot: 1.6,
             max_connections: 0,
+            max_threads: 224,
             keep_clear: 0,
             history_per_key: 64,
             adjust: true,
@@ -250,8 +254,16 @@
     pub operator: Operator,
 }
 
-/// Memory that a connection's routine takes, generously, in KiB.
-const CONNECTION_KB: f64 = 40.0;
+/// Memory that an open connection takes while its request is read and answered, generously, in
+/// KiB. Quiet ones take next to nothing.
+const CONNECTION_KB: f64 = 8.0;
+/// Threads of the duties: seven, three for the other controllers, their runtime, the one that
+/// waits for readiness, the main one, and the raisers of tokens.
+pub const DUTY_THREADS: usize = 13 + RAISERS;
+/// Threads that bring a new token to machines at once.
+pub const RAISERS: usize = 16;
+/// Sockets of the duties: listeners, watches, the cloud, the other controllers, raisers.
+const DUTY_SOCKETS: usize = 16 + RAISERS;
 
 fn positive(field: &str, v: f64) -> Result<(), ConfigError> {
     if v.is_finite() && v > 0.0 {
@@ -299,17 +311,27 @@
         Micros::from_secs((w.cancel_s - w.lease_s) * 0.998 - 2.0)
     }
 
-    /// Most connections of users and workers at once: what the operators say, or else what the
-    /// platform allows, less room for the service's own, within half the memory.
-    pub fn connections(&self) -> usize {
+    /// Room for callers. Connections: what the operators say, or else what the platform allows,
+    /// less the sockets that the duties and the answers to users need, within half the memory; an
+    /// eighth is for users and probes alone. Threads: what the operators say, less the duties.
+    pub fn room(&self) -> Room {
         let l = &self.platform.settings.limits;
-        match self.operator.max_connections {
+        let threads = self.operator.max_threads.saturating_sub(DUTY_THREADS + READERS).max(2);
+        // Each answer to a user may need a connection to the state service.
+        let prompt_threads = (threads * 2 / 3).min(l.max_sockets / 8).max(1);
+        let own = (DUTY_SOCKETS + prompt_threads).min(l.max_sockets / 2);
+        let connections = match self.operator.max_connections {
             0 => {
-                let own = (l.max_sockets / 10).clamp(16, 128);
                 let by_memory = (l.ram_mb * 0.5 * 1024.0 / CONNECTION_KB) as usize;
-                l.max_sockets.saturating_sub(own).min(by_memory).max(8)
+                (l.max_sockets - own).min(by_memory).max(8)
             }
             n => n,
+        };
+        Room {
+            connections,
+            bulk_connections: connections - connections / 8,
+            prompt_threads,
+            bulk_threads: (threads - threads * 2 / 3).max(1),
         }
     }
 
@@ -407,6 +429,13 @@
         not_negative("idle_protected_s", o.idle_protected_s)?;
         not_negative("idle_deadline_s", o.idle_deadline_s)?;
         positive("slow_boot", o.slow_boot)?;
+        if !(DUTY_THREADS + READERS + 8..=1900).contains(&o.max_threads) {
+            let least = DUTY_THREADS + READERS + 8;
+            return Err(bad("max_threads", format!("must be from {least} to 1900")));
+        }
+        if o.max_connections == 1 {
+            return Err(bad("max_connections", "must be 0 or at least 2"));
+        }
         if o.history_per_key < 10 || o.history_per_key > 10_000 {
             return Err(bad("history_per_key", "must be from 10 to 10000"));
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,9 +15,9 @@
 use crate::api;
 use crate::cloud::{CloudClient, CloudError};
 use crate::cluster::{self, Batch, Claim, Owner, LEADER, PART};
-use crate::config::Config;
+use crate::config::{Config, RAISERS};
 use crate::fleet::{CheckIn, Counts, Fleet, Pending};
-use crate::http::{self, Client, Request, Response};
+use crate::http::{self, Client, Lane, Reply, Request, Response};
 use crate::jobs::{chunk_tasks, FinalRecord, JobId, JobRecord, MachineId};
 use crate::peer::{Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
 use crate::state::{Applied, StateClient, StateError, Urgency};
@@ -38,6 +38,14 @@
     last_peer: Steady,
 }
 
+/// A report that is answered when a start for its worker comes up, or after a while.
+struct Later {
+    report: Report,
+    token: u64,
+    until: Steady,
+    reply: Reply,
+}
+
 #[derive(Default)]
 struct Core {
     own: Option<Own>,
@@ -50,7 +58,7 @@
     finals_order: VecDeque<String>,
     counts: BTreeMap<String, Counts>,
     /// Idle workers whose reports wait for an answer.
-    waiting: BTreeMap<MachineId, Arc<Condvar>>,
+    waiting: BTreeMap<MachineId, Later>,
     redirected: BTreeMap<String, Steady>,
     no_relay_until: Steady,
     /// After resigning, others go first.
@@ -67,8 +75,6 @@
 }
 
 const FINALS_KEPT: usize = 20_000;
-/// Routines that bring a new token to machines at once.
-const RAISERS: usize = 16;
 /// How long the answer to an idle worker's report waits for a start at the most; the worker gives
 /// up after four seconds.
 const ANSWER_WITHIN: Micros = Micros::from_millis(2500);
@@ -148,22 +154,29 @@
                 .spawn(move || n.answer_peers(&inbound))?;
             duties.push(t);
         }
-        let most = node.cfg.connections();
         let n = node.clone();
-        let handler: http::Handler = Arc::new(move |r| {
+        let handler = move |r: Request, reply: Reply| {
             let since = steady();
-            let out = n.answer(&r, false);
-            if r.path != "/up" {
-                n.timed(&r.path, since);
+            let path = r.path.clone();
+            n.serve(&r, reply);
+            if path != "/up" {
+                n.timed(&path, since);
             }
-            out
-        });
-        http::serve(listener, most, node.stop.clone(), handler);
+        };
+        let lane = |r: &Request| match r.path.as_str() {
+            "/up" => Lane::Probe,
+            "/checkin" => Lane::Bulk,
+            _ => Lane::Prompt,
+        };
+        let service = http::Service { lane, handler: Arc::new(handler) };
+        let served = http::serve(listener, node.cfg.room(), node.stop.clone(), service);
+        // Without callers there is nothing to serve: all else ends as well.
+        node.stop.store(true, Ordering::Relaxed);
         node.wake.notify_all();
         for t in duties {
             let _ = t.join();
         }
-        Ok(())
+        Ok(served?)
     }
 
     fn lock(&self) -> MutexGuard<'_, Core> {
@@ -183,10 +196,22 @@
 
     // ---- requests ----
 
+    /// Answers a request that came over a connection, now or a little later.
+    fn serve(&self, req: &Request, reply: Reply) {
+        if req.path == "/checkin" && req.method == "POST" {
+            self.check_in(req, Some(reply));
+        } else {
+            reply.send(&self.answer(req, false));
+        }
+    }
+
     /// Answers a request of a user, a worker or the load balancer.
     pub fn answer(&self, req: &Request, relayed: bool) -> Response {
         match req.path.as_str() {
-            "/checkin" if req.method == "POST" => self.check_in(req, relayed),
+            "/checkin" if req.method == "POST" => {
+                let refused = || Response::error(503, "not now");
+                self.check_in(req, None).unwrap_or_else(refused)
+            }
             "/up" if req.method == "GET" => self.up(),
             "/checkin" | "/up" => Response::error(405, "wrong method"),
             // For people on call, by the controllers' own interface: users' connections never
@@ -248,12 +273,26 @@
         }
     }
 
-    fn check_in(&self, req: &Request, relayed: bool) -> Response {
+    /// Takes a report. With a way back it is answered here, now or later; without one, as for a
+    /// report that another controller carries, the answer is returned.
+    fn check_in(&self, req: &Request, reply: Option<Reply>) -> Option<Response> {
+        let (answer, reply) = self.take_report(req, reply);
+        match (answer, reply) {
+            (Some(a), Some(reply)) => {
+                reply.send(&a);
+                None
+            }
+            (a, _) => a,
+        }
+    }
+
+    /// What a report is answered with; nothing if that waits, with the way back, for a start.
+    fn take_report(&self, req: &Request, reply: Option<Reply>) -> (Option<Response>, Option<Reply>) {
         let report: Report = match serde_json::from_slice(&req.body) {
             Ok(r) => r,
             Err(e) => {
                 tracing::error!(error = %e, "a worker's report cannot be read");
-                return Response::error(400, &e.to_string());
+                return (Some(Response::error(400, &e.to_string())), reply);
             }
         };
         let now = steady();
@@ -269,96 +308,95 @@
         if let Some(own) = core.own.as_mut() {
             if now - own.fresh > bound {
                 // Cancellations cannot be seen any more: leases must be let run out.
-                return Response::error(503, "out of touch with the state service");
+                let refused = Response::error(503, "out of touch with the state service");
+                return (Some(refused), reply);
             }
             own.last_report = now;
-            return match own.fleet.check_in(&report, now, wall()) {
-                CheckIn::Reply(r) if r.orders.is_empty() && !relayed => {
-                    self.answer_in_time(core, &report, now)
+            let token = own.claim.token;
+            let answer = match own.fleet.check_in(&report, now, wall()) {
+                CheckIn::Reply(r) => {
+                    // Other workers report when something changes, and must not be kept from it.
+                    let id: MachineId = report.machine.as_str().into();
+                    if r.orders.is_empty() && own.fleet.may_wait(&id, now) {
+                        if let Some(reply) = reply {
+                            let later = Later { report, token, until: now + ANSWER_WITHIN, reply };
+                            // A second report takes the place of the first: its worker gave up.
+                            core.waiting.insert(id, later);
+                            return (None, None);
+                        }
+                    }
+                    Response::json(200, &r)
                 }
-                CheckIn::Reply(r) => Response::json(200, &r),
                 CheckIn::Refuse => Response::error(503, "not now"),
                 CheckIn::Superseded(token) => {
                     self.step_down(&mut core, token, "a worker has seen a higher token");
                     Response::error(503, "not the owner")
                 }
             };
+            return (Some(answer), reply);
         }
-        if relayed {
-            return Response::error(503, "not the owner");
+        if reply.is_none() {
+            return (Some(Response::error(503, "not the owner")), None);
         }
         let Some(leader) = core.leader.clone().filter(|l| l.label != self.cfg.platform.label) else {
-            return Response::error(503, "no owner known");
+            return (Some(Response::error(503, "no owner known")), reply);
         };
         core.redirected.retain(|_, at| (now - *at).secs() < 30.0);
         let again = core.redirected.get(&report.machine).is_some_and(|at| (now - *at).secs() < 12.0);
         if !again {
             core.redirected.insert(report.machine.clone(), now);
-            return Response::json(421, &json!({ "steward": leader.label }));
+            return (Some(Response::json(421, &json!({ "steward": leader.label }))), reply);
         }
         drop(core);
         // It was sent to the owner and is back: it cannot get through, so its report is carried.
         let to = self.cfg.platform.members.iter().position(|m| m.label == leader.label);
-        match to.and_then(|to| self.relay(to, req, Micros::from_millis(2500))) {
+        let answer = match to.and_then(|to| self.relay(to, req, Micros::from_millis(2500))) {
             Some(r) => r,
             None => Response::error(503, "the owner does not answer"),
-        }
+        };
+        (Some(answer), reply)
     }
 
-    /// Answers the report of an idle worker when a start for it comes up, or after a while. Other
-    /// workers report when something changes, and must not be kept from it.
-    fn answer_in_time(&self, mut core: MutexGuard<'_, Core>, report: &Report, since: Steady) -> Response {
-        let Some(token) = core.own.as_ref().map(|o| o.claim.token) else {
-            return Response::error(503, "not the owner");
-        };
-        let id: MachineId = report.machine.as_str().into();
-        let mut orders = Vec::new();
-        let until = since + ANSWER_WITHIN;
-        if core.own.as_ref().is_some_and(|o| o.fleet.may_wait(&id, since)) {
-            let bell = Arc::new(Condvar::new());
-            core.waiting.insert(id.clone(), bell.clone());
-            loop {
-                let left = until - steady();
-                if left.0 <= 0 || self.stopping() {
-                    break;
-                }
-                core = match bell.wait_timeout(core, left.std()) {
-                    Ok((g, _)) => g,
-                    Err(e) => e.into_inner().0,
-                };
-                let now = steady();
-                let bound = self.cfg.blind_bound();
-                let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else {
-                    return Response::error(503, "not the owner");
-                };
-                if now - own.fresh > bound {
-                    return Response::error(503, "out of touch with the state service");
+    /// Answers those idle workers for whom a start may leave now, or who waited long enough.
+    fn answer_waiting(&self) {
+        let mut core = self.lock();
+        let Core { own, waiting, .. } = &mut *core;
+        let now = steady();
+        let bound = self.cfg.blind_bound();
+        let own = own.as_mut().filter(|o| now - o.fresh <= bound);
+        let token = own.as_ref().map(|o| o.claim.token);
+        let due: Vec<MachineId> = waiting
+            .iter()
+            .filter(|(id, w)| {
+                Some(w.token) != token
+                    || now >= w.until
+                    || own.as_ref().is_some_and(|o| o.fleet.start_waits(id))
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut answers = Vec::new();
+        if let Some(own) = own {
+            for id in &due {
+                let Some(w) = waiting.get(id).filter(|w| w.token == own.claim.token) else { continue };
+                let orders = own.fleet.later(&w.report, now, wall());
+                if orders.is_empty() && now < w.until {
+                    continue;
                 }
-                if own.fleet.start_waits(&id) {
-                    orders = own.fleet.later(report, now, wall());
-                    if !orders.is_empty() {
-                        break;
-                    }
+                if let Some(w) = waiting.remove(id) {
+                    answers.push((w.reply, Response::json(200, &ReportReply { token: w.token, orders })));
                 }
             }
-            if core.waiting.get(&id).is_some_and(|b| Arc::ptr_eq(b, &bell)) {
-                core.waiting.remove(&id);
-            }
-            if core.own.as_ref().is_none_or(|o| o.claim.token != token) {
-                return Response::error(503, "not the owner");
+        }
+        // Of an earlier time as owner, or while the state service is out of sight.
+        let lost = due.iter().filter(|id| waiting.get(*id).is_some_and(|w| Some(w.token) != token));
+        for id in lost.cloned().collect::<Vec<_>>() {
+            if let Some(w) = waiting.remove(&id) {
+                answers.push((w.reply, Response::error(503, "not the owner")));
             }
         }
         drop(core);
-        Response::json(200, &ReportReply { token, orders })
-    }
-
-    /// Wakes the answers that wait for a start which may leave now.
-    fn wake_answers(core: &Core) {
-        let Some(own) = &core.own else { return };
-        for (id, bell) in &core.waiting {
-            if own.fleet.start_waits(id) {
-                bell.notify_one();
-            }
+        for (reply, r) in answers {
+            reply.send(&r);
         }
     }
 
@@ -555,8 +593,6 @@
             self.state.allow(rps, writes);
             tracing::info!(token = own.claim.token, higher = token, why, "gives its parts up");
             core.leader = None;
-            // Reports that wait for an answer go to another.
-            core.waiting.values().for_each(|w| w.notify_one());
             self.wake.notify_all();
         }
     }
@@ -771,8 +807,8 @@
                 own.fleet.tick(steady(), wall());
                 own.fleet.starts_wait()
             });
-            Node::wake_answers(&core);
             drop(core);
+            self.answer_waiting();
             if writes {
                 self.wake.notify_all();
             }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -11,7 +11,7 @@
 
 use common::{platform_json, spec, types, Store};
 use milletlock::config::{Config, Operator, Platform};
-use milletlock::http::{self, Client, Request, Response};
+use milletlock::http::{self, Client, Lane, Reply, Request, Response, Room};
 use milletlock::node::Node;
 use milletlock::peer::{self, Call};
 use milletlock::time::Micros;
@@ -21,7 +21,10 @@
 fn serve(f: impl Fn(Request) -> Response + Send + Sync + 'static) -> SocketAddr {
     let l = TcpListener::bind("127.0.0.1:0").expect("a port");
     let addr = l.local_addr().expect("an address");
-    std::thread::spawn(move || http::serve(l, 100, Arc::new(AtomicBool::new(false)), Arc::new(f)));
+    let room = Room { connections: 100, bulk_connections: 100, prompt_threads: 50, bulk_threads: 1 };
+    let handler = Arc::new(move |r: Request, reply: Reply| reply.send(&f(r)));
+    let service = http::Service { lane: |_| Lane::Prompt, handler };
+    std::thread::spawn(move || http::serve(l, room, Arc::new(AtomicBool::new(false)), service));
     addr
 }
 
