Nothing is kept on spot machines for those who may not use them; the list is read beside renting

Cause: a type kept for urgent tasks counted its spot machines as kept, clear and warm, though those tasks may not use spot: they stood idle, and others were rented in their place. Returns count as each request is answered. The log says how machines are used.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -51,6 +51,15 @@
     pub slow_boot: f64,
 }
 
+/// Machines of a type that stay though idle.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Warm {
+    /// How many.
+    pub count: usize,
+    /// Whether those for whom they stay may use spot machines.
+    pub spot: bool,
+}
+
 /// All that is looked at.
 pub struct View<'a> {
     /// The planner's snapshot.
@@ -65,8 +74,8 @@
     pub zones: &'a [Vec<usize>],
     /// Offers refused lately.
     pub refused: &'a [Offer],
-    /// By type, how many machines stay though idle.
-    pub warm: &'a [usize],
+    /// By type, what stays though idle.
+    pub warm: &'a [Warm],
     /// By type, whether jobs with deadlines used it of late.
     pub due: &'a [bool],
     /// Settings.
@@ -205,7 +214,7 @@
             let horizon = self.policy.drain.secs() + boot;
             let mut supply = 0.0;
             for (m, r) in self.snapshot.rooms.iter().enumerate() {
-                let kept = self.snapshot.kept(r.ty).is_some_and(|k| c.rank < k.rank);
+                let kept = self.snapshot.kept(r.ty, r.spot).is_some_and(|k| c.rank < k.rank);
                 if !allowed(c, r)
                     || r.until.is_some()
                     || kept
@@ -236,9 +245,18 @@
             self.plan.reservation.as_ref().is_some_and(|r| r.rooms.iter().any(|x| x.0 == m))
                 || self.plan.starts.iter().any(|s| s.room == m)
         };
+        // A spot machine that those for whom some stay warm may not use is kept for nobody.
+        let warm = |r: &Room| {
+            let w = self.warm.get(r.ty).copied().unwrap_or_default();
+            if r.spot && !w.spot {
+                0
+            } else {
+                w.count
+            }
+        };
         let mut left: Vec<usize> = vec![0; self.types.len()];
         for (r, u) in self.snapshot.rooms.iter().zip(self.upkeep) {
-            left[r.ty] += usize::from(!u.booting && r.until.is_none());
+            left[r.ty] += usize::from(!u.booting && r.until.is_none() && warm(r) > 0);
         }
         let mut out = Vec::new();
         // The dear ones first.
@@ -246,16 +264,16 @@
             self.snapshot.rooms.iter().zip(self.upkeep).enumerate().collect();
         rooms.sort_by_key(|x| std::cmp::Reverse(x.1 .0.rate));
         for (m, (r, u)) in rooms {
-            let warm = self.warm.get(r.ty).copied().unwrap_or(0);
+            let warm = warm(r);
             let after = match self.due.get(r.ty) {
                 Some(true) => self.policy.idle_due,
                 _ if warm > 0 => self.policy.idle_kept,
                 _ => self.policy.idle,
             };
             // Under the least charge nothing is saved by giving a machine back.
-            if u.idle.is_some_and(|i| i > after) && u.age > LEAST_CHARGE && !reserved(m) && left[r.ty] > warm
-            {
-                left[r.ty] -= 1;
+            let spare = warm == 0 || left[r.ty] > warm;
+            if u.idle.is_some_and(|i| i > after) && u.age > LEAST_CHARGE && !reserved(m) && spare {
+                left[r.ty] = left[r.ty].saturating_sub(usize::from(warm > 0));
                 out.push(m);
             }
         }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -132,12 +132,16 @@
         Ok(c) => {
             let s = &c.platform.settings;
             println!(
-                "ok: {} of {} controllers, {} teams, {} zones; renews workers for {:.1} s without the state service",
+                "ok: {} of {} controllers, {} teams, {} zones; renews workers for {:.1} s without the state service; \
+                 room for {} connections, {} of them workers', on {} threads",
                 c.platform.label,
                 c.nodes(),
                 s.teams.len(),
                 s.zones.len(),
-                c.blind_bound().secs()
+                c.blind_bound().secs(),
+                c.room().connections,
+                c.room().bulk_connections,
+                c.operator.max_threads
             );
             ExitCode::SUCCESS
         }
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -81,14 +81,11 @@
         Ok(m.machines)
     }
 
-    /// Returns machines; once it succeeds they are gone with all that was on them.
+    /// Returns up to a hundred machines; once it succeeds they are gone with all that was on them.
     pub fn give_back(&self, machines: &[String]) -> Result<(), CloudError> {
-        for part in machines.chunks(100) {
-            let body = serde_json::to_vec(&MachineNames { machines: part.to_vec() })
-                .map_err(|e| CloudError::Malformed(e.to_string()))?;
-            self.call("POST", "/rentals/return", Some(body))?;
-        }
-        Ok(())
+        let body = serde_json::to_vec(&MachineNames { machines: machines.to_vec() })
+            .map_err(|e| CloudError::Malformed(e.to_string()))?;
+        self.call("POST", "/rentals/return", Some(body)).map(|_| ())
     }
 
     /// The whole machine list.
--- a/src/config.rs
+++ b/src/config.rs
@@ -257,9 +257,9 @@
 /// Memory that an open connection takes while its request is read and answered, generously, in
 /// KiB. Quiet ones take next to nothing.
 const CONNECTION_KB: f64 = 8.0;
-/// Threads of the duties: seven, three for the other controllers, their runtime, the one that
+/// Threads of the duties: eight, three for the other controllers, their runtime, the one that
 /// waits for readiness, the main one, and the raisers of tokens.
-pub const DUTY_THREADS: usize = 13 + RAISERS;
+pub const DUTY_THREADS: usize = 14 + RAISERS;
 /// Threads that bring a new token to machines at once.
 pub const RAISERS: usize = 16;
 /// Sockets of the duties: listeners, watches, the cloud, the other controllers, raisers.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use serde::Serialize;
 
-use crate::capacity::{Offer, Policy, Upkeep, View};
+use crate::capacity::{Offer, Policy, Upkeep, View, Warm};
 use crate::config::{Config, Team};
 use crate::history::{History, Key};
 use crate::jobs::{
@@ -250,6 +250,8 @@
     beside: u32,
     /// It has a deadline.
     due: bool,
+    /// It may use spot machines.
+    spot: bool,
 }
 
 /// How long what nobody waits for is gathered before it is written.
@@ -299,6 +301,8 @@
     pub marks: Packs<u32>,
     /// Revisions at which jobs ended, so that a late message does not bring them back.
     over: BTreeMap<JobId, u64>,
+    /// When the log last said how the machines are used.
+    told: Steady,
     /// Machines that are gone; reports from them are late.
     gone: BTreeMap<MachineId, Steady>,
     unenrol: BTreeMap<MachineId, u64>,
@@ -314,6 +318,8 @@
     lease: Micros,
 }
 
+/// How often the log says how the machines are used.
+const TELL: Micros = Micros(15_000_000);
 /// How long a machine that the cloud says is running is waited for after its lease ran out.
 const CUT: Micros = Micros(40_000_000);
 const MARGIN: Micros = Micros(1_500_000);
@@ -368,6 +374,7 @@
             demands: Vec::new(),
             noted: (now, 0),
             tidied: now,
+            told: now,
             came: 0,
             lease,
             cfg,
@@ -524,6 +531,7 @@
             hasty: aim.is_some_and(|a| a < ready),
             beside: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
             due: s.deadline_s.is_some(),
+            spot: s.spot,
         });
     }
 
@@ -549,6 +557,7 @@
             hasty: d.hasty,
             beside: d.beside,
             due: d.due,
+            spot: d.spot,
         })
         .take_while(|r| {
             let size = 200 + r.types.iter().map(|t| t.len() + 3).sum::<usize>();
@@ -573,6 +582,7 @@
                 hasty: r.hasty,
                 beside: r.beside,
                 due: r.due,
+                spot: r.spot,
             });
         }
         self.demands.retain(|d| now - d.at < RECENT);
@@ -580,31 +590,28 @@
 
     /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, with
     /// some to spare, since a new machine would come too late for the next.
-    fn warm(&self, now: Steady) -> Vec<usize> {
+    fn warm(&self, now: Steady) -> Vec<Warm> {
         let hasty = || self.demands.iter().filter(|d| d.hasty).map(|d| d.at);
         let (Some(first), Some(last)) = (hasty().min(), hasty().max()) else {
-            return vec![0; self.types.len()];
+            return vec![Warm::default(); self.types.len()];
         };
         let span = (now - first).secs().clamp(60.0, RECENT.secs());
         // No such job for much longer than usual: no more are expected.
         if (now - last).secs() > (4.0 * span / hasty().count() as f64).max(60.0) {
-            return vec![0; self.types.len()];
+            return vec![Warm::default(); self.types.len()];
         }
         (0..self.types.len())
             .map(|ty| {
                 let of = self.demands.iter().filter(|d| d.hasty && d.types.first() == Some(&ty));
-                let (work, any) = of.fold((0.0, false), |(w, _), d| {
-                    (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true)
+                let (work, any, spot) = of.fold((0.0, false, false), |(w, _, spot), d| {
+                    (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true, spot || d.spot)
                 });
-                if any {
-                    {
-                        // Square-root staffing: the mean in use, and its spread beside it.
-                        let load = work / span;
-                        (load + load.sqrt()).round().max(1.0) as usize
-                    }
-                } else {
-                    0
+                if !any {
+                    return Warm::default();
                 }
+                // Square-root staffing: the mean in use, and its spread beside it.
+                let load = work / span;
+                Warm { count: (load + load.sqrt()).round().max(1.0) as usize, spot }
             })
             .collect()
     }
@@ -1543,7 +1550,7 @@
                     .filter(|d| d.types.iter().all(|&o| size(&self.types[o]) >= size(&self.types[ty])))
                     .filter(|d| self.total(ty).fits(&d.need) == 1)
                     .max_by(|a, b| a.rank.cmp(&b.rank).then(a.need.cpus.total_cmp(&b.need.cpus)))
-                    .map(|d| Keep { need: d.need, rank: d.rank })
+                    .map(|d| Keep { need: d.need, rank: d.rank, spot: d.spot })
             })
             .collect()
     }
@@ -1761,11 +1768,48 @@
             let after = (now - self.taken).secs();
             tracing::info!(after, unheard = self.silent, "machines of the earlier owner are heard or ended");
         }
+        if now - self.told > TELL {
+            self.told = now;
+            self.tell_use();
+        }
         self.gone.retain(|_, at| (now - *at).secs() < 900.0);
         self.refused.retain(|_, until| now < *until);
         self.replan(now, wall);
     }
 
+    /// Says by type and kind what is paid for and what of it is used.
+    fn tell_use(&self) {
+        #[derive(Default)]
+        struct Use {
+            machines: u32,
+            booting: u32,
+            idle: u32,
+            cpus: f64,
+            placed: f64,
+            running: f64,
+        }
+        let mut by: BTreeMap<(&str, bool), Use> = BTreeMap::new();
+        for m in self.machines.values() {
+            let u = by.entry((&m.ty_name, m.spot)).or_default();
+            u.machines += 1;
+            u.booting += u32::from(!m.up);
+            u.idle += u32::from(m.up && m.tasks.is_empty());
+            u.cpus += m.ty.map_or(0.0, |t| self.total(t).cpus);
+            for e in m.tasks.values().filter(|e| e.live()) {
+                let cpus = e.need.map_or(0.0, |n| n.cpus);
+                u.placed += cpus;
+                u.running += if e.stage == Some(TaskStage::Running) { cpus } else { 0.0 };
+            }
+        }
+        for ((ty, spot), u) in by {
+            let (machines, booting, idle) = (u.machines, u.booting, u.idle);
+            let (placed, running) = (u.placed / u.cpus.max(0.1), u.running / u.cpus.max(0.1));
+            tracing::info!(ty, spot, machines, booting, idle, placed, running, "use of machines");
+        }
+        let waiting: u32 = self.plan.unmet.iter().map(|u| u.1).sum();
+        tracing::info!(jobs = self.jobs.len(), waiting, "queue");
+    }
+
     // ---- the cloud ----
 
     /// What to rent, and idle machines marked as leaving.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -193,6 +193,9 @@
     /// It has a deadline.
     #[serde(default)]
     pub due: bool,
+    /// It may use spot machines.
+    #[serde(default)]
+    pub spot: bool,
 }
 
 /// Key of the list of recent jobs.
--- a/src/node.rs
+++ b/src/node.rs
@@ -80,6 +80,8 @@
 const ANSWER_WITHIN: Micros = Micros::from_millis(2500);
 /// Most machines in one request for some.
 const MOST_RENTED: u32 = 50;
+/// Most machines in one request to return some.
+const MOST_RETURNED: usize = 100;
 /// How often the done ranges of a job that goes on are written; its workers keep the results.
 const DONE_EVERY: Micros = Micros::from_millis(12_000);
 
@@ -142,6 +144,7 @@
         duty("watcher", Node::watch)?;
         duty("writer", Node::write)?;
         duty("cloud", Node::tend)?;
+        duty("list", Node::list)?;
         duty("announcer", Node::announce)?;
         duty("raiser", Node::raise)?;
         duty("planner", Node::plan)?;
@@ -169,7 +172,14 @@
             _ => Lane::Prompt,
         };
         let service = http::Service { lane, handler: Arc::new(handler) };
-        let served = http::serve(listener, node.cfg.room(), node.stop.clone(), service);
+        let room = node.cfg.room();
+        tracing::info!(
+            connections = room.connections,
+            workers = room.bulk_connections,
+            threads = room.prompt_threads + room.bulk_threads,
+            "room for callers"
+        );
+        let served = http::serve(listener, room, node.stop.clone(), service);
         // Without callers there is nothing to serve: all else ends as well.
         node.stop.store(true, Ordering::Relaxed);
         node.wake.notify_all();
@@ -984,22 +994,18 @@
 
     // ---- the cloud ----
 
-    /// Rents and returns, and keeps an eye on the cloud's list.
-    fn tend(&self) {
-        let s = &self.cfg.platform.settings;
-        let lag = Micros::from_secs(s.cloud.list_lag_s);
+    /// Keeps an eye on the cloud's list and its prices. A long list takes several requests, which
+    /// must not hold up renting.
+    fn list(&self) {
+        let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
         let every = lag.scale(0.75).max(Micros::from_secs(2.0));
-        let (mut listed, mut priced, mut counter, mut began) =
-            (Steady(0), Steady(0), 0u64, (0u64, Steady(0)));
+        let (mut listed, mut priced, mut last) = (Steady(0), Steady(0), 0u64);
         while !self.stopping() {
             self.sleep(Micros::from_millis(500));
-            let Some((token, first)) = self.lock().own.as_ref().map(|o| (o.claim.token, o.claim.first))
-            else {
-                continue;
-            };
+            let Some(token) = self.lock().own.as_ref().map(|o| o.claim.token) else { continue };
             let now = steady();
-            if began.0 != token {
-                began = (token, now);
+            if last != token {
+                last = token;
                 listed = Steady(0);
             }
             if now - priced > Micros::from_secs(45.0) {
@@ -1020,6 +1026,22 @@
                     }
                 }
             }
+        }
+    }
+
+    /// Rents and returns.
+    fn tend(&self) {
+        let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
+        let (mut counter, mut began) = (0u64, (0u64, Steady(0)));
+        while !self.stopping() {
+            self.sleep(Micros::from_millis(500));
+            let Some((token, first)) = self.lock().own.as_ref().map(|o| (o.claim.token, o.claim.first))
+            else {
+                continue;
+            };
+            if began.0 != token {
+                began = (token, steady());
+            }
             self.give_back(token);
             // What the last owner rented shows in the list only after a while.
             if first || steady() - began.1 > lag.scale(1.2) {
@@ -1036,14 +1058,21 @@
         if ids.is_empty() {
             return;
         }
-        match self.cloud.give_back(&ids) {
-            Ok(()) => {
-                if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == token) {
-                    own.fleet.returned(&ids, steady());
+        // Each answer counts at once: what the next request has to wait for must not hold up what
+        // can start elsewhere.
+        for part in ids.chunks(MOST_RETURNED) {
+            match self.cloud.give_back(part) {
+                Ok(()) => {
+                    if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == token) {
+                        own.fleet.returned(part, steady());
+                    }
+                    self.wake.notify_all();
+                }
+                Err(e) => {
+                    tracing::info!(error = %e, machines = ids.len(), "could not be returned yet");
+                    return;
                 }
-                self.wake.notify_all();
             }
-            Err(e) => tracing::info!(error = %e, machines = ids.len(), "could not be returned yet"),
         }
     }
 
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -181,6 +181,8 @@
     pub need: Need,
     /// Its rank.
     pub rank: Rank,
+    /// Whether such tasks may use spot machines; if not, none of those is kept for them.
+    pub spot: bool,
 }
 
 /// All that the planner sees.
@@ -209,9 +211,9 @@
 }
 
 impl Snapshot {
-    /// What is kept on a type, if anything is.
-    pub fn kept(&self, ty: usize) -> Option<Keep> {
-        self.keep.get(ty).copied().flatten()
+    /// What is kept on machines of a type and kind, if anything is.
+    pub fn kept(&self, ty: usize, spot: bool) -> Option<Keep> {
+        self.keep.get(ty).copied().flatten().filter(|k| k.spot || !spot)
     }
 }
 
@@ -297,7 +299,7 @@
             .rooms
             .iter()
             .map(|r| {
-                let k = s.kept(r.ty)?;
+                let k = s.kept(r.ty, r.spot)?;
                 if clear[r.ty] >= s.clear || r.free.fits(&k.need) == 0 || r.until.is_some() {
                     return None;
                 }
@@ -320,7 +322,7 @@
     }
 
     fn low(&self, c: &Class, r: &Room) -> bool {
-        self.s.kept(r.ty).is_some_and(|k| c.rank < k.rank)
+        self.s.kept(r.ty, r.spot).is_some_and(|k| c.rank < k.rank)
     }
 
     /// How many tasks of the class could start there now.
@@ -695,7 +697,7 @@
         }
         out.unmet.push((class, left));
         for &ty in &c.types {
-            let kept = s.kept(ty).is_some_and(|k| c.rank >= k.rank);
+            let kept = s.kept(ty, false).is_some_and(|k| c.rank >= k.rank);
             if let (true, Some(w)) = (kept, w.wanted.get_mut(ty)) {
                 *w = true;
             }
@@ -728,7 +730,7 @@
 pub fn top_up(s: &Snapshot, wanted: &[bool], unmet: &mut [(usize, u32)], room: &Room) -> Vec<(usize, u32)> {
     let mut out = Vec::new();
     let mut free = room.free;
-    let kept = s.kept(room.ty);
+    let kept = s.kept(room.ty, room.spot);
     let has = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
     let group = |c: &Class| (c.guaranteed, c.rank, c.late);
     let may = |c: &Class| {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::platform_json;
-use milletlock::config::{Operator, Platform};
+use milletlock::config::{Config, Operator, Platform};
 use serde_json::{json, Value};
 
 fn said(v: &Value) -> String {
@@ -52,6 +52,35 @@
     assert!(said("idle_z = 10").contains("idle_z"));
     assert!(said("idle_s = \"soon\"").contains("idle_s"));
     assert!(said("leader_ttl_s = 0.2").contains("leader_ttl_s"));
+    for wrong in ["max_threads = 10", "max_threads = 2000", "max_connections = 1"] {
+        assert!(said(wrong).contains(wrong.split(' ').next().unwrap_or("")), "{wrong}");
+    }
     assert!(said("history_per_key = 3").contains("history_per_key"));
     assert!(!said("idle_s = ").is_empty());
 }
+
+#[test]
+fn callers_have_room_within_sockets_memory_and_threads() {
+    let room = |sockets: usize, ram: f64, operator: &str| {
+        let mut p = platform_json();
+        p["settings"]["limits"] = json!({ "cpu": 0.1, "ram_mb": ram, "max_sockets": sockets });
+        let platform = Platform::parse(&p.to_string(), "f.json").expect("settings");
+        Config { platform, operator: Operator::parse(operator, "f.hcl").expect("settings") }.room()
+    };
+    // One controller serves every worker, half as many again as were ever named, users beside them.
+    for (sockets, ram, machines) in [(2877, 158.0, 1822), (3592, 188.0, 2268)] {
+        let r = room(sockets, ram, "");
+        assert!(r.bulk_connections > machines && r.connections > r.bulk_connections + 200, "{r:?}");
+        // With a connection to the state service for each answer to a user all sockets suffice.
+        assert!(r.connections + r.prompt_threads + 32 <= sockets, "{r:?}");
+        assert!(r.prompt_threads + r.bulk_threads < 224, "{r:?}");
+    }
+    for (sockets, ram, operator) in
+        [(16, 100.0, ""), (500, 2.0, ""), (500, 100.0, "max_threads = 42"), (40, 9.0, "max_connections = 2")]
+    {
+        let r = room(sockets, ram, operator);
+        assert!(r.connections > r.bulk_connections || r.connections < 8, "{r:?}");
+        assert!(r.bulk_connections > 0 && r.prompt_threads > 0 && r.bulk_threads > 0, "{r:?}");
+    }
+    assert_eq!(room(500, 100.0, "max_connections = 80").connections, 80);
+}
