Jobs yield by how many of their aims they lost, wide ones for a shorter time

Cause: of two aims for the start only the first counted: a gang that missed it went behind, and back to the front 90 s after it came, in the midst of a burst, with all that came before it. The settings' deadlines come with a factor; those that lost the first may still make the second.

--- a/src/config.rs
+++ b/src/config.rs
@@ -92,6 +92,13 @@
     /// Seconds, where the kind has them.
     #[serde(default)]
     pub within_s: f64,
+    /// For deadlines: how many times the job's own.
+    #[serde(default = "once")]
+    pub times: f64,
+}
+
+fn once() -> f64 {
+    1.0
 }
 
 /// Times that workers keep to.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -332,8 +332,10 @@
 const NOT_LISTED: Micros = Micros(4_000_000);
 /// Delays that differ by less count as alike.
 const FINE: Micros = Micros(2_000_000);
-/// So many seconds after it came a job that missed its start yields to others no more.
-const YIELDS: f64 = 90.0;
+/// So many seconds after it came a job that missed its start yields to others no more, and the
+/// widest of its shape after so many: it must begin within four minutes.
+const YIELDS: f64 = 150.0;
+const YIELDS_WIDEST: f64 = 90.0;
 /// So long a worker is waited for before a new owner's token is brought to it.
 const RAISE_AFTER: Micros = Micros(1_500_000);
 /// After so many answers in a row that did not arrive, a machine is returned.
@@ -538,8 +540,8 @@
     /// Seconds within which its class's aim has a job start, if there is such an aim.
     fn start_aim(&self, s: &JobSpec) -> Option<f64> {
         let aims = &self.cfg.platform.settings.objectives;
-        let aim = aims.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
-        aim.map(|o| o.within_s)
+        let of = aims.iter().filter(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
+        of.map(|o| o.within_s).reduce(f64::min)
     }
 
     /// Recent jobs as they are written: only what large machines are kept for, the latest first,
@@ -1377,6 +1379,11 @@
         let mut guaranteed: BTreeMap<String, Need> = BTreeMap::new();
         let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
         by_age.sort_by_key(|j| j.submitted);
+        let mut widest = [0u32; 2];
+        for j in &by_age {
+            let w = &mut widest[usize::from(j.spec.shape == Shape::Gang)];
+            *w = (*w).max(j.spec.tasks);
+        }
         let image_of: Vec<Option<String>> = by_age.iter().map(|j| j.spec.image.clone()).collect();
         let mut classes = Vec::new();
         for j in &by_age {
@@ -1423,7 +1430,7 @@
                 adjusted,
                 waited,
                 zones: if sp.one_zone || sp.spread { self.zones_of(j) } else { vec![0; self.zones.len()] },
-                late: self.late(sp, waited, adjusted),
+                lost: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
                 patience: self.patience(sp) - waited,
             });
         }
@@ -1507,17 +1514,25 @@
         })
     }
 
-    /// Whether a job's aim is lost. So that nothing starves, that stops counting against it after
-    /// five times the aim.
-    fn late(&self, s: &JobSpec, waited: Micros, adjusted: Micros) -> bool {
-        let aims = &self.cfg.platform.settings.objectives;
-        let finished = aims.iter().filter(|o| o.kind == "finished" && Some(&o.class) == s.class.as_ref());
-        let due = s.deadline_s.or(finished.map(|o| o.within_s).reduce(f64::max));
+    /// How many of its class's aims a job has lost, by its age or by the time it would end if it
+    /// started now. So that nothing starves or might be taken for forgotten, a lost aim stops
+    /// counting against it after a while: one for its end after five times the aim, one for its
+    /// start sooner, and the sooner the wider the job is: it takes longer to find its room.
+    fn lost(&self, s: &JobSpec, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
         let end = waited.secs() + 0.7 * adjusted.secs();
-        let done = due.is_some_and(|due| end > due && waited.secs() < 5.0 * due);
-        // One that should have started long ago yields to those that still can in time, but not
-        // for so long that it might be taken for forgotten.
-        done || self.start_aim(s).is_some_and(|aim| waited.secs() > aim && waited.secs() < YIELDS)
+        let width = f64::from(s.tasks) / f64::from(widest.max(s.tasks).max(1));
+        let yields = YIELDS - (YIELDS - YIELDS_WIDEST) * width;
+        let by_end = |within: f64| end > within && waited.secs() < 5.0 * within;
+        let aims = &self.cfg.platform.settings.objectives;
+        let of_class = || aims.iter().filter(|o| Some(&o.class) == s.class.as_ref());
+        let lost = of_class().filter(|o| match (o.kind.as_str(), s.deadline_s) {
+            ("wait", _) => waited.secs() > o.within_s && waited.secs() < yields,
+            ("finished", _) => by_end(o.within_s),
+            ("deadline", Some(due)) => by_end(due * o.times),
+            _ => false,
+        });
+        let own = s.deadline_s.filter(|_| !of_class().any(|o| o.kind == "deadline"));
+        lost.count().min(200) as u8 + u8::from(own.is_some_and(by_end))
     }
 
     /// How long a job may wait before others are stopped for it: what its class's aim allows, less
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -142,9 +142,9 @@
     pub waited: Micros,
     /// Its tasks that are or may be somewhere, by zone.
     pub zones: Vec<u32>,
-    /// It has missed its aim already, or will even if it starts now: beyond capacity, those that
-    /// can still make theirs go first.
-    pub late: bool,
+    /// How many of its aims it has missed, or will even if it starts now: beyond capacity, those
+    /// that can still make more of theirs go first.
+    pub lost: u8,
     /// How long it may still wait before others are stopped for it.
     pub patience: Micros,
 }
@@ -262,13 +262,13 @@
     (wait / time).powi(3) * size
 }
 
-/// The queue's order: guaranteed work, then rank, then those not late, then score.
+/// The queue's order: guaranteed work, then rank, then fewest aims lost, then score.
 pub fn order(classes: &[Class]) -> Vec<usize> {
     let mut by: Vec<(usize, f64)> = classes.iter().map(score).enumerate().collect();
     by.sort_by(|a, b| {
         let (x, y) = (&classes[a.0], &classes[b.0]);
-        (y.guaranteed, y.rank, x.late)
-            .cmp(&(x.guaranteed, x.rank, y.late))
+        (y.guaranteed, y.rank, x.lost)
+            .cmp(&(x.guaranteed, x.rank, y.lost))
             .then(b.1.total_cmp(&a.1))
             .then(a.0.cmp(&b.0))
     });
@@ -723,8 +723,8 @@
 /// Between two plans: what of the array tasks that found no room may start on a machine that has
 /// room now. Called for machines outside the reservation on which nothing is being stopped, so it
 /// delays nobody that the plan made wait for them; jobs tied to zones and teams with a limit are
-/// left to the next plan. It goes in the queue's order, but among jobs of one rank, none of them
-/// late, those whose image the machine has go first: where all machines are in use, each would
+/// left to the next plan. It goes in the queue's order, but among jobs of one rank that have lost as
+/// many aims, those whose image the machine has go first: where all machines are in use, each would
 /// otherwise fetch every image, and fetching takes as much of its time as running. What it starts
 /// is taken off `unmet`.
 pub fn top_up(s: &Snapshot, wanted: &[bool], unmet: &mut [(usize, u32)], room: &Room) -> Vec<(usize, u32)> {
@@ -732,7 +732,7 @@
     let mut free = room.free;
     let kept = s.kept(room.ty, room.spot);
     let has = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
-    let group = |c: &Class| (c.guaranteed, c.rank, c.late);
+    let group = |c: &Class| (c.guaranteed, c.rank, c.lost);
     let may = |c: &Class| {
         let limited = s.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let low = kept.is_some_and(|k| c.rank < k.rank);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -178,7 +178,7 @@
         adjusted: secs(adjusted),
         waited: secs(waited),
         zones: vec![0, 0],
-        late: false,
+        lost: 0,
         patience: secs(10),
     }
 }
--- a/tests/starving.rs
+++ b/tests/starving.rs
@@ -174,3 +174,26 @@
     let served = w.began.values().filter(|b| b.1.is_some()).count();
     assert!(served * 10 >= w.began.len() * 9, "{served} of {} jobs began", w.began.len());
 }
+
+#[test]
+fn beyond_capacity_those_that_can_make_more_of_their_aims_go_first_but_nobody_is_forgotten() {
+    // 20 machines take 20 gangs of one a minute; for two minutes there are twice as many.
+    let mut w = World::new(20);
+    let mut came = Vec::new();
+    for k in 0..900u32 {
+        let every = if (120..360).contains(&k) { 3 } else { 12 };
+        if k % every == 0 {
+            w.submit(gang(k + 1, 1, "quick"), 60.0);
+            came.push(k + 1);
+        }
+        w.step();
+    }
+    // Once all is over each has begun, none later than four minutes after it came.
+    let waited: Vec<f64> = came.iter().filter(|n| **n < 700).map(|n| w.waited(*n)).collect();
+    let worst = waited.iter().copied().fold(0.0, f64::max);
+    assert!(worst < 240.0, "one began after {worst} s");
+    // In the order of coming nearly all of the rush would have waited longer than their aim of 20 s.
+    let rush = came.iter().filter(|n| (120..360).contains(*n));
+    let (all, in_time) = rush.fold((0, 0), |(a, t), n| (a + 1, t + u32::from(w.waited(*n) < 20.0)));
+    assert!(in_time * 3 > all, "{in_time} of {all} in time");
+}
