--- a/src/config.rs
+++ b/src/config.rs
@@ -92,6 +92,13 @@
     /// Seconds, where the kind has them.
     #[serde(default)]
     pub within_s: f64,
+    /// For deadlines: how many times the job's own.
+    #[serde(default = "once")]
+    pub times: f64,
+}
+
+fn once() -> f64 {
+    1.0
 }
 
 /// Times that workers keep to.
@@ -257,9 +264,9 @@
 /// Memory that an open connection takes while its request is read and answered, generously, in
 /// KiB. Quiet ones take next to nothing.
 const CONNECTION_KB: f64 = 8.0;
-/// Threads of the duties: seven, three for the other controllers, their runtime, the one that
+/// Threads of the duties: eight, three for the other controllers, their runtime, the one that
 /// waits for readiness, the main one, and the raisers of tokens.
-pub const DUTY_THREADS: usize = 13 + RAISERS;
+pub const DUTY_THREADS: usize = 14 + RAISERS;
 /// Threads that bring a new token to machines at once.
 pub const RAISERS: usize = 16;
 /// Sockets of the duties: listeners, watches, the cloud, the other controllers, raisers.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use serde::Serialize;
 
-use crate::capacity::{Offer, Policy, Upkeep, View};
+use crate::capacity::{Offer, Policy, Upkeep, View, Warm};
 use crate::config::{Config, Team};
 use crate::history::{History, Key};
 use crate::jobs::{
@@ -250,6 +250,8 @@
     beside: u32,
     /// It has a deadline.
     due: bool,
+    /// It may use spot machines.
+    spot: bool,
 }
 
 /// How long what nobody waits for is gathered before it is written.
@@ -299,6 +301,8 @@
     pub marks: Packs<u32>,
     /// Revisions at which jobs ended, so that a late message does not bring them back.
     over: BTreeMap<JobId, u64>,
+    /// When the log last said how the machines are used.
+    told: Steady,
     /// Machines that are gone; reports from them are late.
     gone: BTreeMap<MachineId, Steady>,
     unenrol: BTreeMap<MachineId, u64>,
@@ -314,6 +318,8 @@
     lease: Micros,
 }
 
+/// How often the log says how the machines are used.
+const TELL: Micros = Micros(15_000_000);
 /// How long a machine that the cloud says is running is waited for after its lease ran out.
 const CUT: Micros = Micros(40_000_000);
 const MARGIN: Micros = Micros(1_500_000);
@@ -326,8 +332,10 @@
 const NOT_LISTED: Micros = Micros(4_000_000);
 /// Delays that differ by less count as alike.
 const FINE: Micros = Micros(2_000_000);
-/// So many seconds after it came a job that missed its start yields to others no more.
-const YIELDS: f64 = 90.0;
+/// So many seconds after it came a job that missed its start yields to others no more, and the
+/// widest of its shape after so many: it must begin within four minutes.
+const YIELDS: f64 = 150.0;
+const YIELDS_WIDEST: f64 = 90.0;
 /// So long a worker is waited for before a new owner's token is brought to it.
 const RAISE_AFTER: Micros = Micros(1_500_000);
 /// After so many answers in a row that did not arrive, a machine is returned.
@@ -368,6 +376,7 @@
             demands: Vec::new(),
             noted: (now, 0),
             tidied: now,
+            told: now,
             came: 0,
             lease,
             cfg,
@@ -524,14 +533,15 @@
             hasty: aim.is_some_and(|a| a < ready),
             beside: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
             due: s.deadline_s.is_some(),
+            spot: s.spot,
         });
     }
 
     /// Seconds within which its class's aim has a job start, if there is such an aim.
     fn start_aim(&self, s: &JobSpec) -> Option<f64> {
         let aims = &self.cfg.platform.settings.objectives;
-        let aim = aims.iter().find(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
-        aim.map(|o| o.within_s)
+        let of = aims.iter().filter(|o| o.kind == "wait" && Some(&o.class) == s.class.as_ref());
+        of.map(|o| o.within_s).reduce(f64::min)
     }
 
     /// Recent jobs as they are written: only what large machines are kept for, the latest first,
@@ -549,6 +559,7 @@
             hasty: d.hasty,
             beside: d.beside,
             due: d.due,
+            spot: d.spot,
         })
         .take_while(|r| {
             let size = 200 + r.types.iter().map(|t| t.len() + 3).sum::<usize>();
@@ -573,6 +584,7 @@
                 hasty: r.hasty,
                 beside: r.beside,
                 due: r.due,
+                spot: r.spot,
             });
         }
         self.demands.retain(|d| now - d.at < RECENT);
@@ -580,31 +592,28 @@
 
     /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, with
     /// some to spare, since a new machine would come too late for the next.
-    fn warm(&self, now: Steady) -> Vec<usize> {
+    fn warm(&self, now: Steady) -> Vec<Warm> {
         let hasty = || self.demands.iter().filter(|d| d.hasty).map(|d| d.at);
         let (Some(first), Some(last)) = (hasty().min(), hasty().max()) else {
-            return vec![0; self.types.len()];
+            return vec![Warm::default(); self.types.len()];
         };
         let span = (now - first).secs().clamp(60.0, RECENT.secs());
         // No such job for much longer than usual: no more are expected.
         if (now - last).secs() > (4.0 * span / hasty().count() as f64).max(60.0) {
-            return vec![0; self.types.len()];
+            return vec![Warm::default(); self.types.len()];
         }
         (0..self.types.len())
             .map(|ty| {
                 let of = self.demands.iter().filter(|d| d.hasty && d.types.first() == Some(&ty));
-                let (work, any) = of.fold((0.0, false), |(w, _), d| {
-                    (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true)
+                let (work, any, spot) = of.fold((0.0, false, false), |(w, _, spot), d| {
+                    (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true, spot || d.spot)
                 });
-                if any {
-                    {
-                        // Square-root staffing: the mean in use, and its spread beside it.
-                        let load = work / span;
-                        (load + load.sqrt()).round().max(1.0) as usize
-                    }
-                } else {
-                    0
+                if !any {
+                    return Warm::default();
                 }
+                // Square-root staffing: the mean in use, and its spread beside it.
+                let load = work / span;
+                Warm { count: (load + load.sqrt()).round().max(1.0) as usize, spot }
             })
             .collect()
     }
@@ -1370,6 +1379,11 @@
         let mut guaranteed: BTreeMap<String, Need> = BTreeMap::new();
         let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
         by_age.sort_by_key(|j| j.submitted);
+        let mut widest = [0u32; 2];
+        for j in &by_age {
+            let w = &mut widest[usize::from(j.spec.shape == Shape::Gang)];
+            *w = (*w).max(j.spec.tasks);
+        }
         let image_of: Vec<Option<String>> = by_age.iter().map(|j| j.spec.image.clone()).collect();
         let mut classes = Vec::new();
         for j in &by_age {
@@ -1416,7 +1430,7 @@
                 adjusted,
                 waited,
                 zones: if sp.one_zone || sp.spread { self.zones_of(j) } else { vec![0; self.zones.len()] },
-                late: self.late(sp, waited, adjusted),
+                lost: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
                 patience: self.patience(sp) - waited,
             });
         }
@@ -1500,17 +1514,25 @@
         })
     }
 
-    /// Whether a job's aim is lost. So that nothing starves, that stops counting against it after
-    /// five times the aim.
-    fn late(&self, s: &JobSpec, waited: Micros, adjusted: Micros) -> bool {
-        let aims = &self.cfg.platform.settings.objectives;
-        let finished = aims.iter().filter(|o| o.kind == "finished" && Some(&o.class) == s.class.as_ref());
-        let due = s.deadline_s.or(finished.map(|o| o.within_s).reduce(f64::max));
+    /// How many of its class's aims a job has lost, by its age or by the time it would end if it
+    /// started now. So that nothing starves or might be taken for forgotten, a lost aim stops
+    /// counting against it after a while: one for its end after five times the aim, one for its
+    /// start sooner, and the sooner the wider the job is: it takes longer to find its room.
+    fn lost(&self, s: &JobSpec, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
         let end = waited.secs() + 0.7 * adjusted.secs();
-        let done = due.is_some_and(|due| end > due && waited.secs() < 5.0 * due);
-        // One that should have started long ago yields to those that still can in time, but not
-        // for so long that it might be taken for forgotten.
-        done || self.start_aim(s).is_some_and(|aim| waited.secs() > aim && waited.secs() < YIELDS)
+        let width = f64::from(s.tasks) / f64::from(widest.max(s.tasks).max(1));
+        let yields = YIELDS - (YIELDS - YIELDS_WIDEST) * width;
+        let by_end = |within: f64| end > within && waited.secs() < 5.0 * within;
+        let aims = &self.cfg.platform.settings.objectives;
+        let of_class = || aims.iter().filter(|o| Some(&o.class) == s.class.as_ref());
+        let lost = of_class().filter(|o| match (o.kind.as_str(), s.deadline_s) {
+            ("wait", _) => waited.secs() > o.within_s && waited.secs() < yields,
+            ("finished", _) => by_end(o.within_s),
+            ("deadline", Some(due)) => by_end(due * o.times),
+            _ => false,
+        });
+        let own = s.deadline_s.filter(|_| !of_class().any(|o| o.kind == "deadline"));
+        lost.count().min(200) as u8 + u8::from(own.is_some_and(by_end))
     }
 
     /// How long a job may wait before others are stopped for it: what its class's aim allows, less
@@ -1543,7 +1565,7 @@
                     .filter(|d| d.types.iter().all(|&o| size(&self.types[o]) >= size(&self.types[ty])))
                     .filter(|d| self.total(ty).fits(&d.need) == 1)
                     .max_by(|a, b| a.rank.cmp(&b.rank).then(a.need.cpus.total_cmp(&b.need.cpus)))
-                    .map(|d| Keep { need: d.need, rank: d.rank })
+                    .map(|d| Keep { need: d.need, rank: d.rank, spot: d.spot })
             })
             .collect()
     }
@@ -1761,11 +1783,48 @@
             let after = (now - self.taken).secs();
             tracing::info!(after, unheard = self.silent, "machines of the earlier owner are heard or ended");
         }
+        if now - self.told > TELL {
+            self.told = now;
+            self.tell_use();
+        }
         self.gone.retain(|_, at| (now - *at).secs() < 900.0);
         self.refused.retain(|_, until| now < *until);
         self.replan(now, wall);
     }
 
+    /// Says by type and kind what is paid for and what of it is used.
+    fn tell_use(&self) {
+        #[derive(Default)]
+        struct Use {
+            machines: u32,
+            booting: u32,
+            idle: u32,
+            cpus: f64,
+            placed: f64,
+            running: f64,
+        }
+        let mut by: BTreeMap<(&str, bool), Use> = BTreeMap::new();
+        for m in self.machines.values() {
+            let u = by.entry((&m.ty_name, m.spot)).or_default();
+            u.machines += 1;
+            u.booting += u32::from(!m.up);
+            u.idle += u32::from(m.up && m.tasks.is_empty());
+            u.cpus += m.ty.map_or(0.0, |t| self.total(t).cpus);
+            for e in m.tasks.values().filter(|e| e.live()) {
+                let cpus = e.need.map_or(0.0, |n| n.cpus);
+                u.placed += cpus;
+                u.running += if e.stage == Some(TaskStage::Running) { cpus } else { 0.0 };
+            }
+        }
+        for ((ty, spot), u) in by {
+            let (machines, booting, idle) = (u.machines, u.booting, u.idle);
+            let (placed, running) = (u.placed / u.cpus.max(0.1), u.running / u.cpus.max(0.1));
+            tracing::info!(ty, spot, machines, booting, idle, placed, running, "use of machines");
+        }
+        let waiting: u32 = self.plan.unmet.iter().map(|u| u.1).sum();
+        tracing::info!(jobs = self.jobs.len(), waiting, "queue");
+    }
+
     // ---- the cloud ----
 
     /// What to rent, and idle machines marked as leaving.
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -142,9 +142,9 @@
     pub waited: Micros,
     /// Its tasks that are or may be somewhere, by zone.
     pub zones: Vec<u32>,
-    /// It has missed its aim already, or will even if it starts now: beyond capacity, those that
-    /// can still make theirs go first.
-    pub late: bool,
+    /// How many of its aims it has missed, or will even if it starts now: beyond capacity, those
+    /// that can still make more of theirs go first.
+    pub lost: u8,
     /// How long it may still wait before others are stopped for it.
     pub patience: Micros,
 }
@@ -181,6 +181,8 @@
     pub need: Need,
     /// Its rank.
     pub rank: Rank,
+    /// Whether such tasks may use spot machines; if not, none of those is kept for them.
+    pub spot: bool,
 }
 
 /// All that the planner sees.
@@ -209,9 +211,9 @@
 }
 
 impl Snapshot {
-    /// What is kept on a type, if anything is.
-    pub fn kept(&self, ty: usize) -> Option<Keep> {
-        self.keep.get(ty).copied().flatten()
+    /// What is kept on machines of a type and kind, if anything is.
+    pub fn kept(&self, ty: usize, spot: bool) -> Option<Keep> {
+        self.keep.get(ty).copied().flatten().filter(|k| k.spot || !spot)
     }
 }
 
@@ -260,13 +262,13 @@
     (wait / time).powi(3) * size
 }
 
-/// The queue's order: guaranteed work, then rank, then those not late, then score.
+/// The queue's order: guaranteed work, then rank, then fewest aims lost, then score.
 pub fn order(classes: &[Class]) -> Vec<usize> {
     let mut by: Vec<(usize, f64)> = classes.iter().map(score).enumerate().collect();
     by.sort_by(|a, b| {
         let (x, y) = (&classes[a.0], &classes[b.0]);
-        (y.guaranteed, y.rank, x.late)
-            .cmp(&(x.guaranteed, x.rank, y.late))
+        (y.guaranteed, y.rank, x.lost)
+            .cmp(&(x.guaranteed, x.rank, y.lost))
             .then(b.1.total_cmp(&a.1))
             .then(a.0.cmp(&b.0))
     });
@@ -297,7 +299,7 @@
             .rooms
             .iter()
             .map(|r| {
-                let k = s.kept(r.ty)?;
+                let k = s.kept(r.ty, r.spot)?;
                 if clear[r.ty] >= s.clear || r.free.fits(&k.need) == 0 || r.until.is_some() {
                     return None;
                 }
@@ -320,7 +322,7 @@
     }
 
     fn low(&self, c: &Class, r: &Room) -> bool {
-        self.s.kept(r.ty).is_some_and(|k| c.rank < k.rank)
+        self.s.kept(r.ty, r.spot).is_some_and(|k| c.rank < k.rank)
     }
 
     /// How many tasks of the class could start there now.
@@ -695,7 +697,7 @@
         }
         out.unmet.push((class, left));
         for &ty in &c.types {
-            let kept = s.kept(ty).is_some_and(|k| c.rank >= k.rank);
+            let kept = s.kept(ty, false).is_some_and(|k| c.rank >= k.rank);
             if let (true, Some(w)) = (kept, w.wanted.get_mut(ty)) {
                 *w = true;
             }
@@ -721,16 +723,16 @@
 /// Between two plans: what of the array tasks that found no room may start on a machine that has
 /// room now. Called for machines outside the reservation on which nothing is being stopped, so it
 /// delays nobody that the plan made wait for them; jobs tied to zones and teams with a limit are
-/// left to the next plan. It goes in the queue's order, but among jobs of one rank, none of them
-/// late, those whose image the machine has go first: where all machines are in use, each would
+/// left to the next plan. It goes in the queue's order, but among jobs of one rank that have lost as
+/// many aims, those whose image the machine has go first: where all machines are in use, each would
 /// otherwise fetch every image, and fetching takes as much of its time as running. What it starts
 /// is taken off `unmet`.
 pub fn top_up(s: &Snapshot, wanted: &[bool], unmet: &mut [(usize, u32)], room: &Room) -> Vec<(usize, u32)> {
     let mut out = Vec::new();
     let mut free = room.free;
-    let kept = s.kept(room.ty);
+    let kept = s.kept(room.ty, room.spot);
     let has = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
-    let group = |c: &Class| (c.guaranteed, c.rank, c.late);
+    let group = |c: &Class| (c.guaranteed, c.rank, c.lost);
     let may = |c: &Class| {
         let limited = s.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let low = kept.is_some_and(|k| c.rank < k.rank);
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -28,22 +28,22 @@
 }
 
 prop_compose! {
-    fn class()(late in any::<bool>(), rank in rank(), team in 0usize..2, count in 1u32..9, gang in any::<bool>(), cpus in 1u32..5,
+    fn class()(lost in 0u8..3, rank in rank(), team in 0usize..2, count in 1u32..9, gang in any::<bool>(), cpus in 1u32..5,
                types in prop_oneof![Just(vec![0]), Just(vec![1]), Just(vec![0, 1])],
                zone in prop::option::weighted(0.2, 0usize..2), tie in 0u8..3, spot in any::<bool>(),
                adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
         Class { rank, team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
                 one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, adjusted: secs(adjusted),
-                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), late }
+                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), lost }
     }
 }
 
 prop_compose! {
     fn snapshot()(rooms in prop::collection::vec(room(), 0..7), classes in prop::collection::vec(class(), 0..7),
-                  limit in 0u32..12, keep in any::<bool>(), reserve in any::<bool>()) -> Snapshot {
+                  limit in 0u32..12, keep in any::<(bool, bool)>(), reserve in any::<bool>()) -> Snapshot {
         Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear: 1,
                    teams: vec![TeamUse { used: Need::default(), cpus_max: f64::from(limit), gpus_max: 0.0 }, TeamUse::default()],
-                   keep: vec![None, keep.then(|| Keep { need: need(15.0), rank: Rank::Urgent })] }
+                   keep: vec![None, keep.0.then(|| Keep { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
     }
 }
 
@@ -66,7 +66,8 @@
     }
 
     fn low(&self, class: usize, m: usize) -> bool {
-        self.s.keep[self.s.rooms[m].ty].is_some_and(|k| self.s.classes[class].rank < k.rank)
+        let r = &self.s.rooms[m];
+        self.s.keep[r.ty].is_some_and(|k| self.s.classes[class].rank < k.rank && (k.spot || !r.spot))
     }
 
     fn free(&self, m: usize) -> f64 {
@@ -77,7 +78,9 @@
     fn clear(&self, m: usize) -> bool {
         let ty = self.s.rooms[m].ty;
         let could = |r: &Room| {
-            r.ty == ty && r.until.is_none() && self.s.keep[ty].is_some_and(|k| r.free.fits(&k.need) > 0)
+            r.ty == ty
+                && r.until.is_none()
+                && self.s.keep[ty].is_some_and(|k| r.free.fits(&k.need) > 0 && (k.spot || !r.spot))
         };
         could(&self.s.rooms[m]) && self.s.rooms.iter().take(m).filter(|r| could(r)).count() < self.s.clear
     }
@@ -338,8 +341,10 @@
     let c = Class { count: 4, ..base.clone() };
     let d = Class { rank: Rank::Urgent, waited: secs(1), ..base.clone() };
     let e = Class { guaranteed: true, rank: Rank::Idle, waited: secs(1), ..base.clone() };
-    let f = Class { late: true, waited: secs(900), ..base.clone() };
-    assert_eq!(milletlock::sched::order(&[f, base, b, c, d, e]), [5, 4, 3, 2, 1, 0]);
+    // Whoever lost more aims yields, however long it waited.
+    let f = Class { lost: 1, waited: secs(900), ..base.clone() };
+    let g = Class { lost: 2, waited: secs(9000), ..base.clone() };
+    assert_eq!(milletlock::sched::order(&[g, f, base, b, c, d, e]), [6, 5, 4, 3, 2, 1, 0]);
 }
 
 #[test]
@@ -371,5 +376,5 @@
     // Not for ever, and never past a higher rank or one that is not late.
     assert_eq!(top(vec![with(1, 70), with(7, 10)]), [(0, 3), (1, 1)]);
     assert_eq!(top(vec![Class { rank: Rank::Urgent, ..with(1, 20) }, with(7, 10)]), [(0, 3), (1, 1)]);
-    assert_eq!(top(vec![with(1, 20), Class { late: true, ..with(7, 90) }]), [(0, 3), (1, 1)]);
+    assert_eq!(top(vec![with(1, 20), Class { lost: 1, ..with(7, 90) }]), [(0, 3), (1, 1)]);
 }
