An owner that may have been replaced counts no lease

Ruled out: late reports and copies, held requests, answers that wait. Now a lease counts as run out only if this owner's own was renewed by a call begun after that. The random worlds cut an owner off together with a zone, and fail without it.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -301,6 +301,8 @@
     pub marks: Packs<u32>,
     /// Revisions at which jobs ended, so that a late message does not bring them back.
     over: BTreeMap<JobId, u64>,
+    /// At this moment nobody had taken over from this owner.
+    confirmed: Steady,
     /// When the log last said how the machines are used.
     told: Steady,
     /// Machines that are gone; reports from them are late.
@@ -377,6 +379,7 @@
             noted: (now, 0),
             tidied: now,
             told: now,
+            confirmed: now,
             came: 0,
             lease,
             cfg,
@@ -400,6 +403,11 @@
         self.dirty = true;
     }
 
+    /// Learns that this owner's lease stood at a moment: a renewal begun then was granted.
+    pub fn confirm(&mut self, at: Steady) {
+        self.confirmed = self.confirmed.max(at);
+    }
+
     /// Bytes that a value may hold.
     pub fn value_bytes(&self) -> usize {
         self.cfg.value_bytes()
@@ -1730,7 +1738,7 @@
         let few = self.silent * 10 <= self.machines.len();
         let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(FENCE_SOON);
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
-        let lease = self.lease;
+        let (lease, confirmed) = (self.lease, self.confirmed);
         let mut ended = Vec::new();
         for m in self.machines.values_mut() {
             if m.leaving {
@@ -1746,8 +1754,11 @@
             }
             match m.answered {
                 // The last answer was this owner's and its token had arrived: the lease is ours to
-                // count. Otherwise somebody else may still be renewing it.
-                Some(a) if now - a > lease && !m.expired => {
+                // count. Otherwise an earlier owner may still be renewing it, or, if this owner may
+                // have been replaced before the lease ended, a later one: cut off from the state
+                // service and from this machine, but not from others, it would start the same tasks
+                // there.
+                Some(a) if now - a > lease && !m.expired && confirmed - a > lease => {
                     tracing::info!(machine = %m.id, "its lease ran out");
                     m.expired = true;
                     // The worker is in its next session, or will be: a late copy of a report from
--- a/src/node.rs
+++ b/src/node.rs
@@ -629,11 +629,14 @@
     }
 
     fn hold(&self, lease: u64, token: u64) {
+        let begun = steady();
         let r = self.state.renew(lease);
         let renewed = r.is_ok();
         let mut core = self.lock();
-        if core.own.as_ref().is_none_or(|o| o.claim.token != token) {
-            return;
+        let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
+        // A single controller is followed by nobody while it lives.
+        if renewed || self.cfg.nodes() == 1 {
+            own.fleet.confirm(begun);
         }
         match r {
             Ok(()) => {}
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -118,6 +118,7 @@
         assert!(starts(&o).is_empty(), "started elsewhere after {t} s");
     }
     // Lease 22 s from the last answer at 2 s, and the margin.
+    f.confirm(at(25.9));
     f.tick(at(26.0), wall(26.0));
     assert_eq!(starts(&orders(&mut f, 26.0, &report("i-2", 50, 7, &[]))).len(), 1);
     assert!(f.leaving().is_empty(), "a machine that may only be cut off is waited for");
@@ -128,6 +129,30 @@
     assert_eq!(f.leaving(), ["i-1"]);
 }
 
+/// What a day with a zone cut off showed: the owner inside, without the state service and the other
+/// controllers, went on placing there what it took for ended on machines outside, whose leases the
+/// next owner was renewing.
+#[test]
+fn p03_an_owner_that_may_have_been_replaced_counts_no_lease() {
+    let mut f = ready(spec(1, 1, "batch"));
+    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
+    let running = [(s[0].0.as_str(), s[0].1, TaskStage::Running, None)];
+    orders(&mut f, 2.0, &report("i-1", 3, 7, &running));
+    orders(&mut f, 2.0, &report("i-2", 1, 0, &[]));
+    write_all(&mut f, 2.0);
+    // Its own lease was last renewed before the machine's had run out.
+    f.confirm(at(25.0));
+    for t in 26..60u32 {
+        f.tick(at(f64::from(t)), wall(f64::from(t)));
+        let o = orders(&mut f, f64::from(t), &report("i-2", u64::from(t), 7, &[]));
+        assert!(starts(&o).is_empty(), "started elsewhere after {t} s");
+    }
+    // Once it knows that nobody had followed it by then, the task may start again.
+    f.confirm(at(60.0));
+    f.tick(at(60.1), wall(60.1));
+    assert_eq!(starts(&orders(&mut f, 61.0, &report("i-2", 99, 7, &[]))).len(), 1);
+}
+
 #[test]
 fn p03_the_lease_of_a_machine_that_is_not_heard_is_not_counted() {
     let mut f = fleet(9);
@@ -468,6 +493,7 @@
     let held = report("i-1", 4, 7, &running);
     // A copy within the lease does not put off its end.
     assert_eq!(f.check_in(&report("i-1", 3, 7, &running), at(20.0), wall(20.0)), CheckIn::Refuse);
+    f.confirm(at(25.9));
     f.tick(at(26.0), wall(26.0));
     assert!(f.jobs["wk-000001"].waiting.contains(0), "the lease has surely run out");
     assert_eq!(f.check_in(&held, at(27.0), wall(27.0)), CheckIn::Refuse);
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -96,6 +96,8 @@
     late_reports: Vec<(Steady, Report)>,
     late_txns: Vec<(Steady, Txn)>,
     next_machine: u32,
+    /// Since when the oldest owner and the south have been cut off from all else, and until when.
+    apart: Option<(Steady, Steady)>,
     trouble: bool,
     starts: usize,
 }
@@ -114,6 +116,7 @@
             late_reports: Vec::new(),
             late_txns: Vec::new(),
             next_machine: 0,
+            apart: None,
             trouble: true,
             starts: 0,
         };
@@ -165,6 +168,35 @@
         }
     }
 
+    /// Cuts the owner off, with the workers of the south: from the state service, the cloud, the
+    /// other controllers and the north. Another takes over outside.
+    fn part(&mut self) {
+        let newest = self.owners.len() - 1;
+        self.owners.drain(..newest);
+        let long = self.rng.random_range(15.0..45.0);
+        self.take_over();
+        self.apart = Some((self.now, self.now + Micros::from_secs(long)));
+    }
+
+    /// Whether an owner is the one that is cut off.
+    fn cut_off(&self, owner: usize) -> bool {
+        self.apart.is_some() && owner == 0 && self.owners.len() > 1
+    }
+
+    /// Which owner a worker's report reaches, if any.
+    fn reached(&mut self, w: usize) -> Option<usize> {
+        let last = self.owners.len().checked_sub(1)?;
+        if let Some((since, _)) = self.apart {
+            if self.workers[w].zone == "north" {
+                return Some(last);
+            }
+            // It answers until cancellations that it cannot see might be due.
+            return (last > 0 && self.now - since < config().blind_bound()).then_some(0);
+        }
+        // Mostly the newest owner, sometimes one that does not know yet that it is replaced.
+        Some(if self.chance(0.15) { self.rng.random_range(0..=last) } else { last })
+    }
+
     fn submit(&mut self, n: u32) {
         let shape = if self.rng.random_bool(0.3) { "gang" } else { "batch" };
         let tasks = if shape == "gang" { self.rng.random_range(1..4) } else { self.rng.random_range(1..12) };
@@ -199,7 +231,8 @@
     }
 
     fn watch(&mut self) {
-        for o in &mut self.owners {
+        let skipped = usize::from(self.cut_off(0));
+        for o in &mut self.owners[skipped..] {
             for (rev, key, value) in self.store.log.iter().filter(|l| l.0 > o.watched) {
                 let Some(id) = key.strip_prefix("job/") else { continue };
                 match value {
@@ -218,8 +251,18 @@
         let chunk = chunk_tasks(4096);
         for i in (0..self.owners.len()).rev() {
             let (now, wall) = (self.now, self.wall());
+            // Only the newest owner's lease is renewed, and not always.
+            let newest = i + 1 == self.owners.len();
+            let renewed = newest && !self.chance(0.2);
             let o = &mut self.owners[i];
+            if renewed {
+                o.fleet.confirm(now);
+            }
             o.fleet.tick(now, wall);
+            if self.cut_off(i) {
+                continue;
+            }
+            let o = &mut self.owners[i];
             let pending = o.fleet.pending(now, Micros(1_500_000), chunk);
             for b in cluster::batches(&mut o.fleet, o.part, pending, 8, chunk, now, wall) {
                 if !self.apply(i, &b) {
@@ -230,9 +273,10 @@
         // An owner whose part was taken has learnt it from the guard.
         let part = self.store.stamp("part/0");
         let mut keep = Vec::new();
-        for o in std::mem::take(&mut self.owners) {
+        let cut_off = self.cut_off(0);
+        for (i, o) in std::mem::take(&mut self.owners).into_iter().enumerate() {
             // Now and then an old owner does not try to write and so lives on.
-            if o.part == part || self.rng.random_bool(0.97) {
+            if o.part == part || self.rng.random_bool(0.97) || (cut_off && i == 0) {
                 keep.push(o);
             }
         }
@@ -290,9 +334,7 @@
                 self.late_reports.push((at, r));
                 continue;
             }
-            // Mostly the newest owner, sometimes one that does not know yet that it is replaced.
-            let last = self.owners.len() - 1;
-            let i = if self.chance(0.15) { self.rng.random_range(0..=last) } else { last };
+            let Some(i) = self.reached(w) else { continue };
             let (now, wall) = (self.now, self.wall());
             let out = self.owners[i].fleet.check_in(&r, now, wall);
             if self.chance(0.05) {
@@ -333,7 +375,8 @@
         for w in 0..self.workers.len() {
             let unheard =
                 self.owners[i].fleet.machines.get(self.workers[w].id.as_str()).is_some_and(|m| !m.heard);
-            if !unheard || self.now < self.workers[w].cut_until || self.chance(0.5) {
+            let away = self.apart.is_some() && self.workers[w].zone == "south";
+            if !unheard || away || self.now < self.workers[w].cut_until || self.chance(0.5) {
                 continue;
             }
             let token = self.owners[i].fleet.token;
@@ -365,7 +408,9 @@
                     }
                     let busy = worker.tasks.iter().any(|(k, t)| k.0 == *task && t.stage != TaskStage::Exited);
                     assert!(!busy, "{task} is started beside itself on {}", worker.id);
-                    let left = Micros::from_secs(self.rng.random_range(2.0..20.0));
+                    // Some run for longer than a lease.
+                    let most = if self.rng.random_bool(0.3) { 60.0 } else { 20.0 };
+                    let left = Micros::from_secs(self.rng.random_range(2.0..most));
                     worker
                         .tasks
                         .insert(key, Task { stage: TaskStage::Fetching, why: None, left, since: now });
@@ -484,7 +529,7 @@
         }
         for i in 0..self.owners.len() {
             let ids = self.owners[i].fleet.leaving();
-            if ids.is_empty() || self.rng.random_bool(0.8) {
+            if self.cut_off(i) || ids.is_empty() || self.rng.random_bool(0.8) {
                 continue;
             }
             let gone: Vec<_> =
@@ -502,6 +547,7 @@
 
     fn step(&mut self) {
         self.now = self.now + STEP;
+        self.apart = self.apart.filter(|a| self.now < a.1 && self.trouble);
         if self.rng.random_bool(0.6) {
             self.watch();
         }
@@ -538,7 +584,9 @@
             let id = format!("wk-{:06}", w.rng.random_range(1..=n));
             w.cancel(&id);
         }
-        if w.rng.random_bool(0.006) || w.owners.is_empty() {
+        if w.apart.is_none() && i % 400 == 200 && !w.owners.is_empty() {
+            w.part();
+        } else if w.owners.is_empty() || (w.apart.is_none() && w.rng.random_bool(0.006)) {
             w.take_over();
         }
         w.step();
