--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1942,6 +1942,9 @@
             if let Some(m) = self.machines.get_mut(&id) {
                 m.listed = true;
                 m.missing = l.stage == "failed";
+                // An earlier owner rented it: it is older than this one's knowledge of it, and may be
+                // returned as soon as it is idle. Without this nothing was for a minute.
+                m.age = m.age.max(Micros::from_secs(l.age_s) - (now - m.known));
             }
         }
         self.dirty = true;
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -7,7 +7,7 @@
 use milletlock::fleet::{CheckIn, Fleet, Pending};
 use milletlock::jobs::{JobRecord, MachineRecord};
 use milletlock::time::{Micros, Steady, Wall};
-use milletlock::wire::{JobSpec, Order, TaskStage, Why};
+use milletlock::wire::{JobSpec, ListedMachine, Order, TaskStage, Why};
 
 const T0: Steady = Steady(1_000_000_000);
 
@@ -483,6 +483,31 @@
     assert!(f.recent(at(20.0), wall(20.0), 50).is_empty(), "a list that does not fit a value");
 }
 
+/// After each takeover nothing idle was returned for a minute, since every machine seemed new.
+#[test]
+fn a_new_owner_knows_the_age_of_what_others_rented() {
+    let mut f = fleet(9);
+    f.inherit_machine("i-1", &machine("small"), 0, T0);
+    orders(&mut f, 0.5, &report("i-1", 9, 9, &[]));
+    let idle = |f: &mut Fleet, s: f64| {
+        orders(f, s, &report("i-1", 10 + s as u64, 9, &[]));
+        let _ = f.capacity(at(s), wall(s));
+        f.leaving().len()
+    };
+    assert_eq!(idle(&mut f, 20.0), 0, "as far as is known it has just been rented");
+    let listed = ListedMachine {
+        id: "i-1".into(),
+        addr: None,
+        ty: "small".into(),
+        zone: "north".into(),
+        spot: false,
+        stage: "running".into(),
+        age_s: 300.0,
+    };
+    f.listed(&[listed], at(21.0));
+    assert_eq!(idle(&mut f, 22.0), 1);
+}
+
 #[test]
 fn late_copies_of_reports_renew_nothing_and_bring_nothing_back() {
     let mut f = ready(spec(1, 1, "batch"));
