A controller that is cut off from all else says so to the load balancer

It could answer users nothing but 503 while the others served. In an outage of the state service for all the controllers hear one another and stay healthy: being taken out would only prolong it.

--- a/src/node.rs
+++ b/src/node.rs
@@ -34,8 +34,6 @@
     watched: u64,
     /// When a worker's report was last taken.
     last_report: Steady,
-    /// When another controller last answered.
-    last_peer: Steady,
 }
 
 /// A report that is answered when a start for its worker comes up, or after a while.
@@ -61,6 +59,8 @@
     waiting: BTreeMap<MachineId, Later>,
     redirected: BTreeMap<String, Steady>,
     no_relay_until: Steady,
+    /// When another controller was last heard.
+    last_peer: Steady,
     /// After resigning, others go first.
     hold_off: Steady,
 }
@@ -75,6 +75,12 @@
 }
 
 const FINALS_KEPT: usize = 20_000;
+/// After this without a word from another controller, whether one can be heard is asked.
+const PEER_QUIET: Micros = Micros::from_millis(1500);
+/// After this without a word, asked for or not, none can be heard.
+const PEER_LOST: Micros = Micros::from_millis(4500);
+/// After this without an answer the state service counts as lost.
+const STATE_LOST: Micros = Micros::from_millis(1500);
 /// How long the answer to an idle worker's report waits for a start at the most; the worker gives
 /// up after four seconds.
 const ANSWER_WITHIN: Micros = Micros::from_millis(2500);
@@ -123,7 +129,7 @@
             state: StateClient::new(p.services.state, rps, writes),
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
             peers,
-            core: Mutex::new(Core::default()),
+            core: Mutex::new(Core { last_peer: steady(), ..Core::default() }),
             wake: Condvar::new(),
             latencies: Mutex::new(Latencies { users: histogram()?, workers: histogram()?, said: steady() }),
             stop,
@@ -275,12 +281,20 @@
         l.said = steady();
     }
 
+    /// Whether users are well served here. Cut off from the state service and all others it can
+    /// answer nothing but 503, while the others may serve; an outage for all is not told by being
+    /// unhealthy, since it would take the longer to come back.
     fn up(&self) -> Response {
-        if self.lock().types.is_some() {
-            Response::json(200, &json!({ "up": true }))
-        } else {
-            Response::error(503, "starting")
+        let core = self.lock();
+        if core.types.is_none() {
+            return Response::error(503, "starting");
+        }
+        let unheard = steady() - core.last_peer;
+        let lost = self.state.out_of_reach() > STATE_LOST;
+        if lost && self.peers.count() > 0 && unheard > PEER_LOST {
+            return Response::error(503, "cut off from the state service and the other controllers");
         }
+        Response::json(200, &json!({ "up": true }))
     }
 
     /// Takes a report. With a way back it is answered here, now or later; without one, as for a
@@ -505,6 +519,7 @@
                 Err(RecvTimeoutError::Timeout) => continue,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
+            self.lock().last_peer = steady();
             let out = match &msg.message {
                 Message::Announce(s) => self.announced(s),
                 Message::Notify(n) => self.notified(n),
@@ -532,7 +547,7 @@
         if s.token > core.highest {
             self.step_down(&mut core, s.token, "another controller leads with a higher token");
         }
-        if s.token == core.highest && core.own.is_none() {
+        if s.token > 0 && s.token == core.highest && core.own.is_none() {
             core.leader = Some(Owner { label: s.leader.clone(), incarnation: 0, token: s.token });
             core.counts =
                 s.jobs.iter().map(|j| (j.id.clone(), Counts { done: j.done, running: j.running })).collect();
@@ -553,24 +568,30 @@
         Outcome::Ack(Ack { token: core.highest })
     }
 
+    /// What the others are told by the owner.
+    fn summary(&self, own: &Own) -> Summary {
+        let count = |id: &JobId| {
+            let c = own.fleet.counts(id).filter(|c| *c != Counts::default())?;
+            Some(JobCounts { id: id.to_string(), done: c.done, running: c.running })
+        };
+        Summary {
+            leader: self.cfg.platform.label.clone(),
+            token: own.claim.token,
+            jobs: own.fleet.jobs.keys().take(2000).filter_map(count).collect(),
+        }
+    }
+
+    /// Tells the others who leads, about once a second.
     fn announce(&self) {
         while !self.stopping() {
             let summary = {
                 let core = self.lock();
-                core.own.as_ref().map(|own| Summary {
-                    leader: self.cfg.platform.label.clone(),
-                    token: own.claim.token,
-                    jobs: own
-                        .fleet
-                        .jobs
-                        .keys()
-                        .take(2000)
-                        .filter_map(|id| {
-                            let c = own.fleet.counts(id).filter(|c| *c != Counts::default())?;
-                            Some(JobCounts { id: id.to_string(), done: c.done, running: c.running })
-                        })
-                        .collect(),
-                })
+                match &core.own {
+                    Some(own) => Some(self.summary(own)),
+                    // Nobody has been heard of late: whether anybody can be is asked.
+                    None if steady() - core.last_peer > PEER_QUIET => Some(Summary::default()),
+                    None => None,
+                }
             };
             if let Some(s) = summary {
                 let sent: Vec<_> = (0..self.peers.count())
@@ -581,9 +602,7 @@
                 for w in sent {
                     if let Ok(Outcome::Ack(a)) = w.wait() {
                         let mut core = self.lock();
-                        if let Some(own) = core.own.as_mut() {
-                            own.last_peer = steady();
-                        }
+                        core.last_peer = steady();
                         if a.token > core.highest {
                             self.step_down(&mut core, a.token, "another controller knows a higher token");
                         }
@@ -647,10 +666,11 @@
         // serve the workers before their leases run out, this one cannot.
         let quiet = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 2.5);
         let now = steady();
+        let unheard = now - core.last_peer;
         let alone = core.own.as_ref().is_some_and(|o| {
             self.peers.count() > 0
                 && now - o.last_report > quiet
-                && now - o.last_peer > Micros::from_secs(3.0)
+                && unheard > Micros::from_secs(3.0)
                 && o.fleet.machines.values().filter(|m| m.up).count() > 1
         });
         if alone && renewed {
@@ -731,8 +751,8 @@
                 );
                 core.leader =
                     Some(Owner { label: label.clone(), incarnation: self.incarnation, token: claim.token });
-                core.own =
-                    Some(Own { fleet, claim, fresh: begun, watched, last_report: now, last_peer: now });
+                core.last_peer = now;
+                core.own = Some(Own { fleet, claim, fresh: begun, watched, last_report: now });
                 self.wake.notify_all();
                 Ok(())
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,6 +97,8 @@
     watch: Client,
     budget: Mutex<Budget>,
     waiting: Condvar,
+    /// Since when no call has been answered, if the last one was not.
+    failing: Mutex<Option<Steady>>,
 }
 
 #[derive(Deserialize)]
@@ -129,9 +131,16 @@
                 pause_until: Steady(0),
             }),
             waiting: Condvar::new(),
+            failing: Mutex::new(None),
         }
     }
 
+    /// For how long the service has not been reached.
+    pub fn out_of_reach(&self) -> Micros {
+        let since = self.failing.lock().ok().and_then(|f| *f);
+        since.map_or(Micros::ZERO, |s| steady() - s)
+    }
+
     /// Changes this node's share of the service's limits.
     pub fn allow(&self, rps: f64, write_rps: f64) {
         if let Ok(mut b) = self.budget.lock() {
@@ -193,7 +202,16 @@
         timeout: Micros,
     ) -> Result<(u16, Vec<u8>), StateError> {
         let body = body.map(|b| b.to_string());
-        match client.call(method, path, body.as_deref().map(str::as_bytes), timeout) {
+        let answer = client.call(method, path, body.as_deref().map(str::as_bytes), timeout);
+        if let Ok(mut failing) = self.failing.lock() {
+            match answer {
+                Ok((503, _)) | Err(_) => {
+                    failing.get_or_insert_with(steady);
+                }
+                Ok(_) => *failing = None,
+            }
+        }
+        match answer {
             Ok((429, _)) => {
                 if let Ok(mut b) = self.budget.lock() {
                     b.pause_until = steady() + Micros::from_millis(60);
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -338,3 +338,26 @@
         status(tally) == 200
     });
 }
+
+#[test]
+fn a_controller_cut_off_from_all_else_is_unhealthy_and_one_in_an_outage_is_not() {
+    let out = Arc::new(AtomicBool::new(false));
+    let state = state_service(out.clone());
+    // Nobody listens there: bound once and let go.
+    let nobody = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address");
+    let with = |other: SocketAddr| {
+        start_with(state, out.clone(), move |p| {
+            p["label"] = json!(format!("c-{other}"));
+            p["members"] = json!([{ "label": "c-other", "addr": other.to_string() }]);
+        })
+    };
+    let cut = with(nobody);
+    let other = start_with(state, out.clone(), |p| p["label"] = json!("c-other"));
+    let heard = with(other.internal);
+    out.store(true, Ordering::SeqCst);
+    until("the one that is cut off is unhealthy", || cut.get("/up").0 == 503);
+    // The state service is out for this one as well, but another controller can be heard.
+    assert_eq!(heard.get("/up").0, 200);
+    out.store(false, Ordering::SeqCst);
+    until("it is healthy again", || cut.get("/up").0 == 200);
+}
