--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1776,6 +1776,14 @@
                     m.leaving = true;
                 }
                 Some(_) => {}
+                None if m.up => {
+                    // It has shown this owner's token in answer to a direct command, and is bound to
+                    // report within moments.
+                    if now - m.known > lease + CUT {
+                        tracing::info!(machine = %m.id, "returned: it does not report");
+                        m.leaving = true;
+                    }
+                }
                 None => {
                     let boot = m.ty.and_then(|t| self.types.get(t)).map_or(60.0, |t| t.boot_s);
                     let age = m.age + (now - m.known);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -504,7 +504,12 @@
         stage: "running".into(),
         age_s: 300.0,
     };
-    f.listed(&[listed], at(21.0));
+    // One that has only answered a direct command so far is no boot that never ended.
+    f.inherit_machine("i-2", &machine("small"), 0, at(19.0));
+    f.raised(&report("i-2", 9, 9, &[]), at(20.5));
+    f.listed(&[listed.clone(), ListedMachine { id: "i-2".into(), ..listed }], at(21.0));
+    f.tick(at(21.5), wall(21.5));
+    assert!(f.leaving().is_empty());
     assert_eq!(idle(&mut f, 22.0), 1);
 }
 
