Polls share one read of what has changed

One read of the changes under job/ begun after they came serves all polls that wait. The owner's watch blocks less where settings are tight.

--- a/src/api.rs
+++ b/src/api.rs
@@ -52,27 +52,34 @@
         let r = serde_json::from_value(row.value).map_err(|e| StateError::Malformed(e.to_string()))?;
         return Ok(Known::Live(Box::new(r), row.stamp));
     }
-    match node.state.get(&final_key(id), Urgency::User)? {
-        Some(row) => {
-            let f: FinalRecord =
-                serde_json::from_value(row.value).map_err(|e| StateError::Malformed(e.to_string()))?;
-            node.learn_final(id, f);
-            Ok(Known::Over(f))
-        }
-        None => Ok(Known::Never),
-    }
+    Ok(read_final(node, id)?.map_or(Known::Never, Known::Over))
+}
+
+fn read_final(node: &Node, id: &str) -> Result<Option<FinalRecord>, StateError> {
+    let Some(row) = node.state.get(&final_key(id), Urgency::User)? else { return Ok(None) };
+    let f: FinalRecord =
+        serde_json::from_value(row.value).map_err(|e| StateError::Malformed(e.to_string()))?;
+    node.learn_final(id, f);
+    Ok(Some(f))
+}
+
+fn live_status(node: &Node, id: &str) -> JobStatus {
+    let c = node.counts(id);
+    let stage = if c.running > 0 { Stage::Running } else { Stage::Queued };
+    JobStatus { id: id.to_string(), stage, done: c.done, running: c.running }
+}
+
+fn final_status(id: &str, f: FinalRecord) -> JobStatus {
+    let done = if f.stage == Stage::Done { f.tasks } else { 0 };
+    JobStatus { id: id.to_string(), stage: f.stage, done, running: 0 }
 }
 
 fn status(node: &Node, id: &str, known: &Known) -> Option<JobStatus> {
-    let (stage, done, running) = match known {
-        Known::Live(..) => {
-            let c = node.counts(id);
-            (if c.running > 0 { Stage::Running } else { Stage::Queued }, c.done, c.running)
-        }
-        Known::Over(f) => (f.stage, if f.stage == Stage::Done { f.tasks } else { 0 }, 0),
-        Known::Never => return None,
-    };
-    Some(JobStatus { id: id.to_string(), stage, done, running })
+    match known {
+        Known::Live(..) => Some(live_status(node, id)),
+        Known::Over(f) => Some(final_status(id, *f)),
+        Known::Never => None,
+    }
 }
 
 fn unavailable(e: &StateError) -> Response {
@@ -117,9 +124,15 @@
     if !is_job_id(id) {
         return Ok(Response::error(404, "no such job"));
     }
-    let known = look_up(node, id)?;
-    Ok(match status(node, id, &known) {
-        Some(s) => Response::json(200, &s),
+    if let Some(f) = node.final_of(id) {
+        return Ok(Response::json(200, &final_status(id, f)));
+    }
+    if node.live.has(id, &node.state)? {
+        return Ok(Response::json(200, &live_status(node, id)));
+    }
+    // It left the live jobs, if it ever was one, in the transaction that wrote its end.
+    Ok(match read_final(node, id)? {
+        Some(f) => Response::json(200, &final_status(id, f)),
         None => Response::error(404, "no such job"),
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod history;
 pub mod http;
 pub mod jobs;
+pub mod live;
 pub mod node;
 pub mod packs;
 pub mod peer;
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,6 +19,7 @@
 use crate::fleet::{CheckIn, Counts, Fleet, Pending};
 use crate::http::{self, Client, Lane, Reply, Request, Response};
 use crate::jobs::{chunk_tasks, FinalRecord, JobId, JobRecord, MachineId};
+use crate::live::LiveJobs;
 use crate::peer::{Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
 use crate::state::{Applied, StateClient, StateError, Urgency};
 use crate::time::{steady, wall, Micros, Steady};
@@ -75,6 +76,8 @@
 }
 
 const FINALS_KEPT: usize = 20_000;
+/// Reads for polls begin no closer together than the first and no further than the second.
+const POLLS_APART: (Micros, Micros) = (Micros::from_millis(20), Micros::from_millis(250));
 /// After this without a word from another controller, whether one can be heard is asked.
 const PEER_QUIET: Micros = Micros::from_millis(1500);
 /// After this without a word, asked for or not, none can be heard.
@@ -97,6 +100,8 @@
     pub cfg: Arc<Config>,
     /// The state service.
     pub state: StateClient,
+    /// The live jobs, for polls.
+    pub live: LiveJobs,
     cloud: CloudClient,
     peers: PeerHub,
     core: Mutex<Core>,
@@ -127,6 +132,8 @@
         let (rps, writes) = share(&cfg, false);
         let node = Arc::new(Node {
             state: StateClient::new(p.services.state, rps, writes),
+            // Half of what the others are allowed, at the most.
+            live: LiveJobs::new(Micros::from_secs(2.0 / rps.max(0.1)).clamp(POLLS_APART.0, POLLS_APART.1)),
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
             peers,
             core: Mutex::new(Core { last_peer: steady(), ..Core::default() }),
@@ -798,7 +805,10 @@
                 continue;
             };
             let begun = steady();
-            match self.state.watch("job/", from, Micros::from_millis(1000)) {
+            // The view is as old as the call: with tight settings it must not block for long.
+            let block =
+                self.cfg.blind_bound().scale(0.4).clamp(Micros::from_millis(100), Micros::from_secs(1.0));
+            match self.state.watch("job/", from, block) {
                 Ok(e) => {
                     let mut core = self.lock();
                     let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { continue };
--- a/src/state.rs
+++ b/src/state.rs
@@ -314,6 +314,17 @@
             .map(|_| ())
     }
 
+    /// What has changed under a prefix since a revision, by a read that begins now.
+    pub fn changes(&self, prefix: &str, from: u64) -> Result<Events, StateError> {
+        self.admit(0, Urgency::User, Micros::from_millis(1500))?;
+        let path = format!("/watch?starts={prefix}&from={from}&blockMs=0");
+        match self.call(&self.http, "GET", &path, None, CALL)? {
+            (200, b) => parse(&b),
+            (410, _) => Err(StateError::TooOld),
+            (s, _) => Err(StateError::Refused(s)),
+        }
+    }
+
     /// Waits for changes under a prefix.
     pub fn watch(&self, prefix: &str, from: u64, block: Micros) -> Result<Events, StateError> {
         self.admit(0, Urgency::Ownership, CALL)?;
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -5,8 +5,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use common::{platform_json, spec, types, Store};
@@ -30,8 +30,16 @@
 
 /// The state service, as far as the controller uses it.
 fn state_service(out: Arc<AtomicBool>) -> SocketAddr {
-    let store = Arc::new(Mutex::new(Store::default()));
+    counted_state_service(out, Arc::default())
+}
+
+/// The same, counting the reads that answer at once.
+fn counted_state_service(out: Arc<AtomicBool>, reads: Arc<AtomicUsize>) -> SocketAddr {
+    let (store, changed) = (Mutex::new(Store::default()), Condvar::new());
     serve(move |r| {
+        if r.method == "GET" && (r.path.starts_with("/keys/") || r.path.ends_with("blockMs=0")) {
+            reads.fetch_add(1, Ordering::SeqCst);
+        }
         if out.load(Ordering::SeqCst) {
             return Response::error(503, "trouble");
         }
@@ -44,7 +52,9 @@
             ("POST", "/leases") => Response::json(200, &json!({ "tenure": 1 })),
             ("POST", p) if p.ends_with("/renew") => Response::json(200, &json!({})),
             ("POST", "/txn") => {
-                match s.txn(&serde_json::from_slice::<Txn>(&r.body).expect("a transaction")) {
+                let done = s.txn(&serde_json::from_slice::<Txn>(&r.body).expect("a transaction"));
+                changed.notify_all();
+                match done {
                     Ok(rev) => Response::json(200, &json!({ "harvest": rev })),
                     Err(keys) => Response::json(409, &json!({ "failed": keys, "harvest": s.revision })),
                 }
@@ -55,6 +65,9 @@
             }
             ("GET", "/watch") => {
                 let (prefix, from) = (param("starts"), param("from").parse().unwrap_or(0));
+                let block = Duration::from_millis(param("blockMs").parse().unwrap_or(0));
+                let quiet = |s: &mut Store| !s.log.iter().any(|l| l.0 > from && l.1.starts_with(&prefix));
+                let s = changed.wait_timeout_while(s, block, quiet).expect("the store").0;
                 let events: Vec<Value> = s
                     .log
                     .iter()
@@ -361,3 +374,40 @@
     out.store(false, Ordering::SeqCst);
     until("it is healthy again", || cut.get("/up").0 == 200);
 }
+
+/// Polls of a busy minute would take the whole share of the state service with a read for each.
+#[test]
+fn polls_share_reads_and_never_lag_behind_what_a_user_was_told() {
+    let (out, reads) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let state = counted_state_service(out.clone(), reads.clone());
+    let first = start_with(state, out.clone(), |_| {});
+    let second = start_with(state, out, |p| p["label"] = json!("c-1"));
+    for n in 1..=20 {
+        assert_eq!(first.submit(&json!(spec(n, 3, "batch"))).0, 201);
+    }
+    let before = reads.load(Ordering::SeqCst);
+    std::thread::scope(|s| {
+        for n in 1..=20 {
+            let second = &second;
+            s.spawn(move || {
+                for _ in 0..20 {
+                    let (status, body) = second.get(&format!("/api/jobs/{}", spec(n, 3, "batch").id));
+                    assert_eq!(status, 200, "{body}");
+                }
+            });
+        }
+    });
+    let took = reads.load(Ordering::SeqCst) - before;
+    assert!(took < 100, "{took} reads for 400 polls");
+    // What one controller has said is known to the other at once, however short the time between.
+    for n in 1..=20 {
+        let (by, at) = if n % 2 == 0 { (&first, &second) } else { (&second, &first) };
+        let path = format!("/api/jobs/{}", spec(n, 3, "batch").id);
+        assert_eq!(by.call("POST", &format!("{path}/withdraw"), Some(b"{}")).1["stage"], "cancelled");
+        assert_eq!(at.get(&path).1["stage"], "cancelled");
+        let new = spec(100 + n, 1, "batch");
+        assert_eq!(by.submit(&json!(new)).0, 201);
+        assert_eq!(at.get(&format!("/api/jobs/{}", new.id)).0, 200);
+        assert_eq!(at.get(&format!("/api/jobs/wk-{:06}", 500 + n)).0, 404);
+    }
+}
