--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1535,12 +1535,15 @@
         let of_class = || aims.iter().filter(|o| Some(&o.class) == s.class.as_ref());
         let lost = of_class().filter(|o| match (o.kind.as_str(), s.deadline_s) {
             ("wait", _) => waited.secs() > o.within_s && waited.secs() < yields,
-            ("finished", _) => by_end(o.within_s),
             ("deadline", Some(due)) => by_end(due * o.times),
             _ => false,
         });
+        // Of aims for the end only the last counts: those that lost an earlier one have little time
+        // left, those that did not have some to spare.
+        let finished = of_class().filter(|o| o.kind == "finished").map(|o| o.within_s).reduce(f64::max);
         let own = s.deadline_s.filter(|_| !of_class().any(|o| o.kind == "deadline"));
-        lost.count().min(200) as u8 + u8::from(own.is_some_and(by_end))
+        let by_ends = [finished, own].into_iter().flatten().filter(|within| by_end(*within));
+        (lost.count() + by_ends.count()).min(200) as u8
     }
 
     /// How long a job may wait before others are stopped for it: what its class's aim allows, less
