--- a/src/config.rs
+++ b/src/config.rs
@@ -237,7 +237,7 @@
         Operator {
             leader_ttl_s: 3.0,
             fence_after_s: 25.0,
-            drain_s: 60.0,
+            drain_s: 45.0,
             idle_s: 8.0,
             idle_protected_s: 12.0,
             idle_deadline_s: 60.0,
