--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1547,7 +1547,7 @@
     }
 
     /// How long a job may wait before others are stopped for it: what its class's aim allows, less
-    /// the reports that carry the stops, the ends and the starts, and the fetch of its image.
+    /// the reports that carry the stops and the starts, and the fetch of its image.
     fn patience(&self, s: &JobSpec) -> Micros {
         let w = &self.cfg.platform.settings;
         let Some(aim) = self.start_aim(s) else { return Micros::from_secs(2.0 * w.workers.report_s) };
@@ -1555,7 +1555,7 @@
         let fetch = types.iter().map(|&t| s.image_gb / self.types[t].fetch_gb_per_s.max(0.001));
         let fetch = fetch.fold(f64::INFINITY, f64::min);
         let fetch = if fetch.is_finite() { fetch } else { 0.0 };
-        Micros::from_secs((aim - 2.5 * w.workers.report_s - fetch).max(0.0))
+        Micros::from_secs((aim - 1.5 * w.workers.report_s - fetch).max(0.0))
     }
 
     /// How many rooms of a large type low ranks leave clear: what the operators say, or as many
