--- a/src/live.rs
+++ b/src/live.rs
@@ -128,16 +128,35 @@
         match r {
             Read::All(ids, revision) => (self.ids, self.revision) = (ids, Some(revision)),
             Read::Changes(c) => {
-                for e in c.events {
-                    let dropped = e.drop.as_deref().and_then(|k| k.strip_prefix(PREFIX));
-                    if let Some(id) = dropped {
-                        self.ids.remove(id);
-                    } else if let Some(id) = e.put.as_deref().and_then(|k| k.strip_prefix(PREFIX)) {
-                        self.ids.insert(id.to_string());
-                    }
+                let id = |key: Option<&String>| key.and_then(|k| k.strip_prefix(PREFIX)).map(str::to_string);
+                self.ids.extend(c.events.iter().filter_map(|e| id(e.put.as_ref())));
+                // Last, whatever order they come in: a job that has ended never lives again.
+                for gone in c.events.iter().filter_map(|e| id(e.drop.as_ref())) {
+                    self.ids.remove(&gone);
                 }
                 self.revision = self.revision.max(Some(c.revision));
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn what_ends_stays_ended_whatever_the_order_of_changes() {
+        let changes = |v: serde_json::Value| Read::Changes(serde_json::from_value(v).expect("changes"));
+        let mut s = Seen::default();
+        s.apply(Read::All(["wk-1".to_string()].into(), 10));
+        s.apply(changes(json!({ "harvest": 14, "events": [
+            { "drop": "job/wk-2", "stamp": 14 }, { "put": "job/wk-2", "value": {}, "stamp": 11 },
+            { "put": "job/wk-3", "value": {}, "stamp": 12 }, { "drop": "job/wk-1", "stamp": 13 } ] })));
+        assert_eq!(s.ids, ["wk-3".to_string()].into());
+        // A change without any of ours only moves the revision on, and never back.
+        s.apply(changes(json!({ "harvest": 20 })));
+        s.apply(changes(json!({ "harvest": 18, "events": [] })));
+        assert_eq!((s.ids.len(), s.revision), (1, Some(20)));
+    }
+}
