--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -28,7 +28,7 @@
 }
 
 prop_compose! {
-    fn class()(lost in 0u8..3, rank in rank(), team in 0usize..2, count in 1u32..9, gang in any::<bool>(), cpus in 1u32..5,
+    fn class(widest: u32)(lost in 0u8..3, rank in rank(), team in 0usize..2, count in 1..widest, gang in any::<bool>(), cpus in 1u32..5,
                types in prop_oneof![Just(vec![0]), Just(vec![1]), Just(vec![0, 1])],
                zone in prop::option::weighted(0.2, 0usize..2), tie in 0u8..3, spot in any::<bool>(),
                adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
@@ -39,8 +39,8 @@
 }
 
 prop_compose! {
-    fn snapshot()(rooms in prop::collection::vec(room(), 0..7), classes in prop::collection::vec(class(), 0..7),
-                  limit in 0u32..12, keep in any::<(bool, bool)>(), reserve in any::<bool>()) -> Snapshot {
+    fn snapshot(most: usize, widest: u32)(rooms in prop::collection::vec(room(), 0..most),
+                  classes in prop::collection::vec(class(widest), 0..7), limit in 0..widest + 4, keep in any::<(bool, bool)>(), reserve in any::<bool>()) -> Snapshot {
         Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear: 1,
                    teams: vec![TeamUse { used: Need::default(), cpus_max: f64::from(limit), gpus_max: 0.0 }, TeamUse::default()],
                    keep: vec![None, keep.0.then(|| Keep { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
@@ -282,9 +282,9 @@
     r.free.cpus + back - new
 }
 
-fn settings() -> ProptestConfig {
+fn settings(cases: u32) -> ProptestConfig {
     ProptestConfig {
-        cases: 1500,
+        cases,
         rng_seed: proptest::test_runner::RngSeed::Fixed(11),
         failure_persistence: None,
         ..ProptestConfig::default()
@@ -292,15 +292,24 @@
 }
 
 proptest! {
-    #![proptest_config(settings())]
+    #![proptest_config(settings(150))]
 
     #[test]
-    fn starts_are_those_of_the_plain_model(s in snapshot()) {
+    fn large_classes_on_many_rooms_are_placed_as_the_plain_model_does_task_by_task(s in snapshot(30, 300)) {
+        prop_assert_eq!(by_room(&plan(&s).starts), model_starts(&s));
+    }
+}
+
+proptest! {
+    #![proptest_config(settings(1500))]
+
+    #[test]
+    fn starts_are_those_of_the_plain_model(s in snapshot(7, 9)) {
         prop_assert_eq!(by_room(&plan(&s).starts), model_starts(&s));
     }
 
     #[test]
-    fn the_reservation_is_the_earliest_and_is_not_delayed(s in snapshot()) {
+    fn the_reservation_is_the_earliest_and_is_not_delayed(s in snapshot(7, 9)) {
         let p = plan(&s);
         let Some(r) = &p.reservation else { return Ok(()) };
         let c = &s.classes[r.class];
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -592,3 +592,71 @@
     assert_eq!((after(2, 7.0), after(2, 9.0)), (0, 2));
     assert_eq!((after(8, 9.0), after(8, 24.0), after(8, 26.0)), (0, 0, 8));
 }
+
+/// A thousand and more machines, all heard within a moment of a takeover, each with what it runs.
+#[test]
+fn a_takeover_with_everything_back_at_once_starts_nothing_that_runs() {
+    const MACHINES: u32 = 1500;
+    let mut f = fleet(9);
+    let id = |m: u32| format!("i-{m:06}");
+    (0..MACHINES).for_each(|m| f.inherit_machine(&id(m), &machine("small"), 0, T0));
+    for n in 1..=100 {
+        f.job_put(started(spec(n, 60, "batch"), 40), u64::from(n), T0);
+    }
+    // The first 3,000 tasks run, two on a machine; of each job ten more may have been started.
+    let task = |k: u32| format!("wk-{:06}/{}", k % 100 + 1, k / 100);
+    let runs = |m: u32| [task(2 * m), task(2 * m + 1)];
+    let report_of = |m: u32, tally: u64| {
+        let [a, b] = runs(m);
+        let there = [(&*a, 5, TaskStage::Running, None), (&*b, 6, TaskStage::Running, None)];
+        report(&id(m), tally, 9, &there)
+    };
+    let mut given: Vec<String> = Vec::new();
+    for round in 0..4u64 {
+        for m in 0..MACHINES {
+            let s = 1.0 + round as f64 * 3.0 + f64::from(m) * 1e-3;
+            let r = report_of(m, 100 + round);
+            given.extend(starts(&orders(&mut f, s, &r)).into_iter().map(|x| x.0));
+        }
+        assert_eq!(f.unheard(), 0);
+        let s = 3.0 + round as f64 * 3.0;
+        f.tick(at(s), wall(s));
+        write_all(&mut f, s);
+    }
+    let running: std::collections::BTreeSet<String> = (0..MACHINES).flat_map(runs).collect();
+    assert!(given.len() > 1000, "only {} starts", given.len());
+    assert!(given.iter().all(|t| !running.contains(t)), "a running task was started again");
+}
+
+/// Copies of reports come by the thousand, from seconds to well over a lease late.
+#[test]
+fn late_copies_by_the_thousand_change_nothing_and_are_not_remembered() {
+    const MACHINES: u32 = 400;
+    let mut f = fleet(7);
+    f.job_put(record(spec(1, 100, "batch")), 1, T0);
+    let id = |m: u32| format!("i-{m:06}");
+    for tally in 1..=3 {
+        for m in 0..MACHINES {
+            let token = if tally > 1 { 7 } else { 0 };
+            f.check_in(&report(&id(m), tally, token, &[]), at(tally as f64), wall(tally as f64));
+        }
+        write_all(&mut f, tally as f64);
+    }
+    // Half of them go.
+    let gone: Vec<String> = (0..MACHINES / 2).map(id).collect();
+    f.returned(&gone, at(4.0));
+    let (machines, before) = (f.machines.len(), format!("{:?}", f.machines));
+    let stale = [("wk-000001/3", 99, TaskStage::Running, None)];
+    for late in [5.0, 12.0, 23.0, 60.0, 300.0] {
+        for m in 0..MACHINES {
+            for (tally, tasks) in [(1, &stale[..]), (3, &[][..])] {
+                let r = report(&id(m), tally, if tally > 1 { 7 } else { 0 }, tasks);
+                assert_eq!(f.check_in(&r, at(late), wall(late)), CheckIn::Refuse);
+            }
+        }
+    }
+    assert_eq!((f.machines.len(), format!("{:?}", f.machines)), (machines, before));
+    // What is remembered of those that are gone ends as well: long after, a name is only a name.
+    f.tick(at(1000.0), wall(1000.0));
+    assert!(matches!(f.check_in(&report(&id(0), 4, 7, &[]), at(1000.0), wall(1000.0)), CheckIn::Reply(_)));
+}
