--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -334,8 +334,6 @@
 const NOT_LISTED: Micros = Micros(4_000_000);
 /// Delays that differ by less count as alike.
 const FINE: Micros = Micros(2_000_000);
-/// So far back gangs count for how many come in the next moments.
-const BURST: Micros = Micros(30_000_000);
 /// So many seconds after it came a job that missed its start yields to others no more, and the
 /// widest of its shape after so many: it must begin within four minutes.
 const YIELDS: f64 = 150.0;
@@ -1358,7 +1356,7 @@
         let mut s = Snapshot {
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
-            clear: self.clear(now),
+            clear: self.clear(),
             coarse: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
             fine: FINE,
             keep: self.keep(),
@@ -1561,14 +1559,10 @@
     }
 
     /// How many rooms of a large type low ranks leave clear: what the operators say, or as many
-    /// as the widest gang of late that should start at once takes, or, in a burst of such gangs, as
-    /// many as come while others are stopped for them.
-    fn clear(&self, now: Steady) -> usize {
-        let gangs = || self.demands.iter().filter(|d| d.hasty && d.beside > 0);
-        let wide = gangs().map(|d| d.beside as usize + 1).max().unwrap_or(0);
-        let late = gangs().filter(|d| now - d.at < BURST).map(|d| d.beside as usize + 1).sum::<usize>();
-        let stopped = 2.0 * self.cfg.platform.settings.workers.report_s / BURST.secs();
-        wide.max((late as f64 * stopped) as usize).max(self.cfg.operator.keep_clear)
+    /// as the widest gang of late that should start at once takes.
+    fn clear(&self) -> usize {
+        let wide = self.demands.iter().filter(|d| d.hasty && d.beside > 0).map(|d| d.beside as usize + 1);
+        wide.max().unwrap_or(0).max(self.cfg.operator.keep_clear)
     }
 
     /// By type: the largest recent demand of a higher rank that no smaller type takes.
