--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -77,6 +77,15 @@
     f
 }
 
+/// A job's only task has been running on the one machine since 2 s; gives its name and attempt.
+fn with_a_running_task() -> (Fleet, (String, u64)) {
+    let mut f = ready(spec(1, 1, "batch"));
+    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[]))).remove(0);
+    let running = [(s.0.as_str(), s.1, TaskStage::Running, None)];
+    orders(&mut f, 2.0, &report("i-1", 3, 7, &running));
+    (f, s)
+}
+
 #[test]
 fn p01_a_start_that_a_newer_report_lacks_is_started_again() {
     let mut f = ready(spec(1, 1, "batch"));
@@ -106,10 +115,7 @@
 
 #[test]
 fn p03_a_silent_machine_keeps_its_tasks_until_its_lease_has_surely_run_out() {
-    let mut f = ready(spec(1, 1, "batch"));
-    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
-    let running = [(s[0].0.as_str(), s[0].1, TaskStage::Running, None)];
-    orders(&mut f, 2.0, &report("i-1", 3, 7, &running));
+    let (mut f, _) = with_a_running_task();
     orders(&mut f, 2.0, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 2.0);
     for (k, t) in (3..23).enumerate() {
@@ -134,10 +140,7 @@
 /// next owner was renewing.
 #[test]
 fn p03_an_owner_that_may_have_been_replaced_counts_no_lease() {
-    let mut f = ready(spec(1, 1, "batch"));
-    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
-    let running = [(s[0].0.as_str(), s[0].1, TaskStage::Running, None)];
-    orders(&mut f, 2.0, &report("i-1", 3, 7, &running));
+    let (mut f, _) = with_a_running_task();
     orders(&mut f, 2.0, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 2.0);
     // Its own lease was last renewed before the machine's had run out.
@@ -258,12 +261,9 @@
 
 #[test]
 fn a_start_leaves_with_an_answer_that_waited_unless_a_newer_report_has_come() {
-    let mut f = ready(spec(1, 1, "batch"));
-    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
-    let running = [(s[0].0.as_str(), s[0].1, TaskStage::Running, None)];
-    orders(&mut f, 2.0, &report("i-1", 3, 7, &running));
+    let (mut f, (task, attempt)) = with_a_running_task();
     assert!(!f.may_wait("i-1", at(2.0)), "what changes on a busy machine must be heard at once");
-    let done = [(s[0].0.as_str(), s[0].1, TaskStage::Exited, Some(Why::Done))];
+    let done = [(task.as_str(), attempt, TaskStage::Exited, Some(Why::Done))];
     orders(&mut f, 3.0, &report("i-1", 4, 7, &done));
     write_all(&mut f, 3.1);
     orders(&mut f, 3.5, &report("i-1", 5, 7, &done));
@@ -515,10 +515,8 @@
 
 #[test]
 fn late_copies_of_reports_renew_nothing_and_bring_nothing_back() {
-    let mut f = ready(spec(1, 1, "batch"));
-    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
-    let running = [(s[0].0.as_str(), s[0].1, TaskStage::Running, None)];
-    orders(&mut f, 2.0, &report("i-1", 3, 7, &running));
+    let (mut f, (task, attempt)) = with_a_running_task();
+    let running = [(task.as_str(), attempt, TaskStage::Running, None)];
     // Sent before the machine was cut off, this one arrives when its lease has run out.
     let held = report("i-1", 4, 7, &running);
     // A copy within the lease does not put off its end.
