--- a/src/api.rs
+++ b/src/api.rs
@@ -38,13 +38,13 @@
 /// What is known of a job from the state service.
 enum Known {
     Live(Box<JobRecord>, u64),
-    Over(FinalRecord),
+    Over(FinalRecord, u64),
     Never,
 }
 
 fn look_up(node: &Node, id: &str) -> Result<Known, StateError> {
-    if let Some(f) = node.final_of(id) {
-        return Ok(Known::Over(f));
+    if let Some((f, revision)) = node.final_of(id) {
+        return Ok(Known::Over(f, revision));
     }
     // The live record first: a job goes from one to the other in one transaction, so one of the
     // two reads finds it.
@@ -52,15 +52,16 @@
         let r = serde_json::from_value(row.value).map_err(|e| StateError::Malformed(e.to_string()))?;
         return Ok(Known::Live(Box::new(r), row.stamp));
     }
-    Ok(read_final(node, id)?.map_or(Known::Never, Known::Over))
+    Ok(read_final(node, id)?.map_or(Known::Never, |(f, revision)| Known::Over(f, revision)))
 }
 
-fn read_final(node: &Node, id: &str) -> Result<Option<FinalRecord>, StateError> {
+fn read_final(node: &Node, id: &str) -> Result<Option<(FinalRecord, u64)>, StateError> {
     let Some(row) = node.state.get(&final_key(id), Urgency::User)? else { return Ok(None) };
     let f: FinalRecord =
         serde_json::from_value(row.value).map_err(|e| StateError::Malformed(e.to_string()))?;
-    node.learn_final(id, f);
-    Ok(Some(f))
+    // Written once, in the transaction that removed the live record.
+    node.learn_final(id, f, row.stamp);
+    Ok(Some((f, row.stamp)))
 }
 
 fn live_status(node: &Node, id: &str) -> JobStatus {
@@ -77,7 +78,7 @@
 fn status(node: &Node, id: &str, known: &Known) -> Option<JobStatus> {
     match known {
         Known::Live(..) => Some(live_status(node, id)),
-        Known::Over(f) => Some(final_status(id, *f)),
+        Known::Over(f, _) => Some(final_status(id, *f)),
         Known::Never => None,
     }
 }
@@ -124,7 +125,7 @@
     if !is_job_id(id) {
         return Ok(Response::error(404, "no such job"));
     }
-    if let Some(f) = node.final_of(id) {
+    if let Some((f, _)) = node.final_of(id) {
         return Ok(Response::json(200, &final_status(id, f)));
     }
     if node.live.has(id, &node.state)? {
@@ -132,7 +133,7 @@
     }
     // It left the live jobs, if it ever was one, in the transaction that wrote its end.
     Ok(match read_final(node, id)? {
-        Some(f) => Response::json(200, &final_status(id, f)),
+        Some((f, _)) => Response::json(200, &final_status(id, f)),
         None => Response::error(404, "no such job"),
     })
 }
@@ -182,7 +183,7 @@
     }
     match result? {
         Applied::Yes(revision) => {
-            node.job_written(&id, Some(record), revision);
+            node.job_written(&id, record, revision);
             let body = json!({ "nameId": id, "stage": Stage::Queued });
             Ok(Response::json(201, &body))
         }
@@ -203,7 +204,13 @@
     for _ in 0..6 {
         match look_up(node, id)? {
             Known::Never => return Ok(Response::error(404, "no such job")),
-            Known::Over(f) => return Ok(Response::json(200, &json!({ "nameId": id, "stage": f.stage }))),
+            Known::Over(f, revision) => {
+                if f.stage == Stage::Cancelled {
+                    // Whoever wrote it may have had no answer to that, and told nobody.
+                    node.cancellation_confirmed(id, f, revision);
+                }
+                return Ok(Response::json(200, &json!({ "nameId": id, "stage": f.stage })));
+            }
             Known::Live(record, stamp) => {
                 let over = FinalRecord { stage: Stage::Cancelled, tasks: record.spec.tasks };
                 let txn = Txn {
@@ -212,8 +219,7 @@
                 };
                 match node.state.txn(&txn, Urgency::User) {
                     Ok(Applied::Yes(revision)) => {
-                        node.learn_final(id, over);
-                        node.job_written(id, None, revision);
+                        node.cancellation_confirmed(id, over, revision);
                         return Ok(Response::json(200, &json!({ "nameId": id, "stage": Stage::Cancelled })));
                     }
                     // The owner wrote in between, or it is not known what happened: look again.
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -36,6 +36,11 @@
     pub incarnation: u64,
     /// Its token.
     pub token: u64,
+    /// The lease that the leader's record hangs on. It tells two claims of one process apart: with an
+    /// unanswered one carried out late, the process would take it for the next, renew the other lease
+    /// and never learn from that that it had been replaced.
+    #[serde(default)]
+    pub lease: u64,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -77,7 +82,7 @@
         None => 0,
     };
     let token = last + 1;
-    let owner = Owner { label: label.to_string(), incarnation, token };
+    let owner = Owner { label: label.to_string(), incarnation, token, lease };
     let value = json!(owner);
     let guard = |key: &str, stamp: u64| Guard { key: key.into(), stamp };
     let txn = Txn {
@@ -104,7 +109,11 @@
             Some(r) if serde_json::from_value::<Owner>(r.value.clone()).is_ok_and(|o| o == owner) => {
                 claimed(r.stamp)
             }
-            _ => Ok(None),
+            _ => {
+                // A late copy then fails, whatever else still holds.
+                let _ = state.end_lease(lease);
+                Ok(None)
+            }
         },
         Err(e) => {
             let _ = state.end_lease(lease);
@@ -119,13 +128,13 @@
     Ok(row.and_then(|r| serde_json::from_value(r.value).ok()))
 }
 
-/// Reads everything back after a claim. Returns the world and the revision to watch from.
+/// Reads everything back after a claim.
 pub fn rebuild(
     state: &StateClient,
     cfg: Arc<Config>,
     types: Vec<MachineType>,
     token: u64,
-) -> Result<(Fleet, u64), StateError> {
+) -> Result<Fleet, StateError> {
     let now = steady();
     let mut fleet = Fleet::new(cfg, types, token, now);
     let (jobs, revision) = state.list("job/")?;
@@ -136,7 +145,8 @@
     let (history, _) = state.list("hist/")?;
     let (recent, _) = state.list(RECENT_KEY)?;
     load(&mut fleet, [recent, jobs, machines, marks, done, history].concat(), now, wall());
-    Ok((fleet, revision))
+    fleet.has_read_to(revision);
+    Ok(fleet)
 }
 
 /// A packed value with its number.
@@ -315,7 +325,7 @@
 }
 
 /// Learns how a key stands after a conflict or an unknown outcome.
-pub fn learn(fleet: &mut Fleet, key: &str, row: Option<Row>, watched: u64, now: Steady) {
+pub fn learn(fleet: &mut Fleet, key: &str, row: Option<Row>, now: Steady) {
     let stamp = row.as_ref().map_or(0, |r| r.stamp);
     let mut parts = key.split('/');
     match (parts.next(), parts.next(), parts.next()) {
@@ -324,7 +334,7 @@
                 Some(r) => fleet.job_put(r, stamp, now),
                 None => {
                     let known = fleet.jobs.get(id).map_or(0, |j| j.stamp);
-                    fleet.job_over(id, watched.max(known) + 1);
+                    fleet.job_over(id, fleet.read_to().max(known) + 1);
                 }
             }
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -265,9 +265,9 @@
 /// KiB. Quiet ones take next to nothing.
 const CONNECTION_KB: f64 = 8.0;
 /// Threads of the duties: eight, three for the other controllers, their runtime, the one that
-/// waits for readiness, the main one, and the raisers of tokens.
+/// waits for readiness, the main one, and those that send direct commands.
 pub const DUTY_THREADS: usize = 14 + RAISERS;
-/// Threads that bring a new token to machines at once.
+/// Threads that send direct commands to machines at once.
 pub const RAISERS: usize = 16;
 /// Sockets of the duties: listeners, watches, the cloud, the other controllers, raisers.
 const DUTY_SOCKETS: usize = 16 + RAISERS;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -78,6 +78,10 @@
     pub seen: (u64, u64),
     /// When a report was last answered with 200.
     pub answered: Option<Steady>,
+    /// When it was seen to have our token: from then on no earlier owner renews its lease.
+    pub ours_since: Option<Steady>,
+    /// When a direct command was last made out for it.
+    pub commanded: Steady,
     /// When it was first known here.
     pub known: Steady,
     /// Its age when it was first known.
@@ -126,6 +130,8 @@
             up: false,
             seen: (0, 0),
             answered: None,
+            ours_since: None,
+            commanded: Steady(0),
             known: now,
             age: Micros::ZERO,
             notice: None,
@@ -153,6 +159,11 @@
         self.tasks.values().filter(|e| e.live()).filter_map(|e| e.need).fold(total, |t, n| t.less(&n, 1))
     }
 
+    /// The last moment at which its lease may have been renewed, if that is for this owner to know.
+    fn renewed(&self) -> Option<Steady> {
+        self.answered.max(self.ours_since)
+    }
+
     /// Whether this owner's token has to be brought to it: it has not reported of late by itself.
     pub fn to_raise(&self, now: Steady) -> bool {
         !self.heard && !self.leaving && self.answered.unwrap_or(self.known) + RAISE_AFTER < now
@@ -299,7 +310,9 @@
     pub packs: Packs<MachineRecord>,
     /// Packed marks.
     pub marks: Packs<u32>,
-    /// Revisions at which jobs ended, so that a late message does not bring them back.
+    /// All changes of jobs up to this revision are known here.
+    read_to: u64,
+    /// Later revisions at which jobs ended, so that a late message does not bring them back.
     over: BTreeMap<JobId, u64>,
     /// At this moment nobody had taken over from this owner.
     confirmed: Steady,
@@ -370,6 +383,7 @@
             sighted: false,
             packs: Packs::new(cfg.value_bytes()),
             marks: Packs::new(cfg.value_bytes()),
+            read_to: 0,
             over: BTreeMap::new(),
             gone: BTreeMap::new(),
             unenrol: BTreeMap::new(),
@@ -493,10 +507,26 @@
         over.iter().for_each(|id| self.marks.remove(id));
     }
 
-    /// Learns of a job, new or changed. Late copies of what is over are ignored.
+    /// Up to which revision all changes of jobs are known.
+    pub fn read_to(&self) -> u64 {
+        self.read_to
+    }
+
+    /// All changes of jobs up to a revision have been taken in.
+    pub fn has_read_to(&mut self, revision: u64) {
+        self.read_to = self.read_to.max(revision);
+        let known = self.read_to;
+        self.over.retain(|_, r| *r > known);
+    }
+
+    /// Learns of a job, new or changed. Late copies of what is over are ignored: what was written by
+    /// the revision up to which all is known, and is not known, has ended. Without this the word of
+    /// another controller, held up on the way until an owner had come that never knew the job, would
+    /// start a cancelled one.
     pub fn job_put(&mut self, record: JobRecord, stamp: u64, now: Steady) {
         let id: JobId = record.spec.id.as_str().into();
-        if self.over.get(&id).is_some_and(|&r| r >= stamp) {
+        let late = stamp <= self.read_to && !self.jobs.contains_key(&id);
+        if late || self.over.get(&id).is_some_and(|&r| r >= stamp) {
             return;
         }
         if let Some(j) = self.jobs.get_mut(&id) {
@@ -670,13 +700,9 @@
     /// owner wrote its end. What is left of it is stopped.
     pub fn job_over(&mut self, id: &str, revision: u64) {
         let id: JobId = id.into();
-        let r = self.over.entry(id.clone()).or_insert(0);
-        *r = (*r).max(revision);
-        if self.over.len() > 4000 {
-            let mut all: Vec<u64> = self.over.values().copied().collect();
-            all.sort_unstable();
-            let old = all[1000];
-            self.over.retain(|_, r| *r > old);
+        if revision > self.read_to {
+            let r = self.over.entry(id.clone()).or_insert(0);
+            *r = (*r).max(revision);
         }
         let Some(j) = self.jobs.get_mut(&id) else { return };
         if j.stamp > revision {
@@ -843,10 +869,40 @@
         let id: MachineId = r.machine.as_str().into();
         if self.machines.get(&id).is_some_and(|m| !m.heard) {
             self.take_report(&id, r, now);
+            // What an earlier owner answered was reported before this. A machine that never reports
+            // would otherwise hold its tasks until it is returned.
+            if let Some(m) = self.machines.get_mut(&id).filter(|_| r.token == self.token) {
+                m.ours_since = Some(now);
+            }
         }
         None
     }
 
+    /// Halts of what is left of jobs that are over, for machines whose report is overdue: name,
+    /// address, session and orders. The answer to a report carries the same halts; a machine that
+    /// reaches no controller, or whose owner may no longer answer, has them from here.
+    pub fn to_halt(&mut self, now: Steady) -> Vec<(MachineId, String, u64, Vec<Order>)> {
+        let overdue = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 1.5);
+        let mut out = Vec::new();
+        for m in self.machines.values_mut() {
+            if m.addr.is_empty() || now - m.report.max(m.commanded) <= overdue {
+                continue;
+            }
+            let over = |k: &TaskKey| self.jobs.get(&k.0).is_none_or(|j| j.cancelled);
+            let orders: Vec<Order> = m
+                .tasks
+                .iter()
+                .filter(|(k, e)| e.live() && e.stop == Some(0.0) && over(k))
+                .map(|(k, _)| Order::Halt { task: format!("{}/{}", k.0, k.1), attempt: k.2, grace_s: 0.0 })
+                .collect();
+            if !orders.is_empty() {
+                m.commanded = now;
+                out.push((m.id.clone(), m.addr.clone(), m.seen.0.max(1), orders));
+            }
+        }
+        out
+    }
+
     fn take_report(&mut self, id: &MachineId, r: &Report, now: Steady) -> bool {
         let token = self.token;
         let Some(m) = self.machines.get_mut(id) else { return false };
@@ -1742,9 +1798,20 @@
         let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(FENCE_SOON);
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
         let (lease, confirmed) = (self.lease, self.confirmed);
-        let mut ended = Vec::new();
+        // An earlier owner answers no longer than `blind_bound` after it last knew that nobody had
+        // taken over, and that was before this owner's claim.
+        let outlived = self.cfg.blind_bound().scale(1.001) + lease;
+        let (mut ended, mut outlasted) = (Vec::new(), 0);
         for m in self.machines.values_mut() {
-            if m.leaving {
+            if !m.heard && now - self.taken > outlived {
+                // Not heard and, with the cloud out, not returned: no earlier owner's command or
+                // answer can still count on it.
+                tracing::info!(machine = %m.id, "leases of earlier owners have run out");
+                (m.heard, m.expired) = (true, true);
+                outlasted += 1;
+                ended.push(m.id.clone());
+            }
+            if m.leaving && (m.expired || !m.heard) {
                 continue;
             }
             if !m.heard {
@@ -1755,7 +1822,7 @@
                 }
                 continue;
             }
-            match m.answered {
+            match m.renewed() {
                 // The last answer was this owner's and its token had arrived: the lease is ours to
                 // count. Otherwise an earlier owner may still be renewing it, or, if this owner may
                 // have been replaced before the lease ended, a later one: cut off from the state
@@ -1769,6 +1836,7 @@
                     m.seen.1 = u64::MAX;
                     ended.push(m.id.clone());
                 }
+                _ if m.leaving => {}
                 // The cloud says it runs: cut off, most likely, and good again afterwards.
                 Some(a) if m.expired && now - a > lease + CUT => {
                     tracing::info!(machine = %m.id, "returned: silent for long");
@@ -1797,6 +1865,10 @@
                 }
             }
         }
+        if outlasted > 0 {
+            self.silent = self.silent.saturating_sub(outlasted);
+            self.uses.clear();
+        }
         for id in ended {
             self.emptied(&id);
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,19 +20,22 @@
 use crate::http::{self, Client, Lane, Reply, Request, Response};
 use crate::jobs::{chunk_tasks, FinalRecord, JobId, JobRecord, MachineId};
 use crate::live::LiveJobs;
-use crate::peer::{Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
+use crate::notices::{Cancellation, Notices};
+use crate::peer::{self, Ack, Answer, Call, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub, Summary};
 use crate::state::{Applied, StateClient, StateError, Urgency};
-use crate::time::{steady, wall, Micros, Steady};
-use crate::wire::{Change, Commands, Guard, MachineType, RentRequest, Report, ReportReply, Stage, Txn};
+use crate::time::{wall, Clock, Micros, Steady};
+use crate::view::View;
+use crate::wire::{
+    is_job_id, Change, Commands, Event, Guard, MachineType, Order, RentRequest, Report, ReportReply, Stage,
+    Txn,
+};
 
 /// What an owner has.
 struct Own {
     fleet: Fleet,
     claim: Claim,
-    /// Start of the last successful look at the jobs' changes.
-    fresh: Steady,
-    /// Revision to watch from.
-    watched: u64,
+    /// How long it may still act without having looked.
+    view: View,
     /// When a worker's report was last taken.
     last_report: Steady,
 }
@@ -53,7 +56,8 @@
     leader: Option<Owner>,
     highest: u64,
     types: Option<Vec<MachineType>>,
-    finals: BTreeMap<String, FinalRecord>,
+    /// Final stages known to be written, with the revisions at which they were.
+    finals: BTreeMap<String, (FinalRecord, u64)>,
     finals_order: VecDeque<String>,
     counts: BTreeMap<String, Counts>,
     /// Idle workers whose reports wait for an answer.
@@ -78,6 +82,10 @@
 const FINALS_KEPT: usize = 20_000;
 /// Reads for polls begin no closer together than the first and no further than the second.
 const POLLS_APART: (Micros, Micros) = (Micros::from_millis(20), Micros::from_millis(250));
+/// How often the others are told who leads.
+const ANNOUNCE_EVERY: Micros = Micros::from_millis(1000);
+/// When one that did not answer is told of cancellations again.
+const TELL_AGAIN: Micros = Micros::from_millis(300);
 /// After this without a word from another controller, whether one can be heard is asked.
 const PEER_QUIET: Micros = Micros::from_millis(1500);
 /// After this without a word, asked for or not, none can be heard.
@@ -106,8 +114,12 @@
     peers: PeerHub,
     core: Mutex<Core>,
     wake: Condvar,
+    /// Cancellations that the others are yet to be told of.
+    notices: Mutex<Notices>,
+    told: Condvar,
     latencies: Mutex<Latencies>,
     stop: Arc<AtomicBool>,
+    clock: Clock,
     incarnation: u64,
     started: Steady,
 }
@@ -120,30 +132,46 @@
         Node::run_on(cfg, listener, internal, stop)
     }
 
-    /// Starts all duties; returns when `stop` is set.
-    pub fn run_on(
+    /// A controller whose duties are not started: `turn` does each duty's next piece of work.
+    pub fn new(
         cfg: Config,
-        listener: TcpListener,
-        internal: TcpListener,
+        peers: PeerHub,
+        clock: Clock,
         stop: Arc<AtomicBool>,
-    ) -> anyhow::Result<()> {
-        let p = &cfg.platform;
-        let (peers, inbound) = PeerHub::start(internal, p.members.iter().map(|m| m.addr).collect())?;
+    ) -> anyhow::Result<Arc<Node>> {
         let (rps, writes) = share(&cfg, false);
-        let node = Arc::new(Node {
+        let p = &cfg.platform;
+        let keep = Micros::from_secs(p.settings.workers.cancel_s);
+        let now = clock.now();
+        Ok(Arc::new(Node {
             state: StateClient::new(p.services.state, rps, writes),
             // Half of what the others are allowed, at the most.
             live: LiveJobs::new(Micros::from_secs(2.0 / rps.max(0.1)).clamp(POLLS_APART.0, POLLS_APART.1)),
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
+            notices: Mutex::new(Notices::new(peers.count(), keep)),
+            told: Condvar::new(),
             peers,
-            core: Mutex::new(Core { last_peer: steady(), ..Core::default() }),
+            core: Mutex::new(Core { last_peer: now, ..Core::default() }),
             wake: Condvar::new(),
-            latencies: Mutex::new(Latencies { users: histogram()?, workers: histogram()?, said: steady() }),
+            latencies: Mutex::new(Latencies { users: histogram()?, workers: histogram()?, said: now }),
             stop,
             incarnation: rand::rng().random_range(1..=u64::MAX >> 12),
-            started: steady(),
+            started: now,
+            clock,
             cfg: Arc::new(cfg),
-        });
+        }))
+    }
+
+    /// Starts all duties; returns when `stop` is set.
+    pub fn run_on(
+        cfg: Config,
+        listener: TcpListener,
+        internal: TcpListener,
+        stop: Arc<AtomicBool>,
+    ) -> anyhow::Result<()> {
+        let (peers, inbound) =
+            PeerHub::start(internal, cfg.platform.members.iter().map(|m| m.addr).collect())?;
+        let node = Node::new(cfg, peers, Clock::Machine, stop)?;
         tracing::info!(label = %node.cfg.platform.label, incarnation = node.incarnation, "started");
         let mut duties = Vec::new();
         let mut duty = |name: &str, f: fn(&Node)| -> std::io::Result<()> {
@@ -159,7 +187,7 @@
         duty("cloud", Node::tend)?;
         duty("list", Node::list)?;
         duty("announcer", Node::announce)?;
-        duty("raiser", Node::raise)?;
+        duty("commander", Node::command)?;
         duty("planner", Node::plan)?;
         let inbound = Arc::new(Mutex::new(inbound));
         for i in 0..3 {
@@ -172,7 +200,7 @@
         }
         let n = node.clone();
         let handler = move |r: Request, reply: Reply| {
-            let since = steady();
+            let since = n.now();
             let path = r.path.clone();
             n.serve(&r, reply);
             if path != "/up" {
@@ -202,6 +230,11 @@
         Ok(served?)
     }
 
+    /// The present moment, as this node reads it.
+    pub fn now(&self) -> Steady {
+        self.clock.now()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Core> {
         // A panic elsewhere must not take the others along.
         self.core.lock().unwrap_or_else(|e| e.into_inner())
@@ -250,8 +283,8 @@
         let me = &self.cfg.platform.label;
         let leader = core.leader.as_ref().map(|l| l.label.clone());
         if let Some(own) = &core.own {
-            let out_of_touch = (steady() - own.fresh).secs();
-            let view = own.fleet.status(team, steady(), wall());
+            let out_of_touch = own.view.age(self.now()).secs();
+            let view = own.fleet.status(team, self.now(), wall());
             let parts = json!([{ "part": 0, "owner": me, "token": own.claim.token }]);
             let body = json!({
                 "node": me, "leader": leader, "parts": parts, "state_seen_s_ago": out_of_touch, "owner": view,
@@ -263,12 +296,12 @@
 
     /// Keeps how long a request took, and now and then says how long they take.
     fn timed(&self, path: &str, since: Steady) {
-        let took = (steady() - since).0.clamp(1, 60_000_000) as u64;
+        let took = (self.now() - since).0.clamp(1, 60_000_000) as u64;
         let mut l = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
         let h = if path == "/checkin" { &mut l.workers } else { &mut l.users };
         // Within the bounds by the clamp above.
         let _ = h.record(took);
-        if (steady() - l.said).secs() < 60.0 {
+        if (self.now() - l.said).secs() < 60.0 {
             return;
         }
         for (who, h) in [("users", &l.users), ("workers", &l.workers)] {
@@ -285,7 +318,7 @@
         }
         l.users.reset();
         l.workers.reset();
-        l.said = steady();
+        l.said = self.now();
     }
 
     /// Whether users are well served here. Cut off from the state service and all others it can
@@ -296,7 +329,7 @@
         if core.types.is_none() {
             return Response::error(503, "starting");
         }
-        let unheard = steady() - core.last_peer;
+        let unheard = self.now() - core.last_peer;
         let lost = self.state.out_of_reach() > STATE_LOST;
         if lost && self.peers.count() > 0 && unheard > PEER_LOST {
             return Response::error(503, "cut off from the state service and the other controllers");
@@ -326,18 +359,17 @@
                 return (Some(Response::error(400, &e.to_string())), reply);
             }
         };
-        let now = steady();
+        let now = self.now();
         let mut core = self.lock();
-        while core.claiming && core.own.is_none() && (steady() - now).secs() < 1.5 {
+        while core.claiming && core.own.is_none() && (self.now() - now).secs() < 1.5 {
             core = match self.wake.wait_timeout(core, Duration::from_millis(200)) {
                 Ok((g, _)) => g,
                 Err(e) => e.into_inner().0,
             };
         }
-        let now = steady();
-        let bound = self.cfg.blind_bound();
+        let now = self.now();
         if let Some(own) = core.own.as_mut() {
-            if now - own.fresh > bound {
+            if !own.view.may_act(now) {
                 // Cancellations cannot be seen any more: leases must be let run out.
                 let refused = Response::error(503, "out of touch with the state service");
                 return (Some(refused), reply);
@@ -392,9 +424,8 @@
     fn answer_waiting(&self) {
         let mut core = self.lock();
         let Core { own, waiting, .. } = &mut *core;
-        let now = steady();
-        let bound = self.cfg.blind_bound();
-        let own = own.as_mut().filter(|o| now - o.fresh <= bound);
+        let now = self.now();
+        let own = own.as_mut().filter(|o| o.view.may_act(now));
         let token = own.as_ref().map(|o| o.claim.token);
         let due: Vec<MachineId> = waiting
             .iter()
@@ -445,7 +476,7 @@
 
     /// Has another controller answer a user whom this one cannot.
     pub fn relay_to_any(&self, req: &Request) -> Option<Response> {
-        if steady() < self.lock().no_relay_until {
+        if self.now() < self.lock().no_relay_until {
             return None;
         }
         for to in 0..self.peers.count() {
@@ -454,19 +485,22 @@
             }
         }
         // Most likely the state service is out for all: no need to ask each time.
-        self.lock().no_relay_until = steady() + Micros::from_secs(2.0);
+        self.lock().no_relay_until = self.now() + Micros::from_secs(2.0);
         None
     }
 
-    /// A final stage that is known to be written.
-    pub fn final_of(&self, id: &str) -> Option<FinalRecord> {
+    /// A final stage that is known to be written, and the revision at which it was.
+    pub fn final_of(&self, id: &str) -> Option<(FinalRecord, u64)> {
         self.lock().finals.get(id).copied()
     }
 
     /// Keeps a final stage; final stages never change.
-    pub fn learn_final(&self, id: &str, f: FinalRecord) {
+    pub fn learn_final(&self, id: &str, f: FinalRecord, revision: u64) {
         let mut core = self.lock();
-        if core.finals.insert(id.to_string(), f).is_none() {
+        if core.finals.contains_key(id) {
+            return;
+        }
+        if core.finals.insert(id.to_string(), (f, revision)).is_none() {
             core.finals_order.push_back(id.to_string());
             if core.finals_order.len() > FINALS_KEPT {
                 if let Some(old) = core.finals_order.pop_front() {
@@ -490,15 +524,12 @@
         }
     }
 
-    /// A job was written (or ended, without a record) by this node: the owner is told.
-    pub fn job_written(&self, id: &str, record: Option<JobRecord>, revision: u64) {
+    /// A job was written by this node: the owner is told.
+    pub fn job_written(&self, id: &str, record: JobRecord, revision: u64) {
         let to = {
             let mut core = self.lock();
             if let Some(own) = core.own.as_mut() {
-                match record {
-                    Some(r) => own.fleet.job_put(r, revision, steady()),
-                    None => own.fleet.job_over(id, revision),
-                }
+                own.fleet.job_put(record, revision, self.now());
                 self.wake.notify_all();
                 return;
             }
@@ -506,7 +537,7 @@
             self.cfg.platform.members.iter().position(|m| Some(&m.label) == leader.as_ref())
         };
         let Some(to) = to else { return };
-        let record = record.and_then(|r| serde_json::to_vec(&r).ok()).unwrap_or_default();
+        let record = serde_json::to_vec(&record).unwrap_or_default();
         // Not waited for: the owner's watch sees it in any case, a little later.
         let _ = self.peers.begin(
             to,
@@ -515,6 +546,68 @@
         );
     }
 
+    /// This node confirms to a user that a job is cancelled: its tasks are stopped here, and all
+    /// others are told, whoever of them has the machines.
+    pub fn cancellation_confirmed(&self, id: &str, f: FinalRecord, revision: u64) {
+        if self.peers.count() > 0 {
+            let since = self.now();
+            let c = Cancellation { id: id.to_string(), tasks: f.tasks, revision, since };
+            self.notices.lock().unwrap_or_else(|e| e.into_inner()).add(&c);
+            self.told.notify_one();
+        }
+        self.cancelled_at(id, f, revision);
+    }
+
+    fn cancelled_at(&self, id: &str, f: FinalRecord, revision: u64) {
+        self.learn_final(id, f, revision);
+        if let Some(own) = self.lock().own.as_mut() {
+            own.fleet.job_over(id, revision);
+            self.wake.notify_all();
+        }
+    }
+
+    /// Tells each of the others what it does not know yet; false if one did not answer.
+    pub fn tell_once(&self) -> bool {
+        let due = self.notices.lock().unwrap_or_else(|e| e.into_inner()).due(self.now());
+        let sent: Vec<_> = due
+            .into_iter()
+            .map(|(to, batch)| {
+                let one = |c: &Cancellation| peer::Cancellation {
+                    id: c.id.clone(),
+                    tasks: c.tasks,
+                    revision: c.revision,
+                };
+                let message =
+                    Message::Cancelled(peer::Cancellations { jobs: batch.iter().map(one).collect() });
+                (to, self.peers.begin(to, message, Micros::from_millis(900)), batch)
+            })
+            .collect();
+        let mut all = true;
+        for (to, waiting, batch) in sent {
+            match waiting.and_then(|w| w.wait()) {
+                Ok(Outcome::Ack(a)) => {
+                    self.notices.lock().unwrap_or_else(|e| e.into_inner()).answered(to, &batch);
+                    self.heard_token(a.token);
+                }
+                Ok(Outcome::Answer(_)) => all = false,
+                Err(e) => {
+                    tracing::debug!(to, error = %e, "could not be told of cancellations yet");
+                    all = false;
+                }
+            }
+        }
+        all
+    }
+
+    /// Another controller has answered, and knows this token.
+    fn heard_token(&self, token: u64) {
+        let mut core = self.lock();
+        core.last_peer = self.now();
+        if token > core.highest {
+            self.step_down(&mut core, token, "another controller knows a higher token");
+        }
+    }
+
     // ---- other controllers ----
 
     fn answer_peers(&self, inbound: &Mutex<Receiver<Inbound>>) {
@@ -526,36 +619,54 @@
                 Err(RecvTimeoutError::Timeout) => continue,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            self.lock().last_peer = steady();
-            let out = match &msg.message {
-                Message::Announce(s) => self.announced(s),
-                Message::Notify(n) => self.notified(n),
-                Message::Relay(c) => {
-                    let req =
-                        Request { method: c.method.clone(), path: c.path.clone(), body: c.body.clone() };
-                    let r = if req.body.len() > http::MAX_BODY {
-                        Response::error(413, "body over 64 KiB")
-                    } else {
-                        self.answer(&req, true)
-                    };
-                    Outcome::Answer(Answer {
-                        status: u32::from(r.status),
-                        body: r.body,
-                        retry_after: r.retry_after.unwrap_or(0),
-                    })
-                }
-            };
+            let out = self.hear(&msg.message);
             msg.answer(out);
         }
     }
 
+    /// Answers what another controller says.
+    pub fn hear(&self, m: &Message) -> Outcome {
+        self.lock().last_peer = self.now();
+        match m {
+            Message::Announce(s) => self.announced(s),
+            Message::Notify(n) => self.notified(n),
+            Message::Cancelled(c) => self.cancelled(c),
+            Message::Relay(c) => {
+                let req = Request { method: c.method.clone(), path: c.path.clone(), body: c.body.clone() };
+                let r = if req.body.len() > http::MAX_BODY {
+                    Response::error(413, "body over 64 KiB")
+                } else {
+                    self.answer(&req, true)
+                };
+                Outcome::Answer(Answer {
+                    status: u32::from(r.status),
+                    body: r.body,
+                    retry_after: r.retry_after.unwrap_or(0),
+                })
+            }
+        }
+    }
+
+    /// Another controller has confirmed cancellations: what is left of the jobs is stopped, whether
+    /// this owner can see their records or not.
+    fn cancelled(&self, list: &peer::Cancellations) -> Outcome {
+        for c in &list.jobs {
+            if !is_job_id(&c.id) {
+                tracing::error!(job = %c.id, "another controller tells of a malformed job");
+                continue;
+            }
+            self.cancelled_at(&c.id, FinalRecord { stage: Stage::Cancelled, tasks: c.tasks }, c.revision);
+        }
+        Outcome::Ack(Ack { token: self.lock().highest })
+    }
+
     fn announced(&self, s: &Summary) -> Outcome {
         let mut core = self.lock();
         if s.token > core.highest {
             self.step_down(&mut core, s.token, "another controller leads with a higher token");
         }
         if s.token > 0 && s.token == core.highest && core.own.is_none() {
-            core.leader = Some(Owner { label: s.leader.clone(), incarnation: 0, token: s.token });
+            core.leader = Some(Owner { label: s.leader.clone(), incarnation: 0, token: s.token, lease: 0 });
             core.counts =
                 s.jobs.iter().map(|j| (j.id.clone(), Counts { done: j.done, running: j.running })).collect();
         }
@@ -568,7 +679,7 @@
             if n.record.is_empty() {
                 own.fleet.job_over(&n.id, n.revision);
             } else if let Ok(r) = serde_json::from_slice::<JobRecord>(&n.record) {
-                own.fleet.job_put(r, n.revision, steady());
+                own.fleet.job_put(r, n.revision, self.now());
             }
             self.wake.notify_all();
         }
@@ -588,35 +699,48 @@
         }
     }
 
-    /// Tells the others who leads, about once a second.
+    /// Tells the others who leads, about once a second, and what was cancelled, at once and until
+    /// each has answered.
     fn announce(&self) {
+        let (mut last, mut all_told) = (Steady(0), true);
         while !self.stopping() {
-            let summary = {
-                let core = self.lock();
-                match &core.own {
-                    Some(own) => Some(self.summary(own)),
-                    // Nobody has been heard of late: whether anybody can be is asked.
-                    None if steady() - core.last_peer > PEER_QUIET => Some(Summary::default()),
-                    None => None,
-                }
-            };
-            if let Some(s) = summary {
-                let sent: Vec<_> = (0..self.peers.count())
-                    .filter_map(|to| {
-                        self.peers.begin(to, Message::Announce(s.clone()), Micros::from_millis(900)).ok()
-                    })
-                    .collect();
-                for w in sent {
-                    if let Ok(Outcome::Ack(a)) = w.wait() {
-                        let mut core = self.lock();
-                        core.last_peer = steady();
-                        if a.token > core.highest {
-                            self.step_down(&mut core, a.token, "another controller knows a higher token");
-                        }
-                    }
+            let since = self.now() - last;
+            let left = if all_told { ANNOUNCE_EVERY - since } else { TELL_AGAIN };
+            {
+                let n = self.notices.lock().unwrap_or_else(|e| e.into_inner());
+                if left.0 > 0 && (n.is_empty() || !all_told) {
+                    drop(self.told.wait_timeout(n, left.std()));
                 }
             }
-            self.sleep(Micros::from_millis(1000));
+            all_told = self.tell_once();
+            if self.now() - last >= ANNOUNCE_EVERY {
+                self.announce_once();
+                last = self.now();
+            }
+        }
+    }
+
+    /// Tells the others who leads, or asks whether any of them can be heard.
+    pub fn announce_once(&self) {
+        let summary = {
+            let core = self.lock();
+            match &core.own {
+                Some(own) => Some(self.summary(own)),
+                // Nobody has been heard of late: whether anybody can be is asked.
+                None if self.now() - core.last_peer > PEER_QUIET => Some(Summary::default()),
+                None => None,
+            }
+        };
+        let Some(s) = summary else { return };
+        let sent: Vec<_> = (0..self.peers.count())
+            .filter_map(|to| {
+                self.peers.begin(to, Message::Announce(s.clone()), Micros::from_millis(900)).ok()
+            })
+            .collect();
+        for w in sent {
+            if let Ok(Outcome::Ack(a)) = w.wait() {
+                self.heard_token(a.token);
+            }
         }
     }
 
@@ -638,24 +762,33 @@
         self.learn_types();
         let ttl = Micros::from_secs(self.cfg.operator.leader_ttl_s);
         while !self.stopping() {
-            let lease = self.lock().own.as_ref().map(|o| (o.claim.lease, o.claim.token));
-            match lease {
-                Some((lease, token)) => {
-                    self.hold(lease, token);
-                    self.sleep(ttl.scale(0.3));
-                }
-                None => {
-                    if let Err(e) = self.follow(ttl) {
-                        tracing::debug!(error = %e, "the leader's record cannot be read");
-                        self.sleep(Micros::from_millis(300));
-                    }
-                }
+            let pause = self.keep_once(ttl);
+            self.sleep(pause);
+        }
+    }
+
+    /// Renews the leader's lease, or waits a while for its end and takes over; returns how long to
+    /// pause.
+    pub fn keep_once(&self, ttl: Micros) -> Micros {
+        let lease = self.lock().own.as_ref().map(|o| (o.claim.lease, o.claim.token));
+        match lease {
+            Some((lease, token)) => {
+                self.hold(lease, token);
+                // The view rests on renewals too: with tight settings it must not age for long.
+                ttl.scale(0.3).min(self.cfg.blind_bound().scale(0.4)).max(Micros::from_millis(100))
             }
+            None => match self.follow(ttl) {
+                Ok(()) => Micros::ZERO,
+                Err(e) => {
+                    tracing::debug!(error = %e, "the leader's record cannot be read");
+                    Micros::from_millis(300)
+                }
+            },
         }
     }
 
     fn hold(&self, lease: u64, token: u64) {
-        let begun = steady();
+        let begun = self.now();
         let r = self.state.renew(lease);
         let renewed = r.is_ok();
         let mut core = self.lock();
@@ -663,6 +796,7 @@
         // A single controller is followed by nobody while it lives.
         if renewed || self.cfg.nodes() == 1 {
             own.fleet.confirm(begun);
+            own.view.has_owned(begun);
         }
         match r {
             Ok(()) => {}
@@ -672,7 +806,7 @@
         // Cut off from workers and controllers alike while the state service answers: others can
         // serve the workers before their leases run out, this one cannot.
         let quiet = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 2.5);
-        let now = steady();
+        let now = self.now();
         let unheard = now - core.last_peer;
         let alone = core.own.as_ref().is_some_and(|o| {
             self.peers.count() > 0
@@ -709,13 +843,13 @@
             // Most of the time one of the others is a little faster, and the guard decides. One that
             // has started of late goes first: in a rolling restart the others are still to go, and
             // each would take the ownership only to lose it again.
-            let old = steady() - self.started > Micros::from_secs(120.0);
+            let old = self.now() - self.started > Micros::from_secs(120.0);
             let first = if old { 60 } else { 5 };
             self.sleep(Micros::from_millis(rand::rng().random_range(first..first + 50)));
             return self.take(ttl, 0);
         }
         // Nobody leads, or an earlier life of this very process did.
-        if steady() < self.lock().hold_off {
+        if self.now() < self.lock().hold_off {
             self.sleep(Micros::from_millis(300));
             return Ok(());
         }
@@ -723,10 +857,10 @@
     }
 
     fn take(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
-        if steady() < self.lock().hold_off {
+        if self.now() < self.lock().hold_off {
             return Ok(());
         }
-        let begun = steady();
+        let begun = self.now();
         let label = &self.cfg.platform.label;
         let Some(claim) = cluster::claim(&self.state, label, self.incarnation, ttl, seen)? else {
             return Ok(());
@@ -742,11 +876,11 @@
         let mut core = self.lock();
         core.claiming = false;
         match r {
-            Ok((mut fleet, watched)) if core.highest == claim.token => {
+            Ok(mut fleet) if core.highest == claim.token => {
                 if let Some(t) = &core.types {
                     fleet.set_types(t.clone());
                 }
-                let now = steady();
+                let now = self.now();
                 let (rps, writes) = share(&self.cfg, true);
                 self.state.allow(rps, writes);
                 tracing::info!(
@@ -756,10 +890,21 @@
                     ms = (now - begun).0 / 1000,
                     "rebuilt"
                 );
-                core.leader =
-                    Some(Owner { label: label.clone(), incarnation: self.incarnation, token: claim.token });
+                // Cancellations that were told of while the records were read.
+                for id in fleet.jobs.keys().cloned().collect::<Vec<_>>() {
+                    if let Some((_, revision)) = core.finals.get(&*id) {
+                        fleet.job_over(&id, *revision);
+                    }
+                }
+                core.leader = Some(Owner {
+                    label: label.clone(),
+                    incarnation: self.incarnation,
+                    token: claim.token,
+                    lease: claim.lease,
+                });
                 core.last_peer = now;
-                core.own = Some(Own { fleet, claim, fresh: begun, watched, last_report: now });
+                let view = View::new(begun, self.cfg.blind_bound());
+                core.own = Some(Own { fleet, claim, view, last_report: now });
                 self.wake.notify_all();
                 Ok(())
             }
@@ -800,43 +945,57 @@
     /// Sees the jobs that other controllers accept and end.
     fn watch(&self) {
         while !self.stopping() {
-            let Some((token, from)) = self.lock().own.as_ref().map(|o| (o.claim.token, o.watched)) else {
-                self.sleep(Micros::from_millis(100));
-                continue;
-            };
-            let begun = steady();
-            // The view is as old as the call: with tight settings it must not block for long.
-            let block =
-                self.cfg.blind_bound().scale(0.4).clamp(Micros::from_millis(100), Micros::from_secs(1.0));
-            match self.state.watch("job/", from, block) {
-                Ok(e) => {
-                    let mut core = self.lock();
-                    let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { continue };
-                    own.fresh = own.fresh.max(begun);
-                    own.watched = own.watched.max(e.revision);
-                    for e in e.events {
-                        if let Some(id) = e.drop.as_deref().and_then(|k| k.strip_prefix("job/")) {
-                            own.fleet.job_over(id, e.stamp);
-                        } else if e.put.is_some() {
-                            match serde_json::from_value::<JobRecord>(e.value) {
-                                Ok(r) => own.fleet.job_put(r, e.stamp, steady()),
-                                Err(e) => tracing::error!(error = %e, "a job's record cannot be read"),
-                            }
-                        }
-                    }
-                    drop(core);
-                    self.sleep(Micros::from_millis(100));
+            let pause = self.watch_once();
+            self.sleep(pause);
+        }
+    }
+
+    /// Looks for changes of jobs; returns how long to pause. Between reads that answer at once, which
+    /// alone renew the view, a watch brings changes as they come: one that stays silent, or whose
+    /// answer comes late, proves nothing, since it may have waited for a service that refuses this
+    /// node.
+    pub fn watch_once(&self) -> Micros {
+        let Some((token, from, view)) =
+            self.lock().own.as_ref().map(|o| (o.claim.token, o.fleet.read_to(), o.view))
+        else {
+            return Micros::from_millis(100);
+        };
+        let sent = self.now();
+        // With tight settings the view must not age for long.
+        let block = self.cfg.blind_bound().scale(0.4).clamp(Micros::from_millis(100), Micros::from_secs(1.0));
+        let left = block - view.read_age(sent);
+        let read = left.0 <= 0;
+        let changes = if read {
+            self.state.changes("job/", from, Urgency::Ownership)
+        } else {
+            self.state.watch("job/", from, left)
+        };
+        match changes {
+            Ok(e) => {
+                let mut core = self.lock();
+                let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else {
+                    return Micros::ZERO;
+                };
+                let to = if read { e.revision } else { e.events.iter().map(|e| e.stamp).max().unwrap_or(0) };
+                for e in e.events {
+                    take_change(&mut own.fleet, e, self.now());
                 }
-                Err(StateError::TooOld) => {
-                    let mut core = self.lock();
-                    if core.own.as_ref().is_some_and(|o| o.claim.token == token) {
-                        self.step_down(&mut core, 0, "missed changes, reads all anew");
-                    }
+                own.fleet.has_read_to(to);
+                if read {
+                    own.view.has_read(sent);
                 }
-                Err(e) => {
-                    tracing::debug!(error = %e, "no view of the jobs");
-                    self.sleep(Micros::from_millis(250));
+                Micros::from_millis(100)
+            }
+            Err(StateError::TooOld) => {
+                let mut core = self.lock();
+                if core.own.as_ref().is_some_and(|o| o.claim.token == token) {
+                    self.step_down(&mut core, 0, "missed changes, reads all anew");
                 }
+                Micros::ZERO
+            }
+            Err(e) => {
+                tracing::debug!(error = %e, "no view of the jobs");
+                Micros::from_millis(250)
             }
         }
     }
@@ -845,55 +1004,66 @@
     fn plan(&self) {
         while !self.stopping() {
             self.sleep(Micros::from_millis(40));
-            let mut core = self.lock();
-            let writes = core.own.as_mut().is_some_and(|own| {
-                own.fleet.tick(steady(), wall());
-                own.fleet.starts_wait()
-            });
-            drop(core);
-            self.answer_waiting();
-            if writes {
-                self.wake.notify_all();
-            }
+            self.plan_once();
+        }
+    }
+
+    /// Lets time pass, plans, and answers workers that wait for a start.
+    pub fn plan_once(&self) {
+        let mut core = self.lock();
+        let writes = core.own.as_mut().is_some_and(|own| {
+            own.fleet.tick(self.now(), wall());
+            own.fleet.starts_wait()
+        });
+        drop(core);
+        self.answer_waiting();
+        if writes {
+            self.wake.notify_all();
         }
     }
 
-    /// Brings this owner's token to the machines it has inherited.
-    fn raise(&self) {
+    /// Brings this owner's token to the machines it has inherited, and halts to those that do not
+    /// come for them.
+    fn command(&self) {
         while !self.stopping() {
-            let due = {
-                let core = self.lock();
-                core.own.as_ref().map(|o| {
-                    let f = &o.fleet;
-                    (f.token, f.to_raise(steady()))
-                })
-            };
-            let Some((token, list)) = due.filter(|d| !d.1.is_empty()) else {
-                self.sleep(Micros::from_millis(100));
-                continue;
-            };
-            // One that does not answer holds up only one routine: the others go on with the list.
-            let next = AtomicUsize::new(0);
-            std::thread::scope(|s| {
-                for _ in 0..list.len().min(RAISERS) {
-                    let (next, list) = (&next, &list);
-                    let raise = move || {
-                        while let Some(m) = list.get(next.fetch_add(1, Ordering::Relaxed)) {
-                            self.raise_one(token, m);
-                        }
-                    };
-                    // Without a routine more the others do its share.
-                    let _ = std::thread::Builder::new().stack_size(128 * 1024).spawn_scoped(s, raise);
-                }
-            });
-            self.sleep(Micros::from_millis(500));
+            let pause = if self.command_once() { 500 } else { 100 };
+            self.sleep(Micros::from_millis(pause));
         }
     }
 
-    fn raise_one(&self, token: u64, (id, addr, season): &(MachineId, String, u64)) {
+    /// Sends the direct commands that are due; false if there were none.
+    pub fn command_once(&self) -> bool {
+        let due = self.lock().own.as_mut().map(|o| {
+            let now = self.now();
+            let raise =
+                o.fleet.to_raise(now).into_iter().map(|(id, addr, season)| (id, addr, season, Vec::new()));
+            let mut list: Vec<DirectCommand> = raise.collect();
+            list.extend(o.fleet.to_halt(now));
+            (o.fleet.token, list)
+        });
+        let Some((token, list)) = due.filter(|d| !d.1.is_empty()) else { return false };
+        // One that does not answer holds up only one routine: the others go on with the list.
+        let next = AtomicUsize::new(0);
+        std::thread::scope(|s| {
+            for _ in 0..list.len().min(RAISERS) {
+                let (next, list) = (&next, &list);
+                let send = move || {
+                    while let Some(c) = list.get(next.fetch_add(1, Ordering::Relaxed)) {
+                        self.command_one(token, c);
+                    }
+                };
+                // Without a routine more the others do its share.
+                let _ = std::thread::Builder::new().stack_size(128 * 1024).spawn_scoped(s, send);
+            }
+        });
+        true
+    }
+
+    fn command_one(&self, token: u64, (id, addr, season, orders): &DirectCommand) {
         // It may have reported by itself since the list was made.
         let due = |o: &Own| {
-            o.claim.token == token && o.fleet.machines.get(id).is_some_and(|m| m.to_raise(steady()))
+            o.claim.token == token
+                && o.fleet.machines.get(id).is_some_and(|m| !orders.is_empty() || m.to_raise(self.now()))
         };
         if !self.lock().own.as_ref().is_some_and(due) {
             return;
@@ -902,7 +1072,7 @@
         let client = Client::new(addr, 1);
         let mut season = *season;
         for _ in 0..2 {
-            let Ok(body) = serde_json::to_vec(&Commands { token, season, orders: Vec::new() }) else {
+            let Ok(body) = serde_json::to_vec(&Commands { token, season, orders: orders.clone() }) else {
                 return;
             };
             let Ok((status, body)) = client.call("POST", "/commands", Some(&body), Micros::from_millis(1500))
@@ -914,13 +1084,14 @@
             if r.machine != **id {
                 return;
             }
-            if status == 409 && r.token < token {
+            // With halts, a later session has nothing left to be halted.
+            if status == 409 && r.token < token && orders.is_empty() {
                 season = r.season;
                 continue;
             }
             let mut core = self.lock();
             let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
-            if let Some(higher) = own.fleet.raised(&r, steady()) {
+            if let Some(higher) = own.fleet.raised(&r, self.now()) {
                 self.step_down(&mut core, higher, "a worker has seen a higher token");
             }
             return;
@@ -931,34 +1102,28 @@
 
     /// Writes what waits.
     fn write(&self) {
-        let chunk = chunk_tasks(self.cfg.value_bytes());
-        let ops = self.cfg.platform.settings.state.txn_ops;
         while !self.stopping() {
-            let work = {
-                let core = self.lock();
-                let (mut core, _) = match self.wake.wait_timeout(core, Duration::from_millis(150)) {
-                    Ok(x) => x,
-                    Err(e) => e.into_inner(),
-                };
-                let now = steady();
-                core.own.as_mut().map(|own| {
-                    let pending = own.fleet.pending(now, DONE_EVERY, chunk);
-                    (
-                        own.claim.clone(),
-                        cluster::batches(&mut own.fleet, own.claim.part, pending, ops, chunk, now, wall()),
-                    )
-                })
-            };
-            let Some((claim, batches)) = work else { continue };
-            for b in batches {
-                if !self.write_batch(&claim, b) {
-                    self.sleep(Micros::from_millis(150));
-                    break;
-                }
+            drop(self.wake.wait_timeout(self.lock(), Duration::from_millis(150)));
+            if !self.write_once() {
+                self.sleep(Micros::from_millis(150));
             }
         }
     }
 
+    /// Writes what waits now; false if writing should pause.
+    pub fn write_once(&self) -> bool {
+        let chunk = chunk_tasks(self.cfg.value_bytes());
+        let ops = self.cfg.platform.settings.state.txn_ops;
+        let now = self.now();
+        let work = self.lock().own.as_mut().map(|own| {
+            let pending = own.fleet.pending(now, DONE_EVERY, chunk);
+            let part = own.claim.part;
+            (own.claim.clone(), cluster::batches(&mut own.fleet, part, pending, ops, chunk, now, wall()))
+        });
+        let Some((claim, batches)) = work else { return true };
+        batches.into_iter().all(|b| self.write_batch(&claim, b))
+    }
+
     /// Writes a batch; false if writing should pause.
     fn write_batch(&self, claim: &Claim, b: Batch) -> bool {
         let urgency = if b.urgent { Urgency::Owner } else { Urgency::Rest };
@@ -972,7 +1137,7 @@
                     if !ours(&core) {
                         return false;
                     }
-                    let now = steady();
+                    let now = self.now();
                     if let Some(own) = core.own.as_mut() {
                         for (item, said) in &b.items {
                             if let Pending::Final(id) = item {
@@ -986,7 +1151,7 @@
                 }
                 for (id, tasks) in finals {
                     tracing::debug!(job = %id, "done");
-                    self.learn_final(&id, FinalRecord { stage: Stage::Done, tasks });
+                    self.learn_final(&id, FinalRecord { stage: Stage::Done, tasks }, revision);
                 }
                 true
             }
@@ -1019,8 +1184,7 @@
             let Ok(row) = self.state.get(key, Urgency::User) else { return false };
             let mut core = self.lock();
             let Some(own) = core.own.as_mut().filter(|o| o.claim.token == claim.token) else { return false };
-            let watched = own.watched;
-            cluster::learn(&mut own.fleet, key, row, watched, steady());
+            cluster::learn(&mut own.fleet, key, row, self.now());
         }
         true
     }
@@ -1036,7 +1200,7 @@
         while !self.stopping() {
             self.sleep(Micros::from_millis(500));
             let Some(token) = self.lock().own.as_ref().map(|o| o.claim.token) else { continue };
-            let now = steady();
+            let now = self.now();
             if last != token {
                 last = token;
                 listed = Steady(0);
@@ -1055,7 +1219,7 @@
                 if let Ok(list) = self.cloud.list() {
                     listed = now;
                     if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == token) {
-                        own.fleet.listed(&list, steady());
+                        own.fleet.listed(&list, self.now());
                     }
                 }
             }
@@ -1073,11 +1237,11 @@
                 continue;
             };
             if began.0 != token {
-                began = (token, steady());
+                began = (token, self.now());
             }
             self.give_back(token);
             // What the last owner rented shows in the list only after a while.
-            if first || steady() - began.1 > lag.scale(1.2) {
+            if first || self.now() - began.1 > lag.scale(1.2) {
                 self.rent(token, &mut counter);
             }
         }
@@ -1097,7 +1261,7 @@
             match self.cloud.give_back(part) {
                 Ok(()) => {
                     if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == token) {
-                        own.fleet.returned(part, steady());
+                        own.fleet.returned(part, self.now());
                     }
                     self.wake.notify_all();
                 }
@@ -1112,7 +1276,7 @@
     fn rent(&self, token: u64, counter: &mut u64) {
         let wants = match self.lock().own.as_mut().filter(|o| o.claim.token == token) {
             Some(own) => {
-                let w = own.fleet.capacity(steady(), wall());
+                let w = own.fleet.capacity(self.now(), wall());
                 w.into_iter()
                     .filter_map(|(o, n)| {
                         let ty = own.fleet.types().get(o.ty)?.name.clone();
@@ -1151,18 +1315,18 @@
                     tracing::info!(ty = %r.ty, zone = %r.zone, spot = r.spot, asked = r.count, got = ids.len(), "rented");
                     if (ids.len() as u32) < r.count {
                         refused.push(offer);
-                        own.fleet.offer_refused(offer, steady() + Micros::from_secs(10.0));
+                        own.fleet.offer_refused(offer, self.now() + Micros::from_secs(10.0));
                     }
-                    own.fleet.rented(&ids, offer, steady());
+                    own.fleet.rented(&ids, offer, self.now());
                 }
                 Err(CloudError::NoCapacity) => {
                     refused.push(offer);
                     tracing::debug!(ty = %r.ty, zone = %r.zone, spot = r.spot, "no capacity");
-                    own.fleet.offer_refused(offer, steady() + Micros::from_secs(10.0));
+                    own.fleet.offer_refused(offer, self.now() + Micros::from_secs(10.0));
                 }
                 Err(e) => {
                     tracing::info!(error = %e, "the cloud rents nothing now");
-                    own.fleet.offer_refused(offer, steady() + Micros::from_secs(2.0));
+                    own.fleet.offer_refused(offer, self.now() + Micros::from_secs(2.0));
                     return;
                 }
             }
@@ -1170,6 +1334,21 @@
     }
 }
 
+/// A command that is sent straight to a worker: machine, address, session and orders.
+type DirectCommand = (MachineId, String, u64, Vec<Order>);
+
+/// Takes in a change under the jobs' prefix.
+fn take_change(fleet: &mut Fleet, e: Event, now: Steady) {
+    if let Some(id) = e.drop.as_deref().and_then(|k| k.strip_prefix("job/")) {
+        fleet.job_over(id, e.stamp);
+    } else if e.put.is_some() {
+        match serde_json::from_value::<JobRecord>(e.value) {
+            Ok(r) => fleet.job_put(r, e.stamp, now),
+            Err(e) => tracing::error!(error = %e, "a job's record cannot be read"),
+        }
+    }
+}
+
 /// This node's share of the state service's requests and changes. The leader writes for all, so
 /// it is allowed more of the changes than the others. Those only accept and cancel, in bursts: their
 /// shares add up to more than there is, and what the service refuses then is tried again at once.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -3,6 +3,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TrySendError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tonic::transport::{Channel, Endpoint, Server};
@@ -18,7 +19,7 @@
 
 use proto::peer_client::PeerClient;
 use proto::peer_server::{Peer, PeerServer};
-pub use proto::{Ack, Answer, Call, JobCounts, JobNews, Summary};
+pub use proto::{Ack, Answer, Call, Cancellation, Cancellations, JobCounts, JobNews, Summary};
 
 /// A message to another controller.
 #[derive(Clone, Debug)]
@@ -27,6 +28,8 @@
     Announce(Summary),
     /// A job was written or ended.
     Notify(JobNews),
+    /// Jobs whose cancellation was confirmed.
+    Cancelled(Cancellations),
     /// A request to be answered by the other.
     Relay(Call),
 }
@@ -55,17 +58,30 @@
     }
 }
 
-struct Outbound {
-    to: usize,
-    message: Message,
+/// A message on its way out.
+pub struct Outbound {
+    /// To which of the others, by number.
+    pub to: usize,
+    /// What it says.
+    pub message: Message,
     timeout: Duration,
     reply: SyncSender<Result<Outcome, String>>,
 }
 
+impl Outbound {
+    /// Hands the answer, or why there is none, to whoever waits for it.
+    pub fn answer(self, r: Result<Outcome, String>) {
+        let _ = self.reply.try_send(r);
+    }
+}
+
+/// What takes messages to the other controllers; an error if it takes no more for now.
+pub type Carrier = dyn Fn(Outbound) -> Result<(), String> + Send + Sync;
+
 /// Sends messages to the other controllers.
 #[derive(Clone)]
 pub struct PeerHub {
-    out: tokio::sync::mpsc::Sender<Outbound>,
+    out: Arc<Carrier>,
     count: usize,
 }
 
@@ -84,7 +100,15 @@
                 tracing::error!(error = %e, "the runtime between controllers ended");
             }
         })?;
-        Ok((PeerHub { out, count }, messages))
+        Ok((PeerHub::over(count, move |o| out.try_send(o).map_err(|e| e.to_string())), messages))
+    }
+
+    /// A hub for so many others over any carrier.
+    pub fn over(
+        count: usize,
+        carry: impl Fn(Outbound) -> Result<(), String> + Send + Sync + 'static,
+    ) -> PeerHub {
+        PeerHub { out: Arc::new(carry), count }
     }
 
     /// How many other controllers there are.
@@ -101,7 +125,7 @@
     pub fn begin(&self, to: usize, message: Message, timeout: Micros) -> Result<Waiting, String> {
         let (reply, answer) = sync_channel(1);
         let timeout = timeout.std();
-        self.out.try_send(Outbound { to, message, timeout, reply }).map_err(|e| e.to_string())?;
+        (self.out)(Outbound { to, message, timeout, reply })?;
         Ok(Waiting { answer, timeout })
     }
 }
@@ -155,6 +179,10 @@
         self.ack(Message::Notify(r.into_inner())).await
     }
 
+    async fn cancelled(&self, r: Request<Cancellations>) -> Result<Response<Ack>, Status> {
+        self.ack(Message::Cancelled(r.into_inner())).await
+    }
+
     async fn relay(&self, r: Request<Call>) -> Result<Response<Answer>, Status> {
         match self.ask(Message::Relay(r.into_inner())).await? {
             Outcome::Answer(a) => Ok(Response::new(a)),
@@ -226,6 +254,7 @@
     Ok(match message {
         Message::Announce(m) => Outcome::Ack(c.announce(m).await?.into_inner()),
         Message::Notify(m) => Outcome::Ack(c.notify(m).await?.into_inner()),
+        Message::Cancelled(m) => Outcome::Ack(c.cancelled(m).await?.into_inner()),
         Message::Relay(m) => Outcome::Answer(c.relay(m).await?.into_inner()),
     })
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -315,8 +315,8 @@
     }
 
     /// What has changed under a prefix since a revision, by a read that begins now.
-    pub fn changes(&self, prefix: &str, from: u64) -> Result<Events, StateError> {
-        self.admit(0, Urgency::User, Micros::from_millis(1500))?;
+    pub fn changes(&self, prefix: &str, from: u64, urgency: Urgency) -> Result<Events, StateError> {
+        self.admit(0, urgency, Micros::from_millis(1500))?;
         let path = format!("/watch?starts={prefix}&from={from}&blockMs=0");
         match self.call(&self.http, "GET", &path, None, CALL)? {
             (200, b) => parse(&b),
--- a/src/time.rs
+++ b/src/time.rs
@@ -2,7 +2,8 @@
 //! types, so that a lease can never be counted on the wrong clock by mistake.
 
 use std::ops::{Add, Sub};
-use std::sync::OnceLock;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A span of time.
@@ -103,3 +104,23 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     Wall(since.map(|d| d.as_micros() as i64).unwrap_or(0))
 }
+
+/// Where a node reads the steady clock: the machine's, or one that a test sets.
+#[derive(Clone, Debug, Default)]
+pub enum Clock {
+    /// The machine's.
+    #[default]
+    Machine,
+    /// Stands still until it is set, in microseconds.
+    Manual(Arc<AtomicI64>),
+}
+
+impl Clock {
+    /// The present moment.
+    pub fn now(&self) -> Steady {
+        match self {
+            Clock::Machine => steady(),
+            Clock::Manual(at) => Steady(at.load(Ordering::SeqCst)),
+        }
+    }
+}
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -310,7 +310,7 @@
                     _ => b.txn.guards.iter().map(|g| g.key.clone()).collect(),
                 };
                 for k in failed.iter().filter(|k| *k != "part/0") {
-                    cluster::learn(&mut o.fleet, k, self.store.row(k), o.watched, self.now);
+                    cluster::learn(&mut o.fleet, k, self.store.row(k), self.now);
                 }
                 false
             }
