The gap with whole controllers in deterministic time; reports refused for the view are no silence

Twelve plays with three controllers, a stand-in state service with leases, and a worker. They showed that an owner which may answer no report takes its machines for silent and returns them all as soon as it may act again, and that a lease it let run out counted as answers that did not arrive.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -15,7 +15,7 @@
     RECENT_KEY,
 };
 use crate::state::{Applied, StateClient, StateError, Urgency};
-use crate::time::{steady, wall, Micros, Steady, Wall};
+use crate::time::{wall, Micros, Steady, Wall};
 use crate::wire::{Change, Guard, MachineType, Row, Stage, Txn};
 
 /// Key of the leader's leased record.
@@ -128,14 +128,14 @@
     Ok(row.and_then(|r| serde_json::from_value(r.value).ok()))
 }
 
-/// Reads everything back after a claim.
+/// Reads everything back after a claim; it is `now`, after the claim was answered.
 pub fn rebuild(
     state: &StateClient,
     cfg: Arc<Config>,
     types: Vec<MachineType>,
     token: u64,
+    now: Steady,
 ) -> Result<Fleet, StateError> {
-    let now = steady();
     let mut fleet = Fleet::new(cfg, types, token, now);
     let (jobs, revision) = state.list("job/")?;
     // Both forms of the machines' records: `machine/<id>` and `machines/<slot>`.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -82,6 +82,8 @@
     pub ours_since: Option<Steady>,
     /// When a direct command was last made out for it.
     pub commanded: Steady,
+    /// When a report last came that this owner might not answer.
+    pub alive: Steady,
     /// When it was first known here.
     pub known: Steady,
     /// Its age when it was first known.
@@ -132,6 +134,7 @@
             answered: None,
             ours_since: None,
             commanded: Steady(0),
+            alive: Steady(0),
             known: now,
             age: Micros::ZERO,
             notice: None,
@@ -818,6 +821,15 @@
 
     // ---- check-ins ----
 
+    /// A report came while this owner may answer none. Without this a machine whose lease ended for
+    /// that would be taken for silent and returned as soon as the owner may act again: after a long
+    /// outage of the state service all of them.
+    pub fn not_answered(&mut self, machine: &str, now: Steady) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.alive = now;
+        }
+    }
+
     /// Takes a report and says what to answer.
     pub fn check_in(&mut self, r: &Report, now: Steady, wall: Wall) -> CheckIn {
         if r.token > self.token {
@@ -967,7 +979,8 @@
     fn arrived(&mut self, id: &MachineId, there: &[TaskKey], lost_lease: bool, now: Steady) {
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
         let Some(m) = self.machines.get_mut(id) else { return };
-        let answered = m.answered.is_some_and(|a| now - a < self.lease);
+        // Unless this owner itself let the lease run out, since it might not answer.
+        let answered = m.answered.is_some_and(|a| now - a < self.lease && m.alive <= a);
         let sent = std::mem::take(&mut m.sent);
         if lost_lease && answered {
             // Its lease ran out although each report was answered.
@@ -1838,11 +1851,11 @@
                 }
                 _ if m.leaving => {}
                 // The cloud says it runs: cut off, most likely, and good again afterwards.
-                Some(a) if m.expired && now - a > lease + CUT => {
+                Some(a) if m.expired && now - a.max(m.alive) > lease + CUT => {
                     tracing::info!(machine = %m.id, "returned: silent for long");
                     m.leaving = true;
                 }
-                Some(a) if m.missing && now - a > report.scale(3.0) => {
+                Some(a) if m.missing && now - a.max(m.alive) > report.scale(3.0) => {
                     tracing::info!(machine = %m.id, "returned: silent and not in the cloud's list");
                     m.leaving = true;
                 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -253,7 +253,7 @@
     // ---- requests ----
 
     /// Answers a request that came over a connection, now or a little later.
-    fn serve(&self, req: &Request, reply: Reply) {
+    pub fn serve(&self, req: &Request, reply: Reply) {
         if req.path == "/checkin" && req.method == "POST" {
             self.check_in(req, Some(reply));
         } else {
@@ -371,6 +371,7 @@
         if let Some(own) = core.own.as_mut() {
             if !own.view.may_act(now) {
                 // Cancellations cannot be seen any more: leases must be let run out.
+                own.fleet.not_answered(&report.machine, now);
                 let refused = Response::error(503, "out of touch with the state service");
                 return (Some(refused), reply);
             }
@@ -872,7 +873,7 @@
             core.highest = core.highest.max(claim.token);
         }
         let types = self.types().unwrap_or_default();
-        let r = cluster::rebuild(&self.state, self.cfg.clone(), types, claim.token);
+        let r = cluster::rebuild(&self.state, self.cfg.clone(), types, claim.token, self.now());
         let mut core = self.lock();
         core.claiming = false;
         match r {
@@ -919,19 +920,24 @@
     }
 
     fn learn_types(&self) {
-        while !self.stopping() {
-            let found = match cluster::catalog(&self.state) {
-                Ok(Some(t)) => Some(t),
-                _ => self.cloud.catalog().ok().inspect(|t| self.write_types(t)),
-            };
-            if let Some(t) = found {
-                self.lock().types = Some(t);
-                return;
-            }
+        while !self.stopping() && !self.learn_types_once() {
             self.sleep(Micros::from_millis(500));
         }
     }
 
+    /// Asks for the machine types; false if nobody can say.
+    pub fn learn_types_once(&self) -> bool {
+        let found = match cluster::catalog(&self.state) {
+            Ok(Some(t)) => Some(t),
+            _ => self.cloud.catalog().ok().inspect(|t| self.write_types(t)),
+        };
+        let known = found.is_some();
+        if let Some(t) = found {
+            self.lock().types = Some(t);
+        }
+        known
+    }
+
     fn write_types(&self, types: &[MachineType]) {
         let value = json!(types);
         if value.to_string().len() <= self.cfg.value_bytes() {
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -9,25 +9,15 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use common::{platform_json, spec, types, Store};
+use common::{cloud, platform_json, serve, spec, Store};
 use milletlock::config::{Config, Operator, Platform};
-use milletlock::http::{self, Client, Lane, Reply, Request, Response, Room};
+use milletlock::http::{Client, Response};
 use milletlock::node::Node;
 use milletlock::peer::{self, Call};
 use milletlock::time::Micros;
 use milletlock::wire::{Order, ReportReply, TaskStage, Txn, Why};
 use serde_json::{json, Value};
 
-fn serve(f: impl Fn(Request) -> Response + Send + Sync + 'static) -> SocketAddr {
-    let l = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = l.local_addr().expect("an address");
-    let room = Room { connections: 100, bulk_connections: 100, prompt_threads: 50, bulk_threads: 1 };
-    let handler = Arc::new(move |r: Request, reply: Reply| reply.send(&f(r)));
-    let service = http::Service { lane: |_| Lane::Prompt, handler };
-    std::thread::spawn(move || http::serve(l, room, Arc::new(AtomicBool::new(false)), service));
-    addr
-}
-
 /// The state service, as far as the controller uses it.
 fn state_service(out: Arc<AtomicBool>) -> SocketAddr {
     counted_state_service(out, Arc::default())
@@ -88,15 +78,6 @@
     })
 }
 
-fn cloud() -> SocketAddr {
-    serve(|r| match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
-        ("GET", "/catalog") => Response::json(200, &json!({ "breeds": types() })),
-        ("GET", "/rentals") => Response::json(200, &json!({ "husks": [], "more": false })),
-        ("POST", "/rentals/return") => Response::json(200, &json!({})),
-        _ => Response::error(503, "no capacity"),
-    })
-}
-
 struct Service {
     addr: SocketAddr,
     internal: SocketAddr,
--- /dev/null
+++ b/tests/gap.rs
@@ -0,0 +1,660 @@
+//! The gap, with whole controllers in a time that the test sets: the state service refuses the owner
+//! alone, another controller confirms a cancellation, then the service is out for all for longer than
+//! `cancel_s`, while a worker keeps reporting. The cancelled tasks must be gone in time whatever else
+//! meets it.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use common::{cloud, platform_json, serve_some, spec, Store};
+use milletlock::config::{Config, Operator, Platform};
+use milletlock::http::{self, Client, Lane, Reply, Request, Response, Room};
+use milletlock::node::Node;
+use milletlock::peer::{Outbound, PeerHub};
+use milletlock::time::{Clock, Micros};
+use milletlock::wire::{Change, Commands, Order, Report, ReportReply, TaskReport, TaskStage, Txn, Why};
+use serde_json::{json, Value};
+
+const STEP: i64 = 250_000;
+const SECOND: i64 = 1_000_000;
+const REPORT: i64 = 3 * SECOND;
+const LEASE: i64 = 22 * SECOND;
+const CANCEL: i64 = 47 * SECOND;
+const TTL: Micros = Micros(3 * SECOND);
+
+fn locked<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+struct Lease {
+    ttl: i64,
+    until: i64,
+    keys: BTreeSet<String>,
+}
+
+/// The state service, with leases by the test's time.
+#[derive(Default)]
+struct Books {
+    store: Store,
+    leases: BTreeMap<u64, Lease>,
+    next: u64,
+    out: bool,
+    refused: BTreeSet<usize>,
+    /// So many cancellations are carried out without an answer.
+    unanswered: usize,
+}
+
+impl Books {
+    fn expire(&mut self, now: i64) {
+        if self.out {
+            return;
+        }
+        let over: Vec<u64> = self.leases.iter().filter(|l| l.1.until < now).map(|l| *l.0).collect();
+        over.into_iter().for_each(|l| self.end(l));
+    }
+
+    fn end(&mut self, lease: u64) {
+        let Some(l) = self.leases.remove(&lease) else { return };
+        let then: Vec<Change> = l.keys.into_iter().map(Change::drop).collect();
+        if !then.is_empty() {
+            let _ = self.store.txn(&Txn { guards: vec![], then });
+        }
+    }
+
+    /// After an outage every lease has its full time again.
+    fn back(&mut self, now: i64) {
+        self.out = false;
+        self.leases.values_mut().for_each(|l| l.until = now + l.ttl);
+    }
+
+    fn answer(&mut self, node: usize, r: &Request, now: i64) -> Option<Response> {
+        self.expire(now);
+        let (path, query) = r.path.split_once('?').unwrap_or((&r.path, ""));
+        let param = |k: &str| query.split('&').find_map(|p| p.strip_prefix(&format!("{k}="))).unwrap_or("");
+        let revision = self.store.revision;
+        if self.out || self.refused.contains(&node) {
+            // A watch that had been open stays silent, and its time runs out.
+            let open = path == "/watch" && param("blockMs") != "0";
+            let silent = json!({ "harvest": revision, "events": [] });
+            return Some(if open { Response::json(200, &silent) } else { Response::error(503, "trouble") });
+        }
+        let lease_of = |p: &str| p.split('/').nth(2).and_then(|l| l.parse::<u64>().ok()).unwrap_or(0);
+        Some(match (r.method.as_str(), path) {
+            ("POST", "/leases") => {
+                let v: Value = serde_json::from_slice(&r.body).expect("a lease");
+                let ttl = v["ttlMs"].as_i64().expect("a time") * 1000;
+                self.next += 1;
+                self.leases.insert(self.next, Lease { ttl, until: now + ttl, keys: BTreeSet::new() });
+                Response::json(200, &json!({ "tenure": self.next }))
+            }
+            ("POST", p) if p.ends_with("/renew") => match self.leases.get_mut(&lease_of(p)) {
+                Some(l) => {
+                    l.until = now + l.ttl;
+                    Response::json(200, &json!({}))
+                }
+                None => Response::error(404, "no such lease"),
+            },
+            ("DELETE", p) => {
+                self.end(lease_of(p));
+                Response::json(200, &json!({}))
+            }
+            ("POST", "/txn") => return self.txn(r),
+            ("GET", "/keys") => {
+                let rows = self.store.rows(param("starts"));
+                Response::json(200, &json!({ "rows": rows, "more": false, "harvest": revision }))
+            }
+            ("GET", "/watch") => {
+                let (prefix, from) = (param("starts"), param("from").parse().unwrap_or(0));
+                let since = self.store.log.iter().filter(|l| l.0 > from && l.1.starts_with(prefix));
+                let events: Vec<Value> = since
+                    .map(|l| match &l.2 {
+                        Some(v) => json!({ "put": l.1, "value": v, "stamp": l.0 }),
+                        None => json!({ "drop": l.1, "stamp": l.0 }),
+                    })
+                    .collect();
+                Response::json(200, &json!({ "harvest": revision, "events": events }))
+            }
+            ("GET", p) => match self.store.row(p.trim_start_matches("/keys/")) {
+                Some(row) => Response::json(200, &row),
+                None => Response::json(404, &json!({ "harvest": revision })),
+            },
+            _ => Response::error(404, "no such path"),
+        })
+    }
+
+    fn txn(&mut self, r: &Request) -> Option<Response> {
+        let t: Txn = serde_json::from_slice(&r.body).expect("a transaction");
+        let leases: Vec<u64> = t
+            .then
+            .iter()
+            .filter_map(|c| if let Change::Put { lease, .. } = c { *lease } else { None })
+            .collect();
+        if leases.iter().any(|l| !self.leases.contains_key(l)) {
+            return Some(Response::error(400, "no such lease"));
+        }
+        let done = self.store.txn(&t);
+        if done.is_ok() {
+            for c in &t.then {
+                self.leases.values_mut().for_each(|l| {
+                    l.keys.remove(c.key());
+                });
+                if let Change::Put { put, lease: Some(l), .. } = c {
+                    self.leases.get_mut(l)?.keys.insert(put.clone());
+                }
+            }
+        }
+        if self.unanswered > 0 && t.then.iter().any(|c| c.key().starts_with("final/")) {
+            self.unanswered -= 1;
+            return None;
+        }
+        Some(match done {
+            Ok(revision) => Response::json(200, &json!({ "harvest": revision })),
+            Err(keys) => Response::json(409, &json!({ "failed": keys, "harvest": self.store.revision })),
+        })
+    }
+}
+
+/// A worker; commands come to a port of its own.
+#[derive(Default)]
+struct Worker {
+    id: String,
+    addr: String,
+    season: u64,
+    tally: u64,
+    token: u64,
+    /// When the last report that was answered was sent.
+    renewed: i64,
+    due: i64,
+    node: usize,
+    hung_until: i64,
+    /// It reaches no controller, while commands reach it.
+    mute: bool,
+    tasks: BTreeMap<(String, u64), TaskStage>,
+}
+
+impl Worker {
+    fn report(&mut self) -> Report {
+        self.tally += 1;
+        let task = |(k, stage): (&(String, u64), &TaskStage)| TaskReport {
+            task: k.0.clone(),
+            attempt: k.1,
+            stage: *stage,
+            why: (*stage == TaskStage::Exited).then_some(Why::Stopped),
+            saved: None,
+        };
+        let mut r = common::report(&self.id, self.tally, self.token, &[]);
+        (r.addr, r.season) = (self.addr.clone(), self.season);
+        r.tasks = self.tasks.iter().map(task).collect();
+        r
+    }
+
+    fn obey(&mut self, orders: &[Order]) {
+        for o in orders {
+            match o {
+                Order::Start { task, attempt } => {
+                    self.tasks.insert((task.clone(), *attempt), TaskStage::Running);
+                }
+                Order::Halt { task, attempt, .. } => {
+                    if let Some(t) = self.tasks.get_mut(&(task.clone(), *attempt)) {
+                        *t = TaskStage::Exited;
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    self.tasks.remove(&(task.clone(), *attempt));
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, r: &Request, now: i64) -> Option<Response> {
+        if now < self.hung_until {
+            return None;
+        }
+        let c: Commands = serde_json::from_slice(&r.body).expect("a command");
+        if c.token < self.token || c.season != self.season {
+            return Some(Response::json(409, &self.report()));
+        }
+        self.token = c.token;
+        self.obey(&c.orders);
+        Some(Response::json(200, &self.report()))
+    }
+
+    /// How many tasks of a job are there.
+    fn runs(&self, n: u32) -> usize {
+        let of = |task: &str| task.split('/').next() == Some(&*spec(n, 1, "batch").id);
+        self.tasks.iter().filter(|(k, t)| **t != TaskStage::Exited && of(&k.0)).count()
+    }
+}
+
+type Net = Arc<Mutex<Vec<Arc<Node>>>>;
+
+struct World {
+    clock: Arc<AtomicI64>,
+    books: Arc<Mutex<Books>>,
+    net: Net,
+    /// Controllers that cannot hear one another.
+    apart: Arc<AtomicBool>,
+    ports: Vec<SocketAddr>,
+    cloud: SocketAddr,
+    worker: Arc<Mutex<Worker>>,
+    /// When the user was told that the job is cancelled.
+    told: Option<i64>,
+    steps: u64,
+}
+
+impl World {
+    /// Three controllers of which the first leads, and a job with two tasks that run on the worker.
+    fn new() -> World {
+        let clock = Arc::new(AtomicI64::new(2_000 * SECOND));
+        let books: Arc<Mutex<Books>> = Arc::default();
+        let port = |node: usize| {
+            let (books, clock) = (books.clone(), clock.clone());
+            serve_some(move |r| locked(&books).answer(node, &r, clock.load(Ordering::SeqCst)))
+        };
+        let ports = vec![port(0), port(1), port(2)];
+        let now = clock.load(Ordering::SeqCst);
+        let worker = Worker { id: "i-000001".into(), season: 1, renewed: now, due: now, ..Worker::default() };
+        let worker = Arc::new(Mutex::new(worker));
+        let (w, c) = (worker.clone(), clock.clone());
+        let addr = serve_some(move |r| locked(&w).command(&r, c.load(Ordering::SeqCst)));
+        locked(&worker).addr = addr.to_string();
+        let mut world = World {
+            clock,
+            books,
+            net: Arc::default(),
+            apart: Arc::default(),
+            ports,
+            cloud: cloud(),
+            worker,
+            told: None,
+            steps: 0,
+        };
+        for i in 0..3 {
+            let n = world.node(i);
+            locked(&world.net).push(n);
+        }
+        let submission = json!(spec(1, 2, "batch")).to_string();
+        assert_eq!(world.ask(1, "POST", "/api/jobs", &submission).0, 201);
+        world.until("both tasks run", |w| locked(&w.worker).runs(1) == 2);
+        assert_eq!(world.tokens(), [Some(1), None, None]);
+        world
+    }
+
+    fn node(&self, i: usize) -> Arc<Node> {
+        let mut p = platform_json();
+        let others: Vec<usize> = (0..3).filter(|o| *o != i).collect();
+        p["label"] = json!(format!("c-{i}"));
+        p["services"] = json!({ "cloud": self.cloud, "state": self.ports[i] });
+        let member = |o: &usize| json!({ "label": format!("c-{o}"), "addr": format!("127.0.0.1:{}", 2 + o) });
+        p["members"] = others.iter().map(member).collect();
+        // The budget goes by the machine's clock, which has no part in this.
+        p["settings"]["state"]["rps"] = json!(1e6);
+        p["settings"]["state"]["write_rps"] = json!(1e6);
+        let platform = Platform::parse(&p.to_string(), "test").expect("settings");
+        let cfg = Config { platform, operator: Operator::default() };
+        let (net, apart) = (self.net.clone(), self.apart.clone());
+        let carry = move |o: Outbound| {
+            let to = locked(&net).get(others[o.to]).cloned().filter(|_| !apart.load(Ordering::SeqCst));
+            let answer = to.map(|n| n.hear(&o.message)).ok_or("cut off".to_string());
+            o.answer(answer);
+            Ok(())
+        };
+        let n = Node::new(cfg, PeerHub::over(2, carry), Clock::Manual(self.clock.clone()), Arc::default());
+        let n = n.expect("a controller");
+        assert!(n.learn_types_once());
+        n
+    }
+
+    fn now(&self) -> i64 {
+        self.clock.load(Ordering::SeqCst)
+    }
+
+    fn nodes(&self) -> Vec<Arc<Node>> {
+        locked(&self.net).clone()
+    }
+
+    fn ask(&self, node: usize, method: &str, path: &str, body: &str) -> (u16, Value) {
+        let r = Request { method: method.into(), path: path.into(), body: body.into() };
+        let a = self.nodes()[node].answer(&r, path == "/status");
+        (a.status, serde_json::from_slice(&a.body).unwrap_or(Value::Null))
+    }
+
+    /// The tokens of those that take themselves for the owner.
+    fn tokens(&self) -> Vec<Option<u64>> {
+        (0..3).map(|i| self.ask(i, "GET", "/status", "").1["owner"]["token"].as_u64()).collect()
+    }
+
+    /// The user cancels through a controller.
+    fn cancel(&mut self, node: usize) {
+        let (status, v) = self.ask(node, "POST", "/api/jobs/wk-000001/withdraw", "{}");
+        assert_eq!((status, v["stage"].as_str()), (200, Some("cancelled")));
+        self.told = Some(self.now());
+    }
+
+    fn refuse(&self, nodes: &[usize]) {
+        locked(&self.books).refused = nodes.iter().copied().collect();
+    }
+
+    fn step(&mut self) {
+        self.clock.fetch_add(STEP, Ordering::SeqCst);
+        self.steps += 1;
+        let now = self.now();
+        locked(&self.books).expire(now);
+        for n in self.nodes() {
+            if self.steps % 4 == 0 {
+                n.keep_once(TTL);
+                n.announce_once();
+            }
+            n.watch_once();
+            n.write_once();
+            n.plan_once();
+            n.command_once();
+            n.tell_once();
+        }
+        self.work(now);
+        // ran_cancelled; what hangs counts when it goes on.
+        let w = locked(&self.worker);
+        if let Some(told) = self.told.filter(|_| now >= w.hung_until) {
+            let late = (now - told) as f64 / 1e6;
+            assert!(now - told <= CANCEL || w.runs(1) == 0, "ran_cancelled: {late} s after the confirmation");
+        }
+    }
+
+    fn work(&self, now: i64) {
+        let report = {
+            let mut w = locked(&self.worker);
+            if now < w.hung_until {
+                return;
+            }
+            if now - w.renewed > LEASE {
+                w.tasks.clear();
+                w.season += 1;
+                w.renewed = now;
+            }
+            if now < w.due || w.mute {
+                return;
+            }
+            w.due = now + REPORT;
+            (w.node, w.report())
+        };
+        let body = serde_json::to_string(&report.1).expect("a report");
+        let (status, v) = self.ask(report.0, "POST", "/checkin", &body);
+        let mut w = locked(&self.worker);
+        if status != 200 {
+            // The next one, a second later.
+            (w.node, w.due) = ((w.node + 1) % 3, now + SECOND);
+            return;
+        }
+        let reply: ReportReply = serde_json::from_value(v).expect("a reply");
+        if reply.token >= w.token {
+            (w.token, w.renewed) = (reply.token, now);
+            w.obey(&reply.orders);
+        }
+    }
+
+    fn run(&mut self, seconds: f64) {
+        let end = self.now() + (seconds * 1e6) as i64;
+        while self.now() < end {
+            self.step();
+        }
+    }
+
+    fn until(&mut self, what: &str, f: impl Fn(&World) -> bool) {
+        let end = self.now() + 40 * SECOND;
+        while !f(self) {
+            let seen = || (0..3).map(|i| self.ask(i, "GET", "/status", "").1).collect::<Vec<_>>();
+            assert!(self.now() < end, "never: {what}: {:?}", seen());
+            self.step();
+        }
+    }
+
+    /// Seconds from the confirmation until the tasks are gone.
+    fn gone_after(&mut self) -> f64 {
+        let told = self.told.expect("a confirmation");
+        while locked(&self.worker).runs(1) > 0 {
+            self.step();
+        }
+        (self.now() - told) as f64 / 1e6
+    }
+
+    /// The service goes out for all 1.5 s after the confirmation, for longer than `cancel_s`, and is
+    /// back; the refused one is refused for 14 s in all. Returns when the tasks were gone.
+    fn outage(&mut self) -> f64 {
+        self.run(1.5);
+        locked(&self.books).out = true;
+        let gone = self.gone_after();
+        let told = self.told.expect("a confirmation");
+        let (until, unrefused) = (told + 84 * SECOND, told + 14 * SECOND);
+        while self.now() < until {
+            if self.now() > unrefused {
+                self.refuse(&[]);
+            }
+            self.step();
+        }
+        let now = self.now();
+        locked(&self.books).back(now);
+        // Back in touch nothing of the job starts again, and everybody answers alike.
+        self.run(30.0);
+        assert_eq!(locked(&self.worker).runs(1), 0);
+        for i in 0..3 {
+            assert_eq!(self.ask(i, "GET", "/api/jobs/wk-000001", "").1["stage"], "cancelled", "by c-{i}");
+        }
+        // A new job runs: the service does not stand still.
+        let submission = json!(spec(2, 2, "batch")).to_string();
+        assert_eq!(self.ask(2, "POST", "/api/jobs", &submission).0, 201);
+        self.until("new work runs", |w| locked(&w.worker).runs(2) == 2);
+        gone
+    }
+}
+
+#[test]
+fn told_by_another_controller_the_refused_owner_halts_at_once() {
+    let mut w = World::new();
+    w.refuse(&[0]);
+    w.cancel(1);
+    let gone = w.outage();
+    assert!(gone < 5.0, "the word of another controller stops work at the next report, not after {gone} s");
+    // The refused one leads on after the outage: its lease had its full time again.
+    assert_eq!(w.tokens(), [Some(1), None, None]);
+}
+
+#[test]
+fn without_a_word_from_others_leases_end_in_time() {
+    let mut w = World::new();
+    w.apart.store(true, Ordering::SeqCst);
+    w.refuse(&[0]);
+    w.cancel(1);
+    // It goes on answering for a while, as long as it may.
+    w.run(1.5);
+    locked(&w.books).out = true;
+    w.run(28.0);
+    assert_eq!(locked(&w.worker).runs(1), 2, "work is not given up sooner than needed");
+    let gone = w.outage();
+    assert!((30.0..47.0).contains(&gone), "gone after {gone} s");
+    assert_eq!(w.tokens()[0], Some(1));
+}
+
+#[test]
+fn a_worker_that_cannot_report_is_halted_by_command() {
+    let mut w = World::new();
+    w.refuse(&[0]);
+    w.cancel(1);
+    locked(&w.worker).mute = true;
+    w.run(1.5);
+    locked(&w.books).out = true;
+    let gone = w.gone_after();
+    assert!(gone < 9.0, "its report is overdue after one and a half, and the halt goes to it: {gone} s");
+}
+
+#[test]
+fn past_its_bound_the_owner_still_halts_by_command() {
+    let mut w = World::new();
+    w.apart.store(true, Ordering::SeqCst);
+    w.refuse(&[0]);
+    w.cancel(1);
+    w.run(1.5);
+    locked(&w.books).out = true;
+    w.run(25.0);
+    // It answers nobody any more when the word comes through at last.
+    assert_eq!(locked(&w.worker).runs(1), 2);
+    let before = w.now();
+    w.apart.store(false, Ordering::SeqCst);
+    w.gone_after();
+    assert!(w.now() - before <= 5 * SECOND, "the tasks end by the word, not by their lease");
+}
+
+#[test]
+fn with_several_refused_and_the_word_delayed_tasks_are_gone_in_time() {
+    for seconds_apart in [0.0, 8.0, 60.0] {
+        let mut w = World::new();
+        w.apart.store(true, Ordering::SeqCst);
+        w.refuse(&[0, 2]);
+        w.cancel(1);
+        w.run(1.5);
+        locked(&w.books).out = true;
+        w.run(seconds_apart);
+        w.apart.store(false, Ordering::SeqCst);
+        w.outage();
+    }
+}
+
+#[test]
+fn a_confirmer_that_ends_and_is_back_at_once_has_forgotten_and_it_does_not_matter() {
+    let mut w = World::new();
+    w.apart.store(true, Ordering::SeqCst);
+    w.refuse(&[0]);
+    w.cancel(1);
+    let again = w.node(1);
+    locked(&w.net)[1] = again;
+    w.apart.store(false, Ordering::SeqCst);
+    let gone = w.outage();
+    assert!((20.0..47.0).contains(&gone), "nobody tells the owner; gone after {gone} s");
+}
+
+#[test]
+fn the_owner_that_ends_and_is_back_at_once_answers_nobody_until_it_has_read() {
+    let mut w = World::new();
+    w.refuse(&[0]);
+    w.apart.store(true, Ordering::SeqCst);
+    w.cancel(1);
+    let again = w.node(0);
+    locked(&w.net)[0] = again;
+    w.outage();
+}
+
+#[test]
+fn a_machine_that_hangs_and_goes_on_within_its_lease_is_in_time() {
+    for hangs_at in [2.0, 12.0, 20.0] {
+        let mut w = World::new();
+        w.apart.store(true, Ordering::SeqCst);
+        w.refuse(&[0]);
+        w.cancel(1);
+        w.run(1.5);
+        locked(&w.books).out = true;
+        w.run(hangs_at);
+        let now = w.now();
+        locked(&w.worker).hung_until = now + 20 * SECOND;
+        w.run(19.9);
+        assert_eq!(locked(&w.worker).runs(1), 2, "it does nothing while it hangs");
+        w.outage();
+    }
+}
+
+#[test]
+fn a_cancellation_whose_transaction_had_no_answer_is_told_and_in_time() {
+    let mut w = World::new();
+    w.refuse(&[0]);
+    locked(&w.books).unanswered = 1;
+    w.cancel(1);
+    assert_eq!(locked(&w.books).unanswered, 0);
+    let gone = w.outage();
+    assert!(gone < 5.0, "whoever confirms tells the others, though its write had no answer: {gone} s");
+}
+
+/// Whoever wrote the end may have ended before it could tell anybody; its user asks another.
+#[test]
+fn whoever_repeats_the_confirmation_tells_the_others_too() {
+    let mut w = World::new();
+    w.apart.store(true, Ordering::SeqCst);
+    w.refuse(&[0]);
+    w.cancel(1);
+    let again = w.node(1);
+    locked(&w.net)[1] = again;
+    w.apart.store(false, Ordering::SeqCst);
+    w.run(0.5);
+    assert_eq!(locked(&w.worker).runs(1), 2);
+    let told = w.told;
+    w.cancel(2);
+    w.told = told;
+    assert!(w.outage() < 6.0);
+}
+
+/// A new owner has looked when it claimed; what is confirmed after that it cannot see.
+#[test]
+fn an_owner_that_has_just_won_counts_from_its_claim() {
+    let mut w = World::new();
+    w.refuse(&[0]);
+    w.until("another leads", |w| w.tokens()[1..].iter().any(Option::is_some));
+    w.until("the worker follows it", |w| locked(&w.worker).token == 2);
+    w.refuse(&[]);
+    w.run(2.0);
+    let leads = w.tokens().iter().position(|t| *t == Some(2)).expect("an owner");
+    w.apart.store(true, Ordering::SeqCst);
+    locked(&w.books).refused = [leads].into();
+    w.cancel((leads + 1) % 3);
+    let gone = w.outage();
+    assert!((20.0..47.0).contains(&gone), "gone after {gone} s");
+}
+
+/// The answer to an idle worker's report may wait for a start; the view is looked at as it leaves.
+#[test]
+fn an_answer_that_waited_until_the_view_was_too_old_renews_nothing() {
+    let mut w = World::new();
+    w.told = None;
+    let node = w.nodes()[0].clone();
+    let l = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = l.local_addr().expect("an address");
+    let n = node.clone();
+    let handler = Arc::new(move |r: Request, reply: Reply| n.serve(&r, reply));
+    let service = http::Service { lane: |_| Lane::Prompt, handler };
+    let room = Room { connections: 10, bulk_connections: 10, prompt_threads: 4, bulk_threads: 1 };
+    std::thread::spawn(move || http::serve(l, room, Arc::default(), service));
+    // A second machine, idle, is enrolled and shows the token.
+    let idle = |tally: u64| {
+        let r = common::report("i-000002", tally, u64::from(tally > 1), &[]);
+        serde_json::to_string(&r).expect("a report")
+    };
+    assert_eq!(w.ask(0, "POST", "/checkin", &idle(1)).0, 200);
+    w.run(2.0);
+    assert_eq!(w.ask(0, "POST", "/checkin", &idle(2)).0, 200);
+    let statuses = |w: &mut World, tally: u64, seconds_blind: f64| {
+        locked(&w.books).out = true;
+        // Nobody but this worker: time passes without the rest of the world.
+        w.clock.fetch_add((seconds_blind * 1e6) as i64, Ordering::SeqCst);
+        let body = idle(tally);
+        let ask = std::thread::spawn(move || {
+            Client::new(addr, 0).call("POST", "/checkin", Some(body.as_bytes()), Micros(20 * SECOND))
+        });
+        let taken = |w: &World| {
+            let v = w.ask(0, "GET", "/status", "").1;
+            let all = v["owner"]["machines"].as_array().cloned().unwrap_or_default();
+            all.iter().any(|m| m["id"] == "i-000002" && m["report_s"].as_f64() == Some(0.0))
+        };
+        while !taken(w) && !ask.is_finished() {
+            std::thread::yield_now();
+        }
+        w.clock.fetch_add(3 * SECOND, Ordering::SeqCst);
+        node.plan_once();
+        let status = ask.join().expect("no panic").expect("an answer").0;
+        let now = w.now();
+        locked(&w.books).back(now);
+        w.run(5.0);
+        status
+    };
+    assert_eq!(statuses(&mut w, 3, 10.0), 200, "within the bound it is answered");
+    assert_eq!(statuses(&mut w, 4, 21.0), 503, "the bound was passed while the answer waited");
+}
