--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -658,3 +658,116 @@
     f.tick(at(1000.0), wall(1000.0));
     assert!(matches!(f.check_in(&report(&id(0), 4, 7, &[]), at(1000.0), wall(1000.0)), CheckIn::Reply(_)));
 }
+
+/// The word of another controller may be held up on the way for a minute. The owner that it reaches
+/// then may never have known the job, which was cancelled before it came.
+#[test]
+fn a_word_held_up_until_a_new_owner_came_starts_nothing() {
+    let mut f = fleet(8);
+    f.has_read_to(50);
+    f.job_put(record(spec(1, 1, "batch")), 40, at(1.0));
+    assert!(f.jobs.is_empty(), "its record was gone when all was read");
+    // One that is newer than the read is news.
+    f.job_put(record(spec(2, 1, "batch")), 51, at(1.0));
+    assert_eq!(f.jobs.len(), 1);
+    // Told of its end before the read shows it, and of its beginning once more after that.
+    f.job_over("wk-000003", 55);
+    f.job_put(record(spec(3, 1, "batch")), 53, at(2.0));
+    f.has_read_to(60);
+    f.job_put(record(spec(3, 1, "batch")), 53, at(3.0));
+    f.job_over("wk-000002", 58);
+    f.job_put(record(spec(2, 1, "batch")), 51, at(3.0));
+    assert!(f.jobs.is_empty());
+}
+
+/// A worker that reaches no controller: a new owner hears it by direct command alone. What it runs is
+/// started nowhere else before its lease has surely run out, and no later than that.
+#[test]
+fn a_machine_heard_by_command_only_has_an_end_of_its_lease() {
+    let mut f = fleet(9);
+    f.inherit_machine("i-1", &machine("small"), 0, T0);
+    f.job_put(started(spec(1, 1, "batch"), 1), 1, T0);
+    let running = [("wk-000001/0", 5, TaskStage::Running, None)];
+    assert_eq!(f.raised(&report("i-1", 9, 9, &running), at(3.0)), None);
+    assert_eq!(f.unheard(), 0);
+    orders(&mut f, 3.0, &report("i-2", 1, 0, &[]));
+    write_all(&mut f, 3.0);
+    let mut tally = 2;
+    for s in 4..27 {
+        let s = f64::from(s);
+        f.confirm(at(s));
+        f.tick(at(s), wall(s));
+        assert!(starts(&orders(&mut f, s, &report("i-2", tally, 9, &[]))).is_empty(), "after {s} s");
+        tally += 1;
+    }
+    f.confirm(at(27.5));
+    f.tick(at(27.5), wall(27.5));
+    assert_eq!(starts(&orders(&mut f, 27.5, &report("i-2", tally, 9, &[]))).len(), 1);
+}
+
+/// With the cloud out nothing is returned, and a machine that answers nobody would hold up work for as
+/// long. An earlier owner can have answered it until 23 s after the claim at the most.
+#[test]
+fn unheard_machines_hold_work_up_no_longer_than_an_earlier_owner_can_answer_them() {
+    let mut f = fleet(9);
+    f.inherit_machine("i-1", &machine("small"), 0, T0);
+    f.job_put(started(spec(1, 1, "batch"), 1), 1, T0);
+    orders(&mut f, 0.0, &report("i-2", 1, 0, &[]));
+    write_all(&mut f, 0.0);
+    let mut tally = 2;
+    for s in 1..46 {
+        let s = f64::from(s);
+        f.confirm(at(s));
+        f.tick(at(s), wall(s));
+        assert!(starts(&orders(&mut f, s, &report("i-2", tally, 9, &[]))).is_empty(), "after {s} s");
+        tally += 1;
+    }
+    // Asked to be returned, but the cloud has not answered.
+    assert_eq!((f.unheard(), f.leaving().len()), (1, 1));
+    f.confirm(at(47.0));
+    f.tick(at(47.0), wall(47.0));
+    assert_eq!(f.unheard(), 0);
+    assert_eq!(starts(&orders(&mut f, 47.0, &report("i-2", tally, 9, &[]))).len(), 1);
+}
+
+/// Halts go by direct command to machines whose report is overdue, and to no others; nothing else is
+/// commanded that way.
+#[test]
+fn what_is_left_of_cancelled_jobs_on_silent_machines_is_halted_by_command() {
+    let (mut f, task) = with_a_running_task();
+    f.job_over("wk-000001", 5);
+    assert!(f.to_halt(at(3.0)).is_empty(), "the answer to its next report will tell it");
+    let due = f.to_halt(at(7.0));
+    assert_eq!(due.len(), 1);
+    let (id, _, season, list) = &due[0];
+    assert_eq!((&**id, *season), ("i-1", 1));
+    assert_eq!(list[..], [Order::Halt { task: task.0.clone(), attempt: task.1, grace_s: 0.0 }]);
+    assert!(f.to_halt(at(8.0)).is_empty(), "said a moment ago");
+    assert_eq!(f.to_halt(at(12.0)).len(), 1);
+    // A task that may run is not stopped for silence.
+    let (mut f, _) = with_a_running_task();
+    assert!(f.to_halt(at(20.0)).is_empty());
+}
+
+/// In a long outage the owner may answer nobody. The machines go on reporting, and are not taken for
+/// silent, or for deaf, when it is over.
+#[test]
+fn machines_that_were_not_answered_are_neither_silent_nor_deaf() {
+    let mut f = ready(spec(1, 1, "batch"));
+    let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[]))).remove(0);
+    orders(&mut f, 2.0, &report("i-1", 3, 7, &[(s.0.as_str(), s.1, TaskStage::Running, None)]));
+    for t in 3..90 {
+        f.not_answered("i-1", at(f64::from(t)));
+        f.tick(at(f64::from(t)), wall(f64::from(t)));
+    }
+    f.confirm(at(90.0));
+    f.tick(at(90.0), wall(90.0));
+    assert!(f.leaving().is_empty(), "it reports, and only was not answered");
+    let mut later = report("i-1", 1, 7, &[]);
+    later.season = 2;
+    orders(&mut f, 90.5, &later);
+    f.tick(at(90.6), wall(90.6));
+    assert_eq!(f.machines["i-1"].deaf, 0);
+    later.tally = 2;
+    assert_eq!(starts(&orders(&mut f, 91.0, &later)).len(), 1, "and has work again");
+}
