Submissions must hold every field but those that may be null

A job without cards, seed, gleanings and so on was taken with defaults. It is refused now, as is a null there or an object where shape or rank is a string. Records of earlier versions, which may lack them, are still read. Reasons are bounded in length.

--- a/src/api.rs
+++ b/src/api.rs
@@ -12,7 +12,9 @@
 use crate::time::wall;
 use crate::wire::{is_job_id, Change, Guard, JobSpec, JobStatus, MachineType, Shape, Stage, Txn};
 
-/// Why a submission can never run.
+/// Why a submission can never run, as far as the settings and the catalogue tell. Whether a type is to
+/// be had as an ordinary machine they don't: capacity shows only when a rental is refused, and may be
+/// back at any time.
 pub fn never_runs(s: &JobSpec, cfg: &Config, types: &[MachineType]) -> Option<String> {
     let Some(team) = cfg.team(&s.team) else {
         return Some(format!("owner: no team {}", s.team));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -32,7 +32,8 @@
     Critical,
 }
 
-/// A job as its user describes it.
+/// A job as its user describes it. Records hold it in this form and are read without fields that an
+/// earlier version left out; a submission must name them, see [`JobSpec::parse`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
     /// Unique id, chosen by the user.
@@ -44,7 +45,7 @@
     /// Team whose guarantee and limit apply.
     #[serde(rename = "owner")]
     pub team: String,
-    /// Array or gang.
+    /// Array, gang or service.
     pub shape: Shape,
     /// Priority.
     pub rank: Rank,
@@ -111,14 +112,51 @@
 /// Most tasks in a job.
 pub const MAX_TASKS: u32 = 100_000;
 
+/// Fields that a submission must hold; all others may be null or left out.
+pub const REQUIRED: [&str; 17] = [
+    "nameId",
+    "grain",
+    "owner",
+    "shape",
+    "rank",
+    "kernels",
+    "cpus",
+    "cards",
+    "ramGb",
+    "seed",
+    "pullGb",
+    "oneZone",
+    "spread",
+    "gleanings",
+    "expectS",
+    "stashEveryS",
+    "stashS",
+];
+
+/// Longest reason given to a user, whatever they sent.
+const MAX_REASON: usize = 300;
+
+/// A reason as one line of bounded length; parts of it may be the user's own text.
+fn one_line(why: &str) -> String {
+    why.chars().take(MAX_REASON).map(|c| if c.is_control() { ' ' } else { c }).collect()
+}
+
 impl JobSpec {
-    /// Parses and checks a submission; the error is a reason for the user.
+    /// Parses and checks a submission; the error is a reason for the user, in one line.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
         let v: Value = serde_json::from_slice(body).map_err(|e| format!("not JSON: {e}"))?;
-        if !v.is_object() {
+        let Some(fields) = v.as_object() else {
             return Err("not an object".into());
+        };
+        if let Some(name) = REQUIRED.iter().find(|n| fields.get(**n).is_none_or(Value::is_null)) {
+            return Err(format!("{name}: missing"));
+        }
+        // Serde would take an object with the name as its key for one of these as well.
+        if let Some(name) = ["shape", "rank"].iter().find(|n| !fields.get(**n).is_some_and(Value::is_string))
+        {
+            return Err(format!("{name}: must be a string"));
         }
-        let spec: JobSpec = serde_path_to_error::deserialize(v).map_err(|e| e.to_string())?;
+        let spec: JobSpec = serde_path_to_error::deserialize(v).map_err(|e| one_line(&e.to_string()))?;
         spec.check()?;
         Ok(spec)
     }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -111,6 +111,13 @@
 
 /// A controller on a given state service, with settings changed.
 fn start_with(state: SocketAddr, out: Arc<AtomicBool>, change: impl Fn(&mut Value)) -> Service {
+    let s = start_unready(state, out, change);
+    until("the controller is up", || s.get("/up").0 == 200);
+    s
+}
+
+/// The same without waiting until it is up.
+fn start_unready(state: SocketAddr, out: Arc<AtomicBool>, change: impl Fn(&mut Value)) -> Service {
     // Bound here and handed over, so that no other test can take the port in between.
     let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
     let (users, others) = (bind(), bind());
@@ -122,9 +129,7 @@
     let platform = Platform::parse(&p.to_string(), "test").expect("settings");
     let cfg = Config { platform, operator: Operator::default() };
     std::thread::spawn(move || Node::run_on(cfg, users, others, Arc::new(AtomicBool::new(false))));
-    let s = Service { addr, internal, out };
-    until("the controller is up", || s.get("/up").0 == 200);
-    s
+    Service { addr, internal, out }
 }
 
 /// Waits for a condition that is bound to come; the deadline only ends a broken run.
@@ -174,20 +179,24 @@
     out
 }
 
+fn with(job: &Value, name: &str, v: Value) -> Value {
+    let mut job = job.clone();
+    job[name] = v;
+    job
+}
+
+fn without(job: &Value, name: &str) -> Value {
+    let mut job = job.clone();
+    job.as_object_mut().expect("an object").remove(name);
+    job
+}
+
 #[test]
 fn what_cannot_be_taken_is_refused_in_one_line() {
     let s = start();
     let good = json!(spec(1, 2, "batch"));
-    let with = |k: &str, v: Value| {
-        let mut g = good.clone();
-        g[k] = v;
-        g
-    };
-    let without = |k: &str| {
-        let mut g = good.clone();
-        g.as_object_mut().expect("an object").remove(k);
-        g
-    };
+    let with = |k: &str, v: Value| with(&good, k, v);
+    let without = |k: &str| without(&good, k);
     let cases = [
         (json!([1]), 400),
         (json!("x"), 400),
@@ -195,6 +204,10 @@
         (without("kernels"), 400),
         (without("cpus"), 400),
         (without("expectS"), 400),
+        (without("grain"), 400),
+        (without("gleanings"), 400),
+        (with("stashS", Value::Null), 400),
+        (with("seed", Value::Null), 400),
         (with("nameId", json!("job-1")), 400),
         (with("nameId", json!("wk-1/2")), 400),
         (with("nameId", json!(5)), 400),
@@ -214,6 +227,8 @@
         (with("cpus", json!(64.0)), 422),
         (with("breeds", json!(["unheard"])), 422),
         (with("field", json!("moon")), 422),
+        (with("ramGb", json!(33.0)), 422),
+        (with("cards", json!(1.0)), 422),
     ];
     for (body, status) in cases {
         let (got, v) = s.submit(&body);
@@ -250,6 +265,17 @@
     other["kernels"] = json!(9);
     other["owner"] = json!("nobody");
     assert_eq!(s.submit(&other).0, 200);
+    for body in [
+        json!({ "nameId": "wk-000001" }),
+        json!({ "nameId": "wk-000001", "kernels": -1, "shape": null }),
+        with(&job, "cpus", json!(64.0)),
+        with(&job, "cpus", json!("many")),
+        with(&job, "breeds", json!(["unheard"])),
+        with(&job, "field", json!("moon")),
+        without(&job, "grain"),
+    ] {
+        assert_eq!(s.submit(&body), (200, s.get("/api/jobs/wk-000001").1), "{body}");
+    }
     assert_eq!(s.get("/api/jobs/wk-000001").1["stage"], "queued");
 
     let mut tally = 0;
@@ -288,6 +314,10 @@
     until("the job is done", || s.get("/api/jobs/wk-000001").1["stage"] == "done");
     assert_eq!(s.call("POST", "/api/jobs/wk-000001/withdraw", Some(b"{}")).1["stage"], "done");
     assert_eq!(s.submit(&job).1["stage"], "done");
+    for body in [without(&job, "seed"), with(&job, "cpus", json!(64.0))] {
+        let (status, v) = s.submit(&body);
+        assert_eq!((status, v["stage"].as_str()), (200, Some("done")), "{body}");
+    }
 
     assert_eq!(s.submit(&json!(spec(3, 1, "batch"))).0, 201);
     let cancelled = json!({ "nameId": "wk-000003", "stage": "cancelled" });
@@ -411,3 +441,67 @@
         assert_eq!(at.get(&format!("/api/jobs/wk-{:06}", 500 + n)).0, 404);
     }
 }
+
+/// Whether a job can run is not decided without the types, while a job accepted earlier stays accepted.
+#[test]
+fn without_machine_types_only_what_is_malformed_or_known_is_decided() {
+    let out = Arc::new(AtomicBool::new(false));
+    let state = state_service(out.clone());
+    let first = start_with(state, out.clone(), |_| {});
+    let known = json!(spec(1, 1, "batch"));
+    assert_eq!(first.submit(&known).0, 201);
+    // Neither the cloud, where nobody listens, nor the state service tells the second one the types.
+    let nobody = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address");
+    let all_else = Client::new(state, 4);
+    let without_types = serve(move |r| {
+        if r.path == "/keys/catalog" {
+            return Response::error(404, "no such key");
+        }
+        let body = (r.method == "POST").then_some(r.body.as_slice());
+        match all_else.call(&r.method, &r.path, body, Micros::from_secs(10.0)) {
+            Ok((status, body)) => Response { status, body, retry_after: None },
+            Err(e) => Response::error(503, &e.to_string()),
+        }
+    });
+    let second = start_unready(without_types, out, |p| {
+        p["label"] = json!("c-1");
+        p["services"]["cloud"] = json!(nobody);
+    });
+    until("it answers", || second.get("/up").0 == 503);
+    let new = json!(spec(2, 1, "batch"));
+    for undecided in [new.clone(), with(&new, "owner", json!("nobody")), with(&new, "cpus", json!(64.0))] {
+        assert_eq!(second.submit(&undecided).0, 503, "{undecided}");
+    }
+    assert_eq!(second.submit(&without(&new, "spread")).0, 400);
+    for repeat in [known.clone(), without(&known, "spread"), with(&known, "cpus", json!(64.0))] {
+        assert_eq!(second.submit(&repeat).0, 200, "{repeat}");
+    }
+    assert_eq!(second.get("/up").0, 503, "it never learned them");
+    assert_eq!(first.get("/api/jobs/wk-000002").0, 404);
+}
+
+/// The command line sends what its file holds and says what came of it.
+#[test]
+fn the_command_line_submits_a_job() {
+    let s = start();
+    let submit = |job: &Value| {
+        let mut p = std::process::Command::new(env!("CARGO_BIN_EXE_milletlock"))
+            .args(["job", "--server", &s.addr.to_string(), "submit", "-"])
+            .stdin(std::process::Stdio::piped())
+            .stdout(std::process::Stdio::piped())
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .expect("the program");
+        let mut input = p.stdin.take().expect("its input");
+        input.write_all(job.to_string().as_bytes()).expect("sent");
+        drop(input);
+        let out = p.wait_with_output().expect("its end");
+        (out.status.code(), String::from_utf8_lossy(&out.stdout).into_owned())
+    };
+    let job = json!(spec(7, 1, "batch"));
+    let (code, said) = submit(&job);
+    assert!(code == Some(0) && said.contains("\"queued\""), "{code:?} {said}");
+    assert_eq!(s.get("/api/jobs/wk-000007").0, 200);
+    let (code, said) = submit(&without(&json!(spec(8, 1, "batch")), "grain"));
+    assert!(code == Some(1) && said.contains("grain: missing"), "{code:?} {said}");
+}
--- /dev/null
+++ b/tests/submissions.rs
@@ -0,0 +1,218 @@
+//! Submissions: which fields must be there, what each may hold, and that records written by earlier
+//! versions are still read.
+
+mod common;
+
+use common::{config, spec, types};
+use milletlock::api::never_runs;
+use milletlock::jobs::JobRecord;
+use milletlock::wire::{JobSpec, Shape};
+use serde_json::{json, Value};
+
+/// Every field of a submission, written out here so that the program's own list is checked as well.
+const MAY_BE_NULL: [&str; 3] = ["breeds", "field", "dueS"];
+const MUST_BE_THERE: [&str; 17] = [
+    "nameId",
+    "grain",
+    "owner",
+    "shape",
+    "rank",
+    "kernels",
+    "cpus",
+    "cards",
+    "ramGb",
+    "seed",
+    "pullGb",
+    "oneZone",
+    "spread",
+    "gleanings",
+    "expectS",
+    "stashEveryS",
+    "stashS",
+];
+const AMOUNTS: [&str; 7] = ["cpus", "cards", "ramGb", "pullGb", "expectS", "stashEveryS", "stashS"];
+
+fn full() -> Value {
+    json!({
+        "nameId": "wk-000412", "grain": "train", "owner": "vision", "shape": "gang", "rank": "urgent",
+        "kernels": 4, "cpus": 8.0, "cards": 1.0, "ramGb": 64.0, "seed": "img-07", "pullGb": 6.2,
+        "breeds": ["large"], "field": "north", "oneZone": true, "spread": false, "gleanings": true,
+        "expectS": 240.0, "stashEveryS": 30.0, "stashS": 4.0, "dueS": 900.0
+    })
+}
+
+fn with(name: &str, v: Value) -> Value {
+    let mut job = full();
+    job[name] = v;
+    job
+}
+
+fn without(name: &str) -> Value {
+    let mut job = full();
+    job.as_object_mut().expect("an object").remove(name);
+    job
+}
+
+fn parse(v: &Value) -> Result<JobSpec, String> {
+    JobSpec::parse(v.to_string().as_bytes())
+}
+
+/// The reason of a refusal: one line that names the field.
+fn refused(name: &str, v: &Value) -> String {
+    let why = parse(v).expect_err(&format!("taken: {v}"));
+    assert!(why.starts_with(name) && !why.contains('\n'), "{v}: {why:?}");
+    why
+}
+
+#[test]
+fn each_field_is_either_required_or_may_be_null() {
+    let all: Vec<String> = full().as_object().expect("an object").keys().cloned().collect();
+    assert_eq!(all.len(), MAY_BE_NULL.len() + MUST_BE_THERE.len());
+    assert!(all.iter().all(|n| MAY_BE_NULL.contains(&n.as_str()) != MUST_BE_THERE.contains(&n.as_str())));
+    parse(&full()).expect("a good submission");
+    for name in MUST_BE_THERE {
+        assert_eq!(refused(name, &without(name)), format!("{name}: missing"));
+        assert_eq!(refused(name, &with(name, Value::Null)), format!("{name}: missing"));
+    }
+    for name in MAY_BE_NULL {
+        let (left_out, null) = (parse(&without(name)), parse(&with(name, Value::Null)));
+        assert_eq!(left_out, null);
+        null.unwrap_or_else(|e| panic!("{name} may be null: {e}"));
+    }
+    let mut least = full();
+    MAY_BE_NULL.iter().for_each(|n| drop(least.as_object_mut().and_then(|o| o.remove(*n))));
+    let least = parse(&least).expect("a submission without what may be null");
+    assert_eq!((least.types, least.zone, least.deadline_s), (None, None, None));
+}
+
+#[test]
+fn no_field_takes_a_value_of_another_type() {
+    let object = json!({ "a": 1 });
+    for name in MUST_BE_THERE.iter().chain(&MAY_BE_NULL) {
+        let wrong = match *name {
+            "oneZone" | "spread" | "gleanings" => vec![json!("true"), json!(1), json!([true])],
+            "breeds" => vec![json!("large"), json!([1]), json!([null]), json!(true), json!([])],
+            n if n == "kernels" || n == "dueS" || AMOUNTS.contains(&n) => {
+                vec![json!("4.0"), json!(true), json!([4.0])]
+            }
+            "shape" => vec![json!(7), json!(["gang"]), json!({ "gang": null }), json!("cloud")],
+            "rank" => vec![json!(7), json!(["idle"]), json!({ "idle": null }), json!("Idle")],
+            _ => vec![json!(7), json!(true), json!(["x"]), json!("")],
+        };
+        for v in wrong.into_iter().chain([object.clone()]) {
+            refused(name, &with(name, v));
+        }
+    }
+}
+
+#[test]
+fn no_number_is_negative_or_without_end() {
+    for name in AMOUNTS.iter().chain(&["kernels", "dueS"]) {
+        refused(name, &with(name, json!(-1)));
+        refused(name, &with(name, json!(-0.5)));
+        for endless in ["1e999", "-1e999", "NaN", "Infinity", "-Infinity"] {
+            let text = with(name, json!("HERE")).to_string().replace("\"HERE\"", endless);
+            let why = JobSpec::parse(text.as_bytes()).expect_err(&text);
+            assert!(!why.is_empty() && !why.contains('\n'), "{why:?}");
+        }
+    }
+    for tasks in [json!(0), json!(100_001), json!(4.5), json!(u64::MAX)] {
+        refused("kernels", &with("kernels", tasks));
+    }
+    assert_eq!(parse(&with("kernels", json!(100_000))).expect("the most tasks").tasks, 100_000);
+    // Amounts may be written without a point.
+    assert_eq!(parse(&with("cpus", json!(8))).expect("a whole number").cpus, 8.0);
+}
+
+#[test]
+fn only_a_service_may_be_without_an_estimate() {
+    for shape in ["batch", "gang"] {
+        let mut job = with("expectS", json!(0.0));
+        job["shape"] = json!(shape);
+        refused("expectS", &job);
+    }
+    for estimate in [0.0, 30.0] {
+        let mut job = with("expectS", json!(estimate));
+        job["shape"] = json!("daemon");
+        let s = parse(&job).expect("a service");
+        assert_eq!((s.shape, s.estimate_s), (Shape::Service, estimate));
+        job["expectS"] = Value::Null;
+        refused("expectS", &job);
+    }
+}
+
+#[test]
+fn a_reason_is_one_short_line_whatever_was_sent() {
+    for name in ["shape", "rank"] {
+        let why = refused(name, &with(name, json!("\u{1}\n".repeat(15_000))));
+        assert!(why.chars().all(|c| !c.is_control()) && why.len() < 1000, "{} bytes", why.len());
+    }
+}
+
+/// Records outlive the version that wrote them: an earlier one took submissions without these.
+#[test]
+fn a_record_without_fields_that_were_once_optional_is_still_read() {
+    let old = json!({
+        "nameId": "wk-000412", "owner": "vision", "shape": "batch", "rank": "normal", "kernels": 16,
+        "cpus": 1.0
+    });
+    assert_eq!(refused("grain", &old), "grain: missing");
+    let read = |spec: Value| -> JobRecord {
+        let record = json!({ "spec": spec, "submitted_us": 5, "high": 2 });
+        serde_json::from_value(record).expect("a record")
+    };
+    let s = read(old.clone()).spec;
+    assert_eq!((s.tasks, s.cpus, s.gpus, s.memory_gb, s.image_gb), (16, 1.0, 0.0, 0.0, 0.0));
+    assert_eq!((s.class, s.image, s.types, s.zone, s.deadline_s), (None, None, None, None, None));
+    assert_eq!((s.one_zone, s.spread, s.spot), (false, false, false));
+    assert_eq!((s.estimate_s, s.checkpoint_s, s.save_s), (0.0, 0.0, 0.0));
+    for name in ["oneZone", "spread", "gleanings", "expectS", "stashEveryS", "stashS", "grain", "seed"] {
+        let mut null = old.clone();
+        null[name] = Value::Null;
+        assert_eq!(read(null).spec, read(old.clone()).spec, "{name}");
+    }
+    // What is written now is read back as it was.
+    let r = common::record(spec_of_full());
+    assert_eq!(serde_json::from_value::<JobRecord>(json!(r)).expect("a record").spec, r.spec);
+    assert_eq!(read(json!(spec(3, 1, "gang"))).spec, spec(3, 1, "gang"));
+}
+
+fn spec_of_full() -> JobSpec {
+    parse(&full()).expect("a good submission")
+}
+
+#[test]
+fn the_example_in_the_readme_is_a_valid_job() {
+    let readme = include_str!("../README.md");
+    let (_, after) = readme.split_once("`job.json` holds a submission").expect("the example");
+    let block = after.lines().skip_while(|l| !l.starts_with("    "));
+    let example: String = block.take_while(|l| l.starts_with("    ")).collect();
+    let s = JobSpec::parse(example.as_bytes()).expect("a valid job");
+    assert_eq!(s.id, "wk-000412");
+}
+
+#[test]
+fn what_fits_no_machine_that_its_job_may_use_can_never_run() {
+    let (cfg, mut types) = (config(), types());
+    types[1].zones = vec!["north".into()];
+    let never = |change: fn(&mut JobSpec)| {
+        let mut s = spec(1, 8, "batch");
+        change(&mut s);
+        never_runs(&s, &cfg, &types)
+    };
+    assert_eq!(never(|_| ()), None);
+    assert_eq!(never(|s| s.cpus = 16.0), None);
+    assert!(never(|s| s.cpus = 16.5).is_some());
+    assert!(never(|s| s.memory_gb = 32.5).is_some());
+    assert!(never(|s| s.gpus = 0.5).is_some());
+    // It fits a machine, but none of the allowed types or of the only allowed zone.
+    assert!(never(|s| (s.cpus, s.types) = (16.0, Some(vec!["small".into()]))).is_some());
+    assert!(never(|s| (s.cpus, s.zone) = (16.0, Some("south".into()))).is_some());
+    assert_eq!(never(|s| (s.cpus, s.zone) = (16.0, Some("north".into()))), None);
+    assert!(never(|s| s.types = Some(vec!["unheard".into()])).is_some());
+    assert_eq!(never(|s| s.types = Some(vec!["unheard".into(), "small".into()])), None);
+    assert!(never(|s| s.zone = Some("moon".into())).is_some());
+    assert!(never(|s| s.team = "nobody".into()).is_some());
+    // The catalogue says nothing of what is to be had as an ordinary machine.
+    assert_eq!(never(|s| s.spot = false), None);
+}
