--- a/src/api.rs
+++ b/src/api.rs
@@ -30,7 +30,8 @@
         return Some("a task fits no allowed machine type".into());
     }
     let limit = TeamUse { cpus_max: team.cpus_max, gpus_max: team.gpus_max, ..TeamUse::default() };
-    let least = if s.shape == Shape::Gang { s.tasks } else { 1 };
+    // Gangs and services need all their tasks at once; an array gets on with one at a time.
+    let least = if s.shape == Shape::Array { 1 } else { s.tasks };
     if limit.allows(&crate::fleet::need_of(s)) < least {
         return Some(format!("over the limit of team {}", s.team));
     }
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -216,3 +216,19 @@
     // The catalogue says nothing of what is to be had as an ordinary machine.
     assert_eq!(never(|s| s.spot = false), None);
 }
+
+#[test]
+fn gangs_and_services_need_all_their_tasks_within_the_teams_limit_and_arrays_one() {
+    let (cfg, types) = (config(), types());
+    let never = |shape: &str, tasks: u32, cpus: f64| {
+        let mut s = spec(1, tasks, shape);
+        (s.team, s.cpus) = ("tight".into(), cpus);
+        never_runs(&s, &cfg, &types)
+    };
+    for shape in ["gang", "daemon"] {
+        assert_eq!(never(shape, 6, 1.0), None, "{shape}");
+        assert!(never(shape, 7, 1.0).is_some_and(|why| why.contains("limit")), "{shape}");
+    }
+    assert_eq!(never("batch", 1000, 6.0), None);
+    assert!(never("batch", 1, 6.5).is_some_and(|why| why.contains("limit")));
+}
