--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -172,18 +172,3 @@
         b = &b[end..];
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn responses_are_read_by_length_and_by_chunks() {
-        let plain = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
-        assert_eq!(parse_response(plain).unwrap(), Some((200, b"{}".to_vec(), false)));
-        assert_eq!(parse_response(&plain[..plain.len() - 1]).unwrap(), None);
-        let chunks = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
-        assert_eq!(parse_response(chunks).unwrap(), Some((200, b"{}".to_vec(), false)));
-        assert_eq!(parse_response(&chunks[..chunks.len() - 3]).unwrap(), None);
-    }
-}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -341,32 +341,3 @@
     let (job, n) = task.rsplit_once('/')?;
     Some((job, n.parse().ok()?))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-    use std::collections::BTreeSet;
-
-    proptest! {
-        #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..Default::default() })]
-        #[test]
-        fn ranges_are_a_set(ops in prop::collection::vec((any::<bool>(), 0u32..40), 0..120)) {
-            let (mut r, mut model) = (Ranges::new(), BTreeSet::new());
-            for (add, x) in ops {
-                if add {
-                    prop_assert_eq!(r.insert(x), model.insert(x));
-                } else {
-                    prop_assert_eq!(r.remove(x), model.remove(&x));
-                }
-                prop_assert!(r.0.windows(2).all(|w| w[0].1 < w[1].0));
-            }
-            prop_assert_eq!(r.iter().collect::<Vec<_>>(), model.iter().copied().collect::<Vec<_>>());
-            prop_assert_eq!(r.len() as usize, model.len());
-            prop_assert_eq!(r.count_from(17) as usize, model.range(17..).count());
-            let mut back = Ranges::new();
-            back.add_text(&r.text(), 100_000);
-            prop_assert_eq!(back, r);
-        }
-    }
-}
--- /dev/null
+++ b/tests/jobs.rs
@@ -0,0 +1,42 @@
+//! Sets of task numbers: they behave as sets, and are kept and written in their shortest form.
+
+use std::collections::BTreeSet;
+
+use milletlock::jobs::Ranges;
+use proptest::prelude::*;
+
+/// The shortest text of a set: sorted runs, none next to another.
+fn shortest(model: &BTreeSet<u32>) -> String {
+    let mut runs: Vec<(u32, u32)> = Vec::new();
+    for &x in model {
+        match runs.last_mut() {
+            Some(r) if r.1 + 1 == x => r.1 = x,
+            _ => runs.push((x, x)),
+        }
+    }
+    let one = |&(a, b): &(u32, u32)| if a == b { a.to_string() } else { format!("{a}-{b}") };
+    runs.iter().map(one).collect::<Vec<_>>().join(",")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..Default::default() })]
+    #[test]
+    fn ranges_are_a_set(ops in prop::collection::vec((any::<bool>(), 0u32..40), 0..120)) {
+        let (mut r, mut model) = (Ranges::new(), BTreeSet::new());
+        for (add, x) in ops {
+            if add {
+                prop_assert_eq!(r.insert(x), model.insert(x));
+            } else {
+                prop_assert_eq!(r.remove(x), model.remove(&x));
+            }
+            // The text has a part for each range that is kept, so this is its form inside as well.
+            prop_assert_eq!(r.text(), shortest(&model));
+        }
+        prop_assert_eq!(r.iter().collect::<Vec<_>>(), model.iter().copied().collect::<Vec<_>>());
+        prop_assert_eq!(r.len() as usize, model.len());
+        prop_assert_eq!(r.count_from(17) as usize, model.range(17..).count());
+        let mut back = Ranges::new();
+        back.add_text(&r.text(), 100_000);
+        prop_assert_eq!(back, r);
+    }
+}
