--- a/tests/gap.rs
+++ b/tests/gap.rs
@@ -44,6 +44,8 @@
     next: u64,
     out: bool,
     refused: BTreeSet<usize>,
+    /// Reads are refused the first controller beside that.
+    no_reads: bool,
     /// So many cancellations are carried out without an answer.
     unanswered: usize,
 }
@@ -82,6 +84,11 @@
             let silent = json!({ "harvest": revision, "events": [] });
             return Some(if open { Response::json(200, &silent) } else { Response::error(503, "trouble") });
         }
+        if node == 0 && self.no_reads && r.method == "GET" {
+            let silent = path == "/watch" && param("blockMs") != "0";
+            let events = json!({ "harvest": revision, "events": [] });
+            return Some(if silent { Response::json(200, &events) } else { Response::error(503, "trouble") });
+        }
         let lease_of = |p: &str| p.split('/').nth(2).and_then(|l| l.parse::<u64>().ok()).unwrap_or(0);
         Some(match (r.method.as_str(), path) {
             ("POST", "/leases") => {
@@ -610,6 +617,19 @@
     assert!((20.0..47.0).contains(&gone), "gone after {gone} s");
 }
 
+/// Its lease is renewed while reads fail: only a read shows what was cancelled.
+#[test]
+fn renewals_without_reads_do_not_keep_the_view() {
+    let mut w = World::new();
+    w.apart.store(true, Ordering::SeqCst);
+    locked(&w.books).no_reads = true;
+    w.cancel(1);
+    w.run(20.0);
+    assert_eq!((locked(&w.worker).runs(1), w.tokens()[0]), (2, Some(1)));
+    let gone = w.gone_after();
+    assert!((30.0..47.0).contains(&gone), "gone after {gone} s");
+}
+
 /// The answer to an idle worker's report may wait for a start; the view is looked at as it leaves.
 #[test]
 fn an_answer_that_waited_until_the_view_was_too_old_renews_nothing() {
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -7,6 +7,7 @@
 use milletlock::fleet::{CheckIn, Fleet, Pending};
 use milletlock::jobs::{JobRecord, MachineRecord};
 use milletlock::time::{Micros, Steady, Wall};
+use milletlock::view::View;
 use milletlock::wire::{JobSpec, ListedMachine, Order, TaskStage, Why};
 
 const T0: Steady = Steady(1_000_000_000);
@@ -771,3 +772,22 @@
     later.tally = 2;
     assert_eq!(starts(&orders(&mut f, 91.0, &later)).len(), 1, "and has work again");
 }
+
+/// The next owner counts on it that this one answers no longer than its view allows, though it may see all
+/// cancellations; a cancellation is seen by reads alone, though the lease may be renewed.
+#[test]
+fn p06_the_view_rests_on_reads_and_on_renewals() {
+    let bound = Micros::from_secs(10.0);
+    let (mut reads, mut renewals) = (View::new(T0, bound), View::new(T0, bound));
+    reads.has_read(at(9.0));
+    renewals.has_owned(at(9.0));
+    for v in [reads, renewals] {
+        assert!(v.may_act(at(10.0)) && !v.may_act(at(10.1)));
+    }
+    reads.has_owned(at(8.0));
+    assert!(reads.may_act(at(18.0)) && !reads.may_act(at(18.1)));
+    // An answer that was overtaken by a later one moves nothing back.
+    reads.has_owned(at(7.0));
+    reads.has_read(at(1.0));
+    assert!(reads.may_act(at(18.0)));
+}
