--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -1,18 +1,23 @@
 //! Records and takeover against a model: owners come and go while older ones still answer,
 //! messages are lost, late or doubled, transactions have no answer or are applied late, workers
-//! are cut off and machines are returned. The model watches the rules from outside.
+//! are cut off, deaf, mute or hung, machines are returned, and owners lose the state service but not
+//! their workers. The model watches the rules from outside, at every step.
 
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
-use common::{config, record, spec, types, Store};
+use common::{platform_json, record, spec, types, Store};
 use milletlock::cluster::{self, Batch};
+use milletlock::config::{Config, Operator, Platform};
 use milletlock::fleet::{CheckIn, Fleet};
 use milletlock::jobs::{chunk_tasks, final_key, job_key, FinalRecord, JobRecord};
 use milletlock::time::{Micros, Steady, Wall};
+use milletlock::view::View;
 use milletlock::wire::{
-    Change, Guard, JobSpec, Order, Report, ReportReply, Shape, Stage, TaskReport, TaskStage, Txn, Why,
+    Change, Guard, JobSpec, ListedMachine, MachineType, Order, Rank, Report, ReportReply, Shape, Stage,
+    TaskReport, TaskStage, Txn, Why,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -20,6 +25,100 @@
 
 const STEP: Micros = Micros(250_000);
 const LEASE: Micros = Micros(22_000_000);
+/// A worker waits so long for an answer.
+const PATIENCE: Micros = Micros(4_000_000);
+/// What the team `tight` may have on machines.
+const TIGHT: usize = 6;
+
+/// What troubles a world. Shares are of messages; rates are per step.
+#[derive(Clone)]
+struct Troubles {
+    /// Steps before it is quiet again.
+    steps: u32,
+    /// Jobs.
+    jobs: u32,
+    /// A cancelled job's tasks must be gone so many seconds after its user was told. Where it is
+    /// more than twice the lease, an owner without the state service answers its workers for longer
+    /// than others keep their leases.
+    cancel_s: f64,
+    /// Most seconds that a long task runs.
+    long: f64,
+    /// Rate at which another owner takes over.
+    change: f64,
+    /// Another owner takes over each time so many seconds have passed.
+    change_every: Option<f64>,
+    /// A zone and an owner are cut off together now and then.
+    part: bool,
+    /// Share of transactions without an answer at any time: executed at once or late.
+    unanswered: f64,
+    /// Share of transactions without an answer that are executed 2 to 12 s later, in spells.
+    late_writes: f64,
+    /// Share of reports of which a copy arrives again, up to three leases later.
+    copies: f64,
+    /// Share of reports that arrive only once a new owner has acted.
+    held: f64,
+    /// Share of answers that take up to four seconds.
+    slow_answers: f64,
+    /// Share of direct commands that are executed or answered seconds later.
+    slow_commands: f64,
+    /// Share of the steps in which an owner's token is brought to a machine that it has not heard.
+    raise: f64,
+    /// Rate of spells in which machines are cut off.
+    cut: f64,
+    /// Rate of spells in which machines get no answer and no command.
+    deaf: f64,
+    /// Rate of spells in which machines reach no owner, while commands reach them.
+    mute: f64,
+    /// Rate of spells in which machines hang.
+    hung: f64,
+    /// Rate of spells in which the owner loses the state service, not its workers.
+    blind: f64,
+    /// Share of those in which the state service is soon out for everybody.
+    outage: f64,
+    /// Rate of spells with no owner at all, longer than a lease.
+    away: f64,
+    /// Rate at which a machine dies without a notice.
+    taken: f64,
+    /// Jobs are of all ranks, so that some are stopped for others, and submissions come late again;
+    /// owners see the cloud's list.
+    busy: bool,
+    /// Rate of cancellations of any job.
+    cancel: f64,
+    /// Share of the jobs that are cancelled at the moment of their last end.
+    cancel_at_end: f64,
+    /// Jobs on machines that get into a spell of trouble, cancelled in it.
+    cancel_there: f64,
+}
+
+/// The common troubles, which are part of each meeting.
+const COMMON: Troubles = Troubles {
+    steps: 1600,
+    jobs: 24,
+    cancel_s: 47.0,
+    long: 60.0,
+    change: 0.006,
+    change_every: None,
+    part: true,
+    unanswered: 0.03,
+    late_writes: 0.0,
+    copies: 0.0,
+    held: 0.0,
+    slow_answers: 0.0,
+    slow_commands: 0.0,
+    raise: 0.5,
+    cut: 0.01,
+    deaf: 0.0,
+    mute: 0.0,
+    hung: 0.0,
+    blind: 0.0,
+    outage: 0.0,
+    away: 0.0,
+    taken: 0.0,
+    busy: false,
+    cancel: 0.004,
+    cancel_at_end: 0.0,
+    cancel_there: 0.0,
+};
 
 #[derive(Clone)]
 struct Task {
@@ -34,15 +133,32 @@
     ty: usize,
     zone: &'static str,
     spot: bool,
+    /// By its own clock.
+    lease: Micros,
     season: u64,
     tally: u64,
     token: u64,
     answered: Steady,
     due: Steady,
     cut_until: Steady,
+    deaf_until: Steady,
+    mute_until: Steady,
+    hung_until: Steady,
+    /// It stays with the owner that lost the state service, as long as that one answers.
+    stays: bool,
+    /// An answer on its way: when it arrives, when its report was sent, and in which session.
+    answer: Option<(Steady, Steady, u64, ReportReply)>,
     tasks: BTreeMap<(String, u64), Task>,
 }
 
+/// A direct command that brings a token, on its way.
+struct Command {
+    at: Steady,
+    machine: String,
+    token: u64,
+    season: u64,
+}
+
 impl Worker {
     fn report(&mut self) -> Report {
         self.tally += 1;
@@ -82,10 +198,17 @@
     fleet: Fleet,
     part: u64,
     watched: u64,
+    /// When it last saw the jobs' changes.
+    fresh: Steady,
+    /// How long it may still answer.
+    view: View,
+    /// It has lost the state service until then.
+    blind_until: Steady,
 }
 
 struct World {
     rng: StdRng,
+    troubles: Troubles,
     now: Steady,
     store: Store,
     owners: Vec<Owner>,
@@ -93,19 +216,51 @@
     specs: BTreeMap<String, JobSpec>,
     finished: BTreeSet<String>,
     cancelled: BTreeMap<String, Steady>,
+    /// Users that want a job cancelled and have no answer yet: when they ask next.
+    asking: BTreeMap<String, Steady>,
+    asked: BTreeSet<String>,
+    /// What was first written of each job's end, and how much of the log was looked at.
+    finals: BTreeMap<String, Stage>,
+    looked: usize,
     late_reports: Vec<(Steady, Report)>,
+    /// Reports held back, with the token of the newest owner when they were sent.
+    held_reports: Vec<(u64, Report)>,
     late_txns: Vec<(Steady, Txn)>,
+    commands: Vec<Command>,
+    /// Answers to direct commands: when they arrive, to whose token.
+    raises: Vec<(Steady, u64, Report)>,
+    /// The state service is out, or no owner is there, until then.
+    out_until: Steady,
+    away_until: Steady,
+    /// When the next owner takes over from one that lost the state service.
+    next_owner: Option<Steady>,
+    /// In quiet: since when each job could start and has not.
+    waiting: BTreeMap<String, Steady>,
+    /// How often the troubles that a world is about were met.
+    met: u32,
     next_machine: u32,
     /// Since when the oldest owner and the south have been cut off from all else, and until when.
     apart: Option<(Steady, Steady)>,
     trouble: bool,
     starts: usize,
+    /// How long an owner answers that sees no cancellations.
+    bound: Micros,
+    cancel: Micros,
+    cfg: Arc<Config>,
+    types: Vec<MachineType>,
+    /// The cloud's list as it was, and as it is seen.
+    lists: [Vec<ListedMachine>; 2],
 }
 
 impl World {
-    fn new(seed: u64) -> World {
+    fn new(seed: u64, troubles: &Troubles) -> World {
+        let mut settings = platform_json();
+        settings["settings"]["workers"]["cancel_s"] = json!(troubles.cancel_s);
+        let platform = Platform::parse(&settings.to_string(), "test").expect("settings");
+        let cfg = Arc::new(Config { platform, operator: Operator::default() });
         let mut w = World {
             rng: StdRng::seed_from_u64(seed),
+            troubles: troubles.clone(),
             now: Steady(1_000_000_000),
             store: Store::default(),
             owners: Vec::new(),
@@ -113,12 +268,29 @@
             specs: BTreeMap::new(),
             finished: BTreeSet::new(),
             cancelled: BTreeMap::new(),
+            asking: BTreeMap::new(),
+            asked: BTreeSet::new(),
+            finals: BTreeMap::new(),
+            looked: 0,
             late_reports: Vec::new(),
+            held_reports: Vec::new(),
             late_txns: Vec::new(),
+            commands: Vec::new(),
+            raises: Vec::new(),
+            out_until: Steady(0),
+            away_until: Steady(0),
+            next_owner: None,
+            waiting: BTreeMap::new(),
+            met: 0,
             next_machine: 0,
             apart: None,
             trouble: true,
             starts: 0,
+            bound: cfg.blind_bound(),
+            cancel: Micros::from_secs(troubles.cancel_s),
+            cfg,
+            types: types(),
+            lists: [Vec::new(), Vec::new()],
         };
         for i in 0..6 {
             w.add_machine(usize::from(i % 3 == 2), if i % 2 == 0 { "north" } else { "south" }, i == 0);
@@ -132,22 +304,39 @@
     }
 
     fn chance(&mut self, p: f64) -> bool {
-        self.trouble && self.rng.random_bool(p)
+        self.trouble && p > 0.0 && self.rng.random_bool(p)
+    }
+
+    /// A moment that lies so many seconds ahead.
+    fn soon(&mut self, from: f64, to: f64) -> Steady {
+        self.now + Micros::from_secs(self.rng.random_range(from..to))
+    }
+
+    /// Whether users and owners can read and write.
+    fn out(&self) -> bool {
+        self.now < self.out_until
     }
 
     fn add_machine(&mut self, ty: usize, zone: &'static str, spot: bool) {
         self.next_machine += 1;
+        let lease = LEASE.scale(self.rng.random_range(0.9995..1.0005));
         self.workers.push(Worker {
             id: format!("i-{:06}", self.next_machine),
             ty,
             zone,
             spot,
+            lease,
             season: 1,
             tally: 0,
             token: 0,
             answered: self.now,
             due: self.now,
             cut_until: Steady(0),
+            deaf_until: Steady(0),
+            mute_until: Steady(0),
+            hung_until: Steady(0),
+            stays: false,
+            answer: None,
             tasks: BTreeMap::new(),
         });
     }
@@ -156,13 +345,16 @@
         let token = self.store.row("term").and_then(|r| r.value.as_u64()).unwrap_or(0) + 1;
         let then = vec![Change::put("term", json!(token)), Change::put("part/0", json!(token))];
         let part = self.store.txn(&Txn { guards: vec![], then }).expect("no guards");
-        let mut fleet = Fleet::new(config(), types(), token, self.now);
+        let mut fleet = Fleet::new(self.cfg.clone(), types(), token, self.now);
         let rows = ["recent", "job/", "machine", "marks/", "done/", "hist/"]
             .iter()
             .flat_map(|p| self.store.rows(p))
             .collect();
         cluster::load(&mut fleet, rows, self.now, self.wall());
-        self.owners.push(Owner { fleet, part, watched: self.store.revision });
+        let watched = self.store.revision;
+        fleet.has_read_to(watched);
+        let view = View::new(self.now, self.bound);
+        self.owners.push(Owner { fleet, part, watched, fresh: self.now, view, blind_until: Steady(0) });
         if self.owners.len() > 3 {
             self.owners.remove(0);
         }
@@ -183,18 +375,31 @@
         self.apart.is_some() && owner == 0 && self.owners.len() > 1
     }
 
+    /// Whether an owner answers workers: only until cancellations that it cannot see might be due.
+    fn answers(&self, owner: usize) -> bool {
+        self.owners[owner].view.may_act(self.now)
+    }
+
     /// Which owner a worker's report reaches, if any.
     fn reached(&mut self, w: usize) -> Option<usize> {
         let last = self.owners.len().checked_sub(1)?;
-        if let Some((since, _)) = self.apart {
+        if self.apart.is_some() {
             if self.workers[w].zone == "north" {
                 return Some(last);
             }
-            // It answers until cancellations that it cannot see might be due.
-            return (last > 0 && self.now - since < config().blind_bound()).then_some(0);
+            return (last > 0 && self.answers(0)).then_some(0);
+        }
+        if self.workers[w].stays {
+            let old = (0..last).find(|i| self.owners[*i].blind_until > self.now);
+            if let Some(i) = old.filter(|i| self.answers(*i)) {
+                return Some(i);
+            }
         }
-        // Mostly the newest owner, sometimes one that does not know yet that it is replaced.
-        Some(if self.chance(0.15) { self.rng.random_range(0..=last) } else { last })
+        // Mostly the newest owner, sometimes one that does not know yet that it is replaced; but no
+        // worker of the newest goes to one that lost the state service, and tells it.
+        let blind = self.owners[..last].iter().any(|o| o.blind_until > self.now);
+        let i = if !blind && self.chance(0.15) { self.rng.random_range(0..=last) } else { last };
+        self.answers(i).then_some(i)
     }
 
     fn submit(&mut self, n: u32) {
@@ -210,30 +415,89 @@
         if self.rng.random_bool(0.2) && !s.spread {
             s.zone = Some("south".into());
         }
+        if self.troubles.busy {
+            s.rank = [Rank::Idle, Rank::Normal, Rank::Urgent, Rank::Critical][self.rng.random_range(0..4)];
+        }
         let mut r = record(s.clone());
         r.submitted_us = self.now.0;
-        let guards = vec![Guard { key: job_key(&s.id), stamp: 0 }];
+        let guards = [job_key(&s.id), final_key(&s.id)].map(|key| Guard { key, stamp: 0 }).to_vec();
         let then = vec![Change::put(job_key(&s.id), json!(r))];
-        assert!(self.store.txn(&Txn { guards, then }).is_ok());
+        let txn = Txn { guards, then };
+        assert!(self.store.txn(&txn).is_ok());
+        if self.troubles.busy && self.chance(0.2) {
+            // An earlier attempt to submit it, which had no answer.
+            let at = self.soon(2.0, 60.0);
+            self.late_txns.push((at, txn));
+        }
         self.specs.insert(s.id.clone(), s);
     }
 
-    fn cancel(&mut self, id: &str) {
-        let Some(row) = self.store.row(&job_key(id)) else { return };
-        let over = FinalRecord { stage: Stage::Cancelled, tasks: self.specs[id].tasks };
-        let txn = Txn {
-            guards: vec![Guard { key: job_key(id), stamp: row.stamp }],
-            then: vec![Change::drop(job_key(id)), Change::put(final_key(id), json!(over))],
-        };
-        if self.store.txn(&txn).is_ok() {
-            self.cancelled.insert(id.to_string(), self.now);
+    /// A user wants a job cancelled, and asks until it is told how the job ended.
+    fn ask(&mut self, id: &str, at: Steady) {
+        if self.specs.contains_key(id) && self.asked.insert(id.to_string()) {
+            self.asking.insert(id.to_string(), at);
+        }
+    }
+
+    /// Some jobs with tasks on a machine, or on any, are cancelled within a few seconds.
+    fn cancel_there(&mut self, machine: Option<usize>) {
+        let ids: BTreeSet<String> = (0..self.workers.len())
+            .filter(|w| machine.is_none_or(|m| m == *w))
+            .flat_map(|w| self.workers[w].on())
+            .map(|k| job_of(&k.0).to_string())
+            .collect();
+        for id in ids {
+            if self.chance(self.troubles.cancel_there) {
+                let at = self.soon(0.0, 12.0);
+                self.ask(&id, at);
+            }
+        }
+    }
+
+    fn users(&mut self) {
+        if self.out() || self.owners.is_empty() {
+            return;
+        }
+        let due: Vec<String> = self.asking.iter().filter(|a| *a.1 <= self.now).map(|a| a.0.clone()).collect();
+        for id in due {
+            if let Some(row) = self.store.row(&job_key(&id)) {
+                let over = FinalRecord { stage: Stage::Cancelled, tasks: self.specs[&id].tasks };
+                let txn = Txn {
+                    guards: vec![
+                        Guard { key: job_key(&id), stamp: row.stamp },
+                        Guard { key: final_key(&id), stamp: 0 },
+                    ],
+                    then: vec![Change::drop(job_key(&id)), Change::put(final_key(&id), json!(over))],
+                };
+                if self.chance(0.05 + self.troubles.late_writes) {
+                    // The user is told nothing and asks again.
+                    let at = self.soon(2.0, 12.0);
+                    self.late_txns.push((at, txn));
+                    self.asking.insert(id, self.now + Micros::from_secs(1.0));
+                    continue;
+                }
+                assert!(self.store.txn(&txn).is_ok());
+            }
+            let row = self.store.row(&final_key(&id)).expect("forgotten: no record of a job");
+            let f: FinalRecord = serde_json::from_value(row.value).expect("a final record");
+            if f.stage == Stage::Cancelled {
+                self.cancelled.insert(id.clone(), self.now);
+            }
+            self.asking.remove(&id);
         }
     }
 
     fn watch(&mut self) {
+        if self.out() {
+            return;
+        }
         let skipped = usize::from(self.cut_off(0));
         for o in &mut self.owners[skipped..] {
-            for (rev, key, value) in self.store.log.iter().filter(|l| l.0 > o.watched) {
+            if self.now < o.blind_until {
+                continue;
+            }
+            let from = self.store.log.partition_point(|l| l.0 <= o.watched);
+            for (rev, key, value) in &self.store.log[from..] {
                 let Some(id) = key.strip_prefix("job/") else { continue };
                 match value {
                     Some(v) => {
@@ -244,6 +508,9 @@
                 }
             }
             o.watched = self.store.revision;
+            o.fleet.has_read_to(o.watched);
+            o.fresh = self.now;
+            o.view.has_read(self.now);
         }
     }
 
@@ -253,13 +520,15 @@
             let (now, wall) = (self.now, self.wall());
             // Only the newest owner's lease is renewed, and not always.
             let newest = i + 1 == self.owners.len();
-            let renewed = newest && !self.chance(0.2);
+            let blind = self.out() || now < self.owners[i].blind_until;
+            let renewed = newest && !blind && !self.chance(0.2);
             let o = &mut self.owners[i];
             if renewed {
                 o.fleet.confirm(now);
+                o.view.has_owned(now);
             }
             o.fleet.tick(now, wall);
-            if self.cut_off(i) {
+            if self.cut_off(i) || blind {
                 continue;
             }
             let o = &mut self.owners[i];
@@ -273,10 +542,15 @@
         // An owner whose part was taken has learnt it from the guard.
         let part = self.store.stamp("part/0");
         let mut keep = Vec::new();
-        let cut_off = self.cut_off(0);
+        let (now, out, cut_off) = (self.now, self.out(), self.cut_off(0));
         for (i, o) in std::mem::take(&mut self.owners).into_iter().enumerate() {
             // Now and then an old owner does not try to write and so lives on.
-            if o.part == part || self.rng.random_bool(0.97) || (cut_off && i == 0) {
+            if o.part == part
+                || self.rng.random_bool(0.97)
+                || (cut_off && i == 0)
+                || out
+                || now < o.blind_until
+            {
                 keep.push(o);
             }
         }
@@ -285,7 +559,14 @@
 
     fn apply(&mut self, i: usize, b: &Batch) -> bool {
         let (mut known, mut result) = (true, None);
-        if self.chance(0.03) {
+        // Whole spells of it, so that newer ones of the same owner overtake many.
+        let spell = self.now.0 / 30_000_000 % 2 == 0;
+        if spell && self.chance(self.troubles.late_writes) {
+            known = false;
+            let at = self.soon(2.0, 12.0);
+            self.late_txns.push((at, b.txn.clone()));
+            self.met += 1;
+        } else if self.chance(self.troubles.unanswered) {
             known = false;
             if self.rng.random_bool(0.5) {
                 result = Some(self.store.txn(&b.txn));
@@ -317,50 +598,98 @@
         }
     }
 
+    /// Brings a report to an owner: what it answers. One that learns of a higher token is gone.
+    fn deliver(&mut self, i: usize, r: &Report) -> Option<ReportReply> {
+        let (now, wall) = (self.now, self.wall());
+        if !self.answers(i) {
+            return None;
+        }
+        match self.owners[i].fleet.check_in(r, now, wall) {
+            CheckIn::Reply(reply) => Some(reply),
+            CheckIn::Superseded(_) => {
+                self.owners.remove(i);
+                None
+            }
+            CheckIn::Refuse => None,
+        }
+    }
+
     fn carry(&mut self) {
         for w in 0..self.workers.len() {
-            let (due, cut) = (self.workers[w].due, self.workers[w].cut_until);
-            if self.now < due || self.now < cut {
+            if self.now < self.workers[w].hung_until || self.now < self.workers[w].cut_until {
+                continue;
+            }
+            if let Some((at, sent, season, reply)) = self.workers[w].answer.take() {
+                if self.now < at {
+                    self.workers[w].answer = Some((at, sent, season, reply));
+                    continue;
+                }
+                // Answers to an earlier session are dropped, and those that took too long.
+                let deaf = self.now < self.workers[w].deaf_until;
+                if season == self.workers[w].season && self.now - sent <= PATIENCE && !deaf {
+                    self.obey(w, &reply, sent);
+                }
+            }
+            if self.now < self.workers[w].due {
                 continue;
             }
             let r = self.workers[w].report();
-            let wait = self.rng.random_range(0.5..3.5);
-            self.workers[w].due = self.now + Micros::from_secs(wait);
-            if self.owners.is_empty() || self.chance(0.05) {
+            self.workers[w].due = self.soon(0.5, 3.5);
+            if self.owners.is_empty() || self.now < self.workers[w].mute_until || self.chance(0.05) {
                 continue;
             }
             if self.chance(0.04) {
-                let at = self.now + Micros::from_secs(self.rng.random_range(1.0..60.0));
+                let at = self.soon(1.0, 60.0);
                 self.late_reports.push((at, r));
                 continue;
             }
+            if self.chance(self.troubles.held) {
+                let newest = self.owners.last().map_or(0, |o| o.fleet.token);
+                self.held_reports.push((newest, r));
+                continue;
+            }
+            if self.chance(self.troubles.copies) {
+                // Some soon, some well after the lease.
+                let at = if self.chance(0.5) { self.soon(0.5, 10.0) } else { self.soon(10.0, 66.0) };
+                self.late_reports.push((at, r.clone()));
+                self.met += 1;
+            }
             let Some(i) = self.reached(w) else { continue };
-            let (now, wall) = (self.now, self.wall());
-            let out = self.owners[i].fleet.check_in(&r, now, wall);
+            let Some(reply) = self.deliver(i, &r) else { continue };
             if self.chance(0.05) {
-                let again = self.owners[i].fleet.check_in(&r, now, wall);
-                assert!(
-                    !matches!(again, CheckIn::Reply(ReportReply { ref orders, .. }) if !orders.is_empty())
-                );
-            }
-            let lost = self.chance(0.05);
-            match out {
-                CheckIn::Reply(reply) if !lost => self.obey(w, &reply),
-                CheckIn::Superseded(_) => {
-                    self.owners.remove(i);
-                }
-                _ => {}
+                let again = self.deliver(i, &r);
+                assert!(again.is_none_or(|r| r.orders.is_empty()), "a copy was given orders");
             }
+            if self.chance(0.05) || self.now < self.workers[w].deaf_until {
+                continue;
+            }
+            if self.chance(self.troubles.slow_answers) {
+                let at = self.soon(0.5, 4.5);
+                let season = self.workers[w].season;
+                self.workers[w].answer = Some((at, self.now, season, reply));
+                continue;
+            }
+            let now = self.now;
+            self.obey(w, &reply, now);
         }
         let now = self.now;
         let (ready, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.late_reports).into_iter().partition(|l| l.0 <= now);
         self.late_reports = rest;
-        for (_, r) in ready {
-            if let Some(o) = self.owners.last_mut() {
-                // The worker has long given up on the answer.
-                let _ = o.fleet.check_in(&r, now, Wall(now.0));
-            }
+        let newest = self.owners.last().map(|o| (o.fleet.token, o.fresh));
+        let (free, held): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held_reports)
+            .into_iter()
+            .partition(|h| newest.is_some_and(|n| n.0 > h.0) && self.rng.random_bool(0.05));
+        self.held_reports = held;
+        self.met += free.len() as u32;
+        for r in ready.into_iter().map(|l| l.1).chain(free.into_iter().map(|h| h.1)) {
+            // To whoever is there. The worker has long given up on the answer.
+            let Some(last) = self.owners.len().checked_sub(1) else { continue };
+            let i = if self.chance(0.2) { self.rng.random_range(0..=last) } else { last };
+            let _ = self.deliver(i, &r);
+        }
+        if self.out() {
+            return;
         }
         let (ready, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.late_txns).into_iter().partition(|l| l.0 <= now);
@@ -370,35 +699,73 @@
         }
     }
 
+    /// Direct commands that bring the newest owner's token to machines that it has not heard. They
+    /// may be executed late, and answered late or never.
     fn raise(&mut self) {
-        let Some(i) = self.owners.len().checked_sub(1) else { return };
-        for w in 0..self.workers.len() {
-            let unheard =
-                self.owners[i].fleet.machines.get(self.workers[w].id.as_str()).is_some_and(|m| !m.heard);
-            let away = self.apart.is_some() && self.workers[w].zone == "south";
-            if !unheard || away || self.now < self.workers[w].cut_until || self.chance(0.5) {
+        if let Some(o) = self.owners.last() {
+            let token = o.fleet.token;
+            let unheard: Vec<(String, u64)> = o
+                .fleet
+                .machines
+                .values()
+                .filter(|m| !m.heard)
+                .map(|m| (m.id.to_string(), m.seen.0.max(1)))
+                .collect();
+            for (machine, season) in unheard {
+                let away =
+                    self.apart.is_some() && self.workers.iter().any(|w| w.id == machine && w.zone == "south");
+                if away || !self.rng.random_bool(self.troubles.raise) {
+                    continue;
+                }
+                let slow = self.chance(self.troubles.slow_commands);
+                let at = if slow { self.soon(0.5, 15.0) } else { self.now };
+                self.commands.push(Command { at, machine, token, season });
+            }
+        }
+        for c in std::mem::take(&mut self.commands) {
+            let Some(w) = self.workers.iter().position(|w| w.id == c.machine) else { continue };
+            let worker = &mut self.workers[w];
+            if self.now < c.at || self.now < worker.hung_until || self.now < worker.cut_until {
+                // Packets wait for the machine, and are delivered when it goes on.
+                self.commands.push(c);
                 continue;
             }
-            let token = self.owners[i].fleet.token;
-            if token >= self.workers[w].token {
-                self.workers[w].token = token;
+            if self.now < worker.deaf_until {
+                continue;
             }
-            let r = self.workers[w].report();
-            if !self.chance(0.2) {
-                let now = self.now;
-                let _ = self.owners[i].fleet.raised(&r, now);
+            if c.token >= worker.token && c.season == worker.season {
+                worker.token = c.token;
+            }
+            let r = worker.report();
+            self.met += u32::from(c.at < self.now);
+            if self.chance(0.2) {
+                continue;
+            }
+            let slow = self.chance(self.troubles.slow_commands);
+            let at = if slow { self.soon(0.5, 10.0) } else { self.now };
+            self.raises.push((at, c.token, r));
+        }
+        let now = self.now;
+        let (ready, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.raises).into_iter().partition(|l| l.0 <= now);
+        self.raises = rest;
+        for (_, token, r) in ready {
+            let Some(i) = self.owners.iter().position(|o| o.fleet.token == token) else { continue };
+            if self.owners[i].fleet.raised(&r, now).is_some() {
+                self.owners.remove(i);
             }
         }
     }
 
-    fn obey(&mut self, w: usize, reply: &ReportReply) {
+    /// A worker executes an answer to a report that it sent at a moment.
+    fn obey(&mut self, w: usize, reply: &ReportReply, sent: Steady) {
         let now = self.now;
         let worker = &mut self.workers[w];
         if reply.token < worker.token {
             return;
         }
         worker.token = reply.token;
-        worker.answered = now;
+        worker.answered = worker.answered.max(sent);
         for o in &reply.orders {
             match o {
                 Order::Start { task, attempt } => {
@@ -409,7 +776,7 @@
                     let busy = worker.tasks.iter().any(|(k, t)| k.0 == *task && t.stage != TaskStage::Exited);
                     assert!(!busy, "{task} is started beside itself on {}", worker.id);
                     // Some run for longer than a lease.
-                    let most = if self.rng.random_bool(0.3) { 60.0 } else { 20.0 };
+                    let most = if self.rng.random_bool(0.3) { self.troubles.long } else { 20.0 };
                     let left = Micros::from_secs(self.rng.random_range(2.0..most));
                     worker
                         .tasks
@@ -433,15 +800,20 @@
     fn work(&mut self) {
         let now = self.now;
         for w in 0..self.workers.len() {
-            if now - self.workers[w].answered > LEASE {
+            // A machine that hangs looks at its lease before all else when it goes on, so that nothing
+            // of it is there any more once the lease is over.
+            if now - self.workers[w].answered > self.workers[w].lease {
                 let worker = &mut self.workers[w];
                 worker.tasks.clear();
                 worker.season += 1;
                 worker.answered = now;
             }
+            if now < self.workers[w].hung_until {
+                continue;
+            }
             let keys: Vec<(String, u64)> = self.workers[w].tasks.keys().cloned().collect();
             for k in keys {
-                let id = k.0.split('/').next().unwrap_or("").to_string();
+                let id = job_of(&k.0).to_string();
                 let gang = self.specs[&id].shape == Shape::Gang;
                 let t = self.workers[w].tasks[&k].clone();
                 match t.stage {
@@ -451,23 +823,28 @@
                         self.set(w, &k, stage, None);
                     }
                     TaskStage::Waiting => {
-                        let mates = self.workers.iter().flat_map(|w| w.tasks.iter()).filter(|(o, t)| {
-                            o.1 == k.1
-                                && o.0.split('/').next() == Some(id.as_str())
-                                && matches!(t.stage, TaskStage::Waiting | TaskStage::Running)
-                        });
-                        if mates.count() as u32 == self.specs[&id].tasks {
+                        if self.mates(&id, k.1) == self.specs[&id].tasks {
                             self.set(w, &k, TaskStage::Running, None);
                         } else if (now - t.since).secs() > 40.0 {
                             self.set(w, &k, TaskStage::Exited, Some(Why::Alone));
                         }
                     }
                     TaskStage::Running => {
+                        // A gang goes on while it is whole, and completes together.
+                        if gang && !self.finished.contains(&k.0) {
+                            if self.mates(&id, k.1) < self.specs[&id].tasks {
+                                if (now - t.since).secs() > 8.0 {
+                                    self.set(w, &k, TaskStage::Exited, Some(Why::Peers));
+                                }
+                                continue;
+                            }
+                            self.set(w, &k, TaskStage::Running, None);
+                        }
                         let left = t.left - STEP;
                         if let Some(t) = self.workers[w].tasks.get_mut(&k) {
                             t.left = left;
                         }
-                        if left.0 > 0 {
+                        if left.0 > 0 && !(gang && self.finished.contains(&k.0)) {
                             continue;
                         }
                         let error = !gang && self.chance(0.05);
@@ -479,6 +856,11 @@
                                 });
                             }
                             self.finished.insert(k.0.clone());
+                            if self.all_finished(&id) && self.chance(self.troubles.cancel_at_end) {
+                                let at = self.soon(0.0, 2.5);
+                                self.ask(&id, at);
+                                self.met += 1;
+                            }
                         }
                         self.set(w, &k, TaskStage::Exited, Some(if error { Why::Error } else { Why::Done }));
                     }
@@ -488,6 +870,15 @@
         }
     }
 
+    /// How many tasks of a gang's attempt are there, or wait to begin.
+    fn mates(&self, id: &str, attempt: u64) -> u32 {
+        let awake = self.workers.iter().filter(|w| self.now >= w.hung_until);
+        let of = awake.flat_map(|w| &w.tasks).filter(|(k, t)| {
+            k.1 == attempt && job_of(&k.0) == id && matches!(t.stage, TaskStage::Waiting | TaskStage::Running)
+        });
+        of.count() as u32
+    }
+
     fn set(&mut self, w: usize, k: &(String, u64), stage: TaskStage, why: Option<Why>) {
         let now = self.now;
         if let Some(t) = self.workers[w].tasks.get_mut(k) {
@@ -498,7 +889,7 @@
     /// The rules, at the moment a task starts.
     fn check_start(&self, w: usize, task: &str, id: &str) {
         let s = &self.specs[id];
-        let on = |m: &Worker| m.on().filter(|k| k.0.split('/').next() == Some(id)).count() as u32;
+        let on = |m: &Worker| m.on().filter(|k| job_of(&k.0) == id).count() as u32;
         let twice = self.workers.iter().enumerate().any(|(i, m)| i != w && m.on().any(|k| k.0 == task));
         assert!(!twice, "ran_twice: {task}");
         let m = &self.workers[w];
@@ -508,24 +899,233 @@
         let here: u32 = self.workers.iter().filter(|o| o.zone == m.zone).map(on).sum();
         assert!(!s.one_zone || other == 0, "wrong_place: {task} by oneZone");
         assert!(!s.spread || here < s.tasks.div_ceil(2), "wrong_place: {task} by spread");
-        let used = self
-            .workers
-            .iter()
-            .flat_map(Worker::on)
-            .filter(|k| k.0.split('/').next().is_some_and(|j| self.specs[j].team == s.team))
-            .count();
-        assert!(s.team != "tight" || used < 6, "quota: {task}");
+        assert!(s.team != "tight" || self.used("tight") < TIGHT, "quota: {task}");
         assert!(
-            self.cancelled.get(id).is_none_or(|at| (self.now - *at).secs() < 47.0),
+            self.cancelled.get(id).is_none_or(|at| self.now - *at < self.cancel),
             "ran_cancelled: {task}"
         );
     }
 
+    /// How many tasks of a team are on machines; each takes a processor.
+    fn used(&self, team: &str) -> usize {
+        let on = self.workers.iter().flat_map(Worker::on);
+        on.filter(|k| self.specs[job_of(&k.0)].team == team).count()
+    }
+
+    fn all_finished(&self, id: &str) -> bool {
+        (0..self.specs[id].tasks).all(|n| self.finished.contains(&format!("{id}/{n}")))
+    }
+
+    /// The rules, at every step.
+    fn check(&mut self) {
+        let mut on = BTreeSet::new();
+        for w in &self.workers {
+            for (task, _) in w.on() {
+                assert!(on.insert(task.as_str()), "ran_twice: {task} is on two machines");
+                let late = self.cancelled.get(job_of(task)).is_some_and(|at| self.now - *at > self.cancel);
+                // On a machine that hangs it does nothing, until the machine goes on.
+                assert!(!late || self.now < w.hung_until, "ran_cancelled: {task} is on {}", w.id);
+            }
+        }
+        assert!(self.used("tight") <= TIGHT, "quota: tight");
+        for (_, key, value) in &self.store.log[self.looked..] {
+            let Some(id) = key.strip_prefix("final/") else { continue };
+            let Some(v) = value else { panic!("went_back: {id} is forgotten") };
+            let f: FinalRecord = serde_json::from_value(v.clone()).expect("a final record");
+            let first = *self.finals.entry(id.to_string()).or_insert(f.stage);
+            assert_eq!(first, f.stage, "went_back: {id}");
+            match f.stage {
+                Stage::Done => assert!(self.all_finished(id), "not_done: {id}"),
+                Stage::Cancelled => assert!(self.asked.contains(id), "went_back: no user cancelled {id}"),
+                _ => panic!("went_back: {id} is called over, but how?"),
+            }
+        }
+        self.looked = self.store.log.len();
+        for id in self.specs.keys() {
+            let (live, over) = (self.store.stamp(&job_key(id)), self.store.stamp(&final_key(id)));
+            assert!(live > 0 || over > 0, "forgotten: {id}");
+            assert!(live == 0 || over == 0, "went_back: {id} is over and open");
+            let told = self.cancelled.contains_key(id);
+            assert!(!told || self.finals.get(id) == Some(&Stage::Cancelled), "went_back: {id}");
+        }
+    }
+
+    /// Whether some of a job that waits could start somewhere as things stand.
+    fn startable(&self, id: &str) -> bool {
+        let s = &self.specs[id];
+        let there = |t: &String| {
+            let of = self.workers.iter().flat_map(|w| &w.tasks);
+            of.into_iter().any(|(k, x)| k.0 == *t && x.stage != TaskStage::Exited)
+        };
+        let tasks: Vec<String> = (0..s.tasks).map(|n| format!("{id}/{n}")).collect();
+        let waits = tasks.iter().filter(|t| !self.finished.contains(*t) && !there(t)).count();
+        let gang = s.shape == Shape::Gang;
+        let least = if gang { s.tasks as usize } else { 1 };
+        if waits < least || (s.team == "tight" && self.placed("tight") + least > TIGHT) {
+            return false;
+        }
+        // Room and tasks of the job by zone.
+        let by_zone = |zone: &str| {
+            let of = || self.workers.iter().filter(|w| w.zone == zone);
+            let live = |w: &Worker| w.tasks.values().filter(|t| t.stage != TaskStage::Exited).count();
+            let fits = |w: &&Worker| (s.spot || !w.spot) && s.zone.as_deref().is_none_or(|z| z == w.zone);
+            let room: usize =
+                of().filter(fits).map(|w| (self.types[w.ty].cpus as usize).saturating_sub(live(w))).sum();
+            let here = of().flat_map(|w| &w.tasks);
+            let here = here.filter(|(k, t)| job_of(&k.0) == id && t.stage != TaskStage::Exited).count();
+            (room, here)
+        };
+        let zones = [by_zone("north"), by_zone("south")];
+        let half = s.tasks.div_ceil(2) as usize;
+        if s.one_zone {
+            return (0..2).any(|z| zones[z].0 >= least && zones[1 - z].1 == 0);
+        }
+        let most = |z: (usize, usize)| if s.spread { z.0.min(half.saturating_sub(z.1)) } else { z.0 };
+        most(zones[0]) + most(zones[1]) >= least
+    }
+
+    /// How many tasks of a team are or will be on machines.
+    fn placed(&self, team: &str) -> usize {
+        let of = self.workers.iter().flat_map(|w| &w.tasks);
+        of.filter(|(k, t)| t.stage != TaskStage::Exited && self.specs[job_of(&k.0)].team == team).count()
+    }
+
+    /// In quiet, no job waits for long although it could start.
+    fn check_waiting(&mut self, seed: u64) {
+        let open: Vec<String> =
+            self.store.rows("job/").iter().map(|r| r.key.trim_start_matches("job/").to_string()).collect();
+        self.waiting.retain(|id, _| open.contains(id));
+        for id in open {
+            if !self.startable(&id) {
+                self.waiting.remove(&id);
+                continue;
+            }
+            let since = *self.waiting.entry(id.clone()).or_insert(self.now);
+            assert!((self.now - since).secs() <= 90.0, "seed {seed}: {id} could start and waits");
+        }
+    }
+
+    /// Spells of trouble begin: shorter and longer than a lease.
+    fn spells(&mut self) {
+        let t = &self.troubles;
+        // Not before there is work that can be harmed.
+        let (blind, away) = if self.starts > 20 { (t.blind, t.away) } else { (0.0, 0.0) };
+        for (rate, kind) in [(t.cut, 0), (t.deaf, 1), (t.mute, 2), (t.hung, 3)] {
+            if !self.chance(rate) {
+                continue;
+            }
+            // One machine, or about half of them.
+            let many = kind > 0 && self.rng.random_bool(0.2);
+            let one = self.rng.random_range(0..self.workers.len());
+            for w in 0..self.workers.len() {
+                if w != one && !(many && self.rng.random_bool(0.5)) {
+                    continue;
+                }
+                let until = self.soon(3.0, 60.0);
+                let worker = &mut self.workers[w];
+                match kind {
+                    0 => worker.cut_until = until,
+                    1 => worker.deaf_until = until,
+                    2 => worker.mute_until = until,
+                    _ => worker.hung_until = until,
+                }
+                self.met += u32::from(kind > 0);
+                self.cancel_there(Some(w));
+            }
+        }
+        if self.chance(blind) && self.apart.is_none() && self.next_owner.is_none() && !self.out() {
+            self.lose_state();
+        }
+        if self.chance(away) {
+            self.cancel_there(None);
+            self.owners.clear();
+            self.away_until = self.soon(LEASE.secs() + 1.0, 2.5 * LEASE.secs());
+            self.met += 1;
+        }
+    }
+
+    /// The owner loses the state service and the other controllers, not its workers; users cancel
+    /// through others. Another takes over, unless the state service is soon out for everybody.
+    fn lose_state(&mut self) {
+        let until = self.soon(10.0, 80.0);
+        let Some(o) = self.owners.last_mut() else { return };
+        o.blind_until = until;
+        let share = self.rng.random_range(0.5..1.0);
+        for w in 0..self.workers.len() {
+            self.workers[w].stays = self.rng.random_bool(share);
+        }
+        self.cancel_there(None);
+        self.met += 1;
+        if self.chance(self.troubles.outage) {
+            // Jobs are cancelled in the second between.
+            let now = self.now;
+            let asking: Vec<String> = self.asking.keys().cloned().collect();
+            asking.into_iter().for_each(|id| {
+                self.asking.insert(id, now);
+            });
+            self.users();
+            self.out_until = self.soon(self.cancel.secs() + 1.0, 1.5 * self.cancel.secs());
+        } else {
+            self.next_owner = Some(self.soon(0.5, 8.0));
+        }
+    }
+
+    /// Owners change, unless none can.
+    fn change(&mut self, i: u32) {
+        if self.out() || self.now < self.away_until {
+            return;
+        }
+        if self.next_owner.is_some_and(|at| at <= self.now) {
+            self.next_owner = None;
+            self.take_over();
+            return;
+        }
+        let every = self.troubles.change_every.map(|s| ((s * 4.0) as u32).max(1));
+        if self.troubles.part && self.apart.is_none() && i % 400 == 200 && !self.owners.is_empty() {
+            self.part();
+        } else if self.owners.is_empty() {
+            self.take_over();
+        } else if self.apart.is_none() && every.is_some_and(|e| i % e == e - 1) {
+            self.met += 1;
+            self.take_over();
+        } else if self.apart.is_none() && self.rng.random_bool(self.troubles.change) {
+            self.take_over();
+        }
+    }
+
+    /// What the cloud lists now; owners see it a little later, or an older list once more.
+    fn list(&mut self) {
+        if self.rng.random_bool(0.25) {
+            let list = self.workers.iter().map(|w| ListedMachine {
+                id: w.id.clone(),
+                addr: Some("127.0.0.1:9".into()),
+                ty: self.types[w.ty].name.clone(),
+                zone: w.zone.into(),
+                spot: w.spot,
+                stage: "running".into(),
+                age_s: 60.0,
+            });
+            self.lists.rotate_left(1);
+            self.lists[1] = list.collect();
+        }
+        for i in 0..self.owners.len() {
+            if !self.cut_off(i) && self.rng.random_bool(0.1) {
+                let at = usize::from(self.rng.random_bool(0.8));
+                let now = self.now;
+                self.owners[i].fleet.listed(&self.lists[at], now);
+            }
+        }
+    }
+
     fn machines(&mut self) {
-        if self.chance(0.01) {
+        self.spells();
+        if self.troubles.busy {
+            self.list();
+        }
+        if self.chance(self.troubles.taken) {
             let i = self.rng.random_range(0..self.workers.len());
-            let long = self.rng.random_range(3.0..60.0);
-            self.workers[i].cut_until = self.now + Micros::from_secs(long);
+            let w = self.workers.remove(i);
+            self.add_machine(w.ty, w.zone, w.spot);
         }
         for i in 0..self.owners.len() {
             let ids = self.owners[i].fleet.leaving();
@@ -556,15 +1156,8 @@
         self.work();
         self.write();
         self.machines();
-        // A job is called done only when all its tasks are.
-        for row in self.store.rows("final/") {
-            let f: FinalRecord = serde_json::from_value(row.value).expect("a final record");
-            let id = row.key.trim_start_matches("final/");
-            if f.stage == Stage::Done {
-                assert!((0..f.tasks).all(|n| self.finished.contains(&format!("{id}/{n}"))), "not_done: {id}");
-                assert!(!self.cancelled.contains_key(id), "went_back: {id}");
-            }
-        }
+        self.users();
+        self.check();
     }
 
     fn open(&self) -> usize {
@@ -572,42 +1165,196 @@
     }
 }
 
-fn play(seed: u64) {
-    let mut w = World::new(seed);
+/// The job that a task is of.
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap_or("")
+}
+
+/// Plays a world: how often it met its troubles.
+fn play(seed: u64, troubles: &Troubles) -> u32 {
+    let mut w = World::new(seed, troubles);
     let mut n = 0;
-    for i in 0..1600 {
-        if i % 40 == 0 && n < 24 {
+    for i in 0..troubles.steps {
+        // As many jobs in a short world as in a long one, so that there is more work than room.
+        if i % (troubles.steps / 40).min(40) == 0 && n < troubles.jobs && !w.out() {
             n += 1;
             w.submit(n);
         }
-        if w.rng.random_bool(0.004) && n > 0 {
+        if w.rng.random_bool(troubles.cancel) && n > 0 {
             let id = format!("wk-{:06}", w.rng.random_range(1..=n));
-            w.cancel(&id);
-        }
-        if w.apart.is_none() && i % 400 == 200 && !w.owners.is_empty() {
-            w.part();
-        } else if w.owners.is_empty() || (w.apart.is_none() && w.rng.random_bool(0.006)) {
-            w.take_over();
+            let now = w.now;
+            w.ask(&id, now);
         }
+        w.change(i);
         w.step();
     }
     // Quiet again: everything that was accepted gets done.
     w.trouble = false;
+    w.out_until = Steady(0);
+    for m in &mut w.workers {
+        m.cut_until = Steady(0);
+        m.deaf_until = Steady(0);
+        m.mute_until = Steady(0);
+        m.hung_until = Steady(0);
+        m.stays = false;
+    }
     w.take_over();
     let newest = w.owners.len() - 1;
     w.owners.drain(..newest);
-    for _ in 0..4000 {
+    for i in 0..4000 {
         w.step();
+        if i % 4 == 0 {
+            w.check_waiting(seed);
+        }
         if w.open() == 0 {
             break;
         }
     }
-    assert!(w.starts > 50, "seed {seed}: the world stood still");
+    // More than 50 of 24 jobs, and as many for each job of a world with fewer.
+    assert!(w.starts * 24 > 50 * troubles.jobs as usize, "seed {seed}: the world stood still");
     assert_eq!(w.open(), 0, "seed {seed}: accepted work was left undone: {:?}", w.store.rows("job/"));
     assert!(w.store.rows("done/").len() <= 2, "seed {seed}: chunks of jobs that are over are left behind");
+    w.met
+}
+
+/// Plays worlds, which must have met their troubles often enough to say something.
+fn play_all(seeds: std::ops::RangeInclusive<u64>, least: u32, troubles: &Troubles) {
+    let worlds = seeds.clone().count() as u32;
+    let met: u32 = seeds.map(|s| play(s, troubles)).sum();
+    assert!(met >= least * worlds, "the troubles were met only {met} times in {worlds} worlds");
 }
 
 #[test]
 fn no_rule_breaks_whatever_is_lost_late_or_doubled() {
-    (1..=12).for_each(play);
+    play_all(1..=12, 0, &COMMON);
+}
+
+/// Shorter worlds, of two and a half minutes, in which only some machines are cut off beside what a
+/// meeting is about.
+const SHORT: Troubles =
+    Troubles { steps: 600, jobs: 15, part: false, cut: 0.003, taken: 0.002, busy: true, ..COMMON };
+
+#[test]
+fn late_transactions_after_newer_ones_meet_changes_of_owner() {
+    let t = Troubles { late_writes: 0.3, change: 0.012, cancel: 0.01, ..SHORT };
+    play_all(101..=124, 5, &t);
+}
+
+#[test]
+fn late_copies_of_reports_meet_new_sessions_attempts_and_owners() {
+    let t = Troubles { copies: 0.3, deaf: 0.01, change: 0.012, slow_answers: 0.1, ..SHORT };
+    play_all(201..=224, 50, &t);
+}
+
+#[test]
+fn reports_held_back_arrive_after_a_new_owner_has_acted() {
+    let t = Troubles { held: 0.15, change: 0.015, raise: 0.2, slow_answers: 0.1, ..SHORT };
+    play_all(301..=324, 10, &t);
+}
+
+#[test]
+fn deaf_machines_meet_changes_of_owner_and_cancellations() {
+    let t = Troubles { deaf: 0.02, change: 0.01, cancel_there: 0.3, long: 100.0, ..SHORT };
+    play_all(401..=424, 5, &t);
+}
+
+#[test]
+fn mute_machines_meet_changes_of_owner_and_cancellations() {
+    let t = Troubles { mute: 0.02, change: 0.01, cancel_there: 0.3, long: 100.0, ..SHORT };
+    play_all(501..=524, 5, &t);
+}
+
+#[test]
+fn hung_machines_and_late_commands_meet_changes_of_owner_and_cancellations() {
+    let t = Troubles {
+        hung: 0.02,
+        slow_commands: 0.5,
+        slow_answers: 0.1,
+        change: 0.012,
+        cancel_there: 0.3,
+        long: 100.0,
+        ..SHORT
+    };
+    play_all(601..=624, 5, &t);
+}
+
+#[test]
+fn ten_changes_of_owner_in_two_minutes_meet_a_team_at_its_limit() {
+    let t = Troubles { change_every: Some(12.0), slow_commands: 0.2, mute: 0.005, ..SHORT };
+    play_all(701..=724, 10, &t);
+}
+
+#[test]
+fn an_owner_without_the_state_service_meets_cancellations_through_the_next() {
+    let t = Troubles { blind: 0.01, raise: 0.002, cancel_there: 0.5, long: 150.0, change: 0.0, ..SHORT };
+    play_all(801..=824, 1, &t);
+}
+
+#[test]
+fn an_owner_without_the_state_service_answers_for_longer_than_other_leases_run() {
+    let t = Troubles {
+        cancel_s: 100.0,
+        blind: 0.01,
+        raise: 0.002,
+        cancel_there: 0.3,
+        long: 150.0,
+        change: 0.0,
+        ..SHORT
+    };
+    play_all(1201..=1224, 1, &t);
+}
+
+#[test]
+fn a_zone_is_cut_off_with_an_owner_that_answers_for_longer_than_other_leases_run() {
+    let t = Troubles { cancel_s: 100.0, steps: 1000, part: true, long: 100.0, ..SHORT };
+    play_all(1301..=1324, 0, &t);
+}
+
+#[test]
+fn cancellations_meet_an_outage_that_begins_with_the_owner_alone() {
+    let t = Troubles { blind: 0.01, outage: 0.8, cancel_there: 0.5, long: 150.0, change: 0.0, ..SHORT };
+    play_all(901..=924, 1, &t);
+}
+
+#[test]
+fn no_owner_for_longer_than_a_lease_meets_long_tasks() {
+    let t = Troubles { away: 0.006, cancel_there: 0.2, long: 100.0, copies: 0.1, ..SHORT };
+    play_all(1001..=1024, 1, &t);
+}
+
+#[test]
+fn cancellations_meet_the_end_of_the_last_task() {
+    let t = Troubles { cancel_at_end: 0.5, late_writes: 0.2, change: 0.01, ..SHORT };
+    play_all(1101..=1124, 2, &t);
+}
+
+/// All at once.
+const ALL: Troubles = Troubles {
+    part: true,
+    late_writes: 0.15,
+    copies: 0.1,
+    held: 0.03,
+    slow_answers: 0.1,
+    slow_commands: 0.3,
+    raise: 0.1,
+    deaf: 0.005,
+    mute: 0.005,
+    hung: 0.005,
+    blind: 0.004,
+    outage: 0.2,
+    away: 0.001,
+    cancel_at_end: 0.1,
+    cancel_there: 0.2,
+    long: 100.0,
+    ..SHORT
+};
+
+#[test]
+fn all_troubles_meet() {
+    play_all(2001..=2024, 20, &ALL);
+}
+
+#[test]
+fn all_troubles_meet_where_cancellations_may_take_long() {
+    play_all(2101..=2124, 20, &Troubles { cancel_s: 100.0, raise: 0.02, ..ALL });
 }
