--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1491,6 +1491,7 @@
             jobs.push(j.id.clone());
             classes.push(Class {
                 rank: sp.rank,
+                raised: (gang && waited.secs() > Self::yields(sp, widest[1])).then_some(Rank::Urgent),
                 team: self.team(&sp.team).map_or(usize::MAX, |t| t.0),
                 guaranteed: within,
                 count,
@@ -1591,14 +1592,19 @@
         })
     }
 
+    /// After so many seconds a job yields to others no more: the sooner the wider it is.
+    fn yields(s: &JobSpec, widest: u32) -> f64 {
+        let width = f64::from(s.tasks) / f64::from(widest.max(s.tasks).max(1));
+        YIELDS - (YIELDS - YIELDS_WIDEST) * width
+    }
+
     /// How many of its class's aims a job has lost, by its age or by the time it would end if it
     /// started now. So that nothing starves or might be taken for forgotten, a lost aim stops
     /// counting against it after a while: one for its end after five times the aim, one for its
     /// start sooner, and the sooner the wider the job is: it takes longer to find its room.
     fn lost(&self, s: &JobSpec, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
         let end = waited.secs() + 0.7 * adjusted.secs();
-        let width = f64::from(s.tasks) / f64::from(widest.max(s.tasks).max(1));
-        let yields = YIELDS - (YIELDS - YIELDS_WIDEST) * width;
+        let yields = Self::yields(s, widest);
         let by_end = |within: f64| end > within && waited.secs() < 5.0 * within;
         let aims = &self.cfg.platform.settings.objectives;
         let of_class = || aims.iter().filter(|o| Some(&o.class) == s.class.as_ref());
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -110,6 +110,10 @@
 pub struct Class {
     /// Rank.
     pub rank: Rank,
+    /// It has waited so long that the queue counts it with this rank, if that is higher: otherwise more
+    /// work of higher ranks than there is room would keep a wide gang waiting for ever. Nothing is
+    /// stopped by it.
+    pub raised: Option<Rank>,
     /// The team's index.
     pub team: usize,
     /// Whether the job fits its team's guarantee.
@@ -254,6 +258,13 @@
     pub wanted: Vec<bool>,
 }
 
+impl Class {
+    /// The rank that counts in the queue.
+    pub fn queue_rank(&self) -> Rank {
+        self.raised.map_or(self.rank, |r| r.max(self.rank))
+    }
+}
+
 /// The queue's score within a rank: (wait / adjusted time)^3 x size.
 pub fn score(c: &Class) -> f64 {
     let wait = c.waited.secs().max(0.001);
@@ -267,8 +278,8 @@
     let mut by: Vec<(usize, f64)> = classes.iter().map(score).enumerate().collect();
     by.sort_by(|a, b| {
         let (x, y) = (&classes[a.0], &classes[b.0]);
-        (y.guaranteed, y.rank, x.lost)
-            .cmp(&(x.guaranteed, x.rank, y.lost))
+        (y.guaranteed, y.queue_rank(), x.lost)
+            .cmp(&(x.guaranteed, x.queue_rank(), y.lost))
             .then(b.1.total_cmp(&a.1))
             .then(a.0.cmp(&b.0))
     });
@@ -732,7 +743,7 @@
     let mut free = room.free;
     let kept = s.kept(room.ty, room.spot);
     let has = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
-    let group = |c: &Class| (c.guaranteed, c.rank, c.lost);
+    let group = |c: &Class| (c.guaranteed, c.queue_rank(), c.lost);
     let may = |c: &Class| {
         let limited = s.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let low = kept.is_some_and(|k| c.rank < k.rank);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -165,6 +165,7 @@
 pub fn class(count: u32, adjusted: i64, waited: i64) -> Class {
     Class {
         rank: Rank::Normal,
+        raised: None,
         team: 0,
         guaranteed: false,
         count,
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -731,6 +731,32 @@
     assert_eq!(starts(&orders(&mut f, 47.0, &report("i-2", tally, 9, &[]))).len(), 1);
 }
 
+/// Found by a random world: an owner answered a report of a machine that had not seen its token, and the
+/// answer was lost; an earlier owner, cut off with the machine, went on renewing its lease. Brought the new
+/// token later, the machine counted as having had that first answer, and its task began elsewhere.
+#[test]
+fn p03_an_answer_before_the_token_arrived_is_no_beginning_of_a_lease() {
+    let mut f = fleet(9);
+    f.inherit_machine("i-1", &machine("small"), 0, T0);
+    f.job_put(started(spec(1, 1, "batch"), 1), 1, T0);
+    let running = [("wk-000001/0", 5, TaskStage::Running, None)];
+    orders(&mut f, 1.0, &report("i-1", 8, 5, &running));
+    orders(&mut f, 1.0, &report("i-2", 1, 0, &[]));
+    write_all(&mut f, 1.0);
+    assert_eq!(f.raised(&report("i-1", 30, 9, &running), at(20.0)), None);
+    let mut tally = 2;
+    for s in 20..44 {
+        let s = f64::from(s);
+        f.confirm(at(s));
+        f.tick(at(s), wall(s));
+        assert!(starts(&orders(&mut f, s, &report("i-2", tally, 9, &[]))).is_empty(), "after {s} s");
+        tally += 1;
+    }
+    f.confirm(at(44.0));
+    f.tick(at(44.0), wall(44.0));
+    assert_eq!(starts(&orders(&mut f, 44.0, &report("i-2", tally, 9, &[]))).len(), 1);
+}
+
 /// Halts go by direct command to machines whose report is overdue, and to no others; nothing else is
 /// commanded that way.
 #[test]
