--- a/src/sched.rs
+++ b/src/sched.rs
@@ -300,8 +300,24 @@
     wanted: Vec<bool>,
     /// Rooms on which tasks are being stopped for a class already.
     claimed: Vec<bool>,
+    /// By team: what its first gang that is held back by the limit takes of it, and when.
+    held_back: Vec<Option<Claim>>,
+    /// By team: stated ends of what this plan starts.
+    ends: Vec<Vec<(Micros, Need, u32)>>,
 }
 
+/// A gang's claim on its team's limit.
+#[derive(Clone, Copy)]
+struct Claim {
+    need: Need,
+    count: u32,
+    /// When, by stated ends, the limit lets it start.
+    at: Micros,
+}
+
+/// Later than anything that is planned.
+const FAR: Micros = Micros(86_400_000_000);
+
 impl<'a> Work<'a> {
     fn new(s: &'a Snapshot) -> Work<'a> {
         // Of each type, the first few rooms that could take the kept task stay clear for it.
@@ -329,6 +345,8 @@
             zones: s.classes.iter().map(|c| c.zones.clone()).collect(),
             wanted: vec![false; s.keep.len()],
             claimed: vec![false; s.rooms.len()],
+            held_back: vec![None; s.teams.len()],
+            ends: vec![Vec::new(); s.teams.len()],
         }
     }
 
@@ -372,6 +390,7 @@
         }
         if let Some(t) = self.teams.get_mut(c.team) {
             t.used = t.used.plus(&c.need, n);
+            self.ends[c.team].push((delay(c, r) + c.adjusted, c.need, n));
         }
         self.zones[class][r.zone] += n;
     }
@@ -407,9 +426,34 @@
         u32::MAX
     }
 
+    /// How many tasks of the class its team's limit lets start. What a gang of the team waits for is
+    /// left to it, unless the class ends before.
     fn want(&self, class: usize) -> u32 {
         let c = &self.s.classes[class];
-        self.teams.get(c.team).map_or(c.count, |t| c.count.min(t.allows(&c.need)))
+        let Some(t) = self.teams.get(c.team) else { return c.count };
+        let mut t = *t;
+        if let Some(claim) = self.held_back[c.team].filter(|x| c.adjusted + self.s.coarse > x.at) {
+            t.used = t.used.plus(&claim.need, claim.count);
+        }
+        c.count.min(t.allows(&c.need))
+    }
+
+    /// When, by stated ends, the team's limit lets the class start whole.
+    fn limit_frees(&self, class: usize) -> Micros {
+        let c = &self.s.classes[class];
+        let Some(mut t) = self.teams.get(c.team).copied() else { return Micros::ZERO };
+        let held = self.s.rooms.iter().flat_map(|r| &r.held).filter(|h| h.team == c.team);
+        let mut ends: Vec<(Micros, Need, u32)> =
+            held.map(|h| (if h.stopping { Micros::ZERO } else { h.left }, h.need, 1)).collect();
+        ends.extend(&self.ends[c.team]);
+        ends.sort_unstable_by_key(|e| e.0);
+        for (at, need, n) in ends {
+            t.used = t.used.less(&need, n);
+            if t.allows(&c.need) >= c.count {
+                return at;
+            }
+        }
+        FAR
     }
 
     fn start_array(&mut self, class: usize, starts: &mut Vec<Start>) -> u32 {
@@ -480,6 +524,12 @@
         true
     }
 
+    /// Where a gang would go now, whatever its team's limit says.
+    fn room_now(&self, class: usize) -> Option<Vec<(usize, u32)>> {
+        let rooms = self.candidates(&self.s.classes[class]);
+        self.whole(class, &rooms, &|m| self.fit(&self.s.classes[class], m))
+    }
+
     /// What is free on a room at a time, by stated ends.
     fn free_at(&self, m: usize, at: Micros) -> Need {
         let r = &self.s.rooms[m];
@@ -506,11 +556,16 @@
                 *rooms.iter().find(|&&m| fit(m) > 0 && self.zone_room(class, self.s.rooms[m].zone) > 0)?;
             vec![(m, 1)]
         };
+        Some(self.hold(class, at, places))
+    }
+
+    /// Reserves rooms for the class from a time on.
+    fn hold(&mut self, class: usize, at: Micros, rooms: Vec<(usize, u32)>) -> Reservation {
         self.at = at;
-        for &(m, n) in &places {
-            self.shadow[m] = Some(self.free_at(m, at).less(&c.need, n));
+        for &(m, n) in &rooms {
+            self.shadow[m] = Some(self.free_at(m, at).less(&self.s.classes[class].need, n));
         }
-        Some(Reservation { class, at, rooms: places })
+        Reservation { class, at, rooms }
     }
 
     /// The earliest moment at which, by stated ends, the class finds its room: the whole of a
@@ -689,12 +744,20 @@
         let left = if c.gang {
             if w.start_gang(class, &mut out.starts) {
                 0
-            } else if limited < c.count {
-                // Held back by its team's limit: the team's lower jobs must not take what frees,
-                // or a gang would starve behind its own team's small tasks.
-                out.preempt.extend(w.within_limit(class));
-                if let Some(t) = w.teams.get_mut(c.team) {
-                    t.used = t.used.plus(&c.need, c.count);
+            } else if limited < c.count && w.held_back.get(c.team).is_some_and(Option::is_some) {
+                // Behind another of its team.
+                continue;
+            } else if let Some(rooms) = w.room_now(class).filter(|_| limited < c.count) {
+                // Held back by its team's limit alone: the team's lower jobs must not take what frees,
+                // or a gang would starve behind its own team's small tasks. One gang of a team at a time,
+                // and only while it has room: with a claim for each, or stops for one that then had no
+                // room, a team at its limit stood still, or had the same tasks stopped over and over.
+                let stops = w.within_limit(class);
+                let at = if stops.is_empty() { w.limit_frees(class) } else { Micros::ZERO };
+                out.preempt.extend(stops);
+                w.held_back[c.team] = Some(Claim { need: c.need, count: c.count, at });
+                if out.reservation.is_none() && s.reserve {
+                    out.reservation = Some(w.hold(class, at, rooms));
                 }
                 continue;
             } else {
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -18,7 +18,7 @@
               held in prop::collection::vec((1u32..3, rank(), 1i64..90, any::<bool>()), 0..4)) -> Room {
         let total = need(if ty == 0 { 4.0 } else { 16.0 });
         let held: Vec<Held> = held.into_iter().map(|(cpus, rank, left, stoppable)| Held {
-            need: need(f64::from(cpus)), rank, team: 1, left: secs(left), lost: secs(left), stoppable, stopping: false,
+            need: need(f64::from(cpus)), rank, team: usize::from(!stoppable), left: secs(left), lost: secs(left), stoppable, stopping: false,
         }).scan(0.0, |sum, h| { *sum += h.need.cpus; Some((*sum, h)) }).filter(|x| x.0 <= total.cpus).map(|x| x.1).collect();
         let free = held.iter().fold(total, |f, h| f.less(&h.need, 1));
         Room { ty, zone, spot, total, free, rate, open, opens_in: secs(if open { opens % 4 } else { opens }),
@@ -41,8 +41,12 @@
 prop_compose! {
     fn snapshot(most: usize, widest: u32)(rooms in prop::collection::vec(room(), 0..most),
                   classes in prop::collection::vec(class(widest), 0..7), limit in 0..widest + 4, keep in any::<(bool, bool)>(), reserve in any::<bool>()) -> Snapshot {
+        let held = rooms.iter().flat_map(|r| &r.held).filter(|h| h.team == 0);
+        let used = held.fold(Need::default(), |n, h| n.plus(&h.need, 1));
+        // Somewhat over what runs, so that the limit is met now and then.
+        let cpus_max = if limit == 0 { 0.0 } else { used.cpus + f64::from(limit) };
         Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear: 1,
-                   teams: vec![TeamUse { used: Need::default(), cpus_max: f64::from(limit), gpus_max: 0.0 }, TeamUse::default()],
+                   teams: vec![TeamUse { used, cpus_max, gpus_max: 0.0 }, TeamUse::default()],
                    keep: vec![None, keep.0.then(|| Keep { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
     }
 }
@@ -55,7 +59,7 @@
     s: &'a Snapshot,
     placed: Vec<(usize, usize)>,
     reserved: Option<Promise>,
-    claims: Vec<(usize, f64)>,
+    claims: Vec<(usize, f64, Micros)>,
     wanted: [bool; 2],
 }
 
@@ -157,7 +161,9 @@
             .filter(|p| self.s.classes[p.0].team == c.team)
             .map(|p| self.s.classes[p.0].need.cpus)
             .sum();
-        let used = used + self.claims.iter().filter(|x| x.0 == c.team).map(|x| x.1).sum::<f64>();
+        let ends = c.adjusted + self.s.coarse;
+        let claimed = self.claims.iter().filter(|x| x.0 == c.team && ends > x.2).map(|x| x.1);
+        let used = used + self.s.teams[c.team].used.cpus + claimed.sum::<f64>();
         let max = self.s.teams[c.team].cpus_max;
         if max <= 0.0 {
             u32::MAX
@@ -166,6 +172,42 @@
         }
     }
 
+    /// Whether the gang would start if its team had no limit.
+    fn finds_room(&self, class: usize) -> bool {
+        let mut m = Model {
+            s: self.s,
+            placed: self.placed.clone(),
+            reserved: self.reserved.clone(),
+            claims: Vec::new(),
+            wanted: self.wanted,
+        };
+        m.place(class, self.s.classes[class].count) == 0
+    }
+
+    /// The first stated end after which the limit lets the whole gang start.
+    fn limit_frees(&self, class: usize) -> Micros {
+        let c = &self.s.classes[class];
+        let mut ends: Vec<(Micros, f64)> = Vec::new();
+        for h in self.s.rooms.iter().flat_map(|r| &r.held).filter(|h| h.team == c.team) {
+            ends.push((h.left, h.need.cpus));
+        }
+        for &(other, m) in self.placed.iter().filter(|p| self.s.classes[p.0].team == c.team) {
+            let o = &self.s.classes[other];
+            ends.push((self.delay(o, &self.s.rooms[m]) + o.adjusted, o.need.cpus));
+        }
+        let total: f64 = ends.iter().map(|e| e.1).sum::<f64>() + self.outside(c.team);
+        let max = self.s.teams[c.team].cpus_max;
+        let freed = |at: Micros| ends.iter().filter(|e| e.0 <= at).map(|e| e.1).sum::<f64>();
+        let enough = |at: Micros| max - total + freed(at) + 1e-6 >= f64::from(c.count) * c.need.cpus;
+        ends.iter().map(|e| e.0).filter(|at| enough(*at)).min().unwrap_or(secs(86_400))
+    }
+
+    /// What the team uses beside the tasks that are held.
+    fn outside(&self, team: usize) -> f64 {
+        let held = self.s.rooms.iter().flat_map(|r| &r.held).filter(|h| h.team == team);
+        self.s.teams[team].used.cpus - held.map(|h| h.need.cpus).sum::<f64>()
+    }
+
     fn best_first(&self, class: usize) -> Vec<usize> {
         let c = &self.s.classes[class];
         let mut v: Vec<usize> = (0..self.s.rooms.len())
@@ -199,35 +241,53 @@
         v
     }
 
+    /// Places tasks of a class, a gang's all or none; returns how many found no room.
+    fn place(&mut self, class: usize, want: u32) -> u32 {
+        let c = &self.s.classes[class];
+        let zones: Vec<Option<usize>> =
+            if c.gang && c.one_zone { vec![Some(0), Some(1)] } else { vec![None] };
+        let rooms = self.best_first(class);
+        let mut left = want;
+        for only in zones {
+            let before = self.placed.len();
+            left = want;
+            for &m in rooms.iter().filter(|&&m| only.is_none_or(|z| z == self.s.rooms[m].zone)) {
+                while left > 0 && self.room_for_one(class, m) {
+                    self.placed.push((class, m));
+                    left -= 1;
+                }
+            }
+            if c.gang && left > 0 {
+                self.placed.truncate(before);
+                left = want;
+            } else {
+                break;
+            }
+        }
+        left
+    }
+
     fn run(&mut self) {
         for class in milletlock::sched::order(&self.s.classes) {
             let c = &self.s.classes[class];
             let limited = self.limit_left(class) < c.count;
-            if c.gang && limited {
-                // Its team's lower jobs leave it what it needs.
-                self.claims.push((c.team, f64::from(c.count) * c.need.cpus));
+            if c.gang && limited && self.claims.iter().any(|x| x.0 == c.team) {
                 continue;
             }
-            let want = c.count.min(self.limit_left(class));
-            let zones: Vec<Option<usize>> =
-                if c.gang && c.one_zone { vec![Some(0), Some(1)] } else { vec![None] };
-            let rooms = self.best_first(class);
-            let mut left = want;
-            for only in zones {
-                let before = self.placed.len();
-                left = want;
-                for &m in rooms.iter().filter(|&&m| only.is_none_or(|z| z == self.s.rooms[m].zone)) {
-                    while left > 0 && self.room_for_one(class, m) {
-                        self.placed.push((class, m));
-                        left -= 1;
-                    }
-                }
-                if c.gang && left > 0 {
-                    self.placed.truncate(before);
-                    left = want;
-                } else {
-                    break;
+            // Held back by the limit alone: its team's lower jobs leave it what it needs, unless they end
+            // before the limit frees.
+            if c.gang && limited && self.finds_room(class) {
+                let at = self.limit_frees(class);
+                self.claims.push((c.team, f64::from(c.count) * c.need.cpus, at));
+                if self.reserved.is_none() && self.s.reserve {
+                    self.reserved = plan_reservation(self.s, class, &self.placed);
                 }
+                continue;
+            }
+            let want = c.count.min(self.limit_left(class));
+            let mut left = if c.gang { c.count } else { want };
+            if want == left {
+                left = self.place(class, want);
             }
             if left > 0 && self.s.keep[1].is_some_and(|k| c.rank >= k.rank) && c.types.contains(&1) {
                 self.wanted[1] = true;
@@ -391,3 +451,71 @@
     assert_eq!(top(vec![Class { rank: Rank::Urgent, ..with(1, 20) }, with(7, 10)]), [(0, 3), (1, 1)]);
     assert_eq!(top(vec![with(1, 20), Class { lost: 1, ..with(7, 90) }]), [(0, 3), (1, 1)]);
 }
+
+/// On a calm day of a team with a limit each waiting gang claimed its part of it, and had the team's small
+/// tasks stopped though there was no room for it: they began again and were stopped again, 21,000 times.
+#[test]
+fn a_gang_at_its_teams_limit_stops_nothing_unless_it_has_room_and_only_the_first_claims() {
+    let held = Held {
+        need: need(1.0),
+        rank: Rank::Idle,
+        team: 0,
+        left: secs(40),
+        lost: secs(5),
+        stoppable: true,
+        stopping: false,
+    };
+    let room = |ty: usize, free: f64, held: Vec<Held>| Room {
+        ty,
+        zone: 0,
+        spot: false,
+        total: need(16.0),
+        free: need(free),
+        open: true,
+        opens_in: Micros::ZERO,
+        images: vec![1],
+        fetch_rate: 1.0,
+        rate: 1,
+        penalty: Micros::ZERO,
+        until: None,
+        held,
+    };
+    let gang = Class {
+        rank: Rank::Urgent,
+        gang: true,
+        need: need(2.0),
+        types: vec![1],
+        patience: secs(-1),
+        ..common::class(2, 30, 40)
+    };
+    let small = Class { rank: Rank::Idle, ..common::class(8, 20, 5) };
+    let snapshot = |large: f64, classes: Vec<Class>| Snapshot {
+        zones: 2,
+        rooms: vec![room(0, 8.0, vec![held.clone(); 8]), room(1, large, Vec::new())],
+        classes,
+        reserve: true,
+        coarse: secs(4),
+        fine: secs(2),
+        clear: 0,
+        teams: vec![TeamUse { used: need(8.0), cpus_max: 10.0, gpus_max: 0.0 }],
+        keep: vec![None, None],
+    };
+    // Its room is taken: nothing is stopped for the limit, which the small ones use meanwhile.
+    let p = plan(&snapshot(0.0, vec![gang.clone(), small.clone()]));
+    assert!(p.preempt.is_empty(), "{:?}", p.preempt);
+    assert_eq!(by_room(&p.starts), [(1, 0, 2)]);
+    // It has room: as many are stopped as it takes, once, and the small ones leave the limit to it.
+    let mut s = snapshot(16.0, vec![gang.clone(), small.clone()]);
+    let p = plan(&s);
+    assert_eq!((p.preempt.len(), p.starts.len()), (2, 0));
+    for &(m, i) in &p.preempt {
+        s.rooms[m].held[i].stopping = true;
+    }
+    let p = plan(&s);
+    assert_eq!((p.preempt.len(), p.starts.len()), (0, 0));
+    // Of several that wait only the first does. What ends before the limit frees may start.
+    let mut s = snapshot(16.0, vec![gang.clone(), gang.clone(), gang, Class { adjusted: secs(10), ..small }]);
+    s.classes.iter_mut().for_each(|c| c.patience = secs(100));
+    let p = plan(&s);
+    assert_eq!((p.preempt.len(), by_room(&p.starts)), (0, vec![(3, 0, 2)]));
+}
