--- a/src/sched.rs
+++ b/src/sched.rs
@@ -302,6 +302,8 @@
     claimed: Vec<bool>,
     /// By team: what its first gang that is held back by the limit takes of it, and when.
     held_back: Vec<Option<Claim>>,
+    /// By team: a gang is held back by the limit, whether it has room or not.
+    behind: Vec<bool>,
     /// By team: stated ends of what this plan starts.
     ends: Vec<Vec<(Micros, Need, u32)>>,
 }
@@ -346,6 +348,7 @@
             wanted: vec![false; s.keep.len()],
             claimed: vec![false; s.rooms.len()],
             held_back: vec![None; s.teams.len()],
+            behind: vec![false; s.teams.len()],
             ends: vec![Vec::new(); s.teams.len()],
         }
     }
@@ -744,7 +747,7 @@
         let left = if c.gang {
             if w.start_gang(class, &mut out.starts) {
                 0
-            } else if limited < c.count && w.held_back.get(c.team).is_some_and(Option::is_some) {
+            } else if limited < c.count && w.behind.get(c.team) == Some(&true) {
                 // Behind another of its team.
                 continue;
             } else if let Some(rooms) = w.room_now(class).filter(|_| limited < c.count) {
@@ -755,12 +758,16 @@
                 let stops = w.within_limit(class);
                 let at = if stops.is_empty() { w.limit_frees(class) } else { Micros::ZERO };
                 out.preempt.extend(stops);
+                w.behind[c.team] = true;
                 w.held_back[c.team] = Some(Claim { need: c.need, count: c.count, at });
                 if out.reservation.is_none() && s.reserve {
                     out.reservation = Some(w.hold(class, at, rooms));
                 }
                 continue;
             } else {
+                if let (true, Some(b)) = (limited < c.count, w.behind.get_mut(c.team)) {
+                    *b = true;
+                }
                 c.count
             }
         } else {
