--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -301,6 +301,8 @@
     assigned: BTreeMap<MachineId, Vec<(JobId, u32)>>,
     /// Places of gangs whose starts have not left.
     promised: BTreeMap<MachineId, Vec<(JobId, u32)>>,
+    /// Jobs that fit their team's guarantee, its earlier unfinished ones counted first.
+    guaranteed: BTreeSet<JobId>,
     /// The latest plan's snapshot and machines on which nothing more may start before the next.
     planned_for: Snapshot,
     closed: BTreeSet<MachineId>,
@@ -377,6 +379,7 @@
             taken: now,
             planned: Steady(0),
             planned_jobs: Vec::new(),
+            guaranteed: BTreeSet::new(),
             assigned: BTreeMap::new(),
             promised: BTreeMap::new(),
             planned_for: Snapshot::default(),
@@ -1420,8 +1423,25 @@
         left.max(stated.scale(0.1)).max(Micros::from_secs(1.0))
     }
 
+    /// The jobs that fit their team's guarantee together with its earlier unfinished ones.
+    fn within_guarantee(&self) -> BTreeSet<JobId> {
+        let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
+        by_age.sort_by_key(|j| j.submitted);
+        let mut sums: BTreeMap<&str, Need> = BTreeMap::new();
+        let mut fits = |j: &&Job| {
+            let Some((_, t)) = self.team(&j.spec.team).filter(|x| x.1.cpus > 0.0 || x.1.gpus > 0.0) else {
+                return false;
+            };
+            let sum = sums.entry(&t.name).or_default();
+            *sum = sum.plus(&need_of(&j.spec), j.spec.tasks - j.done.len());
+            sum.cpus <= t.cpus + 1e-6 && sum.gpus <= t.gpus + 1e-6
+        };
+        by_age.into_iter().filter(|j| fits(j)).map(|j| j.id.clone()).collect()
+    }
+
     fn snapshot(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>, Vec<JobId>) {
         self.demands.retain(|d| now - d.at < RECENT);
+        self.guaranteed = self.within_guarantee();
         let mut s = Snapshot {
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
@@ -1453,7 +1473,6 @@
         }
         let blind = self.silent > 0;
         let mut jobs = Vec::new();
-        let mut guaranteed: BTreeMap<String, Need> = BTreeMap::new();
         let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
         by_age.sort_by_key(|j| j.submitted);
         let mut widest = [0u32; 2];
@@ -1465,15 +1484,7 @@
         let mut classes = Vec::new();
         for j in &by_age {
             let sp = &j.spec;
-            let within = match self.team(&sp.team) {
-                Some((_, t)) if t.cpus > 0.0 || t.gpus > 0.0 => {
-                    let left = sp.tasks - j.done.len();
-                    let sum = guaranteed.entry(sp.team.clone()).or_default();
-                    *sum = sum.plus(&need_of(sp), left);
-                    sum.cpus <= t.cpus + 1e-6 && sum.gpus <= t.gpus + 1e-6
-                }
-                _ => false,
-            };
+            let within = self.guaranteed.contains(&j.id);
             let gang = sp.shape == Shape::Gang;
             let count = if now < j.not_before || (gang && (j.gang.is_some() || !j.live.is_empty())) {
                 0
@@ -1548,6 +1559,7 @@
                 Held {
                     need: e.need.unwrap_or_default(),
                     rank: spec.map_or(Rank::Idle, |s| s.rank),
+                    guaranteed: self.guaranteed.contains(&k.0),
                     team: spec.and_then(|s| self.team(&s.team)).map_or(usize::MAX, |t| t.0),
                     left: self.stated_left(e, spec, now),
                     lost: if saves {
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -62,6 +62,8 @@
     pub need: Need,
     /// Its job's rank.
     pub rank: Rank,
+    /// Its job fits its team's guarantee.
+    pub guaranteed: bool,
     /// Its team.
     pub team: usize,
     /// Until its stated end; overrunning tasks have a little left.
@@ -660,7 +662,7 @@
             for (i, h) in r.held.iter().enumerate().filter(|x| x.1.team == c.team) {
                 if h.stopping {
                     t.used = t.used.less(&h.need, 1);
-                } else if h.stoppable && h.rank < c.rank {
+                } else if yields_to(h, c) {
                     victims.push((h.lost, m, i));
                 }
             }
@@ -696,8 +698,7 @@
                 options.push((fetch, m, Vec::new(), coming.fits(&c.need)));
                 continue;
             }
-            let mut victims: Vec<usize> =
-                (0..r.held.len()).filter(|&h| r.held[h].stoppable && r.held[h].rank < c.rank).collect();
+            let mut victims: Vec<usize> = (0..r.held.len()).filter(|&h| yields_to(&r.held[h], c)).collect();
             victims.sort_by_key(|&h| r.held[h].lost);
             let (mut free, mut lost, mut chosen) = (coming, fetch, Vec::new());
             for h in victims {
@@ -846,6 +847,12 @@
     out
 }
 
+/// Whether a task may be stopped for the class. What goes before it in the queue, by its team's guarantee,
+/// is not: it would begin again at once, and be stopped again.
+fn yields_to(h: &Held, c: &Class) -> bool {
+    h.stoppable && h.rank < c.rank && (c.guaranteed || !h.guaranteed)
+}
+
 /// Whether the class may use the room at all.
 pub(crate) fn allowed(c: &Class, r: &Room) -> bool {
     c.types.contains(&r.ty) && c.zone.is_none_or(|z| z == r.zone) && (c.spot || !r.spot)
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -13,6 +13,7 @@
     let one = Held {
         need: need(1.0),
         rank: Rank::Normal,
+        guaranteed: false,
         team: 0,
         left: secs(left),
         lost: secs(1),
