--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -528,6 +528,12 @@
     }
     let p = plan(&s);
     assert_eq!((p.preempt.len(), p.starts.len()), (0, 0));
+    // What goes before it by its team's guarantee is not stopped: it would begin again at once.
+    let mut s = snapshot(16.0, vec![gang.clone(), small.clone()]);
+    s.rooms[0].held.iter_mut().for_each(|h| h.guaranteed = true);
+    assert!(plan(&s).preempt.is_empty());
+    s.rooms[0].held.iter_mut().take(2).for_each(|h| h.guaranteed = false);
+    assert_eq!(plan(&s).preempt, [(0, 0), (0, 1)]);
     // Of several that wait only the first does. What ends before the limit frees may start.
     let mut s = snapshot(16.0, vec![gang.clone(), gang.clone(), gang, Class { adjusted: secs(10), ..small }]);
     s.classes.iter_mut().for_each(|c| c.patience = secs(100));
