--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -1239,17 +1239,15 @@
     }
 }
 
-/// Meeting 14: more work than room, urgent and not. Against a job that is forgotten or waits
-/// without end, the widest ones too.
-#[test]
-fn m14_more_work_than_room_urgent_and_not() {
+/// A stream of more work than room, a quarter of it of each rank, with the widest gang and array of all
+/// before it; those and every fourth job of the stream should begin soon.
+fn more_work_than_room(ranks: [Rank; 4], widest_rank: Rank, quick_every_fourth_from: u32) {
     let mut s = Story::new();
     s.begin(&["north", "south", "north", "south"]);
-    let ranks = [Rank::Idle, Rank::Normal, Rank::Urgent, Rank::Urgent];
     let (mut ids, mut work) = (Vec::new(), 0.0);
     let quick = |job: JobSpec| JobSpec { class: Some("quick".into()), ..job };
-    let wide = s.submit(quick(JobSpec { rank: Rank::Urgent, ..spec(200, 14, "gang") }), 15.0);
-    let widest = s.submit(quick(JobSpec { rank: Rank::Urgent, ..spec(201, 40, "batch") }), 10.0);
+    let wide = s.submit(quick(JobSpec { rank: widest_rank, ..spec(200, 14, "gang") }), 15.0);
+    let widest = s.submit(quick(JobSpec { rank: widest_rank, ..spec(201, 40, "batch") }), 10.0);
     work += 14.0 * 15.0 + 40.0 * 10.0;
     for n in 0..90u32 {
         let shape = if n % 5 == 4 { "gang" } else { "batch" };
@@ -1257,7 +1255,7 @@
         if n % 7 == 3 {
             job.team = "tight".into();
         }
-        if n % 4 == 3 {
+        if n % 4 == quick_every_fourth_from {
             job = quick(job);
         }
         let length = f64::from(8 + (n * 7) % 20);
@@ -1274,55 +1272,25 @@
         assert!(s.begun[id] < 240.0, "{id} began after {} s", s.begun[id]);
     }
     let wait = |x: &(String, f64)| s.begun[&x.0] - x.1;
-    // Urgent ones pass the others.
+    // The highest pass the others.
     let mean = |r: Rank| {
         let of: Vec<f64> = ids.iter().filter(|x| s.specs[&x.0].rank == r).map(wait).collect();
         of.iter().sum::<f64>() / of.len() as f64
     };
-    assert!(mean(Rank::Urgent) < mean(Rank::Idle));
+    assert!(mean(ranks[3]) < mean(Rank::Idle));
 }
 
-/// Meeting 14, with the widest ones of a rank below half of the stream. Against a job that is forgotten or waits
+/// Meeting 14: more work than room, urgent and not. Against a job that is forgotten or waits
 /// without end, the widest ones too.
 #[test]
+fn m14_more_work_than_room_urgent_and_not() {
+    more_work_than_room([Rank::Idle, Rank::Normal, Rank::Urgent, Rank::Urgent], Rank::Urgent, 3);
+}
+
+/// Meeting 14, with the widest ones of a rank below half of the stream.
+#[test]
 fn m14_the_widest_gang_of_a_middle_rank_beneath_a_stream_of_higher_ranks() {
-    let mut s = Story::new();
-    s.begin(&["north", "south", "north", "south"]);
-    let ranks = [Rank::Idle, Rank::Normal, Rank::Urgent, Rank::Critical];
-    let (mut ids, mut work) = (Vec::new(), 0.0);
-    let quick = |job: JobSpec| JobSpec { class: Some("quick".into()), ..job };
-    let wide = s.submit(quick(JobSpec { rank: Rank::Normal, ..spec(200, 14, "gang") }), 15.0);
-    let widest = s.submit(quick(JobSpec { rank: Rank::Normal, ..spec(201, 40, "batch") }), 10.0);
-    work += 14.0 * 15.0 + 40.0 * 10.0;
-    for n in 0..90u32 {
-        let shape = if n % 5 == 4 { "gang" } else { "batch" };
-        let mut job = JobSpec { rank: ranks[n as usize % 4], ..spec(1 + n, 1 + n % 6, shape) };
-        if n % 7 == 3 {
-            job.team = "tight".into();
-        }
-        if n % 4 == 1 {
-            job = quick(job);
-        }
-        let length = f64::from(8 + (n * 7) % 20);
-        work += f64::from(job.tasks) * length;
-        ids.push((s.submit(job, length), s.s));
-        s.run(3.0);
-        if n == 40 {
-            s.change_leader(3.0);
-        }
-    }
-    assert!(work > 1.2 * 16.0 * s.s, "there is room for all: {work} in {} s", s.s);
-    s.finish(1.5 * work / 16.0);
-    for id in [&wide, &widest] {
-        assert!(s.begun[id] < 240.0, "{id} began after {} s", s.begun[id]);
-    }
-    let wait = |x: &(String, f64)| s.begun[&x.0] - x.1;
-    // Urgent ones pass the others.
-    let mean = |r: Rank| {
-        let of: Vec<f64> = ids.iter().filter(|x| s.specs[&x.0].rank == r).map(wait).collect();
-        of.iter().sum::<f64>() / of.len() as f64
-    };
-    assert!(mean(Rank::Critical) < mean(Rank::Idle));
+    more_work_than_room([Rank::Idle, Rank::Normal, Rank::Urgent, Rank::Critical], Rank::Normal, 1);
 }
 
 /// Meeting 15: a leader ends while machines with long tasks are cut off or deaf, for less than the
