--- a/src/live.rs
+++ b/src/live.rs
@@ -14,12 +14,31 @@
 const WITHIN: Micros = Micros(1_900_000);
 const PREFIX: &str = "job/";
 
+/// Ids of the live jobs at a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LiveIds {
+    /// The ids.
+    pub ids: BTreeSet<String>,
+    /// The revision; none: all is to be read anew.
+    pub revision: Option<u64>,
+}
+
+impl LiveIds {
+    /// Takes in changes since the revision.
+    pub fn apply(&mut self, c: &Events) {
+        let id = |key: Option<&String>| key.and_then(|k| k.strip_prefix(PREFIX)).map(str::to_string);
+        self.ids.extend(c.events.iter().filter_map(|e| id(e.put.as_ref())));
+        // Last, whatever order they come in: a job that has ended never lives again.
+        for gone in c.events.iter().filter_map(|e| id(e.drop.as_ref())) {
+            self.ids.remove(&gone);
+        }
+        self.revision = self.revision.max(Some(c.revision));
+    }
+}
+
 #[derive(Default)]
 struct Seen {
-    /// Ids of the live jobs at the revision.
-    ids: BTreeSet<String>,
-    /// None: all is to be read anew.
-    revision: Option<u64>,
+    live: LiveIds,
     /// Reads begun, the last that succeeded, and the last that failed, by number.
     begun: u64,
     good: u64,
@@ -60,7 +79,7 @@
         let mine = s.begun + 1;
         loop {
             if s.good >= mine {
-                return Ok(s.ids.contains(id));
+                return Ok(s.live.ids.contains(id));
             }
             if let Some((_, e)) = s.bad.as_ref().filter(|b| b.0 >= mine) {
                 return Err(e.clone());
@@ -84,14 +103,17 @@
             }
             s.begun += 1;
             s.last = steady();
-            let (number, from) = (s.begun, s.revision);
+            let (number, from) = (s.begun, s.live.revision);
             drop(s);
             let read = read(state, from);
             s = self.lock();
             s.busy = false;
             match read {
                 Ok(r) => {
-                    s.apply(r);
+                    match r {
+                        Read::All(live) => s.live = live,
+                        Read::Changes(c) => s.live.apply(&c),
+                    }
                     s.good = number;
                 }
                 Err(e) => s.bad = Some((number, e)),
@@ -102,7 +124,7 @@
 }
 
 enum Read {
-    All(BTreeSet<String>, u64),
+    All(LiveIds),
     Changes(Events),
 }
 
@@ -117,46 +139,7 @@
     let ids = rows.iter().filter_map(|r| r.key.strip_prefix(PREFIX)).map(str::to_string).collect();
     // A list of several pages is not of one moment: what changed meanwhile is read as well.
     let changes = state.changes(PREFIX, revision, Urgency::User)?;
-    let mut seen = Seen::default();
-    seen.apply(Read::All(ids, revision));
-    seen.apply(Read::Changes(changes));
-    Ok(Read::All(seen.ids, seen.revision.unwrap_or(revision)))
-}
-
-impl Seen {
-    fn apply(&mut self, r: Read) {
-        match r {
-            Read::All(ids, revision) => (self.ids, self.revision) = (ids, Some(revision)),
-            Read::Changes(c) => {
-                let id = |key: Option<&String>| key.and_then(|k| k.strip_prefix(PREFIX)).map(str::to_string);
-                self.ids.extend(c.events.iter().filter_map(|e| id(e.put.as_ref())));
-                // Last, whatever order they come in: a job that has ended never lives again.
-                for gone in c.events.iter().filter_map(|e| id(e.drop.as_ref())) {
-                    self.ids.remove(&gone);
-                }
-                self.revision = self.revision.max(Some(c.revision));
-            }
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    #[test]
-    fn what_ends_stays_ended_whatever_the_order_of_changes() {
-        let changes = |v: serde_json::Value| Read::Changes(serde_json::from_value(v).expect("changes"));
-        let mut s = Seen::default();
-        s.apply(Read::All(["wk-1".to_string()].into(), 10));
-        s.apply(changes(json!({ "harvest": 14, "events": [
-            { "drop": "job/wk-2", "stamp": 14 }, { "put": "job/wk-2", "value": {}, "stamp": 11 },
-            { "put": "job/wk-3", "value": {}, "stamp": 12 }, { "drop": "job/wk-1", "stamp": 13 } ] })));
-        assert_eq!(s.ids, ["wk-3".to_string()].into());
-        // A change without any of ours only moves the revision on, and never back.
-        s.apply(changes(json!({ "harvest": 20 })));
-        s.apply(changes(json!({ "harvest": 18, "events": [] })));
-        assert_eq!((s.ids.len(), s.revision), (1, Some(20)));
-    }
+    let mut live = LiveIds { ids, revision: Some(revision) };
+    live.apply(&changes);
+    Ok(Read::All(live))
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,15 +56,17 @@
     Rest,
 }
 
-struct Bucket {
+/// A token bucket that holds a second's worth.
+pub struct Bucket {
     rate: f64,
     level: f64,
     at: Steady,
 }
 
 impl Bucket {
-    fn new(rate: f64) -> Bucket {
-        Bucket { rate, level: rate, at: steady() }
+    /// A full one.
+    pub fn new(rate: f64, now: Steady) -> Bucket {
+        Bucket { rate, level: rate, at: now }
     }
 
     fn refill(&mut self, now: Steady) {
@@ -73,7 +75,7 @@
     }
 
     /// Takes `n`; returns how long to wait first. What is kept back is for urgent calls.
-    fn take(&mut self, now: Steady, n: f64, keep: f64) -> Result<(), Micros> {
+    pub fn take(&mut self, now: Steady, n: f64, keep: f64) -> Result<(), Micros> {
         self.refill(now);
         // A request larger than the whole bucket passes when the bucket is full.
         let need = (n + keep).min(self.rate.max(1.0));
@@ -126,8 +128,8 @@
             http: Client::new(addr, 8),
             watch: Client::new(addr, 2),
             budget: Mutex::new(Budget {
-                requests: Bucket::new(rps),
-                writes: Bucket::new(write_rps),
+                requests: Bucket::new(rps, steady()),
+                writes: Bucket::new(write_rps, steady()),
                 pause_until: Steady(0),
             }),
             waiting: Condvar::new(),
@@ -340,19 +342,3 @@
 fn parse<T: for<'a> Deserialize<'a>>(b: &[u8]) -> Result<T, StateError> {
     serde_json::from_slice(b).map_err(|e| StateError::Malformed(e.to_string()))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_budget_lets_a_burst_through_then_the_rate() {
-        let now = Steady(5_000_000);
-        let mut b = Bucket { rate: 10.0, level: 10.0, at: now };
-        let through = (0..20).filter(|_| b.take(now, 1.0, 0.0).is_ok()).count();
-        assert_eq!(through, 10);
-        let later = now + Micros::from_secs(0.5);
-        let through = (0..20).filter(|_| b.take(later, 1.0, 0.0).is_ok()).count();
-        assert_eq!(through, 5);
-    }
-}
