--- a/tests/gap.rs
+++ b/tests/gap.rs
@@ -344,6 +344,28 @@
         self.told = Some(self.now());
     }
 
+    /// A world in which the service refuses some controllers and the second confirms a cancellation that
+    /// no other hears of.
+    fn cancelled_unheard(refused: &[usize]) -> World {
+        let mut w = World::new();
+        w.apart.store(true, Ordering::SeqCst);
+        w.refuse(refused);
+        w.cancel(1);
+        w
+    }
+
+    /// After 1.5 s the service is out for all.
+    fn go_out(&mut self) {
+        self.run(1.5);
+        locked(&self.books).out = true;
+    }
+
+    /// A controller ends and is back at once, remembering nothing.
+    fn restart(&mut self, node: usize) {
+        let again = self.node(node);
+        locked(&self.net)[node] = again;
+    }
+
     fn refuse(&self, nodes: &[usize]) {
         locked(&self.books).refused = nodes.iter().copied().collect();
     }
@@ -433,8 +455,7 @@
     /// The service goes out for all 1.5 s after the confirmation, for longer than `cancel_s`, and is
     /// back; the refused one is refused for 14 s in all. Returns when the tasks were gone.
     fn outage(&mut self) -> f64 {
-        self.run(1.5);
-        locked(&self.books).out = true;
+        self.go_out();
         let gone = self.gone_after();
         let told = self.told.expect("a confirmation");
         let (until, unrefused) = (told + 84 * SECOND, told + 14 * SECOND);
@@ -474,13 +495,9 @@
 
 #[test]
 fn without_a_word_from_others_leases_end_in_time() {
-    let mut w = World::new();
-    w.apart.store(true, Ordering::SeqCst);
-    w.refuse(&[0]);
-    w.cancel(1);
+    let mut w = World::cancelled_unheard(&[0]);
     // It goes on answering for a while, as long as it may.
-    w.run(1.5);
-    locked(&w.books).out = true;
+    w.go_out();
     w.run(28.0);
     assert_eq!(locked(&w.worker).runs(1), 2, "work is not given up sooner than needed");
     let gone = w.outage();
@@ -494,20 +511,15 @@
     w.refuse(&[0]);
     w.cancel(1);
     locked(&w.worker).mute = true;
-    w.run(1.5);
-    locked(&w.books).out = true;
+    w.go_out();
     let gone = w.gone_after();
     assert!(gone < 9.0, "its report is overdue after one and a half, and the halt goes to it: {gone} s");
 }
 
 #[test]
 fn past_its_bound_the_owner_still_halts_by_command() {
-    let mut w = World::new();
-    w.apart.store(true, Ordering::SeqCst);
-    w.refuse(&[0]);
-    w.cancel(1);
-    w.run(1.5);
-    locked(&w.books).out = true;
+    let mut w = World::cancelled_unheard(&[0]);
+    w.go_out();
     w.run(25.0);
     // It answers nobody any more when the word comes through at last.
     assert_eq!(locked(&w.worker).runs(1), 2);
@@ -520,12 +532,8 @@
 #[test]
 fn with_several_refused_and_the_word_delayed_tasks_are_gone_in_time() {
     for seconds_apart in [0.0, 8.0, 60.0] {
-        let mut w = World::new();
-        w.apart.store(true, Ordering::SeqCst);
-        w.refuse(&[0, 2]);
-        w.cancel(1);
-        w.run(1.5);
-        locked(&w.books).out = true;
+        let mut w = World::cancelled_unheard(&[0, 2]);
+        w.go_out();
         w.run(seconds_apart);
         w.apart.store(false, Ordering::SeqCst);
         w.outage();
@@ -534,12 +542,8 @@
 
 #[test]
 fn a_confirmer_that_ends_and_is_back_at_once_has_forgotten_and_it_does_not_matter() {
-    let mut w = World::new();
-    w.apart.store(true, Ordering::SeqCst);
-    w.refuse(&[0]);
-    w.cancel(1);
-    let again = w.node(1);
-    locked(&w.net)[1] = again;
+    let mut w = World::cancelled_unheard(&[0]);
+    w.restart(1);
     w.apart.store(false, Ordering::SeqCst);
     let gone = w.outage();
     assert!((20.0..47.0).contains(&gone), "nobody tells the owner; gone after {gone} s");
@@ -547,24 +551,16 @@
 
 #[test]
 fn the_owner_that_ends_and_is_back_at_once_answers_nobody_until_it_has_read() {
-    let mut w = World::new();
-    w.refuse(&[0]);
-    w.apart.store(true, Ordering::SeqCst);
-    w.cancel(1);
-    let again = w.node(0);
-    locked(&w.net)[0] = again;
+    let mut w = World::cancelled_unheard(&[0]);
+    w.restart(0);
     w.outage();
 }
 
 #[test]
 fn a_machine_that_hangs_and_goes_on_within_its_lease_is_in_time() {
     for hangs_at in [2.0, 12.0, 20.0] {
-        let mut w = World::new();
-        w.apart.store(true, Ordering::SeqCst);
-        w.refuse(&[0]);
-        w.cancel(1);
-        w.run(1.5);
-        locked(&w.books).out = true;
+        let mut w = World::cancelled_unheard(&[0]);
+        w.go_out();
         w.run(hangs_at);
         let now = w.now();
         locked(&w.worker).hung_until = now + 20 * SECOND;
@@ -588,12 +584,8 @@
 /// Whoever wrote the end may have ended before it could tell anybody; its user asks another.
 #[test]
 fn whoever_repeats_the_confirmation_tells_the_others_too() {
-    let mut w = World::new();
-    w.apart.store(true, Ordering::SeqCst);
-    w.refuse(&[0]);
-    w.cancel(1);
-    let again = w.node(1);
-    locked(&w.net)[1] = again;
+    let mut w = World::cancelled_unheard(&[0]);
+    w.restart(1);
     w.apart.store(false, Ordering::SeqCst);
     w.run(0.5);
     assert_eq!(locked(&w.worker).runs(1), 2);
@@ -630,8 +622,7 @@
     assert_eq!(w.ask(0, "GET", "/api/jobs/wk-000009", "").0, 404);
     // Cancelled through the refused one, which cannot write it: another does.
     w.cancel(0);
-    w.run(1.5);
-    locked(&w.books).out = true;
+    w.go_out();
     for second in 0..40 {
         w.run(1.0);
         assert!(second < 3 || locked(&w.worker).runs(1) == 0, "the owner was told");
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -87,6 +87,20 @@
     (f, s)
 }
 
+/// In each of these seconds the owner is confirmed, time passes, and the machine `i-2`, which has room, is
+/// given nothing. Returns the number of its next report.
+fn starts_nothing_on_the_second(f: &mut Fleet, seconds: std::ops::Range<i32>) -> u64 {
+    let mut tally = 2;
+    for s in seconds {
+        let s = f64::from(s);
+        f.confirm(at(s));
+        f.tick(at(s), wall(s));
+        assert!(starts(&orders(f, s, &report("i-2", tally, 9, &[]))).is_empty(), "after {s} s");
+        tally += 1;
+    }
+    tally
+}
+
 #[test]
 fn p01_a_start_that_a_newer_report_lacks_is_started_again() {
     let mut f = ready(spec(1, 1, "batch"));
@@ -693,14 +707,7 @@
     assert_eq!(f.unheard(), 0);
     orders(&mut f, 3.0, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 3.0);
-    let mut tally = 2;
-    for s in 4..27 {
-        let s = f64::from(s);
-        f.confirm(at(s));
-        f.tick(at(s), wall(s));
-        assert!(starts(&orders(&mut f, s, &report("i-2", tally, 9, &[]))).is_empty(), "after {s} s");
-        tally += 1;
-    }
+    let tally = starts_nothing_on_the_second(&mut f, 4..27);
     f.confirm(at(27.5));
     f.tick(at(27.5), wall(27.5));
     assert_eq!(starts(&orders(&mut f, 27.5, &report("i-2", tally, 9, &[]))).len(), 1);
@@ -715,14 +722,7 @@
     f.job_put(started(spec(1, 1, "batch"), 1), 1, T0);
     orders(&mut f, 0.0, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 0.0);
-    let mut tally = 2;
-    for s in 1..46 {
-        let s = f64::from(s);
-        f.confirm(at(s));
-        f.tick(at(s), wall(s));
-        assert!(starts(&orders(&mut f, s, &report("i-2", tally, 9, &[]))).is_empty(), "after {s} s");
-        tally += 1;
-    }
+    let tally = starts_nothing_on_the_second(&mut f, 1..46);
     // Asked to be returned, but the cloud has not answered.
     assert_eq!((f.unheard(), f.leaving().len()), (1, 1));
     f.confirm(at(47.0));
@@ -744,14 +744,7 @@
     orders(&mut f, 1.0, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 1.0);
     assert_eq!(f.raised(&report("i-1", 30, 9, &running), at(20.0)), None);
-    let mut tally = 2;
-    for s in 20..44 {
-        let s = f64::from(s);
-        f.confirm(at(s));
-        f.tick(at(s), wall(s));
-        assert!(starts(&orders(&mut f, s, &report("i-2", tally, 9, &[]))).is_empty(), "after {s} s");
-        tally += 1;
-    }
+    let tally = starts_nothing_on_the_second(&mut f, 20..44);
     f.confirm(at(44.0));
     f.tick(at(44.0), wall(44.0));
     assert_eq!(starts(&orders(&mut f, 44.0, &report("i-2", tally, 9, &[]))).len(), 1);
