State service: values and transactions keep to the coming limits; larger ones are split

Done chunks carry their size in the number, so that owners with different limits write different keys; rates change after five refusals for the rate within ten seconds; history records are trimmed to what fits instead of being left out.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -11,8 +11,8 @@
 use crate::fleet::{Fleet, Packed, Pending, Said};
 use crate::history::{Key, Record};
 use crate::jobs::{
-    done_key, final_key, job_key, slot_key, FinalRecord, JobRecord, MachineRecord, HISTORY, MACHINES, MARKS,
-    RECENT_KEY,
+    chunk_span, done_key, final_key, job_key, slot_key, FinalRecord, JobRecord, MachineRecord, HISTORY,
+    MACHINES, MARKS, RECENT_KEY,
 };
 use crate::state::{Applied, StateClient, StateError, Urgency};
 use crate::time::{wall, Micros, Steady, Wall};
@@ -178,11 +178,17 @@
             }
             (Some(MACHINES), Some(slot), None) => match packed(slot, r.value) {
                 Ok((slot, m)) => fleet.inherit_machines(slot, m, r.stamp, now),
-                Err(e) => unreadable(&r.key, &e),
+                Err(e) => {
+                    unreadable(&r.key, &e);
+                    slot.parse().into_iter().for_each(|s| fleet.packs.keep_unreadable(s));
+                }
             },
             (Some(MARKS), Some(slot), None) => match packed(slot, r.value) {
                 Ok((slot, m)) => fleet.inherit_marks(slot, m, r.stamp),
-                Err(e) => unreadable(&r.key, &e),
+                Err(e) => {
+                    unreadable(&r.key, &e);
+                    slot.parse().into_iter().for_each(|s| fleet.marks.keep_unreadable(s));
+                }
             },
             (Some("done"), Some(id), Some(chunk)) => {
                 if let (Ok(chunk), Some(text)) = (chunk.parse(), r.value.as_str()) {
@@ -208,6 +214,7 @@
             _ => {}
         }
     }
+    fleet.split_oversized();
 }
 
 /// Puts what waits to be written into transactions, each guarded by the part.
@@ -216,7 +223,6 @@
     part: u64,
     pending: Vec<Pending>,
     ops: usize,
-    chunk: u32,
     now: Steady,
     wall: Wall,
 ) -> Vec<Batch> {
@@ -224,7 +230,7 @@
     for p in pending {
         // What somebody waits for never shares a transaction with what can wait.
         let urgent = p.urgent();
-        let Some(w) = compose(fleet, p, ops, chunk, now, wall) else { continue };
+        let Some(w) = compose(fleet, p, ops, now, wall) else { continue };
         let fits = |b: &Batch| {
             b.urgent == urgent
                 && b.txn.then.len() + w.then.len() <= ops
@@ -252,7 +258,7 @@
     out
 }
 
-fn compose(fleet: &mut Fleet, p: Pending, ops: usize, chunk: u32, now: Steady, wall: Wall) -> Option<Write> {
+fn compose(fleet: &mut Fleet, p: Pending, ops: usize, now: Steady, wall: Wall) -> Option<Write> {
     let guard = |key: String, stamp: u64| Guard { key, stamp };
     let (mut guards, mut then, mut said) = (Vec::new(), Vec::new(), Said::Nothing);
     match &p {
@@ -301,7 +307,8 @@
         }
         Pending::Done(id, c) => {
             let j = fleet.jobs.get(id)?;
-            let part = j.done.within(c * chunk, (c + 1) * chunk);
+            let (from, to) = chunk_span(*c);
+            let part = j.done.within(from, to);
             guards.push(guard(job_key(id), j.stamp));
             guards.push(guard(done_key(id, *c), j.chunks.get(c).copied().unwrap_or(0)));
             then.push(Change::put(done_key(id, *c), json!(part.text())));
--- a/src/config.rs
+++ b/src/config.rs
@@ -127,6 +127,47 @@
     pub value_kb: f64,
     /// Puts and deletes in a transaction.
     pub txn_ops: usize,
+    /// Limits that will hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// Limits of the state service from some moment on; what is left out stays as it is.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests a second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Puts and deletes a second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// KiB in a value.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Puts and deletes in a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// KiB in a value, within the present and the coming limit.
+    pub fn least_value_kb(&self) -> f64 {
+        let next = self.next.as_ref().and_then(|n| n.value_kb);
+        next.map_or(self.value_kb, |n| n.min(self.value_kb))
+    }
+
+    /// Puts and deletes in a transaction, within the present and the coming limit.
+    pub fn least_txn_ops(&self) -> usize {
+        let next = self.next.as_ref().and_then(|n| n.txn_ops);
+        next.map_or(self.txn_ops, |n| n.min(self.txn_ops))
+    }
+
+    /// The coming rates as shares of the present ones, at most 1: requests, then changes.
+    pub fn next_rates(&self) -> (f64, f64) {
+        let share = |now: f64, next: Option<f64>| next.map_or(1.0, |n| (n / now).min(1.0));
+        let next = self.next.clone().unwrap_or_default();
+        (share(self.rps, next.rps), share(self.write_rps, next.write_rps))
+    }
 }
 
 /// Limits of the cloud's interface.
@@ -272,6 +313,11 @@
 /// Sockets of the duties: listeners, watches, the cloud, the other controllers, raisers.
 const DUTY_SOCKETS: usize = 16 + RAISERS;
 
+/// The least KiB of a value: a job's record with the longest names that are usual fits.
+const LEAST_VALUE_KB: f64 = 1.0;
+/// The fewest changes of a transaction.
+const LEAST_TXN_OPS: usize = 4;
+
 fn positive(field: &str, v: f64) -> Result<(), ConfigError> {
     if v.is_finite() && v > 0.0 {
         Ok(())
@@ -342,9 +388,14 @@
         }
     }
 
-    /// Bytes that a value may hold.
+    /// Bytes that a value may hold, now and after the coming change of limits.
     pub fn value_bytes(&self) -> usize {
-        (self.platform.settings.state.value_kb * 1024.0) as usize
+        (self.platform.settings.state.least_value_kb() * 1024.0) as usize
+    }
+
+    /// Puts and deletes that a transaction may hold, now and after the coming change of limits.
+    pub fn txn_ops(&self) -> usize {
+        self.platform.settings.state.least_txn_ops()
     }
 
     /// A team by name.
@@ -353,6 +404,18 @@
     }
 }
 
+/// Checks that a record fits a value, and the changes that belong together a transaction: a claim of
+/// ownership takes three.
+fn check_sizes(at: &str, value_kb: f64, txn_ops: usize) -> Result<(), ConfigError> {
+    if value_kb < LEAST_VALUE_KB {
+        return Err(bad(format!("{at}.value_kb"), format!("must be at least {LEAST_VALUE_KB}")));
+    }
+    if txn_ops < LEAST_TXN_OPS {
+        return Err(bad(format!("{at}.txn_ops"), format!("must be at least {LEAST_TXN_OPS}")));
+    }
+    Ok(())
+}
+
 fn read(path: &Path) -> Result<String, ConfigError> {
     std::fs::read_to_string(path)
         .map_err(|e| ConfigError::Unreadable { path: path.display().to_string(), why: e.to_string() })
@@ -402,11 +465,13 @@
         positive("settings.state.rps", s.state.rps)?;
         positive("settings.state.write_rps", s.state.write_rps)?;
         positive("settings.state.value_kb", s.state.value_kb)?;
-        if s.state.value_kb < 1.0 {
-            return Err(bad("settings.state.value_kb", "must be at least 1"));
-        }
-        if s.state.txn_ops < 4 {
-            return Err(bad("settings.state.txn_ops", "must be at least 4"));
+        check_sizes("settings.state", s.state.value_kb, s.state.txn_ops)?;
+        if let Some(next) = &s.state.next {
+            let at = "settings.state.next";
+            positive(&format!("{at}.rps"), next.rps.unwrap_or(s.state.rps))?;
+            positive(&format!("{at}.write_rps"), next.write_rps.unwrap_or(s.state.write_rps))?;
+            positive(&format!("{at}.value_kb"), next.value_kb.unwrap_or(s.state.value_kb))?;
+            check_sizes(at, s.state.least_value_kb(), s.state.least_txn_ops())?;
         }
         positive("settings.cloud.rps", s.cloud.rps)?;
         not_negative("settings.cloud.list_lag_s", s.cloud.list_lag_s)?;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,7 +27,8 @@
 use crate::config::{Config, Team};
 use crate::history::{History, Key};
 use crate::jobs::{
-    done_key, split_task, DemandRecord, GangAttempt, Job, JobId, JobRecord, MachineId, MachineRecord, Ranges,
+    chunk_number, chunk_span, done_key, split_task, DemandRecord, GangAttempt, Job, JobId, JobRecord,
+    MachineId, MachineRecord, Ranges,
 };
 use crate::packs::Packs;
 use crate::sched::{self, Class, Held, Keep, Need, Plan, Room, Snapshot, TeamUse};
@@ -97,6 +98,10 @@
     /// How many machines are not heard, and whether it was said that all are.
     silent: usize,
     sighted: bool,
+    /// Bytes that a value may hold.
+    value_limit: usize,
+    /// Changes that a transaction may hold.
+    txn_limit: usize,
     /// Packed records.
     pub packs: Packs<MachineRecord>,
     /// Packed marks.
@@ -152,6 +157,8 @@
             uses: Vec::new(),
             silent: 0,
             sighted: false,
+            value_limit: cfg.value_bytes(),
+            txn_limit: cfg.txn_ops(),
             packs: Packs::new(cfg.value_bytes()),
             marks: Packs::new(cfg.value_bytes()),
             read_to: 0,
@@ -195,7 +202,12 @@
 
     /// Bytes that a value may hold.
     pub fn value_bytes(&self) -> usize {
-        self.cfg.value_bytes()
+        self.value_limit
+    }
+
+    /// Changes that a transaction may hold.
+    pub fn txn_ops(&self) -> usize {
+        self.txn_limit
     }
 
     /// The machine types.
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -54,6 +54,10 @@
     Marks(Vec<(JobId, u32)>, u64),
 }
 
+/// Values are not made smaller than this, in bytes.
+const LEAST_VALUE: usize = 512;
+/// Transactions are not made smaller than this, in changes.
+const LEAST_TXN: usize = 4;
 /// How long what nobody waits for is gathered before it is written.
 pub(super) const TIDY: Micros = Micros(3_000_000);
 
@@ -89,7 +93,8 @@
         for (id, r) in &records {
             self.inherit_machine(id, r, 0, now);
         }
-        self.packs.load(slot, stamp, records);
+        // The copies of a moved record are the same.
+        self.packs.load(slot, stamp, records, |_, stored| stored);
     }
 
     /// Takes over a value of marks. Those of jobs that are over are dropped.
@@ -100,10 +105,32 @@
                 j.marked(*high);
             }
         }
-        self.marks.load(slot, stamp, marks);
+        // A mark only rises.
+        self.marks.load(slot, stamp, marks, u32::max);
         over.iter().for_each(|id| self.marks.remove(id));
     }
 
+    /// All values have been taken over: those above the present limit are split.
+    pub fn split_oversized(&mut self) {
+        self.packs.empty_oversized();
+        self.marks.empty_oversized();
+    }
+
+    /// The state service rejected a write as too large, under limits smaller than any that were
+    /// announced: from now on values and transactions are half as large, so that no write is sent
+    /// again unchanged.
+    pub fn write_rejected(&mut self) {
+        self.value_limit = (self.value_limit / 2).max(LEAST_VALUE);
+        self.txn_limit = (self.txn_limit / 2).max(LEAST_TXN);
+        tracing::info!(
+            bytes = self.value_limit,
+            changes = self.txn_limit,
+            "values and transactions are kept smaller"
+        );
+        self.packs.limit_to(self.value_limit);
+        self.marks.limit_to(self.value_limit);
+    }
+
     /// Learns done ranges from their record. Those of a job that is over are to be removed.
     pub fn inherit_done(&mut self, id: &str, chunk: u32, text: &str, stamp: u64) {
         let Some(j) = self.jobs.get_mut(id) else {
@@ -136,6 +163,7 @@
                     ty: m.ty_name.clone(),
                     zone: self.zones.get(m.zone).cloned().unwrap_or_default(),
                     spot: m.spot,
+                    ..MachineRecord::default()
                 };
                 self.packs.put(&m.id, record);
             }
@@ -153,10 +181,11 @@
                 continue;
             }
             if now - j.wrote_done >= batch && j.done.len() > j.done_written.len() {
-                for c in 0..j.spec.tasks.div_ceil(chunk) {
-                    let (a, b) = (c * chunk, (c + 1) * chunk);
+                for index in 0..j.spec.tasks.div_ceil(chunk) {
+                    let number = chunk_number(chunk, index);
+                    let (a, b) = chunk_span(number);
                     if j.done.within(a, b) != j.done_written.within(a, b) {
-                        v.push(Pending::Done(j.id.clone(), c));
+                        v.push(Pending::Done(j.id.clone(), number));
                     }
                 }
             }
--- a/src/history.rs
+++ b/src/history.rs
@@ -127,20 +127,31 @@
         self.dirty.insert(bucket);
     }
 
-    /// What is written of a value: the keys that ended last, no more than fit the bytes.
+    /// What is written of a value: the keys that ended last, no more than fit the bytes. Of a key that
+    /// does not fit whole the latest jobs are written: with half the bytes to a value a full key would
+    /// otherwise keep its whole value from being written.
     pub fn value(&self, bucket: u32, bytes: usize) -> Vec<Record> {
         let mut all: Vec<(&Key, &Vec<Past>)> = self.past.iter().filter(|x| x.0.bucket() == bucket).collect();
         all.sort_by_key(|x| std::cmp::Reverse(x.1.last().map_or(0, |p| p.end_s)));
         let mut left = bytes;
-        all.into_iter()
-            .map(|(k, past)| Record { team: k.team.clone(), stated_us: k.stated.0, past: past.clone() })
-            .take_while(|r| {
-                let size = serde_json::to_string(r).map_or(usize::MAX, |s| s.len() + 1);
-                let fits = size <= left;
-                left = left.saturating_sub(size);
-                fits
-            })
-            .collect()
+        let mut out = Vec::new();
+        for (key, past) in all {
+            let mut record = Record { team: key.team.clone(), stated_us: key.stated.0, past: Vec::new() };
+            left = left.saturating_sub(json_size(&record) + 1);
+            for p in past.iter().rev() {
+                let size = json_size(p) + 1;
+                if size > left {
+                    break;
+                }
+                left -= size;
+                record.past.insert(0, *p);
+            }
+            if record.past.is_empty() {
+                break;
+            }
+            out.push(record);
+        }
+        out
     }
 
     /// A for a waiting job.
@@ -161,3 +172,7 @@
         self.past.iter().map(|(k, v)| (k.clone(), self.factor(k, now), v.len())).collect()
     }
 }
+
+fn json_size(v: &impl Serialize) -> usize {
+    serde_json::to_string(v).map_or(usize::MAX / 4, |s| s.len())
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -169,6 +169,9 @@
     /// Spot.
     #[serde(rename = "s", alias = "spot", default)]
     pub spot: bool,
+    /// Fields of a later version, written back as they were read.
+    #[serde(flatten)]
+    pub other: BTreeMap<String, serde_json::Value>,
 }
 
 /// A recent job, as far as what is kept for its like goes. The list of them is written now and
@@ -231,7 +234,25 @@
 /// Tasks in a chunk of done ranges, so that the longest text fits a value: ranges of one task
 /// each, apart by one, take up to seven bytes for two tasks.
 pub fn chunk_tasks(value_bytes: usize) -> u32 {
-    ((value_bytes / 4).saturating_sub(8)).max(64) as u32
+    ((value_bytes / 4).saturating_sub(8)).clamp(64, 65_535) as u32
+}
+
+/// Bits of a chunk's number that hold its index among the job's chunks.
+const CHUNK_INDEX_BITS: u32 = 12;
+
+/// Number of a chunk of done ranges. It carries the tasks in a chunk beside the index: with the index
+/// alone, as earlier versions number chunks, two owners whose values are limited differently would
+/// write different tasks under one key, and each would drop some that the other had written. Chunks
+/// of earlier versions are read like any other and never rewritten: these numbers are all larger.
+pub fn chunk_number(tasks_per_chunk: u32, index: u32) -> u32 {
+    (tasks_per_chunk << CHUNK_INDEX_BITS) | index
+}
+
+/// The tasks of a numbered chunk: from the first up to but not including the second.
+pub fn chunk_span(number: u32) -> (u32, u32) {
+    let tasks = number >> CHUNK_INDEX_BITS;
+    let index = number & ((1 << CHUNK_INDEX_BITS) - 1);
+    (index * tasks, (index + 1) * tasks)
 }
 
 /// Where a gang's present attempt stands.
--- a/src/node.rs
+++ b/src/node.rs
@@ -144,7 +144,7 @@
         let keep = Micros::from_secs(p.settings.workers.cancel_s);
         let now = clock.now();
         Ok(Arc::new(Node {
-            state: StateClient::new(p.services.state, rps, writes),
+            state: StateClient::new(p.services.state, rps, writes, p.settings.state.next_rates()),
             // Half of what the others are allowed, at the most.
             live: LiveJobs::new(Micros::from_secs(2.0 / rps.max(0.1)).clamp(POLLS_APART.0, POLLS_APART.1)),
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
@@ -1118,13 +1118,13 @@
 
     /// Writes what waits now; false if writing should pause.
     pub fn write_once(&self) -> bool {
-        let chunk = chunk_tasks(self.cfg.value_bytes());
-        let ops = self.cfg.platform.settings.state.txn_ops;
         let now = self.now();
         let work = self.lock().own.as_mut().map(|own| {
+            let ops = own.fleet.txn_ops();
+            let chunk = chunk_tasks(own.fleet.value_bytes());
             let pending = own.fleet.pending(now, DONE_EVERY, chunk);
             let part = own.claim.part;
-            (own.claim.clone(), cluster::batches(&mut own.fleet, part, pending, ops, chunk, now, wall()))
+            (own.claim.clone(), cluster::batches(&mut own.fleet, part, pending, ops, now, wall()))
         });
         let Some((claim, batches)) = work else { return true };
         batches.into_iter().all(|b| self.write_batch(&claim, b))
@@ -1177,6 +1177,13 @@
                     b.txn.guards.iter().map(|g| g.key.clone()).filter(|k| k != PART).collect();
                 self.read_back(claim, &keys)
             }
+            Err(StateError::Rejected(e)) => {
+                tracing::error!(error = %e, "the state service rejects a write");
+                if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == claim.token) {
+                    own.fleet.write_rejected();
+                }
+                false
+            }
             Err(e) => {
                 tracing::debug!(error = %e, "a write has to wait");
                 false
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,6 +29,10 @@
     /// The watch's revision is too old.
     #[error("the revision is too old")]
     TooOld,
+    /// The service takes no such request: a value or a transaction is too large. Never to be sent again
+    /// as it is.
+    #[error("rejected: {0}")]
+    Rejected(String),
     /// The answer makes no sense.
     #[error("malformed answer: {0}")]
     Malformed(String),
@@ -91,6 +95,63 @@
     requests: Bucket,
     writes: Bucket,
     pause_until: Steady,
+    /// This node's share of the present limits: requests and changes a second.
+    share: (f64, f64),
+    next: NextRates,
+}
+
+impl Budget {
+    /// Sets the rates by the share and, once they show, by the coming limits.
+    fn set_rates(&mut self) {
+        let (requests, writes) = self.next.in_force();
+        self.requests.rate = self.share.0 * requests;
+        self.writes.rate = self.share.1 * writes;
+    }
+}
+
+/// Refusals for the rate within this time are counted together.
+const REFUSALS_WITHIN: Micros = Micros::from_millis(10_000);
+/// So many of them show that the coming limits hold: bursts of several nodes at once have one now
+/// and then under any limits.
+const REFUSALS_SHOW: u32 = 5;
+
+/// Rates that will hold from some moment on, without notice. The present ones are kept to until
+/// refusals for the rate (429) show the change; an outage or a service that refuses this node alone
+/// answers 503 and shows nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct NextRates {
+    shares: (f64, f64),
+    refusals: u32,
+    since: Steady,
+    shown: bool,
+}
+
+impl NextRates {
+    /// The coming rates as shares of the present ones, requests and changes.
+    pub fn new(shares: (f64, f64)) -> NextRates {
+        NextRates { shares, refusals: 0, since: Steady(0), shown: false }
+    }
+
+    /// Counts a refusal for the rate; whether it shows the change.
+    pub fn refused(&mut self, now: Steady) -> bool {
+        if now - self.since > REFUSALS_WITHIN {
+            self.since = now;
+            self.refusals = 0;
+        }
+        self.refusals += 1;
+        let shows = !self.shown && self.shares != (1.0, 1.0) && self.refusals >= REFUSALS_SHOW;
+        self.shown |= shows;
+        shows
+    }
+
+    /// The shares of the present rates that are kept to.
+    pub fn in_force(&self) -> (f64, f64) {
+        if self.shown {
+            self.shares
+        } else {
+            (1.0, 1.0)
+        }
+    }
 }
 
 /// The client.
@@ -122,8 +183,9 @@
 const CALL: Micros = Micros::from_millis(2000);
 
 impl StateClient {
-    /// A client that keeps to `rps` requests and `write_rps` changes a second.
-    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64) -> StateClient {
+    /// A client that keeps to `rps` requests and `write_rps` changes a second, and to those shares of
+    /// them that will hold once the service's limits fall.
+    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, next: (f64, f64)) -> StateClient {
         StateClient {
             http: Client::new(addr, 8),
             watch: Client::new(addr, 2),
@@ -131,6 +193,8 @@
                 requests: Bucket::new(rps, steady()),
                 writes: Bucket::new(write_rps, steady()),
                 pause_until: Steady(0),
+                share: (rps, write_rps),
+                next: NextRates::new(next),
             }),
             waiting: Condvar::new(),
             failing: Mutex::new(None),
@@ -146,8 +210,8 @@
     /// Changes this node's share of the service's limits.
     pub fn allow(&self, rps: f64, write_rps: f64) {
         if let Ok(mut b) = self.budget.lock() {
-            b.requests.rate = rps;
-            b.writes.rate = write_rps;
+            b.share = (rps, write_rps);
+            b.set_rates();
         }
     }
 
@@ -218,6 +282,10 @@
                 if let Ok(mut b) = self.budget.lock() {
                     b.pause_until = steady() + Micros::from_millis(60);
                     b.requests.level = b.requests.level.min(0.0);
+                    if b.next.refused(steady()) {
+                        tracing::info!("the state service has its new limits");
+                        b.set_rates();
+                    }
                 }
                 Err(StateError::Refused(429))
             }
@@ -281,7 +349,7 @@
                 if text.contains("no such lease") {
                     Err(StateError::NoLease)
                 } else {
-                    Err(StateError::Malformed(text))
+                    Err(StateError::Rejected(text))
                 }
             }
             (s, _) => Err(StateError::Refused(s)),
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -55,7 +55,7 @@
             _ => Response::error(404, "no such path"),
         })
     });
-    let client = StateClient::new(addr, 1e6, 1e6);
+    let client = StateClient::new(addr, 1e6, 1e6, (1.0, 1.0));
     let claim = || cluster::claim(&client, "c-0", 7, Micros::from_secs(3.0), 0).expect("an outcome");
     assert!(claim().is_none(), "not there when it was looked for");
     // Its lease is ended, so that the service refuses the late copy; this one carries it out all the same.
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -523,7 +523,7 @@
     fn batches(&mut self, owner: usize, chunk: u32) -> Vec<Batch> {
         let (now, wall, o) = (at(self.s), wall(self.s), &mut self.owners[owner]);
         let pending = o.fleet.pending(now, Micros(12_000_000), chunk);
-        cluster::batches(&mut o.fleet, o.part, pending, 8, chunk, now, wall)
+        cluster::batches(&mut o.fleet, o.part, pending, 8, now, wall)
     }
 
     /// An owner learns how its transaction went (none: no answer), and reads back what it must.
--- a/tests/packs.rs
+++ b/tests/packs.rs
@@ -39,7 +39,7 @@
     // Another owner reads the same back.
     let mut q: Packs<u32> = Packs::new(512);
     for s in 0..before {
-        q.load(s, 9, p.slot(s).expect("a value").2.clone());
+        q.load(s, 9, p.slot(s).expect("a value").2.clone(), u32::max);
     }
     assert_eq!(q.get("wk-000230"), Some(&230));
     assert_eq!(q.get("wk-000003"), None);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -36,6 +36,7 @@
         ty: ty.into(),
         zone: "north".into(),
         spot: false,
+        ..MachineRecord::default()
     }
 }
 
@@ -43,7 +44,7 @@
 fn write_all(f: &mut Fleet, s: f64) {
     let pending = f.pending(at(s), Micros::ZERO, 1000);
     // Values are large enough here for all to go at once.
-    for b in cluster::batches(f, 1, pending, 1000, 1000, at(s), wall(s)) {
+    for b in cluster::batches(f, 1, pending, 1000, at(s), wall(s)) {
         for (p, said) in &b.items {
             f.written(p, 1000, said, at(s));
         }
--- a/tests/starving.rs
+++ b/tests/starving.rs
@@ -60,7 +60,7 @@
         let (now, wall) = (self.now, Wall(self.now.0));
         self.fleet.tick(now, wall);
         let pending = self.fleet.pending(now, Micros::ZERO, 1000);
-        for b in cluster::batches(&mut self.fleet, 1, pending, 64, 1000, now, wall) {
+        for b in cluster::batches(&mut self.fleet, 1, pending, 64, now, wall) {
             for (p, said) in &b.items {
                 self.fleet.written(p, 1_000_000, said, now);
             }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -536,7 +536,7 @@
             }
             let o = &mut self.owners[i];
             let pending = o.fleet.pending(now, Micros(1_500_000), chunk);
-            for b in cluster::batches(&mut o.fleet, o.part, pending, 8, chunk, now, wall) {
+            for b in cluster::batches(&mut o.fleet, o.part, pending, 8, now, wall) {
                 if !self.apply(i, &b) {
                     break;
                 }
