Services: replicas run until cancelled, start where they run soonest, run again elsewhere

Replicas of a service go to different machines, and to different zones where that costs little; what they displace is halted by direct command; one whose machine the cloud is about to take moves as soon as another has room and its image.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -1,7 +1,7 @@
 //! Renting and returning: as pure as the planner. It sees the plan's unmet tasks and the rooms,
 //! and says what to rent and which idle machines to give back.
 
-use crate::sched::{allowed, Class, Plan, Room, Snapshot};
+use crate::sched::{allowed, Class, Need, Plan, Room, Snapshot};
 use crate::time::Micros;
 use crate::wire::MachineType;
 
@@ -106,7 +106,7 @@
         let mut v: Vec<(f64, Offer, u32)> = Vec::new();
         for &ty in &c.types {
             let t = &self.types[ty];
-            let total = crate::sched::Need { cpus: t.cpus, gpus: t.gpus, memory: t.memory_gb };
+            let total = Need { cpus: t.cpus, gpus: t.gpus, memory: t.memory_gb };
             let fits = total.fits(&c.need);
             for &zone in &self.zones[ty] {
                 if fits == 0 || c.zone.is_some_and(|z| z != zone) {
@@ -190,7 +190,7 @@
         let mut groups: Vec<(&Class, f64, f64)> = Vec::new();
         for &(class, left) in &self.plan.unmet {
             let c = &self.snapshot.classes[class];
-            if c.gang {
+            if c.gang || c.replicas.is_some() {
                 continue;
             }
             let cpus = c.need.cpus.max(0.1) * f64::from(left);
@@ -240,6 +240,35 @@
         }
     }
 
+    /// Rents for replicas that found no place: whole machines, ordinary ones if they are to be had,
+    /// since a replica outlives most spot machines.
+    fn rent_for_services(&self, rents: &mut Vec<Rent>) {
+        let mut coming: Vec<Need> = self
+            .snapshot
+            .rooms
+            .iter()
+            .enumerate()
+            .map(|(m, r)| if self.upkeep[m].booting && self.coming(m) { r.free } else { Need::default() })
+            .collect();
+        for &(class, left) in &self.plan.unmet {
+            let c = &self.snapshot.classes[class];
+            if c.replicas.is_none() {
+                continue;
+            }
+            let mut missing = left;
+            for (m, _) in self.snapshot.rooms.iter().enumerate().filter(|x| allowed(c, x.1)) {
+                let taken = coming[m].fits(&c.need).min(missing);
+                coming[m] = coming[m].less(&c.need, taken);
+                missing -= taken;
+            }
+            let offers = self.offers(c);
+            let lasting = offers.iter().find(|o| !o.0.spot).or(offers.first());
+            if let (true, Some(&(offer, fits))) = (missing > 0, lasting) {
+                add(rents, Rent { offer, count: missing.div_ceil(fits.max(1)) });
+            }
+        }
+    }
+
     fn returns(&self) -> Vec<usize> {
         let reserved = |m: usize| {
             self.plan.reservation.as_ref().is_some_and(|r| r.rooms.iter().any(|x| x.0 == m))
@@ -285,6 +314,7 @@
         let mut rents = Vec::new();
         self.rent_for_gangs(&mut rents);
         self.rent_for_arrays(&mut rents);
+        self.rent_for_services(&mut rents);
         Decision { rents, returns: self.returns() }
     }
 }
--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -33,14 +33,18 @@
             .map(|t| t.boot_s + s.image_gb / t.fetch_gb_per_s.max(0.001));
         let ready = slowest.fold(f64::INFINITY, f64::min);
         let aim = self.start_aim(s);
+        let service = s.shape == Shape::Service;
+        // A service has its room for as long as it runs; what has to be ready for the next one is the
+        // room for the time that a new machine would take.
+        let each = if service { ready.min(3600.0) } else { stated(s).secs().min(3600.0) };
         self.came += 1;
         self.demands.push(Demand {
             at: now,
             need: need_of(s),
             rank: s.rank,
             types,
-            work: stated(s).secs().min(3600.0) * f64::from(s.tasks),
-            hasty: aim.is_some_and(|a| a < ready),
+            work: each * f64::from(s.tasks),
+            hasty: service || aim.is_some_and(|a| a < ready),
             beside: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
             due: s.deadline_s.is_some(),
             spot: s.spot,
@@ -155,6 +159,10 @@
     /// the reports that carry the stops and the starts, and the fetch of its image.
     pub(super) fn patience(&self, s: &JobSpec) -> Micros {
         let w = &self.cfg.platform.settings;
+        if s.shape == Shape::Service {
+            // Each moment without a replica is missed by its users.
+            return Micros::ZERO;
+        }
         let Some(aim) = self.start_aim(s) else { return Micros::from_secs(2.0 * w.workers.report_s) };
         let types = self.allowed_types(s);
         let fetch = types.iter().map(|&t| s.image_gb / self.types[t].fetch_gb_per_s.max(0.001));
--- a/src/fleet/machines.rs
+++ b/src/fleet/machines.rs
@@ -15,6 +15,8 @@
     pub running: Option<Steady>,
     /// To be stopped, with this grace.
     pub stop: Option<f64>,
+    /// The halt is to leave by direct command, ahead of the next report's answer.
+    pub stop_at_once: bool,
     /// Why it ended, if it did.
     pub ended: Option<Why>,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod machines;
 mod planning;
 mod records;
+mod replicas;
 mod reports;
 mod starts;
 mod status;
@@ -38,6 +39,7 @@
 };
 
 use demand::*;
+use replicas::WaitingService;
 
 /// A task on a machine, by job, number and attempt.
 pub type TaskKey = (JobId, u32, u64);
@@ -84,6 +86,8 @@
     taken: Steady,
     planned: Steady,
     planned_jobs: Vec<JobId>,
+    /// Services with replicas that wait for a start.
+    waiting_services: Vec<WaitingService>,
     /// What the latest plan starts on each machine: jobs with numbers of tasks.
     assigned: BTreeMap<MachineId, Vec<(JobId, u32)>>,
     /// Places of gangs whose starts have not left.
@@ -149,6 +153,7 @@
             taken: now,
             planned: Steady(0),
             planned_jobs: Vec::new(),
+            waiting_services: Vec::new(),
             guaranteed: BTreeSet::new(),
             assigned: BTreeMap::new(),
             promised: BTreeMap::new(),
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -1,5 +1,6 @@
 //! The planner's input, and how its plan is carried out.
 
+use super::replicas::STOPPED_REPLICA_COSTS;
 use super::*;
 
 /// Delays that differ by less count as alike.
@@ -78,6 +79,8 @@
                 machines.push(m.id.clone());
             }
         }
+        let room_of: BTreeMap<&MachineId, usize> =
+            machines.iter().enumerate().map(|(i, id)| (id, i)).collect();
         let blind = self.silent > 0;
         let mut jobs = Vec::new();
         let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
@@ -128,6 +131,7 @@
                 zones: if sp.one_zone || sp.spread { self.zones_of(j) } else { vec![0; self.zones.len()] },
                 lost: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
                 patience: self.patience(sp) - waited,
+                replicas: (sp.shape == Shape::Service).then(|| self.replica_rooms(j, &room_of)),
             });
         }
         for (c, name) in classes.iter_mut().zip(image_of) {
@@ -162,6 +166,8 @@
             .map(|(k, e)| {
                 let spec = self.jobs.get(&k.0).map(|j| &j.spec);
                 let ran = e.running.map_or(Micros::ZERO, |r| now - r);
+                let endless = spec.is_some_and(|s| s.shape == Shape::Service);
+                let worth = if endless { STOPPED_REPLICA_COSTS } else { ran };
                 let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0);
                 Held {
                     need: e.need.unwrap_or_default(),
@@ -172,11 +178,12 @@
                     lost: if saves {
                         Micros::ZERO
                     } else {
-                        ran.scale(e.need.map_or(1.0, |n| n.cpus.max(0.1)))
+                        worth.scale(e.need.map_or(1.0, |n| n.cpus.max(0.1)))
                     },
                     stoppable: e.stop.is_none()
-                        && spec.is_some_and(|s| s.shape == Shape::Array || s.tasks == 1),
+                        && spec.is_some_and(|s| s.shape != Shape::Gang || s.tasks == 1),
                     stopping: e.stop.is_some(),
+                    endless,
                 }
             })
             .collect();
@@ -222,6 +229,9 @@
     /// counting against it after a while: one for its end after five times the aim, one for its
     /// start sooner, and the sooner the wider the job is: it takes longer to find its room.
     pub(super) fn lost(&self, s: &JobSpec, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
+        if s.shape == Shape::Service {
+            return 0;
+        }
         let end = waited.secs() + 0.7 * adjusted.secs();
         let yields = Self::yields(s, widest);
         let by_end = |within: f64| end > within && waited.secs() < 5.0 * within;
@@ -260,7 +270,8 @@
         let (snapshot, machines, jobs) = self.snapshot(now, wall);
         let plan = sched::plan(&snapshot);
         self.assign(&snapshot, &plan, &machines, &jobs, now);
-        self.stop_for(&plan, &machines, now);
+        self.stop_for(&snapshot, &plan, &machines, now);
+        self.note_waiting_services(&snapshot, &plan);
         let reserved = plan.reservation.iter().flat_map(|r| r.rooms.iter().map(|x| x.0));
         let closed = reserved.chain(plan.preempt.iter().map(|x| x.0));
         self.closed = closed.map(|m| machines[m].clone()).collect();
@@ -357,14 +368,24 @@
         }
     }
 
-    pub(super) fn stop_for(&mut self, plan: &Plan, machines: &[MachineId], now: Steady) {
+    pub(super) fn stop_for(&mut self, s: &Snapshot, plan: &Plan, machines: &[MachineId], now: Steady) {
         let mut stops: Vec<(MachineId, TaskKey, f64)> = Vec::new();
+        let mut at_once: Vec<(MachineId, TaskKey)> = Vec::new();
+        let for_replicas: BTreeSet<usize> = plan
+            .starts
+            .iter()
+            .filter(|start| s.classes[start.class].replicas.is_some())
+            .map(|start| start.room)
+            .collect();
         for &(room, held) in &plan.preempt {
             let id = &machines[room];
             let Some(m) = self.machines.get(id) else { continue };
             // The planner's `held` lists the live tasks in this very order.
             if let Some((k, _)) = m.tasks.iter().filter(|x| x.1.live()).nth(held) {
                 stops.push((id.clone(), k.clone(), self.grace(&k.0)));
+                if for_replicas.contains(&room) {
+                    at_once.push((id.clone(), k.clone()));
+                }
                 tracing::info!(machine = %id, job = %k.0, task = k.1, "preempted");
             }
         }
@@ -379,6 +400,11 @@
                 }
             }
         }
+        for (id, k) in self.replicas_to_move(now) {
+            tracing::info!(machine = %id, job = %k.0, task = k.1, "a replica moves");
+            stops.push((id.clone(), k.clone(), self.grace(&k.0)));
+            at_once.push((id, k));
+        }
         for (id, k, grace) in stops {
             if self.jobs.get(&k.0).is_some_and(|j| j.spec.shape == Shape::Gang) {
                 self.stop_all(&k.0, Some(k.2), grace, false);
@@ -391,6 +417,11 @@
                 g.stopping.get_or_insert(grace);
             }
         }
+        for (id, k) in at_once {
+            if let Some(e) = self.machines.get_mut(&id).and_then(|m| m.tasks.get_mut(&k)) {
+                e.stop_at_once = e.live() && e.stop.is_some();
+            }
+        }
     }
 
     pub(super) fn grace(&self, id: &JobId) -> f64 {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -137,6 +137,11 @@
             self.orphans.insert(done_key(id, chunk), stamp);
             return;
         };
+        if j.spec.shape == Shape::Service {
+            // An earlier version took a replica that ended for done; a service never is.
+            self.orphans.insert(done_key(id, chunk), stamp);
+            return;
+        }
         let mut r = Ranges::new();
         r.add_text(text, j.spec.tasks);
         for n in r.iter() {
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -9,6 +9,16 @@
 /// After so many answers in a row that did not arrive, a machine is returned.
 pub(super) const DEAF: u32 = 4;
 
+/// How a task ended.
+pub(super) struct Ended {
+    /// Why.
+    why: Why,
+    /// How long it ran, if that was seen whole.
+    ran: Option<Micros>,
+    /// How long it has been known here.
+    lived: Micros,
+}
+
 impl Fleet {
     /// A report came while this owner may answer none. Without this a machine whose lease ended for
     /// that would be taken for silent and returned as soon as the owner may act again: after a long
@@ -85,23 +95,27 @@
         due.map(|m| (m.id.clone(), m.addr.clone(), m.seen.0.max(1))).collect()
     }
 
-    /// Halts of what is left of jobs that are over, for machines whose report is overdue: name,
+    /// Halts of tasks in whose place a replica waits, and of what is left of jobs that are over on
+    /// machines whose report is overdue: name,
     /// address, session and orders. The answer to a report carries the same halts; a machine that
     /// reaches no controller, or whose owner may no longer answer, has them from here.
     pub fn to_halt(&mut self, now: Steady) -> Vec<(MachineId, String, u64, Vec<Order>)> {
         let overdue = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 1.5);
         let mut out = Vec::new();
         for m in self.machines.values_mut() {
-            if m.addr.is_empty() || now - m.report.max(m.commanded) <= overdue {
+            if m.addr.is_empty() {
                 continue;
             }
+            let is_overdue = now - m.report.max(m.commanded) > overdue;
             let over = |k: &TaskKey| self.jobs.get(&k.0).is_none_or(|j| j.cancelled);
-            let orders: Vec<Order> = m
-                .tasks
-                .iter()
-                .filter(|(k, e)| e.live() && e.stop == Some(0.0) && over(k))
-                .map(|(k, _)| Order::Halt { task: format!("{}/{}", k.0, k.1), attempt: k.2, grace_s: 0.0 })
-                .collect();
+            let mut orders = Vec::new();
+            for (k, e) in m.tasks.iter_mut().filter(|x| x.1.live()) {
+                let Some(grace_s) = e.stop else { continue };
+                if e.stop_at_once || (is_overdue && grace_s == 0.0 && over(k)) {
+                    e.stop_at_once = false;
+                    orders.push(Order::Halt { task: format!("{}/{}", k.0, k.1), attempt: k.2, grace_s });
+                }
+            }
             if !orders.is_empty() {
                 m.commanded = now;
                 out.push((m.id.clone(), m.addr.clone(), m.seen.0.max(1), orders));
@@ -232,6 +246,7 @@
             since: now,
             running: None,
             stop: None,
+            stop_at_once: false,
             ended: None,
         });
         if e.ended.is_some() {
@@ -265,20 +280,15 @@
             let why = t.why.unwrap_or(Why::Other);
             e.ended = Some(why);
             let ran = e.running.map(|r| now - r);
-            self.exited(id, key, why, ran, now);
+            let lived = now - e.since;
+            self.exited(id, key, Ended { why, ran, lived }, now);
         } else if before != e.stage && (fresh || before.is_none()) {
             self.refresh(&key.0, key.1, id);
         }
     }
 
-    pub(super) fn exited(
-        &mut self,
-        id: &MachineId,
-        key: &TaskKey,
-        why: Why,
-        ran: Option<Micros>,
-        now: Steady,
-    ) {
+    fn exited(&mut self, id: &MachineId, key: &TaskKey, ended: Ended, now: Steady) {
+        let Ended { why, ran, lived } = ended;
         tracing::debug!(machine = %id, job = %key.0, task = key.1, ?why, "a task ended");
         if let Some(m) = self.machines.get_mut(id) {
             match why {
@@ -295,7 +305,10 @@
                 _ => {}
             }
         }
-        if let Some(j) = self.jobs.get_mut(&key.0) {
+        let service = self.jobs.get(&key.0).is_some_and(|j| j.spec.shape == Shape::Service);
+        if service {
+            self.replica_ended(&key.0, id, why, lived, now);
+        } else if let Some(j) = self.jobs.get_mut(&key.0) {
             match why {
                 Why::Done if key.1 < j.spec.tasks => {
                     j.errors = 0;
@@ -311,12 +324,7 @@
                         j.ran = (j.ran.0 + r, j.ran.1 + 1);
                     }
                 }
-                Why::Error | Why::Unknown => {
-                    // Backed off by the job, so that a mistaken job does not hold room.
-                    j.errors = (j.errors + 1).min(1000);
-                    let wait = if j.errors <= 2 { 0.5 } else { f64::from(1u32 << j.errors.min(7)).min(60.0) };
-                    j.not_before = now + Micros::from_secs(wait);
-                }
+                Why::Error | Why::Unknown => j.back_off(now),
                 _ => {}
             }
         }
@@ -334,6 +342,8 @@
                 match (e.ended, e.stop) {
                     (Some(why), _) => {
                         let written = match self.jobs.get(&k.0) {
+                            // A service is never done: nothing of its replicas' ends is written.
+                            Some(j) if j.spec.shape == Shape::Service => true,
                             Some(j) if why == Why::Done && !j.cancelled => j.done_written.contains(k.1),
                             _ => true,
                         };
@@ -354,11 +364,15 @@
         out
     }
 
-    /// Whether a report may be answered a little later: nothing is on the machine and nothing was
-    /// said to it, so that a start which comes up meanwhile can leave at once.
+    /// Whether a report may be answered a little later: nothing is on the machine but replicas that
+    /// run, and nothing was said to it, so that a start which comes up meanwhile can leave at once.
     pub fn may_wait(&self, id: &str, now: Steady) -> bool {
-        let m = self.machines.get(id).filter(|m| m.usable(now));
-        m.is_some_and(|m| m.tasks.is_empty() && m.notice.is_none())
+        let Some(m) = self.machines.get(id).filter(|m| m.usable(now)) else { return false };
+        let steady_replica = |k: &TaskKey, e: &Entry| {
+            let service = self.jobs.get(&k.0).is_some_and(|j| j.spec.shape == Shape::Service);
+            service && e.stage == Some(TaskStage::Running) && e.stop.is_none()
+        };
+        m.notice.is_none() && m.tasks.iter().all(|(k, e)| steady_replica(k, e))
     }
 
     /// Whether a start for the machine may leave now.
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -26,7 +26,18 @@
                 self.promised.entry(id.clone()).or_default().push((job, n));
             }
         }
-        for (job, count) in self.assigned.remove(id).unwrap_or_default() {
+        let is_service = |j: &JobId| self.jobs.get(j).is_some_and(|j| j.spec.shape == Shape::Service);
+        let (replicas, others): (Vec<_>, Vec<_>) =
+            self.assigned.remove(id).unwrap_or_default().into_iter().partition(|a| is_service(&a.0));
+        for (job, count) in replicas {
+            self.start_some(&job, count, id, now, out);
+            if self.jobs.get(&job).is_some_and(|j| !j.waiting.is_empty()) {
+                // Its mark is being written, or what it replaces has not ended yet.
+                self.assigned.entry(id.clone()).or_default().push((job, count));
+            }
+        }
+        self.start_replicas(id, now, out);
+        for (job, count) in others {
             self.start_some(&job, count, id, now, out);
         }
         let Some(room) = self.top_up_room(id, now) else { return };
@@ -111,8 +122,15 @@
             }
         }
         if let Some(m) = self.machines.get_mut(id) {
-            let e =
-                Entry { stage: None, need: Some(need), since: now, running: None, stop: None, ended: None };
+            let e = Entry {
+                stage: None,
+                need: Some(need),
+                since: now,
+                running: None,
+                stop: None,
+                stop_at_once: false,
+                ended: None,
+            };
             m.tasks.insert((job.clone(), n, attempt), e);
             m.sent.push((job.clone(), n, attempt));
             m.idle = now;
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -36,7 +36,11 @@
     pub waiting: u32,
     /// Tasks that are or may be somewhere.
     pub placed: usize,
-    /// Tasks done.
+    /// Tasks or replicas in all.
+    pub wanted: u32,
+    /// Tasks or replicas that run.
+    pub running: u32,
+    /// Tasks done; a service never has any.
     pub done: u32,
     /// Failures in a row.
     pub errors: u32,
@@ -113,6 +117,8 @@
                     waited_s: (wall - j.submitted).secs(),
                     waiting: j.waiting.len(),
                     placed: j.live.len(),
+                    wanted: j.spec.tasks,
+                    running: self.counts(&j.id).unwrap_or_default().running,
                     done: j.done.len(),
                     errors: j.errors,
                 })
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -33,7 +33,11 @@
             }
             return;
         }
-        let job = Job::new(record, stamp, now);
+        let mut job = Job::new(record, stamp, now);
+        if job.spec.shape == Shape::Service {
+            // All its replicas are to run at once: their mark need not wait for a plan.
+            job.high_wanted = job.spec.tasks;
+        }
         let need = need_of(&job.spec);
         self.demand(&job.spec, now);
         // Tasks of the job may have been reported before its record was known.
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -109,6 +109,7 @@
         }
         self.gone.retain(|_, at| (now - *at).secs() < 900.0);
         self.refused.retain(|_, until| now < *until);
+        self.forget_vacated(now);
         self.replan(now, wall);
     }
 
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -311,6 +311,8 @@
     pub errors: u32,
     /// After failures, not started before this.
     pub not_before: Steady,
+    /// Machines that a replica of a service has left by itself, and when.
+    pub vacated: BTreeMap<MachineId, Steady>,
     /// Run times seen whole: their sum and number.
     pub ran: (Micros, u32),
     /// A start has been counted (for the log).
@@ -339,6 +341,7 @@
             cancelled: false,
             errors: 0,
             not_before: Steady(0),
+            vacated: BTreeMap::new(),
             ran: (Micros::ZERO, 0),
             first_start: None,
         }
@@ -349,6 +352,14 @@
         self.done.len() == self.spec.tasks
     }
 
+    /// Counts a failure: the job is tried again ever more seldom, so that a mistaken one does not hold
+    /// room.
+    pub fn back_off(&mut self, now: Steady) {
+        self.errors = (self.errors + 1).min(1000);
+        let wait = if self.errors <= 2 { 0.5 } else { f64::from(1u32 << self.errors.min(7)).min(60.0) };
+        self.not_before = now + Micros::from_secs(wait);
+    }
+
     /// Learns from its mark that tasks below `high` may have been started.
     pub fn marked(&mut self, high: u32) {
         self.high = self.high.max(high);
--- a/src/sched.rs
+++ b/src/sched/mod.rs
@@ -5,6 +5,10 @@
 //! the earliest time its room frees by the running tasks' *stated* times; jobs behind it start now
 //! only if, by their *adjusted* times, they do not delay it.
 
+mod services;
+
+pub use services::{runs_in, runs_sooner};
+
 use crate::time::Micros;
 use crate::wire::Rank;
 
@@ -74,6 +78,8 @@
     pub stoppable: bool,
     /// Whether it is being stopped.
     pub stopping: bool,
+    /// Whether it runs until its job is cancelled.
+    pub endless: bool,
 }
 
 /// A machine.
@@ -153,6 +159,8 @@
     pub lost: u8,
     /// How long it may still wait before others are stopped for it.
     pub patience: Micros,
+    /// For a service: rooms with a replica of it, and those that one has left of late.
+    pub replicas: Option<Vec<usize>>,
 }
 
 /// A team's use and limit.
@@ -771,6 +779,8 @@
                 }
                 c.count
             }
+        } else if c.replicas.is_some() {
+            w.start_service(class, &mut out.starts, &mut out.preempt)
         } else {
             w.start_array(class, &mut out.starts)
         };
@@ -784,6 +794,10 @@
                 *w = true;
             }
         }
+        if c.replicas.is_some() {
+            // All that can be stopped for it is; what it needs beyond that has to be rented.
+            continue;
+        }
         if out.reservation.is_none() && s.reserve {
             out.reservation = w.reserve(class);
             let far = out.reservation.as_ref().is_none_or(|r| r.at > c.patience);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -184,6 +184,7 @@
         zones: vec![0, 0],
         lost: 0,
         patience: secs(10),
+        replicas: None,
     }
 }
 
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -18,7 +18,7 @@
               held in prop::collection::vec((1u32..3, rank(), 1i64..90, any::<bool>()), 0..4)) -> Room {
         let total = need(if ty == 0 { 4.0 } else { 16.0 });
         let held: Vec<Held> = held.into_iter().map(|(cpus, rank, left, stoppable)| Held {
-            need: need(f64::from(cpus)), rank, guaranteed: false, team: usize::from(!stoppable), left: secs(left), lost: secs(left), stoppable, stopping: false,
+            need: need(f64::from(cpus)), rank, guaranteed: false, team: usize::from(!stoppable), left: secs(left), lost: secs(left), stoppable, stopping: false, endless: false,
         }).scan(0.0, |sum, h| { *sum += h.need.cpus; Some((*sum, h)) }).filter(|x| x.0 <= total.cpus).map(|x| x.1).collect();
         let free = held.iter().fold(total, |f, h| f.less(&h.need, 1));
         Room { ty, zone, spot, total, free, rate, open, opens_in: secs(if open { opens % 4 } else { opens }),
@@ -34,7 +34,7 @@
                adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
         Class { rank, raised: (lost == 2 && gang).then_some(Rank::Urgent), team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
                 one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, adjusted: secs(adjusted),
-                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), lost }
+                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), lost, replicas: None }
     }
 }
 
@@ -479,6 +479,7 @@
         lost: secs(5),
         stoppable: true,
         stopping: false,
+        endless: false,
     };
     let room = |ty: usize, free: f64, held: Vec<Held>| Room {
         ty,
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -19,6 +19,7 @@
         lost: secs(1),
         stoppable: true,
         stopping: false,
+        endless: false,
     };
     Room {
         ty: 0,
