--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::capacity::{Offer, Policy, Upkeep, View, Warm};
 use crate::config::{Config, Team};
+use crate::direct_command::DirectCommand;
 use crate::history::{History, Key};
 use crate::jobs::{
     done_key, split_task, DemandRecord, GangAttempt, Job, JobId, JobRecord, MachineId, MachineRecord, Ranges,
@@ -801,10 +802,16 @@
         self.silent
     }
 
-    /// Machines to which this owner's token has to be brought: name, address and session.
-    pub fn to_raise(&self, now: Steady) -> Vec<(MachineId, String, u64)> {
+    /// Commands without orders to the machines to which this owner's token has to be brought.
+    pub fn to_raise(&self, now: Steady) -> Vec<DirectCommand> {
         let due = self.machines.values().filter(|m| m.to_raise(now) && !m.addr.is_empty());
-        due.map(|m| (m.id.clone(), m.addr.clone(), m.seen.0.max(1))).collect()
+        due.map(|m| DirectCommand {
+            machine: m.id.clone(),
+            address: m.addr.clone(),
+            session: m.seen.0.max(1),
+            orders: Vec::new(),
+        })
+        .collect()
     }
 
     /// Whether a job's started tasks may be on a machine that is not heard. Only on one that the
@@ -893,10 +900,10 @@
         None
     }
 
-    /// Halts of what is left of jobs that are over, for machines whose report is overdue: name,
-    /// address, session and orders. The answer to a report carries the same halts; a machine that
-    /// reaches no controller, or whose owner may no longer answer, has them from here.
-    pub fn to_halt(&mut self, now: Steady) -> Vec<(MachineId, String, u64, Vec<Order>)> {
+    /// Halts of what is left of jobs that are over, for machines whose report is overdue.
+    /// The answer to a report carries the same halts; a machine that reaches no controller, or whose
+    /// owner may no longer answer, has them from here.
+    pub fn to_halt(&mut self, now: Steady) -> Vec<DirectCommand> {
         let overdue = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 1.5);
         let mut out = Vec::new();
         for m in self.machines.values_mut() {
@@ -912,7 +919,12 @@
                 .collect();
             if !orders.is_empty() {
                 m.commanded = now;
-                out.push((m.id.clone(), m.addr.clone(), m.seen.0.max(1), orders));
+                out.push(DirectCommand {
+                    machine: m.id.clone(),
+                    address: m.addr.clone(),
+                    session: m.seen.0.max(1),
+                    orders,
+                });
             }
         }
         out
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cloud;
 pub mod cluster;
 pub mod config;
+pub mod direct_command;
 pub mod fleet;
 pub mod history;
 pub mod http;
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -4,13 +4,10 @@
 
 use super::{Node, Own};
 use crate::config::RAISERS;
+use crate::direct_command::DirectCommand;
 use crate::http::Client;
-use crate::jobs::MachineId;
 use crate::time::Micros;
-use crate::wire::{Commands, Order, Report};
-
-/// A command that is sent straight to a worker: machine, address, session and orders.
-type DirectCommand = (MachineId, String, u64, Vec<Order>);
+use crate::wire::{Commands, Report};
 
 impl Node {
     /// Brings this owner's token to the machines it has inherited, and halts to those that do not
@@ -26,9 +23,7 @@
     pub fn command_once(&self) -> bool {
         let due = self.lock().own.as_mut().map(|o| {
             let now = self.now();
-            let raise =
-                o.fleet.to_raise(now).into_iter().map(|(id, addr, season)| (id, addr, season, Vec::new()));
-            let mut list: Vec<DirectCommand> = raise.collect();
+            let mut list = o.fleet.to_raise(now);
             list.extend(o.fleet.to_halt(now));
             (o.fleet.token, list)
         });
@@ -50,29 +45,30 @@
         true
     }
 
-    fn command_one(&self, token: u64, (id, addr, season, orders): &DirectCommand) {
+    fn command_one(&self, token: u64, command: &DirectCommand) {
+        let DirectCommand { machine, address, session, orders } = command;
         // It may have reported by itself since the list was made.
         let due = |o: &Own| {
             o.claim.token == token
-                && o.fleet.machines.get(id).is_some_and(|m| !orders.is_empty() || m.to_raise(self.now()))
+                && o.fleet.machines.get(machine).is_some_and(|m| !orders.is_empty() || m.to_raise(self.now()))
         };
         if !self.lock().own.as_ref().is_some_and(due) {
             return;
         }
-        let Ok(addr) = addr.parse() else { return };
-        let client = Client::new(addr, 1);
-        let mut season = *season;
+        let Ok(address) = address.parse() else { return };
+        let client = Client::new(address, 1);
+        let mut season = *session;
         for _ in 0..2 {
             let Ok(body) = serde_json::to_vec(&Commands { token, season, orders: orders.clone() }) else {
                 return;
             };
             let Ok((status, body)) = client.call("POST", "/commands", Some(&body), Micros::from_millis(1500))
             else {
-                tracing::debug!(machine = %id, "does not answer");
+                tracing::debug!(%machine, "does not answer");
                 return;
             };
             let Ok(r) = serde_json::from_slice::<Report>(&body) else { return };
-            if r.machine != **id {
+            if r.machine != **machine {
                 return;
             }
             // With halts, a later session has nothing left to be halted.
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -337,7 +337,8 @@
                 continue;
             }
             let token = self.owners[i].fleet.token;
-            for (id, _, season) in self.owners[i].fleet.to_raise(at(self.s)) {
+            for due in self.owners[i].fleet.to_raise(at(self.s)) {
+                let (id, season) = (due.machine, due.session);
                 let Some(w) = self.workers.iter().find(|w| w.id == *id) else { continue };
                 if !matches!(w.link, Link::Open | Link::Mute) || !self.passes(w.zone, i) {
                     continue;
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -759,9 +759,8 @@
     assert!(f.to_halt(at(3.0)).is_empty(), "the answer to its next report will tell it");
     let due = f.to_halt(at(7.0));
     assert_eq!(due.len(), 1);
-    let (id, _, season, list) = &due[0];
-    assert_eq!((&**id, *season), ("i-1", 1));
-    assert_eq!(list[..], [Order::Halt { task: task.0.clone(), attempt: task.1, grace_s: 0.0 }]);
+    assert_eq!((&*due[0].machine, due[0].session), ("i-1", 1));
+    assert_eq!(due[0].orders, [Order::Halt { task: task.0.clone(), attempt: task.1, grace_s: 0.0 }]);
     assert!(f.to_halt(at(8.0)).is_empty(), "said a moment ago");
     assert_eq!(f.to_halt(at(12.0)).len(), 1);
     // A task that may run is not stopped for silence.
