--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -1,7 +1,9 @@
 //! The owner's dealings with the cloud: the list of machines, the prices, renting and returning.
 
 use super::Node;
+use crate::capacity::Offer;
 use crate::cloud::CloudError;
+use crate::fleet::Fleet;
 use crate::time::{wall, Micros, Steady};
 use crate::wire::RentRequest;
 
@@ -9,6 +11,12 @@
 const MOST_RENTED: u32 = 50;
 /// Most machines in one request to return some.
 const MOST_RETURNED: usize = 100;
+/// How often a request for machines is repeated when its outcome is not known.
+const RENT_RETRIES: usize = 2;
+/// How long an offer that the cloud could not meet in full is not asked for.
+const REFUSED_FOR: Micros = Micros::from_millis(10_000);
+/// The same after the cloud answered with an error, or not at all.
+const FAILED_FOR: Micros = Micros::from_millis(2_000);
 
 impl Node {
     /// Keeps an eye on the cloud's list and its prices. A long list takes several requests, which
@@ -94,62 +102,107 @@
     }
 
     fn rent(&self, token: u64, counter: &mut u64) {
-        let wants = match self.lock().own.as_mut().filter(|o| o.claim.token == token) {
-            Some(own) => {
-                let w = own.fleet.capacity(self.now(), wall());
-                w.into_iter()
-                    .filter_map(|(o, n)| {
-                        let ty = own.fleet.types().get(o.ty)?.name.clone();
-                        Some((o, n, ty, own.fleet.zone_name(o.zone).to_string()))
-                    })
-                    .collect::<Vec<_>>()
-            }
-            None => return,
-        };
-        // A request is for fifty at the most.
-        let requests = wants.into_iter().flat_map(|(offer, count, ty, zone)| {
-            let whole =
-                (0..count.div_ceil(MOST_RENTED)).map(move |i| (count - i * MOST_RENTED).min(MOST_RENTED));
-            whole.map(move |n| (offer, n, ty.clone(), zone.clone()))
-        });
+        let Some(wanted) = self.wanted(token) else { return };
         let mut refused = Vec::new();
-        for (offer, count, ty, zone) in requests {
+        for (offer, request) in wanted {
             if refused.contains(&offer) {
                 continue;
             }
             *counter += 1;
-            let request = format!("r-{token}-{}-{counter}", self.incarnation);
-            let r = RentRequest { request, ty, zone, spot: offer.spot, count };
-            let mut outcome = self.cloud.rent(&r);
-            // The same request may be repeated: it rents nothing twice.
-            for _ in 0..2 {
-                if !matches!(outcome, Err(CloudError::Unknown(_))) {
-                    break;
-                }
-                outcome = self.cloud.rent(&r);
-            }
+            let request =
+                RentRequest { request: format!("r-{token}-{}-{counter}", self.incarnation), ..request };
+            let outcome = self.request_rental(&request);
             let mut core = self.lock();
             let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
-            match outcome {
-                Ok(ids) => {
-                    tracing::info!(ty = %r.ty, zone = %r.zone, spot = r.spot, asked = r.count, got = ids.len(), "rented");
-                    if (ids.len() as u32) < r.count {
-                        refused.push(offer);
-                        own.fleet.offer_refused(offer, self.now() + Micros::from_secs(10.0));
-                    }
-                    own.fleet.rented(&ids, offer, self.now());
-                }
-                Err(CloudError::NoCapacity) => {
-                    refused.push(offer);
-                    tracing::debug!(ty = %r.ty, zone = %r.zone, spot = r.spot, "no capacity");
-                    own.fleet.offer_refused(offer, self.now() + Micros::from_secs(10.0));
-                }
-                Err(e) => {
-                    tracing::info!(error = %e, "the cloud rents nothing now");
-                    own.fleet.offer_refused(offer, self.now() + Micros::from_secs(2.0));
-                    return;
-                }
+            let now = self.now();
+            match rental_answered(&mut own.fleet, offer, &request, outcome, now) {
+                Rental::Whole => {}
+                Rental::Short => refused.push(offer),
+                Rental::Failed => return,
+            }
+        }
+    }
+
+    /// The requests that bring what the owner lacks, still without names; none if it owns no more.
+    fn wanted(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
+        let mut core = self.lock();
+        let own = core.own.as_mut().filter(|o| o.claim.token == token)?;
+        let mut requests = Vec::new();
+        for (offer, count) in own.fleet.capacity(self.now(), wall()) {
+            let Some(ty) = own.fleet.types().get(offer.ty).map(|t| t.name.clone()) else { continue };
+            let zone = own.fleet.zone_name(offer.zone).to_string();
+            let mut left = count;
+            while left > 0 {
+                let count = left.min(MOST_RENTED);
+                left -= count;
+                let request = RentRequest {
+                    request: String::new(),
+                    ty: ty.clone(),
+                    zone: zone.clone(),
+                    spot: offer.spot,
+                    count,
+                };
+                requests.push((offer, request));
+            }
+        }
+        Some(requests)
+    }
+
+    /// Sends a request, again if its outcome is not known: the same request rents nothing twice.
+    fn request_rental(&self, request: &RentRequest) -> Result<Vec<String>, CloudError> {
+        let mut outcome = self.cloud.rent(request);
+        for _ in 0..RENT_RETRIES {
+            if !matches!(outcome, Err(CloudError::Unknown(_))) {
+                break;
             }
+            outcome = self.cloud.rent(request);
+        }
+        outcome
+    }
+}
+
+/// What came of a request for machines.
+enum Rental {
+    /// All that was asked for.
+    Whole,
+    /// Less, or nothing: no more of this offer is asked for in this round.
+    Short,
+    /// The cloud rents nothing now.
+    Failed,
+}
+
+/// Takes in the cloud's answer to a request.
+fn rental_answered(
+    fleet: &mut Fleet,
+    offer: Offer,
+    request: &RentRequest,
+    outcome: Result<Vec<String>, CloudError>,
+    now: Steady,
+) -> Rental {
+    let r = request;
+    match outcome {
+        Ok(ids) => {
+            tracing::info!(ty = %r.ty, zone = %r.zone, spot = r.spot, asked = r.count, got = ids.len(), "rented");
+            let short = (ids.len() as u32) < r.count;
+            if short {
+                fleet.offer_refused(offer, now + REFUSED_FOR);
+            }
+            fleet.rented(&ids, offer, now);
+            if short {
+                Rental::Short
+            } else {
+                Rental::Whole
+            }
+        }
+        Err(CloudError::NoCapacity) => {
+            tracing::debug!(ty = %r.ty, zone = %r.zone, spot = r.spot, "no capacity");
+            fleet.offer_refused(offer, now + REFUSED_FOR);
+            Rental::Short
+        }
+        Err(e) => {
+            tracing::info!(error = %e, "the cloud rents nothing now");
+            fleet.offer_refused(offer, now + FAILED_FOR);
+            Rental::Failed
         }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,7 +18,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread::JoinHandle;
 
 use rand::Rng;
 
@@ -35,7 +37,7 @@
 use crate::jobs::{FinalRecord, MachineId};
 use crate::live::LiveJobs;
 use crate::notices::Notices;
-use crate::peer::PeerHub;
+use crate::peer::{Inbound, PeerHub};
 use crate::state::StateClient;
 use crate::time::{Clock, Micros, Steady};
 use crate::view::View;
@@ -75,6 +77,14 @@
 
 /// Reads for polls begin no closer together than the first and no further than the second.
 const POLLS_APART: (Micros, Micros) = (Micros::from_millis(20), Micros::from_millis(250));
+/// Threads that answer the other controllers.
+const PEER_THREADS: usize = 3;
+/// Stack of a duty's thread in bytes.
+const DUTY_STACK: usize = 512 * 1024;
+
+/// A long-lived routine of a controller.
+type Duty = fn(&Node);
+
 /// A controller.
 pub struct Node {
     /// Settings.
@@ -146,46 +156,7 @@
             PeerHub::start(internal, cfg.platform.members.iter().map(|m| m.addr).collect())?;
         let node = Node::new(cfg, peers, Clock::Machine, stop)?;
         tracing::info!(label = %node.cfg.platform.label, incarnation = node.incarnation, "started");
-        let mut duties = Vec::new();
-        let mut duty = |name: &str, f: fn(&Node)| -> std::io::Result<()> {
-            let n = node.clone();
-            let t =
-                std::thread::Builder::new().name(name.into()).stack_size(512 * 1024).spawn(move || f(&n))?;
-            duties.push(t);
-            Ok(())
-        };
-        duty("keeper", Node::keep)?;
-        duty("watcher", Node::watch)?;
-        duty("writer", Node::write)?;
-        duty("cloud", Node::tend)?;
-        duty("list", Node::list)?;
-        duty("announcer", Node::announce)?;
-        duty("commander", Node::command)?;
-        duty("planner", Node::plan)?;
-        let inbound = Arc::new(Mutex::new(inbound));
-        for i in 0..3 {
-            let (n, inbound) = (node.clone(), inbound.clone());
-            let t = std::thread::Builder::new()
-                .name(format!("peer-{i}"))
-                .stack_size(512 * 1024)
-                .spawn(move || n.answer_peers(&inbound))?;
-            duties.push(t);
-        }
-        let n = node.clone();
-        let handler = move |r: Request, reply: Reply| {
-            let since = n.now();
-            let path = r.path.clone();
-            n.serve(&r, reply);
-            if path != "/up" {
-                n.timed(&path, since);
-            }
-        };
-        let lane = |r: &Request| match r.path.as_str() {
-            "/up" => Lane::Probe,
-            "/checkin" => Lane::Bulk,
-            _ => Lane::Prompt,
-        };
-        let service = http::Service { lane, handler: Arc::new(handler) };
+        let duties = node.start_duties(inbound)?;
         let room = node.cfg.room();
         tracing::info!(
             connections = room.connections,
@@ -193,7 +164,7 @@
             threads = room.prompt_threads + room.bulk_threads,
             "room for callers"
         );
-        let served = http::serve(listener, room, node.stop.clone(), service);
+        let served = http::serve(listener, room, node.stop.clone(), node.service());
         // Without callers there is nothing to serve: all else ends as well.
         node.stop.store(true, Ordering::Relaxed);
         node.wake.notify_all();
@@ -203,6 +174,50 @@
         Ok(served?)
     }
 
+    /// Starts a thread for each duty.
+    fn start_duties(self: &Arc<Node>, inbound: Receiver<Inbound>) -> std::io::Result<Vec<JoinHandle<()>>> {
+        let duties: [(&str, Duty); 8] = [
+            ("keeper", Node::keep),
+            ("watcher", Node::watch),
+            ("writer", Node::write),
+            ("cloud", Node::tend),
+            ("list", Node::list),
+            ("announcer", Node::announce),
+            ("commander", Node::command),
+            ("planner", Node::plan),
+        ];
+        let mut threads = Vec::new();
+        for (name, duty) in duties {
+            let node = self.clone();
+            threads.push(spawn_duty(name.into(), move || duty(&node))?);
+        }
+        let inbound = Arc::new(Mutex::new(inbound));
+        for i in 0..PEER_THREADS {
+            let (node, inbound) = (self.clone(), inbound.clone());
+            threads.push(spawn_duty(format!("peer-{i}"), move || node.answer_peers(&inbound))?);
+        }
+        Ok(threads)
+    }
+
+    /// What the HTTP server calls for each request.
+    fn service(self: &Arc<Node>) -> http::Service {
+        let node = self.clone();
+        let handler = move |req: Request, reply: Reply| {
+            let since = node.now();
+            let path = req.path.clone();
+            node.serve(&req, reply);
+            if path != "/up" {
+                node.timed(&path, since);
+            }
+        };
+        let lane = |req: &Request| match req.path.as_str() {
+            "/up" => Lane::Probe,
+            "/checkin" => Lane::Bulk,
+            _ => Lane::Prompt,
+        };
+        http::Service { lane, handler: Arc::new(handler) }
+    }
+
     /// The present moment, as this node reads it.
     pub fn now(&self) -> Steady {
         self.clock.now()
@@ -248,3 +263,7 @@
         }
     }
 }
+
+fn spawn_duty(name: String, duty: impl FnOnce() + Send + 'static) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name(name).stack_size(DUTY_STACK).spawn(duty)
+}
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -3,10 +3,11 @@
 use rand::Rng;
 
 use super::{Core, Node, Own};
-use crate::cluster::{self, Owner, LEADER};
+use crate::cluster::{self, Claim, Owner, LEADER};
 use crate::config::Config;
+use crate::fleet::Fleet;
 use crate::state::StateError;
-use crate::time::Micros;
+use crate::time::{Micros, Steady};
 use crate::view::View;
 
 impl Node {
@@ -124,41 +125,19 @@
             core.claiming = true;
             core.highest = core.highest.max(claim.token);
         }
+        self.rebuild(claim, begun)
+    }
+
+    /// Rebuilds the owner's world from the records after a claim, and owns it unless another has
+    /// taken over meanwhile.
+    fn rebuild(&self, claim: Claim, begun: Steady) -> Result<(), StateError> {
         let types = self.types().unwrap_or_default();
         let r = cluster::rebuild(&self.state, self.cfg.clone(), types, claim.token, self.now());
         let mut core = self.lock();
         core.claiming = false;
         match r {
-            Ok(mut fleet) if core.highest == claim.token => {
-                if let Some(t) = &core.types {
-                    fleet.set_types(t.clone());
-                }
-                let now = self.now();
-                let (rps, writes) = share(&self.cfg, true);
-                self.state.allow(rps, writes);
-                tracing::info!(
-                    token = claim.token,
-                    jobs = fleet.jobs.len(),
-                    machines = fleet.machines.len(),
-                    ms = (now - begun).0 / 1000,
-                    "rebuilt"
-                );
-                // Cancellations that were told of while the records were read.
-                for id in fleet.jobs.keys().cloned().collect::<Vec<_>>() {
-                    if let Some((_, revision)) = core.finals.get(&*id) {
-                        fleet.job_over(&id, *revision);
-                    }
-                }
-                core.leader = Some(Owner {
-                    label: label.clone(),
-                    incarnation: self.incarnation,
-                    token: claim.token,
-                    lease: claim.lease,
-                });
-                core.last_peer = now;
-                let view = View::new(begun, self.cfg.blind_bound());
-                core.own = Some(Own { fleet, claim, view, last_report: now });
-                self.wake.notify_all();
+            Ok(fleet) if core.highest == claim.token => {
+                self.begin_ownership(&mut core, claim, fleet, begun);
                 Ok(())
             }
             Ok(_) => Ok(()),
@@ -171,6 +150,38 @@
         }
     }
 
+    fn begin_ownership(&self, core: &mut Core, claim: Claim, mut fleet: Fleet, begun: Steady) {
+        if let Some(t) = &core.types {
+            fleet.set_types(t.clone());
+        }
+        let now = self.now();
+        let (rps, writes) = share(&self.cfg, true);
+        self.state.allow(rps, writes);
+        tracing::info!(
+            token = claim.token,
+            jobs = fleet.jobs.len(),
+            machines = fleet.machines.len(),
+            ms = (now - begun).0 / 1000,
+            "rebuilt"
+        );
+        // Cancellations that were told of while the records were read.
+        for id in fleet.jobs.keys().cloned().collect::<Vec<_>>() {
+            if let Some((_, revision)) = core.finals.get(&*id) {
+                fleet.job_over(&id, *revision);
+            }
+        }
+        core.leader = Some(Owner {
+            label: self.cfg.platform.label.clone(),
+            incarnation: self.incarnation,
+            token: claim.token,
+            lease: claim.lease,
+        });
+        core.last_peer = now;
+        let view = View::new(begun, self.cfg.blind_bound());
+        core.own = Some(Own { fleet, claim, view, last_report: now });
+        self.wake.notify_all();
+    }
+
     pub(super) fn step_down(&self, core: &mut Core, token: u64, why: &str) {
         core.highest = core.highest.max(token);
         if let Some(own) = core.own.take() {
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -1,6 +1,7 @@
 //! The workers' reports: answered at once, answered later with a start, redirected to the owner, or
 //! carried to it.
 
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use serde_json::json;
@@ -15,6 +16,15 @@
 /// How long the answer to an idle worker's report waits for a start at the most; the worker gives
 /// up after four seconds.
 const ANSWER_WITHIN: Micros = Micros::from_millis(2500);
+/// How long a report waits for the outcome of this node's own claim.
+const AWAIT_CLAIM: Micros = Micros::from_millis(1500);
+/// How long it is remembered that a worker was sent to the owner.
+const REDIRECTS_KEPT: Micros = Micros::from_millis(30_000);
+/// A worker that is back within this time cannot reach the owner.
+const BACK_SOON: Micros = Micros::from_millis(12_000);
+/// How long the owner has to answer a report that is carried to it.
+const RELAY_REPORT_WITHIN: Micros = Micros::from_millis(2500);
+
 /// A report that is answered when a start for its worker comes up, or after a while.
 pub(super) struct Later {
     report: Report,
@@ -46,66 +56,90 @@
                 return (Some(Response::error(400, &e.to_string())), reply);
             }
         };
-        let now = self.now();
+        let mut core = self.await_claim();
+        if core.own.is_some() {
+            return self.answer_as_owner(&mut core, report, reply);
+        }
+        if reply.is_none() {
+            return (Some(Response::error(503, "not the owner")), None);
+        }
+        (Some(self.redirect_or_relay(core, &report.machine, req)), reply)
+    }
+
+    /// Takes the lock, and while a claim is being made waits a moment for its outcome.
+    fn await_claim(&self) -> MutexGuard<'_, Core> {
+        let since = self.now();
         let mut core = self.lock();
-        while core.claiming && core.own.is_none() && (self.now() - now).secs() < 1.5 {
+        while core.claiming && core.own.is_none() && self.now() - since < AWAIT_CLAIM {
             core = match self.wake.wait_timeout(core, Duration::from_millis(200)) {
-                Ok((g, _)) => g,
+                Ok((guard, _)) => guard,
                 Err(e) => e.into_inner().0,
             };
         }
+        core
+    }
+
+    /// Answers a report from the owner's world, or keeps it until a start comes up.
+    fn answer_as_owner(
+        &self,
+        core: &mut Core,
+        report: Report,
+        reply: Option<Reply>,
+    ) -> (Option<Response>, Option<Reply>) {
         let now = self.now();
-        if let Some(own) = core.own.as_mut() {
-            if !own.view.may_act(now) {
-                // Cancellations cannot be seen any more: leases must be let run out.
-                own.fleet.not_answered(&report.machine, now);
-                let refused = Response::error(503, "out of touch with the state service");
-                return (Some(refused), reply);
-            }
-            own.last_report = now;
-            let token = own.claim.token;
-            let answer = match own.fleet.check_in(&report, now, wall()) {
-                CheckIn::Reply(r) => {
-                    // Other workers report when something changes, and must not be kept from it.
-                    let id: MachineId = report.machine.as_str().into();
-                    if r.orders.is_empty() && own.fleet.may_wait(&id, now) {
-                        if let Some(reply) = reply {
-                            let later = Later { report, token, until: now + ANSWER_WITHIN, reply };
-                            // A second report takes the place of the first: its worker gave up.
-                            core.waiting.insert(id, later);
-                            return (None, None);
-                        }
+        let Some(own) = core.own.as_mut() else {
+            return (Some(Response::error(503, "not the owner")), reply);
+        };
+        if !own.view.may_act(now) {
+            // Cancellations cannot be seen any more: leases must be let run out.
+            own.fleet.not_answered(&report.machine, now);
+            let refused = Response::error(503, "out of touch with the state service");
+            return (Some(refused), reply);
+        }
+        own.last_report = now;
+        let token = own.claim.token;
+        let answer = match own.fleet.check_in(&report, now, wall()) {
+            CheckIn::Reply(r) => {
+                // Other workers report when something changes, and must not be kept from it.
+                let id: MachineId = report.machine.as_str().into();
+                if r.orders.is_empty() && own.fleet.may_wait(&id, now) {
+                    if let Some(reply) = reply {
+                        let later = Later { report, token, until: now + ANSWER_WITHIN, reply };
+                        // A second report takes the place of the first: its worker gave up.
+                        core.waiting.insert(id, later);
+                        return (None, None);
                     }
-                    Response::json(200, &r)
-                }
-                CheckIn::Refuse => Response::error(503, "not now"),
-                CheckIn::Superseded(token) => {
-                    self.step_down(&mut core, token, "a worker has seen a higher token");
-                    Response::error(503, "not the owner")
                 }
-            };
-            return (Some(answer), reply);
-        }
-        if reply.is_none() {
-            return (Some(Response::error(503, "not the owner")), None);
-        }
+                Response::json(200, &r)
+            }
+            CheckIn::Refuse => Response::error(503, "not now"),
+            CheckIn::Superseded(token) => {
+                self.step_down(core, token, "a worker has seen a higher token");
+                Response::error(503, "not the owner")
+            }
+        };
+        (Some(answer), reply)
+    }
+
+    /// Sends a worker to the owner; if it is back soon after, has the owner answer its report.
+    fn redirect_or_relay(&self, mut core: MutexGuard<'_, Core>, machine: &str, req: &Request) -> Response {
+        let now = self.now();
         let Some(leader) = core.leader.clone().filter(|l| l.label != self.cfg.platform.label) else {
-            return (Some(Response::error(503, "no owner known")), reply);
+            return Response::error(503, "no owner known");
         };
-        core.redirected.retain(|_, at| (now - *at).secs() < 30.0);
-        let again = core.redirected.get(&report.machine).is_some_and(|at| (now - *at).secs() < 12.0);
+        core.redirected.retain(|_, at| now - *at < REDIRECTS_KEPT);
+        let again = core.redirected.get(machine).is_some_and(|at| now - *at < BACK_SOON);
         if !again {
-            core.redirected.insert(report.machine.clone(), now);
-            return (Some(Response::json(421, &json!({ "steward": leader.label }))), reply);
+            core.redirected.insert(machine.to_string(), now);
+            return Response::json(421, &json!({ "steward": leader.label }));
         }
         drop(core);
         // It was sent to the owner and is back: it cannot get through, so its report is carried.
         let to = self.cfg.platform.members.iter().position(|m| m.label == leader.label);
-        let answer = match to.and_then(|to| self.relay(to, req, Micros::from_millis(2500))) {
+        match to.and_then(|to| self.relay(to, req, RELAY_REPORT_WITHIN)) {
             Some(r) => r,
             None => Response::error(503, "the owner does not answer"),
-        };
-        (Some(answer), reply)
+        }
     }
 
     /// Answers those idle workers for whom a start may leave now, or who waited long enough.
--- a/src/node/writer.rs
+++ b/src/node/writer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Core, Node};
+use super::Node;
 use crate::cluster::{self, Batch, Claim, PART};
 use crate::fleet::Pending;
 use crate::jobs::{chunk_tasks, FinalRecord, JobId};
@@ -41,38 +41,12 @@
     /// Writes a batch; false if writing should pause.
     fn write_batch(&self, claim: &Claim, b: Batch) -> bool {
         let urgency = if b.urgent { Urgency::Owner } else { Urgency::Rest };
-        let result = self.state.txn(&b.txn, urgency);
-        let ours = |c: &Core| c.own.as_ref().is_some_and(|o| o.claim.token == claim.token);
-        match result {
-            Ok(Applied::Yes(revision)) => {
-                let mut finals: Vec<(JobId, u32)> = Vec::new();
-                {
-                    let mut core = self.lock();
-                    if !ours(&core) {
-                        return false;
-                    }
-                    let now = self.now();
-                    if let Some(own) = core.own.as_mut() {
-                        for (item, said) in &b.items {
-                            if let Pending::Final(id) = item {
-                                if let Some(j) = own.fleet.jobs.get(id) {
-                                    finals.push((id.clone(), j.spec.tasks));
-                                }
-                            }
-                            own.fleet.written(item, revision, said, now);
-                        }
-                    }
-                }
-                for (id, tasks) in finals {
-                    tracing::debug!(job = %id, "done");
-                    self.learn_final(&id, FinalRecord { stage: Stage::Done, tasks }, revision);
-                }
-                true
-            }
+        match self.state.txn(&b.txn, urgency) {
+            Ok(Applied::Yes(revision)) => self.batch_written(claim, &b, revision),
             Ok(Applied::Conflict(keys)) => {
                 if keys.iter().any(|k| k == PART) {
                     let mut core = self.lock();
-                    if ours(&core) {
+                    if core.own.as_ref().is_some_and(|o| o.claim.token == claim.token) {
                         self.step_down(&mut core, 0, "another owner has taken the part");
                     }
                     return false;
@@ -92,6 +66,29 @@
         }
     }
 
+    /// Takes note of what a batch wrote; false if this node no longer owns it.
+    fn batch_written(&self, claim: &Claim, b: &Batch, revision: u64) -> bool {
+        let mut finals: Vec<(JobId, u32)> = Vec::new();
+        {
+            let mut core = self.lock();
+            let Some(own) = core.own.as_mut().filter(|o| o.claim.token == claim.token) else { return false };
+            let now = self.now();
+            for (item, said) in &b.items {
+                if let Pending::Final(id) = item {
+                    if let Some(j) = own.fleet.jobs.get(id) {
+                        finals.push((id.clone(), j.spec.tasks));
+                    }
+                }
+                own.fleet.written(item, revision, said, now);
+            }
+        }
+        for (id, tasks) in finals {
+            tracing::debug!(job = %id, "done");
+            self.learn_final(&id, FinalRecord { stage: Stage::Done, tasks }, revision);
+        }
+        true
+    }
+
     /// Learns how keys stand after a conflict or an unknown outcome.
     fn read_back(&self, claim: &Claim, keys: &[String]) -> bool {
         for key in keys {
