--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -7,7 +7,7 @@
 use crate::direct_command::DirectCommand;
 use crate::http::Client;
 use crate::time::Micros;
-use crate::wire::{Commands, Report};
+use crate::wire::{Commands, Report, COMMANDS_PATH};
 
 impl Node {
     /// Brings this owner's token to the machines it has inherited, and halts to those that do not
@@ -62,7 +62,8 @@
             let Ok(body) = serde_json::to_vec(&Commands { token, season, orders: orders.clone() }) else {
                 return;
             };
-            let Ok((status, body)) = client.call("POST", "/commands", Some(&body), Micros::from_millis(1500))
+            let Ok((status, body)) =
+                client.call("POST", COMMANDS_PATH, Some(&body), Micros::from_millis(1500))
             else {
                 tracing::debug!(%machine, "does not answer");
                 return;
--- a/src/node/latency.rs
+++ b/src/node/latency.rs
@@ -4,6 +4,7 @@
 
 use super::Node;
 use crate::time::Steady;
+use crate::wire::REPORT_PATH;
 
 pub(super) struct Latencies {
     pub(super) users: Histogram<u64>,
@@ -16,7 +17,7 @@
     pub(super) fn timed(&self, path: &str, since: Steady) {
         let took = (self.now() - since).0.clamp(1, 60_000_000) as u64;
         let mut l = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
-        let h = if path == "/checkin" { &mut l.workers } else { &mut l.users };
+        let h = if path == REPORT_PATH { &mut l.workers } else { &mut l.users };
         // Within the bounds by the clamp above.
         let _ = h.record(took);
         if (self.now() - l.said).secs() < 60.0 {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -41,7 +41,7 @@
 use crate::state::StateClient;
 use crate::time::{Clock, Micros, Steady};
 use crate::view::View;
-use crate::wire::MachineType;
+use crate::wire::{MachineType, HEALTH_PATH, REPORT_PATH};
 
 /// What an owner has.
 struct Own {
@@ -206,13 +206,13 @@
             let since = node.now();
             let path = req.path.clone();
             node.serve(&req, reply);
-            if path != "/up" {
+            if path != HEALTH_PATH {
                 node.timed(&path, since);
             }
         };
         let lane = |req: &Request| match req.path.as_str() {
-            "/up" => Lane::Probe,
-            "/checkin" => Lane::Bulk,
+            HEALTH_PATH => Lane::Probe,
+            REPORT_PATH => Lane::Bulk,
             _ => Lane::Prompt,
         };
         http::Service { lane, handler: Arc::new(handler) }
@@ -240,7 +240,7 @@
 
     /// Answers a request that came over a connection, now or a little later.
     pub fn serve(&self, req: &Request, reply: Reply) {
-        if req.path == "/checkin" && req.method == "POST" {
+        if req.path == REPORT_PATH && req.method == "POST" {
             self.check_in(req, Some(reply));
         } else {
             reply.send(&self.answer(req, false));
@@ -250,12 +250,12 @@
     /// Answers a request of a user, a worker or the load balancer.
     pub fn answer(&self, req: &Request, relayed: bool) -> Response {
         match req.path.as_str() {
-            "/checkin" if req.method == "POST" => {
+            REPORT_PATH if req.method == "POST" => {
                 let refused = || Response::error(503, "not now");
                 self.check_in(req, None).unwrap_or_else(refused)
             }
-            "/up" if req.method == "GET" => self.up(),
-            "/checkin" | "/up" => Response::error(405, "wrong method"),
+            HEALTH_PATH if req.method == "GET" => self.up(),
+            REPORT_PATH | HEALTH_PATH => Response::error(405, "wrong method"),
             // For people on call, by the controllers' own interface: users' connections never
             // reach it.
             p if relayed && p.starts_with(STATUS) => self.status(req),
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -4,14 +4,12 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use serde_json::json;
-
 use super::{Core, Node};
 use crate::fleet::CheckIn;
 use crate::http::{Reply, Request, Response};
 use crate::jobs::MachineId;
 use crate::time::{wall, Micros, Steady};
-use crate::wire::{Report, ReportReply};
+use crate::wire::{Redirect, Report, ReportReply};
 
 /// How long the answer to an idle worker's report waits for a start at the most; the worker gives
 /// up after four seconds.
@@ -131,7 +129,7 @@
         let again = core.redirected.get(machine).is_some_and(|at| now - *at < BACK_SOON);
         if !again {
             core.redirected.insert(machine.to_string(), now);
-            return Response::json(421, &json!({ "steward": leader.label }));
+            return Response::json(421, &Redirect { leader: leader.label });
         }
         drop(core);
         // It was sent to the owner and is back: it cannot get through, so its report is carried.
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -1,10 +1,9 @@
 //! How a controller is: the load balancer's probe and the status view for people on call.
 
-use serde_json::json;
-
-use super::Node;
+use super::{Node, Own};
 use crate::http::{Request, Response};
 use crate::time::{wall, Micros};
+use crate::wire::{Health, NodeStatus, PartStatus};
 
 /// Path of the status view between controllers; a team's name may follow.
 pub const STATUS: &str = "/status";
@@ -12,6 +11,8 @@
 const PEER_LOST: Micros = Micros::from_millis(4500);
 /// After this without an answer the state service counts as lost.
 const STATE_LOST: Micros = Micros::from_millis(1500);
+/// Number of the one part that there is.
+const ONLY_PART: u32 = 0;
 
 impl Node {
     /// Whether users are well served here. Cut off from the state service and all others it can
@@ -27,23 +28,24 @@
         if lost && self.peers.count() > 0 && unheard > PEER_LOST {
             return Response::error(503, "cut off from the state service and the other controllers");
         }
-        Response::json(200, &json!({ "up": true }))
+        Response::json(200, &Health { healthy: true })
     }
 
     pub(super) fn status(&self, req: &Request) -> Response {
         let team = req.path.strip_prefix(STATUS).and_then(|r| r.strip_prefix('/'));
         let core = self.lock();
-        let me = &self.cfg.platform.label;
-        let leader = core.leader.as_ref().map(|l| l.label.clone());
-        if let Some(own) = &core.own {
-            let out_of_touch = own.view.age(self.now()).secs();
-            let view = own.fleet.status(team, self.now(), wall());
-            let parts = json!([{ "part": 0, "owner": me, "token": own.claim.token }]);
-            let body = json!({
-                "node": me, "leader": leader, "parts": parts, "state_seen_s_ago": out_of_touch, "owner": view,
-            });
-            return Response::json(200, &body);
-        }
-        Response::json(200, &json!({ "node": me, "leader": leader, "owner": null }))
+        let label = &self.cfg.platform.label;
+        let own = core.own.as_ref();
+        let part = |o: &Own| PartStatus { owner: label.clone(), part: ONLY_PART, token: o.claim.token };
+        Response::json(
+            200,
+            &NodeStatus {
+                leader: core.leader.as_ref().map(|l| l.label.clone()),
+                node: label.clone(),
+                view: own.map(|o| o.fleet.status(team, self.now(), wall())),
+                parts: own.map(|o| vec![part(o)]),
+                view_age_s: own.map(|o| o.view.age(self.now()).secs()),
+            },
+        )
     }
 }
--- /dev/null
+++ b/tests/replies.rs
@@ -0,0 +1,38 @@
+//! The forms of a controller's own answers, which workers, the load balancer and people on call
+//! read.
+
+use milletlock::wire::{Health, NodeStatus, PartStatus, Redirect};
+use serde_json::{json, Value};
+
+#[test]
+fn a_redirect_names_the_leader() {
+    assert_eq!(json!(Redirect { leader: "a".into() }), json!({ "steward": "a" }));
+}
+
+#[test]
+fn health_says_up() {
+    assert_eq!(json!(Health { healthy: true }), json!({ "up": true }));
+}
+
+#[test]
+fn the_owners_status_has_its_parts_and_its_view() {
+    let status = NodeStatus {
+        leader: Some("a".into()),
+        node: "a".into(),
+        view: Some(json!({ "token": 7 })),
+        parts: Some(vec![PartStatus { owner: "a".into(), part: 0, token: 7 }]),
+        view_age_s: Some(0.5),
+    };
+    let expected = json!({
+        "leader": "a", "node": "a", "owner": { "token": 7 },
+        "parts": [{ "owner": "a", "part": 0, "token": 7 }], "state_seen_s_ago": 0.5,
+    });
+    assert_eq!(json!(status), expected);
+}
+
+#[test]
+fn any_other_controllers_status_says_who_leads() {
+    let status: NodeStatus<Value> =
+        NodeStatus { leader: None, node: "b".into(), view: None, parts: None, view_age_s: None };
+    assert_eq!(json!(status), json!({ "leader": null, "node": "b", "owner": null }));
+}
