--- a/src/node/announce.rs
+++ b/src/node/announce.rs
@@ -1,6 +1,6 @@
 //! Tells the other controllers who leads and which cancellations were confirmed.
 
-use super::{Node, Own};
+use super::{Node, Ownership};
 use crate::fleet::Counts;
 use crate::jobs::JobId;
 use crate::notices::Cancellation;
@@ -25,7 +25,7 @@
             {
                 let n = self.notices.lock().unwrap_or_else(|e| e.into_inner());
                 if left.0 > 0 && (n.is_empty() || !all_told) {
-                    drop(self.told.wait_timeout(n, left.std()));
+                    drop(self.notices_added.wait_timeout(n, left.std()));
                 }
             }
             all_told = self.tell_once();
@@ -39,11 +39,11 @@
     /// Tells the others who leads, or asks whether any of them can be heard.
     pub fn announce_once(&self) {
         let summary = {
-            let core = self.lock();
-            match &core.own {
-                Some(own) => Some(self.summary(own)),
+            let shared = self.lock();
+            match &shared.ownership {
+                Some(ownership) => Some(self.summary(ownership)),
                 // Nobody has been heard of late: whether anybody can be is asked.
-                None if self.now() - core.last_peer > PEER_QUIET => Some(Summary::default()),
+                None if self.now() - shared.last_peer_contact > PEER_QUIET => Some(Summary::default()),
                 None => None,
             }
         };
@@ -61,15 +61,15 @@
     }
 
     /// What the others are told by the owner.
-    fn summary(&self, own: &Own) -> Summary {
+    fn summary(&self, ownership: &Ownership) -> Summary {
         let count = |id: &JobId| {
-            let c = own.fleet.counts(id).filter(|c| *c != Counts::default())?;
+            let c = ownership.fleet.counts(id).filter(|c| *c != Counts::default())?;
             Some(JobCounts { id: id.to_string(), done: c.done, running: c.running })
         };
         Summary {
             leader: self.cfg.platform.label.clone(),
-            token: own.claim.token,
-            jobs: own.fleet.jobs.keys().take(2000).filter_map(count).collect(),
+            token: ownership.claim.token,
+            jobs: ownership.fleet.jobs.keys().take(2000).filter_map(count).collect(),
         }
     }
 
--- a/src/node/catalog.rs
+++ b/src/node/catalog.rs
@@ -23,7 +23,7 @@
         };
         let known = found.is_some();
         if let Some(t) = found {
-            self.lock().types = Some(t);
+            self.lock().machine_types = Some(t);
         }
         known
     }
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -27,7 +27,7 @@
         let (mut listed, mut priced, mut last) = (Steady(0), Steady(0), 0u64);
         while !self.stopping() {
             self.sleep(Micros::from_millis(500));
-            let Some(token) = self.lock().own.as_ref().map(|o| o.claim.token) else { continue };
+            let Some(token) = self.lock().ownership.as_ref().map(|o| o.claim.token) else { continue };
             let now = self.now();
             if last != token {
                 last = token;
@@ -36,18 +36,19 @@
             if now - priced > Micros::from_secs(45.0) {
                 if let Ok(t) = self.cloud.catalog() {
                     priced = now;
-                    let mut core = self.lock();
-                    core.types = Some(t.clone());
-                    if let Some(own) = core.own.as_mut() {
-                        own.fleet.set_types(t);
+                    let mut shared = self.lock();
+                    shared.machine_types = Some(t.clone());
+                    if let Some(ownership) = shared.ownership.as_mut() {
+                        ownership.fleet.set_types(t);
                     }
                 }
             }
             if now - listed > every {
                 if let Ok(list) = self.cloud.list() {
                     listed = now;
-                    if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == token) {
-                        own.fleet.listed(&list, self.now());
+                    if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
+                    {
+                        ownership.fleet.listed(&list, self.now());
                     }
                 }
             }
@@ -60,7 +61,7 @@
         let (mut counter, mut began) = (0u64, (0u64, Steady(0)));
         while !self.stopping() {
             self.sleep(Micros::from_millis(500));
-            let Some((token, first)) = self.lock().own.as_ref().map(|o| (o.claim.token, o.claim.first))
+            let Some((token, first)) = self.lock().ownership.as_ref().map(|o| (o.claim.token, o.claim.first))
             else {
                 continue;
             };
@@ -76,8 +77,8 @@
     }
 
     fn give_back(&self, token: u64) {
-        let ids = match self.lock().own.as_ref().filter(|o| o.claim.token == token) {
-            Some(own) => own.fleet.leaving(),
+        let ids = match self.lock().ownership.as_ref().filter(|o| o.claim.token == token) {
+            Some(ownership) => ownership.fleet.leaving(),
             None => return,
         };
         if ids.is_empty() {
@@ -88,8 +89,9 @@
         for part in ids.chunks(MOST_RETURNED) {
             match self.cloud.give_back(part) {
                 Ok(()) => {
-                    if let Some(own) = self.lock().own.as_mut().filter(|o| o.claim.token == token) {
-                        own.fleet.returned(part, self.now());
+                    if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
+                    {
+                        ownership.fleet.returned(part, self.now());
                     }
                     self.wake.notify_all();
                 }
@@ -112,10 +114,12 @@
             let request =
                 RentRequest { request: format!("r-{token}-{}-{counter}", self.incarnation), ..request };
             let outcome = self.request_rental(&request);
-            let mut core = self.lock();
-            let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
+            let mut shared = self.lock();
+            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+                return;
+            };
             let now = self.now();
-            match rental_answered(&mut own.fleet, offer, &request, outcome, now) {
+            match rental_answered(&mut ownership.fleet, offer, &request, outcome, now) {
                 Rental::Whole => {}
                 Rental::Short => refused.push(offer),
                 Rental::Failed => return,
@@ -125,12 +129,12 @@
 
     /// The requests that bring what the owner lacks, still without names; none if it owns no more.
     fn wanted(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
-        let mut core = self.lock();
-        let own = core.own.as_mut().filter(|o| o.claim.token == token)?;
+        let mut shared = self.lock();
+        let ownership = shared.ownership.as_mut().filter(|o| o.claim.token == token)?;
         let mut requests = Vec::new();
-        for (offer, count) in own.fleet.capacity(self.now(), wall()) {
-            let Some(ty) = own.fleet.types().get(offer.ty).map(|t| t.name.clone()) else { continue };
-            let zone = own.fleet.zone_name(offer.zone).to_string();
+        for (offer, count) in ownership.fleet.capacity(self.now(), wall()) {
+            let Some(ty) = ownership.fleet.types().get(offer.ty).map(|t| t.name.clone()) else { continue };
+            let zone = ownership.fleet.zone_name(offer.zone).to_string();
             let mut left = count;
             while left > 0 {
                 let count = left.min(MOST_RENTED);
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use super::{Node, Own};
+use super::{Node, Ownership};
 use crate::config::RAISERS;
 use crate::direct_command::DirectCommand;
 use crate::http::Client;
@@ -21,7 +21,7 @@
 
     /// Sends the direct commands that are due; false if there were none.
     pub fn command_once(&self) -> bool {
-        let due = self.lock().own.as_mut().map(|o| {
+        let due = self.lock().ownership.as_mut().map(|o| {
             let now = self.now();
             let mut list = o.fleet.to_raise(now);
             list.extend(o.fleet.to_halt(now));
@@ -48,11 +48,11 @@
     fn command_one(&self, token: u64, command: &DirectCommand) {
         let DirectCommand { machine, address, session, orders } = command;
         // It may have reported by itself since the list was made.
-        let due = |o: &Own| {
+        let due = |o: &Ownership| {
             o.claim.token == token
                 && o.fleet.machines.get(machine).is_some_and(|m| !orders.is_empty() || m.to_raise(self.now()))
         };
-        if !self.lock().own.as_ref().is_some_and(due) {
+        if !self.lock().ownership.as_ref().is_some_and(due) {
             return;
         }
         let Ok(address) = address.parse() else { return };
@@ -77,10 +77,12 @@
                 season = r.season;
                 continue;
             }
-            let mut core = self.lock();
-            let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
-            if let Some(higher) = own.fleet.raised(&r, self.now()) {
-                self.step_down(&mut core, higher, "a worker has seen a higher token");
+            let mut shared = self.lock();
+            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+                return;
+            };
+            if let Some(higher) = ownership.fleet.raised(&r, self.now()) {
+                self.step_down(&mut shared, higher, "a worker has seen a higher token");
             }
             return;
         }
--- a/src/node/latency.rs
+++ b/src/node/latency.rs
@@ -9,7 +9,7 @@
 pub(super) struct Latencies {
     pub(super) users: Histogram<u64>,
     pub(super) workers: Histogram<u64>,
-    pub(super) said: Steady,
+    pub(super) logged_at: Steady,
 }
 
 impl Node {
@@ -20,7 +20,7 @@
         let h = if path == REPORT_PATH { &mut l.workers } else { &mut l.users };
         // Within the bounds by the clamp above.
         let _ = h.record(took);
-        if (self.now() - l.said).secs() < 60.0 {
+        if (self.now() - l.logged_at).secs() < 60.0 {
             return;
         }
         for (who, h) in [("users", &l.users), ("workers", &l.workers)] {
@@ -37,7 +37,7 @@
         }
         l.users.reset();
         l.workers.reset();
-        l.said = self.now();
+        l.logged_at = self.now();
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,7 +26,7 @@
 
 use self::latency::{histogram, Latencies};
 use self::ownership::share;
-use self::reports::Later;
+use self::reports::DeferredReply;
 pub use self::status::STATUS;
 use crate::api;
 use crate::cloud::CloudClient;
@@ -44,7 +44,7 @@
 use crate::wire::{MachineType, HEALTH_PATH, REPORT_PATH};
 
 /// What an owner has.
-struct Own {
+struct Ownership {
     fleet: Fleet,
     claim: Claim,
     /// How long it may still act without having looked.
@@ -54,25 +54,25 @@
 }
 
 #[derive(Default)]
-struct Core {
-    own: Option<Own>,
+struct SharedState {
+    ownership: Option<Ownership>,
     /// A claim is being made: reports wait for it a moment.
     claiming: bool,
     leader: Option<Owner>,
-    highest: u64,
-    types: Option<Vec<MachineType>>,
+    highest_token: u64,
+    machine_types: Option<Vec<MachineType>>,
     /// Final stages known to be written, with the revisions at which they were.
     finals: BTreeMap<String, (FinalRecord, u64)>,
     finals_order: VecDeque<String>,
-    counts: BTreeMap<String, Counts>,
+    announced_counts: BTreeMap<String, Counts>,
     /// Idle workers whose reports wait for an answer.
-    waiting: BTreeMap<MachineId, Later>,
+    deferred_replies: BTreeMap<MachineId, DeferredReply>,
     redirected: BTreeMap<String, Steady>,
     no_relay_until: Steady,
     /// When another controller was last heard.
-    last_peer: Steady,
+    last_peer_contact: Steady,
     /// After resigning, others go first.
-    hold_off: Steady,
+    no_claim_until: Steady,
 }
 
 /// Reads for polls begin no closer together than the first and no further than the second.
@@ -95,11 +95,11 @@
     pub live: LiveJobs,
     cloud: CloudClient,
     peers: PeerHub,
-    core: Mutex<Core>,
+    shared: Mutex<SharedState>,
     wake: Condvar,
     /// Cancellations that the others are yet to be told of.
     notices: Mutex<Notices>,
-    told: Condvar,
+    notices_added: Condvar,
     latencies: Mutex<Latencies>,
     stop: Arc<AtomicBool>,
     clock: Clock,
@@ -132,11 +132,11 @@
             live: LiveJobs::new(Micros::from_secs(2.0 / rps.max(0.1)).clamp(POLLS_APART.0, POLLS_APART.1)),
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
             notices: Mutex::new(Notices::new(peers.count(), keep)),
-            told: Condvar::new(),
+            notices_added: Condvar::new(),
             peers,
-            core: Mutex::new(Core { last_peer: now, ..Core::default() }),
+            shared: Mutex::new(SharedState { last_peer_contact: now, ..SharedState::default() }),
             wake: Condvar::new(),
-            latencies: Mutex::new(Latencies { users: histogram()?, workers: histogram()?, said: now }),
+            latencies: Mutex::new(Latencies { users: histogram()?, workers: histogram()?, logged_at: now }),
             stop,
             incarnation: rand::rng().random_range(1..=u64::MAX >> 12),
             started: now,
@@ -223,9 +223,9 @@
         self.clock.now()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Core> {
+    fn lock(&self) -> MutexGuard<'_, SharedState> {
         // A panic elsewhere must not take the others along.
-        self.core.lock().unwrap_or_else(|e| e.into_inner())
+        self.shared.lock().unwrap_or_else(|e| e.into_inner())
     }
 
     fn stopping(&self) -> bool {
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -2,7 +2,7 @@
 
 use rand::Rng;
 
-use super::{Core, Node, Own};
+use super::{Node, Ownership, SharedState};
 use crate::cluster::{self, Claim, Owner, LEADER};
 use crate::config::Config;
 use crate::fleet::Fleet;
@@ -24,7 +24,7 @@
     /// Renews the leader's lease, or waits a while for its end and takes over; returns how long to
     /// pause.
     pub fn keep_once(&self, ttl: Micros) -> Micros {
-        let lease = self.lock().own.as_ref().map(|o| (o.claim.lease, o.claim.token));
+        let lease = self.lock().ownership.as_ref().map(|o| (o.claim.lease, o.claim.token));
         match lease {
             Some((lease, token)) => {
                 self.hold(lease, token);
@@ -45,33 +45,33 @@
         let begun = self.now();
         let r = self.state.renew(lease);
         let renewed = r.is_ok();
-        let mut core = self.lock();
-        let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else { return };
+        let mut shared = self.lock();
+        let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else { return };
         // A single controller is followed by nobody while it lives.
         if renewed || self.cfg.nodes() == 1 {
-            own.fleet.confirm(begun);
-            own.view.has_owned(begun);
+            ownership.fleet.confirm(begun);
+            ownership.view.has_owned(begun);
         }
         match r {
             Ok(()) => {}
-            Err(StateError::NoLease) => self.step_down(&mut core, 0, "its lease ended"),
+            Err(StateError::NoLease) => self.step_down(&mut shared, 0, "its lease ended"),
             Err(e) => tracing::info!(error = %e, "the lease could not be renewed"),
         }
         // Cut off from workers and controllers alike while the state service answers: others can
         // serve the workers before their leases run out, this one cannot.
         let quiet = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 2.5);
         let now = self.now();
-        let unheard = now - core.last_peer;
-        let alone = core.own.as_ref().is_some_and(|o| {
+        let unheard = now - shared.last_peer_contact;
+        let alone = shared.ownership.as_ref().is_some_and(|o| {
             self.peers.count() > 0
                 && now - o.last_report > quiet
                 && unheard > Micros::from_secs(3.0)
                 && o.fleet.machines.values().filter(|m| m.up).count() > 1
         });
         if alone && renewed {
-            core.hold_off = now + Micros::from_secs(8.0);
-            self.step_down(&mut core, 0, "hears neither workers nor controllers");
-            drop(core);
+            shared.no_claim_until = now + Micros::from_secs(8.0);
+            self.step_down(&mut shared, 0, "hears neither workers nor controllers");
+            drop(shared);
             let _ = self.state.end_lease(lease);
         }
     }
@@ -84,9 +84,9 @@
         let mine = owner.as_ref().is_some_and(|o| o.label == self.cfg.platform.label);
         if let (Some(o), false) = (&owner, mine) {
             {
-                let mut core = self.lock();
-                core.highest = core.highest.max(o.token);
-                core.leader = Some(o.clone());
+                let mut shared = self.lock();
+                shared.highest_token = shared.highest_token.max(o.token);
+                shared.leader = Some(o.clone());
             }
             let e = self.state.watch(LEADER, revision, Micros::from_millis(3000))?;
             if !e.events.iter().any(|e| e.drop.as_deref() == Some(LEADER)) {
@@ -103,7 +103,7 @@
             return self.take(ttl, 0);
         }
         // Nobody leads, or an earlier life of this very process did.
-        if self.now() < self.lock().hold_off {
+        if self.now() < self.lock().no_claim_until {
             self.sleep(Micros::from_millis(300));
             return Ok(());
         }
@@ -111,7 +111,7 @@
     }
 
     fn take(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
-        if self.now() < self.lock().hold_off {
+        if self.now() < self.lock().no_claim_until {
             return Ok(());
         }
         let begun = self.now();
@@ -121,9 +121,9 @@
         };
         tracing::info!(token = claim.token, "takes over");
         {
-            let mut core = self.lock();
-            core.claiming = true;
-            core.highest = core.highest.max(claim.token);
+            let mut shared = self.lock();
+            shared.claiming = true;
+            shared.highest_token = shared.highest_token.max(claim.token);
         }
         self.rebuild(claim, begun)
     }
@@ -133,25 +133,25 @@
     fn rebuild(&self, claim: Claim, begun: Steady) -> Result<(), StateError> {
         let types = self.types().unwrap_or_default();
         let r = cluster::rebuild(&self.state, self.cfg.clone(), types, claim.token, self.now());
-        let mut core = self.lock();
-        core.claiming = false;
+        let mut shared = self.lock();
+        shared.claiming = false;
         match r {
-            Ok(fleet) if core.highest == claim.token => {
-                self.begin_ownership(&mut core, claim, fleet, begun);
+            Ok(fleet) if shared.highest_token == claim.token => {
+                self.begin_ownership(&mut shared, claim, fleet, begun);
                 Ok(())
             }
             Ok(_) => Ok(()),
             Err(e) => {
                 tracing::info!(error = %e, "could not rebuild");
-                drop(core);
+                drop(shared);
                 let _ = self.state.end_lease(claim.lease);
                 Err(e)
             }
         }
     }
 
-    fn begin_ownership(&self, core: &mut Core, claim: Claim, mut fleet: Fleet, begun: Steady) {
-        if let Some(t) = &core.types {
+    fn begin_ownership(&self, shared: &mut SharedState, claim: Claim, mut fleet: Fleet, begun: Steady) {
+        if let Some(t) = &shared.machine_types {
             fleet.set_types(t.clone());
         }
         let now = self.now();
@@ -166,29 +166,29 @@
         );
         // Cancellations that were told of while the records were read.
         for id in fleet.jobs.keys().cloned().collect::<Vec<_>>() {
-            if let Some((_, revision)) = core.finals.get(&*id) {
+            if let Some((_, revision)) = shared.finals.get(&*id) {
                 fleet.job_over(&id, *revision);
             }
         }
-        core.leader = Some(Owner {
+        shared.leader = Some(Owner {
             label: self.cfg.platform.label.clone(),
             incarnation: self.incarnation,
             token: claim.token,
             lease: claim.lease,
         });
-        core.last_peer = now;
+        shared.last_peer_contact = now;
         let view = View::new(begun, self.cfg.blind_bound());
-        core.own = Some(Own { fleet, claim, view, last_report: now });
+        shared.ownership = Some(Ownership { fleet, claim, view, last_report: now });
         self.wake.notify_all();
     }
 
-    pub(super) fn step_down(&self, core: &mut Core, token: u64, why: &str) {
-        core.highest = core.highest.max(token);
-        if let Some(own) = core.own.take() {
+    pub(super) fn step_down(&self, shared: &mut SharedState, token: u64, why: &str) {
+        shared.highest_token = shared.highest_token.max(token);
+        if let Some(ownership) = shared.ownership.take() {
             let (rps, writes) = share(&self.cfg, false);
             self.state.allow(rps, writes);
-            tracing::info!(token = own.claim.token, higher = token, why, "gives its parts up");
-            core.leader = None;
+            tracing::info!(token = ownership.claim.token, higher = token, why, "gives its parts up");
+            shared.leader = None;
             self.wake.notify_all();
         }
     }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -28,10 +28,10 @@
 
     /// Another controller has answered, and knows this token.
     pub(super) fn heard_token(&self, token: u64) {
-        let mut core = self.lock();
-        core.last_peer = self.now();
-        if token > core.highest {
-            self.step_down(&mut core, token, "another controller knows a higher token");
+        let mut shared = self.lock();
+        shared.last_peer_contact = self.now();
+        if token > shared.highest_token {
+            self.step_down(&mut shared, token, "another controller knows a higher token");
         }
     }
 
@@ -51,7 +51,7 @@
 
     /// Answers what another controller says.
     pub fn hear(&self, m: &Message) -> Outcome {
-        self.lock().last_peer = self.now();
+        self.lock().last_peer_contact = self.now();
         match m {
             Message::Announce(s) => self.announced(s),
             Message::Notify(n) => self.notified(n),
@@ -82,32 +82,32 @@
             }
             self.cancelled_at(&c.id, FinalRecord { stage: Stage::Cancelled, tasks: c.tasks }, c.revision);
         }
-        Outcome::Ack(Ack { token: self.lock().highest })
+        Outcome::Ack(Ack { token: self.lock().highest_token })
     }
 
     fn announced(&self, s: &Summary) -> Outcome {
-        let mut core = self.lock();
-        if s.token > core.highest {
-            self.step_down(&mut core, s.token, "another controller leads with a higher token");
+        let mut shared = self.lock();
+        if s.token > shared.highest_token {
+            self.step_down(&mut shared, s.token, "another controller leads with a higher token");
         }
-        if s.token > 0 && s.token == core.highest && core.own.is_none() {
-            core.leader = Some(Owner { label: s.leader.clone(), incarnation: 0, token: s.token, lease: 0 });
-            core.counts =
+        if s.token > 0 && s.token == shared.highest_token && shared.ownership.is_none() {
+            shared.leader = Some(Owner { label: s.leader.clone(), incarnation: 0, token: s.token, lease: 0 });
+            shared.announced_counts =
                 s.jobs.iter().map(|j| (j.id.clone(), Counts { done: j.done, running: j.running })).collect();
         }
-        Outcome::Ack(Ack { token: core.highest })
+        Outcome::Ack(Ack { token: shared.highest_token })
     }
 
     fn notified(&self, n: &JobNews) -> Outcome {
-        let mut core = self.lock();
-        if let Some(own) = core.own.as_mut() {
+        let mut shared = self.lock();
+        if let Some(ownership) = shared.ownership.as_mut() {
             if n.record.is_empty() {
-                own.fleet.job_over(&n.id, n.revision);
+                ownership.fleet.job_over(&n.id, n.revision);
             } else if let Ok(r) = serde_json::from_slice::<JobRecord>(&n.record) {
-                own.fleet.job_put(r, n.revision, self.now());
+                ownership.fleet.job_put(r, n.revision, self.now());
             }
             self.wake.notify_all();
         }
-        Outcome::Ack(Ack { token: core.highest })
+        Outcome::Ack(Ack { token: shared.highest_token })
     }
 }
--- a/src/node/planning.rs
+++ b/src/node/planning.rs
@@ -14,12 +14,12 @@
 
     /// Lets time pass, plans, and answers workers that wait for a start.
     pub fn plan_once(&self) {
-        let mut core = self.lock();
-        let writes = core.own.as_mut().is_some_and(|own| {
-            own.fleet.tick(self.now(), wall());
-            own.fleet.starts_wait()
+        let mut shared = self.lock();
+        let writes = shared.ownership.as_mut().is_some_and(|ownership| {
+            ownership.fleet.tick(self.now(), wall());
+            ownership.fleet.starts_wait()
         });
-        drop(core);
+        drop(shared);
         self.answer_waiting();
         if writes {
             self.wake.notify_all();
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -4,7 +4,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use super::{Core, Node};
+use super::{Node, SharedState};
 use crate::fleet::CheckIn;
 use crate::http::{Reply, Request, Response};
 use crate::jobs::MachineId;
@@ -24,7 +24,7 @@
 const RELAY_REPORT_WITHIN: Micros = Micros::from_millis(2500);
 
 /// A report that is answered when a start for its worker comes up, or after a while.
-pub(super) struct Later {
+pub(super) struct DeferredReply {
     report: Report,
     token: u64,
     until: Steady,
@@ -54,57 +54,57 @@
                 return (Some(Response::error(400, &e.to_string())), reply);
             }
         };
-        let mut core = self.await_claim();
-        if core.own.is_some() {
-            return self.answer_as_owner(&mut core, report, reply);
+        let mut shared = self.await_claim();
+        if shared.ownership.is_some() {
+            return self.answer_as_owner(&mut shared, report, reply);
         }
         if reply.is_none() {
             return (Some(Response::error(503, "not the owner")), None);
         }
-        (Some(self.redirect_or_relay(core, &report.machine, req)), reply)
+        (Some(self.redirect_or_relay(shared, &report.machine, req)), reply)
     }
 
     /// Takes the lock, and while a claim is being made waits a moment for its outcome.
-    fn await_claim(&self) -> MutexGuard<'_, Core> {
+    fn await_claim(&self) -> MutexGuard<'_, SharedState> {
         let since = self.now();
-        let mut core = self.lock();
-        while core.claiming && core.own.is_none() && self.now() - since < AWAIT_CLAIM {
-            core = match self.wake.wait_timeout(core, Duration::from_millis(200)) {
+        let mut shared = self.lock();
+        while shared.claiming && shared.ownership.is_none() && self.now() - since < AWAIT_CLAIM {
+            shared = match self.wake.wait_timeout(shared, Duration::from_millis(200)) {
                 Ok((guard, _)) => guard,
                 Err(e) => e.into_inner().0,
             };
         }
-        core
+        shared
     }
 
     /// Answers a report from the owner's world, or keeps it until a start comes up.
     fn answer_as_owner(
         &self,
-        core: &mut Core,
+        shared: &mut SharedState,
         report: Report,
         reply: Option<Reply>,
     ) -> (Option<Response>, Option<Reply>) {
         let now = self.now();
-        let Some(own) = core.own.as_mut() else {
+        let Some(ownership) = shared.ownership.as_mut() else {
             return (Some(Response::error(503, "not the owner")), reply);
         };
-        if !own.view.may_act(now) {
+        if !ownership.view.may_act(now) {
             // Cancellations cannot be seen any more: leases must be let run out.
-            own.fleet.not_answered(&report.machine, now);
+            ownership.fleet.not_answered(&report.machine, now);
             let refused = Response::error(503, "out of touch with the state service");
             return (Some(refused), reply);
         }
-        own.last_report = now;
-        let token = own.claim.token;
-        let answer = match own.fleet.check_in(&report, now, wall()) {
+        ownership.last_report = now;
+        let token = ownership.claim.token;
+        let answer = match ownership.fleet.check_in(&report, now, wall()) {
             CheckIn::Reply(r) => {
                 // Other workers report when something changes, and must not be kept from it.
                 let id: MachineId = report.machine.as_str().into();
-                if r.orders.is_empty() && own.fleet.may_wait(&id, now) {
+                if r.orders.is_empty() && ownership.fleet.may_wait(&id, now) {
                     if let Some(reply) = reply {
-                        let later = Later { report, token, until: now + ANSWER_WITHIN, reply };
+                        let deferred = DeferredReply { report, token, until: now + ANSWER_WITHIN, reply };
                         // A second report takes the place of the first: its worker gave up.
-                        core.waiting.insert(id, later);
+                        shared.deferred_replies.insert(id, deferred);
                         return (None, None);
                     }
                 }
@@ -112,7 +112,7 @@
             }
             CheckIn::Refuse => Response::error(503, "not now"),
             CheckIn::Superseded(token) => {
-                self.step_down(core, token, "a worker has seen a higher token");
+                self.step_down(shared, token, "a worker has seen a higher token");
                 Response::error(503, "not the owner")
             }
         };
@@ -120,18 +120,23 @@
     }
 
     /// Sends a worker to the owner; if it is back soon after, has the owner answer its report.
-    fn redirect_or_relay(&self, mut core: MutexGuard<'_, Core>, machine: &str, req: &Request) -> Response {
+    fn redirect_or_relay(
+        &self,
+        mut shared: MutexGuard<'_, SharedState>,
+        machine: &str,
+        req: &Request,
+    ) -> Response {
         let now = self.now();
-        let Some(leader) = core.leader.clone().filter(|l| l.label != self.cfg.platform.label) else {
+        let Some(leader) = shared.leader.clone().filter(|l| l.label != self.cfg.platform.label) else {
             return Response::error(503, "no owner known");
         };
-        core.redirected.retain(|_, at| now - *at < REDIRECTS_KEPT);
-        let again = core.redirected.get(machine).is_some_and(|at| now - *at < BACK_SOON);
+        shared.redirected.retain(|_, at| now - *at < REDIRECTS_KEPT);
+        let again = shared.redirected.get(machine).is_some_and(|at| now - *at < BACK_SOON);
         if !again {
-            core.redirected.insert(machine.to_string(), now);
+            shared.redirected.insert(machine.to_string(), now);
             return Response::json(421, &Redirect { leader: leader.label });
         }
-        drop(core);
+        drop(shared);
         // It was sent to the owner and is back: it cannot get through, so its report is carried.
         let to = self.cfg.platform.members.iter().position(|m| m.label == leader.label);
         match to.and_then(|to| self.relay(to, req, RELAY_REPORT_WITHIN)) {
@@ -142,41 +147,43 @@
 
     /// Answers those idle workers for whom a start may leave now, or who waited long enough.
     pub(super) fn answer_waiting(&self) {
-        let mut core = self.lock();
-        let Core { own, waiting, .. } = &mut *core;
+        let mut shared = self.lock();
+        let SharedState { ownership, deferred_replies, .. } = &mut *shared;
         let now = self.now();
-        let own = own.as_mut().filter(|o| o.view.may_act(now));
-        let token = own.as_ref().map(|o| o.claim.token);
-        let due: Vec<MachineId> = waiting
+        let ownership = ownership.as_mut().filter(|o| o.view.may_act(now));
+        let token = ownership.as_ref().map(|o| o.claim.token);
+        let due: Vec<MachineId> = deferred_replies
             .iter()
             .filter(|(id, w)| {
                 Some(w.token) != token
                     || now >= w.until
-                    || own.as_ref().is_some_and(|o| o.fleet.start_waits(id))
+                    || ownership.as_ref().is_some_and(|o| o.fleet.start_waits(id))
             })
             .map(|(id, _)| id.clone())
             .collect();
         let mut answers = Vec::new();
-        if let Some(own) = own {
+        if let Some(ownership) = ownership {
             for id in &due {
-                let Some(w) = waiting.get(id).filter(|w| w.token == own.claim.token) else { continue };
-                let orders = own.fleet.later(&w.report, now, wall());
+                let Some(w) = deferred_replies.get(id).filter(|w| w.token == ownership.claim.token) else {
+                    continue;
+                };
+                let orders = ownership.fleet.later(&w.report, now, wall());
                 if orders.is_empty() && now < w.until {
                     continue;
                 }
-                if let Some(w) = waiting.remove(id) {
+                if let Some(w) = deferred_replies.remove(id) {
                     answers.push((w.reply, Response::json(200, &ReportReply { token: w.token, orders })));
                 }
             }
         }
         // Of an earlier time as owner, or while the state service is out of sight.
-        let lost = due.iter().filter(|id| waiting.get(*id).is_some_and(|w| Some(w.token) != token));
+        let lost = due.iter().filter(|id| deferred_replies.get(*id).is_some_and(|w| Some(w.token) != token));
         for id in lost.cloned().collect::<Vec<_>>() {
-            if let Some(w) = waiting.remove(&id) {
+            if let Some(w) = deferred_replies.remove(&id) {
                 answers.push((w.reply, Response::error(503, "not the owner")));
             }
         }
-        drop(core);
+        drop(shared);
         for (reply, r) in answers {
             reply.send(&r);
         }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -1,6 +1,6 @@
 //! How a controller is: the load balancer's probe and the status view for people on call.
 
-use super::{Node, Own};
+use super::{Node, Ownership};
 use crate::http::{Request, Response};
 use crate::time::{wall, Micros};
 use crate::wire::{Health, NodeStatus, PartStatus};
@@ -19,11 +19,11 @@
     /// answer nothing but 503, while the others may serve; an outage for all is not told by being
     /// unhealthy, since it would take the longer to come back.
     pub(super) fn up(&self) -> Response {
-        let core = self.lock();
-        if core.types.is_none() {
+        let shared = self.lock();
+        if shared.machine_types.is_none() {
             return Response::error(503, "starting");
         }
-        let unheard = self.now() - core.last_peer;
+        let unheard = self.now() - shared.last_peer_contact;
         let lost = self.state.out_of_reach() > STATE_LOST;
         if lost && self.peers.count() > 0 && unheard > PEER_LOST {
             return Response::error(503, "cut off from the state service and the other controllers");
@@ -33,18 +33,18 @@
 
     pub(super) fn status(&self, req: &Request) -> Response {
         let team = req.path.strip_prefix(STATUS).and_then(|r| r.strip_prefix('/'));
-        let core = self.lock();
+        let shared = self.lock();
         let label = &self.cfg.platform.label;
-        let own = core.own.as_ref();
-        let part = |o: &Own| PartStatus { owner: label.clone(), part: ONLY_PART, token: o.claim.token };
+        let ownership = shared.ownership.as_ref();
+        let part = |o: &Ownership| PartStatus { owner: label.clone(), part: ONLY_PART, token: o.claim.token };
         Response::json(
             200,
             &NodeStatus {
-                leader: core.leader.as_ref().map(|l| l.label.clone()),
+                leader: shared.leader.as_ref().map(|l| l.label.clone()),
                 node: label.clone(),
-                view: own.map(|o| o.fleet.status(team, self.now(), wall())),
-                parts: own.map(|o| vec![part(o)]),
-                view_age_s: own.map(|o| o.view.age(self.now()).secs()),
+                view: ownership.map(|o| o.fleet.status(team, self.now(), wall())),
+                parts: ownership.map(|o| vec![part(o)]),
+                view_age_s: ownership.map(|o| o.view.age(self.now()).secs()),
             },
         )
     }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -35,15 +35,15 @@
 
     /// Keeps a final stage; final stages never change.
     pub fn learn_final(&self, id: &str, f: FinalRecord, revision: u64) {
-        let mut core = self.lock();
-        if core.finals.contains_key(id) {
+        let mut shared = self.lock();
+        if shared.finals.contains_key(id) {
             return;
         }
-        if core.finals.insert(id.to_string(), (f, revision)).is_none() {
-            core.finals_order.push_back(id.to_string());
-            if core.finals_order.len() > FINALS_KEPT {
-                if let Some(old) = core.finals_order.pop_front() {
-                    core.finals.remove(&old);
+        if shared.finals.insert(id.to_string(), (f, revision)).is_none() {
+            shared.finals_order.push_back(id.to_string());
+            if shared.finals_order.len() > FINALS_KEPT {
+                if let Some(old) = shared.finals_order.pop_front() {
+                    shared.finals.remove(&old);
                 }
             }
         }
@@ -51,28 +51,28 @@
 
     /// Machine types, once known.
     pub fn types(&self) -> Option<Vec<MachineType>> {
-        self.lock().types.clone()
+        self.lock().machine_types.clone()
     }
 
     /// Numbers of a live job: the owner's own, or those it announced.
     pub fn counts(&self, id: &str) -> Counts {
-        let core = self.lock();
-        match &core.own {
-            Some(own) => own.fleet.counts(id).unwrap_or_default(),
-            None => core.counts.get(id).copied().unwrap_or_default(),
+        let shared = self.lock();
+        match &shared.ownership {
+            Some(ownership) => ownership.fleet.counts(id).unwrap_or_default(),
+            None => shared.announced_counts.get(id).copied().unwrap_or_default(),
         }
     }
 
     /// A job was written by this node: the owner is told.
     pub fn job_written(&self, id: &str, record: JobRecord, revision: u64) {
         let to = {
-            let mut core = self.lock();
-            if let Some(own) = core.own.as_mut() {
-                own.fleet.job_put(record, revision, self.now());
+            let mut shared = self.lock();
+            if let Some(ownership) = shared.ownership.as_mut() {
+                ownership.fleet.job_put(record, revision, self.now());
                 self.wake.notify_all();
                 return;
             }
-            let leader = core.leader.as_ref().map(|l| l.label.clone());
+            let leader = shared.leader.as_ref().map(|l| l.label.clone());
             self.cfg.platform.members.iter().position(|m| Some(&m.label) == leader.as_ref())
         };
         let Some(to) = to else { return };
@@ -92,15 +92,15 @@
             let since = self.now();
             let c = Cancellation { id: id.to_string(), tasks: f.tasks, revision, since };
             self.notices.lock().unwrap_or_else(|e| e.into_inner()).add(&c);
-            self.told.notify_one();
+            self.notices_added.notify_one();
         }
         self.cancelled_at(id, f, revision);
     }
 
     pub(super) fn cancelled_at(&self, id: &str, f: FinalRecord, revision: u64) {
         self.learn_final(id, f, revision);
-        if let Some(own) = self.lock().own.as_mut() {
-            own.fleet.job_over(id, revision);
+        if let Some(ownership) = self.lock().ownership.as_mut() {
+            ownership.fleet.job_over(id, revision);
             self.wake.notify_all();
         }
     }
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -22,7 +22,7 @@
     /// node.
     pub fn watch_once(&self) -> Micros {
         let Some((token, from, view)) =
-            self.lock().own.as_ref().map(|o| (o.claim.token, o.fleet.read_to(), o.view))
+            self.lock().ownership.as_ref().map(|o| (o.claim.token, o.fleet.read_to(), o.view))
         else {
             return Micros::from_millis(100);
         };
@@ -38,24 +38,24 @@
         };
         match changes {
             Ok(e) => {
-                let mut core = self.lock();
-                let Some(own) = core.own.as_mut().filter(|o| o.claim.token == token) else {
+                let mut shared = self.lock();
+                let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
                     return Micros::ZERO;
                 };
                 let to = if read { e.revision } else { e.events.iter().map(|e| e.stamp).max().unwrap_or(0) };
                 for e in e.events {
-                    take_change(&mut own.fleet, e, self.now());
+                    take_change(&mut ownership.fleet, e, self.now());
                 }
-                own.fleet.has_read_to(to);
+                ownership.fleet.has_read_to(to);
                 if read {
-                    own.view.has_read(sent);
+                    ownership.view.has_read(sent);
                 }
                 Micros::from_millis(100)
             }
             Err(StateError::TooOld) => {
-                let mut core = self.lock();
-                if core.own.as_ref().is_some_and(|o| o.claim.token == token) {
-                    self.step_down(&mut core, 0, "missed changes, reads all anew");
+                let mut shared = self.lock();
+                if shared.ownership.as_ref().is_some_and(|o| o.claim.token == token) {
+                    self.step_down(&mut shared, 0, "missed changes, reads all anew");
                 }
                 Micros::ZERO
             }
--- a/src/node/writer.rs
+++ b/src/node/writer.rs
@@ -29,10 +29,13 @@
         let chunk = chunk_tasks(self.cfg.value_bytes());
         let ops = self.cfg.platform.settings.state.txn_ops;
         let now = self.now();
-        let work = self.lock().own.as_mut().map(|own| {
-            let pending = own.fleet.pending(now, DONE_EVERY, chunk);
-            let part = own.claim.part;
-            (own.claim.clone(), cluster::batches(&mut own.fleet, part, pending, ops, chunk, now, wall()))
+        let work = self.lock().ownership.as_mut().map(|ownership| {
+            let pending = ownership.fleet.pending(now, DONE_EVERY, chunk);
+            let part = ownership.claim.part;
+            (
+                ownership.claim.clone(),
+                cluster::batches(&mut ownership.fleet, part, pending, ops, chunk, now, wall()),
+            )
         });
         let Some((claim, batches)) = work else { return true };
         batches.into_iter().all(|b| self.write_batch(&claim, b))
@@ -45,9 +48,9 @@
             Ok(Applied::Yes(revision)) => self.batch_written(claim, &b, revision),
             Ok(Applied::Conflict(keys)) => {
                 if keys.iter().any(|k| k == PART) {
-                    let mut core = self.lock();
-                    if core.own.as_ref().is_some_and(|o| o.claim.token == claim.token) {
-                        self.step_down(&mut core, 0, "another owner has taken the part");
+                    let mut shared = self.lock();
+                    if shared.ownership.as_ref().is_some_and(|o| o.claim.token == claim.token) {
+                        self.step_down(&mut shared, 0, "another owner has taken the part");
                     }
                     return false;
                 }
@@ -70,16 +73,18 @@
     fn batch_written(&self, claim: &Claim, b: &Batch, revision: u64) -> bool {
         let mut finals: Vec<(JobId, u32)> = Vec::new();
         {
-            let mut core = self.lock();
-            let Some(own) = core.own.as_mut().filter(|o| o.claim.token == claim.token) else { return false };
+            let mut shared = self.lock();
+            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == claim.token) else {
+                return false;
+            };
             let now = self.now();
             for (item, said) in &b.items {
                 if let Pending::Final(id) = item {
-                    if let Some(j) = own.fleet.jobs.get(id) {
+                    if let Some(j) = ownership.fleet.jobs.get(id) {
                         finals.push((id.clone(), j.spec.tasks));
                     }
                 }
-                own.fleet.written(item, revision, said, now);
+                ownership.fleet.written(item, revision, said, now);
             }
         }
         for (id, tasks) in finals {
@@ -93,9 +98,11 @@
     fn read_back(&self, claim: &Claim, keys: &[String]) -> bool {
         for key in keys {
             let Ok(row) = self.state.get(key, Urgency::User) else { return false };
-            let mut core = self.lock();
-            let Some(own) = core.own.as_mut().filter(|o| o.claim.token == claim.token) else { return false };
-            cluster::learn(&mut own.fleet, key, row, self.now());
+            let mut shared = self.lock();
+            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == claim.token) else {
+                return false;
+            };
+            cluster::learn(&mut ownership.fleet, key, row, self.now());
         }
         true
     }
