--- a/src/node/announce.rs
+++ b/src/node/announce.rs
@@ -8,11 +8,11 @@
 use crate::time::{Micros, Steady};
 
 /// How often the others are told who leads.
-const ANNOUNCE_EVERY: Micros = Micros::from_millis(1000);
+const ANNOUNCE_INTERVAL: Micros = Micros::from_millis(1000);
 /// When one that did not answer is told of cancellations again.
-const TELL_AGAIN: Micros = Micros::from_millis(300);
+const NOTICE_RETRY_DELAY: Micros = Micros::from_millis(300);
 /// After this without a word from another controller, whether one can be heard is asked.
-const PEER_QUIET: Micros = Micros::from_millis(1500);
+const PEER_PROBE_AFTER: Micros = Micros::from_millis(1500);
 
 impl Node {
     /// Tells the others who leads, about once a second, and what was cancelled, at once and until
@@ -21,7 +21,7 @@
         let (mut last, mut all_told) = (Steady(0), true);
         while !self.stopping() {
             let since = self.now() - last;
-            let left = if all_told { ANNOUNCE_EVERY - since } else { TELL_AGAIN };
+            let left = if all_told { ANNOUNCE_INTERVAL - since } else { NOTICE_RETRY_DELAY };
             {
                 let n = self.notices.lock().unwrap_or_else(|e| e.into_inner());
                 if left.0 > 0 && (n.is_empty() || !all_told) {
@@ -29,7 +29,7 @@
                 }
             }
             all_told = self.tell_once();
-            if self.now() - last >= ANNOUNCE_EVERY {
+            if self.now() - last >= ANNOUNCE_INTERVAL {
                 self.announce_once();
                 last = self.now();
             }
@@ -43,7 +43,7 @@
             match &shared.ownership {
                 Some(ownership) => Some(self.summary(ownership)),
                 // Nobody has been heard of late: whether anybody can be is asked.
-                None if self.now() - shared.last_peer_contact > PEER_QUIET => Some(Summary::default()),
+                None if self.now() - shared.last_peer_contact > PEER_PROBE_AFTER => Some(Summary::default()),
                 None => None,
             }
         };
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -8,15 +8,15 @@
 use crate::wire::RentRequest;
 
 /// Most machines in one request for some.
-const MOST_RENTED: u32 = 50;
+const MAX_MACHINES_PER_RENTAL: u32 = 50;
 /// Most machines in one request to return some.
-const MOST_RETURNED: usize = 100;
+const MAX_MACHINES_PER_RETURN: usize = 100;
 /// How often a request for machines is repeated when its outcome is not known.
 const RENT_RETRIES: usize = 2;
 /// How long an offer that the cloud could not meet in full is not asked for.
-const REFUSED_FOR: Micros = Micros::from_millis(10_000);
+const NO_CAPACITY_BACKOFF: Micros = Micros::from_millis(10_000);
 /// The same after the cloud answered with an error, or not at all.
-const FAILED_FOR: Micros = Micros::from_millis(2_000);
+const CLOUD_ERROR_BACKOFF: Micros = Micros::from_millis(2_000);
 
 impl Node {
     /// Keeps an eye on the cloud's list and its prices. A long list takes several requests, which
@@ -86,7 +86,7 @@
         }
         // Each answer counts at once: what the next request has to wait for must not hold up what
         // can start elsewhere.
-        for part in ids.chunks(MOST_RETURNED) {
+        for part in ids.chunks(MAX_MACHINES_PER_RETURN) {
             match self.cloud.give_back(part) {
                 Ok(()) => {
                     if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
@@ -137,7 +137,7 @@
             let zone = ownership.fleet.zone_name(offer.zone).to_string();
             let mut left = count;
             while left > 0 {
-                let count = left.min(MOST_RENTED);
+                let count = left.min(MAX_MACHINES_PER_RENTAL);
                 left -= count;
                 let request = RentRequest {
                     request: String::new(),
@@ -189,7 +189,7 @@
             tracing::info!(ty = %r.ty, zone = %r.zone, spot = r.spot, asked = r.count, got = ids.len(), "rented");
             let short = (ids.len() as u32) < r.count;
             if short {
-                fleet.offer_refused(offer, now + REFUSED_FOR);
+                fleet.offer_refused(offer, now + NO_CAPACITY_BACKOFF);
             }
             fleet.rented(&ids, offer, now);
             if short {
@@ -200,12 +200,12 @@
         }
         Err(CloudError::NoCapacity) => {
             tracing::debug!(ty = %r.ty, zone = %r.zone, spot = r.spot, "no capacity");
-            fleet.offer_refused(offer, now + REFUSED_FOR);
+            fleet.offer_refused(offer, now + NO_CAPACITY_BACKOFF);
             Rental::Short
         }
         Err(e) => {
             tracing::info!(error = %e, "the cloud rents nothing now");
-            fleet.offer_refused(offer, now + FAILED_FOR);
+            fleet.offer_refused(offer, now + CLOUD_ERROR_BACKOFF);
             Rental::Failed
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -76,7 +76,7 @@
 }
 
 /// Reads for polls begin no closer together than the first and no further than the second.
-const POLLS_APART: (Micros, Micros) = (Micros::from_millis(20), Micros::from_millis(250));
+const POLL_READ_INTERVAL: (Micros, Micros) = (Micros::from_millis(20), Micros::from_millis(250));
 /// Threads that answer the other controllers.
 const PEER_THREADS: usize = 3;
 /// Stack of a duty's thread in bytes.
@@ -129,7 +129,9 @@
         Ok(Arc::new(Node {
             state: StateClient::new(p.services.state, rps, writes),
             // Half of what the others are allowed, at the most.
-            live: LiveJobs::new(Micros::from_secs(2.0 / rps.max(0.1)).clamp(POLLS_APART.0, POLLS_APART.1)),
+            live: LiveJobs::new(
+                Micros::from_secs(2.0 / rps.max(0.1)).clamp(POLL_READ_INTERVAL.0, POLL_READ_INTERVAL.1),
+            ),
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
             notices: Mutex::new(Notices::new(peers.count(), keep)),
             notices_added: Condvar::new(),
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -13,15 +13,15 @@
 
 /// How long the answer to an idle worker's report waits for a start at the most; the worker gives
 /// up after four seconds.
-const ANSWER_WITHIN: Micros = Micros::from_millis(2500);
+const MAX_REPLY_DELAY: Micros = Micros::from_millis(2500);
 /// How long a report waits for the outcome of this node's own claim.
-const AWAIT_CLAIM: Micros = Micros::from_millis(1500);
+const CLAIM_TIMEOUT: Micros = Micros::from_millis(1500);
 /// How long it is remembered that a worker was sent to the owner.
-const REDIRECTS_KEPT: Micros = Micros::from_millis(30_000);
+const REDIRECT_RETENTION: Micros = Micros::from_millis(30_000);
 /// A worker that is back within this time cannot reach the owner.
-const BACK_SOON: Micros = Micros::from_millis(12_000);
+const REDIRECT_RETRY_WINDOW: Micros = Micros::from_millis(12_000);
 /// How long the owner has to answer a report that is carried to it.
-const RELAY_REPORT_WITHIN: Micros = Micros::from_millis(2500);
+const RELAY_REPORT_TIMEOUT: Micros = Micros::from_millis(2500);
 
 /// A report that is answered when a start for its worker comes up, or after a while.
 pub(super) struct DeferredReply {
@@ -68,7 +68,7 @@
     fn await_claim(&self) -> MutexGuard<'_, SharedState> {
         let since = self.now();
         let mut shared = self.lock();
-        while shared.claiming && shared.ownership.is_none() && self.now() - since < AWAIT_CLAIM {
+        while shared.claiming && shared.ownership.is_none() && self.now() - since < CLAIM_TIMEOUT {
             shared = match self.wake.wait_timeout(shared, Duration::from_millis(200)) {
                 Ok((guard, _)) => guard,
                 Err(e) => e.into_inner().0,
@@ -102,7 +102,7 @@
                 let id: MachineId = report.machine.as_str().into();
                 if r.orders.is_empty() && ownership.fleet.may_wait(&id, now) {
                     if let Some(reply) = reply {
-                        let deferred = DeferredReply { report, token, until: now + ANSWER_WITHIN, reply };
+                        let deferred = DeferredReply { report, token, until: now + MAX_REPLY_DELAY, reply };
                         // A second report takes the place of the first: its worker gave up.
                         shared.deferred_replies.insert(id, deferred);
                         return (None, None);
@@ -130,8 +130,8 @@
         let Some(leader) = shared.leader.clone().filter(|l| l.label != self.cfg.platform.label) else {
             return Response::error(503, "no owner known");
         };
-        shared.redirected.retain(|_, at| now - *at < REDIRECTS_KEPT);
-        let again = shared.redirected.get(machine).is_some_and(|at| now - *at < BACK_SOON);
+        shared.redirected.retain(|_, at| now - *at < REDIRECT_RETENTION);
+        let again = shared.redirected.get(machine).is_some_and(|at| now - *at < REDIRECT_RETRY_WINDOW);
         if !again {
             shared.redirected.insert(machine.to_string(), now);
             return Response::json(421, &Redirect { leader: leader.label });
@@ -139,7 +139,7 @@
         drop(shared);
         // It was sent to the owner and is back: it cannot get through, so its report is carried.
         let to = self.cfg.platform.members.iter().position(|m| m.label == leader.label);
-        match to.and_then(|to| self.relay(to, req, RELAY_REPORT_WITHIN)) {
+        match to.and_then(|to| self.relay(to, req, RELAY_REPORT_TIMEOUT)) {
             Some(r) => r,
             None => Response::error(503, "the owner does not answer"),
         }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -8,9 +8,9 @@
 /// Path of the status view between controllers; a team's name may follow.
 pub const STATUS: &str = "/status";
 /// After this without a word, asked for or not, none can be heard.
-const PEER_LOST: Micros = Micros::from_millis(4500);
+const PEER_TIMEOUT: Micros = Micros::from_millis(4500);
 /// After this without an answer the state service counts as lost.
-const STATE_LOST: Micros = Micros::from_millis(1500);
+const STATE_TIMEOUT: Micros = Micros::from_millis(1500);
 /// Number of the one part that there is.
 const ONLY_PART: u32 = 0;
 
@@ -24,8 +24,8 @@
             return Response::error(503, "starting");
         }
         let unheard = self.now() - shared.last_peer_contact;
-        let lost = self.state.out_of_reach() > STATE_LOST;
-        if lost && self.peers.count() > 0 && unheard > PEER_LOST {
+        let lost = self.state.out_of_reach() > STATE_TIMEOUT;
+        if lost && self.peers.count() > 0 && unheard > PEER_TIMEOUT {
             return Response::error(503, "cut off from the state service and the other controllers");
         }
         Response::json(200, &Health { healthy: true })
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -10,7 +10,7 @@
 use crate::time::Micros;
 use crate::wire::MachineType;
 
-const FINALS_KEPT: usize = 20_000;
+const MAX_FINALS: usize = 20_000;
 
 impl Node {
     /// Has another controller answer a user whom this one cannot.
@@ -41,7 +41,7 @@
         }
         if shared.finals.insert(id.to_string(), (f, revision)).is_none() {
             shared.finals_order.push_back(id.to_string());
-            if shared.finals_order.len() > FINALS_KEPT {
+            if shared.finals_order.len() > MAX_FINALS {
                 if let Some(old) = shared.finals_order.pop_front() {
                     shared.finals.remove(&old);
                 }
--- a/src/node/writer.rs
+++ b/src/node/writer.rs
@@ -11,7 +11,7 @@
 use crate::wire::Stage;
 
 /// How often the done ranges of a job that goes on are written; its workers keep the results.
-const DONE_EVERY: Micros = Micros::from_millis(12_000);
+const DONE_WRITE_INTERVAL: Micros = Micros::from_millis(12_000);
 
 impl Node {
     /// Writes what waits.
@@ -30,7 +30,7 @@
         let ops = self.cfg.platform.settings.state.txn_ops;
         let now = self.now();
         let work = self.lock().ownership.as_mut().map(|ownership| {
-            let pending = ownership.fleet.pending(now, DONE_EVERY, chunk);
+            let pending = ownership.fleet.pending(now, DONE_WRITE_INTERVAL, chunk);
             let part = ownership.claim.part;
             (
                 ownership.claim.clone(),
