--- a/src/fleet/machines.rs
+++ b/src/fleet/machines.rs
@@ -154,6 +154,16 @@
         !self.heard && !self.leaving && self.answered.unwrap_or(self.known) + RAISE_AFTER < now
     }
 
+    /// A command to be sent straight to its worker.
+    pub(super) fn direct_command(&self, orders: Vec<Order>) -> DirectCommand {
+        DirectCommand {
+            machine: self.id.clone(),
+            address: self.addr.clone(),
+            session: self.seen.0.max(1),
+            orders,
+        }
+    }
+
     pub(super) fn usable(&self, now: Steady) -> bool {
         self.up && self.enrolled && self.heard && !self.leaving && !self.expired && now >= self.not_before
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::capacity::{Offer, Policy, Upkeep, View, Warm};
 use crate::config::{Config, Team};
+use crate::direct_command::DirectCommand;
 use crate::history::{History, Key};
 use crate::jobs::{
     chunk_number, chunk_span, done_key, split_task, DemandRecord, GangAttempt, Job, JobId, JobRecord,
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -89,17 +89,16 @@
         None
     }
 
-    /// Machines to which this owner's token has to be brought: name, address and session.
-    pub fn to_raise(&self, now: Steady) -> Vec<(MachineId, String, u64)> {
+    /// Commands without orders to the machines to which this owner's token has to be brought.
+    pub fn to_raise(&self, now: Steady) -> Vec<DirectCommand> {
         let due = self.machines.values().filter(|m| m.to_raise(now) && !m.addr.is_empty());
-        due.map(|m| (m.id.clone(), m.addr.clone(), m.seen.0.max(1))).collect()
+        due.map(|m| m.direct_command(Vec::new())).collect()
     }
 
     /// Halts of tasks in whose place a replica waits, and of what is left of jobs that are over on
-    /// machines whose report is overdue: name,
-    /// address, session and orders. The answer to a report carries the same halts; a machine that
+    /// machines whose report is overdue. The answer to a report carries the same halts; a machine that
     /// reaches no controller, or whose owner may no longer answer, has them from here.
-    pub fn to_halt(&mut self, now: Steady) -> Vec<(MachineId, String, u64, Vec<Order>)> {
+    pub fn to_halt(&mut self, now: Steady) -> Vec<DirectCommand> {
         let overdue = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 1.5);
         let mut out = Vec::new();
         for m in self.machines.values_mut() {
@@ -118,7 +117,7 @@
             }
             if !orders.is_empty() {
                 m.commanded = now;
-                out.push((m.id.clone(), m.addr.clone(), m.seen.0.max(1), orders));
+                out.push(m.direct_command(orders));
             }
         }
         out
--- /dev/null
+++ b/src/node/cloud.rs
@@ -0,0 +1,212 @@
+//! The owner's dealings with the cloud: the list of machines, the prices, renting and returning.
+
+use super::Node;
+use crate::capacity::Offer;
+use crate::cloud::CloudError;
+use crate::fleet::Fleet;
+use crate::time::{wall, Micros, Steady};
+use crate::wire::RentRequest;
+
+/// Most machines in one request for some.
+const MAX_MACHINES_PER_RENTAL: u32 = 50;
+/// Most machines in one request to return some.
+const MAX_MACHINES_PER_RETURN: usize = 100;
+/// How often a request for machines is repeated when its outcome is not known.
+const RENT_RETRIES: usize = 2;
+/// How long an offer that the cloud could not meet in full is not asked for.
+const NO_CAPACITY_BACKOFF: Micros = Micros::from_millis(10_000);
+/// The same after the cloud answered with an error, or not at all.
+const CLOUD_ERROR_BACKOFF: Micros = Micros::from_millis(2_000);
+
+impl Node {
+    /// Keeps an eye on the cloud's list and its prices. A long list takes several requests, which
+    /// must not hold up renting.
+    pub(super) fn list(&self) {
+        let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
+        let every = lag.scale(0.75).max(Micros::from_secs(2.0));
+        let (mut listed, mut priced, mut last) = (Steady(0), Steady(0), 0u64);
+        while !self.stopping() {
+            self.sleep(Micros::from_millis(500));
+            let Some(token) = self.lock().ownership.as_ref().map(|o| o.claim.token) else { continue };
+            let now = self.now();
+            if last != token {
+                last = token;
+                listed = Steady(0);
+            }
+            if now - priced > Micros::from_secs(45.0) {
+                if let Ok(t) = self.cloud.catalog() {
+                    priced = now;
+                    let mut shared = self.lock();
+                    shared.machine_types = Some(t.clone());
+                    if let Some(ownership) = shared.ownership.as_mut() {
+                        ownership.fleet.set_types(t);
+                    }
+                }
+            }
+            if now - listed > every {
+                if let Ok(list) = self.cloud.list() {
+                    listed = now;
+                    if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
+                    {
+                        ownership.fleet.listed(&list, self.now());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Rents and returns.
+    pub(super) fn tend(&self) {
+        let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
+        let (mut counter, mut began) = (0u64, (0u64, Steady(0)));
+        while !self.stopping() {
+            self.sleep(Micros::from_millis(500));
+            let Some((token, first)) = self.lock().ownership.as_ref().map(|o| (o.claim.token, o.claim.first))
+            else {
+                continue;
+            };
+            if began.0 != token {
+                began = (token, self.now());
+            }
+            self.give_back(token);
+            // What the last owner rented shows in the list only after a while.
+            if first || self.now() - began.1 > lag.scale(1.2) {
+                self.rent(token, &mut counter);
+            }
+        }
+    }
+
+    fn give_back(&self, token: u64) {
+        let ids = match self.lock().ownership.as_ref().filter(|o| o.claim.token == token) {
+            Some(ownership) => ownership.fleet.leaving(),
+            None => return,
+        };
+        if ids.is_empty() {
+            return;
+        }
+        // Each answer counts at once: what the next request has to wait for must not hold up what
+        // can start elsewhere.
+        for part in ids.chunks(MAX_MACHINES_PER_RETURN) {
+            match self.cloud.give_back(part) {
+                Ok(()) => {
+                    if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
+                    {
+                        ownership.fleet.returned(part, self.now());
+                    }
+                    self.wake.notify_all();
+                }
+                Err(e) => {
+                    tracing::info!(error = %e, machines = ids.len(), "could not be returned yet");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn rent(&self, token: u64, counter: &mut u64) {
+        let Some(wanted) = self.wanted(token) else { return };
+        let mut refused = Vec::new();
+        for (offer, request) in wanted {
+            if refused.contains(&offer) {
+                continue;
+            }
+            *counter += 1;
+            let request =
+                RentRequest { request: format!("r-{token}-{}-{counter}", self.incarnation), ..request };
+            let outcome = self.request_rental(&request);
+            let mut shared = self.lock();
+            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+                return;
+            };
+            let now = self.now();
+            match rental_answered(&mut ownership.fleet, offer, &request, outcome, now) {
+                Rental::Whole => {}
+                Rental::Short => refused.push(offer),
+                Rental::Failed => return,
+            }
+        }
+    }
+
+    /// The requests that bring what the owner lacks, still without names; none if it owns no more.
+    fn wanted(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
+        let mut shared = self.lock();
+        let ownership = shared.ownership.as_mut().filter(|o| o.claim.token == token)?;
+        let mut requests = Vec::new();
+        for (offer, count) in ownership.fleet.capacity(self.now(), wall()) {
+            let Some(ty) = ownership.fleet.types().get(offer.ty).map(|t| t.name.clone()) else { continue };
+            let zone = ownership.fleet.zone_name(offer.zone).to_string();
+            let mut left = count;
+            while left > 0 {
+                let count = left.min(MAX_MACHINES_PER_RENTAL);
+                left -= count;
+                let request = RentRequest {
+                    request: String::new(),
+                    ty: ty.clone(),
+                    zone: zone.clone(),
+                    spot: offer.spot,
+                    count,
+                };
+                requests.push((offer, request));
+            }
+        }
+        Some(requests)
+    }
+
+    /// Sends a request, again if its outcome is not known: the same request rents nothing twice.
+    fn request_rental(&self, request: &RentRequest) -> Result<Vec<String>, CloudError> {
+        let mut outcome = self.cloud.rent(request);
+        for _ in 0..RENT_RETRIES {
+            if !matches!(outcome, Err(CloudError::Unknown(_))) {
+                break;
+            }
+            outcome = self.cloud.rent(request);
+        }
+        outcome
+    }
+}
+
+/// What came of a request for machines.
+enum Rental {
+    /// All that was asked for.
+    Whole,
+    /// Less, or nothing: no more of this offer is asked for in this round.
+    Short,
+    /// The cloud rents nothing now.
+    Failed,
+}
+
+/// Takes in the cloud's answer to a request.
+fn rental_answered(
+    fleet: &mut Fleet,
+    offer: Offer,
+    request: &RentRequest,
+    outcome: Result<Vec<String>, CloudError>,
+    now: Steady,
+) -> Rental {
+    let r = request;
+    match outcome {
+        Ok(ids) => {
+            tracing::info!(ty = %r.ty, zone = %r.zone, spot = r.spot, asked = r.count, got = ids.len(), "rented");
+            let short = (ids.len() as u32) < r.count;
+            if short {
+                fleet.offer_refused(offer, now + NO_CAPACITY_BACKOFF);
+            }
+            fleet.rented(&ids, offer, now);
+            if short {
+                Rental::Short
+            } else {
+                Rental::Whole
+            }
+        }
+        Err(CloudError::NoCapacity) => {
+            tracing::debug!(ty = %r.ty, zone = %r.zone, spot = r.spot, "no capacity");
+            fleet.offer_refused(offer, now + NO_CAPACITY_BACKOFF);
+            Rental::Short
+        }
+        Err(e) => {
+            tracing::info!(error = %e, "the cloud rents nothing now");
+            fleet.offer_refused(offer, now + CLOUD_ERROR_BACKOFF);
+            Rental::Failed
+        }
+    }
+}
--- /dev/null
+++ b/src/node/commands.rs
@@ -0,0 +1,107 @@
+//! Direct commands to workers: a new owner's token, and halts for machines that do not report.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use super::{Node, Ownership};
+use crate::config::RAISERS;
+use crate::direct_command::DirectCommand;
+use crate::fleet::Fleet;
+use crate::http::Client;
+use crate::time::{Micros, Steady};
+use crate::wire::{Commands, Report, COMMANDS_PATH};
+
+/// How often halts that cannot wait for a report are sent.
+const HALT_INTERVAL: Micros = Micros::from_millis(100);
+/// How long after commands were sent machines are asked again to take this owner's token.
+const RAISE_INTERVAL: Micros = Micros::from_millis(500);
+
+impl Node {
+    /// Brings this owner's token to the machines it has inherited, and halts to those that do not
+    /// come for them.
+    pub(super) fn command(&self) {
+        let mut raise_after = Steady(0);
+        while !self.stopping() {
+            self.sleep(HALT_INTERVAL);
+            if self.now() < raise_after {
+                self.send_due(|fleet, now| fleet.to_halt(now));
+            } else if self.command_once() {
+                raise_after = self.now() + RAISE_INTERVAL;
+            }
+        }
+    }
+
+    /// Sends the direct commands that are due; false if there were none.
+    pub fn command_once(&self) -> bool {
+        self.send_due(|fleet, now| {
+            let mut commands = fleet.to_raise(now);
+            commands.extend(fleet.to_halt(now));
+            commands
+        })
+    }
+
+    fn send_due(&self, due: impl FnOnce(&mut Fleet, Steady) -> Vec<DirectCommand>) -> bool {
+        let due = self.lock().ownership.as_mut().map(|o| {
+            let commands = due(&mut o.fleet, self.now());
+            (o.fleet.token, commands)
+        });
+        let Some((token, list)) = due.filter(|d| !d.1.is_empty()) else { return false };
+        // One that does not answer holds up only one routine: the others go on with the list.
+        let next = AtomicUsize::new(0);
+        std::thread::scope(|s| {
+            for _ in 0..list.len().min(RAISERS) {
+                let (next, list) = (&next, &list);
+                let send = move || {
+                    while let Some(c) = list.get(next.fetch_add(1, Ordering::Relaxed)) {
+                        self.command_one(token, c);
+                    }
+                };
+                // Without a routine more the others do its share.
+                let _ = std::thread::Builder::new().stack_size(128 * 1024).spawn_scoped(s, send);
+            }
+        });
+        true
+    }
+
+    fn command_one(&self, token: u64, command: &DirectCommand) {
+        let DirectCommand { machine, address, session, orders } = command;
+        // It may have reported by itself since the list was made.
+        let due = |o: &Ownership| {
+            o.claim.token == token
+                && o.fleet.machines.get(machine).is_some_and(|m| !orders.is_empty() || m.to_raise(self.now()))
+        };
+        if !self.lock().ownership.as_ref().is_some_and(due) {
+            return;
+        }
+        let Ok(address) = address.parse() else { return };
+        let client = Client::new(address, 1);
+        let mut season = *session;
+        for _ in 0..2 {
+            let Ok(body) = serde_json::to_vec(&Commands { token, season, orders: orders.clone() }) else {
+                return;
+            };
+            let Ok((status, body)) =
+                client.call("POST", COMMANDS_PATH, Some(&body), Micros::from_millis(1500))
+            else {
+                tracing::debug!(%machine, "does not answer");
+                return;
+            };
+            let Ok(r) = serde_json::from_slice::<Report>(&body) else { return };
+            if r.machine != **machine {
+                return;
+            }
+            // With halts, a later session has nothing left to be halted.
+            if status == 409 && r.token < token && orders.is_empty() {
+                season = r.season;
+                continue;
+            }
+            let mut shared = self.lock();
+            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+                return;
+            };
+            if let Some(higher) = ownership.fleet.raised(&r, self.now()) {
+                self.step_down(&mut shared, higher, "a worker has seen a higher token");
+            }
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/node/ownership.rs
@@ -0,0 +1,209 @@
+//! Ownership: keeping the leader's lease, following the leader, taking over and stepping down.
+
+use rand::Rng;
+
+use super::{Node, Ownership, SharedState};
+use crate::cluster::{self, Claim, Owner, LEADER};
+use crate::config::Config;
+use crate::fleet::Fleet;
+use crate::state::StateError;
+use crate::time::{Micros, Steady};
+use crate::view::View;
+
+impl Node {
+    /// Keeps the leader's lease, or waits for its end and takes over.
+    pub(super) fn keep(&self) {
+        self.learn_types();
+        let ttl = Micros::from_secs(self.cfg.operator.leader_ttl_s);
+        while !self.stopping() {
+            let pause = self.keep_once(ttl);
+            self.sleep(pause);
+        }
+    }
+
+    /// Renews the leader's lease, or waits a while for its end and takes over; returns how long to
+    /// pause.
+    pub fn keep_once(&self, ttl: Micros) -> Micros {
+        let lease = self.lock().ownership.as_ref().map(|o| (o.claim.lease, o.claim.token));
+        match lease {
+            Some((lease, token)) => {
+                self.hold(lease, token);
+                // The view rests on renewals too: with tight settings it must not age for long.
+                ttl.scale(0.3).min(self.cfg.blind_bound().scale(0.4)).max(Micros::from_millis(100))
+            }
+            None => match self.follow(ttl) {
+                Ok(()) => Micros::ZERO,
+                Err(e) => {
+                    tracing::debug!(error = %e, "the leader's record cannot be read");
+                    Micros::from_millis(300)
+                }
+            },
+        }
+    }
+
+    fn hold(&self, lease: u64, token: u64) {
+        let begun = self.now();
+        let r = self.state.renew(lease);
+        let renewed = r.is_ok();
+        let mut shared = self.lock();
+        let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else { return };
+        // A single controller is followed by nobody while it lives.
+        if renewed || self.cfg.nodes() == 1 {
+            ownership.fleet.confirm(begun);
+            ownership.view.has_owned(begun);
+        }
+        match r {
+            Ok(()) => {}
+            Err(StateError::NoLease) => self.step_down(&mut shared, 0, "its lease ended"),
+            Err(e) => tracing::info!(error = %e, "the lease could not be renewed"),
+        }
+        // Cut off from workers and controllers alike while the state service answers: others can
+        // serve the workers before their leases run out, this one cannot.
+        let quiet = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 2.5);
+        let now = self.now();
+        let unheard = now - shared.last_peer_contact;
+        let alone = shared.ownership.as_ref().is_some_and(|o| {
+            self.peers.count() > 0
+                && now - o.last_report > quiet
+                && unheard > Micros::from_secs(3.0)
+                && o.fleet.machines.values().filter(|m| m.up).count() > 1
+        });
+        if alone && renewed {
+            shared.no_claim_until = now + Micros::from_secs(8.0);
+            self.step_down(&mut shared, 0, "hears neither workers nor controllers");
+            drop(shared);
+            let _ = self.state.end_lease(lease);
+        }
+    }
+
+    fn follow(&self, ttl: Micros) -> Result<(), StateError> {
+        let (rows, revision) = self.state.list(LEADER)?;
+        let row = rows.into_iter().find(|r| r.key == LEADER);
+        let owner: Option<Owner> = row.as_ref().and_then(|r| serde_json::from_value(r.value.clone()).ok());
+        let stamp = row.as_ref().map_or(0, |r| r.stamp);
+        let mine = owner.as_ref().is_some_and(|o| o.label == self.cfg.platform.label);
+        if let (Some(o), false) = (&owner, mine) {
+            {
+                let mut shared = self.lock();
+                shared.highest_token = shared.highest_token.max(o.token);
+                shared.leader = Some(o.clone());
+            }
+            let e = self.state.watch(LEADER, revision, Micros::from_millis(3000))?;
+            if !e.events.iter().any(|e| e.drop.as_deref() == Some(LEADER)) {
+                return Ok(());
+            }
+            self.lock().leader = None;
+            tracing::info!(leader = %o.label, "the leader's lease ended");
+            // Most of the time one of the others is a little faster, and the guard decides. One that
+            // has started of late goes first: in a rolling restart the others are still to go, and
+            // each would take the ownership only to lose it again.
+            let old = self.now() - self.started > Micros::from_secs(120.0);
+            let first = if old { 60 } else { 5 };
+            self.sleep(Micros::from_millis(rand::rng().random_range(first..first + 50)));
+            return self.take(ttl, 0);
+        }
+        // Nobody leads, or an earlier life of this very process did.
+        if self.now() < self.lock().no_claim_until {
+            self.sleep(Micros::from_millis(300));
+            return Ok(());
+        }
+        self.take(ttl, stamp)
+    }
+
+    fn take(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
+        if self.now() < self.lock().no_claim_until {
+            return Ok(());
+        }
+        let begun = self.now();
+        let label = &self.cfg.platform.label;
+        let Some(claim) = cluster::claim(&self.state, label, self.incarnation, ttl, seen)? else {
+            return Ok(());
+        };
+        tracing::info!(token = claim.token, "takes over");
+        {
+            let mut shared = self.lock();
+            shared.claiming = true;
+            shared.highest_token = shared.highest_token.max(claim.token);
+        }
+        self.rebuild(claim, begun)
+    }
+
+    /// Rebuilds the owner's world from the records after a claim, and owns it unless another has
+    /// taken over meanwhile.
+    fn rebuild(&self, claim: Claim, begun: Steady) -> Result<(), StateError> {
+        let types = self.types().unwrap_or_default();
+        let r = cluster::rebuild(&self.state, self.cfg.clone(), types, claim.token, self.now());
+        let mut shared = self.lock();
+        shared.claiming = false;
+        match r {
+            Ok(fleet) if shared.highest_token == claim.token => {
+                self.begin_ownership(&mut shared, claim, fleet, begun);
+                Ok(())
+            }
+            Ok(_) => Ok(()),
+            Err(e) => {
+                tracing::info!(error = %e, "could not rebuild");
+                drop(shared);
+                let _ = self.state.end_lease(claim.lease);
+                Err(e)
+            }
+        }
+    }
+
+    fn begin_ownership(&self, shared: &mut SharedState, claim: Claim, mut fleet: Fleet, begun: Steady) {
+        if let Some(t) = &shared.machine_types {
+            fleet.set_types(t.clone());
+        }
+        let now = self.now();
+        let (rps, writes) = share(&self.cfg, true);
+        self.state.allow(rps, writes);
+        tracing::info!(
+            token = claim.token,
+            jobs = fleet.jobs.len(),
+            machines = fleet.machines.len(),
+            ms = (now - begun).0 / 1000,
+            "rebuilt"
+        );
+        // Cancellations that were told of while the records were read.
+        for id in fleet.jobs.keys().cloned().collect::<Vec<_>>() {
+            if let Some((_, revision)) = shared.finals.get(&*id) {
+                fleet.job_over(&id, *revision);
+            }
+        }
+        shared.leader = Some(Owner {
+            label: self.cfg.platform.label.clone(),
+            incarnation: self.incarnation,
+            token: claim.token,
+            lease: claim.lease,
+        });
+        shared.last_peer_contact = now;
+        let view = View::new(begun, self.cfg.blind_bound());
+        shared.ownership = Some(Ownership { fleet, claim, view, last_report: now });
+        self.wake.notify_all();
+    }
+
+    pub(super) fn step_down(&self, shared: &mut SharedState, token: u64, why: &str) {
+        shared.highest_token = shared.highest_token.max(token);
+        if let Some(ownership) = shared.ownership.take() {
+            let (rps, writes) = share(&self.cfg, false);
+            self.state.allow(rps, writes);
+            tracing::info!(token = ownership.claim.token, higher = token, why, "gives its parts up");
+            shared.leader = None;
+            self.wake.notify_all();
+        }
+    }
+}
+
+/// This node's share of the state service's requests and changes. The leader writes for all, so
+/// it is allowed more of the changes than the others. Those only accept and cancel, in bursts: their
+/// shares add up to more than there is, and what the service refuses then is tried again at once.
+pub(super) fn share(cfg: &Config, leads: bool) -> (f64, f64) {
+    let st = &cfg.platform.settings.state;
+    let others = cfg.nodes().saturating_sub(1) as f64;
+    let (rps, writes) = match (cfg.nodes(), leads) {
+        (1, _) => (0.9, 0.9),
+        (n, true) => (1.8 / (n as f64 + 1.0), 0.6),
+        (n, false) => (0.9 / (n as f64 + 1.0), (0.8 / others).min(0.4)),
+    };
+    (st.rps * rps, st.write_rps * writes)
+}
--- /dev/null
+++ b/src/node/reports.rs
@@ -0,0 +1,191 @@
+//! The workers' reports: answered at once, answered later with a start, redirected to the owner, or
+//! carried to it.
+
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use super::{Node, SharedState};
+use crate::fleet::CheckIn;
+use crate::http::{Reply, Request, Response};
+use crate::jobs::MachineId;
+use crate::time::{wall, Micros, Steady};
+use crate::wire::{Redirect, Report, ReportReply};
+
+/// How long the answer to an idle worker's report waits for a start at the most; the worker gives
+/// up after four seconds.
+const MAX_REPLY_DELAY: Micros = Micros::from_millis(2500);
+/// How long a report waits for the outcome of this node's own claim.
+const CLAIM_TIMEOUT: Micros = Micros::from_millis(1500);
+/// How long it is remembered that a worker was sent to the owner.
+const REDIRECT_RETENTION: Micros = Micros::from_millis(30_000);
+/// A worker that is back within this time cannot reach the owner.
+const REDIRECT_RETRY_WINDOW: Micros = Micros::from_millis(12_000);
+/// How long the owner has to answer a report that is carried to it.
+const RELAY_REPORT_TIMEOUT: Micros = Micros::from_millis(2500);
+
+/// A report that is answered when a start for its worker comes up, or after a while.
+pub(super) struct DeferredReply {
+    report: Report,
+    token: u64,
+    until: Steady,
+    reply: Reply,
+}
+
+impl Node {
+    /// Takes a report. With a way back it is answered here, now or later; without one, as for a
+    /// report that another controller carries, the answer is returned.
+    pub(super) fn check_in(&self, req: &Request, reply: Option<Reply>) -> Option<Response> {
+        let (answer, reply) = self.take_report(req, reply);
+        match (answer, reply) {
+            (Some(a), Some(reply)) => {
+                reply.send(&a);
+                None
+            }
+            (a, _) => a,
+        }
+    }
+
+    /// What a report is answered with; nothing if that waits, with the way back, for a start.
+    fn take_report(&self, req: &Request, reply: Option<Reply>) -> (Option<Response>, Option<Reply>) {
+        let report: Report = match serde_json::from_slice(&req.body) {
+            Ok(r) => r,
+            Err(e) => {
+                tracing::error!(error = %e, "a worker's report cannot be read");
+                return (Some(Response::error(400, &e.to_string())), reply);
+            }
+        };
+        let mut shared = self.await_claim();
+        if shared.ownership.is_some() {
+            return self.answer_as_owner(&mut shared, report, reply);
+        }
+        if reply.is_none() {
+            return (Some(Response::error(503, "not the owner")), None);
+        }
+        (Some(self.redirect_or_relay(shared, &report.machine, req)), reply)
+    }
+
+    /// Takes the lock, and while a claim is being made waits a moment for its outcome.
+    fn await_claim(&self) -> MutexGuard<'_, SharedState> {
+        let since = self.now();
+        let mut shared = self.lock();
+        while shared.claiming && shared.ownership.is_none() && self.now() - since < CLAIM_TIMEOUT {
+            shared = match self.wake.wait_timeout(shared, Duration::from_millis(200)) {
+                Ok((guard, _)) => guard,
+                Err(e) => e.into_inner().0,
+            };
+        }
+        shared
+    }
+
+    /// Answers a report from the owner's world, or keeps it until a start comes up.
+    fn answer_as_owner(
+        &self,
+        shared: &mut SharedState,
+        report: Report,
+        reply: Option<Reply>,
+    ) -> (Option<Response>, Option<Reply>) {
+        let now = self.now();
+        let Some(ownership) = shared.ownership.as_mut() else {
+            return (Some(Response::error(503, "not the owner")), reply);
+        };
+        if !ownership.view.may_act(now) {
+            // Cancellations cannot be seen any more: leases must be let run out.
+            ownership.fleet.not_answered(&report.machine, now);
+            let refused = Response::error(503, "out of touch with the state service");
+            return (Some(refused), reply);
+        }
+        ownership.last_report = now;
+        let token = ownership.claim.token;
+        let answer = match ownership.fleet.check_in(&report, now, wall()) {
+            CheckIn::Reply(r) => {
+                // Other workers report when something changes, and must not be kept from it.
+                let id: MachineId = report.machine.as_str().into();
+                if r.orders.is_empty() && ownership.fleet.may_wait(&id, now) {
+                    if let Some(reply) = reply {
+                        let deferred = DeferredReply { report, token, until: now + MAX_REPLY_DELAY, reply };
+                        // A second report takes the place of the first: its worker gave up.
+                        shared.deferred_replies.insert(id, deferred);
+                        return (None, None);
+                    }
+                }
+                Response::json(200, &r)
+            }
+            CheckIn::Refuse => Response::error(503, "not now"),
+            CheckIn::Superseded(token) => {
+                self.step_down(shared, token, "a worker has seen a higher token");
+                Response::error(503, "not the owner")
+            }
+        };
+        (Some(answer), reply)
+    }
+
+    /// Sends a worker to the owner; if it is back soon after, has the owner answer its report.
+    fn redirect_or_relay(
+        &self,
+        mut shared: MutexGuard<'_, SharedState>,
+        machine: &str,
+        req: &Request,
+    ) -> Response {
+        let now = self.now();
+        let Some(leader) = shared.leader.clone().filter(|l| l.label != self.cfg.platform.label) else {
+            return Response::error(503, "no owner known");
+        };
+        shared.redirected.retain(|_, at| now - *at < REDIRECT_RETENTION);
+        let again = shared.redirected.get(machine).is_some_and(|at| now - *at < REDIRECT_RETRY_WINDOW);
+        if !again {
+            shared.redirected.insert(machine.to_string(), now);
+            return Response::json(421, &Redirect { leader: leader.label });
+        }
+        drop(shared);
+        // It was sent to the owner and is back: it cannot get through, so its report is carried.
+        let to = self.cfg.platform.members.iter().position(|m| m.label == leader.label);
+        match to.and_then(|to| self.relay(to, req, RELAY_REPORT_TIMEOUT)) {
+            Some(r) => r,
+            None => Response::error(503, "the owner does not answer"),
+        }
+    }
+
+    /// Answers those idle workers for whom a start may leave now, or who waited long enough.
+    pub(super) fn answer_waiting(&self) {
+        let mut shared = self.lock();
+        let SharedState { ownership, deferred_replies, .. } = &mut *shared;
+        let now = self.now();
+        let ownership = ownership.as_mut().filter(|o| o.view.may_act(now));
+        let token = ownership.as_ref().map(|o| o.claim.token);
+        let due: Vec<MachineId> = deferred_replies
+            .iter()
+            .filter(|(id, w)| {
+                Some(w.token) != token
+                    || now >= w.until
+                    || ownership.as_ref().is_some_and(|o| o.fleet.start_waits(id))
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut answers = Vec::new();
+        if let Some(ownership) = ownership {
+            for id in &due {
+                let Some(w) = deferred_replies.get(id).filter(|w| w.token == ownership.claim.token) else {
+                    continue;
+                };
+                let orders = ownership.fleet.later(&w.report, now, wall());
+                if orders.is_empty() && now < w.until {
+                    continue;
+                }
+                if let Some(w) = deferred_replies.remove(id) {
+                    answers.push((w.reply, Response::json(200, &ReportReply { token: w.token, orders })));
+                }
+            }
+        }
+        // Of an earlier time as owner, or while the state service is out of sight.
+        let lost = due.iter().filter(|id| deferred_replies.get(*id).is_some_and(|w| Some(w.token) != token));
+        for id in lost.cloned().collect::<Vec<_>>() {
+            if let Some(w) = deferred_replies.remove(&id) {
+                answers.push((w.reply, Response::error(503, "not the owner")));
+            }
+        }
+        drop(shared);
+        for (reply, r) in answers {
+            reply.send(&r);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,51 @@
+//! How a controller is: the load balancer's probe and the status view for people on call.
+
+use super::{Node, Ownership};
+use crate::http::{Request, Response};
+use crate::time::{wall, Micros};
+use crate::wire::{Health, NodeStatus, PartStatus};
+
+/// Path of the status view between controllers; a team's name may follow.
+pub const STATUS: &str = "/status";
+/// After this without a word, asked for or not, none can be heard.
+const PEER_TIMEOUT: Micros = Micros::from_millis(4500);
+/// After this without an answer the state service counts as lost.
+const STATE_TIMEOUT: Micros = Micros::from_millis(1500);
+/// Number of the one part that there is.
+const ONLY_PART: u32 = 0;
+
+impl Node {
+    /// Whether users are well served here. Cut off from the state service and all others it can
+    /// answer nothing but 503, while the others may serve; an outage for all is not told by being
+    /// unhealthy, since it would take the longer to come back.
+    pub(super) fn up(&self) -> Response {
+        let shared = self.lock();
+        if shared.machine_types.is_none() {
+            return Response::error(503, "starting");
+        }
+        let unheard = self.now() - shared.last_peer_contact;
+        let lost = self.state.out_of_reach() > STATE_TIMEOUT;
+        if lost && self.peers.count() > 0 && unheard > PEER_TIMEOUT {
+            return Response::error(503, "cut off from the state service and the other controllers");
+        }
+        Response::json(200, &Health { healthy: true })
+    }
+
+    pub(super) fn status(&self, req: &Request) -> Response {
+        let team = req.path.strip_prefix(STATUS).and_then(|r| r.strip_prefix('/'));
+        let shared = self.lock();
+        let label = &self.cfg.platform.label;
+        let ownership = shared.ownership.as_ref();
+        let part = |o: &Ownership| PartStatus { owner: label.clone(), part: ONLY_PART, token: o.claim.token };
+        Response::json(
+            200,
+            &NodeStatus {
+                leader: shared.leader.as_ref().map(|l| l.label.clone()),
+                node: label.clone(),
+                view: ownership.map(|o| o.fleet.status(team, self.now(), wall())),
+                parts: ownership.map(|o| vec![part(o)]),
+                view_age_s: ownership.map(|o| o.view.age(self.now()).secs()),
+            },
+        )
+    }
+}
--- /dev/null
+++ b/src/node/writer.rs
@@ -0,0 +1,114 @@
+//! Writes the owner's records in batches, and reads back what a failed write left.
+
+use std::time::Duration;
+
+use super::Node;
+use crate::cluster::{self, Batch, Claim, PART};
+use crate::fleet::Pending;
+use crate::jobs::{chunk_tasks, FinalRecord, JobId};
+use crate::state::{Applied, StateError, Urgency};
+use crate::time::{wall, Micros};
+use crate::wire::Stage;
+
+/// How often the done ranges of a job that goes on are written; its workers keep the results.
+const DONE_WRITE_INTERVAL: Micros = Micros::from_millis(12_000);
+
+impl Node {
+    /// Writes what waits.
+    pub(super) fn write(&self) {
+        while !self.stopping() {
+            drop(self.wake.wait_timeout(self.lock(), Duration::from_millis(150)));
+            if !self.write_once() {
+                self.sleep(Micros::from_millis(150));
+            }
+        }
+    }
+
+    /// Writes what waits now; false if writing should pause.
+    pub fn write_once(&self) -> bool {
+        let now = self.now();
+        let work = self.lock().ownership.as_mut().map(|ownership| {
+            let ops = ownership.fleet.txn_ops();
+            let chunk = chunk_tasks(ownership.fleet.value_bytes());
+            let pending = ownership.fleet.pending(now, DONE_WRITE_INTERVAL, chunk);
+            let part = ownership.claim.part;
+            (ownership.claim.clone(), cluster::batches(&mut ownership.fleet, part, pending, ops, now, wall()))
+        });
+        let Some((claim, batches)) = work else { return true };
+        batches.into_iter().all(|b| self.write_batch(&claim, b))
+    }
+
+    /// Writes a batch; false if writing should pause.
+    fn write_batch(&self, claim: &Claim, b: Batch) -> bool {
+        let urgency = if b.urgent { Urgency::Owner } else { Urgency::Rest };
+        match self.state.txn(&b.txn, urgency) {
+            Ok(Applied::Yes(revision)) => self.batch_written(claim, &b, revision),
+            Ok(Applied::Conflict(keys)) => {
+                if keys.iter().any(|k| k == PART) {
+                    let mut shared = self.lock();
+                    if shared.ownership.as_ref().is_some_and(|o| o.claim.token == claim.token) {
+                        self.step_down(&mut shared, 0, "another owner has taken the part");
+                    }
+                    return false;
+                }
+                self.read_back(claim, &keys)
+            }
+            Err(StateError::Unknown(e)) => {
+                tracing::info!(error = %e, "a write has no answer, reads back");
+                let keys: Vec<String> =
+                    b.txn.guards.iter().map(|g| g.key.clone()).filter(|k| k != PART).collect();
+                self.read_back(claim, &keys)
+            }
+            Err(StateError::Rejected(e)) => {
+                tracing::error!(error = %e, "the state service rejects a write");
+                let mut shared = self.lock();
+                if let Some(o) = shared.ownership.as_mut().filter(|o| o.claim.token == claim.token) {
+                    o.fleet.write_rejected();
+                }
+                false
+            }
+            Err(e) => {
+                tracing::debug!(error = %e, "a write has to wait");
+                false
+            }
+        }
+    }
+
+    /// Takes note of what a batch wrote; false if this node no longer owns it.
+    fn batch_written(&self, claim: &Claim, b: &Batch, revision: u64) -> bool {
+        let mut finals: Vec<(JobId, u32)> = Vec::new();
+        {
+            let mut shared = self.lock();
+            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == claim.token) else {
+                return false;
+            };
+            let now = self.now();
+            for (item, said) in &b.items {
+                if let Pending::Final(id) = item {
+                    if let Some(j) = ownership.fleet.jobs.get(id) {
+                        finals.push((id.clone(), j.spec.tasks));
+                    }
+                }
+                ownership.fleet.written(item, revision, said, now);
+            }
+        }
+        for (id, tasks) in finals {
+            tracing::debug!(job = %id, "done");
+            self.learn_final(&id, FinalRecord { stage: Stage::Done, tasks }, revision);
+        }
+        true
+    }
+
+    /// Learns how keys stand after a conflict or an unknown outcome.
+    fn read_back(&self, claim: &Claim, keys: &[String]) -> bool {
+        for key in keys {
+            let Ok(row) = self.state.get(key, Urgency::User) else { return false };
+            let mut shared = self.lock();
+            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == claim.token) else {
+                return false;
+            };
+            cluster::learn(&mut ownership.fleet, key, row, self.now());
+        }
+        true
+    }
+}
