Workers for whom a start waits are woken by forgetting an exited task by command

A worker reports when its tasks change, and only an answer to a report carries a start: with reports every 4 or 8 s the wait for one is a good part of what gangs and replicas wait. Not measured yet.

--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -1,6 +1,7 @@
 //! The planner's input, and how its plan is carried out.
 
 use super::replicas::STOPPED_REPLICA_COSTS;
+use super::wakeups::WOKEN_WITHIN;
 use super::*;
 
 /// Delays that differ by less count as alike.
@@ -49,6 +50,7 @@
 
     pub(super) fn snapshot(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>, Vec<JobId>) {
         self.demands.retain(|d| now - d.at < RECENT);
+        self.learn_wakeful_types();
         self.guaranteed = self.within_guarantee();
         let mut s = Snapshot {
             zones: self.zones.len(),
@@ -193,6 +195,8 @@
             let silent = now - m.report;
             if silent > report.scale(2.5) {
                 report.scale(3.0)
+            } else if m.retained.is_some() {
+                (report - silent).max(Micros::ZERO).min(WOKEN_WITHIN)
             } else {
                 (report - silent).max(Micros::ZERO)
             }
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -23,7 +23,7 @@
         while !self.stopping() {
             self.sleep(HALT_INTERVAL);
             if self.now() < raise_after {
-                self.send_due(|fleet, now| fleet.to_halt(now));
+                self.send_due(urgent_commands);
             } else if self.command_once() {
                 raise_after = self.now() + RAISE_INTERVAL;
             }
@@ -34,7 +34,7 @@
     pub fn command_once(&self) -> bool {
         self.send_due(|fleet, now| {
             let mut commands = fleet.to_raise(now);
-            commands.extend(fleet.to_halt(now));
+            commands.extend(urgent_commands(fleet, now));
             commands
         })
     }
@@ -105,3 +105,10 @@
         }
     }
 }
+
+/// Halts that cannot wait for a report, and what wakes workers for whom starts wait.
+fn urgent_commands(fleet: &mut Fleet, now: Steady) -> Vec<DirectCommand> {
+    let mut commands = fleet.to_halt(now);
+    commands.extend(fleet.to_wake(now));
+    commands
+}
