--- a/tests/gap.rs
+++ b/tests/cancellation_in_outage.rs
@@ -1,7 +1,7 @@
-//! The gap, with whole controllers in a time that the test sets: the state service refuses the owner
-//! alone, another controller confirms a cancellation, then the service is out for all for longer than
-//! `cancel_s`, while a worker keeps reporting. The cancelled tasks must be gone in time whatever else
-//! meets it.
+//! Cancellations in an outage, with whole controllers in simulated time: the state service refuses the
+//! owner alone, another controller confirms a cancellation, then the service is out for all for longer
+//! than `cancel_s`, while a worker keeps reporting. The cancelled tasks must be gone in time whatever
+//! other fault comes on top.
 
 mod common;
 
@@ -38,7 +38,7 @@
 
 /// The state service, with leases by the test's time.
 #[derive(Default)]
-struct Books {
+struct StateService {
     store: Store,
     leases: BTreeMap<u64, Lease>,
     next: u64,
@@ -50,7 +50,7 @@
     unanswered: usize,
 }
 
-impl Books {
+impl StateService {
     fn expire(&mut self, now: i64) {
         if self.out {
             return;
@@ -82,12 +82,20 @@
             // A watch that had been open stays silent, and its time runs out.
             let open = path == "/watch" && param("blockMs") != "0";
             let silent = json!({ "harvest": revision, "events": [] });
-            return Some(if open { Response::json(200, &silent) } else { Response::error(503, "trouble") });
+            return Some(if open {
+                Response::json(200, &silent)
+            } else {
+                Response::error(503, "unavailable")
+            });
         }
         if node == 0 && self.no_reads && r.method == "GET" {
             let silent = path == "/watch" && param("blockMs") != "0";
             let events = json!({ "harvest": revision, "events": [] });
-            return Some(if silent { Response::json(200, &events) } else { Response::error(503, "trouble") });
+            return Some(if silent {
+                Response::json(200, &events)
+            } else {
+                Response::error(503, "unavailable")
+            });
         }
         let lease_of = |p: &str| p.split('/').nth(2).and_then(|l| l.parse::<u64>().ok()).unwrap_or(0);
         Some(match (r.method.as_str(), path) {
@@ -241,9 +249,9 @@
 
 type Net = Arc<Mutex<Vec<Arc<Node>>>>;
 
-struct World {
+struct Simulation {
     clock: Arc<AtomicI64>,
-    books: Arc<Mutex<Books>>,
+    state: Arc<Mutex<StateService>>,
     net: Net,
     /// Controllers that cannot hear one another.
     apart: Arc<AtomicBool>,
@@ -255,14 +263,14 @@
     steps: u64,
 }
 
-impl World {
+impl Simulation {
     /// Three controllers of which the first leads, and a job with two tasks that run on the worker.
-    fn new() -> World {
+    fn new() -> Simulation {
         let clock = Arc::new(AtomicI64::new(2_000 * SECOND));
-        let books: Arc<Mutex<Books>> = Arc::default();
+        let state: Arc<Mutex<StateService>> = Arc::default();
         let port = |node: usize| {
-            let (books, clock) = (books.clone(), clock.clone());
-            serve_some(move |r| locked(&books).answer(node, &r, clock.load(Ordering::SeqCst)))
+            let (state, clock) = (state.clone(), clock.clone());
+            serve_some(move |r| locked(&state).answer(node, &r, clock.load(Ordering::SeqCst)))
         };
         let ports = vec![port(0), port(1), port(2)];
         let now = clock.load(Ordering::SeqCst);
@@ -271,9 +279,9 @@
         let (w, c) = (worker.clone(), clock.clone());
         let addr = serve_some(move |r| locked(&w).command(&r, c.load(Ordering::SeqCst)));
         locked(&worker).addr = addr.to_string();
-        let mut world = World {
+        let mut simulation = Simulation {
             clock,
-            books,
+            state,
             net: Arc::default(),
             apart: Arc::default(),
             ports,
@@ -283,14 +291,14 @@
             steps: 0,
         };
         for i in 0..3 {
-            let n = world.node(i);
-            locked(&world.net).push(n);
+            let n = simulation.node(i);
+            locked(&simulation.net).push(n);
         }
         let submission = json!(spec(1, 2, "batch")).to_string();
-        assert_eq!(world.ask(1, "POST", "/api/jobs", &submission).0, 201);
-        world.until("both tasks run", |w| locked(&w.worker).runs(1) == 2);
-        assert_eq!(world.tokens(), [Some(1), None, None]);
-        world
+        assert_eq!(simulation.ask(1, "POST", "/api/jobs", &submission).0, 201);
+        simulation.until("both tasks run", |w| locked(&w.worker).runs(1) == 2);
+        assert_eq!(simulation.tokens(), [Some(1), None, None]);
+        simulation
     }
 
     fn node(&self, i: usize) -> Arc<Node> {
@@ -344,10 +352,10 @@
         self.told = Some(self.now());
     }
 
-    /// A world in which the service refuses some controllers and the second confirms a cancellation that
+    /// A simulation in which the service refuses some controllers and the second confirms a cancellation that
     /// no other hears of.
-    fn cancelled_unheard(refused: &[usize]) -> World {
-        let mut w = World::new();
+    fn cancelled_unheard(refused: &[usize]) -> Simulation {
+        let mut w = Simulation::new();
         w.apart.store(true, Ordering::SeqCst);
         w.refuse(refused);
         w.cancel(1);
@@ -357,7 +365,7 @@
     /// After 1.5 s the service is out for all.
     fn go_out(&mut self) {
         self.run(1.5);
-        locked(&self.books).out = true;
+        locked(&self.state).out = true;
     }
 
     /// A controller ends and is back at once, remembering nothing.
@@ -367,14 +375,14 @@
     }
 
     fn refuse(&self, nodes: &[usize]) {
-        locked(&self.books).refused = nodes.iter().copied().collect();
+        locked(&self.state).refused = nodes.iter().copied().collect();
     }
 
     fn step(&mut self) {
         self.clock.fetch_add(STEP, Ordering::SeqCst);
         self.steps += 1;
         let now = self.now();
-        locked(&self.books).expire(now);
+        locked(&self.state).expire(now);
         for n in self.nodes() {
             if self.steps % 4 == 0 {
                 n.keep_once(TTL);
@@ -434,7 +442,7 @@
         }
     }
 
-    fn until(&mut self, what: &str, f: impl Fn(&World) -> bool) {
+    fn until(&mut self, what: &str, f: impl Fn(&Simulation) -> bool) {
         let end = self.now() + 40 * SECOND;
         while !f(self) {
             let seen = || (0..3).map(|i| self.ask(i, "GET", "/status", "").1).collect::<Vec<_>>();
@@ -466,7 +474,7 @@
             self.step();
         }
         let now = self.now();
-        locked(&self.books).back(now);
+        locked(&self.state).back(now);
         // Back in touch nothing of the job starts again, and everybody answers alike.
         self.run(30.0);
         assert_eq!(locked(&self.worker).runs(1), 0);
@@ -481,21 +489,21 @@
     }
 }
 
-/// Meeting 4, the gap itself: cancelled as the service refuses the owner alone, and out a second later.
+/// Combination 4: cancelled as the service refuses the owner alone, and out a second later.
 #[test]
-fn m04_told_by_another_controller_the_refused_owner_halts_at_once() {
-    let mut w = World::new();
+fn a_refused_owner_told_by_another_controller_halts_at_once() {
+    let mut w = Simulation::new();
     w.refuse(&[0]);
     w.cancel(1);
     let gone = w.outage();
-    assert!(gone < 5.0, "the word of another controller stops work at the next report, not after {gone} s");
+    assert!(gone < 5.0, "the notice of another controller stops work at the next report, not after {gone} s");
     // The refused one leads on after the outage: its lease had its full time again.
     assert_eq!(w.tokens(), [Some(1), None, None]);
 }
 
 #[test]
-fn without_a_word_from_others_leases_end_in_time() {
-    let mut w = World::cancelled_unheard(&[0]);
+fn without_a_notice_from_others_leases_end_in_time() {
+    let mut w = Simulation::cancelled_unheard(&[0]);
     // It goes on answering for a while, as long as it may.
     w.go_out();
     w.run(28.0);
@@ -507,7 +515,7 @@
 
 #[test]
 fn a_worker_that_cannot_report_is_halted_by_command() {
-    let mut w = World::new();
+    let mut w = Simulation::new();
     w.refuse(&[0]);
     w.cancel(1);
     locked(&w.worker).mute = true;
@@ -518,21 +526,21 @@
 
 #[test]
 fn past_its_bound_the_owner_still_halts_by_command() {
-    let mut w = World::cancelled_unheard(&[0]);
+    let mut w = Simulation::cancelled_unheard(&[0]);
     w.go_out();
     w.run(25.0);
-    // It answers nobody any more when the word comes through at last.
+    // It answers nobody any more when the notice comes through at last.
     assert_eq!(locked(&w.worker).runs(1), 2);
     let before = w.now();
     w.apart.store(false, Ordering::SeqCst);
     w.gone_after();
-    assert!(w.now() - before <= 5 * SECOND, "the tasks end by the word, not by their lease");
+    assert!(w.now() - before <= 5 * SECOND, "the tasks end by the notice, not by their lease");
 }
 
 #[test]
-fn with_several_refused_and_the_word_delayed_tasks_are_gone_in_time() {
+fn with_several_refused_and_the_notice_delayed_tasks_are_gone_in_time() {
     for seconds_apart in [0.0, 8.0, 60.0] {
-        let mut w = World::cancelled_unheard(&[0, 2]);
+        let mut w = Simulation::cancelled_unheard(&[0, 2]);
         w.go_out();
         w.run(seconds_apart);
         w.apart.store(false, Ordering::SeqCst);
@@ -542,7 +550,7 @@
 
 #[test]
 fn a_confirmer_that_ends_and_is_back_at_once_has_forgotten_and_it_does_not_matter() {
-    let mut w = World::cancelled_unheard(&[0]);
+    let mut w = Simulation::cancelled_unheard(&[0]);
     w.restart(1);
     w.apart.store(false, Ordering::SeqCst);
     let gone = w.outage();
@@ -551,7 +559,7 @@
 
 #[test]
 fn the_owner_that_ends_and_is_back_at_once_answers_nobody_until_it_has_read() {
-    let mut w = World::cancelled_unheard(&[0]);
+    let mut w = Simulation::cancelled_unheard(&[0]);
     w.restart(0);
     w.outage();
 }
@@ -559,7 +567,7 @@
 #[test]
 fn a_machine_that_hangs_and_goes_on_within_its_lease_is_in_time() {
     for hangs_at in [2.0, 12.0, 20.0] {
-        let mut w = World::cancelled_unheard(&[0]);
+        let mut w = Simulation::cancelled_unheard(&[0]);
         w.go_out();
         w.run(hangs_at);
         let now = w.now();
@@ -572,11 +580,11 @@
 
 #[test]
 fn a_cancellation_whose_transaction_had_no_answer_is_told_and_in_time() {
-    let mut w = World::new();
+    let mut w = Simulation::new();
     w.refuse(&[0]);
-    locked(&w.books).unanswered = 1;
+    locked(&w.state).unanswered = 1;
     w.cancel(1);
-    assert_eq!(locked(&w.books).unanswered, 0);
+    assert_eq!(locked(&w.state).unanswered, 0);
     let gone = w.outage();
     assert!(gone < 5.0, "whoever confirms tells the others, though its write had no answer: {gone} s");
 }
@@ -584,7 +592,7 @@
 /// Whoever wrote the end may have ended before it could tell anybody; its user asks another.
 #[test]
 fn whoever_repeats_the_confirmation_tells_the_others_too() {
-    let mut w = World::cancelled_unheard(&[0]);
+    let mut w = Simulation::cancelled_unheard(&[0]);
     w.restart(1);
     w.apart.store(false, Ordering::SeqCst);
     w.run(0.5);
@@ -598,7 +606,7 @@
 /// A new owner has looked when it claimed; what is confirmed after that it cannot see.
 #[test]
 fn an_owner_that_has_just_won_counts_from_its_claim() {
-    let mut w = World::new();
+    let mut w = Simulation::new();
     w.refuse(&[0]);
     w.until("another leads", |w| w.tokens()[1..].iter().any(Option::is_some));
     w.until("the worker follows it", |w| locked(&w.worker).token == 2);
@@ -606,17 +614,17 @@
     w.run(2.0);
     let leads = w.tokens().iter().position(|t| *t == Some(2)).expect("an owner");
     w.apart.store(true, Ordering::SeqCst);
-    locked(&w.books).refused = [leads].into();
+    locked(&w.state).refused = [leads].into();
     w.cancel((leads + 1) % 3);
     let gone = w.outage();
     assert!((20.0..47.0).contains(&gone), "gone after {gone} s");
 }
 
-/// Meeting 10: the service refuses the owner alone, then everybody, while users cancel and ask. Nobody
+/// Combination 10: the service refuses the owner alone, then everybody, while users cancel and ask. Nobody
 /// gives an answer that is older than another user's, and what is known to be final stays answered.
 #[test]
-fn m10_users_cancel_and_ask_while_the_service_refuses_the_owner_and_then_everybody() {
-    let mut w = World::new();
+fn users_are_answered_alike_while_the_service_refuses_the_owner_and_then_everybody() {
+    let mut w = Simulation::new();
     w.refuse(&[0]);
     assert_eq!(w.ask(0, "GET", "/api/jobs/wk-000001", "").0, 200, "another answers for it");
     assert_eq!(w.ask(0, "GET", "/api/jobs/wk-000009", "").0, 404);
@@ -639,12 +647,12 @@
     assert_eq!(w.ask(0, "GET", "/api/jobs/wk-000009", "").0, 404);
 }
 
-/// Meeting 17: a leader loses the service and the other controllers; workers and users still reach it,
+/// Combination 17: a leader loses the service and the other controllers; workers and users still reach it,
 /// and the job is cancelled through the next, whose commands reach the worker or do not.
 #[test]
-fn m17_a_leader_cut_off_with_its_workers_meets_a_cancellation_through_the_next() {
+fn a_cancellation_through_the_next_leader_ends_tasks_of_one_cut_off_with_its_workers() {
     for (shut, least, most) in [(false, 0.0, 12.0), (true, 12.0, 47.0)] {
-        let mut w = World::new();
+        let mut w = Simulation::new();
         w.apart.store(true, Ordering::SeqCst);
         w.refuse(&[0]);
         locked(&w.worker).shut = shut;
@@ -676,9 +684,9 @@
 /// Its lease is renewed while reads fail: only a read shows what was cancelled.
 #[test]
 fn renewals_without_reads_do_not_keep_the_view() {
-    let mut w = World::new();
+    let mut w = Simulation::new();
     w.apart.store(true, Ordering::SeqCst);
-    locked(&w.books).no_reads = true;
+    locked(&w.state).no_reads = true;
     w.cancel(1);
     w.run(20.0);
     assert_eq!((locked(&w.worker).runs(1), w.tokens()[0]), (2, Some(1)));
@@ -689,7 +697,7 @@
 /// The answer to an idle worker's report may wait for a start; the view is looked at as it leaves.
 #[test]
 fn an_answer_that_waited_until_the_view_was_too_old_renews_nothing() {
-    let mut w = World::new();
+    let mut w = Simulation::new();
     w.told = None;
     let node = w.nodes()[0].clone();
     let l = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -707,15 +715,15 @@
     assert_eq!(w.ask(0, "POST", "/checkin", &idle(1)).0, 200);
     w.run(2.0);
     assert_eq!(w.ask(0, "POST", "/checkin", &idle(2)).0, 200);
-    let statuses = |w: &mut World, tally: u64, seconds_blind: f64| {
-        locked(&w.books).out = true;
-        // Nobody but this worker: time passes without the rest of the world.
+    let statuses = |w: &mut Simulation, tally: u64, seconds_blind: f64| {
+        locked(&w.state).out = true;
+        // Nobody but this worker: time passes without the rest of the simulation.
         w.clock.fetch_add((seconds_blind * 1e6) as i64, Ordering::SeqCst);
         let body = idle(tally);
         let ask = std::thread::spawn(move || {
             Client::new(addr, 0).call("POST", "/checkin", Some(body.as_bytes()), Micros(20 * SECOND))
         });
-        let taken = |w: &World| {
+        let taken = |w: &Simulation| {
             let v = w.ask(0, "GET", "/status", "").1;
             let all = v["owner"]["machines"].as_array().cloned().unwrap_or_default();
             all.iter().any(|m| m["id"] == "i-000002" && m["report_s"].as_f64() == Some(0.0))
@@ -727,7 +735,7 @@
         node.plan_once();
         let status = ask.join().expect("no panic").expect("an answer").0;
         let now = w.now();
-        locked(&w.books).back(now);
+        locked(&w.state).back(now);
         w.run(5.0);
         status
     };
--- a/tests/meetings.rs
+++ b/tests/fault_combinations.rs
@@ -1,7 +1,7 @@
-//! Two troubles at once: a story for each meeting of the hunt's list, in the list's order and with
-//! the list's number. Time is a number that the stories push on; nothing here is random.
+//! Two faults at once: one scenario for each combination of faults in docs/safety.md, in the order and
+//! with the number of its table. Time is a number that the scenarios push on; nothing here is random.
 //!
-//! Meetings 4, 10 and 17 take whole controllers and are not here.
+//! Combinations 4, 10 and 17 take whole controllers: see cancellation_in_outage.rs.
 
 mod common;
 
@@ -35,13 +35,13 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Link {
     /// Everything.
-    Open,
+    Up,
     /// Nothing.
-    Cut,
+    Down,
     /// Direct commands and what they return; no report.
-    Mute,
+    CommandsOnly,
     /// Reports; no answer and no direct command.
-    Deaf,
+    ReportsOnly,
 }
 
 #[derive(Clone, Debug)]
@@ -108,8 +108,8 @@
     unanswered: Option<(f64, Kind)>,
 }
 
-/// A small world: the state service, controllers and workers. It watches the rules from outside.
-struct Story {
+/// A simulation of the state service, controllers and workers, which checks the rules from outside.
+struct Scenario {
     cfg: Arc<Config>,
     s: f64,
     store: Store,
@@ -133,17 +133,17 @@
     finals: BTreeMap<String, Stage>,
 }
 
-impl Story {
-    fn new() -> Story {
-        Story::with(|_| ())
+impl Scenario {
+    fn new() -> Scenario {
+        Scenario::with(|_| ())
     }
 
     /// With other settings of the platform.
-    fn with(change: impl Fn(&mut serde_json::Value)) -> Story {
+    fn with(change: impl Fn(&mut serde_json::Value)) -> Scenario {
         let mut v = platform_json();
         change(&mut v["settings"]);
         let platform = Platform::parse(&v.to_string(), "test").expect("settings");
-        Story {
+        Scenario {
             cfg: Arc::new(Config { platform, operator: Operator::default() }),
             s: 0.0,
             store: Store::default(),
@@ -182,7 +182,7 @@
             answered: self.s,
             due: self.s,
             to: 0,
-            link: Link::Open,
+            link: Link::Up,
             changed: false,
             tasks: BTreeMap::new(),
         });
@@ -196,7 +196,7 @@
         workers.iter().for_each(|w| self.at(w).link = link);
     }
 
-    /// The newest owner's world.
+    /// The newest owner's view of the cluster.
     fn fleet(&mut self) -> &mut Fleet {
         &mut self.owners.last_mut().expect("an owner").fleet
     }
@@ -339,7 +339,7 @@
             let token = self.owners[i].fleet.token;
             for (id, _, season) in self.owners[i].fleet.to_raise(at(self.s)) {
                 let Some(w) = self.workers.iter().find(|w| w.id == *id) else { continue };
-                if !matches!(w.link, Link::Open | Link::Mute) || !self.passes(w.zone, i) {
+                if !matches!(w.link, Link::Up | Link::CommandsOnly) || !self.passes(w.zone, i) {
                     continue;
                 }
                 let r = self.command(&id, token, season);
@@ -359,7 +359,7 @@
             }
             let r = self.workers[w].report();
             (self.workers[w].changed, self.workers[w].due) = (false, self.s + 3.0);
-            if !matches!(self.workers[w].link, Link::Open | Link::Deaf) {
+            if !matches!(self.workers[w].link, Link::Up | Link::ReportsOnly) {
                 continue;
             }
             let reached = |o: &usize| self.passes(self.workers[w].zone, *o) && self.answers(*o);
@@ -370,7 +370,7 @@
             };
             self.workers[w].to = to;
             match self.owners[to].fleet.check_in(&r, at(self.s), wall(self.s)) {
-                CheckIn::Reply(reply) if self.workers[w].link == Link::Open => self.obey(w, &reply),
+                CheckIn::Reply(reply) if self.workers[w].link == Link::Up => self.obey(w, &reply),
                 CheckIn::Reply(_) => {}
                 CheckIn::Superseded(_) => {
                     self.end(to);
@@ -660,12 +660,12 @@
     JobSpec { team: "tight".into(), ..spec(n, tasks, shape) }
 }
 
-/// Meeting 1: a team at its limit, a change of leader, machines that can't be asked, and a
+/// Combination 1: a team at its limit, a change of leader, machines that can't be asked, and a
 /// cancellation. Against starts beyond the limit beside what an unheard machine may run, what was
 /// told to halt and has not ended, and a return that the cloud has not answered.
 #[test]
-fn m01_a_team_at_its_limit_when_the_leader_changes_and_a_cancellation_falls_in() {
-    let mut s = Story::new();
+fn a_team_stays_within_its_limit_across_a_leader_change_and_a_cancellation() {
+    let mut s = Scenario::new();
     s.take_over(Some("south"));
     for (n, zone) in [(1, "north"), (2, "south"), (3, "north"), (4, "north")] {
         s.machine(n, zone);
@@ -680,21 +680,21 @@
     // The south goes with the old owner; the north's machines with tasks do not hear the new one.
     let north: Vec<String> = s.places(&a).into_iter().filter(|m| m != "i-2").collect();
     s.apart = Some("south");
-    north.iter().for_each(|m| s.at(m).link = Link::Deaf);
+    north.iter().for_each(|m| s.at(m).link = Link::ReportsOnly);
     s.cloud = false;
     s.take_over(None);
     s.run(2.0);
     assert_eq!((s.fleet().unheard(), s.started(&b)), (1 + north.len(), 0));
     // They are heard, and then do not hear that they are to halt.
-    north.iter().for_each(|m| s.at(m).link = Link::Open);
+    north.iter().for_each(|m| s.at(m).link = Link::Up);
     s.run(4.0);
     assert_eq!(s.fleet().unheard(), 1);
-    north.iter().for_each(|m| s.at(m).link = Link::Deaf);
+    north.iter().for_each(|m| s.at(m).link = Link::ReportsOnly);
     assert!(s.cancel(&a));
     s.run(7.0);
     assert_eq!((s.on(&a), s.started(&b)), (6, 0), "cancelled tasks that run still count");
     // In the south half of the job goes on, and the whole machine counts.
-    north.iter().for_each(|m| s.at(m).link = Link::Open);
+    north.iter().for_each(|m| s.at(m).link = Link::Up);
     s.run(7.0);
     assert_eq!((s.on(&a), s.on(&b)), (3, 2));
     s.run(18.0);
@@ -702,7 +702,7 @@
     assert_eq!((s.on(&a), s.on(&b)), (3, 2), "a return without an answer has ended nothing");
     s.run(6.0);
     assert_eq!(s.on(&b), 2, "44 s after the claim an earlier owner's answer may still count");
-    // Later none can, though the cloud has not said a word.
+    // Later none can, though the cloud has not answered.
     s.run(14.0);
     assert_eq!((s.on(&a), s.on(&b)), (0, 6));
     assert!(s.fleet().leaving().contains(&"i-2".to_string()));
@@ -712,23 +712,23 @@
     s.finish(300.0);
 }
 
-/// Meeting 2: old reports after newer ones, of an earlier session and of an earlier attempt, at the
+/// Combination 2: old reports after newer ones, of an earlier session and of an earlier attempt, at the
 /// owner and at the next. Against a copy that revives what has ended or ends what runs.
 #[test]
-fn m02_old_reports_of_earlier_sessions_and_attempts_after_newer_ones() {
-    let mut s = Story::new();
+fn old_reports_of_earlier_sessions_and_attempts_are_refused_after_newer_ones() {
+    let mut s = Scenario::new();
     s.begin(&["north", "north"]);
     let a = s.submit(spec(1, 1, "batch"), 60.0);
     s.run(4.0);
     let first = s.places(&a).remove(0);
     let session = s.at(&first).report();
     // Its lease runs out in a cut, and the task begins on the other machine.
-    s.link(&[&first], Link::Cut);
+    s.link(&[&first], Link::Down);
     s.run(30.0);
     assert_eq!((s.started(&a), s.at(&first).season), (2, 2));
     let second = s.places(&a).remove(0);
     assert_ne!(first, second);
-    s.link(&[&first], Link::Open);
+    s.link(&[&first], Link::Up);
     let b = s.submit(spec(2, 1, "batch"), 60.0);
     s.run(6.0);
     let place = s.places(&b).remove(0);
@@ -740,7 +740,7 @@
     (t.stage, t.why) = (TaskStage::Exited, Some(Why::Error));
     s.run(8.0);
     assert_eq!((s.started(&b), s.on(&b)), (2, 1));
-    let late = |s: &mut Story| {
+    let late = |s: &mut Scenario| {
         for r in [&session, &attempt, &session] {
             let (now, wall) = (at(s.s), wall(s.s));
             assert_eq!(s.fleet().check_in(r, now, wall), CheckIn::Refuse);
@@ -757,11 +757,11 @@
     assert_eq!((s.started(&a), s.started(&b)), (2, 2));
 }
 
-/// Meeting 3: a transaction without an answer, carried out late. Against an old copy of marks,
+/// Combination 3: a transaction without an answer, carried out late. Against an old copy of marks,
 /// machines, done ranges or a job's end that undoes a newer write of the same controller, and
 /// against a controller that takes its own late write for another's.
 #[test]
-fn m03_a_transaction_without_an_answer_carried_out_late() {
+fn a_transaction_without_an_answer_applied_late_undoes_no_newer_write() {
     let kinds: [(&str, Kind); 4] = [
         ("marks", |p| matches!(p, Pending::Marks(_))),
         ("machines", |p| matches!(p, Pending::Machines(_))),
@@ -771,7 +771,7 @@
     for (kind, of) in kinds {
         // Carried out before the next write of the same key, or after it.
         for (delay, overtaken) in [(0.5, false), (6.0, true)] {
-            let mut s = Story::new();
+            let mut s = Scenario::new();
             s.begin(&["north", "north"]);
             s.owners[0].unanswered = Some((delay, of));
             let a = s.submit(spec(1, 40, "batch"), 8.0);
@@ -803,23 +803,23 @@
     }
 }
 
-/// Meeting 5: the command that brings a new owner's token is held up, and the machine goes on.
+/// Combination 5: the command that brings a new owner's token is held up, and the machine goes on.
 /// Against a start elsewhere before it is heard.
 #[test]
-fn m05_a_raising_command_held_up_until_the_machine_goes_on() {
-    let mut s = Story::new();
+fn a_machine_whose_raising_command_is_held_up_keeps_its_task() {
+    let mut s = Scenario::new();
     s.begin(&["north", "north"]);
     let a = s.submit(spec(1, 1, "batch"), 60.0);
     s.run(5.0);
     let place = s.places(&a).remove(0);
-    s.link(&[&place], Link::Cut);
+    s.link(&[&place], Link::Down);
     s.change_leader(1.0);
     let token = s.fleet().token;
     s.run(15.0);
     assert_eq!((s.fleet().unheard(), s.started(&a)), (1, 1));
     // Executed now. What it returns is held up as well and overtaken by a report.
     let back = s.command(&place, token, 1);
-    s.link(&[&place], Link::Open);
+    s.link(&[&place], Link::Up);
     s.run(2.0);
     assert_eq!(s.fleet().unheard(), 0);
     let now = at(s.s);
@@ -836,13 +836,13 @@
     assert_eq!(s.started(&a), 1);
 }
 
-/// Meeting 5: what a raising command returns was composed while a start was on its way to the
+/// Combination 5: what a raising command returns was composed while a start was on its way to the
 /// machine. Against taking the task for not arrived, since a newer message lacks it.
 #[test]
-fn m05_what_a_held_command_returns_does_not_undo_a_start_on_its_way() {
-    let mut s = Story::new();
+fn what_a_held_command_returns_does_not_undo_a_start_on_its_way() {
+    let mut s = Scenario::new();
     s.begin(&["north", "north"]);
-    s.link(&["i-1"], Link::Cut);
+    s.link(&["i-1"], Link::Down);
     s.change_leader(1.0);
     let token = s.fleet().token;
     // The other machine is full, and cut off while its tasks end.
@@ -851,13 +851,13 @@
         assert!(s.s < 20.0, "the filler does not start");
         s.step();
     }
-    s.link(&["i-2"], Link::Cut);
+    s.link(&["i-2"], Link::Down);
     let a = s.submit(spec(1, 1, "batch"), 30.0);
     s.run(4.0);
     assert_eq!((s.on(&filler), s.started(&a)), (0, 0));
     // It is heard by its own report; then the task's mark is written.
     let _ = s.command("i-1", token, 1);
-    let hear = |s: &mut Story| {
+    let hear = |s: &mut Scenario| {
         s.s += STEP;
         let (r, now, wall) = (s.at("i-1").report(), at(s.s), wall(s.s));
         let CheckIn::Reply(reply) = s.fleet().check_in(&r, now, wall) else { panic!("not answered") };
@@ -874,18 +874,18 @@
     let now = at(s.s);
     s.fleet().raised(&back, now);
     // The other reports first, and has room.
-    s.link(&["i-2"], Link::Open);
+    s.link(&["i-2"], Link::Up);
     s.run(10.0);
-    s.link(&["i-1"], Link::Open);
+    s.link(&["i-1"], Link::Up);
     s.finish(60.0);
     assert_eq!(s.started(&a), 1);
 }
 
-/// Meeting 6: ten leaders in two minutes, some beside the one before, some after an outage of the
+/// Combination 6: ten leaders in two minutes, some beside the one before, some after an outage of the
 /// state service. Against anything started twice, lost or left.
 #[test]
-fn m06_ten_leaders_in_two_minutes() {
-    let mut s = Story::new();
+fn ten_leaders_in_two_minutes_start_nothing_twice_and_lose_nothing() {
+    let mut s = Scenario::new();
     s.begin(&["north", "south", "north", "south", "north", "south"]);
     let long = s.submit(spec(1, 2, "batch"), 100.0);
     let gang = s.submit(JobSpec { one_zone: true, ..spec(2, 3, "gang") }, 70.0);
@@ -924,12 +924,12 @@
     assert_eq!((s.started(&long), s.started(&gang)), (2, 3));
 }
 
-/// Meeting 7: a zone with workers and a controller is cut off for longer than the lease, and the
+/// Combination 7: a zone with workers and a controller is cut off for longer than the lease, and the
 /// owner inside may go on for long. Against an owner inside that takes the machines outside for
 /// ended while its follower renews their leases, and against cancelled tasks that go on inside.
 #[test]
-fn m07_a_zone_with_workers_and_a_controller_cut_off_for_longer_than_the_lease() {
-    let mut s = Story::with(|v| v["workers"]["cancel_s"] = json!(80.0));
+fn a_zone_cut_off_for_longer_than_the_lease_starts_nothing_twice_and_ends_cancelled_tasks() {
+    let mut s = Scenario::with(|v| v["workers"]["cancel_s"] = json!(80.0));
     s.take_over(Some("south"));
     for n in 0..3 {
         s.machine(1 + n, "north");
@@ -968,12 +968,12 @@
     assert_eq!((s.started(&outside), s.started(&filler)), (12, 8));
 }
 
-/// Meeting 8: jobs of one zone lose machines. Against the rest of the job starting in the other
+/// Combination 8: jobs of one zone lose machines. Against the rest of the job starting in the other
 /// zone while tasks may still be where they were, and against a wait that never ends.
 #[test]
-fn m08_jobs_bound_to_one_zone_and_spread_ones_lose_machines() {
+fn jobs_of_one_zone_that_lose_machines_never_run_in_two_zones() {
     for shape in ["batch", "gang"] {
-        let mut s = Story::new();
+        let mut s = Scenario::new();
         s.begin(&["north"]);
         let one = s.submit(JobSpec { one_zone: true, ..spec(1, 4, shape) }, 60.0);
         s.run(8.0);
@@ -988,7 +988,7 @@
         let bound = s.submit(JobSpec { zone: Some("north".into()), ..spec(3, 2, "batch") }, 60.0);
         s.run(7.0);
         assert_eq!((s.on(&rest), s.on(&bound)), (8, 2), "the other zone has room, and it may not go there");
-        s.link(&["i-1", "i-2", "i-5"], Link::Cut);
+        s.link(&["i-1", "i-2", "i-5"], Link::Down);
         s.run(16.0);
         assert_eq!((s.started(&one), s.on(&one)), (4, 4), "it may still be there");
         s.run(30.0);
@@ -1001,16 +1001,16 @@
     }
 }
 
-/// Meeting 8, for spread jobs: half of one is lost. Against its start beside the other half, and
+/// Combination 8, for spread jobs: half of one is lost. Against its start beside the other half, and
 /// before the first is surely gone.
 #[test]
-fn m08_half_of_a_spread_job_is_lost() {
-    let mut s = Story::new();
+fn the_lost_half_of_a_spread_job_starts_again_only_once_it_is_surely_gone() {
+    let mut s = Scenario::new();
     s.begin(&["north", "south", "south"]);
     let spread = s.submit(JobSpec { spread: true, ..spec(1, 6, "batch") }, 80.0);
     s.run(8.0);
     assert_eq!(s.on(&spread), 6);
-    s.link(&["i-1"], Link::Cut);
+    s.link(&["i-1"], Link::Down);
     s.run(10.0);
     s.machine(4, "north");
     s.run(10.0);
@@ -1022,10 +1022,10 @@
     assert_eq!(s.started(&spread), 9);
 }
 
-/// Meeting 9: a cancellation, a question and a repeated submission meet the end of the last task.
-/// Against two ends of one job, and against a late word that revives it.
+/// Combination 9: a cancellation, a question and a repeated submission at the end of the last task.
+/// Against two ends of one job, and against a late message that revives it.
 #[test]
-fn m09_a_cancellation_meets_the_end_of_the_last_task() {
+fn a_cancellation_at_the_end_of_the_last_task_leaves_one_final_stage() {
     #[derive(Clone, Copy, Debug, PartialEq)]
     enum Race {
         UserFirst,
@@ -1034,7 +1034,7 @@
         NoAnswerButWritten,
     }
     for race in [Race::UserFirst, Race::OwnerFirst, Race::NoAnswerThenUser, Race::NoAnswerButWritten] {
-        let mut s = Story::new();
+        let mut s = Scenario::new();
         s.begin(&["north"]);
         let a = s.submit(spec(1, 2, "batch"), 3.0);
         s.run(2.0);
@@ -1077,11 +1077,11 @@
         assert_eq!(stage == Stage::Done, matches!(race, Race::OwnerFirst | Race::NoAnswerButWritten));
         assert_eq!(s.stage(&a), Some(stage), "{race:?}: the first that was written stays");
         assert_eq!(s.fleet().counts(&a), None, "{race:?}: it is over for the owner");
-        // A late word of its submission, and the submission itself again.
+        // A late message of its submission, and the submission itself again.
         let late: JobRecord = serde_json::from_value(known.value.clone()).expect("a job's record");
         let now = at(s.s);
         s.fleet().job_put(late, known.stamp, now);
-        assert_eq!(s.fleet().counts(&a), None, "{race:?}: a late word revived it");
+        assert_eq!(s.fleet().counts(&a), None, "{race:?}: a late message revived it");
         let guards = [job_key(&a), final_key(&a)].map(|key| Guard { key, stamp: 0 }).to_vec();
         let again = Txn { guards, then: vec![Change::put(job_key(&a), known.value)] };
         assert!(s.store.txn(&again).is_err());
@@ -1092,13 +1092,13 @@
     }
 }
 
-/// Meeting 11: a report is held back until a new leader has acted, and arrives there, before or
+/// Combination 11: a report is held back until a new leader has acted, and arrives there, before or
 /// after the machine's newer ones. Against taking a machine for heard, or empty, by what it said to
 /// the leader before.
 #[test]
-fn m11_a_report_held_back_until_a_new_leader_has_acted() {
+fn a_report_held_back_until_a_new_leader_has_acted_hides_no_running_task() {
     for before_newer in [true, false] {
-        let mut s = Story::new();
+        let mut s = Scenario::new();
         s.begin(&["north", "north"]);
         // Nothing is on it yet, says the report that is held back.
         let held = [s.at("i-1").report(), s.at("i-2").report()];
@@ -1107,7 +1107,7 @@
         let place = s.places(&a).remove(0);
         let held = held.into_iter().find(|r| r.machine == place).expect("its report");
         if before_newer {
-            s.link(&[&place], Link::Cut);
+            s.link(&[&place], Link::Down);
         }
         s.change_leader(1.0);
         s.run(5.0);
@@ -1122,17 +1122,17 @@
         }
         s.run(10.0);
         assert_eq!((s.fleet().unheard(), s.started(&a), s.on(&a)), (unheard, 1, 1));
-        s.link(&[&place], Link::Open);
+        s.link(&[&place], Link::Up);
         s.finish(60.0);
         assert_eq!(s.started(&a), 1);
     }
 }
 
-/// Meeting 11, for a machine that went meanwhile. Against a late report that brings it and its task
+/// Combination 11, for a machine that went meanwhile. Against a late report that brings it and its task
 /// back.
 #[test]
-fn m11_a_held_report_of_a_machine_that_was_returned_meanwhile() {
-    let mut s = Story::new();
+fn a_held_report_of_a_machine_that_was_returned_meanwhile_brings_nothing_back() {
+    let mut s = Scenario::new();
     s.begin(&["north", "north"]);
     let empty = [s.at("i-1").report(), s.at("i-2").report()];
     let a = s.submit(spec(1, 1, "batch"), 50.0);
@@ -1140,12 +1140,12 @@
     let place = s.places(&a).remove(0);
     let empty = empty.into_iter().find(|r| r.machine == place).expect("its report");
     let held = s.at(&place).report();
-    s.link(&[&place], Link::Cut);
+    s.link(&[&place], Link::Down);
     s.change_leader(1.0);
     s.run(40.0);
     assert!(!s.workers.iter().any(|w| w.id == place), "it was fenced");
     assert_eq!((s.started(&a), s.on(&a)), (2, 1));
-    let late = |s: &mut Story| {
+    let late = |s: &mut Scenario| {
         let (now, t) = (at(s.s), wall(s.s));
         assert_eq!(s.fleet().check_in(&held, now, t), CheckIn::Refuse);
         assert!(!s.fleet().machines.contains_key(place.as_str()));
@@ -1162,11 +1162,11 @@
     assert_eq!(s.started(&a), 2);
 }
 
-/// Meeting 12: controllers hand over and back, all end, and one returns within a second. Against
+/// Combination 12: controllers hand over and back, all end, and one returns within a second. Against
 /// late writes of its earlier life, and of the others, that change what is another's now.
 #[test]
-fn m12_controllers_hand_over_and_back_and_one_returns_within_a_second() {
-    let mut s = Story::new();
+fn late_writes_of_earlier_leaders_fail_after_hand_overs_and_a_return_within_a_second() {
+    let mut s = Scenario::new();
     s.begin(&["north", "north", "south", "south", "north", "north", "south", "south"]);
     let mut ids = Vec::new();
     for life in 0..4u32 {
@@ -1193,9 +1193,9 @@
     assert_eq!(s.carried.len(), 4);
     // Earlier lives learn from any worker that they are over.
     let (token, now, t) = (s.fleet().token, at(s.s), wall(s.s));
-    let word = s.at("i-1").report();
+    let newer = s.at("i-1").report();
     for o in &mut s.owners[..4] {
-        assert_eq!(o.fleet.check_in(&word, now, t), CheckIn::Superseded(token));
+        assert_eq!(o.fleet.check_in(&newer, now, t), CheckIn::Superseded(token));
     }
     for r in &s.carried {
         assert!(r.as_ref().is_err_and(|k| k.iter().any(|k| k == cluster::PART)), "{:?}", s.carried);
@@ -1206,19 +1206,19 @@
     }
 }
 
-/// Meeting 13: workers reach no controller, direct commands reach them. Against starting elsewhere
+/// Combination 13: workers reach no controller, direct commands reach them. Against starting elsewhere
 /// what they run, and against waiting for them for ever.
 #[test]
-fn m13_workers_that_cannot_open_connections_while_direct_commands_reach_them() {
+fn tasks_of_workers_reached_by_commands_only_start_elsewhere_only_after_the_lease() {
     for (mute, restarted) in [(14.0_f64, false), (200.0, true)] {
-        let mut s = Story::new();
+        let mut s = Scenario::new();
         s.begin(&["north", "north", "north"]);
         let a = s.submit(tight(1, 6, "batch"), 60.0);
         s.run(5.0);
         assert_eq!(s.on(&a), 6);
         let first = s.places(&a);
         let places: Vec<&str> = first.iter().map(String::as_str).collect();
-        s.link(&places, Link::Mute);
+        s.link(&places, Link::CommandsOnly);
         s.change_leader(1.0);
         let next = s.submit(tight(2, 2, "batch"), 10.0);
         let gang = s.submit(spec(3, 4, "gang"), 10.0);
@@ -1231,7 +1231,7 @@
         s.machine(4, "north");
         s.machine(5, "north");
         if !restarted {
-            s.link(&places, Link::Open);
+            s.link(&places, Link::Up);
         }
         s.finish(120.0);
         assert_eq!(s.started(&a) > 6, restarted);
@@ -1242,7 +1242,7 @@
 /// A stream of more work than room, a quarter of it of each rank, with the widest gang and array of all
 /// before it; those and every fourth job of the stream should begin soon.
 fn more_work_than_room(ranks: [Rank; 4], widest_rank: Rank, quick_every_fourth_from: u32) {
-    let mut s = Story::new();
+    let mut s = Scenario::new();
     s.begin(&["north", "south", "north", "south"]);
     let (mut ids, mut work) = (Vec::new(), 0.0);
     let quick = |job: JobSpec| JobSpec { class: Some("quick".into()), ..job };
@@ -1280,26 +1280,26 @@
     assert!(mean(ranks[3]) < mean(Rank::Idle));
 }
 
-/// Meeting 14: more work than room, urgent and not. Against a job that is forgotten or waits
+/// Combination 14: more work than room, urgent and not. Against a job that is forgotten or waits
 /// without end, the widest ones too.
 #[test]
-fn m14_more_work_than_room_urgent_and_not() {
+fn more_work_than_room_starves_neither_urgent_nor_other_jobs() {
     more_work_than_room([Rank::Idle, Rank::Normal, Rank::Urgent, Rank::Urgent], Rank::Urgent, 3);
 }
 
-/// Meeting 14, with the widest ones of a rank below half of the stream.
+/// Combination 14, with the widest ones of a rank below half of the stream.
 #[test]
-fn m14_the_widest_gang_of_a_middle_rank_beneath_a_stream_of_higher_ranks() {
+fn the_widest_gang_of_a_middle_rank_begins_beneath_a_stream_of_higher_ranks() {
     more_work_than_room([Rank::Idle, Rank::Normal, Rank::Urgent, Rank::Critical], Rank::Normal, 1);
 }
 
-/// Meeting 15: a leader ends while machines with long tasks are cut off or deaf, for less than the
+/// Combination 15: a leader ends while machines with long tasks are cut off or deaf, for less than the
 /// lease and for longer. Against a second start while the first may run, and a wait without end.
 #[test]
-fn m15_a_leader_ends_while_machines_with_long_tasks_are_out_of_reach_or_deaf() {
-    for link in [Link::Cut, Link::Deaf] {
+fn tasks_on_unreachable_machines_start_again_only_after_the_lease_when_the_leader_ends() {
+    for link in [Link::Down, Link::ReportsOnly] {
         for (long, lost) in [(16.0, false), (80.0, true)] {
-            let mut s = Story::new();
+            let mut s = Scenario::new();
             s.begin(&["north", "north", "north", "north"]);
             let a = s.submit(spec(1, 4, "batch"), 150.0);
             let gang = s.submit(spec(2, 2, "gang"), 150.0);
@@ -1319,7 +1319,7 @@
             assert_eq!(s.stage(&next), Some(Stage::Done), "{link:?}: what never ran waits for nobody");
             (5..8).for_each(|n| s.machine(n, "north"));
             if !lost {
-                s.workers.iter_mut().for_each(|w| w.link = Link::Open);
+                s.workers.iter_mut().for_each(|w| w.link = Link::Up);
             }
             s.finish(250.0);
             let starts = if lost { (8, 4) } else { (4, 2) };
@@ -1328,14 +1328,14 @@
     }
 }
 
-/// Meeting 16: tasks of small jobs end far apart across a change of leader. Against a task that is
+/// Combination 16: tasks of small jobs end far apart across a change of leader. Against a task that is
 /// run again though it is done, and a job called done, or never, because of what its earlier owner
 /// knew.
 #[test]
-fn m16_jobs_of_two_or_three_tasks_end_far_apart_across_a_change_of_leader() {
+fn tasks_that_are_done_do_not_run_again_after_a_change_of_leader() {
     // At 8 s the first ends are not written yet, at 22 s they are; at 50 s a second has ended too.
     for change in [8.0, 22.0, 50.0] {
-        let mut s = Story::new();
+        let mut s = Scenario::new();
         s.begin(&["north", "south", "north"]);
         let ids: Vec<String> = (1..=3).map(|n| s.submit(spec(n, 2 + n % 2, "batch"), 90.0)).collect();
         for (n, id) in ids.iter().enumerate() {
@@ -1358,11 +1358,11 @@
     }
 }
 
-/// Meeting 18: all controllers are away for longer than the lease. Against waiting for tasks that
+/// Combination 18: all controllers are away for longer than the lease. Against waiting for tasks that
 /// have ended with their leases, and against an old report that says they run.
 #[test]
-fn m18_all_controllers_away_for_longer_than_the_lease() {
-    let mut s = Story::new();
+fn lost_tasks_run_again_after_all_controllers_were_away_for_longer_than_the_lease() {
+    let mut s = Scenario::new();
     s.begin(&["north", "south", "north"]);
     let a = s.submit(tight(1, 6, "batch"), 40.0);
     s.lengths.insert(format!("{a}/0"), 3.0);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -1,4 +1,4 @@
-//! One test or more for each numbered point of the safety design that the owner's world decides.
+//! One test or more for each numbered point of the safety design that the owner's `Fleet` decides.
 
 mod common;
 
@@ -102,7 +102,7 @@
 }
 
 #[test]
-fn p01_a_start_that_a_newer_report_lacks_is_started_again() {
+fn a_start_that_a_newer_report_lacks_is_started_again() {
     let mut f = ready(spec(1, 1, "batch"));
     let first = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
     assert_eq!(first.len(), 1);
@@ -114,7 +114,7 @@
 }
 
 #[test]
-fn p02_attempts_of_a_later_token_are_greater() {
+fn attempts_of_a_later_token_are_greater() {
     let mut early = ready(spec(1, 4, "batch"));
     let a = starts(&orders(&mut early, 1.0, &report("i-1", 2, 7, &[])));
     let mut late = fleet(8);
@@ -129,7 +129,7 @@
 }
 
 #[test]
-fn p03_a_silent_machine_keeps_its_tasks_until_its_lease_has_surely_run_out() {
+fn a_silent_machine_keeps_its_tasks_until_its_lease_has_surely_run_out() {
     let (mut f, _) = with_a_running_task();
     orders(&mut f, 2.0, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 2.0);
@@ -154,7 +154,7 @@
 /// controllers, went on placing there what it took for ended on machines outside, whose leases the
 /// next owner was renewing.
 #[test]
-fn p03_an_owner_that_may_have_been_replaced_counts_no_lease() {
+fn an_owner_that_may_have_been_replaced_counts_no_lease() {
     let (mut f, _) = with_a_running_task();
     orders(&mut f, 2.0, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 2.0);
@@ -172,7 +172,7 @@
 }
 
 #[test]
-fn p03_the_lease_of_a_machine_that_is_not_heard_is_not_counted() {
+fn the_lease_of_a_machine_that_is_not_heard_is_not_counted() {
     let mut f = fleet(9);
     f.inherit_machine("i-1", &machine("small"), 5, T0);
     f.job_put(started(spec(1, 1, "batch"), 1), 6, T0);
@@ -192,7 +192,7 @@
 }
 
 #[test]
-fn p04_after_a_takeover_only_what_cannot_be_elsewhere_starts() {
+fn after_a_takeover_only_what_cannot_be_elsewhere_starts() {
     let mut f = fleet(9);
     f.inherit_machine("i-1", &machine("small"), 5, T0);
     f.inherit_machine("i-2", &machine("small"), 5, T0);
@@ -214,7 +214,7 @@
 }
 
 #[test]
-fn p04_a_limited_team_counts_unheard_machines_as_its_own() {
+fn a_limited_team_counts_unheard_machines_as_its_own() {
     let mut f = fleet(9);
     f.inherit_machine("i-1", &machine("small"), 5, T0);
     let mut s = spec(1, 8, "batch");
@@ -229,14 +229,14 @@
 }
 
 #[test]
-fn p05_a_higher_token_ends_ownership_and_is_never_answered_with_200() {
+fn a_higher_token_ends_ownership_and_is_never_answered_with_200() {
     let mut f = ready(spec(1, 1, "batch"));
     assert_eq!(f.check_in(&report("i-1", 2, 8, &[]), at(1.0), wall(1.0)), CheckIn::Superseded(8));
     assert_eq!(f.raised(&report("i-1", 3, 9, &[]), at(1.0)), Some(9));
 }
 
 #[test]
-fn p06_the_time_without_a_view_ends_early_enough_for_cancellations() {
+fn the_time_without_a_view_ends_early_enough_for_cancellations() {
     let c = config();
     let w = &c.platform.settings.workers;
     assert!(c.blind_bound().secs() + w.lease_s * 1.001 < w.cancel_s);
@@ -244,7 +244,7 @@
 }
 
 #[test]
-fn p07_nothing_starts_before_its_mark_and_its_machine_are_written() {
+fn nothing_starts_before_its_mark_and_its_machine_are_written() {
     let mut f = fleet(7);
     f.job_put(record(spec(1, 1, "batch")), 1, T0);
     assert!(starts(&orders(&mut f, 0.0, &report("i-1", 1, 0, &[]))).is_empty(), "not enrolled");
@@ -257,7 +257,7 @@
 }
 
 #[test]
-fn p08_forget_follows_the_written_done_range() {
+fn forget_follows_the_written_done_range() {
     let mut f = ready(spec(1, 3, "batch"));
     let s = starts(&orders(&mut f, 1.0, &report("i-1", 2, 7, &[])));
     assert_eq!(s.len(), 3);
@@ -297,7 +297,7 @@
 }
 
 #[test]
-fn p09_a_late_copy_does_not_bring_a_job_back() {
+fn a_late_copy_does_not_bring_a_job_back() {
     let mut f = ready(spec(1, 1, "batch"));
     f.job_over("wk-000001", 1000);
     f.job_put(record(spec(1, 1, "batch")), 999, at(1.0));
@@ -306,7 +306,7 @@
 }
 
 #[test]
-fn p10_places_are_checked_at_the_start_with_all_that_is_possibly_there() {
+fn places_are_checked_at_the_start_with_all_that_is_possibly_there() {
     let mut one_zone = spec(1, 6, "batch");
     one_zone.one_zone = true;
     let mut f = ready(one_zone);
@@ -339,7 +339,7 @@
 }
 
 #[test]
-fn p10_a_limit_holds_across_jobs_and_machines() {
+fn a_limit_holds_across_jobs_and_machines() {
     let mut f = fleet(7);
     for n in 1..=2 {
         let mut s = spec(n, 4, "batch");
@@ -388,7 +388,7 @@
 }
 
 #[test]
-fn p11_unknown_machines_are_enrolled_and_returned_ones_stay_gone() {
+fn unknown_machines_are_enrolled_and_returned_ones_stay_gone() {
     let mut f = fleet(7);
     orders(&mut f, 0.0, &report("i-5", 1, 0, &[]));
     assert_eq!(f.pending(T0, Micros::ZERO, 1000), [Pending::Machines(0)]);
@@ -674,10 +674,10 @@
     assert!(matches!(f.check_in(&report(&id(0), 4, 7, &[]), at(1000.0), wall(1000.0)), CheckIn::Reply(_)));
 }
 
-/// The word of another controller may be held up on the way for a minute. The owner that it reaches
+/// The notice of another controller may be held up on the way for a minute. The owner that it reaches
 /// then may never have known the job, which was cancelled before it came.
 #[test]
-fn a_word_held_up_until_a_new_owner_came_starts_nothing() {
+fn a_notice_held_up_until_a_new_owner_came_starts_nothing() {
     let mut f = fleet(8);
     f.has_read_to(50);
     f.job_put(record(spec(1, 1, "batch")), 40, at(1.0));
@@ -731,11 +731,11 @@
     assert_eq!(starts(&orders(&mut f, 47.0, &report("i-2", tally, 9, &[]))).len(), 1);
 }
 
-/// Found by a random world: an owner answered a report of a machine that had not seen its token, and the
+/// Found by a random simulation: an owner answered a report of a machine that had not seen its token, and the
 /// answer was lost; an earlier owner, cut off with the machine, went on renewing its lease. Brought the new
 /// token later, the machine counted as having had that first answer, and its task began elsewhere.
 #[test]
-fn p03_an_answer_before_the_token_arrived_is_no_beginning_of_a_lease() {
+fn an_answer_before_the_token_arrived_is_no_beginning_of_a_lease() {
     let mut f = fleet(9);
     f.inherit_machine("i-1", &machine("small"), 0, T0);
     f.job_put(started(spec(1, 1, "batch"), 1), 1, T0);
@@ -795,7 +795,7 @@
 /// The next owner counts on it that this one answers no longer than its view allows, though it may see all
 /// cancellations; a cancellation is seen by reads alone, though the lease may be renewed.
 #[test]
-fn p06_the_view_rests_on_reads_and_on_renewals() {
+fn the_view_rests_on_reads_and_on_renewals() {
     let bound = Micros::from_secs(10.0);
     let (mut reads, mut renewals) = (View::new(T0, bound), View::new(T0, bound));
     reads.has_read(at(9.0));
--- a/tests/starving.rs
+++ b/tests/starving.rs
@@ -1,5 +1,5 @@
 //! Nothing starves: the widest gang and the widest array begin within four minutes in a steady
-//! stream of small ones. The owner's world against workers that run tasks for a fixed time.
+//! stream of small ones. The owner's `Fleet` against workers that run tasks for a fixed time.
 
 mod common;
 
@@ -21,7 +21,7 @@
     ends: Option<Steady>,
 }
 
-struct World {
+struct Simulation {
     fleet: Fleet,
     now: Steady,
     specs: BTreeMap<u32, (JobSpec, Micros)>,
@@ -34,10 +34,10 @@
     task["wk-".len()..].split('/').next().and_then(|n| n.parse().ok()).expect("a job's number")
 }
 
-impl World {
-    fn new(machines: usize) -> World {
+impl Simulation {
+    fn new(machines: usize) -> Simulation {
         let now = Steady(1_000_000_000);
-        World {
+        Simulation {
             fleet: Fleet::new(config(), types(), 7, now),
             now,
             specs: BTreeMap::new(),
@@ -131,7 +131,7 @@
 
 #[test]
 fn the_widest_gang_begins_in_a_stream_of_single_ones_and_of_the_lowest_rank() {
-    let mut w = World::new(20);
+    let mut w = Simulation::new(20);
     for k in 0..720u32 {
         // Single gangs that can still make their start take four fifths of the machines.
         if k % 8 == 0 {
@@ -154,7 +154,7 @@
 
 #[test]
 fn the_widest_array_begins_beside_a_higher_rank_that_takes_nearly_all() {
-    let mut w = World::new(10);
+    let mut w = Simulation::new(10);
     for k in 0..600u32 {
         // 160 processors in all: 24 tasks of 30 s every five seconds take nine tenths.
         if k % 10 == 0 {
@@ -178,7 +178,7 @@
 #[test]
 fn beyond_capacity_those_that_can_make_more_of_their_aims_go_first_but_nobody_is_forgotten() {
     // 20 machines take 20 gangs of one a minute; for two minutes there are twice as many.
-    let mut w = World::new(20);
+    let mut w = Simulation::new(20);
     let mut came = Vec::new();
     for k in 0..900u32 {
         let every = if (120..360).contains(&k) { 3 } else { 12 };
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -1,4 +1,4 @@
-//! Records and takeover against a model: owners come and go while older ones still answer,
+//! Takeovers in random simulations: owners come and go while older ones still answer,
 //! messages are lost, late or doubled, transactions have no answer or are applied late, workers
 //! are cut off, deaf, mute or hung, machines are returned, and owners lose the state service but not
 //! their workers. The model watches the rules from outside, at every step.
@@ -30,10 +30,10 @@
 /// What the team `tight` may have on machines.
 const TIGHT: usize = 6;
 
-/// What troubles a world. Shares are of messages; rates are per step.
+/// The faults of a simulation. Shares are of messages; rates are per step.
 #[derive(Clone)]
-struct Troubles {
-    /// Steps before it is quiet again.
+struct Faults {
+    /// Steps before the faults end.
     steps: u32,
     /// Jobs.
     jobs: u32,
@@ -88,12 +88,12 @@
     cancel: f64,
     /// Share of the jobs that are cancelled at the moment of their last end.
     cancel_at_end: f64,
-    /// Jobs on machines that get into a spell of trouble, cancelled in it.
+    /// Jobs on machines that get into a spell of faults, cancelled in it.
     cancel_there: f64,
 }
 
-/// The common troubles, which are part of each meeting.
-const COMMON: Troubles = Troubles {
+/// The common faults, which are part of each combination.
+const COMMON: Faults = Faults {
     steps: 1600,
     jobs: 24,
     cancel_s: 47.0,
@@ -209,9 +209,9 @@
     blind_until: Steady,
 }
 
-struct World {
+struct Simulation {
     rng: StdRng,
-    troubles: Troubles,
+    faults: Faults,
     now: Steady,
     store: Store,
     owners: Vec<Owner>,
@@ -237,14 +237,14 @@
     away_until: Steady,
     /// When the next owner takes over from one that lost the state service.
     next_owner: Option<Steady>,
-    /// In quiet: since when each job could start and has not.
+    /// Once the faults are over: since when each job could start and has not.
     waiting: BTreeMap<String, Steady>,
-    /// How often the troubles that a world is about were met.
-    met: u32,
+    /// How often the faults that a simulation is about occurred.
+    occurred: u32,
     next_machine: u32,
     /// Since when the oldest owner and the south have been cut off from all else, and until when.
     apart: Option<(Steady, Steady)>,
-    trouble: bool,
+    faulty: bool,
     starts: usize,
     /// How long an owner answers that sees no cancellations.
     bound: Micros,
@@ -255,15 +255,15 @@
     lists: [Vec<ListedMachine>; 2],
 }
 
-impl World {
-    fn new(seed: u64, troubles: &Troubles) -> World {
+impl Simulation {
+    fn new(seed: u64, faults: &Faults) -> Simulation {
         let mut settings = platform_json();
-        settings["settings"]["workers"]["cancel_s"] = json!(troubles.cancel_s);
+        settings["settings"]["workers"]["cancel_s"] = json!(faults.cancel_s);
         let platform = Platform::parse(&settings.to_string(), "test").expect("settings");
         let cfg = Arc::new(Config { platform, operator: Operator::default() });
-        let mut w = World {
+        let mut w = Simulation {
             rng: StdRng::seed_from_u64(seed),
-            troubles: troubles.clone(),
+            faults: faults.clone(),
             now: Steady(1_000_000_000),
             store: Store::default(),
             owners: Vec::new(),
@@ -284,13 +284,13 @@
             away_until: Steady(0),
             next_owner: None,
             waiting: BTreeMap::new(),
-            met: 0,
+            occurred: 0,
             next_machine: 0,
             apart: None,
-            trouble: true,
+            faulty: true,
             starts: 0,
             bound: cfg.blind_bound(),
-            cancel: Micros::from_secs(troubles.cancel_s),
+            cancel: Micros::from_secs(faults.cancel_s),
             cfg,
             types: types(),
             lists: [Vec::new(), Vec::new()],
@@ -307,7 +307,7 @@
     }
 
     fn chance(&mut self, p: f64) -> bool {
-        self.trouble && p > 0.0 && self.rng.random_bool(p)
+        self.faulty && p > 0.0 && self.rng.random_bool(p)
     }
 
     /// A moment that lies so many seconds ahead.
@@ -418,7 +418,7 @@
         if self.rng.random_bool(0.2) && !s.spread {
             s.zone = Some("south".into());
         }
-        if self.troubles.busy {
+        if self.faults.busy {
             s.rank = [Rank::Idle, Rank::Normal, Rank::Urgent, Rank::Critical][self.rng.random_range(0..4)];
         }
         let mut r = record(s.clone());
@@ -427,7 +427,7 @@
         let then = vec![Change::put(job_key(&s.id), json!(r))];
         let txn = Txn { guards, then };
         assert!(self.store.txn(&txn).is_ok());
-        if self.troubles.busy && self.chance(0.2) {
+        if self.faults.busy && self.chance(0.2) {
             // An earlier attempt to submit it, which had no answer.
             let at = self.soon(2.0, 60.0);
             self.late_txns.push((at, txn));
@@ -450,7 +450,7 @@
             .map(|k| job_of(&k.0).to_string())
             .collect();
         for id in ids {
-            if self.chance(self.troubles.cancel_there) {
+            if self.chance(self.faults.cancel_there) {
                 let at = self.soon(0.0, 12.0);
                 self.ask(&id, at);
             }
@@ -472,7 +472,7 @@
                     ],
                     then: vec![Change::drop(job_key(&id)), Change::put(final_key(&id), json!(over))],
                 };
-                if self.chance(0.05 + self.troubles.late_writes) {
+                if self.chance(0.05 + self.faults.late_writes) {
                     // The user is told nothing and asks again.
                     let at = self.soon(2.0, 12.0);
                     self.late_txns.push((at, txn));
@@ -564,12 +564,12 @@
         let (mut known, mut result) = (true, None);
         // Whole spells of it, so that newer ones of the same owner overtake many.
         let spell = self.now.0 / 30_000_000 % 2 == 0;
-        if spell && self.chance(self.troubles.late_writes) {
+        if spell && self.chance(self.faults.late_writes) {
             known = false;
             let at = self.soon(2.0, 12.0);
             self.late_txns.push((at, b.txn.clone()));
-            self.met += 1;
-        } else if self.chance(self.troubles.unanswered) {
+            self.occurred += 1;
+        } else if self.chance(self.faults.unanswered) {
             known = false;
             if self.rng.random_bool(0.5) {
                 result = Some(self.store.txn(&b.txn));
@@ -646,16 +646,16 @@
                 self.late_reports.push((at, r));
                 continue;
             }
-            if self.chance(self.troubles.held) {
+            if self.chance(self.faults.held) {
                 let newest = self.owners.last().map_or(0, |o| o.fleet.token);
                 self.held_reports.push((newest, r));
                 continue;
             }
-            if self.chance(self.troubles.copies) {
+            if self.chance(self.faults.copies) {
                 // Some soon, some well after the lease.
                 let at = if self.chance(0.5) { self.soon(0.5, 10.0) } else { self.soon(10.0, 66.0) };
                 self.late_reports.push((at, r.clone()));
-                self.met += 1;
+                self.occurred += 1;
             }
             let Some(i) = self.reached(w) else { continue };
             let Some(reply) = self.deliver(i, &r) else { continue };
@@ -666,7 +666,7 @@
             if self.chance(0.05) || self.now < self.workers[w].deaf_until {
                 continue;
             }
-            if self.chance(self.troubles.slow_answers) {
+            if self.chance(self.faults.slow_answers) {
                 let at = self.soon(0.5, 4.5);
                 let season = self.workers[w].season;
                 self.workers[w].answer = Some((at, self.now, season, reply));
@@ -684,7 +684,7 @@
             .into_iter()
             .partition(|h| newest.is_some_and(|n| n.0 > h.0) && self.rng.random_bool(0.05));
         self.held_reports = held;
-        self.met += free.len() as u32;
+        self.occurred += free.len() as u32;
         for r in ready.into_iter().map(|l| l.1).chain(free.into_iter().map(|h| h.1)) {
             // To whoever is there. The worker has long given up on the answer.
             let Some(last) = self.owners.len().checked_sub(1) else { continue };
@@ -717,10 +717,10 @@
             for (machine, season) in unheard {
                 let away =
                     self.apart.is_some() && self.workers.iter().any(|w| w.id == machine && w.zone == "south");
-                if away || !self.rng.random_bool(self.troubles.raise) {
+                if away || !self.rng.random_bool(self.faults.raise) {
                     continue;
                 }
-                let slow = self.chance(self.troubles.slow_commands);
+                let slow = self.chance(self.faults.slow_commands);
                 let at = if slow { self.soon(0.5, 15.0) } else { self.now };
                 self.commands.push(Command { at, machine, token, season });
             }
@@ -740,11 +740,11 @@
                 worker.token = c.token;
             }
             let r = worker.report();
-            self.met += u32::from(c.at < self.now);
+            self.occurred += u32::from(c.at < self.now);
             if self.chance(0.2) {
                 continue;
             }
-            let slow = self.chance(self.troubles.slow_commands);
+            let slow = self.chance(self.faults.slow_commands);
             let at = if slow { self.soon(0.5, 10.0) } else { self.now };
             self.raises.push((at, c.token, r));
         }
@@ -779,7 +779,7 @@
                     let busy = worker.tasks.iter().any(|(k, t)| k.0 == *task && t.stage != TaskStage::Exited);
                     assert!(!busy, "{task} is started beside itself on {}", worker.id);
                     // Some run for longer than a lease.
-                    let most = if self.rng.random_bool(0.3) { self.troubles.long } else { 20.0 };
+                    let most = if self.rng.random_bool(0.3) { self.faults.long } else { 20.0 };
                     let left = Micros::from_secs(self.rng.random_range(2.0..most));
                     worker
                         .tasks
@@ -859,10 +859,10 @@
                                 });
                             }
                             self.finished.insert(k.0.clone());
-                            if self.all_finished(&id) && self.chance(self.troubles.cancel_at_end) {
+                            if self.all_finished(&id) && self.chance(self.faults.cancel_at_end) {
                                 let at = self.soon(0.0, 2.5);
                                 self.ask(&id, at);
-                                self.met += 1;
+                                self.occurred += 1;
                             }
                         }
                         self.set(w, &k, TaskStage::Exited, Some(if error { Why::Error } else { Why::Done }));
@@ -993,7 +993,7 @@
         of.filter(|(k, t)| t.stage != TaskStage::Exited && self.specs[job_of(&k.0)].team == team).count()
     }
 
-    /// In quiet, no job waits for long although it could start.
+    /// Once the faults are over, no job waits for long although it could start.
     fn check_waiting(&mut self, seed: u64) {
         let open: Vec<String> =
             self.store.rows("job/").iter().map(|r| r.key.trim_start_matches("job/").to_string()).collect();
@@ -1008,9 +1008,9 @@
         }
     }
 
-    /// Spells of trouble begin: shorter and longer than a lease.
+    /// Spells of faults begin: shorter and longer than a lease.
     fn spells(&mut self) {
-        let t = &self.troubles;
+        let t = &self.faults;
         // Not before there is work that can be harmed.
         let (blind, away) = if self.starts > 20 { (t.blind, t.away) } else { (0.0, 0.0) };
         for (rate, kind) in [(t.cut, 0), (t.deaf, 1), (t.mute, 2), (t.hung, 3)] {
@@ -1032,7 +1032,7 @@
                     2 => worker.mute_until = until,
                     _ => worker.hung_until = until,
                 }
-                self.met += u32::from(kind > 0);
+                self.occurred += u32::from(kind > 0);
                 self.cancel_there(Some(w));
             }
         }
@@ -1043,7 +1043,7 @@
             self.cancel_there(None);
             self.owners.clear();
             self.away_until = self.soon(LEASE.secs() + 1.0, 2.5 * LEASE.secs());
-            self.met += 1;
+            self.occurred += 1;
         }
     }
 
@@ -1058,8 +1058,8 @@
             self.workers[w].stays = self.rng.random_bool(share);
         }
         self.cancel_there(None);
-        self.met += 1;
-        if self.chance(self.troubles.outage) {
+        self.occurred += 1;
+        if self.chance(self.faults.outage) {
             // Jobs are cancelled in the second between.
             let now = self.now;
             let asking: Vec<String> = self.asking.keys().cloned().collect();
@@ -1083,15 +1083,15 @@
             self.take_over();
             return;
         }
-        let every = self.troubles.change_every.map(|s| ((s * 4.0) as u32).max(1));
-        if self.troubles.part && self.apart.is_none() && i % 400 == 200 && !self.owners.is_empty() {
+        let every = self.faults.change_every.map(|s| ((s * 4.0) as u32).max(1));
+        if self.faults.part && self.apart.is_none() && i % 400 == 200 && !self.owners.is_empty() {
             self.part();
         } else if self.owners.is_empty() {
             self.take_over();
         } else if self.apart.is_none() && every.is_some_and(|e| i % e == e - 1) {
-            self.met += 1;
+            self.occurred += 1;
             self.take_over();
-        } else if self.apart.is_none() && self.rng.random_bool(self.troubles.change) {
+        } else if self.apart.is_none() && self.rng.random_bool(self.faults.change) {
             self.take_over();
         }
     }
@@ -1122,15 +1122,15 @@
 
     fn machines(&mut self) {
         self.spells();
-        if self.troubles.busy {
+        if self.faults.busy {
             self.list();
         }
-        if self.chance(self.troubles.taken) {
+        if self.chance(self.faults.taken) {
             let i = self.rng.random_range(0..self.workers.len());
             let w = self.workers.remove(i);
             self.add_machine(w.ty, w.zone, w.spot);
         }
-        if self.troubles.cloud_out && self.owners.iter().any(|o| self.now < o.blind_until) {
+        if self.faults.cloud_out && self.owners.iter().any(|o| self.now < o.blind_until) {
             return;
         }
         for i in 0..self.owners.len() {
@@ -1153,7 +1153,7 @@
 
     fn step(&mut self) {
         self.now = self.now + STEP;
-        self.apart = self.apart.filter(|a| self.now < a.1 && self.trouble);
+        self.apart = self.apart.filter(|a| self.now < a.1 && self.faulty);
         if self.rng.random_bool(0.6) {
             self.watch();
         }
@@ -1176,17 +1176,17 @@
     task.split('/').next().unwrap_or("")
 }
 
-/// Plays a world: how often it met its troubles.
-fn play(seed: u64, troubles: &Troubles) -> u32 {
-    let mut w = World::new(seed, troubles);
+/// Runs a simulation; returns how often its faults occurred.
+fn simulate(seed: u64, faults: &Faults) -> u32 {
+    let mut w = Simulation::new(seed, faults);
     let mut n = 0;
-    for i in 0..troubles.steps {
-        // As many jobs in a short world as in a long one, so that there is more work than room.
-        if i % (troubles.steps / 40).min(40) == 0 && n < troubles.jobs && !w.out() {
+    for i in 0..faults.steps {
+        // As many jobs in a short simulation as in a long one, so that there is more work than room.
+        if i % (faults.steps / 40).min(40) == 0 && n < faults.jobs && !w.out() {
             n += 1;
             w.submit(n);
         }
-        if w.rng.random_bool(troubles.cancel) && n > 0 {
+        if w.rng.random_bool(faults.cancel) && n > 0 {
             let id = format!("wk-{:06}", w.rng.random_range(1..=n));
             let now = w.now;
             w.ask(&id, now);
@@ -1194,8 +1194,8 @@
         w.change(i);
         w.step();
     }
-    // Quiet again: everything that was accepted gets done.
-    w.trouble = false;
+    // The faults are over: everything that was accepted gets done.
+    w.faulty = false;
     w.out_until = Steady(0);
     for m in &mut w.workers {
         m.cut_until = Steady(0);
@@ -1216,63 +1216,63 @@
             break;
         }
     }
-    // More than 50 of 24 jobs, and as many for each job of a world with fewer.
-    assert!(w.starts * 24 > 50 * troubles.jobs as usize, "seed {seed}: the world stood still");
+    // More than 50 of 24 jobs, and as many for each job of a simulation with fewer.
+    assert!(w.starts * 24 > 50 * faults.jobs as usize, "seed {seed}: the simulation stood still");
     assert_eq!(w.open(), 0, "seed {seed}: accepted work was left undone: {:?}", w.store.rows("job/"));
     assert!(w.store.rows("done/").len() <= 2, "seed {seed}: chunks of jobs that are over are left behind");
-    w.met
+    w.occurred
 }
 
-/// Plays worlds, which must have met their troubles often enough to say something.
-fn play_all(seeds: std::ops::RangeInclusive<u64>, least: u32, troubles: &Troubles) {
-    let worlds = seeds.clone().count() as u32;
-    let met: u32 = seeds.map(|s| play(s, troubles)).sum();
-    assert!(met >= least * worlds, "the troubles were met only {met} times in {worlds} worlds");
+/// Runs simulations, whose faults must have occurred often enough to say something.
+fn simulate_all(seeds: std::ops::RangeInclusive<u64>, least: u32, faults: &Faults) {
+    let runs = seeds.clone().count() as u32;
+    let occurred: u32 = seeds.map(|s| simulate(s, faults)).sum();
+    assert!(occurred >= least * runs, "the faults occurred only {occurred} times in {runs} simulations");
 }
 
 #[test]
 fn no_rule_breaks_whatever_is_lost_late_or_doubled() {
-    play_all(1..=12, 0, &COMMON);
+    simulate_all(1..=12, 0, &COMMON);
 }
 
-/// Shorter worlds, of two and a half minutes, in which only some machines are cut off beside what a
-/// meeting is about.
-const SHORT: Troubles =
-    Troubles { steps: 600, jobs: 15, part: false, cut: 0.003, taken: 0.002, busy: true, ..COMMON };
+/// Shorter simulations, of two and a half minutes, in which only some machines are cut off beside what a
+/// combination is about.
+const SHORT: Faults =
+    Faults { steps: 600, jobs: 15, part: false, cut: 0.003, taken: 0.002, busy: true, ..COMMON };
 
 #[test]
 fn late_transactions_after_newer_ones_meet_changes_of_owner() {
-    let t = Troubles { late_writes: 0.3, change: 0.012, cancel: 0.01, ..SHORT };
-    play_all(101..=124, 5, &t);
+    let t = Faults { late_writes: 0.3, change: 0.012, cancel: 0.01, ..SHORT };
+    simulate_all(101..=124, 5, &t);
 }
 
 #[test]
 fn late_copies_of_reports_meet_new_sessions_attempts_and_owners() {
-    let t = Troubles { copies: 0.3, deaf: 0.01, change: 0.012, slow_answers: 0.1, ..SHORT };
-    play_all(201..=224, 50, &t);
+    let t = Faults { copies: 0.3, deaf: 0.01, change: 0.012, slow_answers: 0.1, ..SHORT };
+    simulate_all(201..=224, 50, &t);
 }
 
 #[test]
 fn reports_held_back_arrive_after_a_new_owner_has_acted() {
-    let t = Troubles { held: 0.15, change: 0.015, raise: 0.2, slow_answers: 0.1, ..SHORT };
-    play_all(301..=324, 10, &t);
+    let t = Faults { held: 0.15, change: 0.015, raise: 0.2, slow_answers: 0.1, ..SHORT };
+    simulate_all(301..=324, 10, &t);
 }
 
 #[test]
 fn deaf_machines_meet_changes_of_owner_and_cancellations() {
-    let t = Troubles { deaf: 0.02, change: 0.01, cancel_there: 0.3, long: 100.0, ..SHORT };
-    play_all(401..=424, 5, &t);
+    let t = Faults { deaf: 0.02, change: 0.01, cancel_there: 0.3, long: 100.0, ..SHORT };
+    simulate_all(401..=424, 5, &t);
 }
 
 #[test]
 fn mute_machines_meet_changes_of_owner_and_cancellations() {
-    let t = Troubles { mute: 0.02, change: 0.01, cancel_there: 0.3, long: 100.0, ..SHORT };
-    play_all(501..=524, 5, &t);
+    let t = Faults { mute: 0.02, change: 0.01, cancel_there: 0.3, long: 100.0, ..SHORT };
+    simulate_all(501..=524, 5, &t);
 }
 
 #[test]
 fn hung_machines_and_late_commands_meet_changes_of_owner_and_cancellations() {
-    let t = Troubles {
+    let t = Faults {
         hung: 0.02,
         slow_commands: 0.5,
         slow_answers: 0.1,
@@ -1281,18 +1281,18 @@
         long: 100.0,
         ..SHORT
     };
-    play_all(601..=624, 5, &t);
+    simulate_all(601..=624, 5, &t);
 }
 
 #[test]
 fn ten_changes_of_owner_in_two_minutes_meet_a_team_at_its_limit() {
-    let t = Troubles { change_every: Some(12.0), slow_commands: 0.2, mute: 0.005, ..SHORT };
-    play_all(701..=724, 10, &t);
+    let t = Faults { change_every: Some(12.0), slow_commands: 0.2, mute: 0.005, ..SHORT };
+    simulate_all(701..=724, 10, &t);
 }
 
 #[test]
 fn an_owner_without_the_state_service_meets_cancellations_through_the_next() {
-    let t = Troubles {
+    let t = Faults {
         blind: 0.01,
         cloud_out: true,
         raise: 0.0005,
@@ -1301,12 +1301,12 @@
         change: 0.0,
         ..SHORT
     };
-    play_all(801..=824, 1, &t);
+    simulate_all(801..=824, 1, &t);
 }
 
 #[test]
 fn an_owner_without_the_state_service_answers_for_longer_than_other_leases_run() {
-    let t = Troubles {
+    let t = Faults {
         cancel_s: 100.0,
         blind: 0.01,
         raise: 0.002,
@@ -1315,35 +1315,35 @@
         change: 0.0,
         ..SHORT
     };
-    play_all(1201..=1224, 1, &t);
+    simulate_all(1201..=1224, 1, &t);
 }
 
 #[test]
 fn a_zone_is_cut_off_with_an_owner_that_answers_for_longer_than_other_leases_run() {
-    let t = Troubles { cancel_s: 100.0, steps: 1000, part: true, long: 100.0, ..SHORT };
-    play_all(1301..=1324, 0, &t);
+    let t = Faults { cancel_s: 100.0, steps: 1000, part: true, long: 100.0, ..SHORT };
+    simulate_all(1301..=1324, 0, &t);
 }
 
 #[test]
 fn cancellations_meet_an_outage_that_begins_with_the_owner_alone() {
-    let t = Troubles { blind: 0.01, outage: 0.8, cancel_there: 0.5, long: 150.0, change: 0.0, ..SHORT };
-    play_all(901..=924, 1, &t);
+    let t = Faults { blind: 0.01, outage: 0.8, cancel_there: 0.5, long: 150.0, change: 0.0, ..SHORT };
+    simulate_all(901..=924, 1, &t);
 }
 
 #[test]
 fn no_owner_for_longer_than_a_lease_meets_long_tasks() {
-    let t = Troubles { away: 0.006, cancel_there: 0.2, long: 100.0, copies: 0.1, ..SHORT };
-    play_all(1001..=1024, 1, &t);
+    let t = Faults { away: 0.006, cancel_there: 0.2, long: 100.0, copies: 0.1, ..SHORT };
+    simulate_all(1001..=1024, 1, &t);
 }
 
 #[test]
 fn cancellations_meet_the_end_of_the_last_task() {
-    let t = Troubles { cancel_at_end: 0.5, late_writes: 0.2, change: 0.01, ..SHORT };
-    play_all(1101..=1124, 2, &t);
+    let t = Faults { cancel_at_end: 0.5, late_writes: 0.2, change: 0.01, ..SHORT };
+    simulate_all(1101..=1124, 2, &t);
 }
 
 /// All at once.
-const ALL: Troubles = Troubles {
+const ALL: Faults = Faults {
     part: true,
     late_writes: 0.15,
     copies: 0.1,
@@ -1364,13 +1364,13 @@
 };
 
 #[test]
-fn all_troubles_meet() {
-    play_all(2001..=2024, 20, &ALL);
+fn all_faults_combined_break_no_rule() {
+    simulate_all(2001..=2024, 20, &ALL);
 }
 
 #[test]
-fn all_troubles_meet_where_cancellations_may_take_long() {
-    play_all(2101..=2124, 20, &Troubles { cancel_s: 100.0, raise: 0.02, ..ALL });
+fn all_faults_combined_break_no_rule_where_cancellations_may_take_long() {
+    simulate_all(2101..=2124, 20, &Faults { cancel_s: 100.0, raise: 0.02, ..ALL });
 }
 
 /// An owner answers a report of a machine that has not seen its token, and the answer is lost. The
@@ -1378,5 +1378,5 @@
 /// brought to it by a direct command: its lease must not be counted from that first answer.
 #[test]
 fn a_lease_is_not_counted_from_an_answer_before_the_token_arrived() {
-    play_all(110024..=110024, 0, &COMMON);
+    simulate_all(110024..=110024, 0, &COMMON);
 }
