--- a/tests/cancellation_in_outage.rs
+++ b/tests/cancellation_in_outage.rs
@@ -11,19 +11,19 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use common::store::Store;
-use common::{cloud, platform_json, serve_some, spec};
+use common::worker::{Task, WorkerState};
+use common::{cloud, platform_json, serve_some, spec, LEASE};
 use milletlock::config::{Config, Operator, Platform};
 use milletlock::http::{self, Client, Lane, Reply, Request, Response, Room};
 use milletlock::node::Node;
 use milletlock::peer::{Outbound, PeerHub};
-use milletlock::time::{Clock, Micros};
-use milletlock::wire::{Change, Commands, Order, Report, ReportReply, TaskReport, TaskStage, Txn, Why};
+use milletlock::time::{Clock, Micros, Steady};
+use milletlock::wire::{Change, Commands, Order, ReportReply, TaskStage, Txn};
 use serde_json::{json, Value};
 
 const STEP: i64 = 250_000;
 const SECOND: i64 = 1_000_000;
 const REPORT: i64 = 3 * SECOND;
-const LEASE: i64 = 22 * SECOND;
 const CANCEL: i64 = 47 * SECOND;
 const TTL: Micros = Micros(3 * SECOND);
 
@@ -125,7 +125,7 @@
             }
             ("GET", "/watch") => {
                 let (prefix, from) = (param("starts"), param("from").parse().unwrap_or(0));
-                let since = self.store.log.iter().filter(|l| l.0 > from && l.1.starts_with(prefix));
+                let since = self.store.changes_since(from).iter().filter(|l| l.1.starts_with(prefix));
                 let events: Vec<Value> = since
                     .map(|l| match &l.2 {
                         Some(v) => json!({ "put": l.1, "value": v, "stamp": l.0 }),
@@ -174,56 +174,37 @@
     }
 }
 
-/// A worker; commands come to a port of its own.
-#[derive(Default)]
+/// A worker; commands come to a port of its own. Its tasks run from the moment they are started, and end
+/// only by a halt or with the lease: no other end matters here.
 struct Worker {
-    id: String,
-    addr: String,
-    season: u64,
-    tally: u64,
-    token: u64,
-    /// When the last report that was answered was sent.
-    renewed: i64,
+    state: WorkerState,
     due: i64,
+    /// The controller to which it reports.
     node: usize,
     hung_until: i64,
     /// It reaches no controller, while commands reach it.
     mute: bool,
     /// Commands do not reach it, while it reaches controllers.
     shut: bool,
-    tasks: BTreeMap<(String, u64), TaskStage>,
 }
 
 impl Worker {
-    fn report(&mut self) -> Report {
-        self.tally += 1;
-        let task = |(k, stage): (&(String, u64), &TaskStage)| TaskReport {
-            task: k.0.clone(),
-            attempt: k.1,
-            stage: *stage,
-            why: (*stage == TaskStage::Exited).then_some(Why::Stopped),
-            saved: None,
-        };
-        let mut r = common::report(&self.id, self.tally, self.token, &[]);
-        (r.addr, r.season) = (self.addr.clone(), self.season);
-        r.tasks = self.tasks.iter().map(task).collect();
-        r
+    fn new(id: &str, now: i64) -> Worker {
+        let state = WorkerState::new(id.into(), "north", Steady(now));
+        Worker { state, due: now, node: 0, hung_until: 0, mute: false, shut: false }
     }
 
-    fn obey(&mut self, orders: &[Order]) {
+    fn obey(&mut self, orders: &[Order], now: i64) {
         for o in orders {
             match o {
                 Order::Start { task, attempt } => {
-                    self.tasks.insert((task.clone(), *attempt), TaskStage::Running);
+                    let running = Task::new(TaskStage::Running, Micros::ZERO, Steady(now));
+                    self.state.tasks.insert((task.clone(), *attempt), running);
                 }
                 Order::Halt { task, attempt, .. } => {
-                    if let Some(t) = self.tasks.get_mut(&(task.clone(), *attempt)) {
-                        *t = TaskStage::Exited;
-                    }
-                }
-                Order::Forget { task, attempt } => {
-                    self.tasks.remove(&(task.clone(), *attempt));
+                    self.state.halt(task, *attempt);
                 }
+                Order::Forget { task, attempt } => self.state.forget(task, *attempt),
             }
         }
     }
@@ -233,18 +214,16 @@
             return None;
         }
         let c: Commands = serde_json::from_slice(&r.body).expect("a command");
-        if c.token < self.token || c.season != self.season {
-            return Some(Response::json(409, &self.report()));
+        if !self.state.accept_command(c.token, c.season) {
+            return Some(Response::json(409, &self.state.report()));
         }
-        self.token = c.token;
-        self.obey(&c.orders);
-        Some(Response::json(200, &self.report()))
+        self.obey(&c.orders, now);
+        Some(Response::json(200, &self.state.report()))
     }
 
     /// How many tasks of a job are there.
     fn runs(&self, n: u32) -> usize {
-        let of = |task: &str| task.split('/').next() == Some(&*spec(n, 1, "batch").id);
-        self.tasks.iter().filter(|(k, t)| **t != TaskStage::Exited && of(&k.0)).count()
+        self.state.placed_of(&spec(n, 1, "batch").id)
     }
 }
 
@@ -252,7 +231,7 @@
 
 struct Simulation {
     clock: Arc<AtomicI64>,
-    state: Arc<Mutex<StateService>>,
+    service: Arc<Mutex<StateService>>,
     net: Net,
     /// Controllers that cannot hear one another.
     apart: Arc<AtomicBool>,
@@ -268,21 +247,20 @@
     /// Three controllers of which the first leads, and a job with two tasks that run on the worker.
     fn new() -> Simulation {
         let clock = Arc::new(AtomicI64::new(2_000 * SECOND));
-        let state: Arc<Mutex<StateService>> = Arc::default();
+        let service: Arc<Mutex<StateService>> = Arc::default();
         let port = |node: usize| {
-            let (state, clock) = (state.clone(), clock.clone());
-            serve_some(move |r| locked(&state).answer(node, &r, clock.load(Ordering::SeqCst)))
+            let (service, clock) = (service.clone(), clock.clone());
+            serve_some(move |r| locked(&service).answer(node, &r, clock.load(Ordering::SeqCst)))
         };
         let ports = vec![port(0), port(1), port(2)];
         let now = clock.load(Ordering::SeqCst);
-        let worker = Worker { id: "i-000001".into(), season: 1, renewed: now, due: now, ..Worker::default() };
-        let worker = Arc::new(Mutex::new(worker));
+        let worker = Arc::new(Mutex::new(Worker::new("i-000001", now)));
         let (w, c) = (worker.clone(), clock.clone());
         let addr = serve_some(move |r| locked(&w).command(&r, c.load(Ordering::SeqCst)));
-        locked(&worker).addr = addr.to_string();
+        locked(&worker).state.addr = addr.to_string();
         let mut simulation = Simulation {
             clock,
-            state,
+            service,
             net: Arc::default(),
             apart: Arc::default(),
             ports,
@@ -366,7 +344,7 @@
     /// After 1.5 s the service is out for all.
     fn go_out(&mut self) {
         self.run(1.5);
-        locked(&self.state).out = true;
+        locked(&self.service).out = true;
     }
 
     /// A controller ends and is back at once, remembering nothing.
@@ -376,14 +354,14 @@
     }
 
     fn refuse(&self, nodes: &[usize]) {
-        locked(&self.state).refused = nodes.iter().copied().collect();
+        locked(&self.service).refused = nodes.iter().copied().collect();
     }
 
     fn step(&mut self) {
         self.clock.fetch_add(STEP, Ordering::SeqCst);
         self.steps += 1;
         let now = self.now();
-        locked(&self.state).expire(now);
+        locked(&self.service).expire(now);
         for n in self.nodes() {
             if self.steps % 4 == 0 {
                 n.keep_once(TTL);
@@ -410,16 +388,12 @@
             if now < w.hung_until {
                 return;
             }
-            if now - w.renewed > LEASE {
-                w.tasks.clear();
-                w.season += 1;
-                w.renewed = now;
-            }
+            w.state.end_session_after(LEASE, Steady(now));
             if now < w.due || w.mute {
                 return;
             }
             w.due = now + REPORT;
-            (w.node, w.report())
+            (w.node, w.state.report())
         };
         let body = serde_json::to_string(&report.1).expect("a report");
         let (status, v) = self.ask(report.0, "POST", "/checkin", &body);
@@ -430,9 +404,8 @@
             return;
         }
         let reply: ReportReply = serde_json::from_value(v).expect("a reply");
-        if reply.token >= w.token {
-            (w.token, w.renewed) = (reply.token, now);
-            w.obey(&reply.orders);
+        if w.state.accept_answer(reply.token, Steady(now)) {
+            w.obey(&reply.orders, now);
         }
     }
 
@@ -475,7 +448,7 @@
             self.step();
         }
         let now = self.now();
-        locked(&self.state).back(now);
+        locked(&self.service).back(now);
         // Back in touch nothing of the job starts again, and everybody answers alike.
         self.run(30.0);
         assert_eq!(locked(&self.worker).runs(1), 0);
@@ -583,9 +556,9 @@
 fn a_cancellation_whose_transaction_had_no_answer_is_told_and_in_time() {
     let mut w = Simulation::new();
     w.refuse(&[0]);
-    locked(&w.state).unanswered = 1;
+    locked(&w.service).unanswered = 1;
     w.cancel(1);
-    assert_eq!(locked(&w.state).unanswered, 0);
+    assert_eq!(locked(&w.service).unanswered, 0);
     let gone = w.outage();
     assert!(gone < 5.0, "whoever confirms tells the others, though its write had no answer: {gone} s");
 }
@@ -610,12 +583,12 @@
     let mut w = Simulation::new();
     w.refuse(&[0]);
     w.until("another leads", |w| w.tokens()[1..].iter().any(Option::is_some));
-    w.until("the worker follows it", |w| locked(&w.worker).token == 2);
+    w.until("the worker follows it", |w| locked(&w.worker).state.token == 2);
     w.refuse(&[]);
     w.run(2.0);
     let leads = w.tokens().iter().position(|t| *t == Some(2)).expect("an owner");
     w.apart.store(true, Ordering::SeqCst);
-    locked(&w.state).refused = [leads].into();
+    locked(&w.service).refused = [leads].into();
     w.cancel((leads + 1) % 3);
     let gone = w.outage();
     assert!((20.0..47.0).contains(&gone), "gone after {gone} s");
@@ -687,7 +660,7 @@
 fn renewals_without_reads_do_not_keep_the_view() {
     let mut w = Simulation::new();
     w.apart.store(true, Ordering::SeqCst);
-    locked(&w.state).no_reads = true;
+    locked(&w.service).no_reads = true;
     w.cancel(1);
     w.run(20.0);
     assert_eq!((locked(&w.worker).runs(1), w.tokens()[0]), (2, Some(1)));
@@ -717,7 +690,7 @@
     w.run(2.0);
     assert_eq!(w.ask(0, "POST", "/checkin", &idle(2)).0, 200);
     let statuses = |w: &mut Simulation, tally: u64, seconds_blind: f64| {
-        locked(&w.state).out = true;
+        locked(&w.service).out = true;
         // Nobody but this worker: time passes without the rest of the simulation.
         w.clock.fetch_add((seconds_blind * 1e6) as i64, Ordering::SeqCst);
         let body = idle(tally);
@@ -736,7 +709,7 @@
         node.plan_once();
         let status = ask.join().expect("no panic").expect("an answer").0;
         let now = w.now();
-        locked(&w.state).back(now);
+        locked(&w.service).back(now);
         w.run(5.0);
         status
     };
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -1,27 +1,19 @@
 //! One test or more for each numbered point of the safety design that the owner's `Fleet` decides.
+//! There is no state service here: `write_all` acknowledges what waits to be written.
 
 mod common;
 
+use common::clock::{at, wall, START};
 use common::{config, record, report, spec, types};
 use milletlock::cluster;
 use milletlock::fleet::{CheckIn, Fleet, Pending};
 use milletlock::jobs::{JobRecord, MachineRecord};
-use milletlock::time::{Micros, Steady, Wall};
+use milletlock::time::Micros;
 use milletlock::view::View;
 use milletlock::wire::{JobSpec, ListedMachine, Order, TaskStage, Why};
 
-const T0: Steady = Steady(1_000_000_000);
-
-fn at(s: f64) -> Steady {
-    T0 + Micros::from_secs(s)
-}
-
-fn wall(s: f64) -> Wall {
-    Wall(at(s).0)
-}
-
 fn fleet(token: u64) -> Fleet {
-    Fleet::new(config(), types(), token, T0)
+    Fleet::new(config(), types(), token, START)
 }
 
 fn started(spec: JobSpec, high: u32) -> JobRecord {
@@ -70,7 +62,7 @@
 /// A machine that is enrolled and has reported, and a job that may start on it.
 fn ready(job: JobSpec) -> Fleet {
     let mut f = fleet(7);
-    f.job_put(record(job), 1, T0);
+    f.job_put(record(job), 1, START);
     orders(&mut f, 0.0, &report("i-1", 1, 0, &[]));
     write_all(&mut f, 0.0);
     f.tick(at(0.1), wall(0.1));
@@ -118,7 +110,7 @@
     let mut early = ready(spec(1, 4, "batch"));
     let a = starts(&orders(&mut early, 1.0, &report("i-1", 2, 7, &[])));
     let mut late = fleet(8);
-    late.job_put(record(spec(2, 4, "batch")), 1, T0);
+    late.job_put(record(spec(2, 4, "batch")), 1, START);
     orders(&mut late, 0.0, &report("i-9", 1, 0, &[]));
     write_all(&mut late, 0.0);
     late.tick(at(0.1), wall(0.1));
@@ -174,8 +166,8 @@
 #[test]
 fn the_lease_of_a_machine_that_is_not_heard_is_not_counted() {
     let mut f = fleet(9);
-    f.inherit_machine("i-1", &machine("small"), 5, T0);
-    f.job_put(started(spec(1, 1, "batch"), 1), 6, T0);
+    f.inherit_machine("i-1", &machine("small"), 5, START);
+    f.job_put(started(spec(1, 1, "batch"), 1), 6, START);
     // It reports once, still with the old owner's token: that owner may yet renew its lease.
     orders(&mut f, 1.0, &report("i-1", 5, 8, &[]));
     orders(&mut f, 1.0, &report("i-2", 1, 0, &[]));
@@ -194,10 +186,10 @@
 #[test]
 fn after_a_takeover_only_what_cannot_be_elsewhere_starts() {
     let mut f = fleet(9);
-    f.inherit_machine("i-1", &machine("small"), 5, T0);
-    f.inherit_machine("i-2", &machine("small"), 5, T0);
-    f.job_put(started(spec(1, 8, "batch"), 6), 6, T0);
-    f.job_put(started(spec(2, 2, "gang"), 2), 7, T0);
+    f.inherit_machine("i-1", &machine("small"), 5, START);
+    f.inherit_machine("i-2", &machine("small"), 5, START);
+    f.job_put(started(spec(1, 8, "batch"), 6), 6, START);
+    f.job_put(started(spec(2, 2, "gang"), 2), 7, START);
     orders(&mut f, 0.5, &report("i-2", 9, 9, &[]));
     f.tick(at(0.6), wall(0.6));
     write_all(&mut f, 0.6);
@@ -216,10 +208,10 @@
 #[test]
 fn a_limited_team_counts_unheard_machines_as_its_own() {
     let mut f = fleet(9);
-    f.inherit_machine("i-1", &machine("small"), 5, T0);
+    f.inherit_machine("i-1", &machine("small"), 5, START);
     let mut s = spec(1, 8, "batch");
     s.team = "tight".into();
-    f.job_put(record(s), 6, T0);
+    f.job_put(record(s), 6, START);
     orders(&mut f, 0.5, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 0.5);
     f.tick(at(0.6), wall(0.6));
@@ -246,7 +238,7 @@
 #[test]
 fn nothing_starts_before_its_mark_and_its_machine_are_written() {
     let mut f = fleet(7);
-    f.job_put(record(spec(1, 1, "batch")), 1, T0);
+    f.job_put(record(spec(1, 1, "batch")), 1, START);
     assert!(starts(&orders(&mut f, 0.0, &report("i-1", 1, 0, &[]))).is_empty(), "not enrolled");
     assert_eq!(f.pending(at(0.0), Micros::ZERO, 1000), [Pending::Machines(0)]);
     write_all(&mut f, 0.0);
@@ -328,7 +320,7 @@
     let mut no_spot = spec(3, 1, "batch");
     no_spot.spot = false;
     let mut f = fleet(7);
-    f.job_put(record(no_spot), 1, T0);
+    f.job_put(record(no_spot), 1, START);
     let mut r = report("i-1", 1, 0, &[]);
     r.spot = true;
     orders(&mut f, 0.0, &r);
@@ -344,7 +336,7 @@
     for n in 1..=2 {
         let mut s = spec(n, 4, "batch");
         s.team = "tight".into();
-        f.job_put(record(s), u64::from(n), T0);
+        f.job_put(record(s), u64::from(n), START);
     }
     for m in ["i-1", "i-2"] {
         orders(&mut f, 0.0, &report(m, 1, 0, &[]));
@@ -391,7 +383,7 @@
 fn unknown_machines_are_enrolled_and_returned_ones_stay_gone() {
     let mut f = fleet(7);
     orders(&mut f, 0.0, &report("i-5", 1, 0, &[]));
-    assert_eq!(f.pending(T0, Micros::ZERO, 1000), [Pending::Machines(0)]);
+    assert_eq!(f.pending(START, Micros::ZERO, 1000), [Pending::Machines(0)]);
     assert!(f.packs.get("i-5").is_some());
     f.returned(&["i-5".into()], at(1.0));
     assert_eq!(f.check_in(&report("i-5", 2, 7, &[]), at(2.0), wall(2.0)), CheckIn::Refuse);
@@ -400,9 +392,9 @@
 #[test]
 fn tasks_of_a_job_that_is_over_are_halted_and_hold_their_machine() {
     let mut f = fleet(7);
-    f.job_put(record(spec(2, 4, "batch")), 1, T0);
+    f.job_put(record(spec(2, 4, "batch")), 1, START);
     let there = [("wk-000001/0", 3, TaskStage::Running, None)];
-    f.inherit_machine("i-1", &machine("small"), 0, T0);
+    f.inherit_machine("i-1", &machine("small"), 0, START);
     orders(&mut f, 0.0, &report("i-1", 1, 7, &there));
     write_all(&mut f, 0.0);
     f.tick(at(0.1), wall(0.1));
@@ -468,7 +460,7 @@
     let mut f = ready(spec(1, 1, "batch"));
     let mut other = spec(2, 1, "batch");
     other.team = "tight".into();
-    f.job_put(record(other), 2, T0);
+    f.job_put(record(other), 2, START);
     let all = f.status(None, at(1.0), wall(1.0));
     assert_eq!((all.jobs.len(), all.machines.len()), (2, 1));
     let one = f.status(Some("tight"), at(1.0), wall(1.0));
@@ -484,7 +476,7 @@
     hasty.image_gb = 5.0;
     hasty.cpus = 15.0;
     let mut f = fleet(7);
-    f.job_put(record(hasty), 1, T0);
+    f.job_put(record(hasty), 1, START);
     assert!(f.pending(at(20.0), Micros::ZERO, 1000).contains(&Pending::Recent));
     let list = f.recent(at(20.0), wall(20.0), 4000);
     assert_eq!(list.len(), 1);
@@ -502,7 +494,7 @@
 #[test]
 fn a_new_owner_knows_the_age_of_what_others_rented() {
     let mut f = fleet(9);
-    f.inherit_machine("i-1", &machine("small"), 0, T0);
+    f.inherit_machine("i-1", &machine("small"), 0, START);
     orders(&mut f, 0.5, &report("i-1", 9, 9, &[]));
     let idle = |f: &mut Fleet, s: f64| {
         orders(f, s, &report("i-1", 10 + s as u64, 9, &[]));
@@ -550,7 +542,7 @@
     assert_eq!(g.check_in(&report("i-7", 40, 8, &running), at(1.0), wall(1.0)), CheckIn::Refuse);
     assert!(g.machines.is_empty());
     // A copy that shows an older token ends nobody's ownership, and does not count as heard.
-    g.inherit_machine("i-8", &machine("small"), 0, T0);
+    g.inherit_machine("i-8", &machine("small"), 0, START);
     assert!(matches!(g.check_in(&report("i-8", 40, 8, &[]), at(1.0), wall(1.0)), CheckIn::Reply(_)));
     assert_eq!(g.unheard(), 1);
 }
@@ -594,7 +586,7 @@
     let after = |silent: usize, t: f64| {
         let mut f = fleet(9);
         for n in 0..20 {
-            f.inherit_machine(&format!("i-{n}"), &machine("small"), 0, T0);
+            f.inherit_machine(&format!("i-{n}"), &machine("small"), 0, START);
         }
         for n in silent..20 {
             orders(&mut f, 1.0, &report(&format!("i-{n}"), 9, 9, &[]));
@@ -612,9 +604,9 @@
     const MACHINES: u32 = 1500;
     let mut f = fleet(9);
     let id = |m: u32| format!("i-{m:06}");
-    (0..MACHINES).for_each(|m| f.inherit_machine(&id(m), &machine("small"), 0, T0));
+    (0..MACHINES).for_each(|m| f.inherit_machine(&id(m), &machine("small"), 0, START));
     for n in 1..=100 {
-        f.job_put(started(spec(n, 60, "batch"), 40), u64::from(n), T0);
+        f.job_put(started(spec(n, 60, "batch"), 40), u64::from(n), START);
     }
     // The first 3,000 tasks run, two on a machine; of each job ten more may have been started.
     let task = |k: u32| format!("wk-{:06}/{}", k % 100 + 1, k / 100);
@@ -646,7 +638,7 @@
 fn late_copies_by_the_thousand_change_nothing_and_are_not_remembered() {
     const MACHINES: u32 = 400;
     let mut f = fleet(7);
-    f.job_put(record(spec(1, 100, "batch")), 1, T0);
+    f.job_put(record(spec(1, 100, "batch")), 1, START);
     let id = |m: u32| format!("i-{m:06}");
     for tally in 1..=3 {
         for m in 0..MACHINES {
@@ -700,8 +692,8 @@
 #[test]
 fn a_machine_heard_by_command_only_has_an_end_of_its_lease() {
     let mut f = fleet(9);
-    f.inherit_machine("i-1", &machine("small"), 0, T0);
-    f.job_put(started(spec(1, 1, "batch"), 1), 1, T0);
+    f.inherit_machine("i-1", &machine("small"), 0, START);
+    f.job_put(started(spec(1, 1, "batch"), 1), 1, START);
     let running = [("wk-000001/0", 5, TaskStage::Running, None)];
     assert_eq!(f.raised(&report("i-1", 9, 9, &running), at(3.0)), None);
     assert_eq!(f.unheard(), 0);
@@ -718,8 +710,8 @@
 #[test]
 fn unheard_machines_hold_work_up_no_longer_than_an_earlier_owner_can_answer_them() {
     let mut f = fleet(9);
-    f.inherit_machine("i-1", &machine("small"), 0, T0);
-    f.job_put(started(spec(1, 1, "batch"), 1), 1, T0);
+    f.inherit_machine("i-1", &machine("small"), 0, START);
+    f.job_put(started(spec(1, 1, "batch"), 1), 1, START);
     orders(&mut f, 0.0, &report("i-2", 1, 0, &[]));
     write_all(&mut f, 0.0);
     let tally = starts_nothing_on_the_second(&mut f, 1..46);
@@ -737,8 +729,8 @@
 #[test]
 fn an_answer_before_the_token_arrived_is_no_beginning_of_a_lease() {
     let mut f = fleet(9);
-    f.inherit_machine("i-1", &machine("small"), 0, T0);
-    f.job_put(started(spec(1, 1, "batch"), 1), 1, T0);
+    f.inherit_machine("i-1", &machine("small"), 0, START);
+    f.job_put(started(spec(1, 1, "batch"), 1), 1, START);
     let running = [("wk-000001/0", 5, TaskStage::Running, None)];
     orders(&mut f, 1.0, &report("i-1", 8, 5, &running));
     orders(&mut f, 1.0, &report("i-2", 1, 0, &[]));
@@ -797,7 +789,7 @@
 #[test]
 fn the_view_rests_on_reads_and_on_renewals() {
     let bound = Micros::from_secs(10.0);
-    let (mut reads, mut renewals) = (View::new(T0, bound), View::new(T0, bound));
+    let (mut reads, mut renewals) = (View::new(START, bound), View::new(START, bound));
     reads.has_read(at(9.0));
     renewals.has_owned(at(9.0));
     for v in [reads, renewals] {
