--- a/tests/cancellation_in_outage.rs
+++ b/tests/cancellation_in_outage.rs
@@ -194,7 +194,7 @@
         Worker { state, due: now, node: 0, hung_until: 0, mute: false, shut: false }
     }
 
-    fn obey(&mut self, orders: &[Order], now: i64) {
+    fn execute_orders(&mut self, orders: &[Order], now: i64) {
         for o in orders {
             match o {
                 Order::Start { task, attempt } => {
@@ -217,7 +217,7 @@
         if !self.state.accept_command(c.token, c.season) {
             return Some(Response::json(409, &self.state.report()));
         }
-        self.obey(&c.orders, now);
+        self.execute_orders(&c.orders, now);
         Some(Response::json(200, &self.state.report()))
     }
 
@@ -227,14 +227,14 @@
     }
 }
 
-type Net = Arc<Mutex<Vec<Arc<Node>>>>;
+type Controllers = Arc<Mutex<Vec<Arc<Node>>>>;
 
 struct Simulation {
     clock: Arc<AtomicI64>,
     service: Arc<Mutex<StateService>>,
-    net: Net,
+    controllers: Controllers,
     /// Controllers that cannot hear one another.
-    apart: Arc<AtomicBool>,
+    partitioned: Arc<AtomicBool>,
     ports: Vec<SocketAddr>,
     cloud: SocketAddr,
     worker: Arc<Mutex<Worker>>,
@@ -261,8 +261,8 @@
         let mut simulation = Simulation {
             clock,
             service,
-            net: Arc::default(),
-            apart: Arc::default(),
+            controllers: Arc::default(),
+            partitioned: Arc::default(),
             ports,
             cloud: cloud(),
             worker,
@@ -271,7 +271,7 @@
         };
         for i in 0..3 {
             let n = simulation.node(i);
-            locked(&simulation.net).push(n);
+            locked(&simulation.controllers).push(n);
         }
         let submission = json!(spec(1, 2, "batch")).to_string();
         assert_eq!(simulation.ask(1, "POST", "/api/jobs", &submission).0, 201);
@@ -292,9 +292,12 @@
         p["settings"]["state"]["write_rps"] = json!(1e6);
         let platform = Platform::parse(&p.to_string(), "test").expect("settings");
         let cfg = Config { platform, operator: Operator::default() };
-        let (net, apart) = (self.net.clone(), self.apart.clone());
+        let (controllers, partitioned) = (self.controllers.clone(), self.partitioned.clone());
         let carry = move |o: Outbound| {
-            let to = locked(&net).get(others[o.to]).cloned().filter(|_| !apart.load(Ordering::SeqCst));
+            let to = locked(&controllers)
+                .get(others[o.to])
+                .cloned()
+                .filter(|_| !partitioned.load(Ordering::SeqCst));
             let answer = to.map(|n| n.hear(&o.message)).ok_or("cut off".to_string());
             o.answer(answer);
             Ok(())
@@ -310,7 +313,7 @@
     }
 
     fn nodes(&self) -> Vec<Arc<Node>> {
-        locked(&self.net).clone()
+        locked(&self.controllers).clone()
     }
 
     fn ask(&self, node: usize, method: &str, path: &str, body: &str) -> (u16, Value) {
@@ -335,7 +338,7 @@
     /// no other hears of.
     fn cancelled_unheard(refused: &[usize]) -> Simulation {
         let mut w = Simulation::new();
-        w.apart.store(true, Ordering::SeqCst);
+        w.partitioned.store(true, Ordering::SeqCst);
         w.refuse(refused);
         w.cancel(1);
         w
@@ -350,7 +353,7 @@
     /// A controller ends and is back at once, remembering nothing.
     fn restart(&mut self, node: usize) {
         let again = self.node(node);
-        locked(&self.net)[node] = again;
+        locked(&self.controllers)[node] = again;
     }
 
     fn refuse(&self, nodes: &[usize]) {
@@ -373,7 +376,7 @@
             n.command_once();
             n.tell_once();
         }
-        self.work(now);
+        self.run_worker(now);
         // ran_cancelled; what hangs counts when it goes on.
         let w = locked(&self.worker);
         if let Some(told) = self.told.filter(|_| now >= w.hung_until) {
@@ -382,7 +385,7 @@
         }
     }
 
-    fn work(&self, now: i64) {
+    fn run_worker(&self, now: i64) {
         let report = {
             let mut w = locked(&self.worker);
             if now < w.hung_until {
@@ -405,7 +408,7 @@
         }
         let reply: ReportReply = serde_json::from_value(v).expect("a reply");
         if w.state.accept_answer(reply.token, Steady(now)) {
-            w.obey(&reply.orders, now);
+            w.execute_orders(&reply.orders, now);
         }
     }
 
@@ -506,7 +509,7 @@
     // It answers nobody any more when the notice comes through at last.
     assert_eq!(locked(&w.worker).runs(1), 2);
     let before = w.now();
-    w.apart.store(false, Ordering::SeqCst);
+    w.partitioned.store(false, Ordering::SeqCst);
     w.gone_after();
     assert!(w.now() - before <= 5 * SECOND, "the tasks end by the notice, not by their lease");
 }
@@ -517,7 +520,7 @@
         let mut w = Simulation::cancelled_unheard(&[0, 2]);
         w.go_out();
         w.run(seconds_apart);
-        w.apart.store(false, Ordering::SeqCst);
+        w.partitioned.store(false, Ordering::SeqCst);
         w.outage();
     }
 }
@@ -526,7 +529,7 @@
 fn a_confirmer_that_ends_and_is_back_at_once_has_forgotten_and_it_does_not_matter() {
     let mut w = Simulation::cancelled_unheard(&[0]);
     w.restart(1);
-    w.apart.store(false, Ordering::SeqCst);
+    w.partitioned.store(false, Ordering::SeqCst);
     let gone = w.outage();
     assert!((20.0..47.0).contains(&gone), "nobody tells the owner; gone after {gone} s");
 }
@@ -568,7 +571,7 @@
 fn whoever_repeats_the_confirmation_tells_the_others_too() {
     let mut w = Simulation::cancelled_unheard(&[0]);
     w.restart(1);
-    w.apart.store(false, Ordering::SeqCst);
+    w.partitioned.store(false, Ordering::SeqCst);
     w.run(0.5);
     assert_eq!(locked(&w.worker).runs(1), 2);
     let told = w.told;
@@ -587,7 +590,7 @@
     w.refuse(&[]);
     w.run(2.0);
     let leads = w.tokens().iter().position(|t| *t == Some(2)).expect("an owner");
-    w.apart.store(true, Ordering::SeqCst);
+    w.partitioned.store(true, Ordering::SeqCst);
     locked(&w.service).refused = [leads].into();
     w.cancel((leads + 1) % 3);
     let gone = w.outage();
@@ -627,7 +630,7 @@
 fn a_cancellation_through_the_next_leader_ends_tasks_of_one_cut_off_with_its_workers() {
     for (shut, least, most) in [(false, 0.0, 12.0), (true, 12.0, 47.0)] {
         let mut w = Simulation::new();
-        w.apart.store(true, Ordering::SeqCst);
+        w.partitioned.store(true, Ordering::SeqCst);
         w.refuse(&[0]);
         locked(&w.worker).shut = shut;
         w.until("another leads", |w| w.tokens()[1..].contains(&Some(2)));
@@ -647,7 +650,7 @@
         assert!((least..most).contains(&gone), "gone after {gone} s, commands lost: {shut}");
         // Back in touch it follows the next one.
         w.refuse(&[]);
-        w.apart.store(false, Ordering::SeqCst);
+        w.partitioned.store(false, Ordering::SeqCst);
         locked(&w.worker).shut = false;
         w.run(50.0);
         assert_eq!(w.tokens()[0], None);
@@ -659,7 +662,7 @@
 #[test]
 fn renewals_without_reads_do_not_keep_the_view() {
     let mut w = Simulation::new();
-    w.apart.store(true, Ordering::SeqCst);
+    w.partitioned.store(true, Ordering::SeqCst);
     locked(&w.service).no_reads = true;
     w.cancel(1);
     w.run(20.0);
--- a/tests/fault_combinations.rs
+++ b/tests/fault_combinations.rs
@@ -49,7 +49,7 @@
 }
 
 /// A kind of writes.
-type Kind = fn(&Pending) -> bool;
+type WriteKind = fn(&Pending) -> bool;
 
 /// A controller that has claimed everything.
 struct Owner {
@@ -60,13 +60,14 @@
     /// When it last saw the jobs' changes.
     view: f64,
     /// The next transaction with such a write gets no answer and is carried out so much later.
-    unanswered: Option<(f64, Kind)>,
+    unanswered: Option<(f64, WriteKind)>,
 }
 
 /// A simulation of the state service, controllers and workers, which checks the rules from outside.
 struct Scenario {
     cfg: Arc<Config>,
-    s: f64,
+    /// Seconds since the beginning.
+    seconds: f64,
     store: Store,
     owners: Vec<Owner>,
     workers: Vec<Worker>,
@@ -74,13 +75,13 @@
     /// How long tasks run, by job or by task.
     lengths: BTreeMap<String, f64>,
     /// The zone that is cut off from all else.
-    apart: Option<&'static str>,
+    cut_zone: Option<&'static str>,
     /// Whether the state service answers, and whether the cloud answers returns.
-    state: bool,
-    cloud: bool,
-    late: Vec<(Steady, Txn)>,
+    state_up: bool,
+    cloud_up: bool,
+    late_transactions: Vec<(Steady, Txn)>,
     /// How late transactions went: their revision, or the keys whose guards failed.
-    carried: Vec<Result<u64, Vec<String>>>,
+    late_results: Vec<Result<u64, Vec<String>>>,
     starts: BTreeMap<String, u32>,
     begun: BTreeMap<String, f64>,
     finished: BTreeSet<String>,
@@ -97,17 +98,17 @@
     fn with(change: impl FnOnce(&mut serde_json::Value)) -> Scenario {
         Scenario {
             cfg: config_with(change),
-            s: 0.0,
+            seconds: 0.0,
             store: Store::default(),
             owners: Vec::new(),
             workers: Vec::new(),
             specs: BTreeMap::new(),
             lengths: BTreeMap::new(),
-            apart: None,
-            state: true,
-            cloud: true,
-            late: Vec::new(),
-            carried: Vec::new(),
+            cut_zone: None,
+            state_up: true,
+            cloud_up: true,
+            late_transactions: Vec::new(),
+            late_results: Vec::new(),
             starts: BTreeMap::new(),
             begun: BTreeMap::new(),
             finished: BTreeSet::new(),
@@ -117,29 +118,29 @@
     }
 
     /// A first owner and small machines, four processors each, all heard and enrolled.
-    fn begin(&mut self, zones: &[&'static str]) {
+    fn begin_with(&mut self, zones: &[&'static str]) {
         self.take_over(None);
-        zones.iter().enumerate().for_each(|(n, z)| self.machine(n as u32 + 1, z));
+        zones.iter().enumerate().for_each(|(n, z)| self.add_machine(n as u32 + 1, z));
         self.run(4.0);
         assert!(self.fleet().machines.values().all(|m| m.heard && m.enrolled));
     }
 
-    fn machine(&mut self, n: u32, zone: &'static str) {
+    fn add_machine(&mut self, n: u32, zone: &'static str) {
         self.workers.push(Worker {
-            state: WorkerState::new(format!("i-{n}"), zone, at(self.s)),
-            due: self.s,
+            state: WorkerState::new(format!("i-{n}"), zone, at(self.seconds)),
+            due: self.seconds,
             to: 0,
             link: Link::Up,
             changed: false,
         });
     }
 
-    fn at(&mut self, worker: &str) -> &mut Worker {
-        self.workers.iter_mut().find(|w| w.state.id == worker).expect("a worker")
+    fn worker(&mut self, id: &str) -> &mut Worker {
+        self.workers.iter_mut().find(|w| w.state.id == id).expect("a worker")
     }
 
     fn link(&mut self, workers: &[&str], link: Link) {
-        workers.iter().for_each(|w| self.at(w).link = link);
+        workers.iter().for_each(|w| self.worker(w).link = link);
     }
 
     /// The newest owner's view of the cluster.
@@ -149,27 +150,27 @@
 
     /// Another controller claims everything and reads the records. The earlier one does not know.
     fn take_over(&mut self, zone: Option<&'static str>) -> usize {
-        assert!(self.state, "nobody can claim anything");
-        let controller = Controller::claim(&mut self.store, &self.cfg, at(self.s));
-        self.owners.push(Owner { controller, alive: true, zone, view: self.s, unanswered: None });
+        assert!(self.state_up, "nobody can claim anything");
+        let controller = Controller::claim(&mut self.store, &self.cfg, at(self.seconds));
+        self.owners.push(Owner { controller, alive: true, zone, view: self.seconds, unanswered: None });
         self.owners.len() - 1
     }
 
     /// The owner's process ends.
-    fn end(&mut self, owner: usize) {
+    fn end_owner(&mut self, owner: usize) {
         self.owners[owner].alive = false;
     }
 
     /// The owner ends and another takes over after a while.
     fn change_leader(&mut self, gap: f64) -> usize {
-        self.end(self.owners.len() - 1);
+        self.end_owner(self.owners.len() - 1);
         self.run(gap);
         self.take_over(None)
     }
 
     fn submit(&mut self, s: JobSpec, length: f64) -> String {
         let mut r = record(s.clone());
-        r.submitted_us = wall(self.s).0;
+        r.submitted_us = wall(self.seconds).0;
         self.store.txn(&submission(&r)).expect("a new id");
         let id = s.id.clone();
         self.lengths.entry(id.clone()).or_insert(length);
@@ -182,7 +183,7 @@
         let Some(txn) = self.store.cancellation(&self.specs[id]) else { return false };
         let written = self.store.txn(&txn).is_ok();
         if written {
-            self.cancelled.insert(id.into(), self.s);
+            self.cancelled.insert(id.into(), self.seconds);
         }
         written
     }
@@ -192,12 +193,12 @@
     }
 
     /// Tasks of a job that are on some machine.
-    fn on(&self, id: &str) -> usize {
+    fn placed(&self, id: &str) -> usize {
         self.workers.iter().map(|w| w.state.placed_of(id)).sum()
     }
 
     /// Where a job's running tasks are.
-    fn places(&self, id: &str) -> Vec<String> {
+    fn machines_of(&self, id: &str) -> Vec<String> {
         let has = |w: &&Worker| w.state.placed_of(id) > 0;
         self.workers.iter().filter(has).map(|w| w.state.id.clone()).collect()
     }
@@ -210,26 +211,26 @@
     /// Whether a worker's messages pass to an owner, as far as the cut goes.
     fn passes(&self, zone: &str, owner: usize) -> bool {
         let o = &self.owners[owner];
-        o.alive && self.apart.is_none_or(|z| (zone == z) == (o.zone == Some(z)))
+        o.alive && self.cut_zone.is_none_or(|z| (zone == z) == (o.zone == Some(z)))
     }
 
     fn sees_state(&self, owner: usize) -> bool {
         let o = &self.owners[owner];
-        self.state && o.alive && (self.apart.is_none() || o.zone != self.apart)
+        self.state_up && o.alive && (self.cut_zone.is_none() || o.zone != self.cut_zone)
     }
 
     /// An owner out of touch with the state service answers no longer than the bound.
-    fn answers(&self, owner: usize) -> bool {
+    fn may_answer(&self, owner: usize) -> bool {
         let o = &self.owners[owner];
-        o.alive && self.s - o.view < self.cfg.blind_bound().secs()
+        o.alive && self.seconds - o.view < self.cfg.blind_bound().secs()
     }
 
-    fn watch(&mut self) {
+    fn read_changes(&mut self) {
         for i in 0..self.owners.len() {
             if !self.sees_state(i) {
                 continue;
             }
-            let (now, s, o) = (at(self.s), self.s, &mut self.owners[i]);
+            let (now, s, o) = (at(self.seconds), self.seconds, &mut self.owners[i]);
             o.controller.read_changes(&self.store, now);
             o.view = s;
         }
@@ -237,66 +238,66 @@
 
     /// A worker takes a direct command that raises its token; its report is what comes back.
     fn command(&mut self, worker: &str, token: u64, session: u64) -> Report {
-        let w = self.at(worker);
+        let w = self.worker(worker);
         let before = w.state.token;
         w.changed |= w.state.accept_command(token, session) && token > before;
         w.state.report()
     }
 
-    fn raise(&mut self) {
+    fn raise_tokens(&mut self) {
         for i in 0..self.owners.len() {
             if !self.owners[i].alive {
                 continue;
             }
             let token = self.owners[i].controller.fleet.token;
-            for (id, _, season) in self.owners[i].controller.fleet.to_raise(at(self.s)) {
+            for (id, _, season) in self.owners[i].controller.fleet.to_raise(at(self.seconds)) {
                 let Some(w) = self.workers.iter().find(|w| w.state.id == *id) else { continue };
                 if !matches!(w.link, Link::Up | Link::CommandsOnly) || !self.passes(w.state.zone, i) {
                     continue;
                 }
                 let r = self.command(&id, token, season);
-                if self.owners[i].controller.fleet.raised(&r, at(self.s)).is_some() {
-                    self.end(i);
+                if self.owners[i].controller.fleet.raised(&r, at(self.seconds)).is_some() {
+                    self.end_owner(i);
                     break;
                 }
             }
         }
     }
 
-    fn carry(&mut self) {
+    fn exchange_reports(&mut self) {
         for w in 0..self.workers.len() {
             let (due, changed) = (self.workers[w].due, self.workers[w].changed);
-            if self.s < due && !changed {
+            if self.seconds < due && !changed {
                 continue;
             }
             let r = self.workers[w].state.report();
-            (self.workers[w].changed, self.workers[w].due) = (false, self.s + 3.0);
+            (self.workers[w].changed, self.workers[w].due) = (false, self.seconds + 3.0);
             if !matches!(self.workers[w].link, Link::Up | Link::ReportsOnly) {
                 continue;
             }
-            let reached = |o: &usize| self.passes(self.workers[w].state.zone, *o) && self.answers(*o);
+            let reached = |o: &usize| self.passes(self.workers[w].state.zone, *o) && self.may_answer(*o);
             let stays = Some(self.workers[w].to).filter(|o| *o < self.owners.len() && reached(o));
             let Some(to) = stays.or_else(|| (0..self.owners.len()).rev().find(reached)) else {
-                self.workers[w].due = self.s + 1.0;
+                self.workers[w].due = self.seconds + 1.0;
                 continue;
             };
             self.workers[w].to = to;
-            match self.owners[to].controller.fleet.check_in(&r, at(self.s), wall(self.s)) {
-                CheckIn::Reply(reply) if self.workers[w].link == Link::Up => self.obey(w, &reply),
+            match self.owners[to].controller.fleet.check_in(&r, at(self.seconds), wall(self.seconds)) {
+                CheckIn::Reply(reply) if self.workers[w].link == Link::Up => self.execute_orders(w, &reply),
                 CheckIn::Reply(_) => {}
                 CheckIn::Superseded(_) => {
-                    self.end(to);
-                    self.workers[w].due = self.s + 1.0;
+                    self.end_owner(to);
+                    self.workers[w].due = self.seconds + 1.0;
                 }
                 CheckIn::Refuse => {
-                    (self.workers[w].to, self.workers[w].due) = (self.owners.len() - 1, self.s + 1.0);
+                    (self.workers[w].to, self.workers[w].due) = (self.owners.len() - 1, self.seconds + 1.0);
                 }
             }
         }
     }
 
-    fn obey(&mut self, w: usize, reply: &ReportReply) {
-        let (s, worker) = (self.s, &mut self.workers[w]);
+    fn execute_orders(&mut self, w: usize, reply: &ReportReply) {
+        let (s, worker) = (self.seconds, &mut self.workers[w]);
         let before = worker.state.token;
         if !worker.state.accept_answer(reply.token, at(s)) {
             return;
@@ -330,8 +331,8 @@
     /// Sessions end and tasks go on. takeover.rs models tasks otherwise on purpose: there they fail at
     /// random and machines hang, while here all goes by the scenario's lengths and a gang ends at once with
     /// its first lost task.
-    fn work(&mut self) {
-        let now = at(self.s);
+    fn run_tasks(&mut self) {
+        let now = at(self.seconds);
         for w in 0..self.workers.len() {
             let worker = &mut self.workers[w];
             worker.changed |= worker.state.end_session_after(LEASE, now);
@@ -396,7 +397,7 @@
             if !self.owners[i].alive {
                 continue;
             }
-            let (now, wall) = (at(self.s), wall(self.s));
+            let (now, wall) = (at(self.seconds), wall(self.seconds));
             let stands = self.owners[i].controller.holds_part(&self.store);
             if self.sees_state(i) && stands {
                 self.owners[i].controller.fleet.confirm(now);
@@ -407,19 +408,19 @@
             }
             if !stands {
                 // The renewal of its lease is refused: it has been replaced.
-                self.end(i);
+                self.end_owner(i);
                 continue;
             }
             for b in self.batches(i, chunk) {
                 let lost = self.owners[i].unanswered.filter(|u| b.items.iter().any(|x| u.1(&x.0)));
                 let applied = if let Some((delay, _)) = lost {
                     self.owners[i].unanswered = None;
-                    self.late.push((at(self.s + delay), b.txn.clone()));
+                    self.late_transactions.push((at(self.seconds + delay), b.txn.clone()));
                     None
                 } else {
                     Some(self.store.txn(&b.txn))
                 };
-                if !self.told(i, &b, applied) {
+                if !self.learn_result(i, &b, applied) {
                     break;
                 }
             }
@@ -427,12 +428,12 @@
     }
 
     fn batches(&mut self, owner: usize, chunk: u32) -> Vec<Batch> {
-        self.owners[owner].controller.batches(Micros(12_000_000), chunk, at(self.s))
+        self.owners[owner].controller.batches(Micros(12_000_000), chunk, at(self.seconds))
     }
 
     /// An owner learns how its transaction went (none: no answer), and reads back what it must.
-    fn told(&mut self, owner: usize, b: &Batch, applied: Option<Result<u64, Vec<String>>>) -> bool {
-        let (now, o) = (at(self.s), &mut self.owners[owner]);
+    fn learn_result(&mut self, owner: usize, b: &Batch, applied: Option<Result<u64, Vec<String>>>) -> bool {
+        let (now, o) = (at(self.seconds), &mut self.owners[owner]);
         let Err(keys) = o.controller.acknowledge(b, applied, now) else { return true };
         if keys.iter().any(|k| k == cluster::PART) && !o.controller.holds_part(&self.store) {
             o.alive = false;
@@ -442,36 +443,40 @@
         false
     }
 
-    fn carry_out_late(&mut self) {
-        for t in take_due(&mut self.late, at(self.s)) {
+    fn apply_late_transactions(&mut self) {
+        for t in take_due(&mut self.late_transactions, at(self.seconds)) {
             let r = self.store.txn(&t);
-            self.carried.push(r);
+            self.late_results.push(r);
         }
     }
 
-    fn returns(&mut self) {
+    fn return_machines(&mut self) {
         for i in 0..self.owners.len() {
             let o = &self.owners[i];
             let ids = o.controller.fleet.leaving();
-            if ids.is_empty() || !o.alive || !self.cloud || (self.apart.is_some() && o.zone == self.apart) {
+            if ids.is_empty()
+                || !o.alive
+                || !self.cloud_up
+                || (self.cut_zone.is_some() && o.zone == self.cut_zone)
+            {
                 continue;
             }
             self.workers.retain(|w| !ids.contains(&w.state.id));
-            self.owners[i].controller.fleet.returned(&ids, at(self.s));
+            self.owners[i].controller.fleet.returned(&ids, at(self.seconds));
         }
     }
 
     fn step(&mut self) {
-        self.s += STEP;
-        if self.state {
-            self.carry_out_late();
+        self.seconds += STEP;
+        if self.state_up {
+            self.apply_late_transactions();
         }
-        self.watch();
-        self.raise();
-        self.carry();
-        self.work();
+        self.read_changes();
+        self.raise_tokens();
+        self.exchange_reports();
+        self.run_tasks();
         self.write();
-        self.returns();
+        self.return_machines();
         self.check();
     }
 
@@ -483,9 +488,9 @@
 
     /// Until all jobs are over, or too long.
     fn finish(&mut self, within: f64) {
-        let until = self.s + within;
+        let until = self.seconds + within;
         while !self.store.rows("job/").is_empty() {
-            assert!(self.s < until, "left undone at {} s: {:?}", self.s, self.store.rows("job/"));
+            assert!(self.seconds < until, "left undone at {} s: {:?}", self.seconds, self.store.rows("job/"));
             self.step();
         }
         for id in self.specs.keys() {
@@ -500,7 +505,7 @@
         let id = job_of(task);
         let worker = &self.workers[w].state;
         let twice = self.workers.iter().flat_map(|o| o.state.placed()).any(|k| k.0 == task);
-        assert!(!twice, "ran_twice: {task} at {} s", self.s);
+        assert!(!twice, "ran_twice: {task} at {} s", self.seconds);
         let in_zone = |here: bool| {
             let there = self.workers.iter().filter(|o| (o.state.zone == worker.zone) == here);
             there.map(|o| o.state.placed_of(id)).sum::<usize>() as u32
@@ -510,13 +515,13 @@
 
     /// The rules that hold at each moment.
     fn check(&mut self) {
-        let s = self.s;
+        let s = self.seconds;
         let tight = self.workers.iter().flat_map(|w| w.state.placed());
         let tight = tight.filter(|k| self.specs[job_of(&k.0)].team == "tight").count();
         assert!(tight <= TIGHT_LIMIT, "quota: {tight} at {s} s");
         let cancel = self.cfg.platform.settings.workers.cancel_s;
         for (id, since) in &self.cancelled {
-            assert!(s - since <= cancel || self.on(id) == 0, "ran_cancelled: {id} at {s} s");
+            assert!(s - since <= cancel || self.placed(id) == 0, "ran_cancelled: {id} at {s} s");
         }
         for id in self.specs.keys() {
             let (live, stage) = (self.store.row(&job_key(id)).is_some(), self.stage(id));
@@ -550,47 +555,47 @@
     let mut s = Scenario::new();
     s.take_over(Some("south"));
     for (n, zone) in [(1, "north"), (2, "south"), (3, "north"), (4, "north")] {
-        s.machine(n, zone);
+        s.add_machine(n, zone);
     }
     s.run(4.0);
     let a = s.submit(JobSpec { spread: true, ..tight(1, 6, "batch") }, 300.0);
     s.run(8.0);
-    assert_eq!(s.on(&a), 6, "half of them in each zone");
+    assert_eq!(s.placed(&a), 6, "half of them in each zone");
     let b = s.submit(tight(2, 6, "batch"), 200.0);
     s.run(6.0);
     assert_eq!(s.started(&b), 0, "the team is at its limit");
     // The south goes with the old owner; the north's machines with tasks do not hear the new one.
-    let north: Vec<String> = s.places(&a).into_iter().filter(|m| m != "i-2").collect();
-    s.apart = Some("south");
-    north.iter().for_each(|m| s.at(m).link = Link::ReportsOnly);
-    s.cloud = false;
+    let north: Vec<String> = s.machines_of(&a).into_iter().filter(|m| m != "i-2").collect();
+    s.cut_zone = Some("south");
+    north.iter().for_each(|m| s.worker(m).link = Link::ReportsOnly);
+    s.cloud_up = false;
     s.take_over(None);
     s.run(2.0);
     assert_eq!((s.fleet().unheard(), s.started(&b)), (1 + north.len(), 0));
     // They are heard, and then do not hear that they are to halt.
-    north.iter().for_each(|m| s.at(m).link = Link::Up);
+    north.iter().for_each(|m| s.worker(m).link = Link::Up);
     s.run(4.0);
     assert_eq!(s.fleet().unheard(), 1);
-    north.iter().for_each(|m| s.at(m).link = Link::ReportsOnly);
+    north.iter().for_each(|m| s.worker(m).link = Link::ReportsOnly);
     assert!(s.cancel(&a));
     s.run(7.0);
-    assert_eq!((s.on(&a), s.started(&b)), (6, 0), "cancelled tasks that run still count");
+    assert_eq!((s.placed(&a), s.started(&b)), (6, 0), "cancelled tasks that run still count");
     // In the south half of the job goes on, and the whole machine counts.
-    north.iter().for_each(|m| s.at(m).link = Link::Up);
+    north.iter().for_each(|m| s.worker(m).link = Link::Up);
     s.run(7.0);
-    assert_eq!((s.on(&a), s.on(&b)), (3, 2));
+    assert_eq!((s.placed(&a), s.placed(&b)), (3, 2));
     s.run(18.0);
     assert!(s.fleet().leaving().contains(&"i-2".to_string()), "its return has no answer yet");
-    assert_eq!((s.on(&a), s.on(&b)), (3, 2), "a return without an answer has ended nothing");
+    assert_eq!((s.placed(&a), s.placed(&b)), (3, 2), "a return without an answer has ended nothing");
     s.run(6.0);
-    assert_eq!(s.on(&b), 2, "44 s after the claim an earlier owner's answer may still count");
+    assert_eq!(s.placed(&b), 2, "44 s after the claim an earlier owner's answer may still count");
     // Later none can, though the cloud has not answered.
     s.run(14.0);
-    assert_eq!((s.on(&a), s.on(&b)), (0, 6));
+    assert_eq!((s.placed(&a), s.placed(&b)), (0, 6));
     assert!(s.fleet().leaving().contains(&"i-2".to_string()));
-    s.cloud = true;
+    s.cloud_up = true;
     s.run(8.0);
-    assert_eq!(s.on(&b), 6);
+    assert_eq!(s.placed(&b), 6);
     s.finish(300.0);
 }
 
@@ -599,36 +604,36 @@
 #[test]
 fn old_reports_of_earlier_sessions_and_attempts_are_refused_after_newer_ones() {
     let mut s = Scenario::new();
-    s.begin(&["north", "north"]);
+    s.begin_with(&["north", "north"]);
     let a = s.submit(spec(1, 1, "batch"), 60.0);
     s.run(4.0);
-    let first = s.places(&a).remove(0);
-    let session = s.at(&first).state.report();
+    let first = s.machines_of(&a).remove(0);
+    let session = s.worker(&first).state.report();
     // Its lease runs out in a cut, and the task begins on the other machine.
     s.link(&[&first], Link::Down);
     s.run(30.0);
-    assert_eq!((s.started(&a), s.at(&first).state.session), (2, 2));
-    let second = s.places(&a).remove(0);
+    assert_eq!((s.started(&a), s.worker(&first).state.session), (2, 2));
+    let second = s.machines_of(&a).remove(0);
     assert_ne!(first, second);
     s.link(&[&first], Link::Up);
     let b = s.submit(spec(2, 1, "batch"), 60.0);
     s.run(6.0);
-    let place = s.places(&b).remove(0);
-    let attempt = s.at(&place).state.report();
+    let place = s.machines_of(&b).remove(0);
+    let attempt = s.worker(&place).state.report();
     // This attempt fails and the next runs.
-    let w = s.at(&place);
+    let w = s.worker(&place);
     let key = w.state.placed().find(|k| k.0.starts_with(&b)).cloned().expect("its task");
     let t = w.state.tasks.get_mut(&key).expect("its task");
     (t.stage, t.why) = (TaskStage::Exited, Some(Why::Error));
     s.run(8.0);
-    assert_eq!((s.started(&b), s.on(&b)), (2, 1));
+    assert_eq!((s.started(&b), s.placed(&b)), (2, 1));
     let late = |s: &mut Scenario| {
         for r in [&session, &attempt, &session] {
-            let (now, wall) = (at(s.s), wall(s.s));
+            let (now, wall) = (at(s.seconds), wall(s.seconds));
             assert_eq!(s.fleet().check_in(r, now, wall), CheckIn::Refuse);
         }
         s.run(3.0);
-        assert_eq!((s.on(&a), s.on(&b), s.started(&a), s.started(&b)), (1, 1, 2, 2));
+        assert_eq!((s.placed(&a), s.placed(&b), s.started(&a), s.started(&b)), (1, 1, 2, 2));
     };
     late(&mut s);
     s.change_leader(2.0);
@@ -644,7 +649,7 @@
 /// against a controller that takes its own late write for another's.
 #[test]
 fn a_transaction_without_an_answer_applied_late_undoes_no_newer_write() {
-    let kinds: [(&str, Kind); 4] = [
+    let kinds: [(&str, WriteKind); 4] = [
         ("marks", |p| matches!(p, Pending::Marks(_))),
         ("machines", |p| matches!(p, Pending::Machines(_))),
         ("done", |p| matches!(p, Pending::Done(..))),
@@ -654,25 +659,25 @@
         // Carried out before the next write of the same key, or after it.
         for (delay, overtaken) in [(0.5, false), (6.0, true)] {
             let mut s = Scenario::new();
-            s.begin(&["north", "north"]);
+            s.begin_with(&["north", "north"]);
             s.owners[0].unanswered = Some((delay, of));
             let a = s.submit(spec(1, 40, "batch"), 8.0);
             s.lengths.insert(format!("{a}/39"), 45.0);
             s.run(2.0);
-            s.machine(3, "north");
+            s.add_machine(3, "north");
             let b = s.submit(spec(2, 3, "batch"), 9.0);
-            while s.carried.is_empty() {
-                assert!(s.s < 200.0, "{kind}: no such write");
+            while s.late_results.is_empty() {
+                assert!(s.seconds < 200.0, "{kind}: no such write");
                 s.step();
             }
-            assert_eq!(s.carried.len(), 1);
-            assert_eq!(s.carried[0].is_err(), overtaken, "{kind}, {delay} s late: {:?}", s.carried);
+            assert_eq!(s.late_results.len(), 1);
+            assert_eq!(s.late_results[0].is_err(), overtaken, "{kind}, {delay} s late: {:?}", s.late_results);
             // The owner goes on writing such records itself.
-            while s.started(&a) < 40 || s.on(&a) > 1 {
-                assert!(s.s < 200.0, "{kind}, {delay} s late: it does not go on");
+            while s.started(&a) < 40 || s.placed(&a) > 1 {
+                assert!(s.seconds < 200.0, "{kind}, {delay} s late: it does not go on");
                 s.step();
             }
-            s.machine(4, "north");
+            s.add_machine(4, "north");
             let c = s.submit(spec(3, 3, "batch"), 9.0);
             s.run(8.0);
             assert!(s.fleet().machines["i-4"].enrolled, "{kind}, {delay} s late");
@@ -690,10 +695,10 @@
 #[test]
 fn a_machine_whose_raising_command_is_held_up_keeps_its_task() {
     let mut s = Scenario::new();
-    s.begin(&["north", "north"]);
+    s.begin_with(&["north", "north"]);
     let a = s.submit(spec(1, 1, "batch"), 60.0);
     s.run(5.0);
-    let place = s.places(&a).remove(0);
+    let place = s.machines_of(&a).remove(0);
     s.link(&[&place], Link::Down);
     s.change_leader(1.0);
     let token = s.fleet().token;
@@ -704,16 +709,16 @@
     s.link(&[&place], Link::Up);
     s.run(2.0);
     assert_eq!(s.fleet().unheard(), 0);
-    let now = at(s.s);
+    let now = at(s.seconds);
     assert_eq!(s.fleet().raised(&back, now), None);
     s.run(10.0);
-    assert_eq!((s.on(&a), s.started(&a)), (1, 1));
+    assert_eq!((s.placed(&a), s.started(&a)), (1, 1));
     // A command of an owner that has been replaced does nothing and tells it so.
     s.change_leader(1.0);
     s.run(4.0);
     let stale = s.command(&place, token, 1);
     let newer = s.fleet().token;
-    assert_eq!(s.owners[1].controller.fleet.raised(&stale, at(s.s)), Some(newer));
+    assert_eq!(s.owners[1].controller.fleet.raised(&stale, at(s.seconds)), Some(newer));
     s.finish(60.0);
     assert_eq!(s.started(&a), 1);
 }
@@ -723,25 +728,25 @@
 #[test]
 fn what_a_held_command_returns_does_not_undo_a_start_on_its_way() {
     let mut s = Scenario::new();
-    s.begin(&["north", "north"]);
+    s.begin_with(&["north", "north"]);
     s.link(&["i-1"], Link::Down);
     s.change_leader(1.0);
     let token = s.fleet().token;
     // The other machine is full, and cut off while its tasks end.
     let filler = s.submit(spec(2, 4, "batch"), 3.0);
-    while s.on(&filler) < 4 {
-        assert!(s.s < 20.0, "the filler does not start");
+    while s.placed(&filler) < 4 {
+        assert!(s.seconds < 20.0, "the filler does not start");
         s.step();
     }
     s.link(&["i-2"], Link::Down);
     let a = s.submit(spec(1, 1, "batch"), 30.0);
     s.run(4.0);
-    assert_eq!((s.on(&filler), s.started(&a)), (0, 0));
+    assert_eq!((s.placed(&filler), s.started(&a)), (0, 0));
     // It is heard by its own report; then the task's mark is written.
     let _ = s.command("i-1", token, 1);
     let hear = |s: &mut Scenario| {
-        s.s += STEP;
-        let (r, now, wall) = (s.at("i-1").state.report(), at(s.s), wall(s.s));
+        s.seconds += STEP;
+        let (r, now, wall) = (s.worker("i-1").state.report(), at(s.seconds), wall(s.seconds));
         let CheckIn::Reply(reply) = s.fleet().check_in(&r, now, wall) else { panic!("not answered") };
         s.write();
         reply
@@ -751,9 +756,9 @@
     assert!(matches!(reply.orders[..], [Order::Start { .. }]), "{reply:?}");
     // The held copy of the command comes between the report and its answer.
     let back = s.command("i-1", token, 1);
-    s.obey(0, &reply);
-    assert_eq!(s.on(&a), 1);
-    let now = at(s.s);
+    s.execute_orders(0, &reply);
+    assert_eq!(s.placed(&a), 1);
+    let now = at(s.seconds);
     s.fleet().raised(&back, now);
     // The other reports first, and has room.
     s.link(&["i-2"], Link::Up);
@@ -768,7 +773,7 @@
 #[test]
 fn ten_leaders_in_two_minutes_start_nothing_twice_and_lose_nothing() {
     let mut s = Scenario::new();
-    s.begin(&["north", "south", "north", "south", "north", "south"]);
+    s.begin_with(&["north", "south", "north", "south", "north", "south"]);
     let long = s.submit(spec(1, 2, "batch"), 100.0);
     let gang = s.submit(JobSpec { one_zone: true, ..spec(2, 3, "gang") }, 70.0);
     let gone = s.submit(spec(3, 3, "batch"), 200.0);
@@ -782,11 +787,11 @@
         }
         if leader % 4 == 3 {
             // It changes inside an outage; nothing can be claimed before its end.
-            s.state = false;
+            s.state_up = false;
             s.run(3.0);
-            s.end(leader as usize);
+            s.end_owner(leader as usize);
             s.run(3.0);
-            s.state = true;
+            s.state_up = true;
             s.take_over(None);
         } else if leader % 2 == 0 {
             // The one before does not know yet.
@@ -798,7 +803,7 @@
         s.run(3.0);
     }
     assert_eq!(s.owners.len(), 11);
-    assert!(s.s < 140.0);
+    assert!(s.seconds < 140.0);
     s.finish(120.0);
     for (id, spec) in &s.specs {
         assert_eq!(s.started(id), spec.tasks, "{id}");
@@ -814,8 +819,8 @@
     let mut s = Scenario::with(|settings| settings["workers"]["cancel_s"] = json!(80.0));
     s.take_over(Some("south"));
     for n in 0..3 {
-        s.machine(1 + n, "north");
-        s.machine(4 + n, "south");
+        s.add_machine(1 + n, "north");
+        s.add_machine(4 + n, "south");
     }
     s.run(4.0);
     let bound = |n, tasks, zone: &str| JobSpec { zone: Some(zone.into()), ..spec(n, tasks, "batch") };
@@ -829,23 +834,23 @@
     assert!(s.workers.iter().filter(|w| w.state.zone == "south").all(|w| w.state.placed_of(&outside) == 0));
     s.run(8.0);
     assert_eq!(s.stage(&filler), Some(Stage::Done), "the south has room again");
-    assert_eq!((s.on(&inside), s.on(&gone), s.on(&outside)), (2, 2, 12));
-    s.apart = Some("south");
-    s.cloud = false;
+    assert_eq!((s.placed(&inside), s.placed(&gone), s.placed(&outside)), (2, 2, 12));
+    s.cut_zone = Some("south");
+    s.cloud_up = false;
     // The owner inside can't see it.
     assert!(s.cancel(&gone));
     s.run(5.0);
     s.take_over(None);
     s.run(40.0);
-    assert!(s.owners[0].alive && s.answers(0), "it still answers inside");
-    assert_eq!((s.on(&inside), s.on(&gone), s.on(&outside)), (2, 2, 12));
+    assert!(s.owners[0].alive && s.may_answer(0), "it still answers inside");
+    assert_eq!((s.placed(&inside), s.placed(&gone), s.placed(&outside)), (2, 2, 12));
     assert_eq!((s.started(&inside), s.started(&outside)), (2, 12));
     s.run(60.0);
-    assert_eq!(s.on(&gone), 0);
-    (s.apart, s.cloud) = (None, true);
+    assert_eq!(s.placed(&gone), 0);
+    (s.cut_zone, s.cloud_up) = (None, true);
     s.run(5.0);
     assert!(!s.owners[0].alive);
-    s.machine(7, "south");
+    s.add_machine(7, "south");
     s.finish(300.0);
     assert_eq!((s.started(&outside), s.started(&filler)), (12, 8));
 }
@@ -856,28 +861,32 @@
 fn jobs_of_one_zone_that_lose_machines_never_run_in_two_zones() {
     for shape in ["batch", "gang"] {
         let mut s = Scenario::new();
-        s.begin(&["north"]);
+        s.begin_with(&["north"]);
         let one = s.submit(JobSpec { one_zone: true, ..spec(1, 4, shape) }, 60.0);
         s.run(8.0);
-        assert_eq!(s.on(&one), 4);
-        s.machine(2, "south");
-        s.machine(3, "south");
+        assert_eq!(s.placed(&one), 4);
+        s.add_machine(2, "south");
+        s.add_machine(3, "south");
         s.run(6.0);
         // An array that has tasks left when the machine is lost, and one that its field binds.
         let rest = s.submit(JobSpec { one_zone: true, ..spec(2, 10, "batch") }, 20.0);
         s.run(6.0);
-        s.machine(5, "north");
+        s.add_machine(5, "north");
         let bound = s.submit(JobSpec { zone: Some("north".into()), ..spec(3, 2, "batch") }, 60.0);
         s.run(7.0);
-        assert_eq!((s.on(&rest), s.on(&bound)), (8, 2), "the other zone has room, and it may not go there");
+        assert_eq!(
+            (s.placed(&rest), s.placed(&bound)),
+            (8, 2),
+            "the other zone has room, and it may not go there"
+        );
         s.link(&["i-1", "i-2", "i-5"], Link::Down);
         s.run(16.0);
-        assert_eq!((s.started(&one), s.on(&one)), (4, 4), "it may still be there");
+        assert_eq!((s.started(&one), s.placed(&one)), (4, 4), "it may still be there");
         s.run(30.0);
-        assert_eq!(s.on(&one), 4, "it goes on in the other zone, whole");
-        assert!(s.places(&one).iter().all(|m| m == "i-3"), "{:?}", s.places(&one));
-        assert_eq!((s.started(&bound), s.on(&bound)), (2, 0), "its zone has no machine");
-        s.machine(4, "north");
+        assert_eq!(s.placed(&one), 4, "it goes on in the other zone, whole");
+        assert!(s.machines_of(&one).iter().all(|m| m == "i-3"), "{:?}", s.machines_of(&one));
+        assert_eq!((s.started(&bound), s.placed(&bound)), (2, 0), "its zone has no machine");
+        s.add_machine(4, "north");
         s.finish(300.0);
         assert_eq!((s.started(&one), s.started(&bound)), (8, 4));
     }
@@ -888,18 +897,18 @@
 #[test]
 fn the_lost_half_of_a_spread_job_starts_again_only_once_it_is_surely_gone() {
     let mut s = Scenario::new();
-    s.begin(&["north", "south", "south"]);
+    s.begin_with(&["north", "south", "south"]);
     let spread = s.submit(JobSpec { spread: true, ..spec(1, 6, "batch") }, 80.0);
     s.run(8.0);
-    assert_eq!(s.on(&spread), 6);
+    assert_eq!(s.placed(&spread), 6);
     s.link(&["i-1"], Link::Down);
     s.run(10.0);
-    s.machine(4, "north");
+    s.add_machine(4, "north");
     s.run(10.0);
     assert_eq!(s.started(&spread), 6, "the lost half may still run, and the south has its half");
     s.run(12.0);
-    assert_eq!((s.started(&spread), s.on(&spread)), (9, 6));
-    assert!(s.places(&spread).contains(&"i-4".to_string()));
+    assert_eq!((s.started(&spread), s.placed(&spread)), (9, 6));
+    assert!(s.machines_of(&spread).contains(&"i-4".to_string()));
     s.finish(200.0);
     assert_eq!(s.started(&spread), 9);
 }
@@ -917,12 +926,12 @@
     }
     for race in [Race::UserFirst, Race::OwnerFirst, Race::NoAnswerThenUser, Race::NoAnswerButWritten] {
         let mut s = Scenario::new();
-        s.begin(&["north"]);
+        s.begin_with(&["north"]);
         let a = s.submit(spec(1, 2, "batch"), 3.0);
         s.run(2.0);
-        s.state = false;
+        s.state_up = false;
         s.run(8.0);
-        s.state = true;
+        s.state_up = true;
         assert!(s.fleet().jobs[a.as_str()].complete(), "all is done, nothing of it written");
         let known = s.store.row(&job_key(&a)).expect("live");
         let user = s.store.cancellation(&s.specs[&a]).expect("live");
@@ -933,25 +942,25 @@
                 assert!(s.cancel(&a));
                 let r = s.store.txn(&owner.txn);
                 assert!(r.as_ref().is_err_and(|k| k.contains(&job_key(&a))), "{r:?}");
-                assert!(!s.told(0, &owner, Some(r)));
+                assert!(!s.learn_result(0, &owner, Some(r)));
             }
             Race::OwnerFirst => {
                 let r = s.store.txn(&owner.txn);
-                assert!(s.told(0, &owner, Some(r)));
+                assert!(s.learn_result(0, &owner, Some(r)));
                 assert!(s.store.txn(&user).is_err());
             }
             Race::NoAnswerThenUser => {
-                assert!(!s.told(0, &owner, None), "it is read back, and is live");
+                assert!(!s.learn_result(0, &owner, None), "it is read back, and is live");
                 assert!(s.fleet().jobs.contains_key(a.as_str()));
                 assert!(s.cancel(&a));
                 assert!(s.store.txn(&owner.txn).is_err());
                 let again = s.batches(0, chunk_tasks(4096)).remove(0);
                 let r = s.store.txn(&again.txn);
-                assert!(r.is_err() && !s.told(0, &again, Some(r)));
+                assert!(r.is_err() && !s.learn_result(0, &again, Some(r)));
             }
             Race::NoAnswerButWritten => {
                 assert!(s.store.txn(&owner.txn).is_ok());
-                assert!(!s.told(0, &owner, None), "it is read back, and is gone");
+                assert!(!s.learn_result(0, &owner, None), "it is read back, and is gone");
                 assert!(s.store.txn(&user).is_err());
             }
         }
@@ -961,7 +970,7 @@
         assert_eq!(s.fleet().counts(&a), None, "{race:?}: it is over for the owner");
         // A late message of its submission, and the submission itself again.
         let late: JobRecord = serde_json::from_value(known.value.clone()).expect("a job's record");
-        let now = at(s.s);
+        let now = at(s.seconds);
         s.fleet().job_put(late, known.stamp, now);
         assert_eq!(s.fleet().counts(&a), None, "{race:?}: a late message revived it");
         let guards = [job_key(&a), final_key(&a)].map(|key| Guard { key, stamp: 0 }).to_vec();
@@ -969,7 +978,7 @@
         assert!(s.store.txn(&again).is_err());
         s.run(10.0);
         assert!(
-            s.fleet().jobs.is_empty() && s.at("i-1").state.tasks.is_empty(),
+            s.fleet().jobs.is_empty() && s.worker("i-1").state.tasks.is_empty(),
             "{race:?}: something is left"
         );
         assert_eq!((s.started(&a), s.stage(&a)), (2, Some(stage)), "{race:?}");
@@ -984,12 +993,12 @@
 fn a_report_held_back_until_a_new_leader_has_acted_hides_no_running_task() {
     for before_newer in [true, false] {
         let mut s = Scenario::new();
-        s.begin(&["north", "north"]);
+        s.begin_with(&["north", "north"]);
         // Nothing is on it yet, says the report that is held back.
-        let held = [s.at("i-1").state.report(), s.at("i-2").state.report()];
+        let held = [s.worker("i-1").state.report(), s.worker("i-2").state.report()];
         let a = s.submit(spec(1, 1, "batch"), 50.0);
         s.run(5.0);
-        let place = s.places(&a).remove(0);
+        let place = s.machines_of(&a).remove(0);
         let held = held.into_iter().find(|r| r.machine == place).expect("its report");
         if before_newer {
             s.link(&[&place], Link::Down);
@@ -998,7 +1007,7 @@
         s.run(5.0);
         let unheard = usize::from(before_newer);
         assert_eq!(s.fleet().unheard(), unheard);
-        let (now, t) = (at(s.s), wall(s.s));
+        let (now, t) = (at(s.seconds), wall(s.seconds));
         let out = s.fleet().check_in(&held, now, t);
         if before_newer {
             assert!(!matches!(out, CheckIn::Superseded(_)));
@@ -1006,7 +1015,7 @@
             assert_eq!(out, CheckIn::Refuse);
         }
         s.run(10.0);
-        assert_eq!((s.fleet().unheard(), s.started(&a), s.on(&a)), (unheard, 1, 1));
+        assert_eq!((s.fleet().unheard(), s.started(&a), s.placed(&a)), (unheard, 1, 1));
         s.link(&[&place], Link::Up);
         s.finish(60.0);
         assert_eq!(s.started(&a), 1);
@@ -1018,26 +1027,26 @@
 #[test]
 fn a_held_report_of_a_machine_that_was_returned_meanwhile_brings_nothing_back() {
     let mut s = Scenario::new();
-    s.begin(&["north", "north"]);
-    let empty = [s.at("i-1").state.report(), s.at("i-2").state.report()];
+    s.begin_with(&["north", "north"]);
+    let empty = [s.worker("i-1").state.report(), s.worker("i-2").state.report()];
     let a = s.submit(spec(1, 1, "batch"), 50.0);
     s.run(5.0);
-    let place = s.places(&a).remove(0);
+    let place = s.machines_of(&a).remove(0);
     let empty = empty.into_iter().find(|r| r.machine == place).expect("its report");
-    let held = s.at(&place).state.report();
+    let held = s.worker(&place).state.report();
     s.link(&[&place], Link::Down);
     s.change_leader(1.0);
     s.run(40.0);
     assert!(!s.workers.iter().any(|w| w.state.id == place), "it was fenced");
-    assert_eq!((s.started(&a), s.on(&a)), (2, 1));
+    assert_eq!((s.started(&a), s.placed(&a)), (2, 1));
     let late = |s: &mut Scenario| {
-        let (now, t) = (at(s.s), wall(s.s));
+        let (now, t) = (at(s.seconds), wall(s.seconds));
         assert_eq!(s.fleet().check_in(&held, now, t), CheckIn::Refuse);
         assert!(!s.fleet().machines.contains_key(place.as_str()));
     };
     late(&mut s);
     // Nor by one that shows no task.
-    let (now, t) = (at(s.s), wall(s.s));
+    let (now, t) = (at(s.seconds), wall(s.seconds));
     assert_eq!(s.fleet().check_in(&empty, now, t), CheckIn::Refuse);
     // Nor at the next leader, which never knew it.
     s.change_leader(1.0);
@@ -1052,7 +1061,7 @@
 #[test]
 fn late_writes_of_earlier_leaders_fail_after_hand_overs_and_a_return_within_a_second() {
     let mut s = Scenario::new();
-    s.begin(&["north", "north", "south", "south", "north", "north", "south", "south"]);
+    s.begin_with(&["north", "north", "south", "south", "north", "north", "south", "south"]);
     let mut ids = Vec::new();
     for life in 0..4u32 {
         // Its last write gets no answer and is carried out when others have followed.
@@ -1068,22 +1077,22 @@
         assert!(s.owners[life as usize].unanswered.is_none(), "nothing was to be written");
         if life < 3 {
             // Handed over, with no pause.
-            s.end(life as usize);
+            s.end_owner(life as usize);
             s.take_over(None);
         }
     }
     // All have ended; the last is back at once and knows nothing.
     s.change_leader(0.5);
     s.run(10.0);
-    assert_eq!(s.carried.len(), 4);
+    assert_eq!(s.late_results.len(), 4);
     // Earlier lives learn from any worker that they are over.
-    let (token, now, t) = (s.fleet().token, at(s.s), wall(s.s));
-    let newer = s.at("i-1").state.report();
+    let (token, now, t) = (s.fleet().token, at(s.seconds), wall(s.seconds));
+    let newer = s.worker("i-1").state.report();
     for o in &mut s.owners[..4] {
         assert_eq!(o.controller.fleet.check_in(&newer, now, t), CheckIn::Superseded(token));
     }
-    for r in &s.carried {
-        assert!(r.as_ref().is_err_and(|k| k.iter().any(|k| k == cluster::PART)), "{:?}", s.carried);
+    for r in &s.late_results {
+        assert!(r.as_ref().is_err_and(|k| k.iter().any(|k| k == cluster::PART)), "{:?}", s.late_results);
     }
     s.finish(150.0);
     for (id, spec) in &s.specs {
@@ -1097,11 +1106,11 @@
 fn tasks_of_workers_reached_by_commands_only_start_elsewhere_only_after_the_lease() {
     for (mute, restarted) in [(14.0_f64, false), (200.0, true)] {
         let mut s = Scenario::new();
-        s.begin(&["north", "north", "north"]);
+        s.begin_with(&["north", "north", "north"]);
         let a = s.submit(tight(1, 6, "batch"), 60.0);
         s.run(5.0);
-        assert_eq!(s.on(&a), 6);
-        let first = s.places(&a);
+        assert_eq!(s.placed(&a), 6);
+        let first = s.machines_of(&a);
         let places: Vec<&str> = first.iter().map(String::as_str).collect();
         s.link(&places, Link::CommandsOnly);
         s.change_leader(1.0);
@@ -1110,11 +1119,11 @@
         s.run(4.0);
         assert_eq!(s.fleet().unheard(), 0, "heard by what the direct commands return");
         s.run(9.0);
-        assert_eq!((s.started(&a), s.on(&a), s.started(&next)), (6, 6, 0));
+        assert_eq!((s.started(&a), s.placed(&a), s.started(&next)), (6, 6, 0));
         assert!(s.begun.contains_key(&gang), "what has room does not wait for them");
         s.run((mute - 14.0).min(60.0));
-        s.machine(4, "north");
-        s.machine(5, "north");
+        s.add_machine(4, "north");
+        s.add_machine(5, "north");
         if !restarted {
             s.link(&places, Link::Up);
         }
@@ -1128,7 +1137,7 @@
 /// before it; those and every fourth job of the stream should begin soon.
 fn more_work_than_room(ranks: [Rank; 4], widest_rank: Rank, quick_every_fourth_from: u32) {
     let mut s = Scenario::new();
-    s.begin(&["north", "south", "north", "south"]);
+    s.begin_with(&["north", "south", "north", "south"]);
     let (mut ids, mut work) = (Vec::new(), 0.0);
     let quick = |job: JobSpec| JobSpec { class: Some("quick".into()), ..job };
     let wide = s.submit(quick(JobSpec { rank: widest_rank, ..spec(200, 14, "gang") }), 15.0);
@@ -1145,13 +1154,13 @@
         }
         let length = f64::from(8 + (n * 7) % 20);
         work += f64::from(job.tasks) * length;
-        ids.push((s.submit(job, length), s.s));
+        ids.push((s.submit(job, length), s.seconds));
         s.run(3.0);
         if n == 40 {
             s.change_leader(3.0);
         }
     }
-    assert!(work > 1.2 * 16.0 * s.s, "there is room for all: {work} in {} s", s.s);
+    assert!(work > 1.2 * 16.0 * s.seconds, "there is room for all: {work} in {} s", s.seconds);
     s.finish(1.5 * work / 16.0);
     for id in [&wide, &widest] {
         assert!(s.begun[id] < 240.0, "{id} began after {} s", s.begun[id]);
@@ -1185,12 +1194,12 @@
     for link in [Link::Down, Link::ReportsOnly] {
         for (long, lost) in [(16.0, false), (80.0, true)] {
             let mut s = Scenario::new();
-            s.begin(&["north", "north", "north", "north"]);
+            s.begin_with(&["north", "north", "north", "north"]);
             let a = s.submit(spec(1, 4, "batch"), 150.0);
             let gang = s.submit(spec(2, 2, "gang"), 150.0);
             s.run(6.0);
-            assert_eq!((s.on(&a), s.on(&gang)), (4, 2));
-            let (first, second) = (s.places(&a), s.places(&gang));
+            assert_eq!((s.placed(&a), s.placed(&gang)), (4, 2));
+            let (first, second) = (s.machines_of(&a), s.machines_of(&gang));
             let away: BTreeSet<&str> = first.iter().chain(&second).map(String::as_str).collect();
             let away: Vec<&str> = away.into_iter().collect();
             assert!(away.len() < 4, "one has room for what never ran");
@@ -1199,10 +1208,10 @@
             let next = s.submit(spec(3, 2, "batch"), 5.0);
             s.run(long - 2.0);
             if !lost {
-                assert_eq!((s.on(&a), s.on(&gang), s.started(&a), s.started(&gang)), (4, 2, 4, 2));
+                assert_eq!((s.placed(&a), s.placed(&gang), s.started(&a), s.started(&gang)), (4, 2, 4, 2));
             }
             assert_eq!(s.stage(&next), Some(Stage::Done), "{link:?}: what never ran waits for nobody");
-            (5..8).for_each(|n| s.machine(n, "north"));
+            (5..8).for_each(|n| s.add_machine(n, "north"));
             if !lost {
                 s.workers.iter_mut().for_each(|w| w.link = Link::Up);
             }
@@ -1221,7 +1230,7 @@
     // At 8 s the first ends are not written yet, at 22 s they are; at 50 s a second has ended too.
     for change in [8.0, 22.0, 50.0] {
         let mut s = Scenario::new();
-        s.begin(&["north", "south", "north"]);
+        s.begin_with(&["north", "south", "north"]);
         let ids: Vec<String> = (1..=3).map(|n| s.submit(spec(n, 2 + n % 2, "batch"), 90.0)).collect();
         for (n, id) in ids.iter().enumerate() {
             s.lengths.insert(format!("{id}/{n}", n = n % 2), 3.0);
@@ -1248,26 +1257,26 @@
 #[test]
 fn lost_tasks_run_again_after_all_controllers_were_away_for_longer_than_the_lease() {
     let mut s = Scenario::new();
-    s.begin(&["north", "south", "north"]);
+    s.begin_with(&["north", "south", "north"]);
     let a = s.submit(tight(1, 6, "batch"), 40.0);
     s.lengths.insert(format!("{a}/0"), 3.0);
     let gang = s.submit(spec(2, 3, "gang"), 40.0);
     let gone = s.submit(spec(3, 2, "batch"), 300.0);
     s.run(8.0);
-    assert_eq!((s.on(&a), s.on(&gang), s.on(&gone)), (5, 3, 2));
+    assert_eq!((s.placed(&a), s.placed(&gang), s.placed(&gone)), (5, 3, 2));
     assert!(s.cancel(&gone));
-    s.end(0);
+    s.end_owner(0);
     let mut held = Vec::new();
     for n in 1..=3 {
-        held.push(s.at(&format!("i-{n}")).state.report());
+        held.push(s.worker(&format!("i-{n}")).state.report());
     }
     s.run(40.0);
     assert!(s.workers.iter().all(|w| w.state.session == 2 && w.state.tasks.is_empty()));
     s.take_over(None);
     s.run(6.0);
-    assert_eq!((s.fleet().unheard(), s.on(&gang), s.started(&gone)), (0, 3, 2));
+    assert_eq!((s.fleet().unheard(), s.placed(&gang), s.started(&gone)), (0, 3, 2));
     for r in &held {
-        let (now, t) = (at(s.s), wall(s.s));
+        let (now, t) = (at(s.seconds), wall(s.seconds));
         assert_eq!(s.fleet().check_in(r, now, t), CheckIn::Refuse);
     }
     s.finish(80.0);
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -48,7 +48,7 @@
     /// Another owner takes over each time so many seconds have passed.
     change_every: Option<f64>,
     /// A zone and an owner are cut off together now and then.
-    part: bool,
+    partition: bool,
     /// Share of transactions without an answer at any time: executed at once or late.
     unanswered: f64,
     /// Share of transactions without an answer that are executed 2 to 12 s later, in spells.
@@ -100,7 +100,7 @@
     long: 60.0,
     change: 0.006,
     change_every: None,
-    part: true,
+    partition: true,
     unanswered: 0.03,
     late_writes: 0.0,
     copies: 0.0,
@@ -193,7 +193,7 @@
     occurred: u32,
     next_machine: u32,
     /// Since when the oldest owner and the south have been cut off from all else, and until when.
-    apart: Option<(Steady, Steady)>,
+    partition: Option<(Steady, Steady)>,
     faulty: bool,
     starts: usize,
     /// How long an owner answers that sees no cancellations.
@@ -233,7 +233,7 @@
             waiting: BTreeMap::new(),
             occurred: 0,
             next_machine: 0,
-            apart: None,
+            partition: None,
             faulty: true,
             starts: 0,
             bound: cfg.blind_bound(),
@@ -259,7 +259,7 @@
     }
 
     /// Whether users and owners can read and write.
-    fn out(&self) -> bool {
+    fn state_service_out(&self) -> bool {
         self.now < self.out_until
     }
 
@@ -294,36 +294,36 @@
 
     /// Cuts the owner off, with the workers of the south: from the state service, the cloud, the
     /// other controllers and the north. Another takes over outside.
-    fn part(&mut self) {
+    fn begin_partition(&mut self) {
         let newest = self.owners.len() - 1;
         self.owners.drain(..newest);
         let long = self.rng.random_range(15.0..45.0);
         self.take_over();
-        self.apart = Some((self.now, self.now + Micros::from_secs(long)));
+        self.partition = Some((self.now, self.now + Micros::from_secs(long)));
     }
 
     /// Whether an owner is the one that is cut off.
     fn cut_off(&self, owner: usize) -> bool {
-        self.apart.is_some() && owner == 0 && self.owners.len() > 1
+        self.partition.is_some() && owner == 0 && self.owners.len() > 1
     }
 
     /// Whether an owner answers workers: only until cancellations that it cannot see might be due.
-    fn answers(&self, owner: usize) -> bool {
+    fn may_answer(&self, owner: usize) -> bool {
         self.owners[owner].view.may_act(self.now)
     }
 
     /// Which owner a worker's report reaches, if any.
     fn reached(&mut self, w: usize) -> Option<usize> {
         let last = self.owners.len().checked_sub(1)?;
-        if self.apart.is_some() {
+        if self.partition.is_some() {
             if self.workers[w].state.zone == "north" {
                 return Some(last);
             }
-            return (last > 0 && self.answers(0)).then_some(0);
+            return (last > 0 && self.may_answer(0)).then_some(0);
         }
         if self.workers[w].stays {
             let old = (0..last).find(|i| self.owners[*i].blind_until > self.now);
-            if let Some(i) = old.filter(|i| self.answers(*i)) {
+            if let Some(i) = old.filter(|i| self.may_answer(*i)) {
                 return Some(i);
             }
         }
@@ -331,7 +331,7 @@
         // worker of the newest goes to one that lost the state service, and tells it.
         let blind = self.owners[..last].iter().any(|o| o.blind_until > self.now);
         let i = if !blind && self.chance(0.15) { self.rng.random_range(0..=last) } else { last };
-        self.answers(i).then_some(i)
+        self.may_answer(i).then_some(i)
     }
 
     fn submit(&mut self, n: u32) {
@@ -384,8 +384,8 @@
         }
     }
 
-    fn users(&mut self) {
-        if self.out() || self.owners.is_empty() {
+    fn cancel_as_asked(&mut self) {
+        if self.state_service_out() || self.owners.is_empty() {
             return;
         }
         let due: Vec<String> = self.asking.iter().filter(|a| *a.1 <= self.now).map(|a| a.0.clone()).collect();
@@ -408,8 +408,8 @@
         }
     }
 
-    fn watch(&mut self) {
-        if self.out() {
+    fn read_changes(&mut self) {
+        if self.state_service_out() {
             return;
         }
         let skipped = usize::from(self.cut_off(0));
@@ -430,7 +430,7 @@
             let now = self.now;
             // Only the newest owner's lease is renewed, and not always.
             let newest = i + 1 == self.owners.len();
-            let blind = self.out() || now < self.owners[i].blind_until;
+            let blind = self.state_service_out() || now < self.owners[i].blind_until;
             let renewed = newest && !blind && !self.chance(0.2);
             let o = &mut self.owners[i];
             if renewed {
@@ -449,7 +449,7 @@
         }
         // An owner whose part was taken has learnt it from the guard.
         let mut keep = Vec::new();
-        let (now, out, cut_off) = (self.now, self.out(), self.cut_off(0));
+        let (now, out, cut_off) = (self.now, self.state_service_out(), self.cut_off(0));
         for (i, o) in std::mem::take(&mut self.owners).into_iter().enumerate() {
             // Now and then an old owner does not try to write and so lives on.
             if o.controller.holds_part(&self.store)
@@ -497,7 +497,7 @@
     /// Brings a report to an owner: what it answers. One that learns of a higher token is gone.
     fn deliver(&mut self, i: usize, r: &Report) -> Option<ReportReply> {
         let now = self.now;
-        if !self.answers(i) {
+        if !self.may_answer(i) {
             return None;
         }
         match self.owners[i].controller.fleet.check_in(r, now, wall_at(now)) {
@@ -510,7 +510,7 @@
         }
     }
 
-    fn carry(&mut self) {
+    fn exchange_reports(&mut self) {
         for w in 0..self.workers.len() {
             if self.now < self.workers[w].hung_until || self.now < self.workers[w].cut_until {
                 continue;
@@ -523,7 +523,7 @@
                 // Answers to an earlier session are dropped, and those that took too long.
                 let deaf = self.now < self.workers[w].deaf_until;
                 if session == self.workers[w].state.session && self.now - sent <= PATIENCE && !deaf {
-                    self.obey(w, &reply, sent);
+                    self.execute_orders(w, &reply, sent);
                 }
             }
             if self.now < self.workers[w].due {
@@ -566,7 +566,7 @@
                 continue;
             }
             let now = self.now;
-            self.obey(w, &reply, now);
+            self.execute_orders(w, &reply, now);
         }
         let now = self.now;
         let ready = take_due(&mut self.late_reports, now);
@@ -582,7 +582,7 @@
             let i = if self.chance(0.2) { self.rng.random_range(0..=last) } else { last };
             let _ = self.deliver(i, &r);
         }
-        if self.out() {
+        if self.state_service_out() {
             return;
         }
         for t in take_due(&mut self.late_txns, now) {
@@ -592,7 +592,7 @@
 
     /// Direct commands that bring the newest owner's token to machines that it has not heard. They
     /// may be executed late, and answered late or never.
-    fn raise(&mut self) {
+    fn raise_tokens(&mut self) {
         if let Some(o) = self.owners.last() {
             let token = o.controller.fleet.token;
             let unheard: Vec<(String, u64)> = o
@@ -604,7 +604,7 @@
                 .map(|m| (m.id.to_string(), m.seen.0.max(1)))
                 .collect();
             for (machine, session) in unheard {
-                let away = self.apart.is_some()
+                let away = self.partition.is_some()
                     && self.workers.iter().any(|w| w.state.id == machine && w.state.zone == "south");
                 if away || !self.rng.random_bool(self.faults.raise) {
                     continue;
@@ -647,7 +647,7 @@
     }
 
     /// A worker executes an answer to a report that it sent at a moment.
-    fn obey(&mut self, w: usize, reply: &ReportReply, sent: Steady) {
+    fn execute_orders(&mut self, w: usize, reply: &ReportReply, sent: Steady) {
         let now = self.now;
         let worker = &mut self.workers[w].state;
         if !worker.accept_answer(reply.token, sent) {
@@ -676,7 +676,7 @@
         }
     }
 
-    fn work(&mut self) {
+    fn run_tasks(&mut self) {
         let now = self.now;
         for w in 0..self.workers.len() {
             // A machine that hangs looks at its lease before all else when it goes on, so that nothing
@@ -695,13 +695,13 @@
                     TaskStage::Fetching if (now - t.since).secs() >= 1.0 => {
                         self.check_start(w, &k.0, &id);
                         let stage = if gang { TaskStage::Waiting } else { TaskStage::Running };
-                        self.set(w, &k, stage, None);
+                        self.enter(w, &k, stage, None);
                     }
                     TaskStage::Waiting => {
                         if self.mates(&id, k.1) == self.specs[&id].tasks {
-                            self.set(w, &k, TaskStage::Running, None);
+                            self.enter(w, &k, TaskStage::Running, None);
                         } else if (now - t.since).secs() > 40.0 {
-                            self.set(w, &k, TaskStage::Exited, Some(Why::Alone));
+                            self.enter(w, &k, TaskStage::Exited, Some(Why::Alone));
                         }
                     }
                     TaskStage::Running => {
@@ -709,11 +709,11 @@
                         if gang && !self.finished.contains(&k.0) {
                             if self.mates(&id, k.1) < self.specs[&id].tasks {
                                 if (now - t.since).secs() > 8.0 {
-                                    self.set(w, &k, TaskStage::Exited, Some(Why::Peers));
+                                    self.enter(w, &k, TaskStage::Exited, Some(Why::Peers));
                                 }
                                 continue;
                             }
-                            self.set(w, &k, TaskStage::Running, None);
+                            self.enter(w, &k, TaskStage::Running, None);
                         }
                         let left = t.left - STEP;
                         if let Some(t) = self.workers[w].state.tasks.get_mut(&k) {
@@ -737,7 +737,12 @@
                                 self.occurred += 1;
                             }
                         }
-                        self.set(w, &k, TaskStage::Exited, Some(if error { Why::Error } else { Why::Done }));
+                        self.enter(
+                            w,
+                            &k,
+                            TaskStage::Exited,
+                            Some(if error { Why::Error } else { Why::Done }),
+                        );
                     }
                     _ => {}
                 }
@@ -754,7 +759,7 @@
         of.count() as u32
     }
 
-    fn set(&mut self, w: usize, k: &Attempt, stage: TaskStage, why: Option<Why>) {
+    fn enter(&mut self, w: usize, k: &Attempt, stage: TaskStage, why: Option<Why>) {
         let now = self.now;
         if let Some(t) = self.workers[w].state.tasks.get_mut(k) {
             t.enter(stage, why, now);
@@ -908,7 +913,11 @@
                 self.cancel_there(Some(w));
             }
         }
-        if self.chance(blind) && self.apart.is_none() && self.next_owner.is_none() && !self.out() {
+        if self.chance(blind)
+            && self.partition.is_none()
+            && self.next_owner.is_none()
+            && !self.state_service_out()
+        {
             self.lose_state();
         }
         if self.chance(away) {
@@ -938,7 +947,7 @@
             asking.into_iter().for_each(|id| {
                 self.asking.insert(id, now);
             });
-            self.users();
+            self.cancel_as_asked();
             self.out_until = self.soon(self.cancel.secs() + 1.0, 1.5 * self.cancel.secs());
         } else {
             self.next_owner = Some(self.soon(0.5, 8.0));
@@ -946,8 +955,8 @@
     }
 
     /// Owners change, unless none can.
-    fn change(&mut self, i: u32) {
-        if self.out() || self.now < self.away_until {
+    fn change_owner(&mut self, i: u32) {
+        if self.state_service_out() || self.now < self.away_until {
             return;
         }
         if self.next_owner.is_some_and(|at| at <= self.now) {
@@ -956,20 +965,20 @@
             return;
         }
         let every = self.faults.change_every.map(|s| ((s * 4.0) as u32).max(1));
-        if self.faults.part && self.apart.is_none() && i % 400 == 200 && !self.owners.is_empty() {
-            self.part();
+        if self.faults.partition && self.partition.is_none() && i % 400 == 200 && !self.owners.is_empty() {
+            self.begin_partition();
         } else if self.owners.is_empty() {
             self.take_over();
-        } else if self.apart.is_none() && every.is_some_and(|e| i % e == e - 1) {
+        } else if self.partition.is_none() && every.is_some_and(|e| i % e == e - 1) {
             self.occurred += 1;
             self.take_over();
-        } else if self.apart.is_none() && self.rng.random_bool(self.faults.change) {
+        } else if self.partition.is_none() && self.rng.random_bool(self.faults.change) {
             self.take_over();
         }
     }
 
     /// What the cloud lists now; owners see it a little later, or an older list once more.
-    fn list(&mut self) {
+    fn list_machines(&mut self) {
         if self.rng.random_bool(0.25) {
             let list = self.workers.iter().map(|w| ListedMachine {
                 id: w.state.id.clone(),
@@ -995,7 +1004,7 @@
     fn machines(&mut self) {
         self.spells();
         if self.faults.busy {
-            self.list();
+            self.list_machines();
         }
         if self.chance(self.faults.taken) {
             let i = self.rng.random_range(0..self.workers.len());
@@ -1029,20 +1038,20 @@
 
     fn step(&mut self) {
         self.now = self.now + STEP;
-        self.apart = self.apart.filter(|a| self.now < a.1 && self.faulty);
+        self.partition = self.partition.filter(|a| self.now < a.1 && self.faulty);
         if self.rng.random_bool(0.6) {
-            self.watch();
+            self.read_changes();
         }
-        self.raise();
-        self.carry();
-        self.work();
+        self.raise_tokens();
+        self.exchange_reports();
+        self.run_tasks();
         self.write();
         self.machines();
-        self.users();
+        self.cancel_as_asked();
         self.check();
     }
 
-    fn open(&self) -> usize {
+    fn open_jobs(&self) -> usize {
         self.store.rows("job/").len()
     }
 }
@@ -1053,7 +1062,7 @@
     let mut n = 0;
     for i in 0..faults.steps {
         // As many jobs in a short simulation as in a long one, so that there is more work than room.
-        if i % (faults.steps / 40).min(40) == 0 && n < faults.jobs && !w.out() {
+        if i % (faults.steps / 40).min(40) == 0 && n < faults.jobs && !w.state_service_out() {
             n += 1;
             w.submit(n);
         }
@@ -1062,7 +1071,7 @@
             let now = w.now;
             w.ask(&id, now);
         }
-        w.change(i);
+        w.change_owner(i);
         w.step();
     }
     // The faults are over: everything that was accepted gets done.
@@ -1083,13 +1092,13 @@
         if i % 4 == 0 {
             w.check_waiting(seed);
         }
-        if w.open() == 0 {
+        if w.open_jobs() == 0 {
             break;
         }
     }
     // More than 50 of 24 jobs, and as many for each job of a simulation with fewer.
     assert!(w.starts * 24 > 50 * faults.jobs as usize, "seed {seed}: the simulation stood still");
-    assert_eq!(w.open(), 0, "seed {seed}: accepted work was left undone: {:?}", w.store.rows("job/"));
+    assert_eq!(w.open_jobs(), 0, "seed {seed}: accepted work was left undone: {:?}", w.store.rows("job/"));
     assert!(w.store.rows("done/").len() <= 2, "seed {seed}: chunks of jobs that are over are left behind");
     w.occurred
 }
@@ -1109,7 +1118,7 @@
 /// Shorter simulations, of two and a half minutes, in which only some machines are cut off beside what a
 /// combination is about.
 const SHORT: Faults =
-    Faults { steps: 600, jobs: 15, part: false, cut: 0.003, taken: 0.002, busy: true, ..COMMON };
+    Faults { steps: 600, jobs: 15, partition: false, cut: 0.003, taken: 0.002, busy: true, ..COMMON };
 
 #[test]
 fn late_transactions_after_newer_ones_meet_changes_of_owner() {
@@ -1191,7 +1200,7 @@
 
 #[test]
 fn a_zone_is_cut_off_with_an_owner_that_answers_for_longer_than_other_leases_run() {
-    let t = Faults { cancel_s: 100.0, steps: 1000, part: true, long: 100.0, ..SHORT };
+    let t = Faults { cancel_s: 100.0, steps: 1000, partition: true, long: 100.0, ..SHORT };
     simulate_all(1301..=1324, 0, &t);
 }
 
@@ -1215,7 +1224,7 @@
 
 /// All at once.
 const ALL: Faults = Faults {
-    part: true,
+    partition: true,
     late_writes: 0.15,
     copies: 0.1,
     held: 0.03,
