Tests: one model of the state service's answers, small modules in tests/common

The tests with whole controllers, of claims and end to end answer reads and transactions by the same code; leases, refusals and waiting watches stay where they differ.

--- a/tests/cancellation_in_outage.rs
+++ b/tests/cancellation_in_outage.rs
@@ -10,9 +10,11 @@
 use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
+use common::servers::{cloud, serve_some};
+use common::state_service::{answer_read, answer_transaction, parameter, transaction};
 use common::store::Store;
 use common::worker::{Task, WorkerState};
-use common::{cloud, platform_json, serve_some, spec, LEASE};
+use common::{platform_json, spec, LEASE};
 use milletlock::config::{Config, Operator, Platform};
 use milletlock::http::{self, Client, Lane, Reply, Request, Response, Room};
 use milletlock::node::Node;
@@ -37,7 +39,7 @@
     keys: BTreeSet<String>,
 }
 
-/// The state service, with leases by the test's time.
+/// The state service, with leases by the test's time; only here do leases matter, so it stands here.
 #[derive(Default)]
 struct StateService {
     store: Store,
@@ -76,27 +78,10 @@
 
     fn answer(&mut self, node: usize, r: &Request, now: i64) -> Option<Response> {
         self.expire(now);
-        let (path, query) = r.path.split_once('?').unwrap_or((&r.path, ""));
-        let param = |k: &str| query.split('&').find_map(|p| p.strip_prefix(&format!("{k}="))).unwrap_or("");
-        let revision = self.store.revision;
-        if self.out || self.refused.contains(&node) {
-            // A watch that had been open stays silent, and its time runs out.
-            let open = path == "/watch" && param("blockMs") != "0";
-            let silent = json!({ "harvest": revision, "events": [] });
-            return Some(if open {
-                Response::json(200, &silent)
-            } else {
-                Response::error(503, "unavailable")
-            });
-        }
-        if node == 0 && self.no_reads && r.method == "GET" {
-            let silent = path == "/watch" && param("blockMs") != "0";
-            let events = json!({ "harvest": revision, "events": [] });
-            return Some(if silent {
-                Response::json(200, &events)
-            } else {
-                Response::error(503, "unavailable")
-            });
+        let path = r.path.split('?').next().unwrap_or("");
+        let unreadable = node == 0 && self.no_reads && r.method == "GET";
+        if self.out || self.refused.contains(&node) || unreadable {
+            return Some(self.refuse(path, r));
         }
         let lease_of = |p: &str| p.split('/').nth(2).and_then(|l| l.parse::<u64>().ok()).unwrap_or(0);
         Some(match (r.method.as_str(), path) {
@@ -119,31 +104,21 @@
                 Response::json(200, &json!({}))
             }
             ("POST", "/txn") => return self.txn(r),
-            ("GET", "/keys") => {
-                let rows = self.store.rows(param("starts"));
-                Response::json(200, &json!({ "rows": rows, "more": false, "harvest": revision }))
-            }
-            ("GET", "/watch") => {
-                let (prefix, from) = (param("starts"), param("from").parse().unwrap_or(0));
-                let since = self.store.changes_since(from).iter().filter(|l| l.1.starts_with(prefix));
-                let events: Vec<Value> = since
-                    .map(|l| match &l.2 {
-                        Some(v) => json!({ "put": l.1, "value": v, "stamp": l.0 }),
-                        None => json!({ "drop": l.1, "stamp": l.0 }),
-                    })
-                    .collect();
-                Response::json(200, &json!({ "harvest": revision, "events": events }))
-            }
-            ("GET", p) => match self.store.row(p.trim_start_matches("/keys/")) {
-                Some(row) => Response::json(200, &row),
-                None => Response::json(404, &json!({ "harvest": revision })),
-            },
+            ("GET", _) => answer_read(&self.store, r),
             _ => Response::error(404, "no such path"),
         })
     }
 
+    /// A watch that had been open stays silent, and its time runs out; all else is refused.
+    fn refuse(&self, path: &str, r: &Request) -> Response {
+        if path == "/watch" && parameter(r, "blockMs") != "0" {
+            return Response::json(200, &json!({ "harvest": self.store.revision, "events": [] }));
+        }
+        Response::error(503, "unavailable")
+    }
+
     fn txn(&mut self, r: &Request) -> Option<Response> {
-        let t: Txn = serde_json::from_slice(&r.body).expect("a transaction");
+        let t = transaction(r);
         let leases: Vec<u64> = t
             .then
             .iter()
@@ -167,10 +142,7 @@
             self.unanswered -= 1;
             return None;
         }
-        Some(match done {
-            Ok(revision) => Response::json(200, &json!({ "harvest": revision })),
-            Err(keys) => Response::json(409, &json!({ "failed": keys, "harvest": self.store.revision })),
-        })
+        Some(answer_transaction(&self.store, done))
     }
 }
 
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -4,7 +4,8 @@
 
 use std::sync::{Arc, Mutex};
 
-use common::serve_some;
+use common::servers::serve_some;
+use common::state_service::{answer_read, transaction};
 use common::store::Store;
 use milletlock::cluster;
 use milletlock::http::Response;
@@ -39,7 +40,7 @@
                 Response::json(200, &json!({}))
             }
             ("POST", "/txn") => {
-                let t: Txn = serde_json::from_slice(&r.body).expect("a transaction");
+                let t = transaction(&r);
                 match s.late.take() {
                     None => s.late = Some(t),
                     Some(first) => {
@@ -49,10 +50,7 @@
                 }
                 return None;
             }
-            ("GET", path) => match s.store.row(path.trim_start_matches("/keys/")) {
-                Some(row) => Response::json(200, &row),
-                None => Response::json(404, &json!({ "harvest": s.store.revision })),
-            },
+            ("GET", _) => answer_read(&s.store, &r),
             _ => Response::error(404, "no such path"),
         })
     });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,21 +1,20 @@
-//! Stand-ins and builders shared by the tests.
+//! Shared by the tests: settings and builders here, models of the parts of a cluster in the modules.
 #![allow(dead_code)]
 
 pub mod clock;
 pub mod controllers;
+pub mod planner;
+pub mod servers;
+pub mod state_service;
 pub mod store;
 pub mod worker;
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 
 use milletlock::config::{Config, Operator, Platform};
-use milletlock::http::{self, Lane, Reply, Request, Response, Room};
 use milletlock::jobs::JobRecord;
-use milletlock::sched::{Class, Need};
 use milletlock::time::Micros;
-use milletlock::wire::{JobSpec, MachineType, Rank, Report, TaskReport, TaskStage, Why};
+use milletlock::wire::{JobSpec, MachineType, Report, TaskReport, TaskStage, Why};
 use serde_json::{json, Value};
 
 /// The workers' lease in these settings.
@@ -114,69 +113,3 @@
             .collect(),
     }
 }
-
-/// Whole seconds.
-pub fn secs(s: i64) -> Micros {
-    Micros(s * 1_000_000)
-}
-
-/// So many processors, and as much memory.
-pub fn need(cpus: f64) -> Need {
-    Need { cpus, gpus: 0.0, memory: cpus }
-}
-
-/// An array's class of one-processor tasks on the first type.
-pub fn class(count: u32, adjusted: i64, waited: i64) -> Class {
-    Class {
-        rank: Rank::Normal,
-        raised: None,
-        team: 0,
-        guaranteed: false,
-        count,
-        tasks: count,
-        gang: false,
-        need: need(1.0),
-        types: vec![0],
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        image: None,
-        image_gb: 0.0,
-        adjusted: secs(adjusted),
-        waited: secs(waited),
-        zones: vec![0, 0],
-        lost: 0,
-        patience: secs(10),
-    }
-}
-
-/// Serves requests on a port of its own until the test ends; one that is not answered has its
-/// connection closed.
-pub fn serve_some(f: impl Fn(Request) -> Option<Response> + Send + Sync + 'static) -> SocketAddr {
-    let l = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = l.local_addr().expect("an address");
-    let room = Room { connections: 100, bulk_connections: 100, prompt_threads: 50, bulk_threads: 1 };
-    let handler = Arc::new(move |r: Request, reply: Reply| match f(r) {
-        Some(answer) => reply.send(&answer),
-        None => drop(reply),
-    });
-    let service = http::Service { lane: |_| Lane::Prompt, handler };
-    std::thread::spawn(move || http::serve(l, room, Arc::new(AtomicBool::new(false)), service));
-    addr
-}
-
-/// The same, answering all.
-pub fn serve(f: impl Fn(Request) -> Response + Send + Sync + 'static) -> SocketAddr {
-    serve_some(move |r| Some(f(r)))
-}
-
-/// A cloud with the usual types, no machines and none to rent.
-pub fn cloud() -> SocketAddr {
-    serve(|r| match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
-        ("GET", "/catalog") => Response::json(200, &json!({ "breeds": types() })),
-        ("GET", "/rentals") => Response::json(200, &json!({ "husks": [], "more": false })),
-        ("POST", "/rentals/return") => Response::json(200, &json!({})),
-        _ => Response::error(503, "no capacity"),
-    })
-}
--- /dev/null
+++ b/tests/common/planner.rs
@@ -0,0 +1,41 @@
+//! Builders for the tests of the planner.
+
+use milletlock::sched::{Class, Need};
+use milletlock::time::Micros;
+use milletlock::wire::Rank;
+
+/// Whole seconds.
+pub fn secs(s: i64) -> Micros {
+    Micros(s * 1_000_000)
+}
+
+/// So many processors, and as much memory.
+pub fn need(cpus: f64) -> Need {
+    Need { cpus, gpus: 0.0, memory: cpus }
+}
+
+/// An array's class of one-processor tasks on the first type.
+pub fn class(count: u32, adjusted: i64, waited: i64) -> Class {
+    Class {
+        rank: Rank::Normal,
+        raised: None,
+        team: 0,
+        guaranteed: false,
+        count,
+        tasks: count,
+        gang: false,
+        need: need(1.0),
+        types: vec![0],
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: None,
+        image_gb: 0.0,
+        adjusted: secs(adjusted),
+        waited: secs(waited),
+        zones: vec![0, 0],
+        lost: 0,
+        patience: secs(10),
+    }
+}
--- /dev/null
+++ b/tests/common/servers.rs
@@ -0,0 +1,40 @@
+//! HTTP servers that stand in for what a controller calls.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+use milletlock::http::{self, Lane, Reply, Request, Response, Room};
+use serde_json::json;
+
+use super::types;
+
+/// Serves requests on a port of its own until the test ends; one that is not answered has its
+/// connection closed.
+pub fn serve_some(f: impl Fn(Request) -> Option<Response> + Send + Sync + 'static) -> SocketAddr {
+    let l = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = l.local_addr().expect("an address");
+    let room = Room { connections: 100, bulk_connections: 100, prompt_threads: 50, bulk_threads: 1 };
+    let handler = Arc::new(move |r: Request, reply: Reply| match f(r) {
+        Some(answer) => reply.send(&answer),
+        None => drop(reply),
+    });
+    let service = http::Service { lane: |_| Lane::Prompt, handler };
+    std::thread::spawn(move || http::serve(l, room, Arc::new(AtomicBool::new(false)), service));
+    addr
+}
+
+/// The same, answering all.
+pub fn serve(f: impl Fn(Request) -> Response + Send + Sync + 'static) -> SocketAddr {
+    serve_some(move |r| Some(f(r)))
+}
+
+/// A cloud with the usual types, no machines and none to rent.
+pub fn cloud() -> SocketAddr {
+    serve(|r| match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
+        ("GET", "/catalog") => Response::json(200, &json!({ "breeds": types() })),
+        ("GET", "/rentals") => Response::json(200, &json!({ "husks": [], "more": false })),
+        ("POST", "/rentals/return") => Response::json(200, &json!({})),
+        _ => Response::error(503, "no capacity"),
+    })
+}
--- /dev/null
+++ b/tests/common/state_service.rs
@@ -0,0 +1,63 @@
+//! How the state service answers requests, from the keys as they stand. Leases, refusals, lost answers and
+//! watches that wait each test models for itself.
+
+use milletlock::http::{Request, Response};
+use milletlock::wire::Txn;
+use serde_json::{json, Value};
+
+use super::store::Store;
+
+/// A parameter of a request's query; empty if it is not there.
+pub fn parameter<'a>(request: &'a Request, name: &str) -> &'a str {
+    let query = request.path.split_once('?').map_or("", |parts| parts.1);
+    let value = |pair: &'a str| pair.split_once('=').filter(|p| p.0 == name).map(|p| p.1);
+    query.split('&').find_map(value).unwrap_or("")
+}
+
+/// The transaction that a request asks for.
+pub fn transaction(request: &Request) -> Txn {
+    serde_json::from_slice(&request.body).expect("a transaction")
+}
+
+/// Answers a transaction by its result.
+pub fn answer_transaction(store: &Store, result: Result<u64, Vec<String>>) -> Response {
+    match result {
+        Ok(revision) => Response::json(200, &json!({ "harvest": revision })),
+        Err(keys) => Response::json(409, &json!({ "failed": keys, "harvest": store.revision })),
+    }
+}
+
+/// Answers a list of keys, a watch (at once) or the read of a key.
+pub fn answer_read(store: &Store, request: &Request) -> Response {
+    let path = request.path.split('?').next().unwrap_or("");
+    match path {
+        "/keys" => {
+            let rows = store.rows(parameter(request, "starts"));
+            Response::json(200, &json!({ "rows": rows, "more": false, "harvest": store.revision }))
+        }
+        "/watch" => {
+            let (prefix, from) = watched(request);
+            Response::json(200, &json!({ "harvest": store.revision, "events": events(store, prefix, from) }))
+        }
+        key => match store.row(key.trim_start_matches("/keys/")) {
+            Some(row) => Response::json(200, &row),
+            None => Response::json(404, &json!({ "harvest": store.revision })),
+        },
+    }
+}
+
+/// What a watch asks for: the keys' prefix, and the revision after which it wants changes.
+pub fn watched(request: &Request) -> (&str, u64) {
+    (parameter(request, "starts"), parameter(request, "from").parse().unwrap_or(0))
+}
+
+/// The changes of keys with a prefix after a revision.
+pub fn events(store: &Store, prefix: &str, from: u64) -> Vec<Value> {
+    let changes = store.changes_since(from).iter().filter(|change| change.1.starts_with(prefix));
+    changes
+        .map(|(revision, key, value)| match value {
+            Some(value) => json!({ "put": key, "value": value, "stamp": revision }),
+            None => json!({ "drop": key, "stamp": revision }),
+        })
+        .collect()
+}
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -9,14 +9,16 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use common::servers::{cloud, serve};
+use common::state_service::{answer_read, answer_transaction, events, parameter, transaction, watched};
 use common::store::Store;
-use common::{cloud, platform_json, serve, spec};
+use common::{platform_json, spec};
 use milletlock::config::{Config, Operator, Platform};
 use milletlock::http::{Client, Response};
 use milletlock::node::Node;
 use milletlock::peer::{self, Call};
 use milletlock::time::Micros;
-use milletlock::wire::{Order, ReportReply, TaskStage, Txn, Why};
+use milletlock::wire::{Order, ReportReply, TaskStage, Why};
 use serde_json::{json, Value};
 
 /// The state service, as far as the controller uses it.
@@ -35,45 +37,22 @@
             return Response::error(503, "trouble");
         }
         let mut s = store.lock().expect("the store");
-        let (path, query) = r.path.split_once('?').unwrap_or((&r.path, ""));
-        let param = |k: &str| {
-            query.split('&').find_map(|p| p.strip_prefix(&format!("{k}="))).unwrap_or("").to_string()
-        };
+        let path = r.path.split('?').next().unwrap_or("");
         match (r.method.as_str(), path) {
             ("POST", "/leases") => Response::json(200, &json!({ "tenure": 1 })),
             ("POST", p) if p.ends_with("/renew") => Response::json(200, &json!({})),
             ("POST", "/txn") => {
-                let done = s.txn(&serde_json::from_slice::<Txn>(&r.body).expect("a transaction"));
+                let done = s.txn(&transaction(&r));
                 changed.notify_all();
-                match done {
-                    Ok(rev) => Response::json(200, &json!({ "harvest": rev })),
-                    Err(keys) => Response::json(409, &json!({ "failed": keys, "harvest": s.revision })),
-                }
-            }
-            ("GET", "/keys") => {
-                let rows = s.rows(&param("starts"));
-                Response::json(200, &json!({ "rows": rows, "more": false, "harvest": s.revision }))
+                answer_transaction(&s, done)
             }
             ("GET", "/watch") => {
-                let (prefix, from) = (param("starts"), param("from").parse().unwrap_or(0));
-                let block = Duration::from_millis(param("blockMs").parse().unwrap_or(0));
-                let quiet = |s: &mut Store| !s.log.iter().any(|l| l.0 > from && l.1.starts_with(&prefix));
-                let s = changed.wait_timeout_while(s, block, quiet).expect("the store").0;
-                let events: Vec<Value> = s
-                    .log
-                    .iter()
-                    .filter(|l| l.0 > from && l.1.starts_with(&prefix))
-                    .map(|l| match &l.2 {
-                        Some(v) => json!({ "put": l.1, "value": v, "stamp": l.0 }),
-                        None => json!({ "drop": l.1, "stamp": l.0 }),
-                    })
-                    .collect();
-                Response::json(200, &json!({ "harvest": s.revision, "events": events }))
+                let (prefix, from) = watched(&r);
+                let block = Duration::from_millis(parameter(&r, "blockMs").parse().unwrap_or(0));
+                let quiet = |s: &mut Store| events(s, prefix, from).is_empty();
+                answer_read(&changed.wait_timeout_while(s, block, quiet).expect("the store").0, &r)
             }
-            ("GET", p) => match s.row(p.trim_start_matches("/keys/")) {
-                Some(row) => Response::json(200, &row),
-                None => Response::json(404, &json!({ "harvest": s.revision })),
-            },
+            ("GET", _) => answer_read(&s, &r),
             _ => Response::error(404, "no such path"),
         }
     })
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{class as job, need, secs};
+use common::planner::{class as job, need, secs};
 use milletlock::sched::{plan, top_up, Class, Held, Keep, Need, Plan, Room, Snapshot, Start, TeamUse};
 use milletlock::time::Micros;
 use milletlock::wire::Rank;
@@ -418,7 +418,7 @@
 
 #[test]
 fn the_queue_goes_by_rank_then_by_the_cubed_ratio_times_size() {
-    let base = common::class(2, 10, 20);
+    let base = common::planner::class(2, 10, 20);
     // (20/10)^3 x 2 = 16; (30/10)^3 x 1 = 27; (20/10)^3 x 4 = 32; urgent whatever its score.
     let b = Class { waited: secs(30), count: 1, ..base.clone() };
     let c = Class { count: 4, ..base.clone() };
@@ -501,9 +501,9 @@
         need: need(2.0),
         types: vec![1],
         patience: secs(-1),
-        ..common::class(2, 30, 40)
+        ..common::planner::class(2, 30, 40)
     };
-    let small = Class { rank: Rank::Idle, ..common::class(8, 20, 5) };
+    let small = Class { rank: Rank::Idle, ..common::planner::class(8, 20, 5) };
     let snapshot = |large: f64, classes: Vec<Class>| Snapshot {
         zones: 2,
         rooms: vec![room(0, 8.0, vec![held.clone(); 8]), room(1, large, Vec::new())],
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{class, need, secs};
+use common::planner::{class, need, secs};
 use milletlock::capacity::{Offer, Policy, Upkeep, View, Warm};
 use milletlock::sched::{plan, Class, Held, Keep, Room, Snapshot};
 use milletlock::time::Micros;
