--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -676,6 +676,8 @@
         }
     }
 
+    /// Sessions end and tasks go on, at random. fault_combinations.rs models tasks otherwise on purpose: see
+    /// there.
     fn run_tasks(&mut self) {
         let now = self.now;
         for w in 0..self.workers.len() {
@@ -766,7 +768,7 @@
         }
     }
 
-    /// The rules, at the moment a task starts.
+    /// The rules, at the moment a task has fetched and starts: here only executing tasks count.
     fn check_start(&self, w: usize, task: &str, id: &str) {
         let s = &self.specs[id];
         let on = |m: &Worker| m.state.executing().filter(|k| job_of(&k.0) == id).count() as u32;
