--- a/src/node/announce.rs
+++ b/src/node/announce.rs
@@ -55,7 +55,7 @@
             .collect();
         for w in sent {
             if let Ok(Outcome::Ack(a)) = w.wait() {
-                self.heard_token(a.token);
+                self.peer_answered(a.token);
             }
         }
     }
@@ -94,7 +94,7 @@
             match waiting.and_then(|w| w.wait()) {
                 Ok(Outcome::Ack(a)) => {
                     self.notices.lock().unwrap_or_else(|e| e.into_inner()).answered(to, &batch);
-                    self.heard_token(a.token);
+                    self.peer_answered(a.token);
                 }
                 Ok(Outcome::Answer(_)) => all = false,
                 Err(e) => {
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -21,7 +21,7 @@
 impl Node {
     /// Keeps an eye on the cloud's list and its prices. A long list takes several requests, which
     /// must not hold up renting.
-    pub(super) fn list(&self) {
+    pub(super) fn refresh_cloud(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
         let every = lag.scale(0.75).max(Micros::from_secs(2.0));
         let (mut listed, mut priced, mut last) = (Steady(0), Steady(0), 0u64);
@@ -56,7 +56,7 @@
     }
 
     /// Rents and returns.
-    pub(super) fn tend(&self) {
+    pub(super) fn rent_and_return(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
         let (mut counter, mut began) = (0u64, (0u64, Steady(0)));
         while !self.stopping() {
@@ -68,7 +68,7 @@
             if began.0 != token {
                 began = (token, self.now());
             }
-            self.give_back(token);
+            self.return_machines(token);
             // What the last owner rented shows in the list only after a while.
             if first || self.now() - began.1 > lag.scale(1.2) {
                 self.rent(token, &mut counter);
@@ -76,7 +76,7 @@
         }
     }
 
-    fn give_back(&self, token: u64) {
+    fn return_machines(&self, token: u64) {
         let ids = match self.lock().ownership.as_ref().filter(|o| o.claim.token == token) {
             Some(ownership) => ownership.fleet.leaving(),
             None => return,
@@ -104,7 +104,7 @@
     }
 
     fn rent(&self, token: u64, counter: &mut u64) {
-        let Some(wanted) = self.wanted(token) else { return };
+        let Some(wanted) = self.wanted_rentals(token) else { return };
         let mut refused = Vec::new();
         for (offer, request) in wanted {
             if refused.contains(&offer) {
@@ -128,7 +128,7 @@
     }
 
     /// The requests that bring what the owner lacks, still without names; none if it owns no more.
-    fn wanted(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
+    fn wanted_rentals(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
         let mut shared = self.lock();
         let ownership = shared.ownership.as_mut().filter(|o| o.claim.token == token)?;
         let mut requests = Vec::new();
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -35,7 +35,7 @@
                 let (next, list) = (&next, &list);
                 let send = move || {
                     while let Some(c) = list.get(next.fetch_add(1, Ordering::Relaxed)) {
-                        self.command_one(token, c);
+                        self.send_command(token, c);
                     }
                 };
                 // Without a routine more the others do its share.
@@ -45,7 +45,7 @@
         true
     }
 
-    fn command_one(&self, token: u64, command: &DirectCommand) {
+    fn send_command(&self, token: u64, command: &DirectCommand) {
         let DirectCommand { machine, address, session, orders } = command;
         // It may have reported by itself since the list was made.
         let due = |o: &Ownership| {
--- a/src/node/latency.rs
+++ b/src/node/latency.rs
@@ -14,7 +14,7 @@
 
 impl Node {
     /// Keeps how long a request took, and now and then says how long they take.
-    pub(super) fn timed(&self, path: &str, since: Steady) {
+    pub(super) fn record_latency(&self, path: &str, since: Steady) {
         let took = (self.now() - since).0.clamp(1, 60_000_000) as u64;
         let mut l = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
         let h = if path == REPORT_PATH { &mut l.workers } else { &mut l.users };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,7 +25,7 @@
 use rand::Rng;
 
 use self::latency::{histogram, Latencies};
-use self::ownership::share;
+use self::ownership::state_budget;
 use self::reports::DeferredReply;
 pub use self::status::STATUS;
 use crate::api;
@@ -122,7 +122,7 @@
         clock: Clock,
         stop: Arc<AtomicBool>,
     ) -> anyhow::Result<Arc<Node>> {
-        let (rps, writes) = share(&cfg, false);
+        let (rps, writes) = state_budget(&cfg, false);
         let p = &cfg.platform;
         let keep = Micros::from_secs(p.settings.workers.cancel_s);
         let now = clock.now();
@@ -182,8 +182,8 @@
             ("keeper", Node::keep),
             ("watcher", Node::watch),
             ("writer", Node::write),
-            ("cloud", Node::tend),
-            ("list", Node::list),
+            ("cloud", Node::rent_and_return),
+            ("list", Node::refresh_cloud),
             ("announcer", Node::announce),
             ("commander", Node::command),
             ("planner", Node::plan),
@@ -209,7 +209,7 @@
             let path = req.path.clone();
             node.serve(&req, reply);
             if path != HEALTH_PATH {
-                node.timed(&path, since);
+                node.record_latency(&path, since);
             }
         };
         let lane = |req: &Request| match req.path.as_str() {
@@ -256,7 +256,7 @@
                 let refused = || Response::error(503, "not now");
                 self.check_in(req, None).unwrap_or_else(refused)
             }
-            HEALTH_PATH if req.method == "GET" => self.up(),
+            HEALTH_PATH if req.method == "GET" => self.health(),
             REPORT_PATH | HEALTH_PATH => Response::error(405, "wrong method"),
             // For people on call, by the controllers' own interface: users' connections never
             // reach it.
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -27,7 +27,7 @@
         let lease = self.lock().ownership.as_ref().map(|o| (o.claim.lease, o.claim.token));
         match lease {
             Some((lease, token)) => {
-                self.hold(lease, token);
+                self.renew_lease(lease, token);
                 // The view rests on renewals too: with tight settings it must not age for long.
                 ttl.scale(0.3).min(self.cfg.blind_bound().scale(0.4)).max(Micros::from_millis(100))
             }
@@ -41,7 +41,7 @@
         }
     }
 
-    fn hold(&self, lease: u64, token: u64) {
+    fn renew_lease(&self, lease: u64, token: u64) {
         let begun = self.now();
         let r = self.state.renew(lease);
         let renewed = r.is_ok();
@@ -100,17 +100,17 @@
             let old = self.now() - self.started > Micros::from_secs(120.0);
             let first = if old { 60 } else { 5 };
             self.sleep(Micros::from_millis(rand::rng().random_range(first..first + 50)));
-            return self.take(ttl, 0);
+            return self.take_over(ttl, 0);
         }
         // Nobody leads, or an earlier life of this very process did.
         if self.now() < self.lock().no_claim_until {
             self.sleep(Micros::from_millis(300));
             return Ok(());
         }
-        self.take(ttl, stamp)
+        self.take_over(ttl, stamp)
     }
 
-    fn take(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
+    fn take_over(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
         if self.now() < self.lock().no_claim_until {
             return Ok(());
         }
@@ -155,7 +155,7 @@
             fleet.set_types(t.clone());
         }
         let now = self.now();
-        let (rps, writes) = share(&self.cfg, true);
+        let (rps, writes) = state_budget(&self.cfg, true);
         self.state.allow(rps, writes);
         tracing::info!(
             token = claim.token,
@@ -185,7 +185,7 @@
     pub(super) fn step_down(&self, shared: &mut SharedState, token: u64, why: &str) {
         shared.highest_token = shared.highest_token.max(token);
         if let Some(ownership) = shared.ownership.take() {
-            let (rps, writes) = share(&self.cfg, false);
+            let (rps, writes) = state_budget(&self.cfg, false);
             self.state.allow(rps, writes);
             tracing::info!(token = ownership.claim.token, higher = token, why, "gives its parts up");
             shared.leader = None;
@@ -197,7 +197,7 @@
 /// This node's share of the state service's requests and changes. The leader writes for all, so
 /// it is allowed more of the changes than the others. Those only accept and cancel, in bursts: their
 /// shares add up to more than there is, and what the service refuses then is tried again at once.
-pub(super) fn share(cfg: &Config, leads: bool) -> (f64, f64) {
+pub(super) fn state_budget(cfg: &Config, leads: bool) -> (f64, f64) {
     let st = &cfg.platform.settings.state;
     let others = cfg.nodes().saturating_sub(1) as f64;
     let (rps, writes) = match (cfg.nodes(), leads) {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -27,7 +27,7 @@
     }
 
     /// Another controller has answered, and knows this token.
-    pub(super) fn heard_token(&self, token: u64) {
+    pub(super) fn peer_answered(&self, token: u64) {
         let mut shared = self.lock();
         shared.last_peer_contact = self.now();
         if token > shared.highest_token {
@@ -53,9 +53,9 @@
     pub fn hear(&self, m: &Message) -> Outcome {
         self.lock().last_peer_contact = self.now();
         match m {
-            Message::Announce(s) => self.announced(s),
-            Message::Notify(n) => self.notified(n),
-            Message::Cancelled(c) => self.cancelled(c),
+            Message::Announce(s) => self.on_announcement(s),
+            Message::Notify(n) => self.on_job_news(n),
+            Message::Cancelled(c) => self.on_cancellations(c),
             Message::Relay(c) => {
                 let req = Request { method: c.method.clone(), path: c.path.clone(), body: c.body.clone() };
                 let r = if req.body.len() > http::MAX_BODY {
@@ -74,18 +74,22 @@
 
     /// Another controller has confirmed cancellations: what is left of the jobs is stopped, whether
     /// this owner can see their records or not.
-    fn cancelled(&self, list: &peer::Cancellations) -> Outcome {
+    fn on_cancellations(&self, list: &peer::Cancellations) -> Outcome {
         for c in &list.jobs {
             if !is_job_id(&c.id) {
                 tracing::error!(job = %c.id, "another controller tells of a malformed job");
                 continue;
             }
-            self.cancelled_at(&c.id, FinalRecord { stage: Stage::Cancelled, tasks: c.tasks }, c.revision);
+            self.apply_cancellation(
+                &c.id,
+                FinalRecord { stage: Stage::Cancelled, tasks: c.tasks },
+                c.revision,
+            );
         }
         Outcome::Ack(Ack { token: self.lock().highest_token })
     }
 
-    fn announced(&self, s: &Summary) -> Outcome {
+    fn on_announcement(&self, s: &Summary) -> Outcome {
         let mut shared = self.lock();
         if s.token > shared.highest_token {
             self.step_down(&mut shared, s.token, "another controller leads with a higher token");
@@ -98,7 +102,7 @@
         Outcome::Ack(Ack { token: shared.highest_token })
     }
 
-    fn notified(&self, n: &JobNews) -> Outcome {
+    fn on_job_news(&self, n: &JobNews) -> Outcome {
         let mut shared = self.lock();
         if let Some(ownership) = shared.ownership.as_mut() {
             if n.record.is_empty() {
--- a/src/node/planning.rs
+++ b/src/node/planning.rs
@@ -20,7 +20,7 @@
             ownership.fleet.starts_wait()
         });
         drop(shared);
-        self.answer_waiting();
+        self.answer_deferred();
         if writes {
             self.wake.notify_all();
         }
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -146,7 +146,7 @@
     }
 
     /// Answers those idle workers for whom a start may leave now, or who waited long enough.
-    pub(super) fn answer_waiting(&self) {
+    pub(super) fn answer_deferred(&self) {
         let mut shared = self.lock();
         let SharedState { ownership, deferred_replies, .. } = &mut *shared;
         let now = self.now();
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -18,7 +18,7 @@
     /// Whether users are well served here. Cut off from the state service and all others it can
     /// answer nothing but 503, while the others may serve; an outage for all is not told by being
     /// unhealthy, since it would take the longer to come back.
-    pub(super) fn up(&self) -> Response {
+    pub(super) fn health(&self) -> Response {
         let shared = self.lock();
         if shared.machine_types.is_none() {
             return Response::error(503, "starting");
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -94,10 +94,10 @@
             self.notices.lock().unwrap_or_else(|e| e.into_inner()).add(&c);
             self.notices_added.notify_one();
         }
-        self.cancelled_at(id, f, revision);
+        self.apply_cancellation(id, f, revision);
     }
 
-    pub(super) fn cancelled_at(&self, id: &str, f: FinalRecord, revision: u64) {
+    pub(super) fn apply_cancellation(&self, id: &str, f: FinalRecord, revision: u64) {
         self.learn_final(id, f, revision);
         if let Some(ownership) = self.lock().ownership.as_mut() {
             ownership.fleet.job_over(id, revision);
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -44,7 +44,7 @@
                 };
                 let to = if read { e.revision } else { e.events.iter().map(|e| e.stamp).max().unwrap_or(0) };
                 for e in e.events {
-                    take_change(&mut ownership.fleet, e, self.now());
+                    apply_change(&mut ownership.fleet, e, self.now());
                 }
                 ownership.fleet.has_read_to(to);
                 if read {
@@ -68,7 +68,7 @@
 }
 
 /// Takes in a change under the jobs' prefix.
-fn take_change(fleet: &mut Fleet, e: Event, now: Steady) {
+fn apply_change(fleet: &mut Fleet, e: Event, now: Steady) {
     if let Some(id) = e.drop.as_deref().and_then(|k| k.strip_prefix("job/")) {
         fleet.job_over(id, e.stamp);
     } else if e.put.is_some() {
