--- a/src/node/announce.rs
+++ b/src/node/announce.rs
@@ -13,6 +13,10 @@
 const NOTICE_RETRY_DELAY: Micros = Micros::from_millis(300);
 /// After this without a word from another controller, whether one can be heard is asked.
 const PEER_PROBE_AFTER: Micros = Micros::from_millis(1500);
+/// How long another controller has to answer an announcement or a notice.
+const MESSAGE_TIMEOUT: Micros = Micros::from_millis(900);
+/// Most jobs whose numbers are announced.
+const MAX_ANNOUNCED_JOBS: usize = 2000;
 
 impl Node {
     /// Tells the others who leads, about once a second, and what was cancelled, at once and until
@@ -49,9 +53,7 @@
         };
         let Some(s) = summary else { return };
         let sent: Vec<_> = (0..self.peers.count())
-            .filter_map(|to| {
-                self.peers.begin(to, Message::Announce(s.clone()), Micros::from_millis(900)).ok()
-            })
+            .filter_map(|to| self.peers.begin(to, Message::Announce(s.clone()), MESSAGE_TIMEOUT).ok())
             .collect();
         for w in sent {
             if let Ok(Outcome::Ack(a)) = w.wait() {
@@ -69,7 +71,7 @@
         Summary {
             leader: self.cfg.platform.label.clone(),
             token: ownership.claim.token,
-            jobs: ownership.fleet.jobs.keys().take(2000).filter_map(count).collect(),
+            jobs: ownership.fleet.jobs.keys().take(MAX_ANNOUNCED_JOBS).filter_map(count).collect(),
         }
     }
 
@@ -86,7 +88,7 @@
                 };
                 let message =
                     Message::Cancelled(peer::Cancellations { jobs: batch.iter().map(one).collect() });
-                (to, self.peers.begin(to, message, Micros::from_millis(900)), batch)
+                (to, self.peers.begin(to, message, MESSAGE_TIMEOUT), batch)
             })
             .collect();
         let mut all = true;
--- a/src/node/catalog.rs
+++ b/src/node/catalog.rs
@@ -8,10 +8,13 @@
 use crate::time::Micros;
 use crate::wire::{Change, Guard, MachineType, Txn};
 
+/// How long to wait before the machine types are asked for again.
+const RETRY_DELAY: Micros = Micros::from_millis(500);
+
 impl Node {
     pub(super) fn learn_types(&self) {
         while !self.stopping() && !self.learn_types_once() {
-            self.sleep(Micros::from_millis(500));
+            self.sleep(RETRY_DELAY);
         }
     }
 
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -17,23 +17,29 @@
 const NO_CAPACITY_BACKOFF: Micros = Micros::from_millis(10_000);
 /// The same after the cloud answered with an error, or not at all.
 const CLOUD_ERROR_BACKOFF: Micros = Micros::from_millis(2_000);
+/// Pause between rounds of looking at the cloud, and of renting and returning.
+const CLOUD_INTERVAL: Micros = Micros::from_millis(500);
+/// How often the cloud's list is read at the most.
+const MIN_LIST_INTERVAL: Micros = Micros::from_millis(2_000);
+/// How often the prices are read.
+const PRICES_INTERVAL: Micros = Micros::from_millis(45_000);
 
 impl Node {
     /// Keeps an eye on the cloud's list and its prices. A long list takes several requests, which
     /// must not hold up renting.
     pub(super) fn refresh_cloud(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
-        let every = lag.scale(0.75).max(Micros::from_secs(2.0));
+        let every = lag.scale(0.75).max(MIN_LIST_INTERVAL);
         let (mut listed, mut priced, mut last) = (Steady(0), Steady(0), 0u64);
         while !self.stopping() {
-            self.sleep(Micros::from_millis(500));
+            self.sleep(CLOUD_INTERVAL);
             let Some(token) = self.lock().ownership.as_ref().map(|o| o.claim.token) else { continue };
             let now = self.now();
             if last != token {
                 last = token;
                 listed = Steady(0);
             }
-            if now - priced > Micros::from_secs(45.0) {
+            if now - priced > PRICES_INTERVAL {
                 if let Ok(t) = self.cloud.catalog() {
                     priced = now;
                     let mut shared = self.lock();
@@ -46,8 +52,7 @@
             if now - listed > every {
                 if let Ok(list) = self.cloud.list() {
                     listed = now;
-                    if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
-                    {
+                    if let Some(ownership) = self.lock().owned_with(token) {
                         ownership.fleet.listed(&list, self.now());
                     }
                 }
@@ -60,7 +65,7 @@
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
         let (mut counter, mut began) = (0u64, (0u64, Steady(0)));
         while !self.stopping() {
-            self.sleep(Micros::from_millis(500));
+            self.sleep(CLOUD_INTERVAL);
             let Some((token, first)) = self.lock().ownership.as_ref().map(|o| (o.claim.token, o.claim.first))
             else {
                 continue;
@@ -77,7 +82,7 @@
     }
 
     fn return_machines(&self, token: u64) {
-        let ids = match self.lock().ownership.as_ref().filter(|o| o.claim.token == token) {
+        let ids = match self.lock().owned_with(token) {
             Some(ownership) => ownership.fleet.leaving(),
             None => return,
         };
@@ -89,8 +94,7 @@
         for part in ids.chunks(MAX_MACHINES_PER_RETURN) {
             match self.cloud.give_back(part) {
                 Ok(()) => {
-                    if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
-                    {
+                    if let Some(ownership) = self.lock().owned_with(token) {
                         ownership.fleet.returned(part, self.now());
                     }
                     self.wake.notify_all();
@@ -115,7 +119,7 @@
                 RentRequest { request: format!("r-{token}-{}-{counter}", self.incarnation), ..request };
             let outcome = self.request_rental(&request);
             let mut shared = self.lock();
-            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+            let Some(ownership) = shared.owned_with(token) else {
                 return;
             };
             let now = self.now();
@@ -130,7 +134,7 @@
     /// The requests that bring what the owner lacks, still without names; none if it owns no more.
     fn wanted_rentals(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
         let mut shared = self.lock();
-        let ownership = shared.ownership.as_mut().filter(|o| o.claim.token == token)?;
+        let ownership = shared.owned_with(token)?;
         let mut requests = Vec::new();
         for (offer, count) in ownership.fleet.capacity(self.now(), wall()) {
             let Some(ty) = ownership.fleet.types().get(offer.ty).map(|t| t.name.clone()) else { continue };
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -9,13 +9,24 @@
 use crate::time::Micros;
 use crate::wire::{Commands, Report, COMMANDS_PATH};
 
+/// Pause after a round that sent commands.
+const PAUSE_AFTER_COMMANDS: Micros = Micros::from_millis(500);
+/// Pause after a round that had none to send.
+const PAUSE_WITHOUT_COMMANDS: Micros = Micros::from_millis(100);
+/// How long a worker has to answer a command.
+const COMMAND_TIMEOUT: Micros = Micros::from_millis(1500);
+/// How often a command is sent at the most: again if the worker has begun another session.
+const COMMAND_ATTEMPTS: usize = 2;
+/// Stack in bytes of a thread that sends commands.
+const COMMAND_STACK: usize = 128 * 1024;
+
 impl Node {
     /// Brings this owner's token to the machines it has inherited, and halts to those that do not
     /// come for them.
     pub(super) fn command(&self) {
         while !self.stopping() {
-            let pause = if self.command_once() { 500 } else { 100 };
-            self.sleep(Micros::from_millis(pause));
+            let pause = if self.command_once() { PAUSE_AFTER_COMMANDS } else { PAUSE_WITHOUT_COMMANDS };
+            self.sleep(pause);
         }
     }
 
@@ -39,7 +50,7 @@
                     }
                 };
                 // Without a routine more the others do its share.
-                let _ = std::thread::Builder::new().stack_size(128 * 1024).spawn_scoped(s, send);
+                let _ = std::thread::Builder::new().stack_size(COMMAND_STACK).spawn_scoped(s, send);
             }
         });
         true
@@ -57,14 +68,13 @@
         }
         let Ok(address) = address.parse() else { return };
         let client = Client::new(address, 1);
-        let mut season = *session;
-        for _ in 0..2 {
-            let Ok(body) = serde_json::to_vec(&Commands { token, season, orders: orders.clone() }) else {
+        let mut session = *session;
+        for _ in 0..COMMAND_ATTEMPTS {
+            let Ok(body) = serde_json::to_vec(&Commands { token, season: session, orders: orders.clone() })
+            else {
                 return;
             };
-            let Ok((status, body)) =
-                client.call("POST", COMMANDS_PATH, Some(&body), Micros::from_millis(1500))
-            else {
+            let Ok((status, body)) = client.call("POST", COMMANDS_PATH, Some(&body), COMMAND_TIMEOUT) else {
                 tracing::debug!(%machine, "does not answer");
                 return;
             };
@@ -74,11 +84,11 @@
             }
             // With halts, a later session has nothing left to be halted.
             if status == 409 && r.token < token && orders.is_empty() {
-                season = r.season;
+                session = r.season;
                 continue;
             }
             let mut shared = self.lock();
-            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+            let Some(ownership) = shared.owned_with(token) else {
                 return;
             };
             if let Some(higher) = ownership.fleet.raised(&r, self.now()) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -75,8 +75,17 @@
     no_claim_until: Steady,
 }
 
-/// Reads for polls begin no closer together than the first and no further than the second.
-const POLL_READ_INTERVAL: (Micros, Micros) = (Micros::from_millis(20), Micros::from_millis(250));
+impl SharedState {
+    /// The ownership, if it is still the one that was claimed with this token.
+    fn owned_with(&mut self, token: u64) -> Option<&mut Ownership> {
+        self.ownership.as_mut().filter(|o| o.claim.token == token)
+    }
+}
+
+/// Reads of the live jobs begin no closer together than this.
+const MIN_POLL_READ_INTERVAL: Micros = Micros::from_millis(20);
+/// Reads of the live jobs may always begin this far apart.
+const MAX_POLL_READ_INTERVAL: Micros = Micros::from_millis(250);
 /// Threads that answer the other controllers.
 const PEER_THREADS: usize = 3;
 /// Stack of a duty's thread in bytes.
@@ -130,7 +139,7 @@
             state: StateClient::new(p.services.state, rps, writes),
             // Half of what the others are allowed, at the most.
             live: LiveJobs::new(
-                Micros::from_secs(2.0 / rps.max(0.1)).clamp(POLL_READ_INTERVAL.0, POLL_READ_INTERVAL.1),
+                Micros::from_secs(2.0 / rps.max(0.1)).clamp(MIN_POLL_READ_INTERVAL, MAX_POLL_READ_INTERVAL),
             ),
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
             notices: Mutex::new(Notices::new(peers.count(), keep)),
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -10,6 +10,25 @@
 use crate::time::{Micros, Steady};
 use crate::view::View;
 
+/// Renewals of the lease begin no closer together than this.
+const MIN_RENEWAL_INTERVAL: Micros = Micros::from_millis(100);
+/// Pause before the leader's record is read again, after a failure or while others go first.
+const FOLLOW_RETRY_DELAY: Micros = Micros::from_millis(300);
+/// How long one watch of the leader's record lasts.
+const LEADER_WATCH_TIMEOUT: Micros = Micros::from_millis(3_000);
+/// After this without word from another controller an owner that hears no worker resigns.
+const PEERS_UNHEARD_AFTER: Micros = Micros::from_millis(3_000);
+/// How long an owner that resigned makes no claim.
+const RESIGNED_FOR: Micros = Micros::from_millis(8_000);
+/// A controller that has run no longer than this claims sooner than the others.
+const RECENTLY_STARTED: Micros = Micros::from_millis(120_000);
+/// Least delay between the end of the leader's lease and a claim, in milliseconds.
+const CLAIM_DELAY_MS: i64 = 60;
+/// The same for one that was started recently.
+const CLAIM_DELAY_RECENT_MS: i64 = 5;
+/// Random part of that delay, in milliseconds.
+const CLAIM_JITTER_MS: i64 = 50;
+
 impl Node {
     /// Keeps the leader's lease, or waits for its end and takes over.
     pub(super) fn keep(&self) {
@@ -29,13 +48,13 @@
             Some((lease, token)) => {
                 self.renew_lease(lease, token);
                 // The view rests on renewals too: with tight settings it must not age for long.
-                ttl.scale(0.3).min(self.cfg.blind_bound().scale(0.4)).max(Micros::from_millis(100))
+                ttl.scale(0.3).min(self.cfg.blind_bound().scale(0.4)).max(MIN_RENEWAL_INTERVAL)
             }
             None => match self.follow(ttl) {
                 Ok(()) => Micros::ZERO,
                 Err(e) => {
                     tracing::debug!(error = %e, "the leader's record cannot be read");
-                    Micros::from_millis(300)
+                    FOLLOW_RETRY_DELAY
                 }
             },
         }
@@ -46,7 +65,7 @@
         let r = self.state.renew(lease);
         let renewed = r.is_ok();
         let mut shared = self.lock();
-        let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else { return };
+        let Some(ownership) = shared.owned_with(token) else { return };
         // A single controller is followed by nobody while it lives.
         if renewed || self.cfg.nodes() == 1 {
             ownership.fleet.confirm(begun);
@@ -65,11 +84,11 @@
         let alone = shared.ownership.as_ref().is_some_and(|o| {
             self.peers.count() > 0
                 && now - o.last_report > quiet
-                && unheard > Micros::from_secs(3.0)
+                && unheard > PEERS_UNHEARD_AFTER
                 && o.fleet.machines.values().filter(|m| m.up).count() > 1
         });
         if alone && renewed {
-            shared.no_claim_until = now + Micros::from_secs(8.0);
+            shared.no_claim_until = now + RESIGNED_FOR;
             self.step_down(&mut shared, 0, "hears neither workers nor controllers");
             drop(shared);
             let _ = self.state.end_lease(lease);
@@ -88,7 +107,7 @@
                 shared.highest_token = shared.highest_token.max(o.token);
                 shared.leader = Some(o.clone());
             }
-            let e = self.state.watch(LEADER, revision, Micros::from_millis(3000))?;
+            let e = self.state.watch(LEADER, revision, LEADER_WATCH_TIMEOUT)?;
             if !e.events.iter().any(|e| e.drop.as_deref() == Some(LEADER)) {
                 return Ok(());
             }
@@ -97,14 +116,15 @@
             // Most of the time one of the others is a little faster, and the guard decides. One that
             // has started of late goes first: in a rolling restart the others are still to go, and
             // each would take the ownership only to lose it again.
-            let old = self.now() - self.started > Micros::from_secs(120.0);
-            let first = if old { 60 } else { 5 };
-            self.sleep(Micros::from_millis(rand::rng().random_range(first..first + 50)));
+            let recent = self.now() - self.started <= RECENTLY_STARTED;
+            let least_ms = if recent { CLAIM_DELAY_RECENT_MS } else { CLAIM_DELAY_MS };
+            let delay_ms = rand::rng().random_range(least_ms..least_ms + CLAIM_JITTER_MS);
+            self.sleep(Micros::from_millis(delay_ms));
             return self.take_over(ttl, 0);
         }
         // Nobody leads, or an earlier life of this very process did.
         if self.now() < self.lock().no_claim_until {
-            self.sleep(Micros::from_millis(300));
+            self.sleep(FOLLOW_RETRY_DELAY);
             return Ok(());
         }
         self.take_over(ttl, stamp)
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -13,6 +13,9 @@
 use crate::time::Micros;
 use crate::wire::{is_job_id, Stage};
 
+/// How long to wait for a message before looking whether to stop.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl Node {
     pub(super) fn relay(&self, to: usize, req: &Request, timeout: Micros) -> Option<Response> {
         let call = Call { method: req.method.clone(), path: req.path.clone(), body: req.body.clone() };
@@ -37,8 +40,7 @@
 
     pub(super) fn answer_peers(&self, inbound: &Mutex<Receiver<Inbound>>) {
         while !self.stopping() {
-            let next =
-                inbound.lock().unwrap_or_else(|e| e.into_inner()).recv_timeout(Duration::from_millis(500));
+            let next = inbound.lock().unwrap_or_else(|e| e.into_inner()).recv_timeout(RECEIVE_TIMEOUT);
             let msg = match next {
                 Ok(m) => m,
                 Err(RecvTimeoutError::Timeout) => continue,
--- a/src/node/planning.rs
+++ b/src/node/planning.rs
@@ -3,11 +3,14 @@
 use super::Node;
 use crate::time::{wall, Micros};
 
+/// Pause between two rounds of planning.
+const PLAN_INTERVAL: Micros = Micros::from_millis(40);
+
 impl Node {
     /// Lets time pass for the owner's world and keeps its plan up to date.
     pub(super) fn plan(&self) {
         while !self.stopping() {
-            self.sleep(Micros::from_millis(40));
+            self.sleep(PLAN_INTERVAL);
             self.plan_once();
         }
     }
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -16,6 +16,8 @@
 const MAX_REPLY_DELAY: Micros = Micros::from_millis(2500);
 /// How long a report waits for the outcome of this node's own claim.
 const CLAIM_TIMEOUT: Micros = Micros::from_millis(1500);
+/// How often it is looked whether that claim has ended.
+const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long it is remembered that a worker was sent to the owner.
 const REDIRECT_RETENTION: Micros = Micros::from_millis(30_000);
 /// A worker that is back within this time cannot reach the owner.
@@ -69,7 +71,7 @@
         let since = self.now();
         let mut shared = self.lock();
         while shared.claiming && shared.ownership.is_none() && self.now() - since < CLAIM_TIMEOUT {
-            shared = match self.wake.wait_timeout(shared, Duration::from_millis(200)) {
+            shared = match self.wake.wait_timeout(shared, CLAIM_CHECK_INTERVAL) {
                 Ok((guard, _)) => guard,
                 Err(e) => e.into_inner().0,
             };
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -10,7 +10,14 @@
 use crate::time::Micros;
 use crate::wire::MachineType;
 
+/// Most final stages that are kept; the oldest go first.
 const MAX_FINALS: usize = 20_000;
+/// How long another controller has to answer a user's request.
+const RELAY_TIMEOUT: Micros = Micros::from_millis(900);
+/// Pause after a request that no other controller could answer either.
+const RELAY_PAUSE: Micros = Micros::from_millis(2_000);
+/// How long the owner has to take word of a new job.
+const JOB_NEWS_TIMEOUT: Micros = Micros::from_millis(1000);
 
 impl Node {
     /// Has another controller answer a user whom this one cannot.
@@ -19,12 +26,12 @@
             return None;
         }
         for to in 0..self.peers.count() {
-            if let Some(r) = self.relay(to, req, Micros::from_millis(900)).filter(|r| r.status != 503) {
+            if let Some(r) = self.relay(to, req, RELAY_TIMEOUT).filter(|r| r.status != 503) {
                 return Some(r);
             }
         }
         // Most likely the state service is out for all: no need to ask each time.
-        self.lock().no_relay_until = self.now() + Micros::from_secs(2.0);
+        self.lock().no_relay_until = self.now() + RELAY_PAUSE;
         None
     }
 
@@ -81,7 +88,7 @@
         let _ = self.peers.begin(
             to,
             Message::Notify(JobNews { id: id.to_string(), record, revision }),
-            Micros::from_millis(1000),
+            JOB_NEWS_TIMEOUT,
         );
     }
 
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -7,6 +7,17 @@
 use crate::time::{Micros, Steady};
 use crate::wire::Event;
 
+/// Prefix of the live jobs' keys.
+const JOBS_PREFIX: &str = "job/";
+/// Pause between two looks.
+const WATCH_PAUSE: Micros = Micros::from_millis(100);
+/// Pause after a look that failed.
+const WATCH_RETRY_DELAY: Micros = Micros::from_millis(250);
+/// Complete reads begin no closer together than this.
+const MIN_READ_INTERVAL: Micros = Micros::from_millis(100);
+/// Complete reads begin no further apart than this.
+const MAX_READ_INTERVAL: Micros = Micros::from_millis(1_000);
+
 impl Node {
     /// Sees the jobs that other controllers accept and end.
     pub(super) fn watch(&self) {
@@ -24,22 +35,22 @@
         let Some((token, from, view)) =
             self.lock().ownership.as_ref().map(|o| (o.claim.token, o.fleet.read_to(), o.view))
         else {
-            return Micros::from_millis(100);
+            return WATCH_PAUSE;
         };
         let sent = self.now();
         // With tight settings the view must not age for long.
-        let block = self.cfg.blind_bound().scale(0.4).clamp(Micros::from_millis(100), Micros::from_secs(1.0));
+        let block = self.cfg.blind_bound().scale(0.4).clamp(MIN_READ_INTERVAL, MAX_READ_INTERVAL);
         let left = block - view.read_age(sent);
         let read = left.0 <= 0;
         let changes = if read {
-            self.state.changes("job/", from, Urgency::Ownership)
+            self.state.changes(JOBS_PREFIX, from, Urgency::Ownership)
         } else {
-            self.state.watch("job/", from, left)
+            self.state.watch(JOBS_PREFIX, from, left)
         };
         match changes {
             Ok(e) => {
                 let mut shared = self.lock();
-                let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+                let Some(ownership) = shared.owned_with(token) else {
                     return Micros::ZERO;
                 };
                 let to = if read { e.revision } else { e.events.iter().map(|e| e.stamp).max().unwrap_or(0) };
@@ -50,18 +61,18 @@
                 if read {
                     ownership.view.has_read(sent);
                 }
-                Micros::from_millis(100)
+                WATCH_PAUSE
             }
             Err(StateError::TooOld) => {
                 let mut shared = self.lock();
-                if shared.ownership.as_ref().is_some_and(|o| o.claim.token == token) {
+                if shared.owned_with(token).is_some() {
                     self.step_down(&mut shared, 0, "missed changes, reads all anew");
                 }
                 Micros::ZERO
             }
             Err(e) => {
                 tracing::debug!(error = %e, "no view of the jobs");
-                Micros::from_millis(250)
+                WATCH_RETRY_DELAY
             }
         }
     }
@@ -69,7 +80,7 @@
 
 /// Takes in a change under the jobs' prefix.
 fn apply_change(fleet: &mut Fleet, e: Event, now: Steady) {
-    if let Some(id) = e.drop.as_deref().and_then(|k| k.strip_prefix("job/")) {
+    if let Some(id) = e.drop.as_deref().and_then(|k| k.strip_prefix(JOBS_PREFIX)) {
         fleet.job_over(id, e.stamp);
     } else if e.put.is_some() {
         match serde_json::from_value::<JobRecord>(e.value) {
--- a/src/node/writer.rs
+++ b/src/node/writer.rs
@@ -1,7 +1,5 @@
 //! Writes the owner's records in batches, and reads back what a failed write left.
 
-use std::time::Duration;
-
 use super::Node;
 use crate::cluster::{self, Batch, Claim, PART};
 use crate::fleet::Pending;
@@ -12,14 +10,18 @@
 
 /// How often the done ranges of a job that goes on are written; its workers keep the results.
 const DONE_WRITE_INTERVAL: Micros = Micros::from_millis(12_000);
+/// How long the writer waits to be woken.
+const WRITE_INTERVAL: Micros = Micros::from_millis(150);
+/// Pause after a write that did not succeed.
+const WRITE_RETRY_DELAY: Micros = Micros::from_millis(150);
 
 impl Node {
     /// Writes what waits.
     pub(super) fn write(&self) {
         while !self.stopping() {
-            drop(self.wake.wait_timeout(self.lock(), Duration::from_millis(150)));
+            drop(self.wake.wait_timeout(self.lock(), WRITE_INTERVAL.std()));
             if !self.write_once() {
-                self.sleep(Micros::from_millis(150));
+                self.sleep(WRITE_RETRY_DELAY);
             }
         }
     }
@@ -49,7 +51,7 @@
             Ok(Applied::Conflict(keys)) => {
                 if keys.iter().any(|k| k == PART) {
                     let mut shared = self.lock();
-                    if shared.ownership.as_ref().is_some_and(|o| o.claim.token == claim.token) {
+                    if shared.owned_with(claim.token).is_some() {
                         self.step_down(&mut shared, 0, "another owner has taken the part");
                     }
                     return false;
@@ -74,7 +76,7 @@
         let mut finals: Vec<(JobId, u32)> = Vec::new();
         {
             let mut shared = self.lock();
-            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == claim.token) else {
+            let Some(ownership) = shared.owned_with(claim.token) else {
                 return false;
             };
             let now = self.now();
@@ -99,7 +101,7 @@
         for key in keys {
             let Ok(row) = self.state.get(key, Urgency::User) else { return false };
             let mut shared = self.lock();
-            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == claim.token) else {
+            let Some(ownership) = shared.owned_with(claim.token) else {
                 return false;
             };
             cluster::learn(&mut ownership.fleet, key, row, self.now());
