--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -39,27 +39,35 @@
                 last = token;
                 listed = Steady(0);
             }
-            if now - priced > PRICES_INTERVAL {
-                if let Ok(t) = self.cloud.catalog() {
-                    priced = now;
-                    let mut shared = self.lock();
-                    shared.machine_types = Some(t.clone());
-                    if let Some(ownership) = shared.ownership.as_mut() {
-                        ownership.fleet.set_types(t);
-                    }
-                }
+            if now - priced > PRICES_INTERVAL && self.refresh_prices() {
+                priced = now;
             }
-            if now - listed > every {
-                if let Ok(list) = self.cloud.list() {
-                    listed = now;
-                    if let Some(ownership) = self.lock().owned_with(token) {
-                        ownership.fleet.listed(&list, self.now());
-                    }
-                }
+            if now - listed > every && self.refresh_list(token) {
+                listed = now;
             }
         }
     }
 
+    /// Reads the machine types with their prices; false if the cloud did not answer.
+    fn refresh_prices(&self) -> bool {
+        let Ok(types) = self.cloud.catalog() else { return false };
+        let mut shared = self.lock();
+        shared.machine_types = Some(types.clone());
+        if let Some(ownership) = shared.ownership.as_mut() {
+            ownership.fleet.set_types(types);
+        }
+        true
+    }
+
+    /// Reads the cloud's list; false if the cloud did not answer.
+    fn refresh_list(&self, token: u64) -> bool {
+        let Ok(list) = self.cloud.list() else { return false };
+        if let Some(ownership) = self.lock().owned_with(token) {
+            ownership.fleet.listed(&list, self.now());
+        }
+        true
+    }
+
     /// Rents and returns.
     pub(super) fn rent_and_return(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -76,58 +76,78 @@
             Err(StateError::NoLease) => self.step_down(&mut shared, 0, "its lease ended"),
             Err(e) => tracing::info!(error = %e, "the lease could not be renewed"),
         }
-        // Cut off from workers and controllers alike while the state service answers: others can
-        // serve the workers before their leases run out, this one cannot.
+        if renewed && self.is_isolated(&shared) {
+            shared.no_claim_until = self.now() + RESIGNED_FOR;
+            self.step_down(&mut shared, 0, "hears neither workers nor controllers");
+            drop(shared);
+            let _ = self.state.end_lease(lease);
+        }
+    }
+
+    /// Whether this owner is cut off from workers and controllers alike. While the state service
+    /// answers, others can serve the workers before their leases run out, this one cannot.
+    fn is_isolated(&self, shared: &SharedState) -> bool {
         let quiet = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 2.5);
         let now = self.now();
         let unheard = now - shared.last_peer_contact;
-        let alone = shared.ownership.as_ref().is_some_and(|o| {
+        shared.ownership.as_ref().is_some_and(|o| {
             self.peers.count() > 0
                 && now - o.last_report > quiet
                 && unheard > PEERS_UNHEARD_AFTER
                 && o.fleet.machines.values().filter(|m| m.up).count() > 1
-        });
-        if alone && renewed {
-            shared.no_claim_until = now + RESIGNED_FOR;
-            self.step_down(&mut shared, 0, "hears neither workers nor controllers");
-            drop(shared);
-            let _ = self.state.end_lease(lease);
-        }
+        })
     }
 
+    /// Reads the leader's record. While another leads, waits for the end of its lease; then, or if
+    /// nobody leads, takes over.
     fn follow(&self, ttl: Micros) -> Result<(), StateError> {
         let (rows, revision) = self.state.list(LEADER)?;
         let row = rows.into_iter().find(|r| r.key == LEADER);
         let owner: Option<Owner> = row.as_ref().and_then(|r| serde_json::from_value(r.value.clone()).ok());
         let stamp = row.as_ref().map_or(0, |r| r.stamp);
-        let mine = owner.as_ref().is_some_and(|o| o.label == self.cfg.platform.label);
-        if let (Some(o), false) = (&owner, mine) {
-            {
-                let mut shared = self.lock();
-                shared.highest_token = shared.highest_token.max(o.token);
-                shared.leader = Some(o.clone());
+        match owner.filter(|o| o.label != self.cfg.platform.label) {
+            Some(leader) => {
+                if self.await_lease_end(&leader, revision)? {
+                    self.sleep(self.claim_delay());
+                    return self.take_over(ttl, 0);
+                }
+                Ok(())
             }
-            let e = self.state.watch(LEADER, revision, LEADER_WATCH_TIMEOUT)?;
-            if !e.events.iter().any(|e| e.drop.as_deref() == Some(LEADER)) {
-                return Ok(());
+            // Nobody leads, or an earlier life of this very process did.
+            None => {
+                if self.now() < self.lock().no_claim_until {
+                    self.sleep(FOLLOW_RETRY_DELAY);
+                    return Ok(());
+                }
+                self.take_over(ttl, stamp)
             }
-            self.lock().leader = None;
-            tracing::info!(leader = %o.label, "the leader's lease ended");
-            // Most of the time one of the others is a little faster, and the guard decides. One that
-            // has started of late goes first: in a rolling restart the others are still to go, and
-            // each would take the ownership only to lose it again.
-            let recent = self.now() - self.started <= RECENTLY_STARTED;
-            let least_ms = if recent { CLAIM_DELAY_RECENT_MS } else { CLAIM_DELAY_MS };
-            let delay_ms = rand::rng().random_range(least_ms..least_ms + CLAIM_JITTER_MS);
-            self.sleep(Micros::from_millis(delay_ms));
-            return self.take_over(ttl, 0);
         }
-        // Nobody leads, or an earlier life of this very process did.
-        if self.now() < self.lock().no_claim_until {
-            self.sleep(FOLLOW_RETRY_DELAY);
-            return Ok(());
+    }
+
+    /// Waits a while for the end of another leader's lease; whether it ended.
+    fn await_lease_end(&self, leader: &Owner, revision: u64) -> Result<bool, StateError> {
+        {
+            let mut shared = self.lock();
+            shared.highest_token = shared.highest_token.max(leader.token);
+            shared.leader = Some(leader.clone());
+        }
+        let changes = self.state.watch(LEADER, revision, LEADER_WATCH_TIMEOUT)?;
+        if !changes.events.iter().any(|e| e.drop.as_deref() == Some(LEADER)) {
+            return Ok(false);
         }
-        self.take_over(ttl, stamp)
+        self.lock().leader = None;
+        tracing::info!(leader = %leader.label, "the leader's lease ended");
+        Ok(true)
+    }
+
+    /// How long to wait between the end of the leader's lease and a claim. Most of the time one of
+    /// the others is a little faster, and the guard decides. One that has started of late goes first:
+    /// in a rolling restart the others are still to go, and each would take the ownership only to
+    /// lose it again.
+    fn claim_delay(&self) -> Micros {
+        let recent = self.now() - self.started <= RECENTLY_STARTED;
+        let least_ms = if recent { CLAIM_DELAY_RECENT_MS } else { CLAIM_DELAY_MS };
+        Micros::from_millis(rand::rng().random_range(least_ms..least_ms + CLAIM_JITTER_MS))
     }
 
     fn take_over(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -58,22 +58,25 @@
             Message::Announce(s) => self.on_announcement(s),
             Message::Notify(n) => self.on_job_news(n),
             Message::Cancelled(c) => self.on_cancellations(c),
-            Message::Relay(c) => {
-                let req = Request { method: c.method.clone(), path: c.path.clone(), body: c.body.clone() };
-                let r = if req.body.len() > http::MAX_BODY {
-                    Response::error(413, "body over 64 KiB")
-                } else {
-                    self.answer(&req, true)
-                };
-                Outcome::Answer(Answer {
-                    status: u32::from(r.status),
-                    body: r.body,
-                    retry_after: r.retry_after.unwrap_or(0),
-                })
-            }
+            Message::Relay(c) => self.on_relay(c),
         }
     }
 
+    /// Answers a request that another controller carries here.
+    fn on_relay(&self, call: &Call) -> Outcome {
+        let req = Request { method: call.method.clone(), path: call.path.clone(), body: call.body.clone() };
+        let r = if req.body.len() > http::MAX_BODY {
+            Response::error(413, "body over 64 KiB")
+        } else {
+            self.answer(&req, true)
+        };
+        Outcome::Answer(Answer {
+            status: u32::from(r.status),
+            body: r.body,
+            retry_after: r.retry_after.unwrap_or(0),
+        })
+    }
+
     /// Another controller has confirmed cancellations: what is left of the jobs is stopped, whether
     /// this owner can see their records or not.
     fn on_cancellations(&self, list: &peer::Cancellations) -> Outcome {
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -1,11 +1,11 @@
 //! Watches the jobs' records for what other controllers accept and end.
 
-use super::Node;
+use super::{Node, Ownership};
 use crate::fleet::Fleet;
 use crate::jobs::JobRecord;
 use crate::state::{StateError, Urgency};
 use crate::time::{Micros, Steady};
-use crate::wire::Event;
+use crate::wire::{Event, Events};
 
 /// Prefix of the live jobs' keys.
 const JOBS_PREFIX: &str = "job/";
@@ -48,19 +48,10 @@
             self.state.watch(JOBS_PREFIX, from, left)
         };
         match changes {
-            Ok(e) => {
+            Ok(changes) => {
                 let mut shared = self.lock();
-                let Some(ownership) = shared.owned_with(token) else {
-                    return Micros::ZERO;
-                };
-                let to = if read { e.revision } else { e.events.iter().map(|e| e.stamp).max().unwrap_or(0) };
-                for e in e.events {
-                    apply_change(&mut ownership.fleet, e, self.now());
-                }
-                ownership.fleet.has_read_to(to);
-                if read {
-                    ownership.view.has_read(sent);
-                }
+                let Some(ownership) = shared.owned_with(token) else { return Micros::ZERO };
+                self.apply_changes(ownership, changes, read.then_some(sent));
                 WATCH_PAUSE
             }
             Err(StateError::TooOld) => {
@@ -76,6 +67,19 @@
             }
         }
     }
+
+    /// Takes in changes; `read_at` is when they were asked for if they are a complete read, none if a
+    /// watch brought them.
+    fn apply_changes(&self, ownership: &mut Ownership, changes: Events, read_at: Option<Steady>) {
+        let latest = changes.events.iter().map(|e| e.stamp).max().unwrap_or(0);
+        for event in changes.events {
+            apply_change(&mut ownership.fleet, event, self.now());
+        }
+        ownership.fleet.has_read_to(if read_at.is_some() { changes.revision } else { latest });
+        if let Some(sent) = read_at {
+            ownership.view.has_read(sent);
+        }
+    }
 }
 
 /// Takes in a change under the jobs' prefix.
