--- a/src/node/announce.rs
+++ b/src/node/announce.rs
@@ -1,4 +1,5 @@
-//! Tells the other controllers who leads and which cancellations were confirmed.
+//! The announcing duty: tells the other controllers who leads and which cancellations were
+//! confirmed to users.
 
 use super::{Node, Ownership};
 use crate::fleet::Counts;
@@ -19,8 +20,8 @@
 const MAX_ANNOUNCED_JOBS: usize = 2000;
 
 impl Node {
-    /// Tells the others who leads, about once a second, and what was cancelled, at once and until
-    /// each has answered.
+    /// Tells the others who leads, about once a second, and of cancellations at once, repeated until
+    /// each has acknowledged them.
     pub(super) fn announce(&self) {
         let (mut last, mut all_told) = (Steady(0), true);
         while !self.stopping() {
@@ -40,7 +41,8 @@
         }
     }
 
-    /// Tells the others who leads, or asks whether any of them can be heard.
+    /// Announces this owner to the others; on any other controller probes them if none was heard of
+    /// late.
     pub fn announce_once(&self) {
         let summary = {
             let shared = self.lock();
@@ -62,7 +64,7 @@
         }
     }
 
-    /// What the others are told by the owner.
+    /// The owner's announcement.
     fn summary(&self, ownership: &Ownership) -> Summary {
         let count = |id: &JobId| {
             let c = ownership.fleet.counts(id).filter(|c| *c != Counts::default())?;
@@ -75,7 +77,8 @@
         }
     }
 
-    /// Tells each of the others what it does not know yet; false if one did not answer.
+    /// Sends each of the others the cancellations that it has not acknowledged; false if one did not
+    /// answer.
     pub fn tell_once(&self) -> bool {
         let due = self.notices.lock().unwrap_or_else(|e| e.into_inner()).due(self.now());
         let sent: Vec<_> = due
--- a/src/node/catalog.rs
+++ b/src/node/catalog.rs
@@ -1,4 +1,4 @@
-//! The machine types: learned at the start from the state service or the cloud.
+//! Learns the machine types at the start, from the state service or the cloud.
 
 use serde_json::json;
 
@@ -12,6 +12,7 @@
 const RETRY_DELAY: Micros = Micros::from_millis(500);
 
 impl Node {
+    /// Asks for the machine types until they are known.
     pub(super) fn learn_types(&self) {
         while !self.stopping() && !self.learn_types_once() {
             self.sleep(RETRY_DELAY);
@@ -31,6 +32,7 @@
         known
     }
 
+    /// Writes the machine types for controllers that start while the cloud cannot be reached.
     fn write_types(&self, types: &[MachineType]) {
         let value = json!(types);
         if value.to_string().len() <= self.cfg.value_bytes() {
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -1,4 +1,5 @@
-//! The owner's dealings with the cloud: the list of machines, the prices, renting and returning.
+//! The cloud duties of the owner: one reads the list of machines and the prices, the other rents and
+//! returns machines.
 
 use super::Node;
 use crate::capacity::Offer;
@@ -25,8 +26,8 @@
 const PRICES_INTERVAL: Micros = Micros::from_millis(45_000);
 
 impl Node {
-    /// Keeps an eye on the cloud's list and its prices. A long list takes several requests, which
-    /// must not hold up renting.
+    /// Reads the cloud's list and prices until the controller ends. A long list takes several
+    /// requests, which must not delay renting.
     pub(super) fn refresh_cloud(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
         let every = lag.scale(0.75).max(MIN_LIST_INTERVAL);
@@ -68,7 +69,7 @@
         true
     }
 
-    /// Rents and returns.
+    /// Rents and returns machines until the controller ends.
     pub(super) fn rent_and_return(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
         let (mut counter, mut began) = (0u64, (0u64, Steady(0)));
@@ -89,6 +90,7 @@
         }
     }
 
+    /// Returns the machines that the owner no longer needs.
     fn return_machines(&self, token: u64) {
         let ids = match self.lock().owned_with(token) {
             Some(ownership) => ownership.fleet.leaving(),
@@ -115,6 +117,7 @@
         }
     }
 
+    /// Rents what the owner lacks; `counter` numbers the requests.
     fn rent(&self, token: u64, counter: &mut u64) {
         let Some(wanted) = self.wanted_rentals(token) else { return };
         let mut refused = Vec::new();
@@ -139,7 +142,8 @@
         }
     }
 
-    /// The requests that bring what the owner lacks, still without names; none if it owns no more.
+    /// Requests for the machines that the owner lacks, still without names; none if this node is no
+    /// longer the owner.
     fn wanted_rentals(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
         let mut shared = self.lock();
         let ownership = shared.owned_with(token)?;
@@ -187,7 +191,7 @@
     Failed,
 }
 
-/// Takes in the cloud's answer to a request.
+/// Records the cloud's answer to a rental request in the fleet.
 fn rental_answered(
     fleet: &mut Fleet,
     offer: Offer,
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -1,4 +1,5 @@
-//! Direct commands to workers: a new owner's token, and halts for machines that do not report.
+//! The commanding duty: direct commands to workers. They bring a new owner's token, and halts to
+//! machines that do not report.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -21,8 +22,7 @@
 const COMMAND_STACK: usize = 128 * 1024;
 
 impl Node {
-    /// Brings this owner's token to the machines it has inherited, and halts to those that do not
-    /// come for them.
+    /// Sends direct commands until the controller ends.
     pub(super) fn command(&self) {
         while !self.stopping() {
             let pause = if self.command_once() { PAUSE_AFTER_COMMANDS } else { PAUSE_WITHOUT_COMMANDS };
@@ -39,7 +39,7 @@
             (o.fleet.token, list)
         });
         let Some((token, list)) = due.filter(|d| !d.1.is_empty()) else { return false };
-        // One that does not answer holds up only one routine: the others go on with the list.
+        // A worker that does not answer holds up only one thread: the others go on with the list.
         let next = AtomicUsize::new(0);
         std::thread::scope(|s| {
             for _ in 0..list.len().min(RAISERS) {
@@ -49,13 +49,14 @@
                         self.send_command(token, c);
                     }
                 };
-                // Without a routine more the others do its share.
+                // If a thread cannot be started, the others send its share.
                 let _ = std::thread::Builder::new().stack_size(COMMAND_STACK).spawn_scoped(s, send);
             }
         });
         true
     }
 
+    /// Sends a command, unless it is no longer needed, and hands the worker's report to the fleet.
     fn send_command(&self, token: u64, command: &DirectCommand) {
         let DirectCommand { machine, address, session, orders } = command;
         // It may have reported by itself since the list was made.
--- a/src/node/latency.rs
+++ b/src/node/latency.rs
@@ -1,4 +1,4 @@
-//! How long requests take, logged once a minute.
+//! Histograms of the answer times, logged once a minute.
 
 use hdrhistogram::Histogram;
 
@@ -19,31 +19,31 @@
 }
 
 impl Node {
-    /// Keeps how long a request took, and now and then says how long they take.
+    /// Records how long a request took; logs the histograms and resets them when they are due.
     pub(super) fn record_latency(&self, path: &str, since: Steady) {
         let took = (self.now() - since).0.clamp(1, MAX_LATENCY_US as i64) as u64;
-        let mut l = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
-        let h = if path == REPORT_PATH { &mut l.workers } else { &mut l.users };
+        let mut latencies = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
+        let histogram = if path == REPORT_PATH { &mut latencies.workers } else { &mut latencies.users };
         // Within the bounds by the clamp above.
-        let _ = h.record(took);
-        if self.now() - l.logged_at < LOG_INTERVAL {
+        let _ = histogram.record(took);
+        if self.now() - latencies.logged_at < LOG_INTERVAL {
             return;
         }
-        for (who, h) in [("users", &l.users), ("workers", &l.workers)] {
-            if !h.is_empty() {
+        for (who, histogram) in [("users", &latencies.users), ("workers", &latencies.workers)] {
+            if !histogram.is_empty() {
                 tracing::info!(
                     who,
-                    answers = h.len(),
-                    p50_us = h.value_at_quantile(0.5),
-                    p99_us = h.value_at_quantile(0.99),
-                    max_us = h.max(),
+                    answers = histogram.len(),
+                    p50_us = histogram.value_at_quantile(0.5),
+                    p99_us = histogram.value_at_quantile(0.99),
+                    max_us = histogram.max(),
                     "answer times of the last minute"
                 );
             }
         }
-        l.users.reset();
-        l.workers.reset();
-        l.logged_at = self.now();
+        latencies.users.reset();
+        latencies.workers.reset();
+        latencies.logged_at = self.now();
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,5 @@
-//! A controller: wires the duties together. Each long-lived duty has a routine of its own; all
-//! share one lock around the owner's world, held only for computing.
+//! A controller. Each long-lived duty runs on a thread of its own, in a module of its own. All
+//! threads share one lock, which is never held during I/O.
 
 mod announce;
 mod catalog;
@@ -43,35 +43,46 @@
 use crate::view::View;
 use crate::wire::{MachineType, HEALTH_PATH, REPORT_PATH};
 
-/// What an owner has.
+/// The state of a controller that owns the machines.
 struct Ownership {
+    /// Machines, jobs and the plan.
     fleet: Fleet,
+    /// The claim by which it owns them.
     claim: Claim,
-    /// How long it may still act without having looked.
+    /// Age of its knowledge of the state service, which limits how long it may act.
     view: View,
-    /// When a worker's report was last taken.
+    /// When a worker's report was last accepted.
     last_report: Steady,
 }
 
+/// The state that all threads of a controller share.
 #[derive(Default)]
 struct SharedState {
+    /// None while another controller leads, or nobody.
     ownership: Option<Ownership>,
-    /// A claim is being made: reports wait for it a moment.
+    /// A claim has succeeded and its records are being read: reports wait for that a moment.
     claiming: bool,
+    /// The leader, where known.
     leader: Option<Owner>,
+    /// The highest token seen.
     highest_token: u64,
+    /// The machine types, once known.
     machine_types: Option<Vec<MachineType>>,
-    /// Final stages known to be written, with the revisions at which they were.
+    /// Final stages known to be written, with the revisions at which they were written.
     finals: BTreeMap<String, (FinalRecord, u64)>,
+    /// The keys of `finals`, oldest first.
     finals_order: VecDeque<String>,
+    /// Numbers of live jobs as the leader announced them.
     announced_counts: BTreeMap<String, Counts>,
-    /// Idle workers whose reports wait for an answer.
+    /// Reports of idle workers that are still to be answered.
     deferred_replies: BTreeMap<MachineId, DeferredReply>,
+    /// When each worker was last sent to the leader.
     redirected: BTreeMap<String, Steady>,
+    /// Until then users' requests are not relayed to other controllers.
     no_relay_until: Steady,
-    /// When another controller was last heard.
+    /// When a message or an answer of another controller last came.
     last_peer_contact: Steady,
-    /// After resigning, others go first.
+    /// After resigning this controller makes no claim until then, so that another can lead.
     no_claim_until: Steady,
 }
 
@@ -86,12 +97,12 @@
 const MIN_POLL_READ_INTERVAL: Micros = Micros::from_millis(20);
 /// Reads of the live jobs may always begin this far apart.
 const MAX_POLL_READ_INTERVAL: Micros = Micros::from_millis(250);
-/// Threads that answer the other controllers.
+/// Number of threads that answer the other controllers.
 const PEER_THREADS: usize = 3;
-/// Stack of a duty's thread in bytes.
+/// Stack size of a duty's thread in bytes.
 const DUTY_STACK: usize = 512 * 1024;
 
-/// A long-lived routine of a controller.
+/// The main function of a duty's thread.
 type Duty = fn(&Node);
 
 /// A controller.
@@ -103,28 +114,32 @@
     /// The live jobs, for polls.
     pub live: LiveJobs,
     cloud: CloudClient,
+    /// Connections to the other controllers.
     peers: PeerHub,
     shared: Mutex<SharedState>,
+    /// Notified when there is something to write, and when the ownership changes.
     wake: Condvar,
-    /// Cancellations that the others are yet to be told of.
+    /// Cancellations that other controllers have not acknowledged yet.
     notices: Mutex<Notices>,
+    /// Notified when a cancellation was added to `notices`.
     notices_added: Condvar,
     latencies: Mutex<Latencies>,
     stop: Arc<AtomicBool>,
     clock: Clock,
+    /// Random number of this run of the process.
     incarnation: u64,
     started: Steady,
 }
 
 impl Node {
-    /// Listens where the settings say, and runs.
+    /// Listens on the addresses of the settings and runs until `stop` is set.
     pub fn run(cfg: Config, stop: Arc<AtomicBool>) -> anyhow::Result<()> {
         let listener = TcpListener::bind(cfg.platform.serve_on)?;
         let internal = TcpListener::bind(cfg.platform.internal_addr)?;
         Node::run_on(cfg, listener, internal, stop)
     }
 
-    /// A controller whose duties are not started: `turn` does each duty's next piece of work.
+    /// A controller whose duties are not started: the `*_once` methods each do one round of a duty.
     pub fn new(
         cfg: Config,
         peers: PeerHub,
@@ -156,7 +171,7 @@
         }))
     }
 
-    /// Starts all duties; returns when `stop` is set.
+    /// Runs on listeners that are already open until `stop` is set.
     pub fn run_on(
         cfg: Config,
         listener: TcpListener,
@@ -179,8 +194,8 @@
         // Without callers there is nothing to serve: all else ends as well.
         node.stop.store(true, Ordering::Relaxed);
         node.wake.notify_all();
-        for t in duties {
-            let _ = t.join();
+        for thread in duties {
+            let _ = thread.join();
         }
         Ok(served?)
     }
@@ -234,15 +249,18 @@
         self.clock.now()
     }
 
+    /// Locks the shared state.
     fn lock(&self) -> MutexGuard<'_, SharedState> {
         // A panic elsewhere must not take the others along.
         self.shared.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Whether the controller is to end.
     fn stopping(&self) -> bool {
         self.stop.load(Ordering::Relaxed)
     }
 
+    /// Sleeps, unless the controller is to end.
     fn sleep(&self, t: Micros) {
         if !self.stopping() {
             std::thread::sleep(t.std());
@@ -275,6 +293,7 @@
     }
 }
 
+/// Starts a duty's thread.
 fn spawn_duty(name: String, duty: impl FnOnce() + Send + 'static) -> std::io::Result<JoinHandle<()>> {
     std::thread::Builder::new().name(name).stack_size(DUTY_STACK).spawn(duty)
 }
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -60,6 +60,7 @@
         }
     }
 
+    /// Renews the leader's lease; steps down if it has ended, or if this owner is isolated.
     fn renew_lease(&self, lease: u64, token: u64) {
         let begun = self.now();
         let r = self.state.renew(lease);
@@ -150,6 +151,8 @@
         Micros::from_millis(rand::rng().random_range(least_ms..least_ms + CLAIM_JITTER_MS))
     }
 
+    /// Claims the ownership; `seen` is the version of the leader's record that the claim replaces, 0
+    /// for none.
     fn take_over(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
         if self.now() < self.lock().no_claim_until {
             return Ok(());
@@ -168,8 +171,8 @@
         self.rebuild(claim, begun)
     }
 
-    /// Rebuilds the owner's world from the records after a claim, and owns it unless another has
-    /// taken over meanwhile.
+    /// Rebuilds the fleet from the records after a claim, and owns it unless another has taken over
+    /// meanwhile.
     fn rebuild(&self, claim: Claim, begun: Steady) -> Result<(), StateError> {
         let types = self.types().unwrap_or_default();
         let r = cluster::rebuild(&self.state, self.cfg.clone(), types, claim.token, self.now());
@@ -190,6 +193,7 @@
         }
     }
 
+    /// Starts to act as the owner of a fleet.
     fn begin_ownership(&self, shared: &mut SharedState, claim: Claim, mut fleet: Fleet, begun: Steady) {
         if let Some(t) = &shared.machine_types {
             fleet.set_types(t.clone());
@@ -222,6 +226,7 @@
         self.wake.notify_all();
     }
 
+    /// Gives up the ownership, if this node has it; `token` is the higher token that was seen, or 0.
     pub(super) fn step_down(&self, shared: &mut SharedState, token: u64, why: &str) {
         shared.highest_token = shared.highest_token.max(token);
         if let Some(ownership) = shared.ownership.take() {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,4 +1,4 @@
-//! Messages from the other controllers, and requests that are carried to them.
+//! Messages from the other controllers, and requests that are relayed to them.
 
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Mutex;
@@ -17,6 +17,7 @@
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Node {
+    /// Has another controller answer a request; none if it cannot be reached.
     pub(super) fn relay(&self, to: usize, req: &Request, timeout: Micros) -> Option<Response> {
         let call = Call { method: req.method.clone(), path: req.path.clone(), body: req.body.clone() };
         match self.peers.call(to, Message::Relay(call), timeout) {
@@ -29,7 +30,7 @@
         }
     }
 
-    /// Another controller has answered, and knows this token.
+    /// Takes note that another controller answered; steps down if it knows a higher token.
     pub(super) fn peer_answered(&self, token: u64) {
         let mut shared = self.lock();
         shared.last_peer_contact = self.now();
@@ -38,6 +39,7 @@
         }
     }
 
+    /// Answers the messages of other controllers until the controller ends.
     pub(super) fn answer_peers(&self, inbound: &Mutex<Receiver<Inbound>>) {
         while !self.stopping() {
             let next = inbound.lock().unwrap_or_else(|e| e.into_inner()).recv_timeout(RECEIVE_TIMEOUT);
@@ -51,7 +53,7 @@
         }
     }
 
-    /// Answers what another controller says.
+    /// Answers a message of another controller.
     pub fn hear(&self, m: &Message) -> Outcome {
         self.lock().last_peer_contact = self.now();
         match m {
@@ -62,7 +64,7 @@
         }
     }
 
-    /// Answers a request that another controller carries here.
+    /// Answers a request that another controller relayed.
     fn on_relay(&self, call: &Call) -> Outcome {
         let req = Request { method: call.method.clone(), path: call.path.clone(), body: call.body.clone() };
         let r = if req.body.len() > http::MAX_BODY {
@@ -94,6 +96,7 @@
         Outcome::Ack(Ack { token: self.lock().highest_token })
     }
 
+    /// Another controller leads: its numbers of live jobs are kept for polls.
     fn on_announcement(&self, s: &Summary) -> Outcome {
         let mut shared = self.lock();
         if s.token > shared.highest_token {
@@ -107,6 +110,7 @@
         Outcome::Ack(Ack { token: shared.highest_token })
     }
 
+    /// Another controller has written or ended a job.
     fn on_job_news(&self, n: &JobNews) -> Outcome {
         let mut shared = self.lock();
         if let Some(ownership) = shared.ownership.as_mut() {
--- a/src/node/planning.rs
+++ b/src/node/planning.rs
@@ -1,4 +1,4 @@
-//! Keeps the owner's plan up to date as time passes.
+//! The planning duty: advances the owner's clock and keeps its plan up to date.
 
 use super::Node;
 use crate::time::{wall, Micros};
@@ -7,7 +7,7 @@
 const PLAN_INTERVAL: Micros = Micros::from_millis(40);
 
 impl Node {
-    /// Lets time pass for the owner's world and keeps its plan up to date.
+    /// Plans again and again until the controller ends.
     pub(super) fn plan(&self) {
         while !self.stopping() {
             self.sleep(PLAN_INTERVAL);
@@ -15,7 +15,7 @@
         }
     }
 
-    /// Lets time pass, plans, and answers workers that wait for a start.
+    /// Advances the fleet to the present, plans, and sends the deferred answers that are due.
     pub fn plan_once(&self) {
         let mut shared = self.lock();
         let writes = shared.ownership.as_mut().is_some_and(|ownership| {
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -1,5 +1,5 @@
-//! The workers' reports: answered at once, answered later with a start, redirected to the owner, or
-//! carried to it.
+//! Workers' reports. The owner answers them, at once or when there is a task to start; any other
+//! controller redirects the worker to the leader or relays its report.
 
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -11,8 +11,8 @@
 use crate::time::{wall, Micros, Steady};
 use crate::wire::{Redirect, Report, ReportReply};
 
-/// How long the answer to an idle worker's report waits for a start at the most; the worker gives
-/// up after four seconds.
+/// How long the answer to an idle worker's report is held back at the most; the worker gives up
+/// after four seconds.
 const MAX_REPLY_DELAY: Micros = Micros::from_millis(2500);
 /// How long a report waits for the outcome of this node's own claim.
 const CLAIM_TIMEOUT: Micros = Micros::from_millis(1500);
@@ -25,17 +25,19 @@
 /// How long the owner has to answer a report that is carried to it.
 const RELAY_REPORT_TIMEOUT: Micros = Micros::from_millis(2500);
 
-/// A report that is answered when a start for its worker comes up, or after a while.
+/// A report whose answer is held back until there is a task to start on its machine.
 pub(super) struct DeferredReply {
     report: Report,
+    /// The owner's token when the report came.
     token: u64,
-    until: Steady,
+    /// When it is answered at the latest.
+    deadline: Steady,
     reply: Reply,
 }
 
 impl Node {
-    /// Takes a report. With a way back it is answered here, now or later; without one, as for a
-    /// report that another controller carries, the answer is returned.
+    /// Handles a report. With a `reply` it is answered through that, now or later; without one, as for
+    /// a report that another controller relayed, the answer is returned.
     pub(super) fn check_in(&self, req: &Request, reply: Option<Reply>) -> Option<Response> {
         let (answer, reply) = self.take_report(req, reply);
         match (answer, reply) {
@@ -47,7 +49,7 @@
         }
     }
 
-    /// What a report is answered with; nothing if that waits, with the way back, for a start.
+    /// The answer to a report, with the `reply` to send it by; neither if the answer is deferred.
     fn take_report(&self, req: &Request, reply: Option<Reply>) -> (Option<Response>, Option<Reply>) {
         let report: Report = match serde_json::from_slice(&req.body) {
             Ok(r) => r,
@@ -79,7 +81,7 @@
         shared
     }
 
-    /// Answers a report from the owner's world, or keeps it until a start comes up.
+    /// Answers a report as the owner, or defers the answer.
     fn answer_as_owner(
         &self,
         shared: &mut SharedState,
@@ -104,7 +106,8 @@
                 let id: MachineId = report.machine.as_str().into();
                 if r.orders.is_empty() && ownership.fleet.may_wait(&id, now) {
                     if let Some(reply) = reply {
-                        let deferred = DeferredReply { report, token, until: now + MAX_REPLY_DELAY, reply };
+                        let deferred =
+                            DeferredReply { report, token, deadline: now + MAX_REPLY_DELAY, reply };
                         // A second report takes the place of the first: its worker gave up.
                         shared.deferred_replies.insert(id, deferred);
                         return (None, None);
@@ -121,7 +124,7 @@
         (Some(answer), reply)
     }
 
-    /// Sends a worker to the owner; if it is back soon after, has the owner answer its report.
+    /// Redirects a worker to the leader; if it is back soon after, relays its report to the leader.
     fn redirect_or_relay(
         &self,
         mut shared: MutexGuard<'_, SharedState>,
@@ -147,7 +150,7 @@
         }
     }
 
-    /// Answers those idle workers for whom a start may leave now, or who waited long enough.
+    /// Sends the deferred answers for which there is a start now, and those whose time is over.
     pub(super) fn answer_deferred(&self) {
         let mut shared = self.lock();
         let SharedState { ownership, deferred_replies, .. } = &mut *shared;
@@ -158,7 +161,7 @@
             .iter()
             .filter(|(id, w)| {
                 Some(w.token) != token
-                    || now >= w.until
+                    || now >= w.deadline
                     || ownership.as_ref().is_some_and(|o| o.fleet.start_waits(id))
             })
             .map(|(id, _)| id.clone())
@@ -170,7 +173,7 @@
                     continue;
                 };
                 let orders = ownership.fleet.later(&w.report, now, wall());
-                if orders.is_empty() && now < w.until {
+                if orders.is_empty() && now < w.deadline {
                     continue;
                 }
                 if let Some(w) = deferred_replies.remove(id) {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -1,4 +1,4 @@
-//! How a controller is: the load balancer's probe and the status view for people on call.
+//! The load balancer's health check and the status for people on call.
 
 use super::{Node, Ownership};
 use crate::http::{Request, Response};
@@ -7,9 +7,9 @@
 
 /// Path of the status view between controllers; a team's name may follow.
 pub const STATUS: &str = "/status";
-/// After this without a word, asked for or not, none can be heard.
+/// After this without any message or answer the other controllers count as unreachable.
 const PEER_TIMEOUT: Micros = Micros::from_millis(4500);
-/// After this without an answer the state service counts as lost.
+/// After this without an answer the state service counts as unreachable.
 const STATE_TIMEOUT: Micros = Micros::from_millis(1500);
 /// Number of the one part that there is.
 const ONLY_PART: u32 = 0;
@@ -31,6 +31,7 @@
         Response::json(200, &Health { healthy: true })
     }
 
+    /// The status, whole or for the team that the path names.
     pub(super) fn status(&self, req: &Request) -> Response {
         let team = req.path.strip_prefix(STATUS).and_then(|r| r.strip_prefix('/'));
         let shared = self.lock();
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -1,5 +1,5 @@
-//! What the users' interface needs of a controller: final stages, numbers of live jobs, and word of
-//! what was written or cancelled.
+//! What the users' interface (`api`) needs of a controller: final stages, numbers of live jobs, and
+//! telling the owner what was written or cancelled.
 
 use super::Node;
 use crate::fleet::Counts;
@@ -20,7 +20,7 @@
 const JOB_NEWS_TIMEOUT: Micros = Micros::from_millis(1000);
 
 impl Node {
-    /// Has another controller answer a user whom this one cannot.
+    /// Relays a user's request to the other controllers until one can answer it.
     pub fn relay_to_any(&self, req: &Request) -> Option<Response> {
         if self.now() < self.lock().no_relay_until {
             return None;
@@ -40,7 +40,7 @@
         self.lock().finals.get(id).copied()
     }
 
-    /// Keeps a final stage; final stages never change.
+    /// Records a final stage; final stages never change.
     pub fn learn_final(&self, id: &str, f: FinalRecord, revision: u64) {
         let mut shared = self.lock();
         if shared.finals.contains_key(id) {
@@ -70,7 +70,7 @@
         }
     }
 
-    /// A job was written by this node: the owner is told.
+    /// Tells the owner of a job that this node has written.
     pub fn job_written(&self, id: &str, record: JobRecord, revision: u64) {
         let to = {
             let mut shared = self.lock();
@@ -104,6 +104,7 @@
         self.apply_cancellation(id, f, revision);
     }
 
+    /// Records a confirmed cancellation and, on the owner, stops what is left of the job.
     pub(super) fn apply_cancellation(&self, id: &str, f: FinalRecord, revision: u64) {
         self.learn_final(id, f, revision);
         if let Some(ownership) = self.lock().ownership.as_mut() {
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -1,4 +1,4 @@
-//! Watches the jobs' records for what other controllers accept and end.
+//! The watching duty: follows the changes of the jobs' records that other controllers make.
 
 use super::{Node, Ownership};
 use crate::fleet::Fleet;
@@ -19,7 +19,7 @@
 const MAX_READ_INTERVAL: Micros = Micros::from_millis(1_000);
 
 impl Node {
-    /// Sees the jobs that other controllers accept and end.
+    /// Follows the changes of jobs until the controller ends.
     pub(super) fn watch(&self) {
         while !self.stopping() {
             let pause = self.watch_once();
@@ -27,10 +27,10 @@
         }
     }
 
-    /// Looks for changes of jobs; returns how long to pause. Between reads that answer at once, which
-    /// alone renew the view, a watch brings changes as they come: one that stays silent, or whose
-    /// answer comes late, proves nothing, since it may have waited for a service that refuses this
-    /// node.
+    /// Fetches changes of jobs; returns how long to pause. Only complete reads, which are answered at
+    /// once, renew the view; between them a watch brings changes as they come. A watch that stays
+    /// silent, or is answered late, proves nothing: it may have waited for a service that refuses
+    /// this node.
     pub fn watch_once(&self) -> Micros {
         let Some((token, from, view)) =
             self.lock().ownership.as_ref().map(|o| (o.claim.token, o.fleet.read_to(), o.view))
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Takes in changes; `read_at` is when they were asked for if they are a complete read, none if a
+    /// Applies changes; `read_at` is when they were asked for if they are a complete read, none if a
     /// watch brought them.
     fn apply_changes(&self, ownership: &mut Ownership, changes: Events, read_at: Option<Steady>) {
         let latest = changes.events.iter().map(|e| e.stamp).max().unwrap_or(0);
@@ -82,7 +82,7 @@
     }
 }
 
-/// Takes in a change under the jobs' prefix.
+/// Applies a change under the jobs' prefix.
 fn apply_change(fleet: &mut Fleet, e: Event, now: Steady) {
     if let Some(id) = e.drop.as_deref().and_then(|k| k.strip_prefix(JOBS_PREFIX)) {
         fleet.job_over(id, e.stamp);
--- a/src/node/writer.rs
+++ b/src/node/writer.rs
@@ -1,4 +1,4 @@
-//! Writes the owner's records in batches, and reads back what a failed write left.
+//! The writing duty: writes the owner's records in batches, and reads back what a failed write left.
 
 use super::Node;
 use crate::cluster::{self, Batch, Claim, PART};
@@ -16,7 +16,7 @@
 const WRITE_RETRY_DELAY: Micros = Micros::from_millis(150);
 
 impl Node {
-    /// Writes what waits.
+    /// Writes pending records until the controller ends.
     pub(super) fn write(&self) {
         while !self.stopping() {
             drop(self.wake.wait_timeout(self.lock(), WRITE_INTERVAL.std()));
@@ -26,7 +26,7 @@
         }
     }
 
-    /// Writes what waits now; false if writing should pause.
+    /// Writes all records that are pending now; false if writing should pause.
     pub fn write_once(&self) -> bool {
         let chunk = chunk_tasks(self.cfg.value_bytes());
         let ops = self.cfg.platform.settings.state.txn_ops;
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Takes note of what a batch wrote; false if this node no longer owns it.
+    /// Records in the fleet what a batch has written; false if this node no longer owns it.
     fn batch_written(&self, claim: &Claim, b: &Batch, revision: u64) -> bool {
         let mut finals: Vec<(JobId, u32)> = Vec::new();
         {
@@ -96,7 +96,7 @@
         true
     }
 
-    /// Learns how keys stand after a conflict or an unknown outcome.
+    /// Reads the values of keys after a conflict or an unknown outcome.
     fn read_back(&self, claim: &Claim, keys: &[String]) -> bool {
         for key in keys {
             let Ok(row) = self.state.get(key, Urgency::User) else { return false };
