--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -72,19 +72,21 @@
     /// Rents and returns machines until the controller ends.
     pub(super) fn rent_and_return(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
-        let (mut counter, mut began) = (0u64, (0u64, Steady(0)));
+        let mut counter = 0u64;
+        let (mut last_token, mut owner_since) = (0u64, Steady(0));
         while !self.stopping() {
             self.sleep(CLOUD_INTERVAL);
             let Some((token, first)) = self.lock().ownership.as_ref().map(|o| (o.claim.token, o.claim.first))
             else {
                 continue;
             };
-            if began.0 != token {
-                began = (token, self.now());
+            if last_token != token {
+                last_token = token;
+                owner_since = self.now();
             }
             self.return_machines(token);
             // What the last owner rented shows in the list only after a while.
-            if first || self.now() - began.1 > lag.scale(1.2) {
+            if first || self.now() - owner_since > lag.scale(1.2) {
                 self.rent(token, &mut counter);
             }
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,7 +25,7 @@
 use rand::Rng;
 
 use self::latency::{histogram, Latencies};
-use self::ownership::state_budget;
+use self::ownership::StateBudget;
 use self::reports::DeferredReply;
 pub use self::status::STATUS;
 use crate::api;
@@ -146,15 +146,16 @@
         clock: Clock,
         stop: Arc<AtomicBool>,
     ) -> anyhow::Result<Arc<Node>> {
-        let (rps, writes) = state_budget(&cfg, false);
+        let budget = StateBudget::new(&cfg, false);
         let p = &cfg.platform;
         let keep = Micros::from_secs(p.settings.workers.cancel_s);
         let now = clock.now();
         Ok(Arc::new(Node {
-            state: StateClient::new(p.services.state, rps, writes),
+            state: StateClient::new(p.services.state, budget.requests_per_s, budget.writes_per_s),
             // Half of what the others are allowed, at the most.
             live: LiveJobs::new(
-                Micros::from_secs(2.0 / rps.max(0.1)).clamp(MIN_POLL_READ_INTERVAL, MAX_POLL_READ_INTERVAL),
+                Micros::from_secs(2.0 / budget.requests_per_s.max(0.1))
+                    .clamp(MIN_POLL_READ_INTERVAL, MAX_POLL_READ_INTERVAL),
             ),
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
             notices: Mutex::new(Notices::new(peers.count(), keep)),
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -199,8 +199,8 @@
             fleet.set_types(t.clone());
         }
         let now = self.now();
-        let (rps, writes) = state_budget(&self.cfg, true);
-        self.state.allow(rps, writes);
+        let budget = StateBudget::new(&self.cfg, true);
+        self.state.allow(budget.requests_per_s, budget.writes_per_s);
         tracing::info!(
             token = claim.token,
             jobs = fleet.jobs.len(),
@@ -230,8 +230,8 @@
     pub(super) fn step_down(&self, shared: &mut SharedState, token: u64, why: &str) {
         shared.highest_token = shared.highest_token.max(token);
         if let Some(ownership) = shared.ownership.take() {
-            let (rps, writes) = state_budget(&self.cfg, false);
-            self.state.allow(rps, writes);
+            let budget = StateBudget::new(&self.cfg, false);
+            self.state.allow(budget.requests_per_s, budget.writes_per_s);
             tracing::info!(token = ownership.claim.token, higher = token, why, "gives its parts up");
             shared.leader = None;
             self.wake.notify_all();
@@ -239,16 +239,24 @@
     }
 }
 
-/// This node's share of the state service's requests and changes. The leader writes for all, so
-/// it is allowed more of the changes than the others. Those only accept and cancel, in bursts: their
-/// shares add up to more than there is, and what the service refuses then is tried again at once.
-pub(super) fn state_budget(cfg: &Config, leads: bool) -> (f64, f64) {
-    let st = &cfg.platform.settings.state;
-    let others = cfg.nodes().saturating_sub(1) as f64;
-    let (rps, writes) = match (cfg.nodes(), leads) {
-        (1, _) => (0.9, 0.9),
-        (n, true) => (1.8 / (n as f64 + 1.0), 0.6),
-        (n, false) => (0.9 / (n as f64 + 1.0), (0.8 / others).min(0.4)),
-    };
-    (st.rps * rps, st.write_rps * writes)
+/// This node's share of the state service's requests and changes.
+pub(super) struct StateBudget {
+    pub(super) requests_per_s: f64,
+    pub(super) writes_per_s: f64,
+}
+
+impl StateBudget {
+    /// The share of the leader, or of another controller. The leader writes for all, so it is allowed
+    /// more of the changes than the others. Those only accept and cancel, in bursts: their shares add
+    /// up to more than there is, and what the service refuses then is tried again at once.
+    pub(super) fn new(cfg: &Config, leads: bool) -> StateBudget {
+        let limits = &cfg.platform.settings.state;
+        let others = cfg.nodes().saturating_sub(1) as f64;
+        let (requests, writes) = match (cfg.nodes(), leads) {
+            (1, _) => (0.9, 0.9),
+            (n, true) => (1.8 / (n as f64 + 1.0), 0.6),
+            (n, false) => (0.9 / (n as f64 + 1.0), (0.8 / others).min(0.4)),
+        };
+        StateBudget { requests_per_s: limits.rps * requests, writes_per_s: limits.write_rps * writes }
+    }
 }
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -35,27 +35,35 @@
     reply: Reply,
 }
 
+/// What becomes of a report.
+enum ReportOutcome {
+    /// It is answered now, through the reply where there is one.
+    Answer(Response, Option<Reply>),
+    /// Its answer is deferred.
+    Deferred,
+}
+
 impl Node {
     /// Handles a report. With a `reply` it is answered through that, now or later; without one, as for
     /// a report that another controller relayed, the answer is returned.
     pub(super) fn check_in(&self, req: &Request, reply: Option<Reply>) -> Option<Response> {
-        let (answer, reply) = self.take_report(req, reply);
-        match (answer, reply) {
-            (Some(a), Some(reply)) => {
-                reply.send(&a);
+        match self.take_report(req, reply) {
+            ReportOutcome::Answer(answer, Some(reply)) => {
+                reply.send(&answer);
                 None
             }
-            (a, _) => a,
+            ReportOutcome::Answer(answer, None) => Some(answer),
+            ReportOutcome::Deferred => None,
         }
     }
 
-    /// The answer to a report, with the `reply` to send it by; neither if the answer is deferred.
-    fn take_report(&self, req: &Request, reply: Option<Reply>) -> (Option<Response>, Option<Reply>) {
+    /// Decides on the answer to a report.
+    fn take_report(&self, req: &Request, reply: Option<Reply>) -> ReportOutcome {
         let report: Report = match serde_json::from_slice(&req.body) {
             Ok(r) => r,
             Err(e) => {
                 tracing::error!(error = %e, "a worker's report cannot be read");
-                return (Some(Response::error(400, &e.to_string())), reply);
+                return ReportOutcome::Answer(Response::error(400, &e.to_string()), reply);
             }
         };
         let mut shared = self.await_claim();
@@ -63,9 +71,9 @@
             return self.answer_as_owner(&mut shared, report, reply);
         }
         if reply.is_none() {
-            return (Some(Response::error(503, "not the owner")), None);
+            return ReportOutcome::Answer(Response::error(503, "not the owner"), None);
         }
-        (Some(self.redirect_or_relay(shared, &report.machine, req)), reply)
+        ReportOutcome::Answer(self.redirect_or_relay(shared, &report.machine, req), reply)
     }
 
     /// Takes the lock, and while a claim is being made waits a moment for its outcome.
@@ -87,16 +95,16 @@
         shared: &mut SharedState,
         report: Report,
         reply: Option<Reply>,
-    ) -> (Option<Response>, Option<Reply>) {
+    ) -> ReportOutcome {
         let now = self.now();
         let Some(ownership) = shared.ownership.as_mut() else {
-            return (Some(Response::error(503, "not the owner")), reply);
+            return ReportOutcome::Answer(Response::error(503, "not the owner"), reply);
         };
         if !ownership.view.may_act(now) {
             // Cancellations cannot be seen any more: leases must be let run out.
             ownership.fleet.not_answered(&report.machine, now);
             let refused = Response::error(503, "out of touch with the state service");
-            return (Some(refused), reply);
+            return ReportOutcome::Answer(refused, reply);
         }
         ownership.last_report = now;
         let token = ownership.claim.token;
@@ -110,7 +118,7 @@
                             DeferredReply { report, token, deadline: now + MAX_REPLY_DELAY, reply };
                         // A second report takes the place of the first: its worker gave up.
                         shared.deferred_replies.insert(id, deferred);
-                        return (None, None);
+                        return ReportOutcome::Deferred;
                     }
                 }
                 Response::json(200, &r)
@@ -121,7 +129,7 @@
                 Response::error(503, "not the owner")
             }
         };
-        (Some(answer), reply)
+        ReportOutcome::Answer(answer, reply)
     }
 
     /// Redirects a worker to the leader; if it is back soon after, relays its report to the leader.
