--- a/src/node/announce.rs
+++ b/src/node/announce.rs
@@ -1,4 +1,5 @@
-//! Tells the other controllers who leads and which cancellations were confirmed.
+//! The announcing duty: tells the other controllers who leads and which cancellations were
+//! confirmed to users.
 
 use super::{Node, Ownership};
 use crate::fleet::Counts;
@@ -13,10 +14,14 @@
 const NOTICE_RETRY_DELAY: Micros = Micros::from_millis(300);
 /// After this without a word from another controller, whether one can be heard is asked.
 const PEER_PROBE_AFTER: Micros = Micros::from_millis(1500);
+/// How long another controller has to answer an announcement or a notice.
+const MESSAGE_TIMEOUT: Micros = Micros::from_millis(900);
+/// Most jobs whose numbers are announced.
+const MAX_ANNOUNCED_JOBS: usize = 2000;
 
 impl Node {
-    /// Tells the others who leads, about once a second, and what was cancelled, at once and until
-    /// each has answered.
+    /// Tells the others who leads, about once a second, and of cancellations at once, repeated until
+    /// each has acknowledged them.
     pub(super) fn announce(&self) {
         let (mut last, mut all_told) = (Steady(0), true);
         while !self.stopping() {
@@ -36,7 +41,8 @@
         }
     }
 
-    /// Tells the others who leads, or asks whether any of them can be heard.
+    /// Announces this owner to the others; on any other controller probes them if none was heard of
+    /// late.
     pub fn announce_once(&self) {
         let summary = {
             let shared = self.lock();
@@ -49,18 +55,16 @@
         };
         let Some(s) = summary else { return };
         let sent: Vec<_> = (0..self.peers.count())
-            .filter_map(|to| {
-                self.peers.begin(to, Message::Announce(s.clone()), Micros::from_millis(900)).ok()
-            })
+            .filter_map(|to| self.peers.begin(to, Message::Announce(s.clone()), MESSAGE_TIMEOUT).ok())
             .collect();
         for w in sent {
             if let Ok(Outcome::Ack(a)) = w.wait() {
-                self.heard_token(a.token);
+                self.peer_answered(a.token);
             }
         }
     }
 
-    /// What the others are told by the owner.
+    /// The owner's announcement.
     fn summary(&self, ownership: &Ownership) -> Summary {
         let count = |id: &JobId| {
             let c = ownership.fleet.counts(id).filter(|c| *c != Counts::default())?;
@@ -69,11 +73,12 @@
         Summary {
             leader: self.cfg.platform.label.clone(),
             token: ownership.claim.token,
-            jobs: ownership.fleet.jobs.keys().take(2000).filter_map(count).collect(),
+            jobs: ownership.fleet.jobs.keys().take(MAX_ANNOUNCED_JOBS).filter_map(count).collect(),
         }
     }
 
-    /// Tells each of the others what it does not know yet; false if one did not answer.
+    /// Sends each of the others the cancellations that it has not acknowledged; false if one did not
+    /// answer.
     pub fn tell_once(&self) -> bool {
         let due = self.notices.lock().unwrap_or_else(|e| e.into_inner()).due(self.now());
         let sent: Vec<_> = due
@@ -86,7 +91,7 @@
                 };
                 let message =
                     Message::Cancelled(peer::Cancellations { jobs: batch.iter().map(one).collect() });
-                (to, self.peers.begin(to, message, Micros::from_millis(900)), batch)
+                (to, self.peers.begin(to, message, MESSAGE_TIMEOUT), batch)
             })
             .collect();
         let mut all = true;
@@ -94,7 +99,7 @@
             match waiting.and_then(|w| w.wait()) {
                 Ok(Outcome::Ack(a)) => {
                     self.notices.lock().unwrap_or_else(|e| e.into_inner()).answered(to, &batch);
-                    self.heard_token(a.token);
+                    self.peer_answered(a.token);
                 }
                 Ok(Outcome::Answer(_)) => all = false,
                 Err(e) => {
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -1,4 +1,5 @@
-//! The owner's dealings with the cloud: the list of machines, the prices, renting and returning.
+//! The cloud duties of the owner: one reads the list of machines and the prices, the other rents and
+//! returns machines.
 
 use super::Node;
 use crate::capacity::Offer;
@@ -17,67 +18,83 @@
 const NO_CAPACITY_BACKOFF: Micros = Micros::from_millis(10_000);
 /// The same after the cloud answered with an error, or not at all.
 const CLOUD_ERROR_BACKOFF: Micros = Micros::from_millis(2_000);
+/// Pause between rounds of looking at the cloud, and of renting and returning.
+const CLOUD_INTERVAL: Micros = Micros::from_millis(500);
+/// How often the cloud's list is read at the most.
+const MIN_LIST_INTERVAL: Micros = Micros::from_millis(2_000);
+/// How often the prices are read.
+const PRICES_INTERVAL: Micros = Micros::from_millis(45_000);
 
 impl Node {
-    /// Keeps an eye on the cloud's list and its prices. A long list takes several requests, which
-    /// must not hold up renting.
-    pub(super) fn list(&self) {
+    /// Reads the cloud's list and prices until the controller ends. A long list takes several
+    /// requests, which must not delay renting.
+    pub(super) fn refresh_cloud(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
-        let every = lag.scale(0.75).max(Micros::from_secs(2.0));
+        let every = lag.scale(0.75).max(MIN_LIST_INTERVAL);
         let (mut listed, mut priced, mut last) = (Steady(0), Steady(0), 0u64);
         while !self.stopping() {
-            self.sleep(Micros::from_millis(500));
+            self.sleep(CLOUD_INTERVAL);
             let Some(token) = self.lock().ownership.as_ref().map(|o| o.claim.token) else { continue };
             let now = self.now();
             if last != token {
                 last = token;
                 listed = Steady(0);
             }
-            if now - priced > Micros::from_secs(45.0) {
-                if let Ok(t) = self.cloud.catalog() {
-                    priced = now;
-                    let mut shared = self.lock();
-                    shared.machine_types = Some(t.clone());
-                    if let Some(ownership) = shared.ownership.as_mut() {
-                        ownership.fleet.set_types(t);
-                    }
-                }
+            if now - priced > PRICES_INTERVAL && self.refresh_prices() {
+                priced = now;
             }
-            if now - listed > every {
-                if let Ok(list) = self.cloud.list() {
-                    listed = now;
-                    if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
-                    {
-                        ownership.fleet.listed(&list, self.now());
-                    }
-                }
+            if now - listed > every && self.refresh_list(token) {
+                listed = now;
             }
         }
     }
 
-    /// Rents and returns.
-    pub(super) fn tend(&self) {
+    /// Reads the machine types with their prices; false if the cloud did not answer.
+    fn refresh_prices(&self) -> bool {
+        let Ok(types) = self.cloud.catalog() else { return false };
+        let mut shared = self.lock();
+        shared.machine_types = Some(types.clone());
+        if let Some(ownership) = shared.ownership.as_mut() {
+            ownership.fleet.set_types(types);
+        }
+        true
+    }
+
+    /// Reads the cloud's list; false if the cloud did not answer.
+    fn refresh_list(&self, token: u64) -> bool {
+        let Ok(list) = self.cloud.list() else { return false };
+        if let Some(ownership) = self.lock().owned_with(token) {
+            ownership.fleet.listed(&list, self.now());
+        }
+        true
+    }
+
+    /// Rents and returns machines until the controller ends.
+    pub(super) fn rent_and_return(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
-        let (mut counter, mut began) = (0u64, (0u64, Steady(0)));
+        let mut counter = 0u64;
+        let (mut last_token, mut owner_since) = (0u64, Steady(0));
         while !self.stopping() {
-            self.sleep(Micros::from_millis(500));
+            self.sleep(CLOUD_INTERVAL);
             let Some((token, first)) = self.lock().ownership.as_ref().map(|o| (o.claim.token, o.claim.first))
             else {
                 continue;
             };
-            if began.0 != token {
-                began = (token, self.now());
+            if last_token != token {
+                last_token = token;
+                owner_since = self.now();
             }
-            self.give_back(token);
+            self.return_machines(token);
             // What the last owner rented shows in the list only after a while.
-            if first || self.now() - began.1 > lag.scale(1.2) {
+            if first || self.now() - owner_since > lag.scale(1.2) {
                 self.rent(token, &mut counter);
             }
         }
     }
 
-    fn give_back(&self, token: u64) {
-        let ids = match self.lock().ownership.as_ref().filter(|o| o.claim.token == token) {
+    /// Returns the machines that the owner no longer needs.
+    fn return_machines(&self, token: u64) {
+        let ids = match self.lock().owned_with(token) {
             Some(ownership) => ownership.fleet.leaving(),
             None => return,
         };
@@ -89,8 +106,7 @@
         for part in ids.chunks(MAX_MACHINES_PER_RETURN) {
             match self.cloud.give_back(part) {
                 Ok(()) => {
-                    if let Some(ownership) = self.lock().ownership.as_mut().filter(|o| o.claim.token == token)
-                    {
+                    if let Some(ownership) = self.lock().owned_with(token) {
                         ownership.fleet.returned(part, self.now());
                     }
                     self.wake.notify_all();
@@ -103,8 +119,9 @@
         }
     }
 
+    /// Rents what the owner lacks; `counter` numbers the requests.
     fn rent(&self, token: u64, counter: &mut u64) {
-        let Some(wanted) = self.wanted(token) else { return };
+        let Some(wanted) = self.wanted_rentals(token) else { return };
         let mut refused = Vec::new();
         for (offer, request) in wanted {
             if refused.contains(&offer) {
@@ -115,7 +132,7 @@
                 RentRequest { request: format!("r-{token}-{}-{counter}", self.incarnation), ..request };
             let outcome = self.request_rental(&request);
             let mut shared = self.lock();
-            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+            let Some(ownership) = shared.owned_with(token) else {
                 return;
             };
             let now = self.now();
@@ -127,10 +144,11 @@
         }
     }
 
-    /// The requests that bring what the owner lacks, still without names; none if it owns no more.
-    fn wanted(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
+    /// Requests for the machines that the owner lacks, still without names; none if this node is no
+    /// longer the owner.
+    fn wanted_rentals(&self, token: u64) -> Option<Vec<(Offer, RentRequest)>> {
         let mut shared = self.lock();
-        let ownership = shared.ownership.as_mut().filter(|o| o.claim.token == token)?;
+        let ownership = shared.owned_with(token)?;
         let mut requests = Vec::new();
         for (offer, count) in ownership.fleet.capacity(self.now(), wall()) {
             let Some(ty) = ownership.fleet.types().get(offer.ty).map(|t| t.name.clone()) else { continue };
@@ -175,7 +193,7 @@
     Failed,
 }
 
-/// Takes in the cloud's answer to a request.
+/// Records the cloud's answer to a rental request in the fleet.
 fn rental_answered(
     fleet: &mut Fleet,
     offer: Offer,
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -1,4 +1,5 @@
-//! Direct commands to workers: a new owner's token, and halts for machines that do not report.
+//! The commanding duty: direct commands to workers. They bring a new owner's token, and halts to
+//! machines that do not report.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -14,10 +15,15 @@
 const HALT_INTERVAL: Micros = Micros::from_millis(100);
 /// How long after commands were sent machines are asked again to take this owner's token.
 const RAISE_INTERVAL: Micros = Micros::from_millis(500);
+/// How long a worker has to answer a command.
+const COMMAND_TIMEOUT: Micros = Micros::from_millis(1500);
+/// How often a command is sent at the most: again if the worker has begun another session.
+const COMMAND_ATTEMPTS: usize = 2;
+/// Stack in bytes of a thread that sends commands.
+const COMMAND_STACK: usize = 128 * 1024;
 
 impl Node {
-    /// Brings this owner's token to the machines it has inherited, and halts to those that do not
-    /// come for them.
+    /// Sends direct commands until the controller ends.
     pub(super) fn command(&self) {
         let mut raise_after = Steady(0);
         while !self.stopping() {
@@ -45,24 +51,25 @@
             (o.fleet.token, commands)
         });
         let Some((token, list)) = due.filter(|d| !d.1.is_empty()) else { return false };
-        // One that does not answer holds up only one routine: the others go on with the list.
+        // A worker that does not answer holds up only one thread: the others go on with the list.
         let next = AtomicUsize::new(0);
         std::thread::scope(|s| {
             for _ in 0..list.len().min(RAISERS) {
                 let (next, list) = (&next, &list);
                 let send = move || {
                     while let Some(c) = list.get(next.fetch_add(1, Ordering::Relaxed)) {
-                        self.command_one(token, c);
+                        self.send_command(token, c);
                     }
                 };
-                // Without a routine more the others do its share.
-                let _ = std::thread::Builder::new().stack_size(128 * 1024).spawn_scoped(s, send);
+                // If a thread cannot be started, the others send its share.
+                let _ = std::thread::Builder::new().stack_size(COMMAND_STACK).spawn_scoped(s, send);
             }
         });
         true
     }
 
-    fn command_one(&self, token: u64, command: &DirectCommand) {
+    /// Sends a command, unless it is no longer needed, and hands the worker's report to the fleet.
+    fn send_command(&self, token: u64, command: &DirectCommand) {
         let DirectCommand { machine, address, session, orders } = command;
         // It may have reported by itself since the list was made.
         let due = |o: &Ownership| {
@@ -74,14 +81,13 @@
         }
         let Ok(address) = address.parse() else { return };
         let client = Client::new(address, 1);
-        let mut season = *session;
-        for _ in 0..2 {
-            let Ok(body) = serde_json::to_vec(&Commands { token, season, orders: orders.clone() }) else {
+        let mut session = *session;
+        for _ in 0..COMMAND_ATTEMPTS {
+            let Ok(body) = serde_json::to_vec(&Commands { token, season: session, orders: orders.clone() })
+            else {
                 return;
             };
-            let Ok((status, body)) =
-                client.call("POST", COMMANDS_PATH, Some(&body), Micros::from_millis(1500))
-            else {
+            let Ok((status, body)) = client.call("POST", COMMANDS_PATH, Some(&body), COMMAND_TIMEOUT) else {
                 tracing::debug!(%machine, "does not answer");
                 return;
             };
@@ -91,11 +97,11 @@
             }
             // With halts, a later session has nothing left to be halted.
             if status == 409 && r.token < token && orders.is_empty() {
-                season = r.season;
+                session = r.season;
                 continue;
             }
             let mut shared = self.lock();
-            let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else {
+            let Some(ownership) = shared.owned_with(token) else {
                 return;
             };
             if let Some(higher) = ownership.fleet.raised(&r, self.now()) {
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -10,6 +10,25 @@
 use crate::time::{Micros, Steady};
 use crate::view::View;
 
+/// Renewals of the lease begin no closer together than this.
+const MIN_RENEWAL_INTERVAL: Micros = Micros::from_millis(100);
+/// Pause before the leader's record is read again, after a failure or while others go first.
+const FOLLOW_RETRY_DELAY: Micros = Micros::from_millis(300);
+/// How long one watch of the leader's record lasts.
+const LEADER_WATCH_TIMEOUT: Micros = Micros::from_millis(3_000);
+/// After this without word from another controller an owner that hears no worker resigns.
+const PEERS_UNHEARD_AFTER: Micros = Micros::from_millis(3_000);
+/// How long an owner that resigned makes no claim.
+const RESIGNED_FOR: Micros = Micros::from_millis(8_000);
+/// A controller that has run no longer than this claims sooner than the others.
+const RECENTLY_STARTED: Micros = Micros::from_millis(120_000);
+/// Least delay between the end of the leader's lease and a claim, in milliseconds.
+const CLAIM_DELAY_MS: i64 = 60;
+/// The same for one that was started recently.
+const CLAIM_DELAY_RECENT_MS: i64 = 5;
+/// Random part of that delay, in milliseconds.
+const CLAIM_JITTER_MS: i64 = 50;
+
 impl Node {
     /// Keeps the leader's lease, or waits for its end and takes over.
     pub(super) fn keep(&self) {
@@ -27,26 +46,27 @@
         let lease = self.lock().ownership.as_ref().map(|o| (o.claim.lease, o.claim.token));
         match lease {
             Some((lease, token)) => {
-                self.hold(lease, token);
+                self.renew_lease(lease, token);
                 // The view rests on renewals too: with tight settings it must not age for long.
-                ttl.scale(0.3).min(self.cfg.blind_bound().scale(0.4)).max(Micros::from_millis(100))
+                ttl.scale(0.3).min(self.cfg.blind_bound().scale(0.4)).max(MIN_RENEWAL_INTERVAL)
             }
             None => match self.follow(ttl) {
                 Ok(()) => Micros::ZERO,
                 Err(e) => {
                     tracing::debug!(error = %e, "the leader's record cannot be read");
-                    Micros::from_millis(300)
+                    FOLLOW_RETRY_DELAY
                 }
             },
         }
     }
 
-    fn hold(&self, lease: u64, token: u64) {
+    /// Renews the leader's lease; steps down if it has ended, or if this owner is isolated.
+    fn renew_lease(&self, lease: u64, token: u64) {
         let begun = self.now();
         let r = self.state.renew(lease);
         let renewed = r.is_ok();
         let mut shared = self.lock();
-        let Some(ownership) = shared.ownership.as_mut().filter(|o| o.claim.token == token) else { return };
+        let Some(ownership) = shared.owned_with(token) else { return };
         // A single controller is followed by nobody while it lives.
         if renewed || self.cfg.nodes() == 1 {
             ownership.fleet.confirm(begun);
@@ -57,60 +77,83 @@
             Err(StateError::NoLease) => self.step_down(&mut shared, 0, "its lease ended"),
             Err(e) => tracing::info!(error = %e, "the lease could not be renewed"),
         }
-        // Cut off from workers and controllers alike while the state service answers: others can
-        // serve the workers before their leases run out, this one cannot.
+        if renewed && self.is_isolated(&shared) {
+            shared.no_claim_until = self.now() + RESIGNED_FOR;
+            self.step_down(&mut shared, 0, "hears neither workers nor controllers");
+            drop(shared);
+            let _ = self.state.end_lease(lease);
+        }
+    }
+
+    /// Whether this owner is cut off from workers and controllers alike. While the state service
+    /// answers, others can serve the workers before their leases run out, this one cannot.
+    fn is_isolated(&self, shared: &SharedState) -> bool {
         let quiet = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 2.5);
         let now = self.now();
         let unheard = now - shared.last_peer_contact;
-        let alone = shared.ownership.as_ref().is_some_and(|o| {
+        shared.ownership.as_ref().is_some_and(|o| {
             self.peers.count() > 0
                 && now - o.last_report > quiet
-                && unheard > Micros::from_secs(3.0)
+                && unheard > PEERS_UNHEARD_AFTER
                 && o.fleet.machines.values().filter(|m| m.up).count() > 1
-        });
-        if alone && renewed {
-            shared.no_claim_until = now + Micros::from_secs(8.0);
-            self.step_down(&mut shared, 0, "hears neither workers nor controllers");
-            drop(shared);
-            let _ = self.state.end_lease(lease);
-        }
+        })
     }
 
+    /// Reads the leader's record. While another leads, waits for the end of its lease; then, or if
+    /// nobody leads, takes over.
     fn follow(&self, ttl: Micros) -> Result<(), StateError> {
         let (rows, revision) = self.state.list(LEADER)?;
         let row = rows.into_iter().find(|r| r.key == LEADER);
         let owner: Option<Owner> = row.as_ref().and_then(|r| serde_json::from_value(r.value.clone()).ok());
         let stamp = row.as_ref().map_or(0, |r| r.stamp);
-        let mine = owner.as_ref().is_some_and(|o| o.label == self.cfg.platform.label);
-        if let (Some(o), false) = (&owner, mine) {
-            {
-                let mut shared = self.lock();
-                shared.highest_token = shared.highest_token.max(o.token);
-                shared.leader = Some(o.clone());
+        match owner.filter(|o| o.label != self.cfg.platform.label) {
+            Some(leader) => {
+                if self.await_lease_end(&leader, revision)? {
+                    self.sleep(self.claim_delay());
+                    return self.take_over(ttl, 0);
+                }
+                Ok(())
             }
-            let e = self.state.watch(LEADER, revision, Micros::from_millis(3000))?;
-            if !e.events.iter().any(|e| e.drop.as_deref() == Some(LEADER)) {
-                return Ok(());
+            // Nobody leads, or an earlier life of this very process did.
+            None => {
+                if self.now() < self.lock().no_claim_until {
+                    self.sleep(FOLLOW_RETRY_DELAY);
+                    return Ok(());
+                }
+                self.take_over(ttl, stamp)
             }
-            self.lock().leader = None;
-            tracing::info!(leader = %o.label, "the leader's lease ended");
-            // Most of the time one of the others is a little faster, and the guard decides. One that
-            // has started of late goes first: in a rolling restart the others are still to go, and
-            // each would take the ownership only to lose it again.
-            let old = self.now() - self.started > Micros::from_secs(120.0);
-            let first = if old { 60 } else { 5 };
-            self.sleep(Micros::from_millis(rand::rng().random_range(first..first + 50)));
-            return self.take(ttl, 0);
         }
-        // Nobody leads, or an earlier life of this very process did.
-        if self.now() < self.lock().no_claim_until {
-            self.sleep(Micros::from_millis(300));
-            return Ok(());
+    }
+
+    /// Waits a while for the end of another leader's lease; whether it ended.
+    fn await_lease_end(&self, leader: &Owner, revision: u64) -> Result<bool, StateError> {
+        {
+            let mut shared = self.lock();
+            shared.highest_token = shared.highest_token.max(leader.token);
+            shared.leader = Some(leader.clone());
         }
-        self.take(ttl, stamp)
+        let changes = self.state.watch(LEADER, revision, LEADER_WATCH_TIMEOUT)?;
+        if !changes.events.iter().any(|e| e.drop.as_deref() == Some(LEADER)) {
+            return Ok(false);
+        }
+        self.lock().leader = None;
+        tracing::info!(leader = %leader.label, "the leader's lease ended");
+        Ok(true)
+    }
+
+    /// How long to wait between the end of the leader's lease and a claim. Most of the time one of
+    /// the others is a little faster, and the guard decides. One that has started of late goes first:
+    /// in a rolling restart the others are still to go, and each would take the ownership only to
+    /// lose it again.
+    fn claim_delay(&self) -> Micros {
+        let recent = self.now() - self.started <= RECENTLY_STARTED;
+        let least_ms = if recent { CLAIM_DELAY_RECENT_MS } else { CLAIM_DELAY_MS };
+        Micros::from_millis(rand::rng().random_range(least_ms..least_ms + CLAIM_JITTER_MS))
     }
 
-    fn take(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
+    /// Claims the ownership; `seen` is the version of the leader's record that the claim replaces, 0
+    /// for none.
+    fn take_over(&self, ttl: Micros, seen: u64) -> Result<(), StateError> {
         if self.now() < self.lock().no_claim_until {
             return Ok(());
         }
@@ -128,8 +171,8 @@
         self.rebuild(claim, begun)
     }
 
-    /// Rebuilds the owner's world from the records after a claim, and owns it unless another has
-    /// taken over meanwhile.
+    /// Rebuilds the fleet from the records after a claim, and owns it unless another has taken over
+    /// meanwhile.
     fn rebuild(&self, claim: Claim, begun: Steady) -> Result<(), StateError> {
         let types = self.types().unwrap_or_default();
         let r = cluster::rebuild(&self.state, self.cfg.clone(), types, claim.token, self.now());
@@ -150,13 +193,14 @@
         }
     }
 
+    /// Starts to act as the owner of a fleet.
     fn begin_ownership(&self, shared: &mut SharedState, claim: Claim, mut fleet: Fleet, begun: Steady) {
         if let Some(t) = &shared.machine_types {
             fleet.set_types(t.clone());
         }
         let now = self.now();
-        let (rps, writes) = share(&self.cfg, true);
-        self.state.allow(rps, writes);
+        let budget = StateBudget::new(&self.cfg, true);
+        self.state.allow(budget.requests_per_s, budget.writes_per_s);
         tracing::info!(
             token = claim.token,
             jobs = fleet.jobs.len(),
@@ -182,11 +226,12 @@
         self.wake.notify_all();
     }
 
+    /// Gives up the ownership, if this node has it; `token` is the higher token that was seen, or 0.
     pub(super) fn step_down(&self, shared: &mut SharedState, token: u64, why: &str) {
         shared.highest_token = shared.highest_token.max(token);
         if let Some(ownership) = shared.ownership.take() {
-            let (rps, writes) = share(&self.cfg, false);
-            self.state.allow(rps, writes);
+            let budget = StateBudget::new(&self.cfg, false);
+            self.state.allow(budget.requests_per_s, budget.writes_per_s);
             tracing::info!(token = ownership.claim.token, higher = token, why, "gives its parts up");
             shared.leader = None;
             self.wake.notify_all();
@@ -194,16 +239,24 @@
     }
 }
 
-/// This node's share of the state service's requests and changes. The leader writes for all, so
-/// it is allowed more of the changes than the others. Those only accept and cancel, in bursts: their
-/// shares add up to more than there is, and what the service refuses then is tried again at once.
-pub(super) fn share(cfg: &Config, leads: bool) -> (f64, f64) {
-    let st = &cfg.platform.settings.state;
-    let others = cfg.nodes().saturating_sub(1) as f64;
-    let (rps, writes) = match (cfg.nodes(), leads) {
-        (1, _) => (0.9, 0.9),
-        (n, true) => (1.8 / (n as f64 + 1.0), 0.6),
-        (n, false) => (0.9 / (n as f64 + 1.0), (0.8 / others).min(0.4)),
-    };
-    (st.rps * rps, st.write_rps * writes)
+/// This node's share of the state service's requests and changes.
+pub(super) struct StateBudget {
+    pub(super) requests_per_s: f64,
+    pub(super) writes_per_s: f64,
+}
+
+impl StateBudget {
+    /// The share of the leader, or of another controller. The leader writes for all, so it is allowed
+    /// more of the changes than the others. Those only accept and cancel, in bursts: their shares add
+    /// up to more than there is, and what the service refuses then is tried again at once.
+    pub(super) fn new(cfg: &Config, leads: bool) -> StateBudget {
+        let limits = &cfg.platform.settings.state;
+        let others = cfg.nodes().saturating_sub(1) as f64;
+        let (requests, writes) = match (cfg.nodes(), leads) {
+            (1, _) => (0.9, 0.9),
+            (n, true) => (1.8 / (n as f64 + 1.0), 0.6),
+            (n, false) => (0.9 / (n as f64 + 1.0), (0.8 / others).min(0.4)),
+        };
+        StateBudget { requests_per_s: limits.rps * requests, writes_per_s: limits.write_rps * writes }
+    }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,4 +1,4 @@
-//! Messages from the other controllers, and requests that are carried to them.
+//! Messages from the other controllers, and requests that are relayed to them.
 
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Mutex;
@@ -13,7 +13,11 @@
 use crate::time::Micros;
 use crate::wire::{is_job_id, Stage};
 
+/// How long to wait for a message before looking whether to stop.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl Node {
+    /// Has another controller answer a request; none if it cannot be reached.
     pub(super) fn relay(&self, to: usize, req: &Request, timeout: Micros) -> Option<Response> {
         let call = Call { method: req.method.clone(), path: req.path.clone(), body: req.body.clone() };
         match self.peers.call(to, Message::Relay(call), timeout) {
@@ -26,8 +30,8 @@
         }
     }
 
-    /// Another controller has answered, and knows this token.
-    pub(super) fn heard_token(&self, token: u64) {
+    /// Takes note that another controller answered; steps down if it knows a higher token.
+    pub(super) fn peer_answered(&self, token: u64) {
         let mut shared = self.lock();
         shared.last_peer_contact = self.now();
         if token > shared.highest_token {
@@ -35,10 +39,10 @@
         }
     }
 
+    /// Answers the messages of other controllers until the controller ends.
     pub(super) fn answer_peers(&self, inbound: &Mutex<Receiver<Inbound>>) {
         while !self.stopping() {
-            let next =
-                inbound.lock().unwrap_or_else(|e| e.into_inner()).recv_timeout(Duration::from_millis(500));
+            let next = inbound.lock().unwrap_or_else(|e| e.into_inner()).recv_timeout(RECEIVE_TIMEOUT);
             let msg = match next {
                 Ok(m) => m,
                 Err(RecvTimeoutError::Timeout) => continue,
@@ -49,43 +53,51 @@
         }
     }
 
-    /// Answers what another controller says.
+    /// Answers a message of another controller.
     pub fn hear(&self, m: &Message) -> Outcome {
         self.lock().last_peer_contact = self.now();
         match m {
-            Message::Announce(s) => self.announced(s),
-            Message::Notify(n) => self.notified(n),
-            Message::Cancelled(c) => self.cancelled(c),
-            Message::Relay(c) => {
-                let req = Request { method: c.method.clone(), path: c.path.clone(), body: c.body.clone() };
-                let r = if req.body.len() > http::MAX_BODY {
-                    Response::error(413, "body over 64 KiB")
-                } else {
-                    self.answer(&req, true)
-                };
-                Outcome::Answer(Answer {
-                    status: u32::from(r.status),
-                    body: r.body,
-                    retry_after: r.retry_after.unwrap_or(0),
-                })
-            }
+            Message::Announce(s) => self.on_announcement(s),
+            Message::Notify(n) => self.on_job_news(n),
+            Message::Cancelled(c) => self.on_cancellations(c),
+            Message::Relay(c) => self.on_relay(c),
         }
     }
 
+    /// Answers a request that another controller relayed.
+    fn on_relay(&self, call: &Call) -> Outcome {
+        let req = Request { method: call.method.clone(), path: call.path.clone(), body: call.body.clone() };
+        let r = if req.body.len() > http::MAX_BODY {
+            Response::error(413, "body over 64 KiB")
+        } else {
+            self.answer(&req, true)
+        };
+        Outcome::Answer(Answer {
+            status: u32::from(r.status),
+            body: r.body,
+            retry_after: r.retry_after.unwrap_or(0),
+        })
+    }
+
     /// Another controller has confirmed cancellations: what is left of the jobs is stopped, whether
     /// this owner can see their records or not.
-    fn cancelled(&self, list: &peer::Cancellations) -> Outcome {
+    fn on_cancellations(&self, list: &peer::Cancellations) -> Outcome {
         for c in &list.jobs {
             if !is_job_id(&c.id) {
                 tracing::error!(job = %c.id, "another controller tells of a malformed job");
                 continue;
             }
-            self.cancelled_at(&c.id, FinalRecord { stage: Stage::Cancelled, tasks: c.tasks }, c.revision);
+            self.apply_cancellation(
+                &c.id,
+                FinalRecord { stage: Stage::Cancelled, tasks: c.tasks },
+                c.revision,
+            );
         }
         Outcome::Ack(Ack { token: self.lock().highest_token })
     }
 
-    fn announced(&self, s: &Summary) -> Outcome {
+    /// Another controller leads: its numbers of live jobs are kept for polls.
+    fn on_announcement(&self, s: &Summary) -> Outcome {
         let mut shared = self.lock();
         if s.token > shared.highest_token {
             self.step_down(&mut shared, s.token, "another controller leads with a higher token");
@@ -98,7 +110,8 @@
         Outcome::Ack(Ack { token: shared.highest_token })
     }
 
-    fn notified(&self, n: &JobNews) -> Outcome {
+    /// Another controller has written or ended a job.
+    fn on_job_news(&self, n: &JobNews) -> Outcome {
         let mut shared = self.lock();
         if let Some(ownership) = shared.ownership.as_mut() {
             if n.record.is_empty() {
--- a/src/node/planning.rs
+++ b/src/node/planning.rs
@@ -1,18 +1,21 @@
-//! Keeps the owner's plan up to date as time passes.
+//! The planning duty: advances the owner's clock and keeps its plan up to date.
 
 use super::Node;
 use crate::time::{wall, Micros};
 
+/// Pause between two rounds of planning.
+const PLAN_INTERVAL: Micros = Micros::from_millis(40);
+
 impl Node {
-    /// Lets time pass for the owner's world and keeps its plan up to date.
+    /// Plans again and again until the controller ends.
     pub(super) fn plan(&self) {
         while !self.stopping() {
-            self.sleep(Micros::from_millis(40));
+            self.sleep(PLAN_INTERVAL);
             self.plan_once();
         }
     }
 
-    /// Lets time pass, plans, and answers workers that wait for a start.
+    /// Advances the fleet to the present, plans, and sends the deferred answers that are due.
     pub fn plan_once(&self) {
         let mut shared = self.lock();
         let writes = shared.ownership.as_mut().is_some_and(|ownership| {
@@ -20,7 +23,7 @@
             ownership.fleet.starts_wait()
         });
         drop(shared);
-        self.answer_waiting();
+        self.answer_deferred();
         if writes {
             self.wake.notify_all();
         }
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -1,5 +1,5 @@
-//! The workers' reports: answered at once, answered later with a start, redirected to the owner, or
-//! carried to it.
+//! Workers' reports. The owner answers them, at once or when there is a task to start; any other
+//! controller redirects the worker to the leader or relays its report.
 
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -11,11 +11,13 @@
 use crate::time::{wall, Micros, Steady};
 use crate::wire::{Redirect, Report, ReportReply};
 
-/// How long the answer to an idle worker's report waits for a start at the most; the worker gives
-/// up after four seconds.
+/// How long the answer to an idle worker's report is held back at the most; the worker gives up
+/// after four seconds.
 const MAX_REPLY_DELAY: Micros = Micros::from_millis(2500);
 /// How long a report waits for the outcome of this node's own claim.
 const CLAIM_TIMEOUT: Micros = Micros::from_millis(1500);
+/// How often it is looked whether that claim has ended.
+const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long it is remembered that a worker was sent to the owner.
 const REDIRECT_RETENTION: Micros = Micros::from_millis(30_000);
 /// A worker that is back within this time cannot reach the owner.
@@ -23,35 +25,45 @@
 /// How long the owner has to answer a report that is carried to it.
 const RELAY_REPORT_TIMEOUT: Micros = Micros::from_millis(2500);
 
-/// A report that is answered when a start for its worker comes up, or after a while.
+/// A report whose answer is held back until there is a task to start on its machine.
 pub(super) struct DeferredReply {
     report: Report,
+    /// The owner's token when the report came.
     token: u64,
-    until: Steady,
+    /// When it is answered at the latest.
+    deadline: Steady,
     reply: Reply,
 }
 
+/// What becomes of a report.
+enum ReportOutcome {
+    /// It is answered now, through the reply where there is one.
+    Answer(Response, Option<Reply>),
+    /// Its answer is deferred.
+    Deferred,
+}
+
 impl Node {
-    /// Takes a report. With a way back it is answered here, now or later; without one, as for a
-    /// report that another controller carries, the answer is returned.
+    /// Handles a report. With a `reply` it is answered through that, now or later; without one, as for
+    /// a report that another controller relayed, the answer is returned.
     pub(super) fn check_in(&self, req: &Request, reply: Option<Reply>) -> Option<Response> {
-        let (answer, reply) = self.take_report(req, reply);
-        match (answer, reply) {
-            (Some(a), Some(reply)) => {
-                reply.send(&a);
+        match self.take_report(req, reply) {
+            ReportOutcome::Answer(answer, Some(reply)) => {
+                reply.send(&answer);
                 None
             }
-            (a, _) => a,
+            ReportOutcome::Answer(answer, None) => Some(answer),
+            ReportOutcome::Deferred => None,
         }
     }
 
-    /// What a report is answered with; nothing if that waits, with the way back, for a start.
-    fn take_report(&self, req: &Request, reply: Option<Reply>) -> (Option<Response>, Option<Reply>) {
+    /// Decides on the answer to a report.
+    fn take_report(&self, req: &Request, reply: Option<Reply>) -> ReportOutcome {
         let report: Report = match serde_json::from_slice(&req.body) {
             Ok(r) => r,
             Err(e) => {
                 tracing::error!(error = %e, "a worker's report cannot be read");
-                return (Some(Response::error(400, &e.to_string())), reply);
+                return ReportOutcome::Answer(Response::error(400, &e.to_string()), reply);
             }
         };
         let mut shared = self.await_claim();
@@ -59,9 +71,9 @@
             return self.answer_as_owner(&mut shared, report, reply);
         }
         if reply.is_none() {
-            return (Some(Response::error(503, "not the owner")), None);
+            return ReportOutcome::Answer(Response::error(503, "not the owner"), None);
         }
-        (Some(self.redirect_or_relay(shared, &report.machine, req)), reply)
+        ReportOutcome::Answer(self.redirect_or_relay(shared, &report.machine, req), reply)
     }
 
     /// Takes the lock, and while a claim is being made waits a moment for its outcome.
@@ -69,7 +81,7 @@
         let since = self.now();
         let mut shared = self.lock();
         while shared.claiming && shared.ownership.is_none() && self.now() - since < CLAIM_TIMEOUT {
-            shared = match self.wake.wait_timeout(shared, Duration::from_millis(200)) {
+            shared = match self.wake.wait_timeout(shared, CLAIM_CHECK_INTERVAL) {
                 Ok((guard, _)) => guard,
                 Err(e) => e.into_inner().0,
             };
@@ -77,22 +89,22 @@
         shared
     }
 
-    /// Answers a report from the owner's world, or keeps it until a start comes up.
+    /// Answers a report as the owner, or defers the answer.
     fn answer_as_owner(
         &self,
         shared: &mut SharedState,
         report: Report,
         reply: Option<Reply>,
-    ) -> (Option<Response>, Option<Reply>) {
+    ) -> ReportOutcome {
         let now = self.now();
         let Some(ownership) = shared.ownership.as_mut() else {
-            return (Some(Response::error(503, "not the owner")), reply);
+            return ReportOutcome::Answer(Response::error(503, "not the owner"), reply);
         };
         if !ownership.view.may_act(now) {
             // Cancellations cannot be seen any more: leases must be let run out.
             ownership.fleet.not_answered(&report.machine, now);
             let refused = Response::error(503, "out of touch with the state service");
-            return (Some(refused), reply);
+            return ReportOutcome::Answer(refused, reply);
         }
         ownership.last_report = now;
         let token = ownership.claim.token;
@@ -102,10 +114,11 @@
                 let id: MachineId = report.machine.as_str().into();
                 if r.orders.is_empty() && ownership.fleet.may_wait(&id, now) {
                     if let Some(reply) = reply {
-                        let deferred = DeferredReply { report, token, until: now + MAX_REPLY_DELAY, reply };
+                        let deferred =
+                            DeferredReply { report, token, deadline: now + MAX_REPLY_DELAY, reply };
                         // A second report takes the place of the first: its worker gave up.
                         shared.deferred_replies.insert(id, deferred);
-                        return (None, None);
+                        return ReportOutcome::Deferred;
                     }
                 }
                 Response::json(200, &r)
@@ -116,10 +129,10 @@
                 Response::error(503, "not the owner")
             }
         };
-        (Some(answer), reply)
+        ReportOutcome::Answer(answer, reply)
     }
 
-    /// Sends a worker to the owner; if it is back soon after, has the owner answer its report.
+    /// Redirects a worker to the leader; if it is back soon after, relays its report to the leader.
     fn redirect_or_relay(
         &self,
         mut shared: MutexGuard<'_, SharedState>,
@@ -145,8 +158,8 @@
         }
     }
 
-    /// Answers those idle workers for whom a start may leave now, or who waited long enough.
-    pub(super) fn answer_waiting(&self) {
+    /// Sends the deferred answers for which there is a start now, and those whose time is over.
+    pub(super) fn answer_deferred(&self) {
         let mut shared = self.lock();
         let SharedState { ownership, deferred_replies, .. } = &mut *shared;
         let now = self.now();
@@ -156,7 +169,7 @@
             .iter()
             .filter(|(id, w)| {
                 Some(w.token) != token
-                    || now >= w.until
+                    || now >= w.deadline
                     || ownership.as_ref().is_some_and(|o| o.fleet.start_waits(id))
             })
             .map(|(id, _)| id.clone())
@@ -168,7 +181,7 @@
                     continue;
                 };
                 let orders = ownership.fleet.later(&w.report, now, wall());
-                if orders.is_empty() && now < w.until {
+                if orders.is_empty() && now < w.deadline {
                     continue;
                 }
                 if let Some(w) = deferred_replies.remove(id) {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -1,5 +1,5 @@
-//! What the users' interface needs of a controller: final stages, numbers of live jobs, and word of
-//! what was written or cancelled.
+//! What the users' interface (`api`) needs of a controller: final stages, numbers of live jobs, and
+//! telling the owner what was written or cancelled.
 
 use super::Node;
 use crate::fleet::Counts;
@@ -10,21 +10,28 @@
 use crate::time::Micros;
 use crate::wire::MachineType;
 
+/// Most final stages that are kept; the oldest go first.
 const MAX_FINALS: usize = 20_000;
+/// How long another controller has to answer a user's request.
+const RELAY_TIMEOUT: Micros = Micros::from_millis(900);
+/// Pause after a request that no other controller could answer either.
+const RELAY_PAUSE: Micros = Micros::from_millis(2_000);
+/// How long the owner has to take word of a new job.
+const JOB_NEWS_TIMEOUT: Micros = Micros::from_millis(1000);
 
 impl Node {
-    /// Has another controller answer a user whom this one cannot.
+    /// Relays a user's request to the other controllers until one can answer it.
     pub fn relay_to_any(&self, req: &Request) -> Option<Response> {
         if self.now() < self.lock().no_relay_until {
             return None;
         }
         for to in 0..self.peers.count() {
-            if let Some(r) = self.relay(to, req, Micros::from_millis(900)).filter(|r| r.status != 503) {
+            if let Some(r) = self.relay(to, req, RELAY_TIMEOUT).filter(|r| r.status != 503) {
                 return Some(r);
             }
         }
         // Most likely the state service is out for all: no need to ask each time.
-        self.lock().no_relay_until = self.now() + Micros::from_secs(2.0);
+        self.lock().no_relay_until = self.now() + RELAY_PAUSE;
         None
     }
 
@@ -33,7 +40,7 @@
         self.lock().finals.get(id).copied()
     }
 
-    /// Keeps a final stage; final stages never change.
+    /// Records a final stage; final stages never change.
     pub fn learn_final(&self, id: &str, f: FinalRecord, revision: u64) {
         let mut shared = self.lock();
         if shared.finals.contains_key(id) {
@@ -63,7 +70,7 @@
         }
     }
 
-    /// A job was written by this node: the owner is told.
+    /// Tells the owner of a job that this node has written.
     pub fn job_written(&self, id: &str, record: JobRecord, revision: u64) {
         let to = {
             let mut shared = self.lock();
@@ -81,7 +88,7 @@
         let _ = self.peers.begin(
             to,
             Message::Notify(JobNews { id: id.to_string(), record, revision }),
-            Micros::from_millis(1000),
+            JOB_NEWS_TIMEOUT,
         );
     }
 
@@ -94,10 +101,11 @@
             self.notices.lock().unwrap_or_else(|e| e.into_inner()).add(&c);
             self.notices_added.notify_one();
         }
-        self.cancelled_at(id, f, revision);
+        self.apply_cancellation(id, f, revision);
     }
 
-    pub(super) fn cancelled_at(&self, id: &str, f: FinalRecord, revision: u64) {
+    /// Records a confirmed cancellation and, on the owner, stops what is left of the job.
+    pub(super) fn apply_cancellation(&self, id: &str, f: FinalRecord, revision: u64) {
         self.learn_final(id, f, revision);
         if let Some(ownership) = self.lock().ownership.as_mut() {
             ownership.fleet.job_over(id, revision);
