--- a/src/fleet/machines.rs
+++ b/src/fleet/machines.rs
@@ -96,10 +96,8 @@
     pub sent: Vec<TaskKey>,
     /// Answers in a row that by the next report did not arrive.
     pub deaf: u32,
-    /// An exited task that is not forgotten yet, so that the worker can be woken.
-    pub retained: Option<TaskKey>,
-    /// When it was last woken.
-    pub woken: Steady,
+    /// Until when the answer to its latest report waits for a start.
+    pub deferred_until: Steady,
 }
 
 impl Machine {
@@ -136,8 +134,7 @@
             report: Steady(0),
             sent: Vec::new(),
             deaf: 0,
-            retained: None,
-            woken: Steady(0),
+            deferred_until: Steady(0),
         }
     }
 
@@ -160,11 +157,6 @@
         !self.heard && !self.leaving && self.answered.unwrap_or(self.known) + RAISE_AFTER < now
     }
 
-    /// Whether there is nothing on it but what may be forgotten at any time.
-    pub(super) fn is_empty(&self) -> bool {
-        self.tasks.keys().all(|k| self.retained.as_ref() == Some(k))
-    }
-
     /// A command to be sent straight to its worker.
     pub(super) fn direct_command(&self, orders: Vec<Order>) -> DirectCommand {
         DirectCommand {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,7 +14,6 @@
 mod status;
 mod tasks;
 mod upkeep;
-mod wakeups;
 
 pub use machines::{Entry, Machine};
 pub use records::{Packed, Pending, Said};
@@ -88,8 +87,6 @@
     taken: Steady,
     planned: Steady,
     planned_jobs: Vec<JobId>,
-    /// By type, whether work that should start at once may use it.
-    wakeful_types: Vec<bool>,
     /// Services with replicas that wait for a start.
     waiting_services: Vec<WaitingService>,
     /// What the latest plan starts on each machine: jobs with numbers of tasks.
@@ -157,7 +154,6 @@
             taken: now,
             planned: Steady(0),
             planned_jobs: Vec::new(),
-            wakeful_types: Vec::new(),
             waiting_services: Vec::new(),
             guaranteed: BTreeSet::new(),
             assigned: BTreeMap::new(),
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -1,7 +1,6 @@
 //! The planner's input, and how its plan is carried out.
 
 use super::replicas::STOPPED_REPLICA_COSTS;
-use super::wakeups::WOKEN_WITHIN;
 use super::*;
 
 /// Delays that differ by less count as alike.
@@ -50,7 +49,6 @@
 
     pub(super) fn snapshot(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>, Vec<JobId>) {
         self.demands.retain(|d| now - d.at < RECENT);
-        self.learn_wakeful_types();
         self.guaranteed = self.within_guarantee();
         let mut s = Snapshot {
             zones: self.zones.len(),
@@ -195,8 +193,8 @@
             let silent = now - m.report;
             if silent > report.scale(2.5) {
                 report.scale(3.0)
-            } else if m.retained.is_some() {
-                (report - silent).max(Micros::ZERO).min(WOKEN_WITHIN)
+            } else if now < m.deferred_until {
+                Micros::ZERO
             } else {
                 (report - silent).max(Micros::ZERO)
             }
@@ -274,7 +272,7 @@
         let (snapshot, machines, jobs) = self.snapshot(now, wall);
         let plan = sched::plan(&snapshot);
         self.assign(&snapshot, &plan, &machines, &jobs, now);
-        self.stop_for(&snapshot, &plan, &machines, now);
+        self.stop_for(&plan, &machines, now);
         self.note_waiting_services(&snapshot, &plan);
         let reserved = plan.reservation.iter().flat_map(|r| r.rooms.iter().map(|x| x.0));
         let closed = reserved.chain(plan.preempt.iter().map(|x| x.0));
@@ -372,24 +370,16 @@
         }
     }
 
-    pub(super) fn stop_for(&mut self, s: &Snapshot, plan: &Plan, machines: &[MachineId], now: Steady) {
+    pub(super) fn stop_for(&mut self, plan: &Plan, machines: &[MachineId], now: Steady) {
         let mut stops: Vec<(MachineId, TaskKey, f64)> = Vec::new();
         let mut at_once: Vec<(MachineId, TaskKey)> = Vec::new();
-        let for_replicas: BTreeSet<usize> = plan
-            .starts
-            .iter()
-            .filter(|start| s.classes[start.class].replicas.is_some())
-            .map(|start| start.room)
-            .collect();
         for &(room, held) in &plan.preempt {
             let id = &machines[room];
             let Some(m) = self.machines.get(id) else { continue };
             // The planner's `held` lists the live tasks in this very order.
             if let Some((k, _)) = m.tasks.iter().filter(|x| x.1.live()).nth(held) {
                 stops.push((id.clone(), k.clone(), self.grace(&k.0)));
-                if for_replicas.contains(&room) {
-                    at_once.push((id.clone(), k.clone()));
-                }
+                at_once.push((id.clone(), k.clone()));
                 tracing::info!(machine = %id, job = %k.0, task = k.1, "preempted");
             }
         }
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -95,8 +95,8 @@
         due.map(|m| m.direct_command(Vec::new())).collect()
     }
 
-    /// Halts of tasks in whose place a replica waits, and of what is left of jobs that are over on
-    /// machines whose report is overdue. The answer to a report carries the same halts; a machine that
+    /// Halts of tasks in whose place others wait, and of what is left of jobs that are over on machines
+    /// whose report is overdue. The answer to a report carries the same halts; a machine that
     /// reaches no controller, or whose owner may no longer answer, has them from here.
     pub fn to_halt(&mut self, now: Steady) -> Vec<DirectCommand> {
         let overdue = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 1.5);
@@ -174,7 +174,7 @@
             }
         }
         if let Some(m) = self.machines.get_mut(id) {
-            if !m.is_empty() {
+            if !m.tasks.is_empty() {
                 m.idle = now;
             }
         }
@@ -335,11 +335,7 @@
 
     pub(super) fn orders(&mut self, id: &MachineId, now: Steady, wall: Wall) -> Vec<Order> {
         let mut out = Vec::new();
-        let mut retained = None;
         if let Some(m) = self.machines.get(id) {
-            let wakeful = m.ty.is_some_and(|t| self.is_wakeful_type(t)) && !m.leaving;
-            // One that was to be forgotten by a direct command that did not arrive is kept on.
-            retained = m.retained.clone().filter(|k| wakeful && m.tasks.contains_key(k));
             for (k, e) in &m.tasks {
                 let task = format!("{}/{}", k.0, k.1);
                 match (e.ended, e.stop) {
@@ -350,14 +346,7 @@
                             Some(j) if why == Why::Done && !j.cancelled => j.done_written.contains(k.1),
                             _ => true,
                         };
-                        // Only one that never starts again: the worker might refuse another attempt.
-                        let over = self.jobs.get(&k.0).is_none_or(|j| {
-                            j.cancelled || (why == Why::Done && j.spec.shape != Shape::Service)
-                        });
-                        if written && over && wakeful && retained.is_none() {
-                            retained = Some(k.clone());
-                        }
-                        if written && retained.as_ref() != Some(k) {
+                        if written {
                             out.push(Order::Forget { task, attempt: k.2 });
                         }
                     }
@@ -366,9 +355,6 @@
                 }
             }
         }
-        if let Some(m) = self.machines.get_mut(id) {
-            m.retained = retained;
-        }
         if self.jobs.len() * self.machines.len() <= SMALL {
             // Cheap enough to be up to date with what was just reported.
             self.replan(now, wall);
@@ -385,8 +371,14 @@
             let service = self.jobs.get(&k.0).is_some_and(|j| j.spec.shape == Shape::Service);
             service && e.stage == Some(TaskStage::Running) && e.stop.is_none()
         };
-        let keeps = |k: &TaskKey, e: &Entry| m.retained.as_ref() == Some(k) || steady_replica(k, e);
-        m.notice.is_none() && m.tasks.iter().all(|(k, e)| keeps(k, e))
+        m.notice.is_none() && m.tasks.iter().all(|(k, e)| steady_replica(k, e))
+    }
+
+    /// The answer to a machine's report waits for a start: one that comes up before leaves at once.
+    pub fn reply_deferred(&mut self, id: &str, until: Steady) {
+        if let Some(m) = self.machines.get_mut(id) {
+            m.deferred_until = until;
+        }
     }
 
     /// Whether a start for the machine may leave now.
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -129,7 +129,7 @@
             let u = by.entry((&m.ty_name, m.spot)).or_default();
             u.machines += 1;
             u.booting += u32::from(!m.up);
-            u.idle += u32::from(m.up && m.is_empty());
+            u.idle += u32::from(m.up && m.tasks.is_empty());
             u.cpus += m.ty.map_or(0.0, |t| self.total(t).cpus);
             for e in m.tasks.values().filter(|e| e.live()) {
                 let cpus = e.need.map_or(0.0, |n| n.cpus);
@@ -155,7 +155,7 @@
             .filter_map(|id| self.machines.get(id))
             .map(|m| Upkeep {
                 age: m.age + (now - m.known),
-                idle: (m.up && m.is_empty()).then(|| now - m.idle),
+                idle: (m.up && m.tasks.is_empty()).then(|| now - m.idle),
                 booting: !m.up,
             })
             .collect();
@@ -197,7 +197,7 @@
         };
         let d = view.decide();
         for m in d.returns {
-            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.is_empty()) {
+            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.tasks.is_empty()) {
                 tracing::info!(machine = %m.id, "returned: idle");
                 m.leaving = true;
             }
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -29,7 +29,7 @@
         while !self.stopping() {
             self.sleep(HALT_INTERVAL);
             if self.now() < raise_after {
-                self.send_due(urgent_commands);
+                self.send_due(Fleet::to_halt);
             } else if self.command_once() {
                 raise_after = self.now() + RAISE_INTERVAL;
             }
@@ -40,7 +40,7 @@
     pub fn command_once(&self) -> bool {
         self.send_due(|fleet, now| {
             let mut commands = fleet.to_raise(now);
-            commands.extend(urgent_commands(fleet, now));
+            commands.extend(fleet.to_halt(now));
             commands
         })
     }
@@ -111,10 +111,3 @@
         }
     }
 }
-
-/// Halts that cannot wait for a report, and what wakes workers for whom starts wait.
-fn urgent_commands(fleet: &mut Fleet, now: Steady) -> Vec<DirectCommand> {
-    let mut commands = fleet.to_halt(now);
-    commands.extend(fleet.to_wake(now));
-    commands
-}
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -13,7 +13,7 @@
 
 /// How long the answer to an idle worker's report is held back at the most; the worker gives up
 /// after four seconds.
-const MAX_REPLY_DELAY: Micros = Micros::from_millis(2500);
+const MAX_REPLY_DELAY: Micros = Micros::from_millis(2900);
 /// How long a report waits for the outcome of this node's own claim.
 const CLAIM_TIMEOUT: Micros = Micros::from_millis(1500);
 /// How often it is looked whether that claim has ended.
@@ -114,8 +114,9 @@
                 let id: MachineId = report.machine.as_str().into();
                 if r.orders.is_empty() && ownership.fleet.may_wait(&id, now) {
                     if let Some(reply) = reply {
-                        let deferred =
-                            DeferredReply { report, token, deadline: now + MAX_REPLY_DELAY, reply };
+                        let deadline = now + MAX_REPLY_DELAY;
+                        let deferred = DeferredReply { report, token, deadline, reply };
+                        ownership.fleet.reply_deferred(&id, deadline);
                         // A second report takes the place of the first: its worker gave up.
                         shared.deferred_replies.insert(id, deferred);
                         return ReportOutcome::Deferred;
