--- /dev/null
+++ b/tests/service_placement.rs
@@ -0,0 +1,477 @@
+//! Where the planner puts replicas of services, and what is rented for them.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{class, need, secs};
+use milletlock::capacity::{Policy, Upkeep, View, Warm};
+use milletlock::sched::{order, plan, Class, Held, Keep, Need, Plan, Room, Snapshot, TeamUse};
+use milletlock::time::Micros;
+use milletlock::wire::{MachineType, Rank};
+use proptest::prelude::*;
+
+/// The image of all classes here.
+const IMAGE: u32 = 1;
+
+/// An open, empty, ordinary machine of the first type and zone, which has the image.
+fn room(cpus: f64) -> Room {
+    Room {
+        ty: 0,
+        zone: 0,
+        spot: false,
+        total: need(cpus),
+        free: need(cpus),
+        open: true,
+        opens_in: Micros::ZERO,
+        images: vec![IMAGE],
+        fetch_rate: 1.0,
+        rate: 100,
+        penalty: Micros::ZERO,
+        until: None,
+        held: Vec::new(),
+    }
+}
+
+fn without_image(room: Room) -> Room {
+    Room { images: Vec::new(), ..room }
+}
+
+/// A running task that may be stopped for a higher rank.
+fn held(cpus: f64, rank: Rank) -> Held {
+    Held {
+        need: need(cpus),
+        rank,
+        guaranteed: false,
+        team: 0,
+        left: secs(60),
+        lost: secs(5),
+        stoppable: true,
+        stopping: false,
+        endless: false,
+    }
+}
+
+fn replica(cpus: f64) -> Held {
+    Held { endless: true, left: secs(86_400), ..held(cpus, Rank::Critical) }
+}
+
+/// The room with these tasks on it.
+fn with(room: Room, tasks: Vec<Held>) -> Room {
+    let free = tasks.iter().fold(room.free, |free, task| free.less(&task.need, 1));
+    Room { free, held: tasks, ..room }
+}
+
+/// A service of one-processor replicas, none of which runs yet.
+fn service(replicas: u32) -> Class {
+    Class {
+        rank: Rank::Critical,
+        adjusted: secs(86_400),
+        patience: Micros::ZERO,
+        image: Some(IMAGE),
+        image_gb: 2.0,
+        replicas: Some(Vec::new()),
+        ..class(replicas, 0, 0)
+    }
+}
+
+fn snapshot(rooms: Vec<Room>, classes: Vec<Class>) -> Snapshot {
+    Snapshot {
+        zones: 2,
+        rooms,
+        classes,
+        teams: vec![TeamUse::default()],
+        keep: vec![None, None],
+        coarse: secs(4),
+        fine: secs(2),
+        ..Snapshot::default()
+    }
+}
+
+/// The rooms in which a plan starts tasks of a class, one entry a task.
+fn rooms_of(plan: &Plan, class: usize) -> Vec<usize> {
+    let starts = plan.starts.iter().filter(|start| start.class == class);
+    let mut rooms: Vec<usize> =
+        starts.flat_map(|start| std::iter::repeat_n(start.room, start.count as usize)).collect();
+    rooms.sort_unstable();
+    rooms
+}
+
+// Against a plain model.
+
+fn any_rank() -> impl Strategy<Value = Rank> {
+    prop_oneof![Just(Rank::Idle), Just(Rank::Normal), Just(Rank::Urgent), Just(Rank::Critical)]
+}
+
+prop_compose! {
+    fn any_held()(cpus in 1u32..5, rank in any_rank(), guaranteed in prop::bool::weighted(0.2),
+                  team in 0usize..2, lost in 0i64..90, state in 0u8..4, endless in any::<bool>()) -> Held {
+        Held {
+            guaranteed, team, lost: secs(lost), endless,
+            stoppable: state < 2, stopping: state == 2,
+            ..held(f64::from(cpus), rank)
+        }
+    }
+}
+
+prop_compose! {
+    fn any_room()(ty in 0usize..2, zone in 0usize..2, spot in any::<bool>(), open in prop::bool::weighted(0.85),
+                  opens_in in 0i64..4, has_image in any::<bool>(), until in prop::option::weighted(0.1, 1i64..60),
+                  tasks in prop::collection::vec(any_held(), 0..5)) -> Room {
+        let total = if ty == 0 { 4.0 } else { 16.0 };
+        let mut used = 0.0;
+        let fitting = tasks.into_iter().filter(|task| {
+            let fits = used + task.need.cpus <= total;
+            used += if fits { task.need.cpus } else { 0.0 };
+            fits
+        }).collect();
+        let empty = Room {
+            ty, zone, spot, open, opens_in: secs(opens_in), until: until.map(secs),
+            images: if has_image { vec![IMAGE] } else { Vec::new() },
+            ..room(total)
+        };
+        with(empty, fitting)
+    }
+}
+
+prop_compose! {
+    /// A service, or an array that competes with the services but has none of them stopped.
+    fn any_class()(is_service in prop::bool::weighted(0.7), rank in any_rank(), guaranteed in prop::bool::weighted(0.2),
+                   team in 0usize..2, count in 1u32..6, cpus in 1u32..5,
+                   types in prop_oneof![Just(vec![0]), Just(vec![1]), Just(vec![0, 1])],
+                   zone in prop::option::weighted(0.2, 0usize..2), tie in 0u8..4, spot in any::<bool>(),
+                   live in 0u32..2, occupied in prop::collection::vec(0usize..8, 0..3)) -> Class {
+        Class {
+            rank, guaranteed, team, tasks: count + live, need: need(f64::from(cpus)), types, zone,
+            one_zone: tie == 1, spread: tie == 2, spot, zones: vec![live, 0],
+            patience: if is_service { Micros::ZERO } else { secs(1000) },
+            adjusted: if is_service { secs(86_400) } else { secs(30) },
+            replicas: is_service.then_some(occupied),
+            ..service(count)
+        }
+    }
+}
+
+prop_compose! {
+    fn any_snapshot()(rooms in prop::collection::vec(any_room(), 0..8),
+                      classes in prop::collection::vec(any_class(), 1..6),
+                      limit in prop::option::of(0u32..12), kept in any::<bool>()) -> Snapshot {
+        let tasks = rooms.iter().flat_map(|room| &room.held).filter(|task| task.team == 0);
+        let used = tasks.fold(Need::default(), |sum, task| sum.plus(&task.need, 1));
+        let cpus_max = limit.map_or(0.0, |more| used.cpus + f64::from(more));
+        let keep = Keep { need: need(15.0), rank: Rank::Urgent, spot: false };
+        Snapshot {
+            teams: vec![TeamUse { used, cpus_max, gpus_max: 0.0 }, TeamUse::default()],
+            keep: vec![None, kept.then_some(keep)],
+            ..snapshot(rooms, classes)
+        }
+    }
+}
+
+/// What a plan may do, asked task by task from the snapshot alone.
+struct Model<'a> {
+    snapshot: &'a Snapshot,
+    plan: &'a Plan,
+    stopped: BTreeSet<(usize, usize)>,
+}
+
+impl<'a> Model<'a> {
+    fn new(snapshot: &'a Snapshot, plan: &'a Plan) -> Model<'a> {
+        Model { snapshot, plan, stopped: plan.preempt.iter().copied().collect() }
+    }
+
+    fn stops_in(&self, room: usize) -> bool {
+        self.stopped.iter().any(|stop| stop.0 == room)
+    }
+
+    fn is_service(&self, class: usize) -> bool {
+        self.snapshot.classes[class].replicas.is_some()
+    }
+
+    /// Whether the class may use the room whatever is on it.
+    fn may_use(&self, class: usize, room: usize) -> bool {
+        let (c, r) = (&self.snapshot.classes[class], &self.snapshot.rooms[room]);
+        let lasting = r.until.is_none() || !self.is_service(class);
+        let zone_allowed = c.zone.is_none_or(|zone| zone == r.zone);
+        r.open && lasting && zone_allowed && c.types.contains(&r.ty) && (c.spot || !r.spot)
+    }
+
+    /// Tasks of a class in a zone, with those that the plan starts.
+    fn in_zone(&self, class: usize, zone: usize) -> u32 {
+        let rooms = rooms_of(self.plan, class);
+        let new = rooms.iter().filter(|room| self.snapshot.rooms[**room].zone == zone).count();
+        self.snapshot.classes[class].zones[zone] + new as u32
+    }
+
+    fn zone_takes_more(&self, class: usize, zone: usize) -> bool {
+        let c = &self.snapshot.classes[class];
+        let tied_elsewhere = c.one_zone && self.in_zone(class, 1 - zone) > 0;
+        let zone_is_full = c.spread && self.in_zone(class, zone) >= c.tasks.div_ceil(2);
+        !tied_elsewhere && !zone_is_full
+    }
+
+    fn placed_cpus(&self, room: usize, counts: impl Fn(usize) -> bool) -> f64 {
+        let starts = self.plan.starts.iter().filter(|start| start.room == room && counts(start.class));
+        starts.map(|start| f64::from(start.count) * self.snapshot.classes[start.class].need.cpus).sum()
+    }
+
+    /// What is free in a room with all tasks ended for which `ends` holds.
+    fn cpus_with(&self, room: usize, ends: impl Fn(usize, &Held) -> bool) -> f64 {
+        let r = &self.snapshot.rooms[room];
+        let ended = r.held.iter().enumerate().filter(|(place, task)| ends(*place, task));
+        r.free.cpus + ended.map(|(_, task)| task.need.cpus).sum::<f64>()
+    }
+
+    fn may_stop(&self, class: usize, task: &Held) -> bool {
+        let c = &self.snapshot.classes[class];
+        task.stoppable && task.rank < c.rank && (c.guaranteed || !task.guaranteed)
+    }
+
+    fn limit_allows_another(&self, class: usize) -> bool {
+        let c = &self.snapshot.classes[class];
+        let team = &self.snapshot.teams[c.team];
+        team.cpus_max <= 0.0 || self.used_by_team(c.team) + c.need.cpus <= team.cpus_max + 1e-6
+    }
+
+    fn used_by_team(&self, team: usize) -> f64 {
+        let starts = self.plan.starts.iter().filter(|start| self.snapshot.classes[start.class].team == team);
+        let new: f64 =
+            starts.map(|start| f64::from(start.count) * self.snapshot.classes[start.class].need.cpus).sum();
+        self.snapshot.teams[team].used.cpus + new
+    }
+
+    /// Whether one more replica could go to the room, even by stopping all that may be stopped.
+    fn could_take_another(&self, class: usize, room: usize) -> bool {
+        let zone = self.snapshot.rooms[room].zone;
+        if !self.may_use(class, room) || !self.zone_takes_more(class, zone) {
+            return false;
+        }
+        let queue = order(&self.snapshot.classes);
+        let position = |class: usize| queue.iter().position(|&c| c == class);
+        let earlier = self.placed_cpus(room, |other| position(other) <= position(class));
+        let most = self.cpus_with(room, |_, task| task.stopping || self.may_stop(class, task));
+        most - earlier + 1e-6 >= self.snapshot.classes[class].need.cpus
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against replicas where type, zone, kind, a tie or the team's limit forbid them.
+    #[test]
+    fn replicas_are_placed_only_where_they_are_allowed(snapshot in any_snapshot()) {
+        let plan = plan(&snapshot);
+        let model = Model::new(&snapshot, &plan);
+        for (class, c) in snapshot.classes.iter().enumerate().filter(|x| x.1.replicas.is_some()) {
+            let rooms = rooms_of(&plan, class);
+            prop_assert!(rooms.len() <= c.count as usize);
+            prop_assert!(rooms.iter().all(|&room| model.may_use(class, room)));
+            prop_assert!(!c.one_zone || model.in_zone(class, 0) == 0 || model.in_zone(class, 1) == 0);
+            let most = c.tasks.div_ceil(2);
+            prop_assert!(!c.spread || (0..2).all(|zone| model.in_zone(class, zone) <= most));
+        }
+        let team = &snapshot.teams[0];
+        prop_assert!(team.cpus_max <= 0.0 || model.used_by_team(0) <= team.cpus_max + 1e-6);
+    }
+
+    /// Guards against promising room that does not come free.
+    #[test]
+    fn what_is_free_or_comes_free_covers_what_is_placed(snapshot in any_snapshot()) {
+        let plan = plan(&snapshot);
+        let model = Model::new(&snapshot, &plan);
+        for room in 0..snapshot.rooms.len() {
+            let comes = model.cpus_with(room, |place, task| task.stopping || model.stopped.contains(&(room, place)));
+            prop_assert!(model.placed_cpus(room, |_| true) <= comes + 1e-6, "room {}", room);
+        }
+    }
+
+    /// Guards against stopping equal or higher ranks, guaranteed work for other work, and anything in vain.
+    #[test]
+    fn only_lower_ranks_are_stopped_and_only_where_a_replica_needs_it(snapshot in any_snapshot()) {
+        let plan = plan(&snapshot);
+        let model = Model::new(&snapshot, &plan);
+        for &(room, place) in &model.stopped {
+            let task = &snapshot.rooms[room].held[place];
+            let here = |class: &usize| rooms_of(&plan, *class).contains(&room);
+            let by_limit = |class: &usize| snapshot.classes[*class].team == 0 && task.team == 0;
+            let beneficiary = (0..snapshot.classes.len()).filter(|class| model.is_service(*class)).any(|class| {
+                (here(&class) || by_limit(&class)) && model.may_stop(class, task)
+            });
+            prop_assert!(beneficiary, "room {}, task {}", room, place);
+            let without = model.cpus_with(room, |_, task| task.stopping);
+            let needed = model.placed_cpus(room, |_| true) > without + 1e-6;
+            prop_assert!(needed || task.team == 0, "room {}, task {} is stopped in vain", room, place);
+        }
+    }
+
+    /// Guards against a replica that waits though there is room, or room that can be had. In a room
+    /// where this plan stops tasks already the next plan finds what else comes free there.
+    #[test]
+    fn a_replica_waits_only_if_no_other_room_could_take_it(snapshot in any_snapshot()) {
+        let plan = plan(&snapshot);
+        let model = Model::new(&snapshot, &plan);
+        for &(class, left) in plan.unmet.iter().filter(|unmet| model.is_service(unmet.0)) {
+            let placed = rooms_of(&plan, class).len() as u32;
+            prop_assert_eq!(placed + left, snapshot.classes[class].count);
+            if model.limit_allows_another(class) {
+                let mut others = (0..snapshot.rooms.len()).filter(|&room| !model.stops_in(room));
+                let room = others.find(|&room| model.could_take_another(class, room));
+                prop_assert_eq!(room, None);
+            }
+        }
+    }
+}
+
+// Choices among rooms that would do.
+
+/// Guards against losing several replicas with one machine.
+#[test]
+fn replicas_share_a_machine_only_if_there_is_no_other() {
+    let p = plan(&snapshot(vec![room(8.0), room(8.0), room(8.0)], vec![service(3)]));
+    assert_eq!(rooms_of(&p, 0), [0, 1, 2]);
+    // Rooms with a replica, or that one has left of late, are avoided.
+    let second = Class { replicas: Some(vec![0, 2]), ..service(1) };
+    let p = plan(&snapshot(vec![room(8.0), room(8.0), room(8.0)], vec![second]));
+    assert_eq!(rooms_of(&p, 0), [1]);
+    let p = plan(&snapshot(vec![room(8.0)], vec![service(3)]));
+    assert_eq!(rooms_of(&p, 0), [0, 0, 0]);
+}
+
+/// Guards against losing most replicas with one zone.
+#[test]
+fn replicas_spread_over_zones_where_delays_are_alike() {
+    let south = || Room { zone: 1, ..room(8.0) };
+    let rooms = vec![room(8.0), room(8.0), room(8.0), room(8.0), south(), south()];
+    let p = plan(&snapshot(rooms, vec![service(4)]));
+    let in_south = rooms_of(&p, 0).iter().filter(|&&room| room >= 4).count();
+    assert_eq!(in_south, 2);
+    // Zones are not worth more than a little time.
+    let late = || Room { opens_in: secs(8), ..south() };
+    let rooms = vec![room(8.0), room(8.0), room(8.0), room(8.0), late(), late()];
+    assert_eq!(rooms_of(&plan(&snapshot(rooms, vec![service(4)])), 0), [0, 1, 2, 3]);
+}
+
+/// Guards against fetching an image, or stopping work, where neither saves time.
+#[test]
+fn the_room_where_a_replica_runs_soonest_is_taken() {
+    let p = plan(&snapshot(vec![without_image(room(8.0)), room(8.0)], vec![service(1)]));
+    assert_eq!(rooms_of(&p, 0), [1]);
+    let full = || with(room(1.0), vec![held(1.0, Rank::Idle)]);
+    let p = plan(&snapshot(vec![full(), room(8.0)], vec![service(1)]));
+    assert_eq!((rooms_of(&p, 0), p.preempt), (vec![1], Vec::new()));
+    // Stopping another is worth it where the free room has to fetch for long.
+    let slow = Room { fetch_rate: 0.1, ..without_image(room(8.0)) };
+    let p = plan(&snapshot(vec![full(), slow], vec![service(1)]));
+    assert_eq!((rooms_of(&p, 0), p.preempt), (vec![0], vec![(0, 0)]));
+}
+
+/// A machine of 32 processors of a type that is kept for tasks of 30.
+fn kept(rooms: Vec<Room>, classes: Vec<Class>) -> Snapshot {
+    let keep = Keep { need: need(30.0), rank: Rank::Urgent, spot: false };
+    let both_types = classes.into_iter().map(|c| Class { types: vec![0, 1], ..c }).collect();
+    Snapshot { keep: vec![Some(keep), None], ..snapshot(rooms, both_types) }
+}
+
+/// Another type's machine, on which a replica would run ten seconds later.
+fn later_elsewhere() -> Room {
+    Room { ty: 1, fetch_rate: 0.2, ..without_image(room(8.0)) }
+}
+
+/// Guards against replicas, which never end, that take the last whole machines of large tasks.
+#[test]
+fn replicas_go_beside_a_larger_task_only_while_it_fits() {
+    let beside = |replicas: usize| with(room(32.0), vec![replica(1.0); replicas]);
+    let choice = |rooms: Vec<Room>| rooms_of(&plan(&kept(rooms, vec![service(1)])), 0);
+    assert_eq!(choice(vec![beside(0), later_elsewhere()]), [0]);
+    assert_eq!(choice(vec![beside(1), later_elsewhere()]), [0]);
+    assert_eq!(choice(vec![beside(2), later_elsewhere()]), [1]);
+    assert_eq!(choice(vec![beside(2)]), [0], "nowhere else to go");
+    // Another type's room goes first where a replica runs as soon.
+    let as_soon = Room { ty: 1, ..room(8.0) };
+    assert_eq!(choice(vec![beside(0), as_soon]), [1]);
+}
+
+/// Guards against a service that waits for its patience, or stops its equals.
+#[test]
+fn lower_ranks_are_stopped_at_once_and_equal_ranks_never() {
+    let full = |rank: Rank| with(room(2.0), vec![held(1.0, rank), held(1.0, rank)]);
+    for rank in [Rank::Idle, Rank::Normal, Rank::Urgent] {
+        let p = plan(&snapshot(vec![full(rank)], vec![service(1)]));
+        assert_eq!((rooms_of(&p, 0), p.preempt.len()), (vec![0], 1), "{rank:?}");
+    }
+    let p = plan(&snapshot(vec![full(Rank::Critical)], vec![service(1)]));
+    assert_eq!((p.starts, p.preempt, p.unmet), (Vec::new(), Vec::new(), vec![(0, 1)]));
+    let urgent = Class { rank: Rank::Urgent, ..service(1) };
+    for rank in [Rank::Urgent, Rank::Critical] {
+        let p = plan(&snapshot(vec![full(rank)], vec![urgent.clone()]));
+        assert_eq!((p.starts, p.preempt), (Vec::new(), Vec::new()), "{rank:?}");
+    }
+}
+
+/// Guards against stopping more tasks while those that were stopped are still ending.
+#[test]
+fn room_that_is_being_freed_is_waited_for() {
+    let ending = Held { stoppable: false, stopping: true, ..held(1.0, Rank::Idle) };
+    let p = plan(&snapshot(vec![with(room(2.0), vec![ending, held(1.0, Rank::Idle)])], vec![service(1)]));
+    assert_eq!((rooms_of(&p, 0), p.preempt), (vec![0], Vec::new()));
+}
+
+// Renting.
+
+fn types() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "small".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 8.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: Some(0.3),
+        boot_s: 30.0,
+        zones: vec!["north".into()],
+    }]
+}
+
+/// What is rented, by kind, with so many machines booting for so long.
+fn rents(classes: Vec<Class>, booting: usize, age: Micros) -> Vec<(bool, u32)> {
+    let closed = Room { open: false, opens_in: secs(20), ..room(8.0) };
+    let snapshot = Snapshot { keep: vec![None], ..snapshot(vec![closed; booting], classes) };
+    let plan = plan(&snapshot);
+    let view = View {
+        snapshot: &snapshot,
+        plan: &plan,
+        upkeep: &vec![Upkeep { age, idle: None, booting: true }; booting],
+        types: &types(),
+        zones: &[vec![0]],
+        refused: &[],
+        warm: &[Warm::default()],
+        due: &[false],
+        policy: Policy {
+            drain: secs(40),
+            idle: secs(20),
+            idle_due: secs(60),
+            idle_kept: secs(30),
+            slow_boot: 1.6,
+        },
+    };
+    view.decide().rents.iter().map(|rent| (rent.offer.spot, rent.count)).collect()
+}
+
+/// Guards against a small service that waits for ever, and against renting what is coming already.
+#[test]
+fn missing_replicas_rent_whole_ordinary_machines_beyond_those_that_boot() {
+    assert_eq!(rents(vec![service(1)], 0, Micros::ZERO), [(false, 1)]);
+    assert_eq!(rents(vec![service(9)], 0, Micros::ZERO), [(false, 2)]);
+    assert_eq!(rents(vec![service(8)], 1, secs(10)), []);
+    assert_eq!(rents(vec![service(9)], 1, secs(10)), [(false, 1)]);
+    // Two services do not count on the same machine.
+    assert_eq!(rents(vec![service(6), service(6)], 1, secs(10)), [(false, 1)]);
+    // One that boots for much longer than usual is not counted on.
+    assert_eq!(rents(vec![service(8)], 1, secs(100)), [(false, 1)]);
+}
