--- a/tests/service_placement.rs
+++ b/tests/service_placement.rs
@@ -364,6 +364,9 @@
     let full = || with(room(1.0), vec![held(1.0, Rank::Idle)]);
     let p = plan(&snapshot(vec![full(), room(8.0)], vec![service(1)]));
     assert_eq!((rooms_of(&p, 0), p.preempt), (vec![1], Vec::new()));
+    let opens_soon = Room { opens_in: Micros::from_millis(1500), ..room(8.0) };
+    let p = plan(&snapshot(vec![full(), opens_soon], vec![service(1)]));
+    assert_eq!((rooms_of(&p, 0), p.preempt), (vec![1], Vec::new()));
     // Stopping another is worth it where the free room has to fetch for long.
     let slow = Room { fetch_rate: 0.1, ..without_image(room(8.0)) };
     let p = plan(&snapshot(vec![full(), slow], vec![service(1)]));
@@ -391,8 +394,8 @@
     assert_eq!(choice(vec![beside(1), later_elsewhere()]), [0]);
     assert_eq!(choice(vec![beside(2), later_elsewhere()]), [1]);
     assert_eq!(choice(vec![beside(2)]), [0], "nowhere else to go");
-    // Another type's room goes first where a replica runs as soon.
-    let as_soon = Room { ty: 1, ..room(8.0) };
+    // Another type's room goes first where a replica runs as soon, be it the emptier one.
+    let as_soon = Room { ty: 1, ..room(64.0) };
     assert_eq!(choice(vec![beside(0), as_soon]), [1]);
 }
 
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -602,6 +602,20 @@
     assert!(world.fleet.leaving().is_empty(), "one mistaken service does not condemn a machine");
 }
 
+/// Guards against backing off a service whose replicas run well and end now and then.
+#[test]
+fn replicas_that_lived_long_are_not_backed_off() {
+    let mut world = World::new(&["a", "b"]);
+    world.submit(service(1, 1));
+    for _ in 0..8 {
+        world.run_until(SERVICE, 1, secs(6.0));
+        world.run(secs(40.0));
+        let machine = world.machines_of(SERVICE)[0].clone();
+        world.end(&machine, SERVICE, Why::Done);
+        world.report(&machine);
+    }
+}
+
 /// Guards against a machine at fault that keeps the whole service from running.
 #[test]
 fn one_failing_machine_does_not_hold_up_replicas_elsewhere() {
@@ -690,6 +704,25 @@
     assert_eq!(world.places(ARRAY).len(), 3);
 }
 
+/// A team at its limit of 6 with lower tasks, and a service of it that has just come.
+fn service_of_a_team_at_its_limit() -> World {
+    let mut world = World::new(&["a", "b"]);
+    world.submit(JobSpec { team: "tight".into(), ..array(2, 6) });
+    world.run_until(ARRAY, 6, secs(10.0));
+    world.run(secs(4.0));
+    world.submit(JobSpec { team: "tight".into(), ..service(1, 2) });
+    world.pass(Micros::from_millis(50));
+    world
+}
+
+/// Guards against a service that waits behind lower tasks of its own team.
+#[test]
+fn within_its_teams_limit_a_service_has_lower_tasks_stopped() {
+    let mut world = service_of_a_team_at_its_limit();
+    world.run_until(SERVICE, 2, REPORT.scale(2.0) + STEP);
+    assert_eq!(world.places(ARRAY).len(), 4);
+}
+
 /// Two machines of which `a` reports next, and a service that waits for it.
 fn planned_on_a(replicas: u32) -> World {
     let mut world = World::new(&["a", "b"]);
