Services: seven faults found by their tests are mended

Two replicas by one answer and the next on one machine; running replicas did not count where zones are chosen; a notice moved more replicas than there was room for; failures hours apart added up; replicas of one plan did not count on types kept for larger tasks; one stop that frees room for several replicas was used for one; stops within a team's limit waited for a report. The strict form of the placement property is in force.

--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -128,7 +128,11 @@
                 image_gb: sp.image_gb,
                 adjusted,
                 waited,
-                zones: if sp.one_zone || sp.spread { self.zones_of(j) } else { vec![0; self.zones.len()] },
+                zones: if sp.one_zone || sp.spread || sp.shape == Shape::Service {
+                    self.zones_of(j)
+                } else {
+                    vec![0; self.zones.len()]
+                },
                 lost: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
                 patience: self.patience(sp) - waited,
                 replicas: (sp.shape == Shape::Service).then(|| self.replica_rooms(j, &room_of)),
--- a/src/fleet/replicas.rs
+++ b/src/fleet/replicas.rs
@@ -1,7 +1,7 @@
 //! Replicas of services: what happens when one ends, is about to lose its machine, or waits.
 
 use super::*;
-use crate::sched::runs_sooner;
+use crate::sched::ReportedRoom;
 
 /// A replica that lived for less than this counts as a failure of its service.
 const LIVED_SHORT: Micros = Micros::from_millis(30_000);
@@ -17,8 +17,8 @@
 pub(super) struct WaitingService {
     /// Its class in the latest plan.
     class: usize,
-    /// When its replicas would run by that plan.
-    planned: Micros,
+    /// When its replicas would run by that plan, if it has a place for them.
+    planned: Option<Micros>,
 }
 
 impl Fleet {
@@ -60,16 +60,16 @@
 
     /// Keeps which services have replicas waiting, and when they would run by the plan.
     pub(super) fn note_waiting_services(&mut self, s: &Snapshot, plan: &Plan) {
-        let mut waiting: BTreeMap<usize, Micros> = BTreeMap::new();
+        let mut waiting: BTreeMap<usize, Option<Micros>> = BTreeMap::new();
         for start in &plan.starts {
             let c = &s.classes[start.class];
             if c.replicas.is_some() {
                 let planned = waiting.entry(start.class).or_default();
-                *planned = (*planned).max(sched::runs_in(c, &s.rooms[start.room]));
+                *planned = (*planned).max(Some(sched::runs_in(c, &s.rooms[start.room])));
             }
         }
         let unmet = plan.unmet.iter().filter(|u| s.classes[u.0].replicas.is_some());
-        waiting.extend(unmet.map(|u| (u.0, NEVER)));
+        waiting.extend(unmet.map(|u| (u.0, None)));
         self.waiting_services =
             waiting.into_iter().map(|(class, planned)| WaitingService { class, planned }).collect();
     }
@@ -97,9 +97,13 @@
             };
             let Some(j) = self.jobs.get(job) else { continue };
             let here = j.live.values().flatten().any(|at| at == id) || j.vacated.contains_key(id);
+            let in_zone = self.zones_of(j).get(room.zone).copied().unwrap_or(0);
+            let crowded_zone = in_zone >= j.spec.tasks.div_ceil(2);
+            let reported = ReportedRoom { room: &room, kept, crowded_zone };
             let runs_here = !here && !j.waiting.is_empty();
-            if runs_here && runs_sooner(c, &room, kept, w.planned - since_plan) {
+            if runs_here && reported.runs_sooner(c, w.planned.map(|p| p - since_plan)) {
                 room.free = room.free.less(&c.need, 1);
+                room.held.push(Held::replica(c));
                 chosen.push(job.clone());
             }
         }
@@ -113,6 +117,7 @@
     pub(super) fn replicas_to_move(&self, now: Steady) -> Vec<(MachineId, TaskKey)> {
         let report = self.cfg.platform.settings.workers.report_s;
         let last_moment = Micros::from_secs(report * REPORTS_BEFORE_NOTICE_ENDS);
+        let mut replacements = Replacements::default();
         let mut out = Vec::new();
         for m in self.machines.values() {
             let Some(notice) = m.notice else { continue };
@@ -120,7 +125,14 @@
                 let Some(j) = self.jobs.get(&key.0).filter(|j| j.spec.shape == Shape::Service) else {
                     continue;
                 };
-                if e.stage.is_some() && (notice - now < last_moment || self.replacement_ready(j, now)) {
+                if e.stage.is_none() {
+                    continue;
+                }
+                let replacement = self.replacement(j, &replacements, now);
+                if let Some(to) = &replacement {
+                    replacements.take(to, &j.id, need_of(&j.spec));
+                }
+                if replacement.is_some() || notice - now < last_moment {
                     out.push((m.id.clone(), key.clone()));
                 }
             }
@@ -128,24 +140,45 @@
         out
     }
 
-    /// Whether some machine has room for a replica, its image and none of its service's replicas.
-    fn replacement_ready(&self, j: &Job, now: Steady) -> bool {
+    /// A machine with room for a replica, its image and none of its service's replicas, beside what
+    /// has been promised to other replicas.
+    fn replacement(&self, j: &Job, promised: &Replacements, now: Steady) -> Option<MachineId> {
         let types = self.allowed_types(&j.spec);
         let need = need_of(&j.spec);
         let image = j.spec.image.as_ref().and_then(|name| self.images.get(name));
-        self.machines.values().any(|m| {
-            let fits = m.ty.is_some_and(|t| types.contains(&t) && m.free(self.total(t)).fits(&need) > 0);
+        let ready = |m: &&Machine| {
+            let free = m.ty.filter(|t| types.contains(t)).map(|t| promised.free(m, m.free(self.total(t))));
             let has_image = j.spec.image.is_none() || m.images.iter().any(|i| Some(&i.0) == image);
             let allowed_here = (j.spec.spot || !m.spot)
                 && j.spec.zone.as_deref().is_none_or(|z| z == self.zone_name(m.zone));
-            fits && has_image
+            let another_here = j.live.values().flatten().any(|at| *at == m.id) || promised.has(&m.id, &j.id);
+            free.is_some_and(|f| f.fits(&need) > 0)
+                && has_image
                 && allowed_here
                 && m.usable(now)
                 && m.notice.is_none()
-                && !j.live.values().flatten().any(|at| *at == m.id)
-        })
+                && !another_here
+        };
+        self.machines.values().find(ready).map(|m| m.id.clone())
     }
 }
 
-/// Later than any start that is planned.
-const NEVER: Micros = Micros::from_millis(86_400_000);
+/// Room that replicas about to move are to take, by machine, with their services.
+#[derive(Default)]
+struct Replacements(BTreeMap<MachineId, Vec<(JobId, Need)>>);
+
+impl Replacements {
+    fn take(&mut self, machine: &MachineId, job: &JobId, need: Need) {
+        self.0.entry(machine.clone()).or_default().push((job.clone(), need));
+    }
+
+    /// What remains of a machine's free room.
+    fn free(&self, m: &Machine, free: Need) -> Need {
+        self.0.get(&m.id).into_iter().flatten().fold(free, |n, (_, need)| n.less(need, 1))
+    }
+
+    /// Whether a replica of the service is to go to the machine.
+    fn has(&self, machine: &MachineId, job: &JobId) -> bool {
+        self.0.get(machine).into_iter().flatten().any(|(j, _)| j == job)
+    }
+}
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -30,10 +30,11 @@
         let (replicas, others): (Vec<_>, Vec<_>) =
             self.assigned.remove(id).unwrap_or_default().into_iter().partition(|a| is_service(&a.0));
         for (job, count) in replicas {
-            self.start_some(&job, count, id, now, out);
-            if self.jobs.get(&job).is_some_and(|j| !j.waiting.is_empty()) {
+            let started = self.start_some(&job, count, id, now, out);
+            let waits = self.jobs.get(&job).is_some_and(|j| !j.waiting.is_empty());
+            if started < count && waits {
                 // Its mark is being written, or what it replaces has not ended yet.
-                self.assigned.entry(id.clone()).or_default().push((job, count));
+                self.assigned.entry(id.clone()).or_default().push((job, count - started));
             }
         }
         self.start_replicas(id, now, out);
@@ -62,6 +63,8 @@
         self.room(m, now, 0, Need::default()).filter(|r| r.free.cpus > 0.0)
     }
 
+    /// Starts up to so many waiting tasks of a job on the machine that is being answered; returns how
+    /// many.
     pub(super) fn start_some(
         &mut self,
         job: &JobId,
@@ -69,8 +72,8 @@
         id: &MachineId,
         now: Steady,
         out: &mut Vec<Order>,
-    ) {
-        let Some(j) = self.jobs.get(job).filter(|j| !j.cancelled) else { return };
+    ) -> u32 {
+        let Some(j) = self.jobs.get(job).filter(|j| !j.cancelled) else { return 0 };
         let from = if self.hidden(&j.spec) { j.inherited } else { 0 };
         let next: Vec<u32> = j.waiting.iter().filter(|n| *n >= from).take(count as usize).collect();
         if let Some(j) = self.jobs.get_mut(job) {
@@ -79,11 +82,14 @@
                 j.high_wanted = j.high_wanted.max(top.saturating_add(1 + ahead).min(j.spec.tasks));
             }
         }
+        let mut started = 0;
         for n in next {
             if !self.start_one(job, n, id, now, out) {
-                return;
+                break;
             }
+            started += 1;
         }
+        started
     }
 
     pub(super) fn start_one(
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -272,6 +272,9 @@
     pub stopping: Option<f64>,
 }
 
+/// Failures further apart than this are not in a row: twice the longest time between two tries.
+const FAILURES_APART: Micros = Micros::from_millis(120_000);
+
 /// The owner's view of a live job.
 #[derive(Debug)]
 pub struct Job {
@@ -309,6 +312,8 @@
     pub cancelled: bool,
     /// Failures in a row, across machines.
     pub errors: u32,
+    /// When it last failed.
+    pub failed_at: Steady,
     /// After failures, not started before this.
     pub not_before: Steady,
     /// Machines that a replica of a service has left by itself, and when.
@@ -340,6 +345,7 @@
             gang: None,
             cancelled: false,
             errors: 0,
+            failed_at: Steady(0),
             not_before: Steady(0),
             vacated: BTreeMap::new(),
             ran: (Micros::ZERO, 0),
@@ -355,6 +361,11 @@
     /// Counts a failure: the job is tried again ever more seldom, so that a mistaken one does not hold
     /// room.
     pub fn back_off(&mut self, now: Steady) {
+        if now - self.failed_at > FAILURES_APART {
+            // Replicas of a service may fail hours apart, with no success that would end the row.
+            self.errors = 0;
+        }
+        self.failed_at = now;
         self.errors = (self.errors + 1).min(1000);
         let wait = if self.errors <= 2 { 0.5 } else { f64::from(1u32 << self.errors.min(7)).min(60.0) };
         self.not_before = now + Micros::from_secs(wait);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -7,7 +7,9 @@
 
 mod services;
 
-pub use services::{runs_in, runs_sooner};
+pub use services::{runs_in, ReportedRoom};
+
+use std::collections::BTreeSet;
 
 use crate::time::Micros;
 use crate::wire::Rank;
@@ -82,6 +84,23 @@
     pub endless: bool,
 }
 
+impl Held {
+    /// A replica of a service that is about to start.
+    pub fn replica(c: &Class) -> Held {
+        Held {
+            need: c.need,
+            rank: c.rank,
+            guaranteed: c.guaranteed,
+            team: c.team,
+            left: FAR,
+            lost: Micros::ZERO,
+            stoppable: false,
+            stopping: false,
+            endless: true,
+        }
+    }
+}
+
 /// A machine.
 #[derive(Clone, Debug)]
 pub struct Room {
@@ -310,6 +329,10 @@
     wanted: Vec<bool>,
     /// Rooms on which tasks are being stopped for a class already.
     claimed: Vec<bool>,
+    /// Tasks that this plan stops for replicas: room and place in its list.
+    stops_for_replicas: BTreeSet<(usize, usize)>,
+    /// What this plan has given to replicas, which never end, by room.
+    endless: Vec<Need>,
     /// By team: what its first gang that is held back by the limit takes of it, and when.
     held_back: Vec<Option<Claim>>,
     /// By team: a gang is held back by the limit, whether it has room or not.
@@ -357,6 +380,8 @@
             zones: s.classes.iter().map(|c| c.zones.clone()).collect(),
             wanted: vec![false; s.keep.len()],
             claimed: vec![false; s.rooms.len()],
+            stops_for_replicas: BTreeSet::new(),
+            endless: vec![Need::default(); s.rooms.len()],
             held_back: vec![None; s.teams.len()],
             behind: vec![false; s.teams.len()],
             ends: vec![Vec::new(); s.teams.len()],
@@ -405,6 +430,9 @@
             t.used = t.used.plus(&c.need, n);
             self.ends[c.team].push((delay(c, r) + c.adjusted, c.need, n));
         }
+        if c.replicas.is_some() {
+            self.endless[m] = self.endless[m].plus(&c.need, n);
+        }
         self.zones[class][r.zone] += n;
     }
 
--- a/src/sched/services.rs
+++ b/src/sched/services.rs
@@ -18,7 +18,7 @@
 /// Added where a larger task, for which the type is kept, would no longer fit.
 const BREAKS_KEPT_ROOM: Micros = Micros::from_millis(20_000);
 /// Added where another replica of the service is.
-const SAME_MACHINE: Micros = Micros::from_millis(30_000);
+const SAME_MACHINE: Micros = Micros::from_millis(600_000);
 
 /// A room that could take a replica.
 struct Candidate {
@@ -60,6 +60,7 @@
             self.take(class, chosen.room, 1);
             self.claimed[chosen.room] |= !chosen.stops.is_empty();
             preempt.extend(chosen.stops.iter().map(|&held| (chosen.room, held)));
+            self.stops_for_replicas.extend(chosen.stops.iter().map(|&held| (chosen.room, held)));
             starts.push(Start { class, room: chosen.room, count: 1 });
             occupied.push(chosen.room);
             left -= 1;
@@ -110,20 +111,24 @@
     /// machine can take the start.
     fn make_room(&self, c: &Class, room: usize) -> Option<(Vec<usize>, Micros, Micros)> {
         let r = &self.s.rooms[room];
+        let stopped = |held: usize| self.stops_for_replicas.contains(&(room, held));
         let stopping = r.held.iter().any(|h| h.stopping);
         let soon = if stopping { r.opens_in.min(STOPPED_WITHIN) } else { r.opens_in };
         if self.free[room].fits(&c.need) > 0 {
             return Some((Vec::new(), Micros::ZERO, soon));
         }
-        let ending = r.held.iter().filter(|h| h.stopping);
-        let mut free = ending.fold(self.free[room], |n, h| n.plus(&h.need, 1));
+        // What this plan stops here for another replica may leave room for this one.
+        let ending = r.held.iter().enumerate().filter(|(i, h)| h.stopping || stopped(*i));
+        let mut free = ending.fold(self.free[room], |n, (_, h)| n.plus(&h.need, 1));
         if free.fits(&c.need) > 0 {
             return Some((Vec::new(), Micros::ZERO, STOPPED_WITHIN));
         }
-        if self.claimed[room] {
+        let for_replicas = (0..r.held.len()).any(stopped);
+        if self.claimed[room] && !for_replicas {
             return None;
         }
-        let mut victims: Vec<usize> = (0..r.held.len()).filter(|&h| yields_to(&r.held[h], c)).collect();
+        let may_stop = |&h: &usize| yields_to(&r.held[h], c) && !stopped(h);
+        let mut victims: Vec<usize> = (0..r.held.len()).filter(may_stop).collect();
         victims.sort_by_key(|&h| r.held[h].lost);
         let (mut stops, mut lost) = (Vec::new(), Micros::ZERO);
         for h in victims {
@@ -145,7 +150,8 @@
         if c.need.fits(&keep.need) > 0 {
             return Micros::ZERO;
         }
-        if endless_room(r).less(&c.need, 1).fits(&keep.need) > 0 {
+        let beside = endless_room(r).less(&self.endless[room], 1);
+        if beside.less(&c.need, 1).fits(&keep.need) > 0 {
             KEPT_TYPE
         } else {
             BREAKS_KEPT_ROOM
@@ -159,12 +165,27 @@
     endless.fold(r.total, |n, h| n.less(&h.need, 1))
 }
 
-/// Whether one more replica may start in a room that has just reported, ahead of the next plan and
-/// instead of the place that the plan gave it, since it runs sooner here.
-pub fn runs_sooner(c: &Class, r: &Room, kept: Option<Need>, planned: Micros) -> bool {
-    let fits_beside = kept.is_none_or(|k| endless_room(r).less(&c.need, 1).fits(&k) > 0);
-    let here = Micros::from_secs(fetch_s(c, r)) + r.penalty;
-    allowed(c, r) && r.until.is_none() && fits_beside && r.free.fits(&c.need) > 0 && here < planned
+/// A room that has just reported, for replicas that wait.
+pub struct ReportedRoom<'a> {
+    /// The room.
+    pub room: &'a Room,
+    /// What a larger task takes for which its type is kept.
+    pub kept: Option<Need>,
+    /// Whether the service has half of its replicas in the room's zone already.
+    pub crowded_zone: bool,
+}
+
+impl ReportedRoom<'_> {
+    /// Whether one more replica may start here ahead of the next plan: it runs sooner than in `planned`,
+    /// in the place that the plan gave it, if it gave it one. A place in another zone is waited for if
+    /// there are many replicas in this one.
+    pub fn runs_sooner(&self, c: &Class, planned: Option<Micros>) -> bool {
+        let r = self.room;
+        let fits_beside = self.kept.is_none_or(|k| endless_room(r).less(&c.need, 1).fits(&k) > 0);
+        let here = Micros::from_secs(fetch_s(c, r)) + r.penalty;
+        let sooner = planned.is_none_or(|p| !self.crowded_zone && here < p);
+        allowed(c, r) && r.until.is_none() && fits_beside && r.free.fits(&c.need) > 0 && sooner
+    }
 }
 
 /// When a replica would run in a room, by its next report and its image.
--- a/tests/service_placement.rs
+++ b/tests/service_placement.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use common::{class, need, secs};
+use common::planner::{class, need, secs};
 use milletlock::capacity::{Policy, Upkeep, View, Warm};
 use milletlock::sched::{order, plan, Class, Held, Keep, Need, Plan, Room, Snapshot, TeamUse};
 use milletlock::time::Micros;
@@ -180,10 +180,6 @@
         Model { snapshot, plan, stopped: plan.preempt.iter().copied().collect() }
     }
 
-    fn stops_in(&self, room: usize) -> bool {
-        self.stopped.iter().any(|stop| stop.0 == room)
-    }
-
     fn is_service(&self, class: usize) -> bool {
         self.snapshot.classes[class].replicas.is_some()
     }
@@ -309,18 +305,16 @@
         }
     }
 
-    /// Guards against a replica that waits though there is room, or room that can be had. In a room
-    /// where this plan stops tasks already the next plan finds what else comes free there.
+    /// Guards against a replica that waits though there is room, or room that can be had.
     #[test]
-    fn a_replica_waits_only_if_no_other_room_could_take_it(snapshot in any_snapshot()) {
+    fn a_replica_waits_only_if_no_room_could_take_it(snapshot in any_snapshot()) {
         let plan = plan(&snapshot);
         let model = Model::new(&snapshot, &plan);
         for &(class, left) in plan.unmet.iter().filter(|unmet| model.is_service(unmet.0)) {
             let placed = rooms_of(&plan, class).len() as u32;
             prop_assert_eq!(placed + left, snapshot.classes[class].count);
             if model.limit_allows_another(class) {
-                let mut others = (0..snapshot.rooms.len()).filter(|&room| !model.stops_in(room));
-                let room = others.find(|&room| model.could_take_another(class, room));
+                let room = (0..snapshot.rooms.len()).find(|&room| model.could_take_another(class, room));
                 prop_assert_eq!(room, None);
             }
         }
@@ -399,6 +393,15 @@
     assert_eq!(choice(vec![beside(0), as_soon]), [1]);
 }
 
+/// The same for replicas that one plan starts together.
+#[test]
+fn replicas_of_one_plan_count_where_a_larger_task_has_to_fit() {
+    let services = vec![service(1), service(1), service(1)];
+    let p = plan(&kept(vec![room(32.0), later_elsewhere()], services));
+    let beside = p.starts.iter().filter(|start| start.room == 0).count();
+    assert_eq!(beside, 2);
+}
+
 /// Guards against a service that waits for its patience, or stops its equals.
 #[test]
 fn lower_ranks_are_stopped_at_once_and_equal_ranks_never() {
@@ -424,6 +427,13 @@
     assert_eq!((rooms_of(&p, 0), p.preempt), (vec![0], Vec::new()));
 }
 
+/// Guards against a second replica that waits for the next plan though one stop makes room for both.
+#[test]
+fn one_large_task_makes_room_for_several_replicas() {
+    let p = plan(&snapshot(vec![with(room(4.0), vec![held(4.0, Rank::Idle)])], vec![service(3)]));
+    assert_eq!((rooms_of(&p, 0), p.preempt), (vec![0, 0, 0], vec![(0, 0)]));
+}
+
 // Renting.
 
 fn types() -> Vec<MachineType> {
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -883,3 +883,84 @@
     world.report("a");
     assert!(!world.fleet.may_wait("a", world.now), "its machine is about to go");
 }
+
+/// Guards against a second replica on a machine that reports again before the next plan, as workers
+/// do as soon as a start has reached them.
+#[test]
+fn a_machine_that_reports_again_before_the_next_plan_gets_no_second_replica() {
+    let mut world = World::new(&["a", "b"]);
+    world.submit(service(1, 2));
+    world.pass(STEP);
+    assert_eq!(starts(&world.report("a")).len(), 1);
+    world.now = world.now + Micros::from_millis(5);
+    assert!(starts(&world.report("a")).is_empty(), "both replicas on one machine");
+    world.pass(STEP);
+    assert_eq!(starts(&world.report("b")).len(), 1);
+}
+
+/// Guards against a service of which most replicas are in one zone, since those that run are not
+/// counted when places for the others are chosen.
+#[test]
+fn running_replicas_count_where_zones_are_chosen() {
+    let north = ["n1", "n2", "n3", "n4"];
+    let south = ["s1", "s2", "s3", "s4"];
+    let mut world = World::new(&north);
+    for machine in south {
+        world.add_machine(machine, "south");
+    }
+    world.submit(service(1, 4));
+    world.pass(STEP);
+    for machine in north.iter().chain(&south) {
+        world.report(machine);
+        world.pass(Micros::from_millis(30));
+    }
+    let in_south = world.machines_of(SERVICE).iter().filter(|m| m.starts_with('s')).count();
+    assert_eq!((world.places(SERVICE).len(), in_south), (4, 2), "{:?}", world.machines_of(SERVICE));
+}
+
+/// Guards against stopping all replicas of a machine that is to go where there is room for one.
+#[test]
+fn no_more_replicas_move_than_other_machines_have_room_for() {
+    let mut world = World::new(&["a"]);
+    world.submit(service(1, 4));
+    world.run_until(SERVICE, 4, secs(10.0));
+    fill(&mut world, "b");
+    world.notice("a", secs(60.0));
+    world.run(secs(4.0));
+    world.end("b", ARRAY, Why::Done);
+    world.report("b");
+    world.pass(STEP);
+    let direct = world.deliver_direct_commands();
+    assert_eq!(halts(&direct).len(), 1);
+}
+
+/// Guards against a service that, after some days, waits a minute for every replica that it lost,
+/// since each start that failed in all that time still counts.
+#[test]
+fn failures_that_are_far_apart_do_not_add_up() {
+    let mut world = World::new(&["a", "b", "c"]);
+    world.submit(service(1, 2));
+    world.run_until(SERVICE, 2, secs(10.0));
+    let mut waits = Vec::new();
+    for _ in 0..8 {
+        world.run(secs(600.0));
+        // A replica is stopped, fails when it starts again, and runs well from then on.
+        let machine = world.machines_of(SERVICE)[0].clone();
+        world.failures = vec![Failure { machine: None, job: SERVICE, why: Why::Error }];
+        let before = world.started.len();
+        world.end(&machine, SERVICE, Why::Stopped);
+        while world.started.len() == before {
+            world.step();
+        }
+        world.failures.clear();
+        waits.push(world.run_until(SERVICE, 2, secs(90.0)));
+    }
+    assert!(waits.iter().all(|wait| *wait < secs(10.0)), "{waits:?}");
+}
+
+/// Guards against a replica that waits for a report of each of its team's lower tasks.
+#[test]
+fn stops_within_a_teams_limit_are_direct_commands_too() {
+    let mut world = service_of_a_team_at_its_limit();
+    assert_eq!(halts(&world.deliver_direct_commands()).len(), 2);
+}
