--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -24,6 +24,11 @@
 pub const TERM: &str = "term";
 /// Key of the one part there is.
 pub const PART: &str = "part/0";
+/// Key that names the oldest form of the records that still reads them. No version has written it so
+/// far: a later one will, before it writes anything that this one would misread.
+pub const FORMAT: &str = "format";
+/// The form of the records that this version reads and writes.
+pub const FORMAT_VERSION: u32 = 1;
 /// Key of the machine types, for controllers that start while the cloud is out.
 pub const CATALOG: &str = "catalog";
 
@@ -43,6 +48,13 @@
     pub lease: u64,
 }
 
+/// The form of the records.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Format {
+    /// A version reads them if it knows this form or a later one.
+    pub reader: u32,
+}
+
 #[derive(Serialize, Deserialize)]
 struct Term {
     n: u64,
@@ -70,6 +82,7 @@
     ttl: Micros,
     seen: u64,
 ) -> Result<Option<Claim>, StateError> {
+    check_format(state)?;
     let lease = state.lease(ttl)?;
     let term = state.get(TERM, Urgency::Ownership)?;
     let part = state.get(PART, Urgency::Ownership)?;
@@ -122,6 +135,17 @@
     }
 }
 
+/// Refuses records of a later form: an old process that is back after all others have moved on must
+/// neither misread nor overwrite them.
+fn check_format(state: &StateClient) -> Result<(), StateError> {
+    let Some(row) = state.get(FORMAT, Urgency::Ownership)? else { return Ok(()) };
+    let needed = serde_json::from_value::<Format>(row.value.clone()).map(|f| f.reader);
+    match needed {
+        Ok(reader) if reader <= FORMAT_VERSION => Ok(()),
+        _ => Err(StateError::NewerRecords { found: row.value.to_string(), known: FORMAT_VERSION }),
+    }
+}
+
 /// Machine types as last written.
 pub fn catalog(state: &StateClient) -> Result<Option<Vec<MachineType>>, StateError> {
     let row = state.get(CATALOG, Urgency::Ownership)?;
--- a/src/node/announce.rs
+++ b/src/node/announce.rs
@@ -1,7 +1,7 @@
 //! The announcing duty: tells the other controllers who leads and which cancellations were
 //! confirmed to users.
 
-use super::{Node, Ownership};
+use super::{Node, Ownership, UNTOLD_VERSION, VERSION};
 use crate::fleet::Counts;
 use crate::jobs::JobId;
 use crate::notices::Cancellation;
@@ -49,21 +49,38 @@
             match &shared.ownership {
                 Some(ownership) => Some(self.summary(ownership)),
                 // Nobody has been heard of late: whether anybody can be is asked.
-                None if self.now() - shared.last_peer_contact > PEER_PROBE_AFTER => Some(Summary::default()),
+                None if self.now() - shared.last_peer_contact > PEER_PROBE_AFTER => {
+                    Some(Summary { version: VERSION.into(), ..Summary::default() })
+                }
                 None => None,
             }
         };
         let Some(s) = summary else { return };
         let sent: Vec<_> = (0..self.peers.count())
-            .filter_map(|to| self.peers.begin(to, Message::Announce(s.clone()), MESSAGE_TIMEOUT).ok())
+            .filter_map(|to| {
+                let waiting = self.peers.begin(to, Message::Announce(s.clone()), MESSAGE_TIMEOUT).ok()?;
+                Some((to, waiting))
+            })
             .collect();
-        for w in sent {
-            if let Ok(Outcome::Ack(a)) = w.wait() {
+        for (to, waiting) in sent {
+            if let Ok(Outcome::Ack(a)) = waiting.wait() {
                 self.peer_answered(a.token);
+                self.note_version(to, a.version);
             }
         }
     }
 
+    /// Keeps the version of another controller, and says so when it changes.
+    fn note_version(&self, peer: usize, version: String) {
+        let Some(member) = self.cfg.platform.members.get(peer) else { return };
+        let version = if version.is_empty() { UNTOLD_VERSION.to_string() } else { version };
+        let mut shared = self.lock();
+        if shared.peer_versions.get(&member.label) != Some(&version) {
+            tracing::info!(label = %member.label, %version, "another controller's version");
+            shared.peer_versions.insert(member.label.clone(), version);
+        }
+    }
+
     /// The owner's announcement.
     fn summary(&self, ownership: &Ownership) -> Summary {
         let count = |id: &JobId| {
@@ -74,6 +91,7 @@
             leader: self.cfg.platform.label.clone(),
             token: ownership.claim.token,
             jobs: ownership.fleet.jobs.keys().take(MAX_ANNOUNCED_JOBS).filter_map(count).collect(),
+            version: VERSION.into(),
         }
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -66,6 +66,8 @@
     leader: Option<Owner>,
     /// The highest token seen.
     highest_token: u64,
+    /// Versions of the other controllers, by label, as last told.
+    peer_versions: BTreeMap<String, String>,
     /// The machine types, once known.
     machine_types: Option<Vec<MachineType>>,
     /// Final stages known to be written, with the revisions at which they were written.
@@ -102,6 +104,11 @@
 /// Stack size of a duty's thread in bytes.
 const DUTY_STACK: usize = 512 * 1024;
 
+/// This program's version, told to the other controllers.
+const VERSION: &str = env!("CARGO_PKG_VERSION");
+/// The version of a controller that tells none.
+const UNTOLD_VERSION: &str = "before 0.2";
+
 /// The main function of a duty's thread.
 type Duty = fn(&Node);
 
--- a/src/node/ownership.rs
+++ b/src/node/ownership.rs
@@ -29,6 +29,9 @@
 /// Random part of that delay, in milliseconds.
 const CLAIM_JITTER_MS: i64 = 50;
 
+/// How long records of a later form are left before they are looked at again.
+const NEWER_RECORDS_PAUSE: Micros = Micros::from_millis(10_000);
+
 impl Node {
     /// Keeps the leader's lease, or waits for its end and takes over.
     pub(super) fn keep(&self) {
@@ -159,8 +162,15 @@
         }
         let begun = self.now();
         let label = &self.cfg.platform.label;
-        let Some(claim) = cluster::claim(&self.state, label, self.incarnation, ttl, seen)? else {
-            return Ok(());
+        let claim = match cluster::claim(&self.state, label, self.incarnation, ttl, seen) {
+            Ok(Some(claim)) => claim,
+            Ok(None) => return Ok(()),
+            Err(e @ StateError::NewerRecords { .. }) => {
+                tracing::error!(error = %e, "does not take over");
+                self.lock().no_claim_until = self.now() + NEWER_RECORDS_PAUSE;
+                return Ok(());
+            }
+            Err(e) => return Err(e),
         };
         tracing::info!(token = claim.token, "takes over");
         {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use super::Node;
+use super::{Node, VERSION};
 use crate::cluster::Owner;
 use crate::fleet::Counts;
 use crate::http::{self, Request, Response};
@@ -93,7 +93,7 @@
                 c.revision,
             );
         }
-        Outcome::Ack(Ack { token: self.lock().highest_token })
+        Outcome::Ack(Ack { token: self.lock().highest_token, version: VERSION.into() })
     }
 
     /// Another controller leads: its numbers of live jobs are kept for polls.
@@ -107,7 +107,7 @@
             shared.announced_counts =
                 s.jobs.iter().map(|j| (j.id.clone(), Counts { done: j.done, running: j.running })).collect();
         }
-        Outcome::Ack(Ack { token: shared.highest_token })
+        Outcome::Ack(Ack { token: shared.highest_token, version: VERSION.into() })
     }
 
     /// Another controller has written or ended a job.
@@ -121,6 +121,6 @@
             }
             self.wake.notify_all();
         }
-        Outcome::Ack(Ack { token: shared.highest_token })
+        Outcome::Ack(Ack { token: shared.highest_token, version: VERSION.into() })
     }
 }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -1,6 +1,8 @@
 //! The load balancer's health check and the status for people on call.
 
-use super::{Node, Ownership};
+use std::collections::BTreeMap;
+
+use super::{Node, Ownership, SharedState, VERSION};
 use crate::http::{Request, Response};
 use crate::time::{wall, Micros};
 use crate::wire::{Health, NodeStatus, PartStatus};
@@ -45,8 +47,17 @@
                 node: label.clone(),
                 view: ownership.map(|o| o.fleet.status(team, self.now(), wall())),
                 parts: ownership.map(|o| vec![part(o)]),
+                versions: Some(self.versions(&shared)),
                 view_age_s: ownership.map(|o| o.view.age(self.now()).secs()),
             },
         )
     }
+
+    /// Versions of all controllers, by label: none for those that have not been heard.
+    fn versions(&self, shared: &SharedState) -> BTreeMap<String, Option<String>> {
+        let members = self.cfg.platform.members.iter();
+        let told = members.map(|m| (m.label.clone(), shared.peer_versions.get(&m.label).cloned()));
+        let own = (self.cfg.platform.label.clone(), Some(VERSION.to_string()));
+        told.chain([own]).collect()
+    }
 }
--- a/src/packs.rs
+++ b/src/packs.rs
@@ -82,12 +82,17 @@
 
     /// Sets a record. Its slot is to be written.
     pub fn put(&mut self, id: &Arc<str>, item: T) {
+        let size = Packs::size(id, &item);
         let at = match self.of.get(id) {
             Some(&at) => at,
-            None => self.place(id, Packs::size(id, &item)),
+            None => self.place(id, size),
         };
         let s = &mut self.slots[at];
-        s.items.insert(id.clone(), item);
+        if let Some(replaced) = s.items.insert(id.clone(), item) {
+            // Counted anew: a slot whose records grow would otherwise seem to have ever more room, and
+            // outgrow the limit of a value.
+            s.bytes = s.bytes.saturating_sub(Packs::size(id, &replaced)) + size;
+        }
         s.version += 1;
         s.urgent = s.version;
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! Client of the state service: reads, guarded transactions, leases and watches, within this
 //! node's share of the service's limits.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex};
 
@@ -33,6 +34,14 @@
     /// as it is.
     #[error("rejected: {0}")]
     Rejected(String),
+    /// The records are of a form that this version does not read.
+    #[error("records of form {found}, this version reads up to {known}")]
+    NewerRecords {
+        /// The form as it is named there.
+        found: String,
+        /// The latest form that is read.
+        known: u32,
+    },
     /// The answer makes no sense.
     #[error("malformed answer: {0}")]
     Malformed(String),
@@ -113,33 +122,34 @@
 const REFUSALS_WITHIN: Micros = Micros::from_millis(10_000);
 /// So many of them show that the coming limits hold: bursts of several nodes at once have one now
 /// and then under any limits.
-const REFUSALS_SHOW: u32 = 5;
+const REFUSALS_SHOW: usize = 5;
 
 /// Rates that will hold from some moment on, without notice. The present ones are kept to until
 /// refusals for the rate (429) show the change; an outage or a service that refuses this node alone
 /// answers 503 and shows nothing.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct NextRates {
     shares: (f64, f64),
-    refusals: u32,
-    since: Steady,
+    /// The latest refusals for the rate, no more than show the change.
+    refusals: VecDeque<Steady>,
     shown: bool,
 }
 
 impl NextRates {
     /// The coming rates as shares of the present ones, requests and changes.
     pub fn new(shares: (f64, f64)) -> NextRates {
-        NextRates { shares, refusals: 0, since: Steady(0), shown: false }
+        NextRates { shares, refusals: VecDeque::new(), shown: false }
     }
 
     /// Counts a refusal for the rate; whether it shows the change.
     pub fn refused(&mut self, now: Steady) -> bool {
-        if now - self.since > REFUSALS_WITHIN {
-            self.since = now;
-            self.refusals = 0;
+        self.refusals.push_back(now);
+        while self.refusals.len() > REFUSALS_SHOW {
+            self.refusals.pop_front();
         }
-        self.refusals += 1;
-        let shows = !self.shown && self.shares != (1.0, 1.0) && self.refusals >= REFUSALS_SHOW;
+        let oldest = self.refusals.front().copied().unwrap_or(now);
+        let many = self.refusals.len() == REFUSALS_SHOW && now - oldest <= REFUSALS_WITHIN;
+        let shows = many && !self.shown && self.shares != (1.0, 1.0);
         self.shown |= shows;
         shows
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,8 @@
 //! The messages of each interface. The names that travel are odd and stay in this file, as serde
 //! renames; the code has the field's own names.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -666,6 +668,9 @@
     /// What the owner sees; none on any other controller.
     #[serde(rename = "owner")]
     pub view: Option<View>,
+    /// Versions of the controllers, by label; none for one that has not been heard.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub versions: Option<BTreeMap<String, Option<String>>>,
     /// The parts that it owns.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub parts: Option<Vec<PartStatus>>,
--- a/tests/replies.rs
+++ b/tests/replies.rs
@@ -20,6 +20,7 @@
         leader: Some("a".into()),
         node: "a".into(),
         view: Some(json!({ "token": 7 })),
+        versions: None,
         parts: Some(vec![PartStatus { owner: "a".into(), part: 0, token: 7 }]),
         view_age_s: Some(0.5),
     };
@@ -32,7 +33,13 @@
 
 #[test]
 fn any_other_controllers_status_says_who_leads() {
-    let status: NodeStatus<Value> =
-        NodeStatus { leader: None, node: "b".into(), view: None, parts: None, view_age_s: None };
+    let status: NodeStatus<Value> = NodeStatus {
+        leader: None,
+        node: "b".into(),
+        view: None,
+        versions: None,
+        parts: None,
+        view_age_s: None,
+    };
     assert_eq!(json!(status), json!({ "leader": null, "node": "b", "owner": null }));
 }
