--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins and builders shared by the tests.
 #![allow(dead_code)]
 
+pub mod production;
+
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::AtomicBool;
@@ -42,6 +44,18 @@
     Arc::new(Config { platform, operator: Operator::default() })
 }
 
+/// Checked settings under which a value holds so many KiB and a transaction eight changes, and from some
+/// moment on, without notice, a value so many fewer KiB and a transaction four changes.
+pub fn config_with_falling_limits(value_kb: f64, next_value_kb: f64) -> Arc<Config> {
+    let mut settings = platform_json();
+    settings["settings"]["state"] = json!({
+        "rps": 500.0, "write_rps": 500.0, "value_kb": value_kb, "txn_ops": 8,
+        "next": {"value_kb": next_value_kb, "txn_ops": 4}
+    });
+    let platform = Platform::parse(&settings.to_string(), "test").expect("settings");
+    Arc::new(Config { platform, operator: Operator::default() })
+}
+
 /// A small and a large machine type, in both zones.
 pub fn types() -> Vec<MachineType> {
     let ty = |name: &str, cpus: f64| MachineType {
--- /dev/null
+++ b/tests/common/production.rs
@@ -0,0 +1,430 @@
+//! The version in production as the tests need it: the records in the form in which it reads and
+//! writes them, and a plain model of its owner. Nothing here uses the present code's own records, so
+//! that a change of them shows.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use milletlock::wire::{Change, Guard, Row, Txn};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use super::Store;
+
+/// A live job, under `job/<id>`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub spec: Value,
+    pub submitted_us: i64,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub high: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+/// A job that is over, under `final/<id>`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    pub stage: String,
+    pub tasks: u32,
+}
+
+/// A machine, many to a value, under `machines/<slot>`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    #[serde(rename = "p", alias = "part", default)]
+    pub part: u32,
+    #[serde(rename = "n", alias = "token", default)]
+    pub token: u64,
+    #[serde(rename = "a", alias = "addr", default)]
+    pub addr: String,
+    #[serde(rename = "t", alias = "ty", default)]
+    pub ty: String,
+    #[serde(rename = "z", alias = "zone", default)]
+    pub zone: String,
+    #[serde(rename = "s", alias = "spot", default)]
+    pub spot: bool,
+}
+
+/// A recent job, in the list under `recent`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DemandRecord {
+    pub at_us: i64,
+    pub need: (f64, f64, f64),
+    pub rank: String,
+    pub types: Vec<String>,
+    pub work: f64,
+    pub hasty: bool,
+    #[serde(default)]
+    pub beside: u32,
+    #[serde(default)]
+    pub due: bool,
+    #[serde(default)]
+    pub spot: bool,
+}
+
+/// A finished job, in the history.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Past {
+    pub end_s: i64,
+    pub ratio: f64,
+}
+
+/// Past jobs of a team and stated run time, many to a value, under `hist/<bucket>`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HistoryRecord {
+    pub team: String,
+    pub stated_us: i64,
+    pub past: Vec<Past>,
+}
+
+/// Bytes of a value that the production version leaves free.
+const SLACK: usize = 64;
+
+/// Tasks in a chunk of done ranges, as the production version counts them.
+pub fn chunk_tasks(value_bytes: usize) -> u32 {
+    ((value_bytes / 4).saturating_sub(8)).max(64) as u32
+}
+
+/// Text of a set of tasks: `0-4,7`.
+pub fn ranges_text(tasks: &BTreeSet<u32>) -> String {
+    let mut runs: Vec<(u32, u32)> = Vec::new();
+    for &task in tasks {
+        match runs.last_mut() {
+            Some(run) if run.1 + 1 == task => run.1 = task,
+            _ => runs.push((task, task)),
+        }
+    }
+    let one = |&(a, b): &(u32, u32)| if a == b { a.to_string() } else { format!("{a}-{b}") };
+    runs.iter().map(one).collect::<Vec<_>>().join(",")
+}
+
+/// Tasks of a text.
+pub fn tasks_of_text(text: &str) -> BTreeSet<u32> {
+    let bounds = |part: &str| -> (u32, u32) {
+        let (a, b) = part.split_once('-').unwrap_or((part, part));
+        (a.parse().expect("a number"), b.parse().expect("a number"))
+    };
+    text.split(',')
+        .filter(|part| !part.is_empty())
+        .flat_map(|part| (bounds(part).0)..=(bounds(part).1))
+        .collect()
+}
+
+/// All machines that are in some value.
+pub fn machines_in(store: &Store) -> BTreeSet<String> {
+    let rows = store.rows("machines/");
+    rows.iter().flat_map(|r| r.value.as_object().expect("machines").keys().cloned()).collect()
+}
+
+/// The highest mark of each job in any value.
+pub fn marks_in(store: &Store) -> BTreeMap<String, u32> {
+    let mut highest = BTreeMap::new();
+    for row in store.rows("marks/") {
+        let marks: BTreeMap<String, u32> = serde_json::from_value(row.value).expect("marks");
+        for (id, mark) in marks {
+            highest.entry(id).and_modify(|h: &mut u32| *h = mark.max(*h)).or_insert(mark);
+        }
+    }
+    highest
+}
+
+/// The done tasks of a job in all its chunks, of either version.
+pub fn done_in(store: &Store, id: &str) -> BTreeSet<u32> {
+    let rows = store.rows(&format!("done/{id}/"));
+    rows.iter().flat_map(|r| tasks_of_text(r.value.as_str().expect("a text"))).collect()
+}
+
+struct Slot<T> {
+    stamp: u64,
+    items: BTreeMap<String, T>,
+    dirty: bool,
+}
+
+/// Records packed into slots as the production version does.
+struct Packs<T> {
+    limit: usize,
+    slots: Vec<Slot<T>>,
+    slot_of: BTreeMap<String, usize>,
+}
+
+impl<T: Clone + Serialize + DeserializeOwned> Packs<T> {
+    fn new(value_bytes: usize) -> Packs<T> {
+        Packs { limit: value_bytes - SLACK, slots: Vec::new(), slot_of: BTreeMap::new() }
+    }
+
+    fn size(id: &str, item: &T) -> usize {
+        serde_json::to_string(item).expect("a record").len() + id.len() + 16
+    }
+
+    fn grow_to(&mut self, slots: usize) {
+        while self.slots.len() < slots {
+            self.slots.push(Slot { stamp: 0, items: BTreeMap::new(), dirty: false });
+        }
+    }
+
+    fn load(&mut self, slot: usize, stamp: u64, value: Value) {
+        self.grow_to(slot + 1);
+        let items: BTreeMap<String, T> = serde_json::from_value(value).expect("a value of production's form");
+        // A record that is in several values belongs to the last that is read.
+        self.slot_of.extend(items.keys().map(|id| (id.clone(), slot)));
+        self.slots[slot] = Slot { stamp, items, dirty: false };
+    }
+
+    fn put(&mut self, id: &str, item: T) {
+        let size = Self::size(id, &item);
+        let used = |s: &Slot<T>| 2 + s.items.iter().map(|(id, item)| Self::size(id, item)).sum::<usize>();
+        let known = self.slot_of.get(id).copied();
+        let room = || self.slots.iter().position(|s| used(s) + size <= self.limit);
+        let slot = known.or_else(room).unwrap_or(self.slots.len());
+        self.grow_to(slot + 1);
+        self.slot_of.insert(id.into(), slot);
+        self.slots[slot].items.insert(id.into(), item);
+        self.slots[slot].dirty = true;
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some(slot) = self.slot_of.remove(id) {
+            self.slots[slot].items.remove(id);
+            self.slots[slot].dirty = true;
+        }
+    }
+
+    fn get(&self, id: &str) -> Option<&T> {
+        self.slot_of.get(id).and_then(|&slot| self.slots[slot].items.get(id))
+    }
+
+    fn first_dirty(&self) -> Option<usize> {
+        self.slots.iter().position(|s| s.dirty)
+    }
+}
+
+struct Job {
+    stamp: u64,
+    tasks: u32,
+    mark: u32,
+    done: BTreeSet<u32>,
+    done_written: BTreeSet<u32>,
+    chunks: BTreeMap<u32, u64>,
+}
+
+/// What a transaction of the production version's owner writes.
+enum Written {
+    Machines(usize),
+    Marks(usize),
+    Done(String, u32),
+    Final(String),
+    Orphan(String),
+}
+
+/// A plain model of the production version's owner: how it takes records over and writes them.
+pub struct Owner {
+    part: u64,
+    token: u64,
+    chunk: u32,
+    jobs: BTreeMap<String, Job>,
+    machines: Packs<MachineRecord>,
+    marks: Packs<u32>,
+    orphans: BTreeMap<String, u64>,
+    writing: Option<Written>,
+}
+
+impl Owner {
+    /// Takes over from the rows of the state service, read in the order of the keys.
+    pub fn load(part: u64, token: u64, value_bytes: usize, rows: &[Row]) -> Owner {
+        let mut owner = Owner {
+            part,
+            token,
+            chunk: chunk_tasks(value_bytes),
+            jobs: BTreeMap::new(),
+            machines: Packs::new(value_bytes),
+            marks: Packs::new(value_bytes),
+            orphans: BTreeMap::new(),
+            writing: None,
+        };
+        // Jobs are known before what belongs to them.
+        for row in rows.iter().filter(|r| r.key.starts_with("job/")) {
+            let record: JobRecord = serde_json::from_value(row.value.clone()).expect("a job's record");
+            owner.job_put(&record, row.stamp);
+        }
+        rows.iter().for_each(|row| owner.load_row(row));
+        let over = |id: &&String| !owner.jobs.contains_key(*id);
+        let over: Vec<String> = owner.marks.slot_of.keys().filter(over).cloned().collect();
+        over.iter().for_each(|id| owner.marks.remove(id));
+        owner
+    }
+
+    fn load_row(&mut self, row: &Row) {
+        let parts: Vec<&str> = row.key.split('/').collect();
+        let number = |text: &str| text.parse::<u32>().expect("a number");
+        match parts[..] {
+            ["machines", slot] => self.machines.load(number(slot) as usize, row.stamp, row.value.clone()),
+            ["marks", slot] => self.load_marks(number(slot) as usize, row),
+            ["done", id, chunk] => self.load_done(id, number(chunk), row),
+            _ => {}
+        }
+    }
+
+    fn load_marks(&mut self, slot: usize, row: &Row) {
+        let marks: BTreeMap<String, u32> = serde_json::from_value(row.value.clone()).expect("marks");
+        for (id, mark) in &marks {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.mark = job.mark.max(*mark);
+            }
+        }
+        self.marks.load(slot, row.stamp, row.value.clone());
+    }
+
+    fn load_done(&mut self, id: &str, chunk: u32, row: &Row) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            self.orphans.insert(row.key.clone(), row.stamp);
+            return;
+        };
+        let tasks = tasks_of_text(row.value.as_str().expect("a text"));
+        job.done.extend(&tasks);
+        job.done_written.extend(&tasks);
+        job.chunks.insert(chunk, row.stamp);
+    }
+
+    /// Learns of a job.
+    pub fn job_put(&mut self, record: &JobRecord, stamp: u64) {
+        let id = record.spec["nameId"].as_str().expect("an id").to_string();
+        let tasks = record.spec["kernels"].as_u64().expect("a number") as u32;
+        let (done, done_written, chunks) = Default::default();
+        self.jobs.insert(id, Job { stamp, tasks, mark: record.high, done, done_written, chunks });
+    }
+
+    /// A job's record is gone.
+    pub fn job_over(&mut self, id: &str) {
+        if let Some(job) = self.jobs.remove(id) {
+            let orphan = |(chunk, stamp): (u32, u64)| (format!("done/{id}/{chunk}"), stamp);
+            self.orphans.extend(job.chunks.into_iter().map(orphan));
+        }
+        self.marks.remove(id);
+    }
+
+    /// Enrols a machine.
+    pub fn enrol(&mut self, id: &str) {
+        let addr = "127.0.0.1:9".into();
+        let (ty, zone) = ("small".into(), "north".into());
+        let record = MachineRecord { part: 0, token: self.token, addr, ty, zone, spot: false };
+        self.machines.put(id, record);
+    }
+
+    /// A machine was returned to the cloud.
+    pub fn returned(&mut self, id: &str) {
+        self.machines.remove(id);
+    }
+
+    /// Raises a job's mark.
+    pub fn raise(&mut self, id: &str, mark: u32) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| mark > job.mark) else { return };
+        job.mark = mark;
+        if self.marks.get(id) != Some(&mark) {
+            self.marks.put(id, mark);
+        }
+    }
+
+    /// A task of a job is done.
+    pub fn done(&mut self, id: &str, task: u32) {
+        if let Some(job) = self.jobs.get_mut(id).filter(|job| task < job.tasks) {
+            job.done.insert(task);
+        }
+    }
+
+    /// The next transaction that is to be written, if any.
+    pub fn next_write(&mut self) -> Option<Txn> {
+        let (written, guards, then) = self
+            .compose_final()
+            .or_else(|| self.compose_machines())
+            .or_else(|| self.compose_marks())
+            .or_else(|| self.compose_done())
+            .or_else(|| self.compose_orphan())?;
+        self.writing = Some(written);
+        let part = Guard { key: "part/0".into(), stamp: self.part };
+        Some(Txn { guards: [vec![part], guards].concat(), then })
+    }
+
+    fn compose_final(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
+        let (id, job) = self.jobs.iter().find(|(_, job)| job.done.len() == job.tasks as usize)?;
+        let (key, over) = (format!("job/{id}"), format!("final/{id}"));
+        let guards =
+            vec![Guard { key: key.clone(), stamp: job.stamp }, Guard { key: over.clone(), stamp: 0 }];
+        let record = FinalRecord { stage: "done".into(), tasks: job.tasks };
+        let mut then = vec![Change::drop(key), Change::put(over, json!(record))];
+        then.extend(job.chunks.keys().take(2).map(|chunk| Change::drop(format!("done/{id}/{chunk}"))));
+        Some((Written::Final(id.clone()), guards, then))
+    }
+
+    fn compose_machines(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
+        let number = self.machines.first_dirty()?;
+        let (key, slot) = (format!("machines/{number}"), &self.machines.slots[number]);
+        let guards = vec![Guard { key: key.clone(), stamp: slot.stamp }];
+        Some((Written::Machines(number), guards, vec![Change::put(key, json!(slot.items))]))
+    }
+
+    fn compose_marks(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
+        let number = self.marks.first_dirty()?;
+        let (key, slot) = (format!("marks/{number}"), &self.marks.slots[number]);
+        let guards = vec![Guard { key: key.clone(), stamp: slot.stamp }];
+        Some((Written::Marks(number), guards, vec![Change::put(key, json!(slot.items))]))
+    }
+
+    fn compose_done(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
+        let chunk_of = |task: &u32| task / self.chunk;
+        let changed = |job: &Job| job.done.difference(&job.done_written).next().map(chunk_of);
+        let (id, job, chunk) = self.jobs.iter().find_map(|(id, job)| Some((id, job, changed(job)?)))?;
+        let span: BTreeSet<u32> =
+            job.done.range(chunk * self.chunk..(chunk + 1) * self.chunk).copied().collect();
+        let key = format!("done/{id}/{chunk}");
+        let stamp = job.chunks.get(&chunk).copied().unwrap_or(0);
+        let guards =
+            vec![Guard { key: format!("job/{id}"), stamp: job.stamp }, Guard { key: key.clone(), stamp }];
+        let then = vec![Change::put(key, json!(ranges_text(&span)))];
+        Some((Written::Done(id.clone(), chunk), guards, then))
+    }
+
+    fn compose_orphan(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
+        let (key, stamp) = self.orphans.first_key_value()?;
+        let guards = vec![Guard { key: key.clone(), stamp: *stamp }];
+        Some((Written::Orphan(key.clone()), guards, vec![Change::drop(key.clone())]))
+    }
+
+    /// The latest transaction was executed at a revision.
+    pub fn written(&mut self, revision: u64) {
+        match self.writing.take() {
+            Some(Written::Machines(number)) => {
+                let slot = &mut self.machines.slots[number];
+                (slot.stamp, slot.dirty) = (revision, false);
+            }
+            Some(Written::Marks(number)) => {
+                let slot = &mut self.marks.slots[number];
+                (slot.stamp, slot.dirty) = (revision, false);
+            }
+            Some(Written::Done(id, chunk)) => self.done_written(&id, chunk, revision),
+            Some(Written::Final(id)) => self.job_over(&id),
+            Some(Written::Orphan(key)) => {
+                self.orphans.remove(&key);
+            }
+            None => {}
+        }
+    }
+
+    fn done_written(&mut self, id: &str, chunk: u32, revision: u64) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let span = job.done.range(chunk * self.chunk..(chunk + 1) * self.chunk).copied();
+        job.done_written.extend(span);
+        job.chunks.insert(chunk, revision);
+    }
+
+    /// The latest transaction was refused since these keys have changed: only the chunks of a job that
+    /// is over can have gone in the meantime.
+    pub fn refused(&mut self, failed: &[String]) {
+        self.writing = None;
+        failed.iter().for_each(|key| {
+            self.orphans.remove(key);
+        });
+    }
+}
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,304 @@
+//! A change of version: the version in production and this one take over from each other on the same
+//! records, while the state service's limits may fall.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{config_with_falling_limits, production, record, report, spec, types, Store};
+use milletlock::cluster::{self, Owner, PART};
+use milletlock::fleet::{CheckIn, Fleet, Pending};
+use milletlock::history::Key;
+use milletlock::jobs::{chunk_tasks, FinalRecord};
+use milletlock::time::{Micros, Steady, Wall};
+use milletlock::wire::{Change, Row, Stage, Txn};
+use serde_json::{json, Value};
+
+const NOW: Steady = Steady(1_000_000_000);
+/// Long enough after a takeover for all that waits to be written.
+const LATER: Steady = Steady(NOW.0 + 20_000_000);
+/// The time of day at [`NOW`].
+const WALL: Wall = Wall(1_790_000_000_000_000);
+/// Bytes of a value once the limits of `config_with_falling_limits(4.0, 1.0)` have fallen.
+const SMALL_VALUE: usize = 1024;
+const SMALL_TXN: usize = 4;
+
+fn row(key: &str, stamp: u64, value: Value) -> Row {
+    Row { key: key.into(), value, stamp }
+}
+
+fn falling() -> std::sync::Arc<milletlock::config::Config> {
+    config_with_falling_limits(4.0, 1.0)
+}
+
+/// A job's record, byte for byte of production's form.
+fn production_job(number: u32, tasks: u32) -> Value {
+    json!({
+        "spec": {
+            "nameId": format!("wk-{number:06}"), "grain": "any", "owner": "free", "shape": "batch",
+            "rank": "normal", "kernels": tasks, "cpus": 1.0, "cards": 0.0, "ramGb": 1.0, "seed": "img",
+            "pullGb": 0.5, "oneZone": false, "spread": false, "gleanings": true, "expectS": 20.0,
+            "stashEveryS": 0.0, "stashS": 0.0
+        },
+        "submitted_us": 1_789_999_990_000_000_i64
+    })
+}
+
+/// What production leaves behind: one of every kind of record.
+fn production_rows() -> Vec<Row> {
+    let past: Vec<Value> = (0..10).map(|n| json!({"end_s": 1_789_000_000 + n, "ratio": 0.6})).collect();
+    let bucket = Key { team: "free".into(), stated: Micros(20_000_000) }.bucket();
+    let owner = json!({"label": "c-1", "incarnation": 5, "token": 41, "lease": 900});
+    vec![
+        row(
+            "recent",
+            10,
+            json!([{
+                "at_us": 1_789_999_980_000_000_i64, "need": [16.0, 0.0, 16.0], "rank": "urgent",
+                "types": ["large"], "work": 640.0, "hasty": true, "beside": 3, "due": false, "spot": false
+            }]),
+        ),
+        row("job/wk-000001", 11, production_job(1, 2500)),
+        row("job/wk-000002", 12, production_job(2, 8)),
+        row(
+            "machines/0",
+            13,
+            json!({
+                "i-1": {"p": 0, "n": 41, "a": "127.0.0.1:9", "t": "small", "z": "north", "s": false},
+                "i-2": {"p": 0, "n": 40, "a": "127.0.0.1:8", "t": "large", "z": "south", "s": true}
+            }),
+        ),
+        row("marks/0", 14, json!({"wk-000001": 2100, "wk-000002": 4})),
+        row("done/wk-000001/0", 15, json!("0-9,20")),
+        row("done/wk-000001/1", 16, json!("1016-1019,2031")),
+        row(&format!("hist/{bucket}"), 17, json!([{"team": "free", "stated_us": 20_000_000, "past": past}])),
+        row("final/wk-000000", 18, json!({"stage": "done", "tasks": 3})),
+        row("leader", 19, owner.clone()),
+        row(PART, 19, owner),
+        row("term", 19, json!({"n": 41})),
+    ]
+}
+
+/// An owner of this version that has taken over what is in these rows.
+fn taken_over(rows: Vec<Row>) -> Fleet {
+    let mut fleet = Fleet::new(falling(), types(), 42, NOW);
+    let read_to = rows.iter().map(|r| r.stamp).max().unwrap_or(0);
+    cluster::load(&mut fleet, rows, NOW, WALL);
+    fleet.has_read_to(read_to);
+    fleet
+}
+
+/// What an owner would write now, in its transactions.
+fn waiting(fleet: &mut Fleet, part: u64, now: Steady) -> Vec<cluster::Batch> {
+    let pending = fleet.pending(now, Micros::ZERO, chunk_tasks(fleet.value_bytes()));
+    let ops = fleet.txn_ops();
+    cluster::batches(fleet, part, pending, ops, now, WALL)
+}
+
+/// Everything an owner writes until nothing waits, each transaction applied and acknowledged. The store
+/// has `part/0` already.
+fn write_all(fleet: &mut Fleet, store: &mut Store) -> Vec<Txn> {
+    let mut all = Vec::new();
+    for round in 0..2000_i64 {
+        let now = LATER + Micros(round * 20_000_000);
+        let batches = waiting(fleet, store.stamp(PART), now);
+        if batches.is_empty() {
+            return all;
+        }
+        for batch in batches {
+            match store.txn(&batch.txn) {
+                Ok(revision) => {
+                    batch.items.iter().for_each(|(p, said)| fleet.written(p, revision, said, now))
+                }
+                Err(failed) => failed.iter().for_each(|k| cluster::learn(fleet, k, store.row(k), now)),
+            }
+            all.push(batch.txn);
+        }
+    }
+    panic!("it writes without end");
+}
+
+fn store_of(rows: Vec<Row>) -> Store {
+    let revision = rows.iter().map(|r| r.stamp).max().unwrap_or(0);
+    let keys = rows.into_iter().map(|r| (r.key, (r.value, r.stamp))).collect();
+    Store { keys, revision, log: Vec::new() }
+}
+
+fn puts(txns: &[Txn]) -> impl Iterator<Item = (&str, &Value)> {
+    txns.iter().flat_map(|t| &t.then).filter_map(|c| match c {
+        Change::Put { put, value, .. } => Some((put.as_str(), value)),
+        Change::Drop { .. } => None,
+    })
+}
+
+fn enrol(fleet: &mut Fleet, id: &str, now: Steady) {
+    let answer = fleet.check_in(&report(id, 1, 0, &[]), now, WALL);
+    assert!(matches!(answer, CheckIn::Reply(_)), "{id} is not answered: {answer:?}");
+}
+
+/// Guards against a record of production that this version would not know, or take for another.
+#[test]
+fn every_record_of_production_is_taken_over() {
+    let mut fleet = taken_over(production_rows());
+    let job = &fleet.jobs["wk-000001"];
+    assert_eq!((job.spec.tasks, job.stamp, job.submitted), (2500, 11, Wall(1_789_999_990_000_000)));
+    assert_eq!((job.high, job.inherited, fleet.jobs["wk-000002"].high), (2100, 2100, 4));
+    assert_eq!(job.done.text(), "0-9,20,1016-1019,2031");
+    assert_eq!(job.done_written, job.done);
+    assert_eq!(job.chunks, BTreeMap::from([(0, 15), (1, 16)]));
+    assert!(!job.waiting.contains(20) && job.waiting.contains(21));
+    for (id, addr, ty, spot) in
+        [("i-1", "127.0.0.1:9", "small", false), ("i-2", "127.0.0.1:8", "large", true)]
+    {
+        let m = &fleet.machines[id];
+        assert_eq!((m.addr.as_str(), m.ty_name.as_str(), m.spot), (addr, ty, spot));
+        assert!(m.enrolled && m.inherited && !m.heard, "tasks may be on {id}");
+    }
+    assert_eq!(fleet.history.factor(&Key { team: "free".into(), stated: Micros(20_000_000) }, WALL), 0.6);
+    let recent = fleet.recent(NOW, WALL, 4000);
+    assert!(recent.iter().any(|d| d.beside == 3 && d.types == ["large"]), "{recent:?}");
+    // The list of recent jobs has been added to; nothing else is written for a takeover alone.
+    let written = waiting(&mut fleet, 19, LATER);
+    assert!(written.iter().flat_map(|b| &b.items).all(|(p, _)| *p == Pending::Recent));
+    // The others are read by themselves.
+    let of = |key: &str| production_rows().into_iter().find(|r| r.key == key).expect("a row").value;
+    let owner: Owner = serde_json::from_value(of("leader")).expect("an owner");
+    assert_eq!((owner.label.as_str(), owner.incarnation, owner.token, owner.lease), ("c-1", 5, 41, 900));
+    let over: FinalRecord = serde_json::from_value(of("final/wk-000000")).expect("an end");
+    assert_eq!(over, FinalRecord { stage: Stage::Done, tasks: 3 });
+}
+
+/// Guards against chunks of another size being rewritten under production's numbers, which would drop
+/// tasks, and against chunks that stay for ever.
+#[test]
+fn done_chunks_of_production_stay_as_they_are_until_the_jobs_end() {
+    let mut store = store_of(production_rows());
+    let mut fleet = taken_over(production_rows());
+    let job = fleet.jobs.get_mut("wk-000001").expect("the job");
+    for task in (30..60).chain(1100..1110).chain(2400..2405) {
+        job.done.insert(task);
+        job.waiting.remove(task);
+    }
+    let written = write_all(&mut fleet, &mut store);
+    let old = ["done/wk-000001/0", "done/wk-000001/1"];
+    assert!(puts(&written).any(|(key, _)| key.starts_with("done/")));
+    assert!(puts(&written).all(|(key, _)| !old.contains(&key)));
+    for (key, text, stamp) in [(old[0], "0-9,20", 15), (old[1], "1016-1019,2031", 16)] {
+        assert_eq!(store.keys[key], (json!(text), stamp));
+    }
+    let job = &fleet.jobs["wk-000001"];
+    let there = production::done_in(&store, "wk-000001");
+    assert_eq!(there, job.done.iter().collect());
+    // Its end drops all of them, in as many transactions as it takes.
+    let job = fleet.jobs.get_mut("wk-000001").expect("the job");
+    (0..2500).for_each(|task| {
+        job.done.insert(task);
+    });
+    write_all(&mut fleet, &mut store);
+    assert!(store.row("job/wk-000001").is_none() && store.row("final/wk-000001").is_some());
+    assert_eq!(store.rows("done/").len(), 0);
+    // An owner that never knew the job removes what is left as well.
+    let mut rows = production_rows();
+    rows.retain(|r| r.key != "job/wk-000001");
+    let mut store = store_of(rows.clone());
+    write_all(&mut taken_over(rows), &mut store);
+    assert_eq!(store.rows("done/").len(), 0);
+}
+
+fn parses<T: serde::de::DeserializeOwned>(key: &str, value: &Value) -> T {
+    serde_json::from_value(value.clone()).unwrap_or_else(|e| panic!("{key}: {e}: {value}"))
+}
+
+/// Reads a value as production does, and the fields of its own with nothing else among them.
+fn check_production_reads(key: &str, value: &Value) {
+    let parts: Vec<&str> = key.split('/').collect();
+    let number = |text: &str| text.parse::<u32>().unwrap_or_else(|e| panic!("{key}: {e}"));
+    match parts[..] {
+        ["machines", slot] => {
+            assert!(number(slot) < 100_000, "{key}");
+            let machines: BTreeMap<String, production::MachineRecord> = parses(key, value);
+            assert_eq!(&json!(machines), value, "{key}");
+            assert!(machines.values().all(|m| !m.addr.is_empty() && !m.ty.is_empty() && !m.zone.is_empty()));
+        }
+        ["marks", slot] => {
+            assert!(number(slot) < 100_000, "{key}");
+            parses::<BTreeMap<String, u32>>(key, value);
+        }
+        ["done", _, chunk] => {
+            number(chunk);
+            production::tasks_of_text(value.as_str().expect("a text"));
+        }
+        ["hist", bucket] => {
+            number(bucket);
+            assert!(!parses::<Vec<production::HistoryRecord>>(key, value).is_empty());
+        }
+        ["recent"] => assert!(!parses::<Vec<production::DemandRecord>>(key, value).is_empty()),
+        ["final", _] => assert_eq!(parses::<production::FinalRecord>(key, value).stage, "done"),
+        _ => panic!("production knows no {key}"),
+    }
+}
+
+/// Guards against records that production could not read, and writes that the coming limits refuse.
+#[test]
+fn production_reads_whatever_this_version_writes_within_the_coming_limits() {
+    let mut store = store_of(vec![row(PART, 1, json!({}))]);
+    let mut fleet = taken_over(Vec::new());
+    for n in 0..1000 {
+        enrol(&mut fleet, &format!("i-{n:05}"), NOW);
+    }
+    for n in 1..=300 {
+        let mut spec = spec(n, if n == 1 { 30_000 } else { 40 }, "batch");
+        spec.rank = milletlock::wire::Rank::Urgent;
+        fleet.job_put(record(spec), 1 + u64::from(n), NOW);
+        let id: std::sync::Arc<str> = format!("wk-{n:06}").into();
+        let job = fleet.jobs.get_mut(&id).expect("the job");
+        job.high_wanted = job.spec.tasks;
+        job.ran = (Micros(15_000_000), 1);
+        let every = if n % 3 == 0 { 1 } else { 2 };
+        (0..job.spec.tasks).step_by(every).for_each(|task| {
+            job.done.insert(task);
+        });
+        // Jobs that are not written here are guarded by their version: they have to be there.
+        store.keys.insert(format!("job/{id}"), (json!({}), job.stamp));
+    }
+    for n in 0..200 {
+        fleet.history.add(
+            &Key { team: "free".into(), stated: Micros(20_000_000) },
+            WALL,
+            f64::from(n) / 300.0,
+        );
+    }
+    store.revision = 1000;
+    let written = write_all(&mut fleet, &mut store);
+    for (key, value) in puts(&written) {
+        check_production_reads(key, value);
+        assert!(value.to_string().len() <= SMALL_VALUE, "{key} has {} bytes", value.to_string().len());
+    }
+    assert!(written.iter().all(|t| (1..=SMALL_TXN).contains(&t.then.len())));
+    assert!(written.iter().all(|t| t.guards[0].key == PART));
+    for kind in ["machines/", "marks/", "done/", "hist/", "recent", "final/"] {
+        assert!(puts(&written).any(|(key, _)| key.starts_with(kind)), "no {kind} was written");
+    }
+    assert_eq!(production::machines_in(&store).len(), 1000);
+    assert_eq!(production::marks_in(&store).len(), 200, "the marks of the jobs that go on");
+}
+
+/// Guards against losing what a later version has added to a machine's record.
+#[test]
+fn unknown_fields_of_a_machine_are_written_back() {
+    let later = json!({
+        "p": 0, "n": 41, "a": "127.0.0.1:9", "t": "small", "z": "north", "s": false,
+        "q": {"deep": [1, 2]}, "slow": true
+    });
+    let rows = vec![row(PART, 1, json!({})), row("machines/0", 2, json!({ "i-1": later }))];
+    let mut store = store_of(rows.clone());
+    let mut fleet = taken_over(rows);
+    enrol(&mut fleet, "i-2", NOW);
+    write_all(&mut fleet, &mut store);
+    let value = &store.keys["machines/0"].0;
+    assert_eq!(value["i-1"], later);
+    assert_eq!(
+        value["i-2"],
+        json!({"p": 0, "n": 42, "a": "127.0.0.1:9", "t": "small", "z": "north", "s": false})
+    );
+}
