--- a/tests/packs.rs
+++ b/tests/packs.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use milletlock::packs::Packs;
+use milletlock::packs::{Items, Packs};
 
 fn slots(p: &Packs<u32>) -> u32 {
     (0..).find(|&s| p.slot(s).is_none()).expect("an end")
@@ -44,3 +44,80 @@
     assert_eq!(q.get("wk-000230"), Some(&230));
     assert_eq!(q.get("wk-000003"), None);
 }
+
+/// Marks of so many jobs, more than a small value holds.
+fn many(count: u32) -> Items<u32> {
+    (0..count).map(|n| (Arc::from(format!("wk-{n:06}")), n)).collect()
+}
+
+/// Writes all slots that may be written now, at a revision.
+fn write_all(p: &mut Packs<u32>, revision: u64) -> Vec<u32> {
+    let pending: Vec<u32> = p.pending(true).chain(p.pending(false)).collect();
+    for &s in &pending {
+        let version = p.slot(s).expect("a value").1;
+        p.written(s, version, revision);
+    }
+    pending
+}
+
+/// Guards against a record in a slot whose stored value still holds others: it would wait with them, or
+/// be written over them.
+#[test]
+fn a_slot_that_waits_for_others_takes_no_new_records() {
+    let mut p: Packs<u32> = Packs::new(1024);
+    p.load(0, 5, many(100), u32::max);
+    p.empty_oversized();
+    assert!(p.slot(0).expect("a value").2.is_empty());
+    assert!(p.pending(false).all(|s| s != 0) && p.pending(false).count() > 1);
+    (200..300).for_each(|n| p.put(&format!("wk-{n:06}").into(), n));
+    assert!(p.slot(0).expect("a value").2.is_empty());
+    assert!(p.pending(true).all(|s| s != 0));
+    // One of the others is not enough.
+    let first = p.pending(true).next().expect("a slot");
+    let version = p.slot(first).expect("a value").1;
+    p.written(first, version, 6);
+    assert!(p.pending(true).chain(p.pending(false)).all(|s| s != 0));
+    assert!(!write_all(&mut p, 7).contains(&0));
+    assert_eq!(write_all(&mut p, 8), [0]);
+    assert!((0..100).chain(200..300).all(|n| p.get(&format!("wk-{n:06}")) == Some(&n)));
+    // Now it is like any other.
+    let before = slots(&p);
+    (300..310).for_each(|n| p.put(&format!("wk-{n:06}").into(), n));
+    assert!(!p.slot(0).expect("a value").2.is_empty() && slots(&p) == before);
+}
+
+/// Guards against a copy that is the only one left being dropped before the merged one is written.
+#[test]
+fn a_merged_copy_is_dropped_only_after_the_other_is_written() {
+    let mut p: Packs<u32> = Packs::new(1024);
+    let job: Arc<str> = "wk-000001".into();
+    p.load(0, 5, Items::from([(job.clone(), 90)]), u32::max);
+    p.load(1, 6, Items::from([(job.clone(), 40)]), u32::max);
+    assert_eq!(p.get(&job), Some(&90));
+    assert_eq!(p.pending(false).collect::<Vec<_>>(), [1], "the lower copy is raised first");
+    let (_, version, items) = p.slot(1).expect("a value");
+    assert_eq!(items.get(&job), Some(&90));
+    p.written(1, version, 7);
+    assert_eq!(p.pending(false).collect::<Vec<_>>(), [0]);
+}
+
+/// Guards against a value of a later version being overwritten by one that cannot read it.
+#[test]
+fn unreadable_slots_are_never_written() {
+    let mut p: Packs<u32> = Packs::new(1024);
+    p.keep_unreadable(0);
+    p.keep_unreadable(3);
+    p.load(1, 5, many(60), u32::max);
+    p.empty_oversized();
+    for round in 0..20_u32 {
+        (0..20).for_each(|n| p.put(&format!("wk-9{round:02}{n:03}").into(), n));
+        let written = write_all(&mut p, 10 + u64::from(round));
+        assert!(!written.is_empty() && !written.contains(&0) && !written.contains(&3), "{written:?}");
+    }
+    p.limit_to(512);
+    (0..20).for_each(|_| assert!(write_all(&mut p, 50).iter().all(|s| ![0, 3].contains(s))));
+    assert!(p.slot(0).expect("a value").2.is_empty() && p.slot(3).expect("a value").2.is_empty());
+    // A number that no owner can have written makes no slots.
+    p.keep_unreadable(u32::MAX);
+    assert!(slots(&p) < 1000);
+}
