--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -84,3 +84,68 @@
     }
     assert_eq!(room(500, 100.0, "max_connections = 80").connections, 80);
 }
+
+/// A `next` of the state service's limits with one field.
+fn with_next(field: &str, v: Value) -> Value {
+    with(&["settings", "state", "next"], json!({ field: v }))
+}
+
+/// Guards against coming limits under which nothing can be written being taken, or blamed on another field.
+#[test]
+fn coming_limits_that_are_too_small_are_refused_by_their_own_name() {
+    let cases = [
+        (with_next("value_kb", json!(0.5)), "settings.state.next.value_kb"),
+        (with_next("value_kb", json!(0)), "settings.state.next.value_kb"),
+        (with_next("txn_ops", json!(3)), "settings.state.next.txn_ops"),
+        (with_next("rps", json!(0)), "settings.state.next.rps"),
+        (with_next("write_rps", json!(-1)), "settings.state.next.write_rps"),
+        (with_next("txn_ops", json!("few")), "settings.state.next.txn_ops"),
+    ];
+    for (v, field) in cases {
+        let e = said(&v);
+        assert!(e.contains(field) && !e.contains('\n'), "{field}: {e:?}");
+    }
+    for (field, v) in [("value_kb", json!(1)), ("txn_ops", json!(4)), ("rps", json!(1)), ("later", json!(1))]
+    {
+        assert_eq!(said(&with_next(field, v)), "");
+    }
+    assert_eq!(said(&with(&["settings", "state", "next"], json!(null))), "");
+}
+
+/// Guards against larger coming limits being taken for the ones to keep to before they hold.
+#[test]
+fn values_and_transactions_keep_to_the_smaller_of_the_present_and_the_coming_limits() {
+    let of = |next: Value| {
+        let v = with(&["settings", "state", "next"], next);
+        let platform = Platform::parse(&v.to_string(), "f.json").expect("settings");
+        let c = Config { platform, operator: Operator::default() };
+        (c.value_bytes(), c.txn_ops(), c.platform.settings.state.next_rates())
+    };
+    assert_eq!(of(json!(null)), (4096, 8, (1.0, 1.0)));
+    assert_eq!(of(json!({"value_kb": 2, "txn_ops": 5})), (2048, 5, (1.0, 1.0)));
+    assert_eq!(of(json!({"value_kb": 64, "txn_ops": 50, "rps": 900})), (4096, 8, (1.0, 1.0)));
+    assert_eq!(of(json!({"rps": 250, "write_rps": 100})), (4096, 8, (0.5, 0.2)));
+}
+
+/// Guards against a mistake in the settings that the program does not end by, or says at length.
+#[test]
+fn the_program_itself_refuses_coming_limits_with_one_line_and_code_2() {
+    let file = |name: &str, v: Value| {
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::write(&path, v.to_string()).expect("a file");
+        path
+    };
+    let check = |path: &std::path::Path| {
+        let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_milletlock"));
+        let program = program.env_remove("MILLETLOCK_OPERATOR").arg("check").arg("--config").arg(path);
+        let output = program.output().expect("the program runs");
+        (output.status.code(), String::from_utf8(output.stderr).expect("text"))
+    };
+    let cases = [("value_kb", json!(0.25)), ("txn_ops", json!(2))];
+    for (field, v) in cases {
+        let (code, error) = check(&file(&format!("next_{field}.json"), with_next(field, v)));
+        assert_eq!((code, error.lines().count()), (Some(2), 1), "{error}");
+        assert!(error.contains(&format!("settings.state.next.{field}")), "{error}");
+    }
+    assert_eq!(check(&file("next.json", with_next("value_kb", json!(2)))), (Some(0), String::new()));
+}
