--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,122 @@
+//! Messages between controllers of different versions.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use milletlock::peer::{
+    Ack, Answer, Call, Cancellation, Cancellations, Inbound, JobCounts, JobNews, Message, Outcome, PeerHub,
+    Summary,
+};
+use prost::Message as _;
+use tonic::{Code, Status};
+
+/// A field's bytes after its tag: a length and that many bytes.
+fn field(tag: u8, content: &[u8]) -> Vec<u8> {
+    let mut bytes = vec![tag, content.len() as u8];
+    bytes.extend_from_slice(content);
+    bytes
+}
+
+/// Guards against a number or a kind of a field that differs from production's.
+#[test]
+fn messages_of_production_are_read_and_written_byte_for_byte() {
+    let counts = [field(0x0a, b"wk-1"), vec![0x10, 3, 0x18, 2]].concat();
+    let summary = [field(0x0a, b"c-1"), vec![0x10, 41], field(0x1a, &counts)].concat();
+    let jobs = vec![JobCounts { id: "wk-1".into(), done: 3, running: 2 }];
+    let expected = Summary { leader: "c-1".into(), token: 41, jobs };
+    assert_eq!(Summary::decode(&summary[..]).expect("a summary"), expected);
+    assert_eq!(expected.encode_to_vec(), summary);
+
+    let news = [field(0x0a, b"wk-1"), field(0x12, b"{}"), vec![0x18, 9]].concat();
+    let expected = JobNews { id: "wk-1".into(), record: b"{}".to_vec(), revision: 9 };
+    assert_eq!(JobNews::decode(&news[..]).expect("news"), expected);
+    assert_eq!(expected.encode_to_vec(), news);
+
+    let cancellation = [field(0x0a, b"wk-1"), vec![0x10, 8, 0x18, 9]].concat();
+    let jobs = vec![Cancellation { id: "wk-1".into(), tasks: 8, revision: 9 }];
+    let expected = Cancellations { jobs };
+    assert_eq!(Cancellations::decode(&field(0x0a, &cancellation)[..]).expect("cancellations"), expected);
+    assert_eq!(expected.encode_to_vec(), field(0x0a, &cancellation));
+
+    let call = [field(0x0a, b"GET"), field(0x12, b"/jobs"), field(0x1a, b"{}")].concat();
+    let expected = Call { method: "GET".into(), path: "/jobs".into(), body: b"{}".to_vec() };
+    assert_eq!(Call::decode(&call[..]).expect("a call"), expected);
+    assert_eq!(expected.encode_to_vec(), call);
+
+    let answer = [vec![0x08, 0x90, 0x03], field(0x12, b"{}"), vec![0x18, 2]].concat();
+    let expected = Answer { status: 400, body: b"{}".to_vec(), retry_after: 2 };
+    assert_eq!(Answer::decode(&answer[..]).expect("an answer"), expected);
+    assert_eq!(expected.encode_to_vec(), answer);
+    assert_eq!(Ack::decode(&[0x08, 41][..]).expect("an acknowledgement"), Ack { token: 41 });
+}
+
+/// A summary as some other version might have it: fields of its own, the jobs left out.
+#[derive(Clone, PartialEq, prost::Message)]
+struct OtherSummary {
+    #[prost(string, tag = "1")]
+    leader: String,
+    #[prost(uint64, tag = "2")]
+    token: u64,
+    #[prost(string, tag = "900")]
+    reason: String,
+    #[prost(message, repeated, tag = "901")]
+    nested: Vec<OtherSummary>,
+}
+
+fn other_summary(token: u64) -> OtherSummary {
+    OtherSummary { leader: "c-1".into(), token, reason: "a reason".into(), nested: vec![] }
+}
+
+/// Guards against a message refused for what the other version adds or leaves out.
+#[test]
+fn unknown_and_missing_fields_do_no_harm() {
+    let bytes = OtherSummary { nested: vec![other_summary(7)], ..other_summary(41) }.encode_to_vec();
+    let expected = Summary { leader: "c-1".into(), token: 41, jobs: vec![] };
+    assert_eq!(Summary::decode(&bytes[..]).expect("a summary"), expected);
+    assert_eq!(Summary::decode(&[][..]).expect("a summary"), Summary::default());
+    assert_eq!(JobNews::decode(&[][..]).expect("news"), JobNews::default());
+    assert_eq!(Cancellations::decode(&[][..]).expect("cancellations"), Cancellations::default());
+    assert_eq!(Call::decode(&[][..]).expect("a call"), Call::default());
+    assert_eq!(Answer::decode(&[][..]).expect("an answer"), Answer::default());
+}
+
+/// Calls a method by its name, as a controller of another version would.
+async fn call_method(addr: SocketAddr, method: &'static str) -> Result<Ack, Status> {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{addr}")).expect("an address");
+    let channel = endpoint.connect().await.expect("a connection");
+    let mut client = tonic::client::Grpc::new(channel);
+    client.ready().await.expect("a connection");
+    let path = tonic::codegen::http::uri::PathAndQuery::from_static(method);
+    let codec = tonic_prost::ProstCodec::<OtherSummary, Ack>::default();
+    let answer = client.unary(tonic::Request::new(other_summary(41)), path, codec).await?;
+    Ok(answer.into_inner())
+}
+
+fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    (listener, addr)
+}
+
+fn answer_announcement(inbound: Inbound, token: u64) {
+    assert!(matches!(&inbound.message, Message::Announce(s) if s.token == 41), "{:?}", inbound.message);
+    inbound.answer(Outcome::Ack(Ack { token }));
+}
+
+/// Guards against a method of another version that ends the service or passes for one that is known.
+#[test]
+fn an_unknown_method_is_answered_with_an_error_and_reaches_nobody() {
+    let (own, addr) = listener();
+    let (_hub, messages) = PeerHub::start(own, vec![]).expect("a service");
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build().expect("a runtime");
+    let refused = runtime.block_on(call_method(addr, "/milletlock.peer.v1.Peer/Later"));
+    assert_eq!(refused.expect_err("no such method").code(), Code::Unimplemented);
+    assert!(messages.try_recv().is_err(), "it reached the controller");
+    let answering = std::thread::spawn(move || {
+        answer_announcement(messages.recv_timeout(Duration::from_secs(10)).expect("a message"), 42);
+    });
+    let known = runtime.block_on(call_method(addr, "/milletlock.peer.v1.Peer/Announce"));
+    assert_eq!(known.expect("an answer"), Ack { token: 42 });
+    answering.join().expect("the message is an announcement");
+}
