--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -10,6 +10,7 @@
 use milletlock::fleet::{CheckIn, Fleet, Pending};
 use milletlock::history::Key;
 use milletlock::jobs::{chunk_tasks, FinalRecord};
+use milletlock::state::NextRates;
 use milletlock::time::{Micros, Steady, Wall};
 use milletlock::wire::{Change, Row, Stage, Txn};
 use serde_json::{json, Value};
@@ -283,6 +284,31 @@
     assert_eq!(production::marks_in(&store).len(), 200, "the marks of the jobs that go on");
 }
 
+/// Guards against a mark lowered where two owners left copies of it, whichever of them is read last.
+#[test]
+fn the_highest_copy_of_a_mark_is_the_one_that_stays() {
+    for (first, second) in [(200, 100), (100, 200)] {
+        let rows = vec![
+            row(PART, 1, json!({})),
+            row("job/wk-000001", 2, production_job(1, 2500)),
+            row("marks/0", 3, json!({ "wk-000001": first })),
+            row("marks/1", 4, json!({ "wk-000001": second })),
+        ];
+        let mut store = store_of(rows.clone());
+        let mut fleet = taken_over(rows);
+        assert_eq!(fleet.jobs["wk-000001"].high, 200);
+        for round in 1..10_i64 {
+            for batch in waiting(&mut fleet, 1, LATER + Micros(round * 20_000_000)) {
+                let revision = store.txn(&batch.txn).expect("no other owner");
+                batch.items.iter().for_each(|(p, said)| fleet.written(p, revision, said, LATER));
+                assert_eq!(production::marks_in(&store)["wk-000001"], 200);
+            }
+        }
+        let copies = store.rows("marks/").iter().filter(|r| r.value.get("wk-000001").is_some()).count();
+        assert_eq!(copies, 1);
+    }
+}
+
 /// Guards against losing what a later version has added to a machine's record.
 #[test]
 fn unknown_fields_of_a_machine_are_written_back() {
@@ -302,3 +328,34 @@
         json!({"p": 0, "n": 42, "a": "127.0.0.1:9", "t": "small", "z": "north", "s": false})
     );
 }
+
+/// Seconds of a client's time.
+fn at(seconds: f64) -> Steady {
+    NOW + Micros::from_secs(seconds)
+}
+
+/// Whether refusals at these seconds show the change of limits, and the rates that are kept to then.
+fn after_refusals(seconds: &[f64], shares: (f64, f64)) -> (bool, (f64, f64)) {
+    let mut rates = NextRates::new(shares);
+    let shows: Vec<bool> = seconds.iter().map(|&s| rates.refused(at(s))).collect();
+    // Only one refusal, the last that was needed, shows it.
+    assert!(shows.iter().filter(|s| **s).count() <= 1, "{shows:?}");
+    (shows.contains(&true), rates.in_force())
+}
+
+/// Guards against slower rates than the service has, for a burst now and then, and against going on with
+/// rates that it no longer has.
+#[test]
+fn five_refusals_within_ten_seconds_show_the_coming_rates() {
+    let coming = (0.5, 0.25);
+    assert_eq!(after_refusals(&[0.0, 2.0, 4.0, 6.0, 9.9], coming), (true, coming));
+    assert_eq!(after_refusals(&[0.0; 5], coming), (true, coming));
+    assert_eq!(after_refusals(&[0.0; 30], coming), (true, coming), "it holds for good");
+    assert_eq!(after_refusals(&[0.0, 0.1, 0.2, 0.3], coming), (false, (1.0, 1.0)), "fewer");
+    let spread: Vec<f64> = (0..40).map(|n| f64::from(n) * 3.0).collect();
+    assert_eq!(after_refusals(&spread, coming), (false, (1.0, 1.0)), "no five within ten seconds");
+    let bursts: Vec<f64> = (0..40).map(|n| f64::from(n / 4) * 11.0).collect();
+    assert_eq!(after_refusals(&bursts, coming), (false, (1.0, 1.0)), "four at a time");
+    assert_eq!(after_refusals(&[0.0; 30], (1.0, 1.0)), (false, (1.0, 1.0)), "none are announced");
+    assert_eq!(after_refusals(&[0.0; 5], (1.0, 0.5)), (true, (1.0, 0.5)), "one of both is enough");
+}
