--- a/tests/packs.rs
+++ b/tests/packs.rs
@@ -121,3 +121,23 @@
     p.keep_unreadable(u32::MAX);
     assert!(slots(&p) < 1000);
 }
+
+/// Guards against values that outgrow the limit: marks grow by digits while they are kept, and go.
+#[test]
+fn values_stay_within_the_limit_while_numbers_grow_and_records_go() {
+    const LIMIT: usize = 1024;
+    let mut p: Packs<u32> = Packs::new(LIMIT);
+    let id = |n: u32| -> Arc<str> { format!("wk-{n:06}").into() };
+    for n in 0..2000 {
+        p.put(&id(n), 1);
+        p.put(&id(n), 90_000);
+        // As many jobs go on at any moment.
+        if n >= 200 {
+            p.remove(&id(n - 200));
+        }
+        for s in 0..slots(&p) {
+            let value = serde_json::to_string(p.slot(s).expect("a value").2).expect("a value");
+            assert!(value.len() <= LIMIT, "after {n} jobs slot {s} has {} bytes", value.len());
+        }
+    }
+}
