--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod controllers;
 pub mod planner;
+pub mod production;
 pub mod servers;
 pub mod state_service;
 pub mod store;
@@ -57,6 +58,18 @@
     Arc::new(Config { platform, operator: Operator::default() })
 }
 
+/// Checked settings under which a value holds so many KiB and a transaction eight changes, and from some
+/// moment on, without notice, a value so many fewer KiB and a transaction four changes.
+pub fn config_with_falling_limits(value_kb: f64, next_value_kb: f64) -> Arc<Config> {
+    let mut settings = platform_json();
+    settings["settings"]["state"] = json!({
+        "rps": 500.0, "write_rps": 500.0, "value_kb": value_kb, "txn_ops": 8,
+        "next": {"value_kb": next_value_kb, "txn_ops": 4}
+    });
+    let platform = Platform::parse(&settings.to_string(), "test").expect("settings");
+    Arc::new(Config { platform, operator: Operator::default() })
+}
+
 /// A small and a large machine type, in both zones.
 pub fn types() -> Vec<MachineType> {
     let ty = |name: &str, cpus: f64| MachineType {
