--- a/tests/upgrade_takeovers.rs
+++ b/tests/upgrade_takeovers.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Add;
 use std::sync::Arc;
 
 use common::{config, config_with_falling_limits, production, report, spec, types, Store};
@@ -137,6 +138,33 @@
     /// Share of this version's transactions that it gets no answer to.
     unanswered: f64,
     rejected: u32,
+    met: Met,
+}
+
+/// What a history met, summed up over all of them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Met {
+    machines: usize,
+    jobs: usize,
+    done: usize,
+    /// Late transactions of owners that had ended.
+    late: usize,
+    /// Values above the small limit when the limits fell.
+    oversized: usize,
+}
+
+impl Add for Met {
+    type Output = Met;
+
+    fn add(self, other: Met) -> Met {
+        Met {
+            machines: self.machines + other.machines,
+            jobs: self.jobs + other.jobs,
+            done: self.done + other.done,
+            late: self.late + other.late,
+            oversized: self.oversized + other.oversized,
+        }
+    }
 }
 
 impl World {
@@ -158,6 +186,7 @@
             jobs: 0,
             unanswered: 0.0,
             rejected: 0,
+            met: Met::default(),
         };
         world.take_over(Version::Production);
         world
@@ -325,6 +354,7 @@
         let at = self.rng.random_range(0..self.late.len());
         let txn = self.late.remove(at);
         let present = txn.guards.iter().any(|g| g.key == PART && g.stamp == self.part);
+        self.met.late += usize::from(!present);
         let answer = self.submit(&txn);
         assert!(present || !matches!(answer, Answer::Applied(_)), "a late transaction was executed: {txn:?}");
     }
@@ -546,6 +576,12 @@
 const SEEDS: u64 = 300;
 const THREADS: usize = 4;
 
+/// How many values are above the small limit.
+fn oversized(world: &World) -> usize {
+    let rows = ["machines/", "marks/", "done/"].iter().flat_map(|prefix| world.store.rows(prefix));
+    rows.filter(|r| r.value.to_string().len() > SMALL.value_bytes).count()
+}
+
 /// One random history: owners of both versions, then, after the limits fell, of this one alone.
 fn play(seed: u64) -> World {
     let mut world = World::new(seed, falling(), SMALL);
@@ -556,6 +592,7 @@
         if step == falls {
             world.crash();
             world.service = SMALL;
+            world.met.oversized = oversized(&world);
             world.take_over(Version::Present);
         } else if world.chance(0.1) {
             world.crash();
@@ -578,19 +615,25 @@
 #[test]
 fn nothing_is_lost_between_versions_whatever_the_order_of_owners() {
     let met = |seed: u64| {
-        let model = play(seed).model;
-        (model.enrolled.len(), model.marks.len(), model.done.values().map(BTreeSet::len).sum::<usize>())
+        let world = play(seed);
+        Met {
+            machines: world.model.enrolled.len(),
+            jobs: world.model.marks.len(),
+            done: world.model.done.values().map(BTreeSet::len).sum(),
+            ..world.met
+        }
     };
-    let play_all = |first: u64| (first..SEEDS).step_by(THREADS).map(met).collect::<Vec<_>>();
-    let met: Vec<(usize, usize, usize)> = std::thread::scope(|scope| {
+    let play_all = |first: u64| (first..SEEDS).step_by(THREADS).map(met).fold(Met::default(), Met::add);
+    let met = std::thread::scope(|scope| {
         let threads: Vec<_> = (0..THREADS as u64).map(|first| scope.spawn(move || play_all(first))).collect();
-        threads.into_iter().flat_map(|thread| thread.join().expect("all seeds pass")).collect()
+        threads
+            .into_iter()
+            .map(|thread| thread.join().expect("all seeds pass"))
+            .fold(Met::default(), Met::add)
     });
     // The histories meet what they are for.
-    let machines: usize = met.iter().map(|m| m.0).sum();
-    let jobs: usize = met.iter().map(|m| m.1).sum();
-    let done: usize = met.iter().map(|m| m.2).sum();
-    assert!(machines > 5_000 && jobs > 1_000 && done > 20_000, "{machines} {jobs} {done}");
+    assert!(met.machines > 5_000 && met.jobs > 1_000 && met.done > 20_000, "{met:?}");
+    assert!(met.late > 500 && met.oversized > 100, "{met:?}");
 }
 
 /// Guards against values that stay too large, or records lost, when the limits fall below all that was
