--- a/tests/packs.rs
+++ b/tests/packs.rs
@@ -117,6 +117,13 @@
     p.limit_to(512);
     (0..20).for_each(|_| assert!(write_all(&mut p, 50).iter().all(|s| ![0, 3].contains(s))));
     assert!(p.slot(0).expect("a value").2.is_empty() && p.slot(3).expect("a value").2.is_empty());
+    // Nor one that has something to be written.
+    let mut q: Packs<u32> = Packs::new(1024);
+    q.load(0, 5, many(3), u32::max);
+    q.remove("wk-000001");
+    assert_eq!(q.pending(false).collect::<Vec<_>>(), [0]);
+    q.keep_unreadable(0);
+    assert_eq!(q.pending(false).count(), 0);
     // A number that no owner can have written makes no slots.
     p.keep_unreadable(u32::MAX);
     assert!(slots(&p) < 1000);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -195,7 +195,9 @@
     (0..2500).for_each(|task| {
         job.done.insert(task);
     });
-    write_all(&mut fleet, &mut store);
+    assert!(fleet.jobs["wk-000001"].chunks.len() > SMALL_TXN);
+    let written = write_all(&mut fleet, &mut store);
+    assert!(written.iter().all(|t| t.then.len() <= SMALL_TXN));
     assert!(store.row("job/wk-000001").is_none() && store.row("final/wk-000001").is_some());
     assert_eq!(store.rows("done/").len(), 0);
     // An owner that never knew the job removes what is left as well.
