--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -311,6 +311,35 @@
     }
 }
 
+/// Guards against an owner's own earlier transaction, held up on the way, undoing its newer one.
+#[test]
+fn late_transactions_of_the_same_owner_are_refused() {
+    let mut store = store_of(production_rows());
+    let mut fleet = taken_over(production_rows());
+    let finish = |fleet: &mut Fleet, tasks: std::ops::Range<u32>| {
+        let job = fleet.jobs.get_mut("wk-000001").expect("the job");
+        job.high_wanted = 2100 + tasks.end;
+        tasks.for_each(|task| {
+            job.done.insert(task);
+        });
+    };
+    finish(&mut fleet, 30..40);
+    enrol(&mut fleet, "i-3", NOW);
+    let late = waiting(&mut fleet, store.stamp(PART), LATER);
+    let written = |prefix: &str| {
+        late.iter().flat_map(|b| puts(std::slice::from_ref(&b.txn))).any(|(k, _)| k.starts_with(prefix))
+    };
+    assert!(["done/", "marks/", "machines/"].iter().all(|prefix| written(prefix)));
+    finish(&mut fleet, 40..50);
+    write_all(&mut fleet, &mut store);
+    let before = store.keys.clone();
+    // What is written without a guard of its own may come late: it is only a hint.
+    for batch in late.iter().filter(|b| b.items.iter().any(|(p, _)| *p != Pending::Recent)) {
+        assert!(store.txn(&batch.txn).is_err(), "{:?}", batch.txn);
+    }
+    assert_eq!(store.keys, before);
+}
+
 /// Guards against losing what a later version has added to a machine's record.
 #[test]
 fn unknown_fields_of_a_machine_are_written_back() {
