--- a/src/sched/services.rs
+++ b/src/sched/services.rs
@@ -17,8 +17,6 @@
 const KEPT_TYPE: Micros = Micros::from_millis(1000);
 /// Added where a larger task, for which the type is kept, would no longer fit.
 const BREAKS_KEPT_ROOM: Micros = Micros::from_millis(20_000);
-/// Added on a machine without replicas: it could not be returned any more.
-const KEEPS_MACHINE: Micros = Micros::from_millis(1000);
 /// Added where another replica of the service is.
 const SAME_MACHINE: Micros = Micros::from_millis(600_000);
 
@@ -104,10 +102,6 @@
         if occupied.contains(&room) {
             cost = cost + SAME_MACHINE;
         }
-        let replicas_here = self.endless[room] != Need::default() || r.held.iter().any(|h| h.endless);
-        if !replicas_here {
-            cost = cost + KEEPS_MACHINE;
-        }
         cost = cost + self.kept_room_cost(c, room);
         let free_tenths = (self.free[room].cpus * 10.0) as i64;
         Some(Candidate { cost, lost, free_tenths, room, stops })
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex};
 
 use common::servers::serve_some;
-use common::state_service::{answer_read, transaction};
+use common::state_service::{answer_read, answer_transaction, transaction};
 use common::store::Store;
 use milletlock::cluster;
 use milletlock::http::Response;
-use milletlock::state::StateClient;
+use milletlock::state::{StateClient, StateError};
 use milletlock::time::Micros;
 use milletlock::wire::Txn;
 use serde_json::json;
@@ -61,3 +61,40 @@
     assert_eq!(service.lock().expect("the service").ended, ["/leases/1"]);
     assert!(claim().is_none(), "what is written hangs on the first lease");
 }
+
+/// Records of a later form are neither taken over nor changed: an old process may be back after all
+/// others have moved on.
+#[test]
+fn records_of_a_later_form_are_not_taken_over() {
+    let store: Arc<Mutex<Store>> = Arc::default();
+    let known = cluster::FORMAT_VERSION;
+    let s = store.clone();
+    let addr = serve_some(move |r| {
+        let mut store = s.lock().expect("the store");
+        Some(match (r.method.as_str(), r.path.as_str()) {
+            ("POST", "/leases") => Response::json(200, &json!({ "tenure": 1 })),
+            ("POST", "/txn") => {
+                let result = store.txn(&transaction(&r));
+                answer_transaction(&store, result)
+            }
+            ("GET", _) => answer_read(&store, &r),
+            _ => Response::error(404, "no such path"),
+        })
+    });
+    let client = StateClient::new(addr, 1e6, 1e6, (1.0, 1.0));
+    let claim = || cluster::claim(&client, "c-0", 7, Micros::from_secs(3.0), 0);
+    let put = |value: serde_json::Value| {
+        let mut store = store.lock().expect("the store");
+        store.revision += 1;
+        let revision = store.revision;
+        store.keys.insert(cluster::FORMAT.into(), (value, revision));
+    };
+    for later in [json!({ "reader": known + 1 }), json!({ "reader": "two" }), json!([])] {
+        put(later);
+        assert!(matches!(claim(), Err(StateError::NewerRecords { known: k, .. }) if k == known));
+        let keys: Vec<String> = store.lock().expect("the store").keys.keys().cloned().collect();
+        assert_eq!(keys, [cluster::FORMAT], "nothing is written");
+    }
+    put(json!({ "reader": known, "more": true }));
+    assert!(claim().expect("an outcome").is_some(), "a form that is known is taken over");
+}
--- a/tests/common/production.rs
+++ b/tests/common/production.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
-use super::Store;
+use super::store::Store;
 
 /// A live job, under `job/<id>`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -23,7 +23,7 @@
     let counts = [field(0x0a, b"wk-1"), vec![0x10, 3, 0x18, 2]].concat();
     let summary = [field(0x0a, b"c-1"), vec![0x10, 41], field(0x1a, &counts)].concat();
     let jobs = vec![JobCounts { id: "wk-1".into(), done: 3, running: 2 }];
-    let expected = Summary { leader: "c-1".into(), token: 41, jobs };
+    let expected = Summary { leader: "c-1".into(), token: 41, jobs, version: String::new() };
     assert_eq!(Summary::decode(&summary[..]).expect("a summary"), expected);
     assert_eq!(expected.encode_to_vec(), summary);
 
@@ -47,7 +47,10 @@
     let expected = Answer { status: 400, body: b"{}".to_vec(), retry_after: 2 };
     assert_eq!(Answer::decode(&answer[..]).expect("an answer"), expected);
     assert_eq!(expected.encode_to_vec(), answer);
-    assert_eq!(Ack::decode(&[0x08, 41][..]).expect("an acknowledgement"), Ack { token: 41 });
+    assert_eq!(
+        Ack::decode(&[0x08, 41][..]).expect("an acknowledgement"),
+        Ack { token: 41, version: String::new() }
+    );
 }
 
 /// A summary as some other version might have it: fields of its own, the jobs left out.
@@ -71,7 +74,7 @@
 #[test]
 fn unknown_and_missing_fields_do_no_harm() {
     let bytes = OtherSummary { nested: vec![other_summary(7)], ..other_summary(41) }.encode_to_vec();
-    let expected = Summary { leader: "c-1".into(), token: 41, jobs: vec![] };
+    let expected = Summary { leader: "c-1".into(), token: 41, jobs: vec![], version: String::new() };
     assert_eq!(Summary::decode(&bytes[..]).expect("a summary"), expected);
     assert_eq!(Summary::decode(&[][..]).expect("a summary"), Summary::default());
     assert_eq!(JobNews::decode(&[][..]).expect("news"), JobNews::default());
@@ -100,7 +103,7 @@
 
 fn answer_announcement(inbound: Inbound, token: u64) {
     assert!(matches!(&inbound.message, Message::Announce(s) if s.token == 41), "{:?}", inbound.message);
-    inbound.answer(Outcome::Ack(Ack { token }));
+    inbound.answer(Outcome::Ack(Ack { token, version: String::new() }));
 }
 
 /// Guards against a method of another version that ends the service or passes for one that is known.
@@ -117,6 +120,15 @@
         answer_announcement(messages.recv_timeout(Duration::from_secs(10)).expect("a message"), 42);
     });
     let known = runtime.block_on(call_method(addr, "/milletlock.peer.v1.Peer/Announce"));
-    assert_eq!(known.expect("an answer"), Ack { token: 42 });
+    assert_eq!(known.expect("an answer"), Ack { token: 42, version: String::new() });
     answering.join().expect("the message is an announcement");
 }
+
+/// Guards against a version that is told under another number, or not read.
+#[test]
+fn a_version_is_told_beside_what_production_reads() {
+    let ack = Ack { token: 41, version: "0.2.0".into() };
+    let bytes = [vec![0x08, 41], field(0x12, b"0.2.0")].concat();
+    assert_eq!(ack.encode_to_vec(), bytes);
+    assert_eq!(Ack::decode(&bytes[..]).expect("an acknowledgement"), ack);
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -5,7 +5,8 @@
 
 use std::collections::BTreeMap;
 
-use common::{config_with_falling_limits, production, record, report, spec, types, Store};
+use common::store::Store;
+use common::{config_with_falling_limits, production, record, report, spec, types};
 use milletlock::cluster::{self, Owner, PART};
 use milletlock::fleet::{CheckIn, Fleet, Pending};
 use milletlock::history::Key;
@@ -381,6 +382,8 @@
     let coming = (0.5, 0.25);
     assert_eq!(after_refusals(&[0.0, 2.0, 4.0, 6.0, 9.9], coming), (true, coming));
     assert_eq!(after_refusals(&[0.0; 5], coming), (true, coming));
+    // Whenever the ten seconds begin.
+    assert_eq!(after_refusals(&[0.0, 9.0, 10.5, 11.0, 12.0, 12.5], coming), (true, coming));
     assert_eq!(after_refusals(&[0.0; 30], coming), (true, coming), "it holds for good");
     assert_eq!(after_refusals(&[0.0, 0.1, 0.2, 0.3], coming), (false, (1.0, 1.0)), "fewer");
     let spread: Vec<f64> = (0..40).map(|n| f64::from(n) * 3.0).collect();
--- a/tests/upgrade_takeovers.rs
+++ b/tests/upgrade_takeovers.rs
@@ -8,7 +8,8 @@
 use std::ops::Add;
 use std::sync::Arc;
 
-use common::{config, config_with_falling_limits, production, report, spec, types, Store};
+use common::store::Store;
+use common::{config, config_with_falling_limits, production, report, spec, types};
 use milletlock::cluster::{self, Batch, PART};
 use milletlock::config::Config;
 use milletlock::fleet::{CheckIn, Fleet, Pending};
