--- a/src/sched/services.rs
+++ b/src/sched/services.rs
@@ -2,7 +2,10 @@
 //! no two of a service on one machine while others will do, and in different zones as far as that
 //! costs little time. Where no room is free soon enough, tasks of lower rank are stopped at once.
 
-use super::{allowed, delay, fetch_s, yields_to, Class, Held, Need, Room, Start, Work};
+use super::placement::{allowed, delay, fetch_s};
+use super::preemption::yields_to;
+use super::work::Work;
+use super::{Class, Held, Need, Room, Start};
 use crate::time::Micros;
 
 /// Delays of replicas that differ by less count as alike.
--- /dev/null
+++ b/src/sched/types.rs
@@ -0,0 +1,268 @@
+//! What the planner sees and what it decides: the snapshot, the plan and their parts.
+
+use crate::time::Micros;
+use crate::wire::Rank;
+
+/// Amounts below this count as nothing.
+pub(super) const EPS: f64 = 1e-6;
+
+/// What a task takes, or a machine has.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Need {
+    /// Processors.
+    pub cpus: f64,
+    /// Cards.
+    pub gpus: f64,
+    /// Memory in GB.
+    pub memory: f64,
+}
+
+impl Need {
+    /// How many tasks of need `n` fit into this.
+    pub fn fits(&self, n: &Need) -> u32 {
+        let one = |have: f64, need: f64| {
+            if need <= EPS {
+                u32::MAX
+            } else {
+                ((have + EPS) / need).floor().clamp(0.0, 1e9) as u32
+            }
+        };
+        one(self.cpus, n.cpus).min(one(self.gpus, n.gpus)).min(one(self.memory, n.memory))
+    }
+
+    /// This less `k` tasks of need `n`.
+    pub fn less(&self, n: &Need, k: u32) -> Need {
+        let k = f64::from(k);
+        Need {
+            cpus: self.cpus - n.cpus * k,
+            gpus: self.gpus - n.gpus * k,
+            memory: self.memory - n.memory * k,
+        }
+    }
+
+    /// This and `k` tasks of need `n`.
+    pub fn plus(&self, n: &Need, k: u32) -> Need {
+        let k = f64::from(k);
+        Need {
+            cpus: self.cpus + n.cpus * k,
+            gpus: self.gpus + n.gpus * k,
+            memory: self.memory + n.memory * k,
+        }
+    }
+}
+
+/// A task that is, or may be, on a machine.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// What it takes.
+    pub need: Need,
+    /// Its job's rank.
+    pub rank: Rank,
+    /// Its job fits its team's guarantee.
+    pub guaranteed: bool,
+    /// Its team.
+    pub team: usize,
+    /// Until its stated end; overrunning tasks have a little left.
+    pub left: Micros,
+    /// Work lost if it is stopped now.
+    pub lost: Micros,
+    /// Whether it may be stopped for others: it runs and is not being stopped already.
+    pub stoppable: bool,
+    /// Whether it is being stopped.
+    pub stopping: bool,
+    /// Whether it runs until its job is cancelled.
+    pub endless: bool,
+}
+
+/// A machine.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// Index of its type.
+    pub ty: usize,
+    /// Index of its zone.
+    pub zone: usize,
+    /// Spot machine.
+    pub spot: bool,
+    /// All it has.
+    pub total: Need,
+    /// What is free.
+    pub free: Need,
+    /// Whether tasks may start on it now.
+    pub open: bool,
+    /// When it is expected to take a start: its next report, or the end of its boot.
+    pub opens_in: Micros,
+    /// Images it has or is fetching.
+    pub images: Vec<u32>,
+    /// Image fetch rate in GB a second.
+    pub fetch_rate: f64,
+    /// Price an hour of a processor, in thousandths.
+    pub rate: i64,
+    /// Added to its cost, for machines that did badly.
+    pub penalty: Micros,
+    /// Only tasks that end within this may start (a spot notice).
+    pub until: Option<Micros>,
+    /// The tasks on it.
+    pub held: Vec<Held>,
+}
+
+/// A job with tasks that could start.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Rank.
+    pub rank: Rank,
+    /// It has waited so long that the queue counts it with this rank, if that is higher: otherwise more
+    /// work of higher ranks than there is room would keep a wide gang waiting for ever. Nothing is
+    /// stopped by it.
+    pub raised: Option<Rank>,
+    /// The team's index.
+    pub team: usize,
+    /// Whether the job fits its team's guarantee.
+    pub guaranteed: bool,
+    /// Tasks that could start now.
+    pub count: u32,
+    /// All tasks of the job.
+    pub tasks: u32,
+    /// All or none.
+    pub gang: bool,
+    /// What a task takes.
+    pub need: Need,
+    /// Allowed types by index; empty: none at all.
+    pub types: Vec<usize>,
+    /// The only allowed zone.
+    pub zone: Option<usize>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half in one zone.
+    pub spread: bool,
+    /// May use spot machines.
+    pub spot: bool,
+    /// The image.
+    pub image: Option<u32>,
+    /// Its size in GB.
+    pub image_gb: f64,
+    /// Adjusted run time of a task.
+    pub adjusted: Micros,
+    /// Time since it was accepted.
+    pub waited: Micros,
+    /// Its tasks that are or may be somewhere, by zone.
+    pub zones: Vec<u32>,
+    /// How many of its aims it has missed, or will even if it starts now: beyond capacity, those
+    /// that can still make more of theirs go first.
+    pub lost: u8,
+    /// How long it may still wait before others are stopped for it.
+    pub patience: Micros,
+    /// For a service: rooms with a replica of it, and those that one has left of late.
+    pub replicas: Option<Vec<usize>>,
+}
+
+/// A team's use and limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TeamUse {
+    /// What its tasks take, those possibly there included.
+    pub used: Need,
+    /// Most processors; 0: no limit.
+    pub cpus_max: f64,
+    /// Most cards; 0: no limit.
+    pub gpus_max: f64,
+}
+
+impl TeamUse {
+    /// How many more tasks of need `n` the limit allows.
+    pub fn allows(&self, n: &Need) -> u32 {
+        let one = |max: f64, used: f64, need: f64| {
+            if max <= 0.0 || need <= EPS {
+                u32::MAX
+            } else {
+                ((max - used + EPS) / need).floor().clamp(0.0, 1e9) as u32
+            }
+        };
+        one(self.cpus_max, self.used.cpus, n.cpus).min(one(self.gpus_max, self.used.gpus, n.gpus))
+    }
+}
+
+/// Room of a type kept for tasks of this need and at least this rank.
+#[derive(Clone, Copy, Debug)]
+pub struct Keep {
+    /// What such a task takes.
+    pub need: Need,
+    /// Its rank.
+    pub rank: Rank,
+    /// Whether such tasks may use spot machines; if not, none of those is kept for them.
+    pub spot: bool,
+}
+
+/// All that the planner sees.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Number of zones.
+    pub zones: usize,
+    /// The machines.
+    pub rooms: Vec<Room>,
+    /// The jobs.
+    pub classes: Vec<Class>,
+    /// The teams.
+    pub teams: Vec<TeamUse>,
+    /// By type, what lower ranks leave free.
+    pub keep: Vec<Option<Keep>>,
+    /// Whether the blocked head job gets a reservation.
+    pub reserve: bool,
+    /// Delays that differ by less than this count as alike for the lowest rank: it waits politely,
+    /// and fills machines up rather than starting a moment sooner.
+    pub coarse: Micros,
+    /// The same for the others.
+    pub fine: Micros,
+    /// Rooms of a type that are kept clear for the tasks in `keep`; low ranks use the others and
+    /// are stopped if need be.
+    pub clear: usize,
+}
+
+impl Snapshot {
+    /// What is kept on machines of a type and kind, if anything is.
+    pub fn kept(&self, ty: usize, spot: bool) -> Option<Keep> {
+        self.keep.get(ty).copied().flatten().filter(|k| k.spot || !spot)
+    }
+}
+
+/// Tasks of a class to start on a room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// The class.
+    pub class: usize,
+    /// The room.
+    pub room: usize,
+    /// How many.
+    pub count: u32,
+}
+
+/// The blocked head job's reservation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// The class.
+    pub class: usize,
+    /// When its room is free.
+    pub at: Micros,
+    /// The rooms, with the tasks on each.
+    pub rooms: Vec<(usize, u32)>,
+}
+
+/// The planner's decisions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Tasks to start now.
+    pub starts: Vec<Start>,
+    /// The reservation.
+    pub reservation: Option<Reservation>,
+    /// Tasks to stop: room and place in its `held`.
+    pub preempt: Vec<(usize, usize)>,
+    /// Tasks that found no room, by class, in queue order.
+    pub unmet: Vec<(usize, u32)>,
+    /// By type, whether tasks wait that it is kept for: nothing lower starts on it.
+    pub wanted: Vec<bool>,
+}
+
+impl Class {
+    /// The rank that counts in the queue.
+    pub fn queue_rank(&self) -> Rank {
+        self.raised.map_or(self.rank, |r| r.max(self.rank))
+    }
+}
