--- a/src/sched/limits.rs
+++ b/src/sched/limits.rs
@@ -1,81 +1,99 @@
 //! The limits of teams: how much of a class they let start, and when.
 
 use super::preemption::yields_to;
-use super::work::Work;
-use super::Need;
+use super::state::PlanState;
+use super::{Held, Need};
 use crate::time::Micros;
 
 /// A gang's claim on its team's limit.
 #[derive(Clone, Copy)]
 pub(super) struct Claim {
+    /// What each of its tasks takes.
     pub(super) need: Need,
+    /// How many tasks.
     pub(super) count: u32,
     /// When, by stated ends, the limit lets it start.
     pub(super) at: Micros,
 }
 
+/// Tasks that end at a time, by their stated run time.
+#[derive(Clone, Copy)]
+pub(super) struct StatedEnd {
+    /// When.
+    pub(super) at: Micros,
+    /// What each takes.
+    pub(super) need: Need,
+    /// How many.
+    pub(super) count: u32,
+}
+
 /// Later than anything that is planned.
-const FAR: Micros = Micros(86_400_000_000);
+const BEYOND_PLANNING: Micros = Micros::from_millis(86_400_000);
 
-impl Work<'_> {
+impl PlanState<'_> {
     /// How many tasks of the class its team's limit lets start. What a gang of the team waits for is
     /// left to it, unless the class ends before.
-    pub(super) fn want(&self, class: usize) -> u32 {
-        let c = &self.s.classes[class];
-        let Some(t) = self.teams.get(c.team) else { return c.count };
-        let mut t = *t;
-        if let Some(claim) = self.held_back[c.team].filter(|x| c.adjusted + self.s.coarse > x.at) {
-            t.used = t.used.plus(&claim.need, claim.count);
+    pub(super) fn startable_count(&self, class_index: usize) -> u32 {
+        let class = &self.snapshot.classes[class_index];
+        let Some(team_use) = self.teams.get(class.team) else { return class.count };
+        let mut team_use = *team_use;
+        if let Some(claim) =
+            self.limit_claims[class.team].filter(|x| class.adjusted + self.snapshot.coarse > x.at)
+        {
+            team_use.used = team_use.used.plus(&claim.need, claim.count);
         }
-        c.count.min(t.allows(&c.need))
+        class.count.min(team_use.allows(&class.need))
     }
 
     /// When, by stated ends, the team's limit lets the class start whole.
-    pub(super) fn limit_frees(&self, class: usize) -> Micros {
-        let c = &self.s.classes[class];
-        let Some(mut t) = self.teams.get(c.team).copied() else { return Micros::ZERO };
-        let held = self.s.rooms.iter().flat_map(|r| &r.held).filter(|h| h.team == c.team);
-        let mut ends: Vec<(Micros, Need, u32)> =
-            held.map(|h| (if h.stopping { Micros::ZERO } else { h.left }, h.need, 1)).collect();
-        ends.extend(&self.ends[c.team]);
-        ends.sort_unstable_by_key(|e| e.0);
-        for (at, need, n) in ends {
-            t.used = t.used.less(&need, n);
-            if t.allows(&c.need) >= c.count {
+    pub(super) fn limit_allows_at(&self, class_index: usize) -> Micros {
+        let class = &self.snapshot.classes[class_index];
+        let Some(mut team_use) = self.teams.get(class.team).copied() else { return Micros::ZERO };
+        let held = self.snapshot.rooms.iter().flat_map(|room| &room.held).filter(|h| h.team == class.team);
+        let end = |task: &Held| {
+            let at = if task.stopping { Micros::ZERO } else { task.left };
+            StatedEnd { at, need: task.need, count: 1 }
+        };
+        let mut ends: Vec<StatedEnd> = held.map(end).collect();
+        ends.extend(&self.planned_ends[class.team]);
+        ends.sort_unstable_by_key(|end| end.at);
+        for StatedEnd { at, need, count } in ends {
+            team_use.used = team_use.used.less(&need, count);
+            if team_use.allows(&class.need) >= class.count {
                 return at;
             }
         }
-        FAR
+        BEYOND_PLANNING
     }
 
     /// Tasks of the same team and lower rank to stop so that the limit lets the class start, once
     /// it has waited long enough.
-    pub(super) fn within_limit(&self, class: usize) -> Vec<(usize, usize)> {
-        let c = &self.s.classes[class];
-        let Some(mut t) = self.teams.get(c.team).copied() else { return Vec::new() };
-        if c.patience.0 > 0 {
+    pub(super) fn preempt_within_limit(&self, class_index: usize) -> Vec<(usize, usize)> {
+        let class = &self.snapshot.classes[class_index];
+        let Some(mut team_use) = self.teams.get(class.team).copied() else { return Vec::new() };
+        if class.patience.0 > 0 {
             return Vec::new();
         }
         let mut victims: Vec<(Micros, usize, usize)> = Vec::new();
-        for (m, r) in self.s.rooms.iter().enumerate() {
-            for (i, h) in r.held.iter().enumerate().filter(|x| x.1.team == c.team) {
+        for (room_index, room) in self.snapshot.rooms.iter().enumerate() {
+            for (i, h) in room.held.iter().enumerate().filter(|x| x.1.team == class.team) {
                 if h.stopping {
-                    t.used = t.used.less(&h.need, 1);
-                } else if yields_to(h, c) {
-                    victims.push((h.lost, m, i));
+                    team_use.used = team_use.used.less(&h.need, 1);
+                } else if yields_to(h, class) {
+                    victims.push((h.lost, room_index, i));
                 }
             }
         }
         victims.sort_unstable();
         let mut out = Vec::new();
-        for (_, m, i) in victims {
-            if t.allows(&c.need) >= c.count {
+        for (_, room_index, i) in victims {
+            if team_use.allows(&class.need) >= class.count {
                 return out;
             }
-            t.used = t.used.less(&self.s.rooms[m].held[i].need, 1);
-            out.push((m, i));
+            team_use.used = team_use.used.less(&self.snapshot.rooms[room_index].held[i].need, 1);
+            out.push((room_index, i));
         }
-        if t.allows(&c.need) >= c.count {
+        if team_use.allows(&class.need) >= class.count {
             out
         } else {
             Vec::new()
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -13,9 +13,9 @@
 mod queue;
 mod reservation;
 mod services;
+mod state;
 mod top_up;
 mod types;
-mod work;
 
 pub(crate) use placement::allowed;
 pub use queue::{order, score};
@@ -23,77 +23,55 @@
 pub use top_up::top_up;
 pub use types::{Class, Held, Keep, Need, Plan, Reservation, Room, Snapshot, Start, TeamUse};
 
-use crate::time::Micros;
-use limits::Claim;
-use work::Work;
+use gangs::GangOutcome;
+use state::PlanState;
 
-/// Decides.
-pub fn plan(s: &Snapshot) -> Plan {
-    let mut out = Plan::default();
-    let mut w = Work::new(s);
-    for class in order(&s.classes) {
-        let c = &s.classes[class];
-        if c.count == 0 {
-            continue;
+/// Decides what starts, what is reserved and what is stopped, class by class in the queue's order.
+pub fn plan(snapshot: &Snapshot) -> Plan {
+    let mut plan = Plan::default();
+    let mut state = PlanState::new(snapshot);
+    for class_index in order(&snapshot.classes) {
+        if snapshot.classes[class_index].count > 0 {
+            state.plan_class(class_index, &mut plan);
         }
-        // A limit holds a job back without giving it a claim to room.
-        let limited = w.want(class);
-        let left = if c.gang {
-            if w.start_gang(class, &mut out.starts) {
-                0
-            } else if limited < c.count && w.behind.get(c.team) == Some(&true) {
-                // Behind another of its team.
-                continue;
-            } else if let Some(rooms) = w.room_now(class).filter(|_| limited < c.count) {
-                // Held back by its team's limit alone: the team's lower jobs must not take what frees,
-                // or a gang would starve behind its own team's small tasks. One gang of a team at a time,
-                // and only while it has room: with a claim for each, or stops for one that then had no
-                // room, a team at its limit stood still, or had the same tasks stopped over and over.
-                let stops = w.within_limit(class);
-                let at = if stops.is_empty() { w.limit_frees(class) } else { Micros::ZERO };
-                out.preempt.extend(stops);
-                w.behind[c.team] = true;
-                w.held_back[c.team] = Some(Claim { need: c.need, count: c.count, at });
-                if out.reservation.is_none() && s.reserve {
-                    out.reservation = Some(w.hold(class, at, rooms));
-                }
-                continue;
-            } else {
-                if let (true, Some(b)) = (limited < c.count, w.behind.get_mut(c.team)) {
-                    *b = true;
-                }
-                c.count
+    }
+    plan.wanted = state.contended_types;
+    plan
+}
+
+impl PlanState<'_> {
+    /// Plans one class. A team's limit holds it back without giving it a claim to room.
+    fn plan_class(&mut self, class_index: usize, plan: &mut Plan) {
+        let class = &self.snapshot.classes[class_index];
+        let unmet = if class.gang {
+            match self.plan_gang(class_index, plan) {
+                GangOutcome::Started => 0,
+                GangOutcome::NoRoom => class.count,
+                GangOutcome::AtLimit => return,
             }
-        } else if c.replicas.is_some() {
-            w.start_service(class, &mut out.starts, &mut out.preempt)
+        } else if class.replicas.is_some() {
+            self.start_service(class_index, &mut plan.starts, &mut plan.preempt)
         } else {
-            w.start_array(class, &mut out.starts)
+            self.start_array(class_index, &mut plan.starts)
         };
-        if left == 0 {
-            continue;
+        if unmet == 0 {
+            return;
         }
-        out.unmet.push((class, left));
-        for &ty in &c.types {
-            let kept = s.kept(ty, false).is_some_and(|k| c.rank >= k.rank);
-            if let (true, Some(w)) = (kept, w.wanted.get_mut(ty)) {
-                *w = true;
-            }
+        plan.unmet.push((class_index, unmet));
+        self.mark_contended_types(class);
+        // All that can be stopped for a service is by now; what it needs beyond that has to be rented.
+        if class.replicas.is_none() {
+            self.make_way(class_index, plan);
         }
-        if c.replicas.is_some() {
-            // All that can be stopped for it is; what it needs beyond that has to be rented.
-            continue;
-        }
-        if out.reservation.is_none() && s.reserve {
-            out.reservation = w.reserve(class);
-            let far = out.reservation.as_ref().is_none_or(|r| r.at > c.patience);
-            if far {
-                out.preempt.extend(w.preempt(class));
+    }
+
+    /// Notes on which types tasks of this class wait for the room that is kept for them.
+    fn mark_contended_types(&mut self, class: &Class) {
+        for &ty in &class.types {
+            let kept = self.snapshot.kept(ty, false).is_some_and(|kept| class.rank >= kept.rank);
+            if let (true, Some(contended)) = (kept, self.contended_types.get_mut(ty)) {
+                *contended = true;
             }
-        } else if c.patience.0 <= 0 {
-            // Not the head, but out of patience as well: each finds rooms of its own.
-            out.preempt.extend(w.preempt(class));
         }
     }
-    out.wanted = w.wanted;
-    out
 }
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -4,19 +4,19 @@
 use crate::time::Micros;
 
 /// Whether the class may use the room at all.
-pub(crate) fn allowed(c: &Class, r: &Room) -> bool {
-    c.types.contains(&r.ty) && c.zone.is_none_or(|z| z == r.zone) && (c.spot || !r.spot)
+pub(crate) fn allowed(class: &Class, room: &Room) -> bool {
+    class.types.contains(&room.ty) && class.zone.is_none_or(|z| z == room.zone) && (class.spot || !room.spot)
 }
 
 /// Seconds that the class's image takes to fetch there.
-pub(super) fn fetch_s(c: &Class, r: &Room) -> f64 {
-    match c.image {
-        Some(i) if !r.images.contains(&i) => c.image_gb / r.fetch_rate.max(0.001),
+pub(super) fn fetch_seconds(class: &Class, room: &Room) -> f64 {
+    match class.image {
+        Some(i) if !room.images.contains(&i) => class.image_gb / room.fetch_rate.max(0.001),
         _ => 0.0,
     }
 }
 
 /// Until a task of the class would run there.
-pub(super) fn delay(c: &Class, r: &Room) -> Micros {
-    r.opens_in + Micros::from_secs(fetch_s(c, r)) + r.penalty
+pub(super) fn delay(class: &Class, room: &Room) -> Micros {
+    room.opens_in + Micros::from_secs(fetch_seconds(class, room)) + room.penalty
 }
--- a/src/sched/services.rs
+++ b/src/sched/services.rs
@@ -2,9 +2,9 @@
 //! no two of a service on one machine while others will do, and in different zones as far as that
 //! costs little time. Where no room is free soon enough, tasks of lower rank are stopped at once.
 
-use super::placement::{allowed, delay, fetch_s};
+use super::placement::{allowed, delay, fetch_seconds};
 use super::preemption::yields_to;
-use super::work::Work;
+use super::state::PlanState;
 use super::{Class, Held, Need, Room, Start};
 use crate::time::Micros;
 
@@ -36,51 +36,63 @@
     stops: Vec<usize>,
 }
 
-impl Work<'_> {
+/// What it takes to have room for one more replica.
+struct Clearing {
+    /// Tasks to stop, by their place in the room's list.
+    stops: Vec<usize>,
+    /// Work that is lost by it.
+    lost: Micros,
+    /// When the machine can take the start.
+    ready_in: Micros,
+}
+
+impl PlanState<'_> {
     /// Places as many of a service's waiting replicas as possible; returns how many found no place.
     pub(super) fn start_service(
         &mut self,
-        class: usize,
+        class_index: usize,
         starts: &mut Vec<Start>,
         preempt: &mut Vec<(usize, usize)>,
     ) -> u32 {
-        let c = &self.s.classes[class];
-        let limited = self.want(class);
-        if limited < c.count {
+        let class = &self.snapshot.classes[class_index];
+        let limited = self.startable_count(class_index);
+        if limited < class.count {
             // Its team's own lower work makes room within the limit.
-            preempt.extend(self.within_limit(class));
+            preempt.extend(self.preempt_within_limit(class_index));
         }
-        let mut occupied: Vec<usize> = c.replicas.clone().unwrap_or_default();
+        let mut occupied: Vec<usize> = class.replicas.clone().unwrap_or_default();
         let mut left = limited;
-        let mut candidates = self.service_candidates(class, &occupied);
+        let mut candidates = self.service_candidates(class_index, &occupied);
         while left > 0 && !candidates.is_empty() {
-            let best = self.best_candidate(class, &candidates);
+            let best = self.best_candidate(class_index, &candidates);
             let chosen = candidates.swap_remove(best);
-            let zone = self.s.rooms[chosen.room].zone;
-            if self.zone_room(class, zone) == 0 {
+            let zone = self.snapshot.rooms[chosen.room].zone;
+            if self.zone_allowance(class_index, zone) == 0 {
                 continue;
             }
-            self.take(class, chosen.room, 1);
-            self.claimed[chosen.room] |= !chosen.stops.is_empty();
+            self.allocate(class_index, chosen.room, 1);
+            self.being_cleared[chosen.room] |= !chosen.stops.is_empty();
             preempt.extend(chosen.stops.iter().map(|&held| (chosen.room, held)));
-            starts.push(Start { class, room: chosen.room, count: 1 });
+            starts.push(Start { class: class_index, room: chosen.room, count: 1 });
             occupied.push(chosen.room);
             left -= 1;
             // There may be room for another replica, if there is nowhere else to go.
-            candidates.extend(self.service_candidate(class, chosen.room, &occupied));
+            candidates.extend(self.service_candidate(class_index, chosen.room, &occupied));
         }
-        c.count - (limited - left)
+        class.count - (limited - left)
     }
 
-    fn service_candidates(&self, class: usize, occupied: &[usize]) -> Vec<Candidate> {
-        let rooms = 0..self.s.rooms.len();
-        rooms.filter_map(|room| self.service_candidate(class, room, occupied)).collect()
+    fn service_candidates(&self, class_index: usize, occupied: &[usize]) -> Vec<Candidate> {
+        let rooms = 0..self.snapshot.rooms.len();
+        rooms.filter_map(|room_index| self.service_candidate(class_index, room_index, occupied)).collect()
     }
 
     /// The candidate to take next: its cost counts in steps, and with the zones as they stand.
-    fn best_candidate(&self, class: usize, candidates: &[Candidate]) -> usize {
-        let c = &self.s.classes[class];
-        let crowded = |room: usize| self.zones[class][self.s.rooms[room].zone] >= c.tasks.div_ceil(2);
+    fn best_candidate(&self, class_index: usize, candidates: &[Candidate]) -> usize {
+        let class = &self.snapshot.classes[class_index];
+        let crowded = |room_index: usize| {
+            self.zones[class_index][self.snapshot.rooms[room_index].zone] >= class.tasks.div_ceil(2)
+        };
         let key = |x: &Candidate| {
             let zone = if crowded(x.room) { CROWDED_ZONE } else { Micros::ZERO };
             ((x.cost + zone).0 / STEP.0, x.lost, x.free_tenths, x.room)
@@ -90,51 +102,57 @@
     }
 
     /// What it takes to run a replica in a room; `None` if it cannot.
-    fn service_candidate(&self, class: usize, room: usize, occupied: &[usize]) -> Option<Candidate> {
-        let c = &self.s.classes[class];
-        let r = &self.s.rooms[room];
-        if !r.open || r.until.is_some() || !allowed(c, r) {
+    fn service_candidate(
+        &self,
+        class_index: usize,
+        room_index: usize,
+        occupied: &[usize],
+    ) -> Option<Candidate> {
+        let class = &self.snapshot.classes[class_index];
+        let room = &self.snapshot.rooms[room_index];
+        if !room.open || room.until.is_some() || !allowed(class, room) {
             return None;
         }
-        let (stops, lost, wait) = self.make_room(c, room)?;
-        let mut cost = wait + Micros::from_secs(fetch_s(c, r)) + r.penalty;
+        let Clearing { stops, lost, ready_in } = self.make_room(class, room_index)?;
+        let mut cost = ready_in + Micros::from_secs(fetch_seconds(class, room)) + room.penalty;
         if !stops.is_empty() {
             cost = cost + STOPPING_COSTS;
         }
-        if occupied.contains(&room) {
+        if occupied.contains(&room_index) {
             cost = cost + SAME_MACHINE;
         }
-        cost = cost + self.kept_room_cost(c, room);
-        let free_tenths = (self.free[room].cpus * 10.0) as i64;
-        Some(Candidate { cost, lost, free_tenths, room, stops })
+        cost = cost + self.kept_room_cost(class, room_index);
+        let free_tenths = (self.free[room_index].cpus * 10.0) as i64;
+        Some(Candidate { cost, lost, free_tenths, room: room_index, stops })
     }
 
     /// Which tasks have to be stopped for one more replica, the work that is lost by it, and when the
     /// machine can take the start.
-    fn make_room(&self, c: &Class, room: usize) -> Option<(Vec<usize>, Micros, Micros)> {
-        let r = &self.s.rooms[room];
-        let stopping = r.held.iter().any(|h| h.stopping);
-        let soon = if stopping { r.opens_in.min(STOPPED_WITHIN) } else { r.opens_in };
-        if self.free[room].fits(&c.need) > 0 {
-            return Some((Vec::new(), Micros::ZERO, soon));
+    fn make_room(&self, class: &Class, room_index: usize) -> Option<Clearing> {
+        let room = &self.snapshot.rooms[room_index];
+        let stopping = room.held.iter().any(|h| h.stopping);
+        let soon = if stopping { room.opens_in.min(STOPPED_WITHIN) } else { room.opens_in };
+        if self.free[room_index].fits(&class.need) > 0 {
+            return Some(Clearing { stops: Vec::new(), lost: Micros::ZERO, ready_in: soon });
         }
-        let ending = r.held.iter().filter(|h| h.stopping);
-        let mut free = ending.fold(self.free[room], |n, h| n.plus(&h.need, 1));
-        if free.fits(&c.need) > 0 {
-            return Some((Vec::new(), Micros::ZERO, STOPPED_WITHIN));
+        let ending = room.held.iter().filter(|h| h.stopping);
+        let mut free = ending.fold(self.free[room_index], |n, h| n.plus(&h.need, 1));
+        if free.fits(&class.need) > 0 {
+            return Some(Clearing { stops: Vec::new(), lost: Micros::ZERO, ready_in: STOPPED_WITHIN });
         }
-        if self.claimed[room] {
+        if self.being_cleared[room_index] {
             return None;
         }
-        let mut victims: Vec<usize> = (0..r.held.len()).filter(|&h| yields_to(&r.held[h], c)).collect();
-        victims.sort_by_key(|&h| r.held[h].lost);
+        let mut victims: Vec<usize> =
+            (0..room.held.len()).filter(|&h| yields_to(&room.held[h], class)).collect();
+        victims.sort_by_key(|&h| room.held[h].lost);
         let (mut stops, mut lost) = (Vec::new(), Micros::ZERO);
         for h in victims {
-            free = free.plus(&r.held[h].need, 1);
-            lost = lost + r.held[h].lost;
+            free = free.plus(&room.held[h].need, 1);
+            lost = lost + room.held[h].lost;
             stops.push(h);
-            if free.fits(&c.need) > 0 {
-                return Some((stops, lost, STOPPED_WITHIN));
+            if free.fits(&class.need) > 0 {
+                return Some(Clearing { stops, lost, ready_in: STOPPED_WITHIN });
             }
         }
         None
@@ -142,13 +160,13 @@
 
     /// What a replica on a machine of a type that is kept for larger tasks costs: replicas never end,
     /// so the larger task would have no whole machine any more.
-    fn kept_room_cost(&self, c: &Class, room: usize) -> Micros {
-        let r = &self.s.rooms[room];
-        let Some(keep) = self.s.kept(r.ty, r.spot) else { return Micros::ZERO };
-        if c.need.fits(&keep.need) > 0 {
+    fn kept_room_cost(&self, class: &Class, room_index: usize) -> Micros {
+        let room = &self.snapshot.rooms[room_index];
+        let Some(keep) = self.snapshot.kept(room.ty, room.spot) else { return Micros::ZERO };
+        if class.need.fits(&keep.need) > 0 {
             return Micros::ZERO;
         }
-        if endless_room(r).less(&c.need, 1).fits(&keep.need) > 0 {
+        if endless_room(room).less(&class.need, 1).fits(&keep.need) > 0 {
             KEPT_TYPE
         } else {
             BREAKS_KEPT_ROOM
@@ -157,20 +175,24 @@
 }
 
 /// What a machine has beside the tasks on it that never end.
-fn endless_room(r: &Room) -> Need {
-    let endless = r.held.iter().filter(|h: &&Held| h.endless);
-    endless.fold(r.total, |n, h| n.less(&h.need, 1))
+fn endless_room(room: &Room) -> Need {
+    let endless = room.held.iter().filter(|h: &&Held| h.endless);
+    endless.fold(room.total, |n, h| n.less(&h.need, 1))
 }
 
 /// Whether one more replica may start in a room that has just reported, ahead of the next plan and
 /// instead of the place that the plan gave it, since it runs sooner here.
-pub fn runs_sooner(c: &Class, r: &Room, kept: Option<Need>, planned: Micros) -> bool {
-    let fits_beside = kept.is_none_or(|k| endless_room(r).less(&c.need, 1).fits(&k) > 0);
-    let here = Micros::from_secs(fetch_s(c, r)) + r.penalty;
-    allowed(c, r) && r.until.is_none() && fits_beside && r.free.fits(&c.need) > 0 && here < planned
+pub fn runs_sooner(class: &Class, room: &Room, kept: Option<Need>, planned: Micros) -> bool {
+    let fits_beside = kept.is_none_or(|k| endless_room(room).less(&class.need, 1).fits(&k) > 0);
+    let here = Micros::from_secs(fetch_seconds(class, room)) + room.penalty;
+    allowed(class, room)
+        && room.until.is_none()
+        && fits_beside
+        && room.free.fits(&class.need) > 0
+        && here < planned
 }
 
 /// When a replica would run in a room, by its next report and its image.
-pub fn runs_in(c: &Class, r: &Room) -> Micros {
-    delay(c, r)
+pub fn runs_in(class: &Class, room: &Room) -> Micros {
+    delay(class, room)
 }
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -6,7 +6,7 @@
 use crate::time::Micros;
 
 /// A class that waited longer than this is not passed over for one whose image is there already.
-const PASSED_OVER: Micros = Micros(60_000_000);
+const PASSED_OVER: Micros = Micros::from_millis(60_000);
 
 /// Between two plans: what of the array tasks that found no room may start on a machine that has
 /// room now. Called for machines outside the reservation on which nothing is being stopped, so it
@@ -15,36 +15,42 @@
 /// many aims, those whose image the machine has go first: where all machines are in use, each would
 /// otherwise fetch every image, and fetching takes as much of its time as running. What it starts
 /// is taken off `unmet`.
-pub fn top_up(s: &Snapshot, wanted: &[bool], unmet: &mut [(usize, u32)], room: &Room) -> Vec<(usize, u32)> {
+pub fn top_up(
+    snapshot: &Snapshot,
+    wanted: &[bool],
+    unmet: &mut [(usize, u32)],
+    room: &Room,
+) -> Vec<(usize, u32)> {
     let mut out = Vec::new();
     let mut free = room.free;
-    let kept = s.kept(room.ty, room.spot);
+    let kept = snapshot.kept(room.ty, room.spot);
     let has = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
     let group = |c: &Class| (c.guaranteed, c.queue_rank(), c.lost);
     let may = |c: &Class| {
-        let limited = s.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        let limited = snapshot.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let low = kept.is_some_and(|k| c.rank < k.rank);
-        let clear = low && (s.clear > 0 || wanted.get(room.ty).copied().unwrap_or(false));
+        let clear = low && (snapshot.clear > 0 || wanted.get(room.ty).copied().unwrap_or(false));
         let ends = room.until.is_none_or(|u| delay(c, room) + c.adjusted <= u);
         !(c.gang || c.one_zone || c.spread || limited || clear) && allowed(c, room) && ends
     };
     let mut from = 0;
     while from < unmet.len() && free.cpus > EPS {
         // Classes of one group stand together in the queue.
-        let of = group(&s.classes[unmet[from].0]);
-        let to = (from..unmet.len()).find(|&i| group(&s.classes[unmet[i].0]) != of).unwrap_or(unmet.len());
+        let of = group(&snapshot.classes[unmet[from].0]);
+        let to =
+            (from..unmet.len()).find(|&i| group(&snapshot.classes[unmet[i].0]) != of).unwrap_or(unmet.len());
         for first in [true, false] {
-            for (class, left) in unmet[from..to].iter_mut().filter(|u| u.1 > 0) {
-                let c = &s.classes[*class];
-                let now = has(c) || c.waited > PASSED_OVER;
-                if now != first || !may(c) {
+            for (class_index, left) in unmet[from..to].iter_mut().filter(|u| u.1 > 0) {
+                let class = &snapshot.classes[*class_index];
+                let now = has(class) || class.waited > PASSED_OVER;
+                if now != first || !may(class) {
                     continue;
                 }
-                let n = free.fits(&c.need).min(*left);
-                if n > 0 {
-                    free = free.less(&c.need, n);
-                    *left -= n;
-                    out.push((*class, n));
+                let count = free.fits(&class.need).min(*left);
+                if count > 0 {
+                    free = free.less(&class.need, count);
+                    *left -= count;
+                    out.push((*class_index, count));
                 }
             }
         }
