--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -140,7 +140,7 @@
     }
 
     /// By type: the largest recent demand of a higher rank that no smaller type takes.
-    pub(super) fn keep(&self) -> Vec<Option<Keep>> {
+    pub(super) fn keep(&self) -> Vec<Option<KeptRoom>> {
         let size = |t: &MachineType| t.cpus + 8.0 * t.gpus;
         (0..self.types.len())
             .map(|ty| {
@@ -150,7 +150,7 @@
                     .filter(|d| d.types.iter().all(|&o| size(&self.types[o]) >= size(&self.types[ty])))
                     .filter(|d| self.total(ty).fits(&d.need) == 1)
                     .max_by(|a, b| a.rank.cmp(&b.rank).then(a.need.cpus.total_cmp(&b.need.cpus)))
-                    .map(|d| Keep { need: d.need, rank: d.rank, spot: d.spot })
+                    .map(|d| KeptRoom { need: d.need, rank: d.rank, spot: d.spot })
             })
             .collect()
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -21,7 +21,7 @@
 pub use queue::{order, score};
 pub use services::{runs_in, runs_sooner};
 pub use top_up::top_up;
-pub use types::{Class, Held, Keep, Need, Plan, Reservation, Room, Snapshot, Start, TeamUse};
+pub use types::{Class, Held, KeptRoom, Need, Plan, Reservation, Room, Snapshot, Start, TeamUse};
 
 use gangs::GangOutcome;
 use state::PlanState;
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -182,7 +182,7 @@
 
 /// Room of a type kept for tasks of this need and at least this rank.
 #[derive(Clone, Copy, Debug)]
-pub struct Keep {
+pub struct KeptRoom {
     /// What such a task takes.
     pub need: Need,
     /// Its rank.
@@ -203,7 +203,7 @@
     /// The teams.
     pub teams: Vec<TeamUse>,
     /// By type, what lower ranks leave free.
-    pub keep: Vec<Option<Keep>>,
+    pub keep: Vec<Option<KeptRoom>>,
     /// Whether the blocked head job gets a reservation.
     pub reserve: bool,
     /// Delays that differ by less than this count as alike for the lowest rank: it waits politely,
@@ -218,7 +218,7 @@
 
 impl Snapshot {
     /// What is kept on machines of a type and kind, if anything is.
-    pub fn kept(&self, ty: usize, spot: bool) -> Option<Keep> {
+    pub fn kept(&self, ty: usize, spot: bool) -> Option<KeptRoom> {
         self.keep.get(ty).copied().flatten().filter(|k| k.spot || !spot)
     }
 }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::planner::{class as job, need, secs};
-use milletlock::sched::{plan, top_up, Class, Held, Keep, Need, Plan, Room, Snapshot, Start, TeamUse};
+use milletlock::sched::{plan, top_up, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, Start, TeamUse};
 use milletlock::time::Micros;
 use milletlock::wire::Rank;
 use proptest::prelude::*;
@@ -47,7 +47,7 @@
         let cpus_max = if limit == 0 { 0.0 } else { used.cpus + f64::from(limit) };
         Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear: 1,
                    teams: vec![TeamUse { used, cpus_max, gpus_max: 0.0 }, TeamUse::default()],
-                   keep: vec![None, keep.0.then(|| Keep { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
+                   keep: vec![None, keep.0.then(|| KeptRoom { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
     }
 }
 
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -4,7 +4,7 @@
 
 use common::planner::{class, need, secs};
 use milletlock::capacity::{Offer, Policy, Upkeep, View, Warm};
-use milletlock::sched::{plan, Class, Held, Keep, Room, Snapshot};
+use milletlock::sched::{plan, Class, Held, KeptRoom, Room, Snapshot};
 use milletlock::time::Micros;
 use milletlock::wire::{MachineType, Rank};
 
@@ -124,7 +124,7 @@
     // Low ranks count on spot machines of a type of which ordinary ones are kept for others.
     let low = Class { rank: Rank::Idle, ..class(8, 20, 1) };
     let rents = |r: Room| {
-        let keep = Keep { need: need(8.0), rank: Rank::Urgent, spot: false };
+        let keep = KeptRoom { need: need(8.0), rank: Rank::Urgent, spot: false };
         let s = Snapshot {
             zones: 1,
             rooms: vec![r],
@@ -140,7 +140,7 @@
         zones: 1,
         rooms: vec![spot(), room(0, 0)],
         clear: 1,
-        keep: vec![Some(Keep { need: need(8.0), rank: Rank::Urgent, spot: false })],
+        keep: vec![Some(KeptRoom { need: need(8.0), rank: Rank::Urgent, spot: false })],
         classes: vec![Class { rank: Rank::Idle, ..class(16, 20, 1) }],
         ..Snapshot::default()
     };
