--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -53,7 +53,7 @@
 
 /// Machines of a type that stay though idle.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Warm {
+pub struct WarmPool {
     /// How many.
     pub count: usize,
     /// Whether those for whom they stay may use spot machines.
@@ -75,7 +75,7 @@
     /// Offers refused lately.
     pub refused: &'a [Offer],
     /// By type, what stays though idle.
-    pub warm: &'a [Warm],
+    pub warm: &'a [WarmPool],
     /// By type, whether jobs with deadlines used it of late.
     pub due: &'a [bool],
     /// Settings.
--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -106,15 +106,15 @@
 
     /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, with
     /// some to spare, since a new machine would come too late for the next.
-    pub(super) fn warm(&self, now: Steady) -> Vec<Warm> {
+    pub(super) fn warm(&self, now: Steady) -> Vec<WarmPool> {
         let hasty = || self.demands.iter().filter(|d| d.hasty).map(|d| d.at);
         let (Some(first), Some(last)) = (hasty().min(), hasty().max()) else {
-            return vec![Warm::default(); self.types.len()];
+            return vec![WarmPool::default(); self.types.len()];
         };
         let span = (now - first).secs().clamp(60.0, RECENT.secs());
         // No such job for much longer than usual: no more are expected.
         if (now - last).secs() > (4.0 * span / hasty().count() as f64).max(60.0) {
-            return vec![Warm::default(); self.types.len()];
+            return vec![WarmPool::default(); self.types.len()];
         }
         (0..self.types.len())
             .map(|ty| {
@@ -123,11 +123,11 @@
                     (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true, spot || d.spot)
                 });
                 if !any {
-                    return Warm::default();
+                    return WarmPool::default();
                 }
                 // Square-root staffing: the mean in use, and its spread beside it.
                 let load = work / span;
-                Warm { count: (load + load.sqrt()).round().max(1.0) as usize, spot }
+                WarmPool { count: (load + load.sqrt()).round().max(1.0) as usize, spot }
             })
             .collect()
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -24,7 +24,7 @@
 
 use serde::Serialize;
 
-use crate::capacity::{Offer, Policy, Upkeep, View, Warm};
+use crate::capacity::{Offer, Policy, Upkeep, View, WarmPool};
 use crate::config::{Config, Team};
 use crate::direct_command::DirectCommand;
 use crate::history::{History, Key};
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::planner::{class, need, secs};
-use milletlock::capacity::{Offer, Policy, Upkeep, View, Warm};
+use milletlock::capacity::{Offer, Policy, Upkeep, View, WarmPool};
 use milletlock::sched::{plan, Class, Held, KeptRoom, Room, Snapshot};
 use milletlock::time::Micros;
 use milletlock::wire::{MachineType, Rank};
@@ -82,7 +82,7 @@
         types: &types,
         zones: &[vec![0]],
         refused,
-        warm: &[Warm { count: 1, spot: false }],
+        warm: &[WarmPool { count: 1, spot: false }],
         due: &[due],
         policy,
     };
