--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -53,7 +53,7 @@
         let mut s = Snapshot {
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
-            clear: self.clear(),
+            clear_rooms: self.clear(),
             coarse: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
             fine: FINE,
             keep: self.keep(),
--- a/src/sched/state.rs
+++ b/src/sched/state.rs
@@ -44,7 +44,10 @@
             .iter()
             .map(|room| {
                 let k = snapshot.kept(room.ty, room.spot)?;
-                if clear[room.ty] >= snapshot.clear || room.free.fits(&k.need) == 0 || room.until.is_some() {
+                if clear[room.ty] >= snapshot.clear_rooms
+                    || room.free.fits(&k.need) == 0
+                    || room.until.is_some()
+                {
                     return None;
                 }
                 clear[room.ty] += 1;
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -29,7 +29,7 @@
     let may = |c: &Class| {
         let limited = snapshot.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let low = kept.is_some_and(|k| c.rank < k.rank);
-        let clear = low && (snapshot.clear > 0 || wanted.get(room.ty).copied().unwrap_or(false));
+        let clear = low && (snapshot.clear_rooms > 0 || wanted.get(room.ty).copied().unwrap_or(false));
         let ends = room.until.is_none_or(|u| delay(c, room) + c.adjusted <= u);
         !(c.gang || c.one_zone || c.spread || limited || clear) && allowed(c, room) && ends
     };
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -213,7 +213,7 @@
     pub fine: Micros,
     /// Rooms of a type that are kept clear for the tasks in `keep`; low ranks use the others and
     /// are stopped if need be.
-    pub clear: usize,
+    pub clear_rooms: usize,
 }
 
 impl Snapshot {
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -45,7 +45,7 @@
         let used = held.fold(Need::default(), |n, h| n.plus(&h.need, 1));
         // Somewhat over what runs, so that the limit is met now and then.
         let cpus_max = if limit == 0 { 0.0 } else { used.cpus + f64::from(limit) };
-        Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear: 1,
+        Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear_rooms: 1,
                    teams: vec![TeamUse { used, cpus_max, gpus_max: 0.0 }, TeamUse::default()],
                    keep: vec![None, keep.0.then(|| KeptRoom { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
     }
@@ -88,7 +88,8 @@
                 && r.until.is_none()
                 && self.s.keep[ty].is_some_and(|k| r.free.fits(&k.need) > 0 && (k.spot || !r.spot))
         };
-        could(&self.s.rooms[m]) && self.s.rooms.iter().take(m).filter(|r| could(r)).count() < self.s.clear
+        could(&self.s.rooms[m])
+            && self.s.rooms.iter().take(m).filter(|r| could(r)).count() < self.s.clear_rooms
     }
 
     /// What a reservation leaves on the room at its time.
@@ -512,7 +513,7 @@
         reserve: true,
         coarse: secs(4),
         fine: secs(2),
-        clear: 0,
+        clear_rooms: 0,
         teams: vec![TeamUse { used: need(8.0), cpus_max: 10.0, gpus_max: 0.0 }],
         keep: vec![None, None],
     };
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -139,7 +139,7 @@
     let s = Snapshot {
         zones: 1,
         rooms: vec![spot(), room(0, 0)],
-        clear: 1,
+        clear_rooms: 1,
         keep: vec![Some(KeptRoom { need: need(8.0), rank: Rank::Urgent, spot: false })],
         classes: vec![Class { rank: Rank::Idle, ..class(16, 20, 1) }],
         ..Snapshot::default()
