--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -54,8 +54,8 @@
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
             clear_rooms: self.clear(),
-            coarse: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
-            fine: FINE,
+            low_rank_delay_step: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
+            delay_step: FINE,
             keep: self.keep(),
             ..Snapshot::default()
         };
--- a/src/sched/limits.rs
+++ b/src/sched/limits.rs
@@ -37,8 +37,8 @@
         let class = &self.snapshot.classes[class_index];
         let Some(team_use) = self.teams.get(class.team) else { return class.count };
         let mut team_use = *team_use;
-        if let Some(claim) =
-            self.limit_claims[class.team].filter(|x| class.adjusted + self.snapshot.coarse > x.at)
+        if let Some(claim) = self.limit_claims[class.team]
+            .filter(|x| class.adjusted + self.snapshot.low_rank_delay_step > x.at)
         {
             team_use.used = team_use.used.plus(&claim.need, claim.count);
         }
--- a/src/sched/state.rs
+++ b/src/sched/state.rs
@@ -132,7 +132,11 @@
                 let room = &self.snapshot.rooms[room_index];
                 // Reports come every few seconds anyway: within that, cheap and small rooms go before large
                 // ones and full ones before empty ones, so that others empty and can be returned.
-                let step = if class.rank == Rank::Idle { self.snapshot.coarse } else { self.snapshot.fine };
+                let step = if class.rank == Rank::Idle {
+                    self.snapshot.low_rank_delay_step
+                } else {
+                    self.snapshot.delay_step
+                };
                 let delay = delay(class, room).0 / step.0.max(1);
                 (
                     self.is_below_kept_rank(class, room),
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -208,9 +208,9 @@
     pub reserve: bool,
     /// Delays that differ by less than this count as alike for the lowest rank: it waits politely,
     /// and fills machines up rather than starting a moment sooner.
-    pub coarse: Micros,
+    pub low_rank_delay_step: Micros,
     /// The same for the others.
-    pub fine: Micros,
+    pub delay_step: Micros,
     /// Rooms of a type that are kept clear for the tasks in `keep`; low ranks use the others and
     /// are stopped if need be.
     pub clear_rooms: usize,
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -45,7 +45,7 @@
         let used = held.fold(Need::default(), |n, h| n.plus(&h.need, 1));
         // Somewhat over what runs, so that the limit is met now and then.
         let cpus_max = if limit == 0 { 0.0 } else { used.cpus + f64::from(limit) };
-        Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear_rooms: 1,
+        Snapshot { zones: 2, rooms, classes, reserve, low_rank_delay_step: secs(4), delay_step: secs(2), clear_rooms: 1,
                    teams: vec![TeamUse { used, cpus_max, gpus_max: 0.0 }, TeamUse::default()],
                    keep: vec![None, keep.0.then(|| KeptRoom { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
     }
@@ -164,7 +164,7 @@
             .filter(|p| self.s.classes[p.0].team == c.team)
             .map(|p| self.s.classes[p.0].need.cpus)
             .sum();
-        let ends = c.adjusted + self.s.coarse;
+        let ends = c.adjusted + self.s.low_rank_delay_step;
         let claimed = self.claims.iter().filter(|x| x.0 == c.team && ends > x.2).map(|x| x.1);
         let used = used + self.s.teams[c.team].used.cpus + claimed.sum::<f64>();
         let max = self.s.teams[c.team].cpus_max;
@@ -232,7 +232,7 @@
             })
             .collect();
         v.sort_by_key(|&m| {
-            let step = if c.rank == Rank::Idle { self.s.coarse } else { self.s.fine };
+            let step = if c.rank == Rank::Idle { self.s.low_rank_delay_step } else { self.s.delay_step };
             let d = self.delay(c, &self.s.rooms[m]).0 / step.0;
             (
                 self.low(class, m),
@@ -511,8 +511,8 @@
         rooms: vec![room(0, 8.0, vec![held.clone(); 8]), room(1, large, Vec::new())],
         classes,
         reserve: true,
-        coarse: secs(4),
-        fine: secs(2),
+        low_rank_delay_step: secs(4),
+        delay_step: secs(2),
         clear_rooms: 0,
         teams: vec![TeamUse { used: need(8.0), cpus_max: 10.0, gpus_max: 0.0 }],
         keep: vec![None, None],
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -65,7 +65,7 @@
         rooms,
         classes,
         reserve: true,
-        coarse: secs(4),
+        low_rank_delay_step: secs(4),
         keep: vec![None],
         ..Snapshot::default()
     };
