--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -129,7 +129,7 @@
                 adjusted,
                 waited,
                 zones: if sp.one_zone || sp.spread { self.zones_of(j) } else { vec![0; self.zones.len()] },
-                lost: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
+                missed_aims: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
                 patience: self.patience(sp) - waited,
                 replicas: (sp.shape == Shape::Service).then(|| self.replica_rooms(j, &room_of)),
             });
--- a/src/sched/queue.rs
+++ b/src/sched/queue.rs
@@ -15,8 +15,8 @@
     let mut by: Vec<(usize, f64)> = classes.iter().map(score).enumerate().collect();
     by.sort_by(|a, b| {
         let (x, y) = (&classes[a.0], &classes[b.0]);
-        (y.guaranteed, y.queue_rank(), x.lost)
-            .cmp(&(x.guaranteed, x.queue_rank(), y.lost))
+        (y.guaranteed, y.queue_rank(), x.missed_aims)
+            .cmp(&(x.guaranteed, x.queue_rank(), y.missed_aims))
             .then(b.1.total_cmp(&a.1))
             .then(a.0.cmp(&b.0))
     });
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -25,7 +25,7 @@
     let mut free = room.free;
     let kept = snapshot.kept(room.ty, room.spot);
     let has = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
-    let group = |c: &Class| (c.guaranteed, c.queue_rank(), c.lost);
+    let group = |c: &Class| (c.guaranteed, c.queue_rank(), c.missed_aims);
     let may = |c: &Class| {
         let limited = snapshot.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let low = kept.is_some_and(|k| c.rank < k.rank);
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -148,7 +148,7 @@
     pub zones: Vec<u32>,
     /// How many of its aims it has missed, or will even if it starts now: beyond capacity, those
     /// that can still make more of theirs go first.
-    pub lost: u8,
+    pub missed_aims: u8,
     /// How long it may still wait before others are stopped for it.
     pub patience: Micros,
     /// For a service: rooms with a replica of it, and those that one has left of late.
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -28,13 +28,13 @@
 }
 
 prop_compose! {
-    fn class(widest: u32)(lost in 0u8..3, rank in rank(), team in 0usize..2, count in 1..widest, gang in any::<bool>(), cpus in 1u32..5,
+    fn class(widest: u32)(missed_aims in 0u8..3, rank in rank(), team in 0usize..2, count in 1..widest, gang in any::<bool>(), cpus in 1u32..5,
                types in prop_oneof![Just(vec![0]), Just(vec![1]), Just(vec![0, 1])],
                zone in prop::option::weighted(0.2, 0usize..2), tie in 0u8..3, spot in any::<bool>(),
                adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
-        Class { rank, raised: (lost == 2 && gang).then_some(Rank::Urgent), team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
+        Class { rank, raised: (missed_aims == 2 && gang).then_some(Rank::Urgent), team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
                 one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, adjusted: secs(adjusted),
-                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), lost, replicas: None }
+                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), missed_aims, replicas: None }
     }
 }
 
@@ -426,8 +426,8 @@
     let d = Class { rank: Rank::Urgent, waited: secs(1), ..base.clone() };
     let e = Class { guaranteed: true, rank: Rank::Idle, waited: secs(1), ..base.clone() };
     // Whoever lost more aims yields, however long it waited.
-    let f = Class { lost: 1, waited: secs(900), ..base.clone() };
-    let g = Class { lost: 2, waited: secs(9000), ..base.clone() };
+    let f = Class { missed_aims: 1, waited: secs(900), ..base.clone() };
+    let g = Class { missed_aims: 2, waited: secs(9000), ..base.clone() };
     assert_eq!(milletlock::sched::order(&[g, f, base.clone(), b, c, d.clone(), e]), [6, 5, 4, 3, 2, 1, 0]);
     // One that waited for long stands with the urgent, never behind its own rank and not above them.
     let h = Class { raised: Some(Rank::Urgent), ..base.clone() };
@@ -464,7 +464,7 @@
     // Not for ever, and never past a higher rank or one that is not late.
     assert_eq!(top(vec![with(1, 70), with(7, 10)]), [(0, 3), (1, 1)]);
     assert_eq!(top(vec![Class { rank: Rank::Urgent, ..with(1, 20) }, with(7, 10)]), [(0, 3), (1, 1)]);
-    assert_eq!(top(vec![with(1, 20), Class { lost: 1, ..with(7, 90) }]), [(0, 3), (1, 1)]);
+    assert_eq!(top(vec![with(1, 20), Class { missed_aims: 1, ..with(7, 90) }]), [(0, 3), (1, 1)]);
 }
 
 /// On a calm day of a team with a limit each waiting gang claimed its part of it, and had the team's small
