--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -175,7 +175,7 @@
                     guaranteed: self.guaranteed.contains(&k.0),
                     team: spec.and_then(|s| self.team(&s.team)).map_or(usize::MAX, |t| t.0),
                     left: self.stated_left(e, spec, now),
-                    lost: if saves {
+                    lost_work: if saves {
                         Micros::ZERO
                     } else {
                         worth.scale(e.need.map_or(1.0, |n| n.cpus.max(0.1)))
--- a/src/sched/limits.rs
+++ b/src/sched/limits.rs
@@ -80,7 +80,7 @@
                 if h.stopping {
                     team_use.used = team_use.used.less(&h.need, 1);
                 } else if yields_to(h, class) {
-                    victims.push((h.lost, room_index, i));
+                    victims.push((h.lost_work, room_index, i));
                 }
             }
         }
--- a/src/sched/preemption.rs
+++ b/src/sched/preemption.rs
@@ -63,14 +63,14 @@
             }
             let mut victims: Vec<usize> =
                 (0..room.held.len()).filter(|&h| yields_to(&room.held[h], class)).collect();
-            victims.sort_by_key(|&h| room.held[h].lost);
+            victims.sort_by_key(|&h| room.held[h].lost_work);
             let (mut free, mut lost, mut chosen) = (coming, fetch, Vec::new());
             for h in victims {
                 if free.fits(&class.need) > 0 {
                     break;
                 }
                 free = free.plus(&room.held[h].need, 1);
-                lost = lost + room.held[h].lost;
+                lost = lost + room.held[h].lost_work;
                 chosen.push(h);
             }
             if free.fits(&class.need) > 0 {
--- a/src/sched/services.rs
+++ b/src/sched/services.rs
@@ -145,11 +145,11 @@
         }
         let mut victims: Vec<usize> =
             (0..room.held.len()).filter(|&h| yields_to(&room.held[h], class)).collect();
-        victims.sort_by_key(|&h| room.held[h].lost);
+        victims.sort_by_key(|&h| room.held[h].lost_work);
         let (mut stops, mut lost) = (Vec::new(), Micros::ZERO);
         for h in victims {
             free = free.plus(&room.held[h].need, 1);
-            lost = lost + room.held[h].lost;
+            lost = lost + room.held[h].lost_work;
             stops.push(h);
             if free.fits(&class.need) > 0 {
                 return Some(Clearing { stops, lost, ready_in: STOPPED_WITHIN });
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -65,7 +65,7 @@
     /// Until its stated end; overrunning tasks have a little left.
     pub left: Micros,
     /// Work lost if it is stopped now.
-    pub lost: Micros,
+    pub lost_work: Micros,
     /// Whether it may be stopped for others: it runs and is not being stopped already.
     pub stoppable: bool,
     /// Whether it is being stopped.
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -18,7 +18,7 @@
               held in prop::collection::vec((1u32..3, rank(), 1i64..90, any::<bool>()), 0..4)) -> Room {
         let total = need(if ty == 0 { 4.0 } else { 16.0 });
         let held: Vec<Held> = held.into_iter().map(|(cpus, rank, left, stoppable)| Held {
-            need: need(f64::from(cpus)), rank, guaranteed: false, team: usize::from(!stoppable), left: secs(left), lost: secs(left), stoppable, stopping: false, endless: false,
+            need: need(f64::from(cpus)), rank, guaranteed: false, team: usize::from(!stoppable), left: secs(left), lost_work: secs(left), stoppable, stopping: false, endless: false,
         }).scan(0.0, |sum, h| { *sum += h.need.cpus; Some((*sum, h)) }).filter(|x| x.0 <= total.cpus).map(|x| x.1).collect();
         let free = held.iter().fold(total, |f, h| f.less(&h.need, 1));
         Room { ty, zone, spot, total, free, rate, open, opens_in: secs(if open { opens % 4 } else { opens }),
@@ -477,7 +477,7 @@
         guaranteed: false,
         team: 0,
         left: secs(40),
-        lost: secs(5),
+        lost_work: secs(5),
         stoppable: true,
         stopping: false,
         endless: false,
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -16,7 +16,7 @@
         guaranteed: false,
         team: 0,
         left: secs(left),
-        lost: secs(1),
+        lost_work: secs(1),
         stoppable: true,
         stopping: false,
         endless: false,
