--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -41,7 +41,7 @@
             self.start_some(&job, count, id, now, out);
         }
         let Some(room) = self.top_up_room(id, now) else { return };
-        let (s, wanted) = (&self.planned_for, &self.plan.wanted);
+        let (s, wanted) = (&self.planned_for, &self.plan.contended_types);
         let more = sched::top_up(s, wanted, &mut self.plan.unmet, &room);
         for (class, count) in more {
             if let Some(job) = self.planned_jobs.get(class).cloned() {
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -35,7 +35,7 @@
             state.plan_class(class_index, &mut plan);
         }
     }
-    plan.wanted = state.contended_types;
+    plan.contended_types = state.contended_types;
     plan
 }
 
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -17,7 +17,7 @@
 /// is taken off `unmet`.
 pub fn top_up(
     snapshot: &Snapshot,
-    wanted: &[bool],
+    contended_types: &[bool],
     unmet: &mut [(usize, u32)],
     room: &Room,
 ) -> Vec<(usize, u32)> {
@@ -29,7 +29,8 @@
     let may = |c: &Class| {
         let limited = snapshot.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let low = kept.is_some_and(|k| c.rank < k.rank);
-        let clear = low && (snapshot.clear_rooms > 0 || wanted.get(room.ty).copied().unwrap_or(false));
+        let clear =
+            low && (snapshot.clear_rooms > 0 || contended_types.get(room.ty).copied().unwrap_or(false));
         let ends = room.until.is_none_or(|u| delay(c, room) + c.adjusted <= u);
         !(c.gang || c.one_zone || c.spread || limited || clear) && allowed(c, room) && ends
     };
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -257,7 +257,7 @@
     /// Tasks that found no room, by class, in queue order.
     pub unmet: Vec<(usize, u32)>,
     /// By type, whether tasks wait that it is kept for: nothing lower starts on it.
-    pub wanted: Vec<bool>,
+    pub contended_types: Vec<bool>,
 }
 
 impl Class {
