--- a/src/sched/limits.rs
+++ b/src/sched/limits.rs
@@ -27,6 +27,17 @@
     pub(super) count: u32,
 }
 
+/// A task that may be stopped. Victims compare by their fields in this order.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Victim {
+    /// Work that is lost.
+    lost_work: Micros,
+    /// Its room.
+    room: usize,
+    /// Its place in the room's list.
+    held: usize,
+}
+
 /// Later than anything that is planned.
 const BEYOND_PLANNING: Micros = Micros::from_millis(86_400_000);
 
@@ -74,27 +85,28 @@
         if class.patience.0 > 0 {
             return Vec::new();
         }
-        let mut victims: Vec<(Micros, usize, usize)> = Vec::new();
+        let mut victims: Vec<Victim> = Vec::new();
         for (room_index, room) in self.snapshot.rooms.iter().enumerate() {
-            for (i, h) in room.held.iter().enumerate().filter(|x| x.1.team == class.team) {
-                if h.stopping {
-                    team_use.used = team_use.used.less(&h.need, 1);
-                } else if yields_to(h, class) {
-                    victims.push((h.lost_work, room_index, i));
+            for (held, task) in room.held.iter().enumerate().filter(|(_, task)| task.team == class.team) {
+                if task.stopping {
+                    team_use.used = team_use.used.less(&task.need, 1);
+                } else if yields_to(task, class) {
+                    victims.push(Victim { lost_work: task.lost_work, room: room_index, held });
                 }
             }
         }
         victims.sort_unstable();
-        let mut out = Vec::new();
-        for (_, room_index, i) in victims {
+        let mut stops = Vec::new();
+        for victim in victims {
             if team_use.allows(&class.need) >= class.count {
-                return out;
+                return stops;
             }
-            team_use.used = team_use.used.less(&self.snapshot.rooms[room_index].held[i].need, 1);
-            out.push((room_index, i));
+            let task = &self.snapshot.rooms[victim.room].held[victim.held];
+            team_use.used = team_use.used.less(&task.need, 1);
+            stops.push((victim.room, victim.held));
         }
         if team_use.allows(&class.need) >= class.count {
-            out
+            stops
         } else {
             Vec::new()
         }
--- a/src/sched/preemption.rs
+++ b/src/sched/preemption.rs
@@ -2,7 +2,7 @@
 
 use super::placement::{allowed, fetch_seconds};
 use super::state::PlanState;
-use super::{Class, Held, Plan};
+use super::{Class, Held, Plan, Room};
 use crate::time::Micros;
 
 /// A room that the class can have, and what is stopped for it. Options compare by their fields in this
@@ -41,77 +41,66 @@
     /// class's image would take to fetch counted as lost too.
     fn preempt(&mut self, class_index: usize) -> Vec<(usize, usize)> {
         let class = &self.snapshot.classes[class_index];
-        let mut options: Vec<PreemptionOption> = Vec::new();
-        for (room_index, room) in self.snapshot.rooms.iter().enumerate() {
-            if !room.open || room.until.is_some() || self.being_cleared[room_index] || !allowed(class, room) {
-                continue;
-            }
-            let fetch = Micros::from_secs(fetch_seconds(class, room) * class.need.cpus.max(0.1));
-            let coming = room
-                .held
-                .iter()
-                .filter(|h| h.stopping)
-                .fold(self.free[room_index], |n, h| n.plus(&h.need, 1));
-            if coming.fits(&class.need) > 0 {
-                options.push(PreemptionOption {
-                    lost: fetch,
-                    room: room_index,
-                    stops: Vec::new(),
-                    fits: coming.fits(&class.need),
-                });
-                continue;
-            }
-            let mut victims: Vec<usize> =
-                (0..room.held.len()).filter(|&h| yields_to(&room.held[h], class)).collect();
-            victims.sort_by_key(|&h| room.held[h].lost_work);
-            let (mut free, mut lost, mut chosen) = (coming, fetch, Vec::new());
-            for h in victims {
-                if free.fits(&class.need) > 0 {
-                    break;
-                }
-                free = free.plus(&room.held[h].need, 1);
-                lost = lost + room.held[h].lost_work;
-                chosen.push(h);
-            }
-            if free.fits(&class.need) > 0 {
-                options.push(PreemptionOption {
-                    lost,
-                    room: room_index,
-                    stops: chosen,
-                    fits: free.fits(&class.need),
-                });
-            }
-        }
+        let room_count = self.snapshot.rooms.len();
+        let mut options: Vec<PreemptionOption> =
+            (0..room_count).filter_map(|room| self.preemption_option(class, room)).collect();
         options.sort();
         let rooms: Vec<usize> = options.iter().map(|option| option.room).collect();
-        let mut by_room: Vec<Option<usize>> = vec![None; self.snapshot.rooms.len()];
-        for (i, option) in options.iter().enumerate() {
-            by_room[option.room] = Some(i);
+        let mut by_room: Vec<Option<&PreemptionOption>> = vec![None; room_count];
+        for option in &options {
+            by_room[option.room] = Some(option);
         }
-        let fit = |room_index: usize| by_room[room_index].map_or(0, |i| options[i].fits);
         let places = if class.gang {
+            let fit = |room: usize| by_room[room].map_or(0, |option| option.fits);
             self.place_gang(class_index, &rooms, &fit)
         } else {
-            rooms
-                .iter()
-                .find(|&&room_index| {
-                    self.zone_allowance(class_index, self.snapshot.rooms[room_index].zone) > 0
-                })
-                .map(|&room_index| vec![(room_index, 1)])
+            let zone_takes =
+                |room: usize| self.zone_allowance(class_index, self.snapshot.rooms[room].zone) > 0;
+            rooms.iter().find(|&&room| zone_takes(room)).map(|&room| vec![(room, 1)])
         };
-        let places = places.unwrap_or_default();
-        for &(room_index, _) in &places {
-            self.being_cleared[room_index] = true;
+        let mut stopped = Vec::new();
+        for (room, _) in places.unwrap_or_default() {
+            self.being_cleared[room] = true;
+            let stops = by_room[room].iter().flat_map(|option| &option.stops);
+            stopped.extend(stops.map(|&held| (room, held)));
+        }
+        stopped
+    }
+
+    /// What it takes for at least one task of the class to fit into a room; `None` if it cannot.
+    fn preemption_option(&self, class: &Class, room_index: usize) -> Option<PreemptionOption> {
+        let room = &self.snapshot.rooms[room_index];
+        if !room.open || room.until.is_some() || self.being_cleared[room_index] || !allowed(class, room) {
+            return None;
         }
-        let chosen =
-            |room_index: usize| by_room[room_index].map(|i| options[i].stops.clone()).unwrap_or_default();
-        places
-            .into_iter()
-            .flat_map(|(room_index, _)| chosen(room_index).into_iter().map(move |h| (room_index, h)))
-            .collect()
+        let ending = room.held.iter().filter(|task| task.stopping);
+        let mut free = ending.fold(self.free[room_index], |free, task| free.plus(&task.need, 1));
+        let mut lost = Micros::from_secs(fetch_seconds(class, room) * class.need.cpus.max(0.1));
+        let mut stops = Vec::new();
+        if free.fits(&class.need) == 0 {
+            for held in stoppable_for(class, room) {
+                if free.fits(&class.need) > 0 {
+                    break;
+                }
+                free = free.plus(&room.held[held].need, 1);
+                lost = lost + room.held[held].lost_work;
+                stops.push(held);
+            }
+        }
+        let fits = free.fits(&class.need);
+        (fits > 0).then_some(PreemptionOption { lost, room: room_index, stops, fits })
     }
 }
 
+/// The tasks in a room that may be stopped for the class, by their place in its list, those that lose
+/// least work first.
+pub(super) fn stoppable_for(class: &Class, room: &Room) -> Vec<usize> {
+    let mut victims: Vec<usize> =
+        (0..room.held.len()).filter(|&held| yields_to(&room.held[held], class)).collect();
+    victims.sort_by_key(|&held| room.held[held].lost_work);
+    victims
+}
+
 /// Whether a task may be stopped for the class. What goes before it in the queue, by its team's guarantee,
 /// is not: it would begin again at once, and be stopped again.
 pub(super) fn yields_to(task: &Held, class: &Class) -> bool {
--- a/src/sched/queue.rs
+++ b/src/sched/queue.rs
@@ -3,22 +3,23 @@
 use super::Class;
 
 /// The queue's score within a rank: (wait / adjusted time)^3 x size.
-pub fn score(c: &Class) -> f64 {
-    let wait = c.waited.secs().max(0.001);
-    let time = c.adjusted.secs().max(0.001);
-    let size = c.need.cpus.max(c.need.gpus).max(0.1) * f64::from(c.count.max(1));
+pub fn score(class: &Class) -> f64 {
+    let wait = class.waited.secs().max(0.001);
+    let time = class.adjusted.secs().max(0.001);
+    let size = class.need.cpus.max(class.need.gpus).max(0.1) * f64::from(class.count.max(1));
     (wait / time).powi(3) * size
 }
 
-/// The queue's order: guaranteed work, then rank, then fewest aims lost, then score.
+/// The queue's order: guaranteed work, then rank, then fewest aims missed, then score.
 pub fn order(classes: &[Class]) -> Vec<usize> {
-    let mut by: Vec<(usize, f64)> = classes.iter().map(score).enumerate().collect();
-    by.sort_by(|a, b| {
-        let (x, y) = (&classes[a.0], &classes[b.0]);
+    let scores: Vec<f64> = classes.iter().map(score).collect();
+    let mut indexes: Vec<usize> = (0..classes.len()).collect();
+    indexes.sort_by(|&a, &b| {
+        let (x, y) = (&classes[a], &classes[b]);
         (y.guaranteed, y.queue_rank(), x.missed_aims)
             .cmp(&(x.guaranteed, x.queue_rank(), y.missed_aims))
-            .then(b.1.total_cmp(&a.1))
-            .then(a.0.cmp(&b.0))
+            .then(scores[b].total_cmp(&scores[a]))
+            .then(a.cmp(&b))
     });
-    by.into_iter().map(|x| x.0).collect()
+    indexes
 }
--- a/src/sched/services.rs
+++ b/src/sched/services.rs
@@ -3,7 +3,7 @@
 //! costs little time. Where no room is free soon enough, tasks of lower rank are stopped at once.
 
 use super::placement::{allowed, delay, fetch_seconds};
-use super::preemption::yields_to;
+use super::preemption::stoppable_for;
 use super::state::PlanState;
 use super::{Class, Held, Need, Room, Start};
 use crate::time::Micros;
@@ -143,14 +143,11 @@
         if self.being_cleared[room_index] {
             return None;
         }
-        let mut victims: Vec<usize> =
-            (0..room.held.len()).filter(|&h| yields_to(&room.held[h], class)).collect();
-        victims.sort_by_key(|&h| room.held[h].lost_work);
         let (mut stops, mut lost) = (Vec::new(), Micros::ZERO);
-        for h in victims {
-            free = free.plus(&room.held[h].need, 1);
-            lost = lost + room.held[h].lost_work;
-            stops.push(h);
+        for held in stoppable_for(class, room) {
+            free = free.plus(&room.held[held].need, 1);
+            lost = lost + room.held[held].lost_work;
+            stops.push(held);
             if free.fits(&class.need) > 0 {
                 return Some(Clearing { stops, lost, ready_in: STOPPED_WITHIN });
             }
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -18,8 +18,8 @@
 }
 
 impl Need {
-    /// How many tasks of need `n` fit into this.
-    pub fn fits(&self, n: &Need) -> u32 {
+    /// How many tasks of need `task` fit into this.
+    pub fn fits(&self, task: &Need) -> u32 {
         let one = |have: f64, need: f64| {
             if need <= EPS {
                 u32::MAX
@@ -27,26 +27,26 @@
                 ((have + EPS) / need).floor().clamp(0.0, 1e9) as u32
             }
         };
-        one(self.cpus, n.cpus).min(one(self.gpus, n.gpus)).min(one(self.memory, n.memory))
+        one(self.cpus, task.cpus).min(one(self.gpus, task.gpus)).min(one(self.memory, task.memory))
     }
 
-    /// This less `k` tasks of need `n`.
-    pub fn less(&self, n: &Need, k: u32) -> Need {
-        let k = f64::from(k);
+    /// This less `count` tasks of need `task`.
+    pub fn less(&self, task: &Need, count: u32) -> Need {
+        let count = f64::from(count);
         Need {
-            cpus: self.cpus - n.cpus * k,
-            gpus: self.gpus - n.gpus * k,
-            memory: self.memory - n.memory * k,
+            cpus: self.cpus - task.cpus * count,
+            gpus: self.gpus - task.gpus * count,
+            memory: self.memory - task.memory * count,
         }
     }
 
-    /// This and `k` tasks of need `n`.
-    pub fn plus(&self, n: &Need, k: u32) -> Need {
-        let k = f64::from(k);
+    /// This and `count` tasks of need `task`.
+    pub fn plus(&self, task: &Need, count: u32) -> Need {
+        let count = f64::from(count);
         Need {
-            cpus: self.cpus + n.cpus * k,
-            gpus: self.gpus + n.gpus * k,
-            memory: self.memory + n.memory * k,
+            cpus: self.cpus + task.cpus * count,
+            gpus: self.gpus + task.gpus * count,
+            memory: self.memory + task.memory * count,
         }
     }
 }
@@ -155,6 +155,13 @@
     pub replicas: Option<Vec<usize>>,
 }
 
+impl Class {
+    /// The rank that counts in the queue.
+    pub fn queue_rank(&self) -> Rank {
+        self.raised.map_or(self.rank, |r| r.max(self.rank))
+    }
+}
+
 /// A team's use and limit.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TeamUse {
@@ -167,8 +174,8 @@
 }
 
 impl TeamUse {
-    /// How many more tasks of need `n` the limit allows.
-    pub fn allows(&self, n: &Need) -> u32 {
+    /// How many more tasks of need `task` the limit allows.
+    pub fn allows(&self, task: &Need) -> u32 {
         let one = |max: f64, used: f64, need: f64| {
             if max <= 0.0 || need <= EPS {
                 u32::MAX
@@ -176,7 +183,7 @@
                 ((max - used + EPS) / need).floor().clamp(0.0, 1e9) as u32
             }
         };
-        one(self.cpus_max, self.used.cpus, n.cpus).min(one(self.gpus_max, self.used.gpus, n.gpus))
+        one(self.cpus_max, self.used.cpus, task.cpus).min(one(self.gpus_max, self.used.gpus, task.gpus))
     }
 }
 
@@ -219,7 +226,7 @@
 impl Snapshot {
     /// What is kept on machines of a type and kind, if anything is.
     pub fn kept(&self, ty: usize, spot: bool) -> Option<KeptRoom> {
-        self.keep.get(ty).copied().flatten().filter(|k| k.spot || !spot)
+        self.keep.get(ty).copied().flatten().filter(|kept| kept.spot || !spot)
     }
 }
 
@@ -259,10 +266,3 @@
     /// By type, whether tasks wait that it is kept for: nothing lower starts on it.
     pub contended_types: Vec<bool>,
 }
-
-impl Class {
-    /// The rank that counts in the queue.
-    pub fn queue_rank(&self) -> Rank {
-        self.raised.map_or(self.rank, |r| r.max(self.rank))
-    }
-}
