--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -83,7 +83,10 @@
 }
 
 /// The least time that is charged for a machine.
-const LEAST_CHARGE: Micros = Micros(60_000_000);
+const LEAST_CHARGE: Micros = Micros::from_millis(60_000);
+
+/// Most machines that are rented at once for the arrays of one group.
+const MOST_FOR_ARRAYS: f64 = 1000.0;
 
 /// What to rent, and which rooms to return.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -94,222 +97,272 @@
     pub returns: Vec<usize>,
 }
 
+/// An offer on whose machines tasks of a class fit.
+struct FittingOffer {
+    offer: Offer,
+    /// Price an hour for each task that fits.
+    task_price: f64,
+    /// How many tasks fit on a machine.
+    fits: u32,
+}
+
+/// Waiting arrays that can use the same machines.
+struct ArrayDemand<'a> {
+    /// The first of them.
+    class: &'a Class,
+    /// Processor seconds of work.
+    work: f64,
+    /// Processors of all waiting tasks.
+    cpus: f64,
+}
+
+/// When a room has place for one more task of a gang. Slots compare by their fields in this order.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Slot {
+    at: Micros,
+    room: usize,
+}
+
 impl View<'_> {
     /// Whether a booting room can still be counted on.
-    fn coming(&self, m: usize) -> bool {
-        let boot = self.types[self.snapshot.rooms[m].ty].boot_s;
-        !self.upkeep[m].booting || self.upkeep[m].age.secs() <= boot * self.policy.slow_boot
+    fn coming(&self, room: usize) -> bool {
+        let boot = self.types[self.snapshot.rooms[room].ty].boot_s;
+        !self.upkeep[room].booting || self.upkeep[room].age.secs() <= boot * self.policy.slow_boot
     }
 
     /// Offers for a class, cheapest per task first.
-    fn offers(&self, c: &Class) -> Vec<(Offer, u32)> {
-        let mut v: Vec<(f64, Offer, u32)> = Vec::new();
-        for &ty in &c.types {
-            let t = &self.types[ty];
-            let total = Need { cpus: t.cpus, gpus: t.gpus, memory: t.memory_gb };
-            let fits = total.fits(&c.need);
+    fn offers(&self, class: &Class) -> Vec<FittingOffer> {
+        let mut offers: Vec<FittingOffer> = Vec::new();
+        for &ty in &class.types {
+            let machine = &self.types[ty];
+            let total = Need { cpus: machine.cpus, gpus: machine.gpus, memory: machine.memory_gb };
+            let fits = total.fits(&class.need);
             for &zone in &self.zones[ty] {
-                if fits == 0 || c.zone.is_some_and(|z| z != zone) {
+                if fits == 0 || class.zone.is_some_and(|only| only != zone) {
                     continue;
                 }
                 let mut add = |spot: bool, price: f64| {
-                    let o = Offer { ty, zone, spot };
-                    if !self.refused.contains(&o) {
-                        v.push((price / f64::from(fits), o, fits));
+                    let offer = Offer { ty, zone, spot };
+                    if !self.refused.contains(&offer) {
+                        offers.push(FittingOffer { offer, task_price: price / f64::from(fits), fits });
                     }
                 };
-                add(false, t.price);
-                if let (true, Some(p)) = (c.spot, t.spot_price.filter(|p| *p > 0.0)) {
-                    add(true, p);
+                add(false, machine.price);
+                if let (true, Some(price)) = (class.spot, machine.spot_price.filter(|p| *p > 0.0)) {
+                    add(true, price);
                 }
             }
         }
-        v.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        v.into_iter().map(|x| (x.1, x.2)).collect()
+        offers.sort_by(|a, b| a.task_price.total_cmp(&b.task_price).then(a.offer.cmp(&b.offer)));
+        offers
     }
 
     /// When each room has place for tasks of a gang, by stated ends, soonest first: one entry for
     /// each task it takes beyond those in `used`.
-    fn slots(&self, c: &Class, used: &[u32], most: u32) -> Vec<(Micros, usize)> {
-        let mut v = Vec::new();
-        for (m, r) in self.snapshot.rooms.iter().enumerate() {
-            let total = r.total.fits(&c.need);
-            if !allowed(c, r) || r.until.is_some() || !self.coming(m) || total <= used[m] {
+    fn slots(&self, class: &Class, used: &[u32], most: u32) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        for (index, room) in self.snapshot.rooms.iter().enumerate() {
+            let total = room.total.fits(&class.need);
+            if !allowed(class, room) || room.until.is_some() || !self.coming(index) || total <= used[index] {
                 continue;
             }
-            let mut ends: Vec<_> = r.held.iter().map(|h| (h.left, h.need)).collect();
-            ends.sort_by_key(|e| e.0);
+            let mut ends: Vec<_> = room.held.iter().map(|task| (task.left, task.need)).collect();
+            ends.sort_by_key(|end| end.0);
             let mut ends = ends.into_iter();
-            let mut free = r.free;
-            let mut at = r.opens_in;
-            let mut taken = used[m];
-            while taken < total.min(used[m].saturating_add(most)) {
-                while free.fits(&c.need) <= taken {
+            let mut free = room.free;
+            let mut at = room.opens_in;
+            let mut taken = used[index];
+            while taken < total.min(used[index].saturating_add(most)) {
+                while free.fits(&class.need) <= taken {
                     let Some((left, need)) = ends.next() else { break };
                     free = free.plus(&need, 1);
                     at = at.max(left);
                 }
-                if free.fits(&c.need) <= taken {
+                if free.fits(&class.need) <= taken {
                     break;
                 }
                 taken += 1;
-                v.push((at, m));
+                slots.push(Slot { at, room: index });
             }
         }
-        v.sort_unstable();
-        v
+        slots.sort_unstable();
+        slots
     }
 
+    /// Rents for the tasks of gangs that find no room soon.
     fn rent_for_gangs(&self, rents: &mut Vec<Rent>) {
         let mut used = vec![0u32; self.snapshot.rooms.len()];
-        for &(class, left) in &self.plan.unmet {
-            let c = &self.snapshot.classes[class];
-            if !c.gang {
+        for &(class_index, left) in &self.plan.unmet {
+            let class = &self.snapshot.classes[class_index];
+            if !class.gang {
                 continue;
             }
-            let offers = self.offers(c);
-            let boot = offers.first().map_or(Micros::ZERO, |o| Micros::from_secs(self.types[o.0.ty].boot_s));
+            let offers = self.offers(class);
+            let boot_s = offers.first().map(|best| self.types[best.offer.ty].boot_s);
+            let boot = boot_s.map_or(Micros::ZERO, Micros::from_secs);
             let mut found = 0u32;
-            for (at, m) in self.slots(c, &used, left) {
+            for Slot { at, room } in self.slots(class, &used, left) {
                 // The promise of a room soon, by stated ends, counts only until it is broken.
-                if found < left && ((at <= boot && c.patience.0 > 0) || self.upkeep[m].booting) {
-                    used[m] += 1;
+                let promised = at <= boot && class.patience.0 > 0;
+                if found < left && (promised || self.upkeep[room].booting) {
+                    used[room] += 1;
                     found += 1;
                 }
             }
-            let missing = left - found;
             // Room rented for an earlier class in this same round has not been asked for it.
-            if let (true, Some(&(offer, fits))) = (missing > 0, offers.first()) {
-                add(rents, Rent { offer, count: missing.div_ceil(fits.max(1)) });
-            }
+            rent_for_tasks(rents, left - found, offers.first());
         }
     }
 
+    /// Rents for arrays whose work would not drain in time.
     fn rent_for_arrays(&self, rents: &mut Vec<Rent>) {
-        // Classes that can use the same machines share them; they are counted together.
-        let mut groups: Vec<(&Class, f64, f64)> = Vec::new();
-        for &(class, left) in &self.plan.unmet {
-            let c = &self.snapshot.classes[class];
-            if c.gang || c.replicas.is_some() {
+        for demand in self.array_demands() {
+            let Some(FittingOffer { offer, .. }) = self.offers(demand.class).into_iter().next() else {
+                continue;
+            };
+            let machine = &self.types[offer.ty];
+            let supply = self.array_supply(demand.class, self.policy.drain.secs() + machine.boot_s);
+            let falls_short = demand.work > supply;
+            if !falls_short {
                 continue;
             }
-            let cpus = c.need.cpus.max(0.1) * f64::from(left);
+            let by_work = (demand.work - supply) / (machine.cpus * self.policy.drain.secs());
+            let by_width = demand.cpus / machine.cpus;
+            // Less than half a machine is not worth one, unless there is none at all.
+            let least = if supply > 0.0 { 0.0 } else { 1.0 };
+            let count = by_work.min(by_width).round().clamp(least, MOST_FOR_ARRAYS) as u32;
+            if count > 0 {
+                add(rents, Rent { offer, count });
+            }
+        }
+    }
+
+    /// What the waiting arrays ask for. Classes that can use the same machines share them; they are
+    /// counted together.
+    fn array_demands(&self) -> Vec<ArrayDemand<'_>> {
+        let mut demands: Vec<ArrayDemand> = Vec::new();
+        for &(class_index, left) in &self.plan.unmet {
+            let class = &self.snapshot.classes[class_index];
+            if class.gang || class.replicas.is_some() {
+                continue;
+            }
+            let cpus = class.need.cpus.max(0.1) * f64::from(left);
             // Estimates may be mostly too low for a whole day; then room seems enough while jobs
             // wait. What has waited long counts for more.
-            let pressed = (c.waited.secs() / (self.policy.drain.secs() / 2.0)).max(1.0);
-            let work = cpus * c.adjusted.secs() * pressed;
-            match groups.iter_mut().find(|g| g.0.types == c.types && g.0.spot == c.spot && g.0.zone == c.zone)
-            {
-                Some(g) => {
-                    g.1 += work;
-                    g.2 += cpus;
+            let pressed = (class.waited.secs() / (self.policy.drain.secs() / 2.0)).max(1.0);
+            let work = cpus * class.adjusted.secs() * pressed;
+            let alike = |other: &Class| {
+                other.types == class.types && other.spot == class.spot && other.zone == class.zone
+            };
+            match demands.iter_mut().find(|demand| alike(demand.class)) {
+                Some(demand) => {
+                    demand.work += work;
+                    demand.cpus += cpus;
                 }
-                None => groups.push((c, work, cpus)),
+                None => demands.push(ArrayDemand { class, work, cpus }),
             }
         }
-        for (c, work, cpus) in groups {
-            let Some(&(offer, _)) = self.offers(c).first() else { continue };
-            let t = &self.types[offer.ty];
-            let boot = t.boot_s;
-            let horizon = self.policy.drain.secs() + boot;
-            let mut supply = 0.0;
-            for (m, r) in self.snapshot.rooms.iter().enumerate() {
-                let kept = self.snapshot.kept(r.ty, r.spot).is_some_and(|k| c.rank < k.rank);
-                if !allowed(c, r)
-                    || r.until.is_some()
-                    || kept
-                    || !self.coming(m)
-                    || r.total.fits(&c.need) == 0
-                {
-                    continue;
-                }
-                let late = if self.upkeep[m].booting { r.opens_in.secs() } else { 0.0 };
-                let busy: f64 = r.held.iter().map(|h| h.need.cpus * h.left.secs().min(horizon)).sum();
-                supply += (r.total.cpus * (horizon - late).max(0.0) - busy).max(0.0);
-            }
-            if work > supply {
-                let by_work = (work - supply) / (t.cpus * self.policy.drain.secs());
-                let by_width = cpus / t.cpus;
-                // Less than half a machine is not worth one, unless there is none at all.
-                let least = if supply > 0.0 { 0.0 } else { 1.0 };
-                let count = by_work.min(by_width).round().clamp(least, 1000.0) as u32;
-                if count > 0 {
-                    add(rents, Rent { offer, count });
-                }
+        demands
+    }
+
+    /// Processor seconds that the rooms there are have for a class within so many seconds.
+    fn array_supply(&self, class: &Class, horizon_s: f64) -> f64 {
+        let mut supply = 0.0;
+        for (index, room) in self.snapshot.rooms.iter().enumerate() {
+            let kept = self.snapshot.kept(room.ty, room.spot).is_some_and(|kept| class.rank < kept.rank);
+            let usable = allowed(class, room) && room.until.is_none() && !kept && self.coming(index);
+            if !usable || room.total.fits(&class.need) == 0 {
+                continue;
             }
+            let late = if self.upkeep[index].booting { room.opens_in.secs() } else { 0.0 };
+            let busy: f64 =
+                room.held.iter().map(|task| task.need.cpus * task.left.secs().min(horizon_s)).sum();
+            supply += (room.total.cpus * (horizon_s - late).max(0.0) - busy).max(0.0);
         }
+        supply
     }
 
     /// Rents for replicas that found no place: whole machines, ordinary ones if they are to be had,
     /// since a replica outlives most spot machines.
     fn rent_for_services(&self, rents: &mut Vec<Rent>) {
-        let mut coming: Vec<Need> = self
-            .snapshot
-            .rooms
+        let rooms = &self.snapshot.rooms;
+        let booting = |index: usize| self.upkeep[index].booting && self.coming(index);
+        let mut coming: Vec<Need> = rooms
             .iter()
             .enumerate()
-            .map(|(m, r)| if self.upkeep[m].booting && self.coming(m) { r.free } else { Need::default() })
+            .map(|(index, room)| if booting(index) { room.free } else { Need::default() })
             .collect();
-        for &(class, left) in &self.plan.unmet {
-            let c = &self.snapshot.classes[class];
-            if c.replicas.is_none() {
+        for &(class_index, left) in &self.plan.unmet {
+            let class = &self.snapshot.classes[class_index];
+            if class.replicas.is_none() {
                 continue;
             }
             let mut missing = left;
-            for (m, _) in self.snapshot.rooms.iter().enumerate().filter(|x| allowed(c, x.1)) {
-                let taken = coming[m].fits(&c.need).min(missing);
-                coming[m] = coming[m].less(&c.need, taken);
+            for (index, _) in rooms.iter().enumerate().filter(|(_, room)| allowed(class, room)) {
+                let taken = coming[index].fits(&class.need).min(missing);
+                coming[index] = coming[index].less(&class.need, taken);
                 missing -= taken;
             }
-            let offers = self.offers(c);
-            let lasting = offers.iter().find(|o| !o.0.spot).or(offers.first());
-            if let (true, Some(&(offer, fits))) = (missing > 0, lasting) {
-                add(rents, Rent { offer, count: missing.div_ceil(fits.max(1)) });
-            }
+            let offers = self.offers(class);
+            let lasting = offers.iter().find(|fitting| !fitting.offer.spot).or(offers.first());
+            rent_for_tasks(rents, missing, lasting);
         }
     }
 
+    /// Whether the plan starts tasks on a room or reserves it.
+    fn planned(&self, room: usize) -> bool {
+        let reservation = self.plan.reservation.as_ref();
+        reservation.is_some_and(|reservation| reservation.rooms.iter().any(|place| place.0 == room))
+            || self.plan.starts.iter().any(|start| start.room == room)
+    }
+
+    /// How many machines like this one stay though idle. A spot machine that those for whom some stay
+    /// may not use is kept for nobody.
+    fn warm_count(&self, room: &Room) -> usize {
+        let pool = self.warm.get(room.ty).copied().unwrap_or_default();
+        if room.spot && !pool.spot {
+            0
+        } else {
+            pool.count
+        }
+    }
+
+    /// How long a room has to be idle to be returned.
+    fn idle_limit(&self, room: &Room) -> Micros {
+        match self.due.get(room.ty) {
+            Some(true) => self.policy.idle_due,
+            _ if self.warm_count(room) > 0 => self.policy.idle_kept,
+            _ => self.policy.idle,
+        }
+    }
+
+    /// The rooms to return.
     fn returns(&self) -> Vec<usize> {
-        let reserved = |m: usize| {
-            self.plan.reservation.as_ref().is_some_and(|r| r.rooms.iter().any(|x| x.0 == m))
-                || self.plan.starts.iter().any(|s| s.room == m)
-        };
-        // A spot machine that those for whom some stay warm may not use is kept for nobody.
-        let warm = |r: &Room| {
-            let w = self.warm.get(r.ty).copied().unwrap_or_default();
-            if r.spot && !w.spot {
-                0
-            } else {
-                w.count
-            }
-        };
         let mut left: Vec<usize> = vec![0; self.types.len()];
-        for (r, u) in self.snapshot.rooms.iter().zip(self.upkeep) {
-            left[r.ty] += usize::from(!u.booting && r.until.is_none() && warm(r) > 0);
+        for (room, upkeep) in self.snapshot.rooms.iter().zip(self.upkeep) {
+            let counts = !upkeep.booting && room.until.is_none() && self.warm_count(room) > 0;
+            left[room.ty] += usize::from(counts);
         }
-        let mut out = Vec::new();
+        let mut returns = Vec::new();
         // The dear ones first.
-        let mut rooms: Vec<(usize, (&Room, &Upkeep))> =
-            self.snapshot.rooms.iter().zip(self.upkeep).enumerate().collect();
-        rooms.sort_by_key(|x| std::cmp::Reverse(x.1 .0.rate));
-        for (m, (r, u)) in rooms {
-            let warm = warm(r);
-            let after = match self.due.get(r.ty) {
-                Some(true) => self.policy.idle_due,
-                _ if warm > 0 => self.policy.idle_kept,
-                _ => self.policy.idle,
-            };
+        let mut by_price: Vec<usize> = (0..self.snapshot.rooms.len().min(self.upkeep.len())).collect();
+        by_price.sort_by_key(|&index| std::cmp::Reverse(self.snapshot.rooms[index].rate));
+        for index in by_price {
+            let (room, upkeep) = (&self.snapshot.rooms[index], &self.upkeep[index]);
+            let warm = self.warm_count(room);
+            let idle = upkeep.idle.is_some_and(|idle| idle > self.idle_limit(room));
             // Under the least charge nothing is saved by giving a machine back.
-            let spare = warm == 0 || left[r.ty] > warm;
-            if u.idle.is_some_and(|i| i > after) && u.age > LEAST_CHARGE && !reserved(m) && spare {
-                left[r.ty] = left[r.ty].saturating_sub(usize::from(warm > 0));
-                out.push(m);
+            let charged = upkeep.age > LEAST_CHARGE;
+            let spare = warm == 0 || left[room.ty] > warm;
+            if idle && charged && spare && !self.planned(index) {
+                left[room.ty] = left[room.ty].saturating_sub(usize::from(warm > 0));
+                returns.push(index);
             }
         }
-        out
+        returns
     }
 
-    /// Decides.
+    /// What to rent and to return.
     pub fn decide(&self) -> Decision {
         let mut rents = Vec::new();
         self.rent_for_gangs(&mut rents);
@@ -319,9 +372,18 @@
     }
 }
 
-fn add(rents: &mut Vec<Rent>, r: Rent) {
-    match rents.iter_mut().find(|x| x.offer == r.offer) {
-        Some(x) => x.count += r.count,
-        None => rents.push(r),
+/// Adds machines to what is rented.
+fn add(rents: &mut Vec<Rent>, rent: Rent) {
+    match rents.iter_mut().find(|other| other.offer == rent.offer) {
+        Some(other) => other.count += rent.count,
+        None => rents.push(rent),
+    }
+}
+
+/// Adds as many machines of an offer as so many tasks need.
+fn rent_for_tasks(rents: &mut Vec<Rent>, tasks: u32, best: Option<&FittingOffer>) {
+    if let (true, Some(best)) = (tasks > 0, best) {
+        let count = tasks.div_ceil(best.fits.max(1));
+        add(rents, Rent { offer: best.offer, count });
     }
 }
