--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -6,6 +6,7 @@
 //! only if, by their *adjusted* times, they do not delay it.
 
 mod arrays;
+mod availability;
 mod gangs;
 mod limits;
 mod placement;
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -11,7 +11,7 @@
 /// Between two plans: what of the array tasks that found no room may start on a machine that has
 /// room now. Called for machines outside the reservation on which nothing is being stopped, so it
 /// delays nobody that the plan made wait for them; jobs tied to zones and teams with a limit are
-/// left to the next plan. It goes in the queue's order, but among jobs of one rank that have lost as
+/// left to the next plan. It goes in the queue's order, but among jobs of one rank that missed as
 /// many aims, those whose image the machine has go first: where all machines are in use, each would
 /// otherwise fetch every image, and fetching takes as much of its time as running. What it starts
 /// is taken off `unmet`.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,11 +7,13 @@
 mod state;
 mod workers;
 
-pub use cloud::*;
-pub use jobs::*;
-pub use replies::*;
-pub use state::*;
-pub use workers::*;
+pub use cloud::{Catalog, ListedMachine, MachineList, MachineNames, MachineType, RentRequest};
+pub use jobs::{is_job_id, JobSpec, JobStatus, Rank, Shape, Stage, MAX_TASKS, REQUIRED};
+pub use replies::{Health, NodeStatus, PartStatus, Redirect, HEALTH_PATH};
+pub use state::{Change, Event, Events, Guard, Row, Rows, Txn};
+pub use workers::{
+    Commands, Order, Report, ReportReply, TaskReport, TaskStage, Why, COMMANDS_PATH, REPORT_PATH,
+};
 
 use serde::Deserialize;
 
