--- a/src/sched/gangs.rs
+++ b/src/sched/gangs.rs
@@ -70,17 +70,17 @@
                 if only.is_some_and(|o| o != zone) {
                     continue;
                 }
-                let mut n = fit(room_index).min(left);
+                let mut count = fit(room_index).min(left);
                 if class.one_zone && by_zone.iter().enumerate().any(|(o, &k)| o != zone && k > 0) {
-                    n = 0;
+                    count = 0;
                 }
                 if class.spread {
-                    n = n.min(class.tasks.div_ceil(2).saturating_sub(by_zone[zone]));
+                    count = count.min(class.tasks.div_ceil(2).saturating_sub(by_zone[zone]));
                 }
-                if n > 0 {
-                    by_zone[zone] += n;
-                    left -= n;
-                    places.push((room_index, n));
+                if count > 0 {
+                    by_zone[zone] += count;
+                    left -= count;
+                    places.push((room_index, count));
                 }
             }
             if left == 0 {
--- a/src/sched/state.rs
+++ b/src/sched/state.rs
@@ -34,6 +34,24 @@
     pub(super) planned_ends: Vec<Vec<StatedEnd>>,
 }
 
+/// A room that could take tasks of a class. Candidates compare by their fields in this order, and the
+/// least is the best.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    /// Room in it is kept for tasks of a higher rank.
+    kept_for_others: bool,
+    /// How long until a task would run there, in steps within which delays count as alike.
+    delay_steps: i64,
+    /// The room's price.
+    rate: i64,
+    /// All its processors, in tenths.
+    total_tenths: i64,
+    /// Its free processors, in tenths.
+    free_tenths: i64,
+    /// Its index.
+    room: usize,
+}
+
 impl<'a> PlanState<'a> {
     /// Nothing planned yet.
     pub(super) fn new(snapshot: &'a Snapshot) -> PlanState<'a> {
@@ -43,16 +61,16 @@
             .rooms
             .iter()
             .map(|room| {
-                let k = snapshot.kept(room.ty, room.spot)?;
+                let kept = snapshot.kept(room.ty, room.spot)?;
                 if clear[room.ty] >= snapshot.clear_rooms
-                    || room.free.fits(&k.need) == 0
+                    || room.free.fits(&kept.need) == 0
                     || room.until.is_some()
                 {
                     return None;
                 }
                 clear[room.ty] += 1;
-                let low = room.held.iter().filter(|h| h.rank < k.rank);
-                Some(low.fold(room.total.less(&k.need, 1), |n, h| n.less(&h.need, 1)))
+                let low = room.held.iter().filter(|h| h.rank < kept.rank);
+                Some(low.fold(room.total.less(&kept.need, 1), |n, h| n.less(&h.need, 1)))
             })
             .collect();
         PlanState {
@@ -73,7 +91,7 @@
 
     /// Whether room on that machine is kept for tasks of a higher rank than the class.
     fn is_below_kept_rank(&self, class: &Class, room: &Room) -> bool {
-        self.snapshot.kept(room.ty, room.spot).is_some_and(|k| class.rank < k.rank)
+        self.snapshot.kept(room.ty, room.spot).is_some_and(|kept| class.rank < kept.rank)
     }
 
     /// How many tasks of the class could start there now.
@@ -82,21 +100,22 @@
         if !room.open || !allowed(class, room) {
             return 0;
         }
-        let mut n = self.free[room_index].fits(&class.need);
-        if n > 0 && self.is_below_kept_rank(class, room) {
+        let mut count = self.free[room_index].fits(&class.need);
+        if count > 0 && self.is_below_kept_rank(class, room) {
             if self.contended_types[room.ty] {
                 return 0;
             }
-            n = n.min(self.free_beside_kept[room_index].map_or(n, |s| s.fits(&class.need)));
+            let beside_kept = self.free_beside_kept[room_index];
+            count = count.min(beside_kept.map_or(count, |free| free.fits(&class.need)));
         }
-        let runs = delay(class, room) + class.adjusted;
-        if room.until.is_some_and(|u| runs > u) {
+        let ends_in = delay(class, room) + class.adjusted;
+        if room.until.is_some_and(|until| ends_in > until) {
             return 0;
         }
         match &self.shadow[room_index] {
             // It would still be there when the reserved job comes: only what that job leaves.
-            Some(left) if runs > self.reserved_at => n.min(left.fits(&class.need)),
-            _ => n,
+            Some(left) if ends_in > self.reserved_at => count.min(left.fits(&class.need)),
+            _ => count,
         }
     }
 
@@ -107,10 +126,10 @@
         self.free[room_index] = self.free[room_index].less(&class.need, count);
         if self.is_below_kept_rank(class, room) {
             self.free_beside_kept[room_index] =
-                self.free_beside_kept[room_index].map(|x| x.less(&class.need, count));
+                self.free_beside_kept[room_index].map(|free| free.less(&class.need, count));
         }
         if delay(class, room) + class.adjusted > self.reserved_at {
-            self.shadow[room_index] = self.shadow[room_index].map(|x| x.less(&class.need, count));
+            self.shadow[room_index] = self.shadow[room_index].map(|free| free.less(&class.need, count));
         }
         if let Some(team_use) = self.teams.get_mut(class.team) {
             team_use.used = team_use.used.plus(&class.need, count);
@@ -125,42 +144,39 @@
 
     /// The rooms for a class, best first.
     pub(super) fn candidates(&self, class: &Class) -> Vec<usize> {
+        // Reports come every few seconds anyway: within that, cheap and small rooms go before large
+        // ones and full ones before empty ones, so that others empty and can be returned.
+        let step = match class.rank {
+            Rank::Idle => self.snapshot.low_rank_delay_step,
+            _ => self.snapshot.delay_step,
+        };
         let tenths = |cpus: f64| (cpus * 10.0) as i64;
-        let mut ranked: Vec<(bool, i64, i64, i64, i64, usize)> = (0..self.snapshot.rooms.len())
-            .filter(|&room_index| self.fits_now(class, room_index) > 0)
-            .map(|room_index| {
-                let room = &self.snapshot.rooms[room_index];
-                // Reports come every few seconds anyway: within that, cheap and small rooms go before large
-                // ones and full ones before empty ones, so that others empty and can be returned.
-                let step = if class.rank == Rank::Idle {
-                    self.snapshot.low_rank_delay_step
-                } else {
-                    self.snapshot.delay_step
-                };
-                let delay = delay(class, room).0 / step.0.max(1);
-                (
-                    self.is_below_kept_rank(class, room),
-                    delay,
-                    room.rate,
-                    tenths(room.total.cpus),
-                    tenths(self.free[room_index].cpus),
-                    room_index,
-                )
-            })
-            .collect();
-        ranked.sort_unstable();
-        ranked.into_iter().map(|x| x.5).collect()
+        let candidate = |index: usize| {
+            let room = &self.snapshot.rooms[index];
+            Candidate {
+                kept_for_others: self.is_below_kept_rank(class, room),
+                delay_steps: delay(class, room).0 / step.0.max(1),
+                rate: room.rate,
+                total_tenths: tenths(room.total.cpus),
+                free_tenths: tenths(self.free[index].cpus),
+                room: index,
+            }
+        };
+        let fitting = (0..self.snapshot.rooms.len()).filter(|&index| self.fits_now(class, index) > 0);
+        let mut candidates: Vec<Candidate> = fitting.map(candidate).collect();
+        candidates.sort_unstable();
+        candidates.into_iter().map(|candidate| candidate.room).collect()
     }
 
     /// How many tasks of the class may still go to the zone.
     pub(super) fn zone_allowance(&self, class_index: usize, zone: usize) -> u32 {
         let class = &self.snapshot.classes[class_index];
-        let at = &self.zones[class_index];
-        if class.one_zone && at.iter().enumerate().any(|(z, &n)| z != zone && n > 0) {
+        let by_zone = &self.zones[class_index];
+        if class.one_zone && by_zone.iter().enumerate().any(|(other, &count)| other != zone && count > 0) {
             return 0;
         }
         if class.spread {
-            return class.tasks.div_ceil(2).saturating_sub(at[zone]);
+            return class.tasks.div_ceil(2).saturating_sub(by_zone[zone]);
         }
         u32::MAX
     }
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -21,12 +21,12 @@
     unmet: &mut [(usize, u32)],
     room: &Room,
 ) -> Vec<(usize, u32)> {
-    let mut out = Vec::new();
+    let mut starts = Vec::new();
     let mut free = room.free;
     let kept = snapshot.kept(room.ty, room.spot);
-    let has = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
+    let has_image = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
     let group = |c: &Class| (c.guaranteed, c.queue_rank(), c.missed_aims);
-    let may = |c: &Class| {
+    let may_start = |c: &Class| {
         let limited = snapshot.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let low = kept.is_some_and(|k| c.rank < k.rank);
         let clear =
@@ -37,25 +37,26 @@
     let mut from = 0;
     while from < unmet.len() && free.cpus > EPS {
         // Classes of one group stand together in the queue.
-        let of = group(&snapshot.classes[unmet[from].0]);
-        let to =
-            (from..unmet.len()).find(|&i| group(&snapshot.classes[unmet[i].0]) != of).unwrap_or(unmet.len());
-        for first in [true, false] {
+        let current = group(&snapshot.classes[unmet[from].0]);
+        let to = (from..unmet.len())
+            .find(|&i| group(&snapshot.classes[unmet[i].0]) != current)
+            .unwrap_or(unmet.len());
+        for first_pass in [true, false] {
             for (class_index, left) in unmet[from..to].iter_mut().filter(|u| u.1 > 0) {
                 let class = &snapshot.classes[*class_index];
-                let now = has(class) || class.waited > PASSED_OVER;
-                if now != first || !may(class) {
+                let goes_first = has_image(class) || class.waited > PASSED_OVER;
+                if goes_first != first_pass || !may_start(class) {
                     continue;
                 }
                 let count = free.fits(&class.need).min(*left);
                 if count > 0 {
                     free = free.less(&class.need, count);
                     *left -= count;
-                    out.push((*class_index, count));
+                    starts.push((*class_index, count));
                 }
             }
         }
         from = to;
     }
-    out
+    starts
 }
