--- a/src/wire/jobs.rs
+++ b/src/wire/jobs.rs
@@ -96,11 +96,14 @@
 }
 
 /// Whether a string has the form of a job id.
-pub fn is_job_id(s: &str) -> bool {
-    s.strip_prefix("wk-")
+pub fn is_job_id(text: &str) -> bool {
+    text.strip_prefix("wk-")
         .is_some_and(|d| (1..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
 }
 
+/// Greatest amount of anything in a submission.
+const MAX_AMOUNT: f64 = 1e9;
+
 /// Most tasks in a job.
 pub const MAX_TASKS: u32 = 100_000;
 
@@ -125,6 +128,9 @@
     "stashS",
 ];
 
+/// Longest text in a submission, in bytes.
+const MAX_TEXT: usize = 200;
+
 /// Longest reason given to a user, whatever they sent.
 const MAX_REASON: usize = 300;
 
@@ -136,8 +142,8 @@
 impl JobSpec {
     /// Parses and checks a submission; the error is a reason for the user, in one line.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
-        let v: Value = serde_json::from_slice(body).map_err(|e| format!("not JSON: {e}"))?;
-        let Some(fields) = v.as_object() else {
+        let submission: Value = serde_json::from_slice(body).map_err(|e| format!("not JSON: {e}"))?;
+        let Some(fields) = submission.as_object() else {
             return Err("not an object".into());
         };
         if let Some(name) = REQUIRED.iter().find(|n| fields.get(**n).is_none_or(Value::is_null)) {
@@ -148,7 +154,8 @@
         {
             return Err(format!("{name}: must be a string"));
         }
-        let spec: JobSpec = serde_path_to_error::deserialize(v).map_err(|e| one_line(&e.to_string()))?;
+        let spec: JobSpec =
+            serde_path_to_error::deserialize(submission).map_err(|e| one_line(&e.to_string()))?;
         spec.check()?;
         Ok(spec)
     }
@@ -160,8 +167,8 @@
         if self.tasks == 0 || self.tasks > MAX_TASKS {
             return Err(format!("kernels: must be from 1 to {MAX_TASKS}"));
         }
-        let amount = |name: &str, v: f64, least: f64| {
-            if v.is_finite() && v >= least && v <= 1e9 {
+        let amount = |name: &str, value: f64, least: f64| {
+            if value.is_finite() && (least..=MAX_AMOUNT).contains(&value) {
                 Ok(())
             } else {
                 Err(format!("{name}: out of range"))
@@ -180,20 +187,20 @@
         }
         amount("stashEveryS", self.checkpoint_s, 0.0)?;
         amount("stashS", self.save_s, 0.0)?;
-        if let Some(d) = self.deadline_s {
-            amount("dueS", d, 0.0)?;
+        if let Some(deadline_s) = self.deadline_s {
+            amount("dueS", deadline_s, 0.0)?;
         }
-        let short = |name: &str, s: &str| {
-            if s.is_empty() || s.len() > 200 || s.chars().any(char::is_control) {
-                Err(format!("{name}: must be 1 to 200 bytes"))
+        let short = |name: &str, text: &str| {
+            if text.is_empty() || text.len() > MAX_TEXT || text.chars().any(char::is_control) {
+                Err(format!("{name}: must be 1 to {MAX_TEXT} bytes"))
             } else {
                 Ok(())
             }
         };
         short("owner", &self.team)?;
-        for (name, s) in [("grain", &self.class), ("seed", &self.image), ("field", &self.zone)] {
-            if let Some(s) = s {
-                short(name, s)?;
+        for (name, text) in [("grain", &self.class), ("seed", &self.image), ("field", &self.zone)] {
+            if let Some(text) = text {
+                short(name, text)?;
             }
         }
         if let Some(types) = &self.types {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -18,10 +18,10 @@
 use serde::Deserialize;
 
 /// Reads null as the default, as if the field were left out.
-fn null_is_default<'de, D, T>(d: D) -> Result<T, D::Error>
+fn null_is_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: serde::Deserializer<'de>,
     T: Default + Deserialize<'de>,
 {
-    Ok(Option::<T>::deserialize(d)?.unwrap_or_default())
+    Ok(Option::<T>::deserialize(deserializer)?.unwrap_or_default())
 }
