--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -53,9 +53,9 @@
         let mut s = Snapshot {
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
-            clear: self.clear(),
-            coarse: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
-            fine: FINE,
+            clear_rooms: self.clear(),
+            low_rank_delay_step: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
+            delay_step: FINE,
             keep: self.keep(),
             ..Snapshot::default()
         };
@@ -133,7 +133,7 @@
                 } else {
                     vec![0; self.zones.len()]
                 },
-                lost: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
+                missed_aims: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
                 patience: self.patience(sp) - waited,
                 replicas: (sp.shape == Shape::Service).then(|| self.replica_rooms(j, &room_of)),
             });
@@ -179,7 +179,7 @@
                     guaranteed: self.guaranteed.contains(&k.0),
                     team: spec.and_then(|s| self.team(&s.team)).map_or(usize::MAX, |t| t.0),
                     left: self.stated_left(e, spec, now),
-                    lost: if saves {
+                    lost_work: if saves {
                         Micros::ZERO
                     } else {
                         worth.scale(e.need.map_or(1.0, |n| n.cpus.max(0.1)))
--- /dev/null
+++ b/src/sched/limits.rs
@@ -0,0 +1,114 @@
+//! The limits of teams: how much of a class they let start, and when.
+
+use super::preemption::yields_to;
+use super::state::PlanState;
+use super::{Held, Need};
+use crate::time::Micros;
+
+/// A gang's claim on its team's limit.
+#[derive(Clone, Copy)]
+pub(super) struct Claim {
+    /// What each of its tasks takes.
+    pub(super) need: Need,
+    /// How many tasks.
+    pub(super) count: u32,
+    /// When, by stated ends, the limit lets it start.
+    pub(super) at: Micros,
+}
+
+/// Tasks that end at a time, by their stated run time.
+#[derive(Clone, Copy)]
+pub(super) struct StatedEnd {
+    /// When.
+    pub(super) at: Micros,
+    /// What each takes.
+    pub(super) need: Need,
+    /// How many.
+    pub(super) count: u32,
+}
+
+/// A task that may be stopped. Victims compare by their fields in this order.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Victim {
+    /// Work that is lost.
+    lost_work: Micros,
+    /// Its room.
+    room: usize,
+    /// Its place in the room's list.
+    held: usize,
+}
+
+/// Later than anything that is planned.
+const BEYOND_PLANNING: Micros = Micros::from_millis(86_400_000);
+
+impl PlanState<'_> {
+    /// How many tasks of the class its team's limit lets start. What a gang of the team waits for is
+    /// left to it, unless the class ends before.
+    pub(super) fn startable_count(&self, class_index: usize) -> u32 {
+        let class = &self.snapshot.classes[class_index];
+        let Some(team_use) = self.teams.get(class.team) else { return class.count };
+        let mut team_use = *team_use;
+        if let Some(claim) = self.limit_claims[class.team]
+            .filter(|x| class.adjusted + self.snapshot.low_rank_delay_step > x.at)
+        {
+            team_use.used = team_use.used.plus(&claim.need, claim.count);
+        }
+        class.count.min(team_use.allows(&class.need))
+    }
+
+    /// When, by stated ends, the team's limit lets the class start whole.
+    pub(super) fn limit_allows_at(&self, class_index: usize) -> Micros {
+        let class = &self.snapshot.classes[class_index];
+        let Some(mut team_use) = self.teams.get(class.team).copied() else { return Micros::ZERO };
+        let held = self.snapshot.rooms.iter().flat_map(|room| &room.held).filter(|h| h.team == class.team);
+        let end = |task: &Held| {
+            let at = if task.stopping { Micros::ZERO } else { task.left };
+            StatedEnd { at, need: task.need, count: 1 }
+        };
+        let mut ends: Vec<StatedEnd> = held.map(end).collect();
+        ends.extend(&self.planned_ends[class.team]);
+        ends.sort_unstable_by_key(|end| end.at);
+        for StatedEnd { at, need, count } in ends {
+            team_use.used = team_use.used.less(&need, count);
+            if team_use.allows(&class.need) >= class.count {
+                return at;
+            }
+        }
+        BEYOND_PLANNING
+    }
+
+    /// Tasks of the same team and lower rank to stop so that the limit lets the class start, once
+    /// it has waited long enough.
+    pub(super) fn preempt_within_limit(&self, class_index: usize) -> Vec<(usize, usize)> {
+        let class = &self.snapshot.classes[class_index];
+        let Some(mut team_use) = self.teams.get(class.team).copied() else { return Vec::new() };
+        if class.patience.0 > 0 {
+            return Vec::new();
+        }
+        let mut victims: Vec<Victim> = Vec::new();
+        for (room_index, room) in self.snapshot.rooms.iter().enumerate() {
+            for (held, task) in room.held.iter().enumerate().filter(|(_, task)| task.team == class.team) {
+                if task.stopping {
+                    team_use.used = team_use.used.less(&task.need, 1);
+                } else if yields_to(task, class) {
+                    victims.push(Victim { lost_work: task.lost_work, room: room_index, held });
+                }
+            }
+        }
+        victims.sort_unstable();
+        let mut stops = Vec::new();
+        for victim in victims {
+            if team_use.allows(&class.need) >= class.count {
+                return stops;
+            }
+            let task = &self.snapshot.rooms[victim.room].held[victim.held];
+            team_use.used = team_use.used.less(&task.need, 1);
+            stops.push((victim.room, victim.held));
+        }
+        if team_use.allows(&class.need) >= class.count {
+            stops
+        } else {
+            Vec::new()
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/placement.rs
@@ -0,0 +1,22 @@
+//! Which machines a class may use, and how soon its tasks would run there.
+
+use super::{Class, Room};
+use crate::time::Micros;
+
+/// Whether the class may use the room at all.
+pub(crate) fn allowed(class: &Class, room: &Room) -> bool {
+    class.types.contains(&room.ty) && class.zone.is_none_or(|z| z == room.zone) && (class.spot || !room.spot)
+}
+
+/// Seconds that the class's image takes to fetch there.
+pub(super) fn fetch_seconds(class: &Class, room: &Room) -> f64 {
+    match class.image {
+        Some(i) if !room.images.contains(&i) => class.image_gb / room.fetch_rate.max(0.001),
+        _ => 0.0,
+    }
+}
+
+/// Until a task of the class would run there.
+pub(super) fn delay(class: &Class, room: &Room) -> Micros {
+    room.opens_in + Micros::from_secs(fetch_seconds(class, room)) + room.penalty
+}
--- a/src/sched/services.rs
+++ b/src/sched/services.rs
@@ -2,7 +2,10 @@
 //! no two of a service on one machine while others will do, and in different zones as far as that
 //! costs little time. Where no room is free soon enough, tasks of lower rank are stopped at once.
 
-use super::{allowed, delay, fetch_s, yields_to, Class, Held, Need, Room, Start, Work};
+use super::placement::{allowed, delay, fetch_seconds};
+use super::preemption::stoppable_for;
+use super::state::PlanState;
+use super::{Class, Held, Need, Room, Start};
 use crate::time::Micros;
 
 /// Delays of replicas that differ by less count as alike.
@@ -33,52 +36,64 @@
     stops: Vec<usize>,
 }
 
-impl Work<'_> {
+/// What it takes to have room for one more replica.
+struct Clearing {
+    /// Tasks to stop, by their place in the room's list.
+    stops: Vec<usize>,
+    /// Work that is lost by it.
+    lost: Micros,
+    /// When the machine can take the start.
+    ready_in: Micros,
+}
+
+impl PlanState<'_> {
     /// Places as many of a service's waiting replicas as possible; returns how many found no place.
     pub(super) fn start_service(
         &mut self,
-        class: usize,
+        class_index: usize,
         starts: &mut Vec<Start>,
         preempt: &mut Vec<(usize, usize)>,
     ) -> u32 {
-        let c = &self.s.classes[class];
-        let limited = self.want(class);
-        if limited < c.count {
+        let class = &self.snapshot.classes[class_index];
+        let limited = self.startable_count(class_index);
+        if limited < class.count {
             // Its team's own lower work makes room within the limit.
-            preempt.extend(self.within_limit(class));
+            preempt.extend(self.preempt_within_limit(class_index));
         }
-        let mut occupied: Vec<usize> = c.replicas.clone().unwrap_or_default();
+        let mut occupied: Vec<usize> = class.replicas.clone().unwrap_or_default();
         let mut left = limited;
-        let mut candidates = self.service_candidates(class, &occupied);
+        let mut candidates = self.service_candidates(class_index, &occupied);
         while left > 0 && !candidates.is_empty() {
-            let best = self.best_candidate(class, &candidates);
+            let best = self.best_candidate(class_index, &candidates);
             let chosen = candidates.swap_remove(best);
-            let zone = self.s.rooms[chosen.room].zone;
-            if self.zone_room(class, zone) == 0 {
+            let zone = self.snapshot.rooms[chosen.room].zone;
+            if self.zone_allowance(class_index, zone) == 0 {
                 continue;
             }
-            self.take(class, chosen.room, 1);
-            self.claimed[chosen.room] |= !chosen.stops.is_empty();
+            self.allocate(class_index, chosen.room, 1);
+            self.being_cleared[chosen.room] |= !chosen.stops.is_empty();
             preempt.extend(chosen.stops.iter().map(|&held| (chosen.room, held)));
             self.stops_for_replicas.extend(chosen.stops.iter().map(|&held| (chosen.room, held)));
-            starts.push(Start { class, room: chosen.room, count: 1 });
+            starts.push(Start { class: class_index, room: chosen.room, count: 1 });
             occupied.push(chosen.room);
             left -= 1;
             // There may be room for another replica, if there is nowhere else to go.
-            candidates.extend(self.service_candidate(class, chosen.room, &occupied));
+            candidates.extend(self.service_candidate(class_index, chosen.room, &occupied));
         }
-        c.count - (limited - left)
+        class.count - (limited - left)
     }
 
-    fn service_candidates(&self, class: usize, occupied: &[usize]) -> Vec<Candidate> {
-        let rooms = 0..self.s.rooms.len();
-        rooms.filter_map(|room| self.service_candidate(class, room, occupied)).collect()
+    fn service_candidates(&self, class_index: usize, occupied: &[usize]) -> Vec<Candidate> {
+        let rooms = 0..self.snapshot.rooms.len();
+        rooms.filter_map(|room_index| self.service_candidate(class_index, room_index, occupied)).collect()
     }
 
     /// The candidate to take next: its cost counts in steps, and with the zones as they stand.
-    fn best_candidate(&self, class: usize, candidates: &[Candidate]) -> usize {
-        let c = &self.s.classes[class];
-        let crowded = |room: usize| self.zones[class][self.s.rooms[room].zone] >= c.tasks.div_ceil(2);
+    fn best_candidate(&self, class_index: usize, candidates: &[Candidate]) -> usize {
+        let class = &self.snapshot.classes[class_index];
+        let crowded = |room_index: usize| {
+            self.zones[class_index][self.snapshot.rooms[room_index].zone] >= class.tasks.div_ceil(2)
+        };
         let key = |x: &Candidate| {
             let zone = if crowded(x.room) { CROWDED_ZONE } else { Micros::ZERO };
             ((x.cost + zone).0 / STEP.0, x.lost, x.free_tenths, x.room)
@@ -88,55 +103,57 @@
     }
 
     /// What it takes to run a replica in a room; `None` if it cannot.
-    fn service_candidate(&self, class: usize, room: usize, occupied: &[usize]) -> Option<Candidate> {
-        let c = &self.s.classes[class];
-        let r = &self.s.rooms[room];
-        if !r.open || r.until.is_some() || !allowed(c, r) {
+    fn service_candidate(
+        &self,
+        class_index: usize,
+        room_index: usize,
+        occupied: &[usize],
+    ) -> Option<Candidate> {
+        let class = &self.snapshot.classes[class_index];
+        let room = &self.snapshot.rooms[room_index];
+        if !room.open || room.until.is_some() || !allowed(class, room) {
             return None;
         }
-        let (stops, lost, wait) = self.make_room(c, room)?;
-        let mut cost = wait + Micros::from_secs(fetch_s(c, r)) + r.penalty;
+        let Clearing { stops, lost, ready_in } = self.make_room(class, room_index)?;
+        let mut cost = ready_in + Micros::from_secs(fetch_seconds(class, room)) + room.penalty;
         if !stops.is_empty() {
             cost = cost + STOPPING_COSTS;
         }
-        if occupied.contains(&room) {
+        if occupied.contains(&room_index) {
             cost = cost + SAME_MACHINE;
         }
-        cost = cost + self.kept_room_cost(c, room);
-        let free_tenths = (self.free[room].cpus * 10.0) as i64;
-        Some(Candidate { cost, lost, free_tenths, room, stops })
+        cost = cost + self.kept_room_cost(class, room_index);
+        let free_tenths = (self.free[room_index].cpus * 10.0) as i64;
+        Some(Candidate { cost, lost, free_tenths, room: room_index, stops })
     }
 
     /// Which tasks have to be stopped for one more replica, the work that is lost by it, and when the
     /// machine can take the start.
-    fn make_room(&self, c: &Class, room: usize) -> Option<(Vec<usize>, Micros, Micros)> {
-        let r = &self.s.rooms[room];
-        let stopped = |held: usize| self.stops_for_replicas.contains(&(room, held));
-        let stopping = r.held.iter().any(|h| h.stopping);
-        let soon = if stopping { r.opens_in.min(STOPPED_WITHIN) } else { r.opens_in };
-        if self.free[room].fits(&c.need) > 0 {
-            return Some((Vec::new(), Micros::ZERO, soon));
+    fn make_room(&self, class: &Class, room_index: usize) -> Option<Clearing> {
+        let room = &self.snapshot.rooms[room_index];
+        let stopped = |held: usize| self.stops_for_replicas.contains(&(room_index, held));
+        let stopping = room.held.iter().any(|h| h.stopping);
+        let soon = if stopping { room.opens_in.min(STOPPED_WITHIN) } else { room.opens_in };
+        if self.free[room_index].fits(&class.need) > 0 {
+            return Some(Clearing { stops: Vec::new(), lost: Micros::ZERO, ready_in: soon });
         }
         // What this plan stops here for another replica may leave room for this one.
-        let ending = r.held.iter().enumerate().filter(|(i, h)| h.stopping || stopped(*i));
-        let mut free = ending.fold(self.free[room], |n, (_, h)| n.plus(&h.need, 1));
-        if free.fits(&c.need) > 0 {
-            return Some((Vec::new(), Micros::ZERO, STOPPED_WITHIN));
+        let ending = room.held.iter().enumerate().filter(|(held, task)| task.stopping || stopped(*held));
+        let mut free = ending.fold(self.free[room_index], |n, (_, task)| n.plus(&task.need, 1));
+        if free.fits(&class.need) > 0 {
+            return Some(Clearing { stops: Vec::new(), lost: Micros::ZERO, ready_in: STOPPED_WITHIN });
         }
-        let for_replicas = (0..r.held.len()).any(stopped);
-        if self.claimed[room] && !for_replicas {
+        let cleared_for_replicas = (0..room.held.len()).any(stopped);
+        if self.being_cleared[room_index] && !cleared_for_replicas {
             return None;
         }
-        let may_stop = |&h: &usize| yields_to(&r.held[h], c) && !stopped(h);
-        let mut victims: Vec<usize> = (0..r.held.len()).filter(may_stop).collect();
-        victims.sort_by_key(|&h| r.held[h].lost);
         let (mut stops, mut lost) = (Vec::new(), Micros::ZERO);
-        for h in victims {
-            free = free.plus(&r.held[h].need, 1);
-            lost = lost + r.held[h].lost;
-            stops.push(h);
-            if free.fits(&c.need) > 0 {
-                return Some((stops, lost, STOPPED_WITHIN));
+        for held in stoppable_for(class, room).into_iter().filter(|&held| !stopped(held)) {
+            free = free.plus(&room.held[held].need, 1);
+            lost = lost + room.held[held].lost_work;
+            stops.push(held);
+            if free.fits(&class.need) > 0 {
+                return Some(Clearing { stops, lost, ready_in: STOPPED_WITHIN });
             }
         }
         None
@@ -144,14 +161,14 @@
 
     /// What a replica on a machine of a type that is kept for larger tasks costs: replicas never end,
     /// so the larger task would have no whole machine any more.
-    fn kept_room_cost(&self, c: &Class, room: usize) -> Micros {
-        let r = &self.s.rooms[room];
-        let Some(keep) = self.s.kept(r.ty, r.spot) else { return Micros::ZERO };
-        if c.need.fits(&keep.need) > 0 {
+    fn kept_room_cost(&self, class: &Class, room_index: usize) -> Micros {
+        let room = &self.snapshot.rooms[room_index];
+        let Some(keep) = self.snapshot.kept(room.ty, room.spot) else { return Micros::ZERO };
+        if class.need.fits(&keep.need) > 0 {
             return Micros::ZERO;
         }
-        let beside = endless_room(r).less(&self.endless[room], 1);
-        if beside.less(&c.need, 1).fits(&keep.need) > 0 {
+        let beside = endless_room(room).less(&self.endless[room_index], 1);
+        if beside.less(&class.need, 1).fits(&keep.need) > 0 {
             KEPT_TYPE
         } else {
             BREAKS_KEPT_ROOM
@@ -160,9 +177,9 @@
 }
 
 /// What a machine has beside the tasks on it that never end.
-fn endless_room(r: &Room) -> Need {
-    let endless = r.held.iter().filter(|h: &&Held| h.endless);
-    endless.fold(r.total, |n, h| n.less(&h.need, 1))
+fn endless_room(room: &Room) -> Need {
+    let endless = room.held.iter().filter(|h: &&Held| h.endless);
+    endless.fold(room.total, |n, h| n.less(&h.need, 1))
 }
 
 /// A room that has just reported, for replicas that wait.
@@ -179,16 +196,20 @@
     /// Whether one more replica may start here ahead of the next plan: it runs sooner than in `planned`,
     /// in the place that the plan gave it, if it gave it one. A place in another zone is waited for if
     /// there are many replicas in this one.
-    pub fn runs_sooner(&self, c: &Class, planned: Option<Micros>) -> bool {
-        let r = self.room;
-        let fits_beside = self.kept.is_none_or(|k| endless_room(r).less(&c.need, 1).fits(&k) > 0);
-        let here = Micros::from_secs(fetch_s(c, r)) + r.penalty;
-        let sooner = planned.is_none_or(|p| !self.crowded_zone && here < p);
-        allowed(c, r) && r.until.is_none() && fits_beside && r.free.fits(&c.need) > 0 && sooner
+    pub fn runs_sooner(&self, class: &Class, planned: Option<Micros>) -> bool {
+        let room = self.room;
+        let fits_beside = self.kept.is_none_or(|k| endless_room(room).less(&class.need, 1).fits(&k) > 0);
+        let here = Micros::from_secs(fetch_seconds(class, room)) + room.penalty;
+        let sooner = planned.is_none_or(|planned| !self.crowded_zone && here < planned);
+        allowed(class, room)
+            && room.until.is_none()
+            && fits_beside
+            && room.free.fits(&class.need) > 0
+            && sooner
     }
 }
 
 /// When a replica would run in a room, by its next report and its image.
-pub fn runs_in(c: &Class, r: &Room) -> Micros {
-    delay(c, r)
+pub fn runs_in(class: &Class, room: &Room) -> Micros {
+    delay(class, room)
 }
--- /dev/null
+++ b/src/sched/state.rs
@@ -0,0 +1,194 @@
+//! What is left of machines, limits and zones while a plan is made.
+
+use std::collections::BTreeSet;
+
+use super::limits::{Claim, StatedEnd};
+use super::placement::{allowed, delay};
+use super::{Class, Need, Room, Snapshot, TeamUse};
+use crate::time::Micros;
+use crate::wire::Rank;
+
+/// The state of planning: the snapshot and what is left of it.
+pub(super) struct PlanState<'a> {
+    /// What is planned for.
+    pub(super) snapshot: &'a Snapshot,
+    /// By room: what is free.
+    pub(super) free: Vec<Need>,
+    /// Room that low ranks may still take where some is kept for others.
+    pub(super) free_beside_kept: Vec<Option<Need>>,
+    /// What each team uses, with what this plan starts.
+    pub(super) teams: Vec<TeamUse>,
+    /// With a reservation: what is left at its time on its rooms.
+    pub(super) shadow: Vec<Option<Need>>,
+    /// When the reservation begins.
+    pub(super) reserved_at: Micros,
+    /// By class: its tasks in each zone, with what this plan starts.
+    pub(super) zones: Vec<Vec<u32>>,
+    /// Types for whose kept tasks some wait: nothing lower starts on them now.
+    pub(super) contended_types: Vec<bool>,
+    /// Rooms on which tasks are being stopped for a class already.
+    pub(super) being_cleared: Vec<bool>,
+    /// Tasks that this plan stops for replicas: room and place in its list.
+    pub(super) stops_for_replicas: BTreeSet<(usize, usize)>,
+    /// By room: what this plan has given to replicas, which never end.
+    pub(super) endless: Vec<Need>,
+    /// By team: what its first gang that is held back by the limit takes of it, and when.
+    pub(super) limit_claims: Vec<Option<Claim>>,
+    /// By team: a gang is held back by the limit, whether it has room or not.
+    pub(super) gang_at_limit: Vec<bool>,
+    /// By team: stated ends of what this plan starts.
+    pub(super) planned_ends: Vec<Vec<StatedEnd>>,
+}
+
+/// A room that could take tasks of a class. Candidates compare by their fields in this order, and the
+/// least is the best.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    /// Room in it is kept for tasks of a higher rank.
+    kept_for_others: bool,
+    /// How long until a task would run there, in steps within which delays count as alike.
+    delay_steps: i64,
+    /// The room's price.
+    rate: i64,
+    /// All its processors, in tenths.
+    total_tenths: i64,
+    /// Its free processors, in tenths.
+    free_tenths: i64,
+    /// Its index.
+    room: usize,
+}
+
+impl<'a> PlanState<'a> {
+    /// Nothing planned yet.
+    pub(super) fn new(snapshot: &'a Snapshot) -> PlanState<'a> {
+        // Of each type, the first few rooms that could take the kept task stay clear for it.
+        let mut clear = vec![0usize; snapshot.keep.len()];
+        let free_beside_kept = snapshot
+            .rooms
+            .iter()
+            .map(|room| {
+                let kept = snapshot.kept(room.ty, room.spot)?;
+                if clear[room.ty] >= snapshot.clear_rooms
+                    || room.free.fits(&kept.need) == 0
+                    || room.until.is_some()
+                {
+                    return None;
+                }
+                clear[room.ty] += 1;
+                let low = room.held.iter().filter(|h| h.rank < kept.rank);
+                Some(low.fold(room.total.less(&kept.need, 1), |n, h| n.less(&h.need, 1)))
+            })
+            .collect();
+        PlanState {
+            snapshot,
+            free: snapshot.rooms.iter().map(|room| room.free).collect(),
+            free_beside_kept,
+            teams: snapshot.teams.clone(),
+            shadow: vec![None; snapshot.rooms.len()],
+            reserved_at: Micros::ZERO,
+            zones: snapshot.classes.iter().map(|class| class.zones.clone()).collect(),
+            contended_types: vec![false; snapshot.keep.len()],
+            being_cleared: vec![false; snapshot.rooms.len()],
+            stops_for_replicas: BTreeSet::new(),
+            endless: vec![Need::default(); snapshot.rooms.len()],
+            limit_claims: vec![None; snapshot.teams.len()],
+            gang_at_limit: vec![false; snapshot.teams.len()],
+            planned_ends: vec![Vec::new(); snapshot.teams.len()],
+        }
+    }
+
+    /// Whether room on that machine is kept for tasks of a higher rank than the class.
+    fn is_below_kept_rank(&self, class: &Class, room: &Room) -> bool {
+        self.snapshot.kept(room.ty, room.spot).is_some_and(|kept| class.rank < kept.rank)
+    }
+
+    /// How many tasks of the class could start there now.
+    pub(super) fn fits_now(&self, class: &Class, room_index: usize) -> u32 {
+        let room = &self.snapshot.rooms[room_index];
+        if !room.open || !allowed(class, room) {
+            return 0;
+        }
+        let mut count = self.free[room_index].fits(&class.need);
+        if count > 0 && self.is_below_kept_rank(class, room) {
+            if self.contended_types[room.ty] {
+                return 0;
+            }
+            let beside_kept = self.free_beside_kept[room_index];
+            count = count.min(beside_kept.map_or(count, |free| free.fits(&class.need)));
+        }
+        let ends_in = delay(class, room) + class.adjusted;
+        if room.until.is_some_and(|until| ends_in > until) {
+            return 0;
+        }
+        match &self.shadow[room_index] {
+            // It would still be there when the reserved job comes: only what that job leaves.
+            Some(left) if ends_in > self.reserved_at => count.min(left.fits(&class.need)),
+            _ => count,
+        }
+    }
+
+    /// Takes room, and as much of its team's limit, for tasks of the class.
+    pub(super) fn allocate(&mut self, class_index: usize, room_index: usize, count: u32) {
+        let class = &self.snapshot.classes[class_index];
+        let room = &self.snapshot.rooms[room_index];
+        self.free[room_index] = self.free[room_index].less(&class.need, count);
+        if self.is_below_kept_rank(class, room) {
+            self.free_beside_kept[room_index] =
+                self.free_beside_kept[room_index].map(|free| free.less(&class.need, count));
+        }
+        if delay(class, room) + class.adjusted > self.reserved_at {
+            self.shadow[room_index] = self.shadow[room_index].map(|free| free.less(&class.need, count));
+        }
+        if let Some(team_use) = self.teams.get_mut(class.team) {
+            team_use.used = team_use.used.plus(&class.need, count);
+            self.planned_ends[class.team].push(StatedEnd {
+                at: delay(class, room) + class.adjusted,
+                need: class.need,
+                count,
+            });
+        }
+        if class.replicas.is_some() {
+            self.endless[room_index] = self.endless[room_index].plus(&class.need, count);
+        }
+        self.zones[class_index][room.zone] += count;
+    }
+
+    /// The rooms for a class, best first.
+    pub(super) fn candidates(&self, class: &Class) -> Vec<usize> {
+        // Reports come every few seconds anyway: within that, cheap and small rooms go before large
+        // ones and full ones before empty ones, so that others empty and can be returned.
+        let step = match class.rank {
+            Rank::Idle => self.snapshot.low_rank_delay_step,
+            _ => self.snapshot.delay_step,
+        };
+        let tenths = |cpus: f64| (cpus * 10.0) as i64;
+        let candidate = |index: usize| {
+            let room = &self.snapshot.rooms[index];
+            Candidate {
+                kept_for_others: self.is_below_kept_rank(class, room),
+                delay_steps: delay(class, room).0 / step.0.max(1),
+                rate: room.rate,
+                total_tenths: tenths(room.total.cpus),
+                free_tenths: tenths(self.free[index].cpus),
+                room: index,
+            }
+        };
+        let fitting = (0..self.snapshot.rooms.len()).filter(|&index| self.fits_now(class, index) > 0);
+        let mut candidates: Vec<Candidate> = fitting.map(candidate).collect();
+        candidates.sort_unstable();
+        candidates.into_iter().map(|candidate| candidate.room).collect()
+    }
+
+    /// How many tasks of the class may still go to the zone.
+    pub(super) fn zone_allowance(&self, class_index: usize, zone: usize) -> u32 {
+        let class = &self.snapshot.classes[class_index];
+        let by_zone = &self.zones[class_index];
+        if class.one_zone && by_zone.iter().enumerate().any(|(other, &count)| other != zone && count > 0) {
+            return 0;
+        }
+        if class.spread {
+            return class.tasks.div_ceil(2).saturating_sub(by_zone[zone]);
+        }
+        u32::MAX
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,27 @@
+//! The messages of each interface, one module each. The names that travel are odd and stay in this
+//! folder, as serde renames; the code has the field's own names.
+
+mod cloud;
+mod jobs;
+mod replies;
+mod state;
+mod workers;
+
+pub use cloud::{Catalog, ListedMachine, MachineList, MachineNames, MachineType, RentRequest};
+pub use jobs::{is_job_id, JobSpec, JobStatus, Rank, Shape, Stage, MAX_TASKS, REQUIRED};
+pub use replies::{Health, NodeStatus, PartStatus, Redirect, HEALTH_PATH};
+pub use state::{Change, Event, Events, Guard, Row, Rows, Txn};
+pub use workers::{
+    Commands, Order, Report, ReportReply, TaskReport, TaskStage, Why, COMMANDS_PATH, REPORT_PATH,
+};
+
+use serde::Deserialize;
+
+/// Reads null as the default, as if the field were left out.
+fn null_is_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: serde::Deserializer<'de>,
+    T: Default + Deserialize<'de>,
+{
+    Ok(Option::<T>::deserialize(deserializer)?.unwrap_or_default())
+}
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::planner::{class as job, need, secs};
-use milletlock::sched::{plan, top_up, Class, Held, Keep, Need, Plan, Room, Snapshot, Start, TeamUse};
+use milletlock::sched::{plan, top_up, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, Start, TeamUse};
 use milletlock::time::Micros;
 use milletlock::wire::Rank;
 use proptest::prelude::*;
@@ -18,7 +18,7 @@
               held in prop::collection::vec((1u32..3, rank(), 1i64..90, any::<bool>()), 0..4)) -> Room {
         let total = need(if ty == 0 { 4.0 } else { 16.0 });
         let held: Vec<Held> = held.into_iter().map(|(cpus, rank, left, stoppable)| Held {
-            need: need(f64::from(cpus)), rank, guaranteed: false, team: usize::from(!stoppable), left: secs(left), lost: secs(left), stoppable, stopping: false, endless: false,
+            need: need(f64::from(cpus)), rank, guaranteed: false, team: usize::from(!stoppable), left: secs(left), lost_work: secs(left), stoppable, stopping: false, endless: false,
         }).scan(0.0, |sum, h| { *sum += h.need.cpus; Some((*sum, h)) }).filter(|x| x.0 <= total.cpus).map(|x| x.1).collect();
         let free = held.iter().fold(total, |f, h| f.less(&h.need, 1));
         Room { ty, zone, spot, total, free, rate, open, opens_in: secs(if open { opens % 4 } else { opens }),
@@ -28,13 +28,13 @@
 }
 
 prop_compose! {
-    fn class(widest: u32)(lost in 0u8..3, rank in rank(), team in 0usize..2, count in 1..widest, gang in any::<bool>(), cpus in 1u32..5,
+    fn class(widest: u32)(missed_aims in 0u8..3, rank in rank(), team in 0usize..2, count in 1..widest, gang in any::<bool>(), cpus in 1u32..5,
                types in prop_oneof![Just(vec![0]), Just(vec![1]), Just(vec![0, 1])],
                zone in prop::option::weighted(0.2, 0usize..2), tie in 0u8..3, spot in any::<bool>(),
                adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
-        Class { rank, raised: (lost == 2 && gang).then_some(Rank::Urgent), team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
+        Class { rank, raised: (missed_aims == 2 && gang).then_some(Rank::Urgent), team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
                 one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, adjusted: secs(adjusted),
-                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), lost, replicas: None }
+                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), missed_aims, replicas: None }
     }
 }
 
@@ -45,9 +45,9 @@
         let used = held.fold(Need::default(), |n, h| n.plus(&h.need, 1));
         // Somewhat over what runs, so that the limit is met now and then.
         let cpus_max = if limit == 0 { 0.0 } else { used.cpus + f64::from(limit) };
-        Snapshot { zones: 2, rooms, classes, reserve, coarse: secs(4), fine: secs(2), clear: 1,
+        Snapshot { zones: 2, rooms, classes, reserve, low_rank_delay_step: secs(4), delay_step: secs(2), clear_rooms: 1,
                    teams: vec![TeamUse { used, cpus_max, gpus_max: 0.0 }, TeamUse::default()],
-                   keep: vec![None, keep.0.then(|| Keep { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
+                   keep: vec![None, keep.0.then(|| KeptRoom { need: need(15.0), rank: Rank::Urgent, spot: keep.1 })] }
     }
 }
 
@@ -88,7 +88,8 @@
                 && r.until.is_none()
                 && self.s.keep[ty].is_some_and(|k| r.free.fits(&k.need) > 0 && (k.spot || !r.spot))
         };
-        could(&self.s.rooms[m]) && self.s.rooms.iter().take(m).filter(|r| could(r)).count() < self.s.clear
+        could(&self.s.rooms[m])
+            && self.s.rooms.iter().take(m).filter(|r| could(r)).count() < self.s.clear_rooms
     }
 
     /// What a reservation leaves on the room at its time.
@@ -163,7 +164,7 @@
             .filter(|p| self.s.classes[p.0].team == c.team)
             .map(|p| self.s.classes[p.0].need.cpus)
             .sum();
-        let ends = c.adjusted + self.s.coarse;
+        let ends = c.adjusted + self.s.low_rank_delay_step;
         let claimed = self.claims.iter().filter(|x| x.0 == c.team && ends > x.2).map(|x| x.1);
         let used = used + self.s.teams[c.team].used.cpus + claimed.sum::<f64>();
         let max = self.s.teams[c.team].cpus_max;
@@ -231,7 +232,7 @@
             })
             .collect();
         v.sort_by_key(|&m| {
-            let step = if c.rank == Rank::Idle { self.s.coarse } else { self.s.fine };
+            let step = if c.rank == Rank::Idle { self.s.low_rank_delay_step } else { self.s.delay_step };
             let d = self.delay(c, &self.s.rooms[m]).0 / step.0;
             (
                 self.low(class, m),
@@ -425,8 +426,8 @@
     let d = Class { rank: Rank::Urgent, waited: secs(1), ..base.clone() };
     let e = Class { guaranteed: true, rank: Rank::Idle, waited: secs(1), ..base.clone() };
     // Whoever lost more aims yields, however long it waited.
-    let f = Class { lost: 1, waited: secs(900), ..base.clone() };
-    let g = Class { lost: 2, waited: secs(9000), ..base.clone() };
+    let f = Class { missed_aims: 1, waited: secs(900), ..base.clone() };
+    let g = Class { missed_aims: 2, waited: secs(9000), ..base.clone() };
     assert_eq!(milletlock::sched::order(&[g, f, base.clone(), b, c, d.clone(), e]), [6, 5, 4, 3, 2, 1, 0]);
     // One that waited for long stands with the urgent, never behind its own rank and not above them.
     let h = Class { raised: Some(Rank::Urgent), ..base.clone() };
@@ -463,7 +464,7 @@
     // Not for ever, and never past a higher rank or one that is not late.
     assert_eq!(top(vec![with(1, 70), with(7, 10)]), [(0, 3), (1, 1)]);
     assert_eq!(top(vec![Class { rank: Rank::Urgent, ..with(1, 20) }, with(7, 10)]), [(0, 3), (1, 1)]);
-    assert_eq!(top(vec![with(1, 20), Class { lost: 1, ..with(7, 90) }]), [(0, 3), (1, 1)]);
+    assert_eq!(top(vec![with(1, 20), Class { missed_aims: 1, ..with(7, 90) }]), [(0, 3), (1, 1)]);
 }
 
 /// On a calm day of a team with a limit each waiting gang claimed its part of it, and had the team's small
@@ -476,7 +477,7 @@
         guaranteed: false,
         team: 0,
         left: secs(40),
-        lost: secs(5),
+        lost_work: secs(5),
         stoppable: true,
         stopping: false,
         endless: false,
@@ -510,9 +511,9 @@
         rooms: vec![room(0, 8.0, vec![held.clone(); 8]), room(1, large, Vec::new())],
         classes,
         reserve: true,
-        coarse: secs(4),
-        fine: secs(2),
-        clear: 0,
+        low_rank_delay_step: secs(4),
+        delay_step: secs(2),
+        clear_rooms: 0,
         teams: vec![TeamUse { used: need(8.0), cpus_max: 10.0, gpus_max: 0.0 }],
         keep: vec![None, None],
     };
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::planner::{class, need, secs};
-use milletlock::capacity::{Offer, Policy, Upkeep, View, Warm};
-use milletlock::sched::{plan, Class, Held, Keep, Room, Snapshot};
+use milletlock::capacity::{Offer, Policy, Upkeep, View, WarmPool};
+use milletlock::sched::{plan, Class, Held, KeptRoom, Room, Snapshot};
 use milletlock::time::Micros;
 use milletlock::wire::{MachineType, Rank};
 
@@ -16,7 +16,7 @@
         guaranteed: false,
         team: 0,
         left: secs(left),
-        lost: secs(1),
+        lost_work: secs(1),
         stoppable: true,
         stopping: false,
         endless: false,
@@ -65,7 +65,7 @@
         rooms,
         classes,
         reserve: true,
-        coarse: secs(4),
+        low_rank_delay_step: secs(4),
         keep: vec![None],
         ..Snapshot::default()
     };
@@ -82,7 +82,7 @@
         types: &types,
         zones: &[vec![0]],
         refused,
-        warm: &[Warm { count: 1, spot: false }],
+        warm: &[WarmPool { count: 1, spot: false }],
         due: &[due],
         policy,
     };
@@ -124,7 +124,7 @@
     // Low ranks count on spot machines of a type of which ordinary ones are kept for others.
     let low = Class { rank: Rank::Idle, ..class(8, 20, 1) };
     let rents = |r: Room| {
-        let keep = Keep { need: need(8.0), rank: Rank::Urgent, spot: false };
+        let keep = KeptRoom { need: need(8.0), rank: Rank::Urgent, spot: false };
         let s = Snapshot {
             zones: 1,
             rooms: vec![r],
@@ -139,8 +139,8 @@
     let s = Snapshot {
         zones: 1,
         rooms: vec![spot(), room(0, 0)],
-        clear: 1,
-        keep: vec![Some(Keep { need: need(8.0), rank: Rank::Urgent, spot: false })],
+        clear_rooms: 1,
+        keep: vec![Some(KeptRoom { need: need(8.0), rank: Rank::Urgent, spot: false })],
         classes: vec![Class { rank: Rank::Idle, ..class(16, 20, 1) }],
         ..Snapshot::default()
     };
--- a/tests/service_placement.rs
+++ b/tests/service_placement.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeSet;
 
 use common::planner::{class, need, secs};
-use milletlock::capacity::{Policy, Upkeep, View, Warm};
-use milletlock::sched::{order, plan, Class, Held, Keep, Need, Plan, Room, Snapshot, TeamUse};
+use milletlock::capacity::{Policy, Upkeep, View, WarmPool};
+use milletlock::sched::{order, plan, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, TeamUse};
 use milletlock::time::Micros;
 use milletlock::wire::{MachineType, Rank};
 use proptest::prelude::*;
@@ -45,7 +45,7 @@
         guaranteed: false,
         team: 0,
         left: secs(60),
-        lost: secs(5),
+        lost_work: secs(5),
         stoppable: true,
         stopping: false,
         endless: false,
@@ -82,8 +82,8 @@
         classes,
         teams: vec![TeamUse::default()],
         keep: vec![None, None],
-        coarse: secs(4),
-        fine: secs(2),
+        low_rank_delay_step: secs(4),
+        delay_step: secs(2),
         ..Snapshot::default()
     }
 }
@@ -107,7 +107,7 @@
     fn any_held()(cpus in 1u32..5, rank in any_rank(), guaranteed in prop::bool::weighted(0.2),
                   team in 0usize..2, lost in 0i64..90, state in 0u8..4, endless in any::<bool>()) -> Held {
         Held {
-            guaranteed, team, lost: secs(lost), endless,
+            guaranteed, team, lost_work: secs(lost), endless,
             stoppable: state < 2, stopping: state == 2,
             ..held(f64::from(cpus), rank)
         }
@@ -159,7 +159,7 @@
         let tasks = rooms.iter().flat_map(|room| &room.held).filter(|task| task.team == 0);
         let used = tasks.fold(Need::default(), |sum, task| sum.plus(&task.need, 1));
         let cpus_max = limit.map_or(0.0, |more| used.cpus + f64::from(more));
-        let keep = Keep { need: need(15.0), rank: Rank::Urgent, spot: false };
+        let keep = KeptRoom { need: need(15.0), rank: Rank::Urgent, spot: false };
         Snapshot {
             teams: vec![TeamUse { used, cpus_max, gpus_max: 0.0 }, TeamUse::default()],
             keep: vec![None, kept.then_some(keep)],
@@ -369,7 +369,7 @@
 
 /// A machine of 32 processors of a type that is kept for tasks of 30.
 fn kept(rooms: Vec<Room>, classes: Vec<Class>) -> Snapshot {
-    let keep = Keep { need: need(30.0), rank: Rank::Urgent, spot: false };
+    let keep = KeptRoom { need: need(30.0), rank: Rank::Urgent, spot: false };
     let both_types = classes.into_iter().map(|c| Class { types: vec![0, 1], ..c }).collect();
     Snapshot { keep: vec![Some(keep), None], ..snapshot(rooms, both_types) }
 }
@@ -463,7 +463,7 @@
         types: &types(),
         zones: &[vec![0]],
         refused: &[],
-        warm: &[Warm::default()],
+        warm: &[WarmPool::default()],
         due: &[false],
         policy: Policy {
             drain: secs(40),
