--- a/src/cli.rs
+++ b/src/cli.rs
@@ -49,7 +49,7 @@
         #[arg(long)]
         team: Option<String>,
     },
-    /// Submit, show or withdraw a job on a running service
+    /// Submit, show or cancel a job on a running service
     Job {
         /// A controller's address for users
         #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:8080")]
@@ -71,8 +71,9 @@
         /// The job's id
         id: String,
     },
-    /// Withdraw a job
-    Withdraw {
+    /// Cancel a job
+    #[command(alias = "withdraw")]
+    Cancel {
         /// The job's id
         id: String,
     },
@@ -181,7 +182,7 @@
             call("POST", "/api/jobs", Some(&body))
         }
         JobCommand::Show { id } => call("GET", &format!("/api/jobs/{id}"), None),
-        JobCommand::Withdraw { id } => call("POST", &format!("/api/jobs/{id}/withdraw"), Some(b"{}")),
+        JobCommand::Cancel { id } => call("POST", &format!("/api/jobs/{id}/withdraw"), Some(b"{}")),
     };
     match result {
         Ok((status, body)) => {
