--- a/src/state.rs
+++ b/src/state.rs
@@ -125,7 +125,7 @@
 const REFUSALS_SHOW: usize = 5;
 
 /// Rates that will hold from some moment on, without notice. The present ones are kept to until
-/// refusals for the rate (429) show the change; an outage or a service that refuses this node alone
+/// refusals for the rate (429) or of a write that is too large (400) show the change; an outage or a service that refuses this node alone
 /// answers 503 and shows nothing.
 #[derive(Clone, Debug)]
 pub struct NextRates {
@@ -154,6 +154,11 @@
         shows
     }
 
+    /// A write was rejected as too large: the coming limits hold.
+    pub fn rejected(&mut self) {
+        self.shown = true;
+    }
+
     /// The shares of the present rates that are kept to.
     pub fn in_force(&self) -> (f64, f64) {
         if self.shown {
@@ -359,6 +364,10 @@
                 if text.contains("no such lease") {
                     Err(StateError::NoLease)
                 } else {
+                    if let Ok(mut b) = self.budget.lock() {
+                        b.next.rejected();
+                        b.set_rates();
+                    }
                     Err(StateError::Rejected(text))
                 }
             }
