--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -12,6 +12,34 @@
 
 pub(super) const YIELDS_WIDEST: f64 = 90.0;
 
+/// The planner's input, and what its indices mean.
+pub(super) struct PlannerInput {
+    /// What the planner reads.
+    pub(super) snapshot: Snapshot,
+    /// The machines of its rooms.
+    pub(super) machines: Vec<MachineId>,
+    /// The jobs of its classes.
+    pub(super) jobs: Vec<JobId>,
+}
+
+/// Numbers of tasks of the widest unfinished jobs.
+#[derive(Clone, Copy, Default)]
+struct WidestJobs {
+    gang: u32,
+    other: u32,
+}
+
+impl WidestJobs {
+    fn of(jobs: &[&Job]) -> WidestJobs {
+        let mut widest = WidestJobs::default();
+        for j in jobs {
+            let w = if j.spec.shape == Shape::Gang { &mut widest.gang } else { &mut widest.other };
+            *w = (*w).max(j.spec.tasks);
+        }
+        widest
+    }
+}
+
 impl Fleet {
     /// A for a waiting job.
     pub fn adjusted(&self, s: &JobSpec, wall: Wall) -> Micros {
@@ -47,20 +75,28 @@
         by_age.into_iter().filter(|j| fits(j)).map(|j| j.id.clone()).collect()
     }
 
-    pub(super) fn snapshot(&mut self, now: Steady, wall: Wall) -> (Snapshot, Vec<MachineId>, Vec<JobId>) {
+    /// The planner's input.
+    pub(super) fn snapshot(&mut self, now: Steady, wall: Wall) -> PlannerInput {
         self.demands.retain(|d| now - d.at < RECENT);
         self.guaranteed = self.within_guarantee();
-        let mut s = Snapshot {
+        let (rooms, machines) = self.rooms(now);
+        let (classes, jobs) = self.classes(&machines, now, wall);
+        let snapshot = Snapshot {
             zones: self.zones.len(),
             reserve: self.cfg.operator.reserve,
             clear_rooms: self.clear(),
             low_rank_delay_step: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
             delay_step: FINE,
             keep: self.keep(),
-            ..Snapshot::default()
+            rooms,
+            classes,
+            teams: self.team_uses(),
         };
-        let mut machines = Vec::new();
-        // Places promised to gangs whose starts have not left yet.
+        PlannerInput { snapshot, machines, jobs }
+    }
+
+    /// Places promised to gangs whose starts have not left yet: their number and need by machine.
+    fn promised_places(&self) -> BTreeMap<&MachineId, (u32, Need)> {
         let mut promised: BTreeMap<&MachineId, (u32, Need)> = BTreeMap::new();
         for j in self.jobs.values() {
             let Some(g) = &j.gang else { continue };
@@ -69,92 +105,117 @@
                 *p = (p.0 + 1, p.1.plus(&need_of(&j.spec), 1));
             }
         }
+        promised
+    }
+
+    /// The machines that can be planned on, and their identities in the same order.
+    fn rooms(&self, now: Steady) -> (Vec<Room>, Vec<MachineId>) {
+        let promised = self.promised_places();
+        let (mut rooms, mut machines) = (Vec::new(), Vec::new());
         for m in self.machines.values() {
             if m.leaving || m.expired || m.missing || !m.heard || (m.up && m.unknown_use()) {
                 continue;
             }
             let (n, need) = promised.get(&m.id).copied().unwrap_or_default();
             if let Some(r) = self.room(m, now, n, need) {
-                s.rooms.push(r);
+                rooms.push(r);
                 machines.push(m.id.clone());
             }
         }
+        (rooms, machines)
+    }
+
+    /// The jobs as the planner sees them, oldest first, and their identities in the same order.
+    fn classes(&mut self, machines: &[MachineId], now: Steady, wall: Wall) -> (Vec<Class>, Vec<JobId>) {
         let room_of: BTreeMap<&MachineId, usize> =
             machines.iter().enumerate().map(|(i, id)| (id, i)).collect();
-        let blind = self.silent > 0;
-        let mut jobs = Vec::new();
         let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
         by_age.sort_by_key(|j| j.submitted);
-        let mut widest = [0u32; 2];
-        for j in &by_age {
-            let w = &mut widest[usize::from(j.spec.shape == Shape::Gang)];
-            *w = (*w).max(j.spec.tasks);
+        let widest = WidestJobs::of(&by_age);
+        let jobs: Vec<JobId> = by_age.iter().map(|j| j.id.clone()).collect();
+        let images: Vec<Option<String>> = by_age.iter().map(|j| j.spec.image.clone()).collect();
+        let mut classes: Vec<Class> =
+            by_age.iter().map(|j| self.class(j, widest, &room_of, now, wall)).collect();
+        for (class, name) in classes.iter_mut().zip(images) {
+            class.image = name.map(|n| self.image(&n));
         }
-        let image_of: Vec<Option<String>> = by_age.iter().map(|j| j.spec.image.clone()).collect();
-        let mut classes = Vec::new();
-        for j in &by_age {
-            let sp = &j.spec;
-            let within = self.guaranteed.contains(&j.id);
-            let gang = sp.shape == Shape::Gang;
-            let count = if now < j.not_before || (gang && (j.gang.is_some() || !j.live.is_empty())) {
-                0
-            } else if blind && self.hidden(sp) {
-                let tied = sp.one_zone || sp.spread || gang;
-                if tied && j.inherited > 0 {
-                    0
-                } else {
-                    j.waiting.count_from(j.inherited)
-                }
+        (classes, jobs)
+    }
+
+    /// A job as the planner sees it, but for its image.
+    fn class(
+        &self,
+        j: &Job,
+        widest: WidestJobs,
+        room_of: &BTreeMap<&MachineId, usize>,
+        now: Steady,
+        wall: Wall,
+    ) -> Class {
+        let sp = &j.spec;
+        let gang = sp.shape == Shape::Gang;
+        let service = sp.shape == Shape::Service;
+        let (waited, adjusted) = (wall - j.submitted, self.adjusted(sp, wall));
+        Class {
+            rank: sp.rank,
+            raised: (gang && waited.secs() > Self::yields(sp, widest.gang)).then_some(Rank::Urgent),
+            team: self.team(&sp.team).map_or(usize::MAX, |t| t.0),
+            guaranteed: self.guaranteed.contains(&j.id),
+            count: self.startable_tasks(j, now),
+            tasks: sp.tasks,
+            gang,
+            need: need_of(sp),
+            types: self.allowed_types(sp),
+            zone: sp.zone.as_ref().map(|z| self.zones.iter().position(|x| x == z).unwrap_or(usize::MAX)),
+            one_zone: sp.one_zone,
+            spread: sp.spread,
+            spot: sp.spot,
+            image: None,
+            image_gb: sp.image_gb,
+            adjusted,
+            waited,
+            zones: if sp.one_zone || sp.spread || service {
+                self.zones_of(j)
             } else {
-                j.waiting.len()
-            };
-            let (waited, adjusted) = (wall - j.submitted, self.adjusted(sp, wall));
-            jobs.push(j.id.clone());
-            classes.push(Class {
-                rank: sp.rank,
-                raised: (gang && waited.secs() > Self::yields(sp, widest[1])).then_some(Rank::Urgent),
-                team: self.team(&sp.team).map_or(usize::MAX, |t| t.0),
-                guaranteed: within,
-                count,
-                tasks: sp.tasks,
-                gang,
-                need: need_of(sp),
-                types: self.allowed_types(sp),
-                zone: sp.zone.as_ref().map(|z| self.zones.iter().position(|x| x == z).unwrap_or(usize::MAX)),
-                one_zone: sp.one_zone,
-                spread: sp.spread,
-                spot: sp.spot,
-                image: None,
-                image_gb: sp.image_gb,
-                adjusted,
-                waited,
-                zones: if sp.one_zone || sp.spread || sp.shape == Shape::Service {
-                    self.zones_of(j)
-                } else {
-                    vec![0; self.zones.len()]
-                },
-                missed_aims: self.lost(sp, waited, adjusted, widest[usize::from(gang)]),
-                patience: self.patience(sp) - waited,
-                replicas: (sp.shape == Shape::Service).then(|| self.replica_rooms(j, &room_of)),
-            });
+                vec![0; self.zones.len()]
+            },
+            missed_aims: self.lost(sp, waited, adjusted, if gang { widest.gang } else { widest.other }),
+            patience: self.patience(sp) - waited,
+            replicas: service.then(|| self.replica_rooms(j, room_of)),
         }
-        for (c, name) in classes.iter_mut().zip(image_of) {
-            c.image = name.map(|n| self.image(&n));
+    }
+
+    /// How many of a job's tasks may start now.
+    fn startable_tasks(&self, j: &Job, now: Steady) -> u32 {
+        let gang = j.spec.shape == Shape::Gang;
+        if now < j.not_before || (gang && (j.gang.is_some() || !j.live.is_empty())) {
+            return 0;
+        }
+        if self.silent == 0 || !self.hidden(&j.spec) {
+            return j.waiting.len();
+        }
+        let tied = j.spec.one_zone || j.spec.spread || gang;
+        if tied && j.inherited > 0 {
+            0
+        } else {
+            j.waiting.count_from(j.inherited)
         }
-        s.classes = classes;
+    }
+
+    /// The use of all teams, with the places promised to their gangs.
+    fn team_uses(&mut self) -> Vec<TeamUse> {
         // Counted anew with each plan, so that what has ended is seen.
         self.uses.clear();
         let names: Vec<String> = self.cfg.platform.settings.teams.iter().map(|t| t.name.clone()).collect();
-        s.teams = names.iter().map(|t| self.team_use(t)).collect();
+        let mut teams: Vec<TeamUse> = names.iter().map(|t| self.team_use(t)).collect();
         // Places promised to gangs count against their teams' limits: nothing lower takes them.
         for j in self.jobs.values() {
             let (Some(g), Some((at, _))) = (&j.gang, self.team(&j.spec.team)) else { continue };
             let unsent = g.places.len() as u32 - g.sent.len().min(g.places.len() as u32);
-            if let Some(t) = s.teams.get_mut(at) {
+            if let Some(t) = teams.get_mut(at) {
                 t.used = t.used.plus(&need_of(&j.spec), unsent);
             }
         }
-        (s, machines, jobs)
+        teams
     }
 
     /// A machine as the planner sees it, with places promised on it.
@@ -163,48 +224,7 @@
         let t = &self.types[ty];
         let total = self.total(ty);
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
-        let held: Vec<Held> = m
-            .tasks
-            .iter()
-            .filter(|x| x.1.live())
-            .map(|(k, e)| {
-                let spec = self.jobs.get(&k.0).map(|j| &j.spec);
-                let ran = e.running.map_or(Micros::ZERO, |r| now - r);
-                let endless = spec.is_some_and(|s| s.shape == Shape::Service);
-                let worth = if endless { STOPPED_REPLICA_COSTS } else { ran };
-                let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0);
-                Held {
-                    need: e.need.unwrap_or_default(),
-                    rank: spec.map_or(Rank::Idle, |s| s.rank),
-                    guaranteed: self.guaranteed.contains(&k.0),
-                    team: spec.and_then(|s| self.team(&s.team)).map_or(usize::MAX, |t| t.0),
-                    left: self.stated_left(e, spec, now),
-                    lost_work: if saves {
-                        Micros::ZERO
-                    } else {
-                        worth.scale(e.need.map_or(1.0, |n| n.cpus.max(0.1)))
-                    },
-                    stoppable: e.stop.is_none()
-                        && spec.is_some_and(|s| s.shape != Shape::Gang || s.tasks == 1),
-                    stopping: e.stop.is_some(),
-                    endless,
-                }
-            })
-            .collect();
-        let boot = Micros::from_secs(t.boot_s);
-        let opens_in = if m.up {
-            // A silent machine is not counted on until it reports again.
-            let silent = now - m.report;
-            if silent > report.scale(2.5) {
-                report.scale(3.0)
-            } else if now < m.deferred_until {
-                Micros::ZERO
-            } else {
-                (report - silent).max(Micros::ZERO)
-            }
-        } else {
-            (boot.scale(1.1) - (m.age + (now - m.known))).max(Micros::from_secs(2.0))
-        };
+        let live_tasks = m.tasks.iter().filter(|x| x.1.live());
         let free = if promised > 0 { m.free(total).less(&promise, 1) } else { m.free(total) };
         Some(Room {
             ty,
@@ -213,17 +233,59 @@
             total,
             free,
             open: m.usable(now) && now - m.report < report.scale(2.5),
-            opens_in,
+            opens_in: self.opens_in(m, t, now),
             images: m.images.iter().map(|i| i.0).collect(),
             fetch_rate: t.fetch_gb_per_s,
             rate: (if m.spot { t.spot_price.unwrap_or(t.price) } else { t.price } / t.cpus.max(0.1) * 1e3)
                 as i64,
             penalty: Micros::from_secs(10.0 * m.failed.len() as f64),
             until: m.notice.map(|n| n - now),
-            held,
+            held: live_tasks.map(|(k, e)| self.held(k, e, now)).collect(),
         })
     }
 
+    /// A task on a machine as the planner sees it.
+    fn held(&self, k: &TaskKey, e: &Entry, now: Steady) -> Held {
+        let spec = self.jobs.get(&k.0).map(|j| &j.spec);
+        let ran = e.running.map_or(Micros::ZERO, |r| now - r);
+        let endless = spec.is_some_and(|s| s.shape == Shape::Service);
+        let worth = if endless { STOPPED_REPLICA_COSTS } else { ran };
+        let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0);
+        Held {
+            need: e.need.unwrap_or_default(),
+            rank: spec.map_or(Rank::Idle, |s| s.rank),
+            guaranteed: self.guaranteed.contains(&k.0),
+            team: spec.and_then(|s| self.team(&s.team)).map_or(usize::MAX, |t| t.0),
+            left: self.stated_left(e, spec, now),
+            lost_work: if saves {
+                Micros::ZERO
+            } else {
+                worth.scale(e.need.map_or(1.0, |n| n.cpus.max(0.1)))
+            },
+            stoppable: e.stop.is_none() && spec.is_some_and(|s| s.shape != Shape::Gang || s.tasks == 1),
+            stopping: e.stop.is_some(),
+            endless,
+        }
+    }
+
+    /// How long until a start can reach a machine: with its next report, or once it has booted.
+    fn opens_in(&self, m: &Machine, t: &MachineType, now: Steady) -> Micros {
+        if !m.up {
+            let boot = Micros::from_secs(t.boot_s);
+            return (boot.scale(1.1) - (m.age + (now - m.known))).max(Micros::from_secs(2.0));
+        }
+        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
+        // A silent machine is not counted on until it reports again.
+        let silent = now - m.report;
+        if silent > report.scale(2.5) {
+            report.scale(3.0)
+        } else if now < m.deferred_until {
+            Micros::ZERO
+        } else {
+            (report - silent).max(Micros::ZERO)
+        }
+    }
+
     /// After so many seconds a job yields to others no more: the sooner the wider it is.
     pub(super) fn yields(s: &JobSpec, widest: u32) -> f64 {
         let width = f64::from(s.tasks) / f64::from(widest.max(s.tasks).max(1));
@@ -273,7 +335,7 @@
         self.dirty = false;
         self.planned = now;
         self.drop_unsent_gangs(now);
-        let (snapshot, machines, jobs) = self.snapshot(now, wall);
+        let PlannerInput { snapshot, machines, jobs } = self.snapshot(now, wall);
         let plan = sched::plan(&snapshot);
         self.assign(&snapshot, &plan, &machines, &jobs, now);
         self.stop_for(&plan, &machines, now);
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -14,26 +14,120 @@
 /// Silent machines that the cloud does not list are returned so long after a takeover.
 pub(super) const NOT_LISTED: Micros = Micros(4_000_000);
 
+/// The bounds that a check of the leases holds each machine to.
+struct LeaseCheck {
+    now: Steady,
+    /// When this owner took over.
+    taken_over: Steady,
+    /// At this moment nobody had taken over from this owner.
+    confirmed: Steady,
+    lease: Micros,
+    /// So long after the takeover no lease of an earlier owner is left.
+    earlier_owners_limit: Micros,
+    /// So long after the takeover a machine that was not heard is returned.
+    unheard_limit: Micros,
+    report_interval: Micros,
+}
+
+impl LeaseCheck {
+    /// Takes a machine that was not heard for expired once no earlier owner's lease can hold on
+    /// it, and returns whether that is so now.
+    fn outlive_earlier_owners(&self, m: &mut Machine) -> bool {
+        if m.heard || self.now - self.taken_over <= self.earlier_owners_limit {
+            return false;
+        }
+        // Not heard and, with the cloud out, not returned: no earlier owner's command or
+        // answer can still count on it.
+        tracing::info!(machine = %m.id, "leases of earlier owners have run out");
+        (m.heard, m.expired) = (true, true);
+        true
+    }
+
+    /// Marks a machine as leaving if it has been silent for too long since the takeover.
+    fn return_unheard(&self, m: &mut Machine) {
+        let silent = self.now - self.taken_over;
+        if silent > self.unheard_limit || (m.missing && silent > NOT_LISTED) {
+            tracing::info!(machine = %m.id, "returned: silent since the takeover");
+            m.leaving = true;
+        }
+    }
+
+    /// Expires a machine's lease if it ran out, and returns whether it did.
+    fn expire(&self, m: &mut Machine) -> bool {
+        // The last answer was this owner's and its token had arrived: the lease is ours to
+        // count. Otherwise an earlier owner may still be renewing it, or, if this owner may
+        // have been replaced before the lease ended, a later one: cut off from the state
+        // service and from this machine, but not from others, it would start the same tasks
+        // there.
+        let Some(renewed) = m.renewed() else { return false };
+        if m.expired || self.now - renewed <= self.lease || self.confirmed - renewed <= self.lease {
+            return false;
+        }
+        tracing::info!(machine = %m.id, "its lease ran out");
+        m.expired = true;
+        // The worker is in its next session, or will be: a late copy of a report from
+        // this one must not bring back what has ended.
+        m.seen.1 = u64::MAX;
+        true
+    }
+
+    /// Marks a machine as leaving if it was heard but does not report, or never came up.
+    fn return_silent(&self, m: &mut Machine, boot_s: f64) {
+        match m.renewed() {
+            Some(renewed) => self.return_unrenewed(m, renewed),
+            None if m.up => {
+                // It has shown this owner's token in answer to a direct command, and is bound to
+                // report within moments.
+                if self.now - m.known > self.lease + CUT {
+                    tracing::info!(machine = %m.id, "returned: it does not report");
+                    m.leaving = true;
+                }
+            }
+            None => {
+                let age = m.age + (self.now - m.known);
+                if m.missing || age.secs() > (boot_s * 2.5).max(60.0) {
+                    tracing::info!(machine = %m.id, age = age.secs(), "returned: it never came up");
+                    m.leaving = true;
+                }
+            }
+        }
+    }
+
+    /// Marks a machine as leaving whose lease was last renewed too long ago.
+    fn return_unrenewed(&self, m: &mut Machine, renewed: Steady) {
+        let silent = self.now - renewed.max(m.alive);
+        if m.expired && silent > self.lease + CUT {
+            // The cloud says it runs: cut off, most likely, and good again afterwards.
+            tracing::info!(machine = %m.id, "returned: silent for long");
+            m.leaving = true;
+        } else if m.missing && silent > self.report_interval.scale(3.0) {
+            tracing::info!(machine = %m.id, "returned: silent and not in the cloud's list");
+            m.leaving = true;
+        }
+    }
+}
+
 impl Fleet {
     /// Leases that ran out, machines silent since a takeover, and boots that never end.
     pub fn tick(&mut self, now: Steady, wall: Wall) {
-        let fence = Micros::from_secs(self.cfg.operator.fence_after_s);
-        // A few silent machines hold up all that was started: once the others are heard, the cloud
-        // is asked to end them. Where many are silent a zone is cut off, and they are waited for.
-        let few = self.silent * 10 <= self.machines.len();
-        let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(FENCE_SOON);
-        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
-        let (lease, confirmed) = (self.lease, self.confirmed);
-        // An earlier owner answers no longer than `blind_bound` after it last knew that nobody had
-        // taken over, and that was before this owner's claim.
-        let outlived = self.cfg.blind_bound().scale(1.001) + lease;
+        self.check_leases(now);
+        self.log_takeover_progress(now);
+        if now - self.told > TELL {
+            self.told = now;
+            self.tell_use();
+        }
+        self.gone.retain(|_, at| (now - *at).secs() < 900.0);
+        self.refused.retain(|_, until| now < *until);
+        self.forget_vacated(now);
+        self.replan(now, wall);
+    }
+
+    /// Expires leases, and marks machines that have been silent for too long as leaving.
+    fn check_leases(&mut self, now: Steady) {
+        let check = self.lease_check(now);
         let (mut ended, mut outlasted) = (Vec::new(), 0);
         for m in self.machines.values_mut() {
-            if !m.heard && now - self.taken > outlived {
-                // Not heard and, with the cloud out, not returned: no earlier owner's command or
-                // answer can still count on it.
-                tracing::info!(machine = %m.id, "leases of earlier owners have run out");
-                (m.heard, m.expired) = (true, true);
+            if check.outlive_earlier_owners(m) {
                 outlasted += 1;
                 ended.push(m.id.clone());
             }
@@ -41,54 +135,12 @@
                 continue;
             }
             if !m.heard {
-                let silent = now - self.taken;
-                if silent > fence || (few && silent > soon) || (m.missing && silent > NOT_LISTED) {
-                    tracing::info!(machine = %m.id, "returned: silent since the takeover");
-                    m.leaving = true;
-                }
-                continue;
-            }
-            match m.renewed() {
-                // The last answer was this owner's and its token had arrived: the lease is ours to
-                // count. Otherwise an earlier owner may still be renewing it, or, if this owner may
-                // have been replaced before the lease ended, a later one: cut off from the state
-                // service and from this machine, but not from others, it would start the same tasks
-                // there.
-                Some(a) if now - a > lease && !m.expired && confirmed - a > lease => {
-                    tracing::info!(machine = %m.id, "its lease ran out");
-                    m.expired = true;
-                    // The worker is in its next session, or will be: a late copy of a report from
-                    // this one must not bring back what has ended.
-                    m.seen.1 = u64::MAX;
-                    ended.push(m.id.clone());
-                }
-                _ if m.leaving => {}
-                // The cloud says it runs: cut off, most likely, and good again afterwards.
-                Some(a) if m.expired && now - a.max(m.alive) > lease + CUT => {
-                    tracing::info!(machine = %m.id, "returned: silent for long");
-                    m.leaving = true;
-                }
-                Some(a) if m.missing && now - a.max(m.alive) > report.scale(3.0) => {
-                    tracing::info!(machine = %m.id, "returned: silent and not in the cloud's list");
-                    m.leaving = true;
-                }
-                Some(_) => {}
-                None if m.up => {
-                    // It has shown this owner's token in answer to a direct command, and is bound to
-                    // report within moments.
-                    if now - m.known > lease + CUT {
-                        tracing::info!(machine = %m.id, "returned: it does not report");
-                        m.leaving = true;
-                    }
-                }
-                None => {
-                    let boot = m.ty.and_then(|t| self.types.get(t)).map_or(60.0, |t| t.boot_s);
-                    let age = m.age + (now - m.known);
-                    if m.missing || age.secs() > (boot * 2.5).max(60.0) {
-                        tracing::info!(machine = %m.id, age = age.secs(), "returned: it never came up");
-                        m.leaving = true;
-                    }
-                }
+                check.return_unheard(m);
+            } else if check.expire(m) {
+                ended.push(m.id.clone());
+            } else if !m.leaving {
+                let boot_s = m.ty.and_then(|t| self.types.get(t)).map_or(60.0, |t| t.boot_s);
+                check.return_silent(m, boot_s);
             }
         }
         if outlasted > 0 {
@@ -98,19 +150,35 @@
         for id in ended {
             self.emptied(&id);
         }
+    }
+
+    /// The bounds for a check of the leases at a moment.
+    fn lease_check(&self, now: Steady) -> LeaseCheck {
+        let fence = Micros::from_secs(self.cfg.operator.fence_after_s);
+        // A few silent machines hold up all that was started: once the others are heard, the cloud
+        // is asked to end them. Where many are silent a zone is cut off, and they are waited for.
+        let few = self.silent * 10 <= self.machines.len();
+        let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(FENCE_SOON);
+        LeaseCheck {
+            now,
+            taken_over: self.taken,
+            confirmed: self.confirmed,
+            lease: self.lease,
+            // An earlier owner answers no longer than `blind_bound` after it last knew that nobody
+            // had taken over, and that was before this owner's claim.
+            earlier_owners_limit: self.cfg.blind_bound().scale(1.001) + self.lease,
+            unheard_limit: if few { fence.min(soon) } else { fence },
+            report_interval: Micros::from_secs(self.cfg.platform.settings.workers.report_s),
+        }
+    }
+
+    /// Logs when all machines of the earlier owner are heard or ended, and when no longer.
+    fn log_takeover_progress(&mut self, now: Steady) {
         if (self.silent == 0) != self.sighted {
             self.sighted = self.silent == 0;
             let after = (now - self.taken).secs();
             tracing::info!(after, unheard = self.silent, "machines of the earlier owner are heard or ended");
         }
-        if now - self.told > TELL {
-            self.told = now;
-            self.tell_use();
-        }
-        self.gone.retain(|_, at| (now - *at).secs() < 900.0);
-        self.refused.retain(|_, until| now < *until);
-        self.forget_vacated(now);
-        self.replan(now, wall);
     }
 
     /// Says by type and kind what is paid for and what of it is used.
