--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -22,6 +22,16 @@
     pub(super) jobs: Vec<JobId>,
 }
 
+/// A task that is to be stopped.
+struct TaskStop {
+    machine: MachineId,
+    task: TaskKey,
+    /// Seconds it is given to save.
+    grace_s: f64,
+    /// Whether the halt is sent at once, not only with the answer to the next report.
+    at_once: bool,
+}
+
 /// Numbers of tasks of the widest unfinished jobs.
 #[derive(Clone, Copy, Default)]
 struct WidestJobs {
@@ -335,9 +345,10 @@
         self.dirty = false;
         self.planned = now;
         self.drop_unsent_gangs(now);
-        let PlannerInput { snapshot, machines, jobs } = self.snapshot(now, wall);
-        let plan = sched::plan(&snapshot);
-        self.assign(&snapshot, &plan, &machines, &jobs, now);
+        let input = self.snapshot(now, wall);
+        let plan = sched::plan(&input.snapshot);
+        self.assign(&input, &plan, now);
+        let PlannerInput { snapshot, machines, jobs } = input;
         self.stop_for(&plan, &machines, now);
         self.note_waiting_services(&snapshot, &plan);
         let reserved = plan.reservation.iter().flat_map(|r| r.rooms.iter().map(|x| x.0));
@@ -380,53 +391,63 @@
         }
     }
 
-    pub(super) fn assign(
-        &mut self,
-        s: &Snapshot,
-        plan: &Plan,
-        machines: &[MachineId],
-        jobs: &[JobId],
-        now: Steady,
-    ) {
+    /// Keeps what the plan starts on each machine.
+    pub(super) fn assign(&mut self, input: &PlannerInput, plan: &Plan, now: Steady) {
         self.assigned.clear();
         let mut taken: BTreeMap<usize, u32> = BTreeMap::new();
         let mut gangs: BTreeMap<usize, Vec<MachineId>> = BTreeMap::new();
         for st in &plan.starts {
-            let id = &machines[st.room];
-            if s.classes[st.class].gang {
+            let id = &input.machines[st.room];
+            if input.snapshot.classes[st.class].gang {
                 let at = gangs.entry(st.class).or_default();
                 at.extend((0..st.count).map(|_| id.clone()));
                 continue;
             }
             *taken.entry(st.class).or_insert(0) += st.count;
-            self.assigned.entry(id.clone()).or_default().push((jobs[st.class].clone(), st.count));
+            self.assigned.entry(id.clone()).or_default().push((input.jobs[st.class].clone(), st.count));
         }
         for (class, count) in taken {
-            let Some(j) = self.jobs.get(&jobs[class]) else { continue };
-            let from = if self.silent > 0 && self.hidden(&j.spec) { j.inherited } else { 0 };
-            let top = j.waiting.iter().filter(|n| *n >= from).nth(count.saturating_sub(1) as usize);
-            let Some(j) = self.jobs.get_mut(&jobs[class]) else { continue };
-            if let Some(top) = top.filter(|t| *t >= j.high) {
-                // A little ahead, so that starts do not wait for the write each time.
-                let ahead = count.max(16);
-                j.high_wanted = j.high_wanted.max(top.saturating_add(1 + ahead).min(j.spec.tasks));
-            }
+            self.raise_mark(&input.jobs[class], count);
         }
         for (class, at) in gangs {
-            let attempt = self.next_attempt();
-            let Some(j) = self.jobs.get_mut(&jobs[class]) else { continue };
-            let places = j.waiting.iter().zip(at).collect();
-            tracing::debug!(job = %j.id, tasks = j.spec.tasks, attempt, waited = s.classes[class].waited.secs(), "gang placed");
-            j.high_wanted = j.spec.tasks;
-            j.gang = Some(GangAttempt {
-                attempt,
-                places,
-                sent: Ranges::new(),
-                placed: now,
-                since: None,
-                stopping: None,
-            });
+            let waited = input.snapshot.classes[class].waited;
+            self.place_gang(&input.jobs[class], at, waited, now);
+        }
+        self.promise_places();
+    }
+
+    /// Has a job's mark written that allows as many of its waiting tasks to start.
+    fn raise_mark(&mut self, job: &JobId, count: u32) {
+        let Some(j) = self.jobs.get(job) else { return };
+        let from = if self.silent > 0 && self.hidden(&j.spec) { j.inherited } else { 0 };
+        let top = j.waiting.iter().filter(|n| *n >= from).nth(count.saturating_sub(1) as usize);
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        if let Some(top) = top.filter(|t| *t >= j.high) {
+            // A little ahead, so that starts do not wait for the write each time.
+            let ahead = count.max(16);
+            j.high_wanted = j.high_wanted.max(top.saturating_add(1 + ahead).min(j.spec.tasks));
         }
+    }
+
+    /// Begins an attempt of a gang on the machines given, one for each task.
+    fn place_gang(&mut self, job: &JobId, at: Vec<MachineId>, waited: Micros, now: Steady) {
+        let attempt = self.next_attempt();
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        let places = j.waiting.iter().zip(at).collect();
+        tracing::debug!(job = %j.id, tasks = j.spec.tasks, attempt, waited = waited.secs(), "gang placed");
+        j.high_wanted = j.spec.tasks;
+        j.gang = Some(GangAttempt {
+            attempt,
+            places,
+            sent: Ranges::new(),
+            placed: now,
+            since: None,
+            stopping: None,
+        });
+    }
+
+    /// Collects by machine the places of gangs whose starts have not left.
+    fn promise_places(&mut self) {
         self.promised.clear();
         for j in self.jobs.values() {
             let Some(g) = j.gang.as_ref().filter(|g| g.stopping.is_none()) else { continue };
@@ -436,54 +457,75 @@
         }
     }
 
+    /// Stops what the plan preempts, what a spot notice leaves just time to save, and replicas that
+    /// move.
     pub(super) fn stop_for(&mut self, plan: &Plan, machines: &[MachineId], now: Steady) {
-        let mut stops: Vec<(MachineId, TaskKey, f64)> = Vec::new();
-        let mut at_once: Vec<(MachineId, TaskKey)> = Vec::new();
+        let mut stops = self.preempted_tasks(plan, machines);
+        stops.extend(self.tasks_to_save(now));
+        for (machine, task) in self.replicas_to_move(now) {
+            tracing::info!(machine = %machine, job = %task.0, task = task.1, "a replica moves");
+            let grace_s = self.grace(&task.0);
+            stops.push(TaskStop { machine, task, grace_s, at_once: true });
+        }
+        for stop in &stops {
+            self.stop_task(stop);
+        }
+        for stop in stops.iter().filter(|s| s.at_once) {
+            if let Some(e) = self.machines.get_mut(&stop.machine).and_then(|m| m.tasks.get_mut(&stop.task)) {
+                e.stop_at_once = e.live() && e.stop.is_some();
+            }
+        }
+    }
+
+    /// The tasks that the plan preempts.
+    fn preempted_tasks(&self, plan: &Plan, machines: &[MachineId]) -> Vec<TaskStop> {
+        let mut stops = Vec::new();
         for &(room, held) in &plan.preempt {
             let id = &machines[room];
             let Some(m) = self.machines.get(id) else { continue };
             // The planner's `held` lists the live tasks in this very order.
             if let Some((k, _)) = m.tasks.iter().filter(|x| x.1.live()).nth(held) {
-                stops.push((id.clone(), k.clone(), self.grace(&k.0)));
-                at_once.push((id.clone(), k.clone()));
+                let grace_s = self.grace(&k.0);
+                stops.push(TaskStop { machine: id.clone(), task: k.clone(), grace_s, at_once: true });
                 tracing::info!(machine = %id, job = %k.0, task = k.1, "preempted");
             }
         }
-        // Before a spot machine is taken, what can save is told to.
+        stops
+    }
+
+    /// Tasks that can save and have to begin with it now, before their spot machine is taken.
+    fn tasks_to_save(&self, now: Steady) -> Vec<TaskStop> {
         let report = self.cfg.platform.settings.workers.report_s;
+        let mut stops = Vec::new();
         for m in self.machines.values() {
-            let Some(n) = m.notice else { continue };
+            let Some(notice) = m.notice else { continue };
             for (k, e) in m.tasks.iter().filter(|x| x.1.live() && x.1.stop.is_none()) {
-                let grace = self.grace(&k.0);
-                if grace > 0.0 && (n - now).secs() < grace + 2.5 * report && e.stage.is_some() {
-                    stops.push((m.id.clone(), k.clone(), grace));
+                let grace_s = self.grace(&k.0);
+                if grace_s > 0.0 && (notice - now).secs() < grace_s + 2.5 * report && e.stage.is_some() {
+                    stops.push(TaskStop { machine: m.id.clone(), task: k.clone(), grace_s, at_once: false });
                 }
             }
         }
-        for (id, k) in self.replicas_to_move(now) {
-            tracing::info!(machine = %id, job = %k.0, task = k.1, "a replica moves");
-            stops.push((id.clone(), k.clone(), self.grace(&k.0)));
-            at_once.push((id, k));
-        }
-        for (id, k, grace) in stops {
-            if self.jobs.get(&k.0).is_some_and(|j| j.spec.shape == Shape::Gang) {
-                self.stop_all(&k.0, Some(k.2), grace, false);
-            } else if let Some(e) = self.machines.get_mut(&id).and_then(|m| m.tasks.get_mut(&k)) {
-                if e.live() && e.stop.is_none() {
-                    e.stop = Some(grace);
-                }
-            }
-            if let Some(g) = self.jobs.get_mut(&k.0).and_then(|j| j.gang.as_mut()) {
-                g.stopping.get_or_insert(grace);
+        stops
+    }
+
+    /// Marks a task as to be stopped, and with a gang's task its whole attempt.
+    fn stop_task(&mut self, stop: &TaskStop) {
+        let (job, attempt) = (&stop.task.0, stop.task.2);
+        if self.jobs.get(job).is_some_and(|j| j.spec.shape == Shape::Gang) {
+            self.stop_all(job, Some(attempt), stop.grace_s, false);
+        } else if let Some(e) = self.machines.get_mut(&stop.machine).and_then(|m| m.tasks.get_mut(&stop.task))
+        {
+            if e.live() && e.stop.is_none() {
+                e.stop = Some(stop.grace_s);
             }
         }
-        for (id, k) in at_once {
-            if let Some(e) = self.machines.get_mut(&id).and_then(|m| m.tasks.get_mut(&k)) {
-                e.stop_at_once = e.live() && e.stop.is_some();
-            }
+        if let Some(g) = self.jobs.get_mut(job).and_then(|j| j.gang.as_mut()) {
+            g.stopping.get_or_insert(stop.grace_s);
         }
     }
 
+    /// Seconds that a job's tasks are given to save when they are stopped.
     pub(super) fn grace(&self, id: &JobId) -> f64 {
         self.jobs.get(id).filter(|j| j.spec.checkpoint_s > 0.0).map_or(0.0, |j| j.spec.save_s + 0.5)
     }
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -179,6 +179,25 @@
     /// written again after `batch`: until then its workers keep the results and report them.
     pub fn pending(&mut self, now: Steady, batch: Micros, chunk: u32) -> Vec<Pending> {
         self.pack();
+        let mut v = self.pending_of_jobs(now, batch, chunk);
+        v.extend(self.packs.pending(true).map(Pending::Machines));
+        v.extend(self.marks.pending(true).map(Pending::Marks));
+        if now - self.tidied > TIDY {
+            v.extend(self.packs.pending(false).map(|s| Pending::Tidy(Packed::Machines, s)));
+            v.extend(self.marks.pending(false).map(|s| Pending::Tidy(Packed::Marks, s)));
+            v.extend(self.history.dirty().map(Pending::History));
+        }
+        v.extend(self.unenrol.iter().map(|(id, s)| Pending::Unenrol(id.clone(), *s)));
+        if self.came > self.noted.1 && now - self.noted.0 > NOTE {
+            v.push(Pending::Recent);
+        }
+        v.extend(self.orphans.iter().map(|(k, s)| Pending::Orphan(k.clone(), *s)));
+        v.sort();
+        v
+    }
+
+    /// Records of jobs that are complete, and chunks of done tasks that are due.
+    fn pending_of_jobs(&self, now: Steady, batch: Micros, chunk: u32) -> Vec<Pending> {
         let mut v = Vec::new();
         for j in self.jobs.values().filter(|j| !j.cancelled) {
             if j.complete() {
@@ -195,19 +214,6 @@
                 }
             }
         }
-        v.extend(self.packs.pending(true).map(Pending::Machines));
-        v.extend(self.marks.pending(true).map(Pending::Marks));
-        if now - self.tidied > TIDY {
-            v.extend(self.packs.pending(false).map(|s| Pending::Tidy(Packed::Machines, s)));
-            v.extend(self.marks.pending(false).map(|s| Pending::Tidy(Packed::Marks, s)));
-            v.extend(self.history.dirty().map(Pending::History));
-        }
-        v.extend(self.unenrol.iter().map(|(id, s)| Pending::Unenrol(id.clone(), *s)));
-        if self.came > self.noted.1 && now - self.noted.0 > NOTE {
-            v.push(Pending::Recent);
-        }
-        v.extend(self.orphans.iter().map(|(k, s)| Pending::Orphan(k.clone(), *s)));
-        v.sort();
         v
     }
 
@@ -221,36 +227,12 @@
             }
             Pending::Recent => self.noted = (now, self.came),
             Pending::Machines(slot) | Pending::Tidy(Packed::Machines, slot) => {
-                if let Said::Machines(ids, version) = said {
-                    self.packs.written(*slot, *version, revision);
-                    for id in ids {
-                        if let Some(m) = self.machines.get_mut(id) {
-                            m.enrolled = true;
-                        }
-                    }
-                }
+                self.machines_written(*slot, revision, said);
             }
             Pending::Marks(slot) | Pending::Tidy(Packed::Marks, slot) => {
-                if let Said::Marks(marks, version) = said {
-                    self.marks.written(*slot, *version, revision);
-                    for (id, high) in marks {
-                        if let Some(j) = self.jobs.get_mut(id) {
-                            j.high = j.high.max(*high);
-                        }
-                    }
-                }
-            }
-            Pending::Done(id, chunk) => {
-                if let Some(j) = self.jobs.get_mut(id) {
-                    if let Said::Done(r) = said {
-                        for n in r.iter() {
-                            j.done_written.insert(n);
-                        }
-                    }
-                    j.chunks.insert(*chunk, revision);
-                    j.wrote_done = now;
-                }
+                self.marks_written(*slot, revision, said);
             }
+            Pending::Done(id, chunk) => self.done_chunk_written(id, *chunk, revision, said, now),
             Pending::History(bucket) => self.history.written(*bucket, revision),
             Pending::Unenrol(id, _) => {
                 self.unenrol.remove(id);
@@ -262,6 +244,37 @@
         self.dirty |= p.urgent();
     }
 
+    fn machines_written(&mut self, slot: u32, revision: u64, said: &Said) {
+        let Said::Machines(ids, version) = said else { return };
+        self.packs.written(slot, *version, revision);
+        for id in ids {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.enrolled = true;
+            }
+        }
+    }
+
+    fn marks_written(&mut self, slot: u32, revision: u64, said: &Said) {
+        let Said::Marks(marks, version) = said else { return };
+        self.marks.written(slot, *version, revision);
+        for (id, high) in marks {
+            if let Some(j) = self.jobs.get_mut(id) {
+                j.high = j.high.max(*high);
+            }
+        }
+    }
+
+    fn done_chunk_written(&mut self, id: &JobId, chunk: u32, revision: u64, said: &Said, now: Steady) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        if let Said::Done(tasks) = said {
+            for n in tasks.iter() {
+                j.done_written.insert(n);
+            }
+        }
+        j.chunks.insert(chunk, revision);
+        j.wrote_done = now;
+    }
+
     /// How a chunk that is no job's stands, as read back.
     pub fn learn_orphan(&mut self, key: &str, stamp: u64) {
         if stamp == 0 {
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -19,6 +19,14 @@
     lived: Micros,
 }
 
+impl Entry {
+    /// Marks the task as ended.
+    fn end(&mut self, why: Why, now: Steady) -> Ended {
+        self.ended = Some(why);
+        Ended { why, ran: self.running.map(|r| now - r), lived: now - self.since }
+    }
+}
+
 impl Fleet {
     /// A report came while this owner may answer none. Without this a machine whose lease ended for
     /// that would be taken for silent and returned as soon as the owner may act again: after a long
@@ -123,23 +131,38 @@
         out
     }
 
+    /// Takes what a report says of its machine and tasks, unless it is no newer than the last one;
+    /// returns whether it was taken.
     pub(super) fn take_report(&mut self, id: &MachineId, r: &Report, now: Steady) -> bool {
-        let token = self.token;
         let Some(m) = self.machines.get_mut(id) else { return false };
         if (r.season, r.tally) <= m.seen {
             return false;
         }
         let lost_lease = m.seen.0 > 0 && r.season > m.seen.0;
         m.seen = (r.season, r.tally);
+        self.take_machine_state(id, r, now);
+        let mut there = self.take_tasks(id, r, now);
+        self.arrived(id, &there, lost_lease, now);
+        there.sort_unstable();
+        self.drop_absent_tasks(id, &there);
+        if let Some(m) = self.machines.get_mut(id).filter(|m| !m.tasks.is_empty()) {
+            m.idle = now;
+        }
+        true
+    }
+
+    /// Takes what a report says of the machine itself: that it is up, whose token it has, and any
+    /// spot notice.
+    fn take_machine_state(&mut self, id: &MachineId, r: &Report, now: Steady) {
+        let Some(m) = self.machines.get_mut(id) else { return };
         if !m.up {
             m.up = true;
             m.idle = now;
             self.dirty = true;
         }
-        if !m.heard && r.token == token {
+        if !m.heard && r.token == self.token {
             m.heard = true;
             self.silent = self.silent.saturating_sub(1);
-
             self.uses.clear();
             self.dirty = true;
         }
@@ -149,6 +172,10 @@
             self.dirty = true;
         }
         m.notice = notice;
+    }
+
+    /// Takes the tasks that a report lists, and returns their keys.
+    fn take_tasks(&mut self, id: &MachineId, r: &Report, now: Steady) -> Vec<TaskKey> {
         let mut there: Vec<TaskKey> = Vec::with_capacity(r.tasks.len());
         for t in r.tasks.iter().take(10_000) {
             let Some((job, n)) = split_task(&t.task) else {
@@ -160,9 +187,12 @@
             self.take_task(id, &key, t, now);
             there.push(key);
         }
-        self.arrived(id, &there, lost_lease, now);
-        there.sort_unstable();
-        let Some(m) = self.machines.get_mut(id) else { return false };
+        there
+    }
+
+    /// Drops a machine's tasks that are not among those reported, which are sorted.
+    fn drop_absent_tasks(&mut self, id: &MachineId, there: &[TaskKey]) {
+        let Some(m) = self.machines.get(id) else { return };
         let absent: Vec<TaskKey> =
             m.tasks.keys().filter(|k| there.binary_search(k).is_err()).cloned().collect();
         for k in absent {
@@ -173,12 +203,6 @@
                 self.vanished(&k, id);
             }
         }
-        if let Some(m) = self.machines.get_mut(id) {
-            if !m.tasks.is_empty() {
-                m.idle = now;
-            }
-        }
-        true
     }
 
     /// Whether the last answer arrived, by what the report after it shows. A machine whose reports
@@ -214,6 +238,7 @@
         self.dirty = true;
     }
 
+    /// Takes what a report says of one task.
     pub(super) fn take_task(&mut self, id: &MachineId, key: &TaskKey, t: &TaskReport, now: Steady) {
         // Most of a report says what is known already.
         let known = self.machines.get(id).and_then(|m| m.tasks.get(key));
@@ -221,71 +246,59 @@
             return;
         }
         let fresh = known.is_none();
-        let job = self
-            .jobs
-            .get(&key.0)
-            .map(|j| (need_of(&j.spec), j.cancelled, j.spec.image.clone(), j.spec.image_gb));
-        let image = match &job {
-            Some((_, _, Some(name), gb)) => Some((self.image(name), *gb)),
-            _ => None,
-        };
-        let cache = self
-            .machines
-            .get(id)
-            .and_then(|m| m.ty)
-            .and_then(|t| self.types.get(t))
-            .map_or(0.0, |t| t.cache_gb);
         if fresh {
             self.uses.clear();
         }
+        let job = self.jobs.get(&key.0);
+        let need = job.map(|j| need_of(&j.spec));
+        // Withdrawn, or done while this task was out of sight.
+        let job_is_over = job.is_none_or(|j| j.cancelled);
         let Some(m) = self.machines.get_mut(id) else { return };
         let e = m.tasks.entry(key.clone()).or_insert_with(|| Entry {
             stage: None,
-            need: job.as_ref().map(|j| j.0),
+            need,
             since: now,
             running: None,
             stop: None,
             stop_at_once: false,
             ended: None,
         });
-        if e.ended.is_some() {
-            return;
-        }
-        if job.as_ref().is_none_or(|j| j.1) {
-            // The job is over: withdrawn, or done while this task was out of sight.
+        if job_is_over {
             e.stop = Some(0.0);
         }
-        let before = e.stage;
-        e.stage = Some(t.stage);
-        if t.stage == TaskStage::Running
-            && e.running.is_none()
-            && !fresh
-            && before != Some(TaskStage::Running)
-        {
+        let before = e.stage.replace(t.stage);
+        let changed = before != Some(t.stage);
+        if t.stage == TaskStage::Running && e.running.is_none() && !fresh && changed {
             e.running = Some(now);
             tracing::debug!(machine = %id, job = %key.0, task = key.1, "runs");
         }
-        if let Some((image, gb)) = image {
-            if before != e.stage {
-                m.images.retain(|i| i.0 != image);
-                m.images.push((image, gb));
-                let mut held: f64 = m.images.iter().map(|i| i.1).sum();
-                while held > cache && m.images.len() > 1 {
-                    held -= m.images.remove(0).1;
-                }
-            }
+        let ended = (t.stage == TaskStage::Exited).then(|| e.end(t.why.unwrap_or(Why::Other), now));
+        if changed {
+            self.note_cached_image(id, &key.0);
         }
-        if t.stage == TaskStage::Exited {
-            let why = t.why.unwrap_or(Why::Other);
-            e.ended = Some(why);
-            let ran = e.running.map(|r| now - r);
-            let lived = now - e.since;
-            self.exited(id, key, Ended { why, ran, lived }, now);
-        } else if before != e.stage && (fresh || before.is_none()) {
+        if let Some(ended) = ended {
+            self.exited(id, key, ended, now);
+        } else if before.is_none() {
             self.refresh(&key.0, key.1, id);
         }
     }
 
+    /// Notes that a machine holds a job's image, and that the oldest ones beyond its cache are gone.
+    fn note_cached_image(&mut self, id: &MachineId, job: &JobId) {
+        let Some(spec) = self.jobs.get(job).map(|j| &j.spec) else { return };
+        let (Some(name), image_gb) = (spec.image.clone(), spec.image_gb) else { return };
+        let image = self.image(&name);
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let cache_gb = m.ty.and_then(|t| self.types.get(t)).map_or(0.0, |t| t.cache_gb);
+        m.images.retain(|i| i.0 != image);
+        m.images.push((image, image_gb));
+        let mut held: f64 = m.images.iter().map(|i| i.1).sum();
+        while held > cache_gb && m.images.len() > 1 {
+            held -= m.images.remove(0).1;
+        }
+    }
+
+    /// Takes the end of a task into its machine and job.
     fn exited(&mut self, id: &MachineId, key: &TaskKey, ended: Ended, now: Steady) {
         let Ended { why, ran, lived } = ended;
         tracing::debug!(machine = %id, job = %key.0, task = key.1, ?why, "a task ended");
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -218,59 +218,83 @@
     pub fn capacity(&mut self, now: Steady, wall: Wall) -> Vec<(Offer, u32)> {
         // Always on a plan of this very moment: its indices are the snapshot's.
         let (snapshot, machines) = self.plan_now(now, wall);
-        let upkeep: Vec<Upkeep> = machines
-            .iter()
-            .filter_map(|id| self.machines.get(id))
+        let zones = self.type_zones();
+        let view = View {
+            warm: &self.warm(now),
+            due: &self.types_with_deadlines(),
+            snapshot: &snapshot,
+            plan: &self.plan,
+            upkeep: &self.upkeep_of(&machines, now),
+            types: &self.types,
+            zones: &zones,
+            refused: &self.offers_to_avoid(now),
+            policy: self.capacity_policy(),
+        };
+        let decision = view.decide();
+        for m in decision.returns {
+            self.return_idle(&machines[m]);
+        }
+        decision.rents.into_iter().map(|r| (r.offer, r.count)).collect()
+    }
+
+    /// What renting and returning need to know of each machine.
+    fn upkeep_of(&self, machines: &[MachineId], now: Steady) -> Vec<Upkeep> {
+        let known = machines.iter().filter_map(|id| self.machines.get(id));
+        known
             .map(|m| Upkeep {
                 age: m.age + (now - m.known),
                 idle: (m.up && m.tasks.is_empty()).then(|| now - m.idle),
                 booting: !m.up,
             })
-            .collect();
-        let type_zones: Vec<Vec<usize>> =
-            self.types.clone().iter().map(|t| t.zones.iter().map(|z| self.zone(z)).collect()).collect();
-        let mut refused: Vec<Offer> = self.refused.keys().copied().collect();
-        // Where most machines are silent the zone is cut off: new ones could not report either.
+            .collect()
+    }
+
+    /// The zones that each type is offered in.
+    fn type_zones(&mut self) -> Vec<Vec<usize>> {
+        self.types.clone().iter().map(|t| t.zones.iter().map(|z| self.zone(z)).collect()).collect()
+    }
+
+    /// For each type, whether recent jobs with a deadline may use it.
+    fn types_with_deadlines(&self) -> Vec<bool> {
+        (0..self.types.len()).map(|t| self.demands.iter().any(|d| d.due && d.types.contains(&t))).collect()
+    }
+
+    /// Offers that the cloud refused lately, and all of zones that are cut off: new machines there
+    /// could not report either.
+    fn offers_to_avoid(&self, now: Steady) -> Vec<Offer> {
+        let mut offers: Vec<Offer> = self.refused.keys().copied().collect();
+        for zone in (0..self.zones.len()).filter(|z| self.is_cut_off(*z, now)) {
+            let types = 0..self.types.len();
+            offers.extend(types.flat_map(|ty| [false, true].map(|spot| Offer { ty, zone, spot })));
+        }
+        offers
+    }
+
+    /// Whether most of a zone's machines are silent.
+    fn is_cut_off(&self, zone: usize, now: Steady) -> bool {
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
-        for z in 0..self.zones.len() {
-            let up = || self.machines.values().filter(|m| m.up && m.zone == z && !m.leaving);
-            let silent = up().filter(|m| now - m.report > report.scale(3.0)).count();
-            if silent >= 2 && silent * 2 > up().count() {
-                let all = (0..self.types.len())
-                    .flat_map(|ty| [false, true].map(|spot| Offer { ty, zone: z, spot }));
-                refused.extend(all);
-            }
+        let up = || self.machines.values().filter(|m| m.up && m.zone == zone && !m.leaving);
+        let silent = up().filter(|m| now - m.report > report.scale(3.0)).count();
+        silent >= 2 && silent * 2 > up().count()
+    }
+
+    fn capacity_policy(&self) -> Policy {
+        let operator = &self.cfg.operator;
+        Policy {
+            drain: Micros::from_secs(operator.drain_s),
+            idle: Micros::from_secs(operator.idle_s),
+            idle_kept: Micros::from_secs(operator.idle_protected_s),
+            idle_due: Micros::from_secs(operator.idle_deadline_s),
+            slow_boot: operator.slow_boot,
         }
-        let o = &self.cfg.operator;
-        let warm = self.warm(now);
-        let due: Vec<bool> = (0..self.types.len())
-            .map(|t| self.demands.iter().any(|d| d.due && d.types.contains(&t)))
-            .collect();
-        let view = View {
-            warm: &warm,
-            due: &due,
-            snapshot: &snapshot,
-            plan: &self.plan,
-            upkeep: &upkeep,
-            types: &self.types,
-            zones: &type_zones,
-            refused: &refused,
-            policy: Policy {
-                drain: Micros::from_secs(o.drain_s),
-                idle: Micros::from_secs(o.idle_s),
-                idle_kept: Micros::from_secs(o.idle_protected_s),
-                idle_due: Micros::from_secs(o.idle_deadline_s),
-                slow_boot: o.slow_boot,
-            },
-        };
-        let d = view.decide();
-        for m in d.returns {
-            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.tasks.is_empty()) {
-                tracing::info!(machine = %m.id, "returned: idle");
-                m.leaving = true;
-            }
+    }
+
+    /// Marks a machine as leaving if nothing is on it.
+    fn return_idle(&mut self, id: &MachineId) {
+        if let Some(m) = self.machines.get_mut(id).filter(|m| m.tasks.is_empty()) {
+            tracing::info!(machine = %m.id, "returned: idle");
+            m.leaving = true;
         }
-        d.rents.into_iter().map(|r| (r.offer, r.count)).collect()
     }
 
     /// The cloud had nothing of this for now.
