--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -37,7 +37,7 @@
         // A service has its room for as long as it runs; what has to be ready for the next one is the
         // room for the time that a new machine would take.
         let each = if service { ready.min(3600.0) } else { stated(s).secs().min(3600.0) };
-        self.came += 1;
+        self.submitted_count += 1;
         self.demands.push(Demand {
             at: now,
             need: need_of(s),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -100,9 +100,10 @@
     closed: BTreeSet<MachineId>,
     /// Use of teams with limits, by index; counted anew when emptied.
     uses: Vec<Option<Need>>,
-    /// How many machines are not heard, and whether it was said that all are.
+    /// How many machines have not been heard since the takeover.
     silent: usize,
-    sighted: bool,
+    /// Whether the log said last that all machines are heard.
+    all_heard: bool,
     /// Bytes that a value may hold.
     value_limit: usize,
     /// Changes that a transaction may hold.
@@ -118,7 +119,7 @@
     /// At this moment nobody had taken over from this owner.
     confirmed: Steady,
     /// When the log last said how the machines are used.
-    told: Steady,
+    usage_logged: Steady,
     /// Machines that are gone; reports from them are late.
     gone: BTreeMap<MachineId, Steady>,
     unenrol: BTreeMap<MachineId, u64>,
@@ -126,20 +127,22 @@
     refused: BTreeMap<Offer, Steady>,
     /// Demands of recent jobs by type, for what low ranks leave free.
     demands: Vec<Demand>,
-    /// When the list of them was last written, and how many jobs had come by then.
-    noted: (Steady, u64),
-    came: u64,
+    /// When the list of recent jobs was last written, and `submitted_count` at that time.
+    recent_jobs_written: (Steady, u64),
+    /// How many jobs this owner has added to the demands.
+    submitted_count: u64,
     /// When something that nobody waits for was last written.
-    tidied: Steady,
+    lazily_written: Steady,
     lease: Micros,
 }
 
-const MARGIN: Micros = Micros(1_500_000);
+/// Safety margin added to a worker's lease before this owner counts it as ended.
+const LEASE_MARGIN: Micros = Micros(1_500_000);
 
 impl Fleet {
     /// A new owner's world; records are loaded into it before anything is placed.
     pub fn new(cfg: Arc<Config>, types: Vec<MachineType>, token: u64, now: Steady) -> Fleet {
-        let lease = cfg.lease().scale(1.001) + MARGIN;
+        let lease = cfg.lease().scale(1.001) + LEASE_MARGIN;
         Fleet {
             token,
             jobs: BTreeMap::new(),
@@ -162,7 +165,7 @@
             closed: BTreeSet::new(),
             uses: Vec::new(),
             silent: 0,
-            sighted: false,
+            all_heard: false,
             value_limit: cfg.value_bytes(),
             txn_limit: cfg.txn_ops(),
             packs: Packs::new(cfg.value_bytes()),
@@ -174,11 +177,11 @@
             orphans: BTreeMap::new(),
             refused: BTreeMap::new(),
             demands: Vec::new(),
-            noted: (now, 0),
-            tidied: now,
-            told: now,
+            recent_jobs_written: (now, 0),
+            lazily_written: now,
+            usage_logged: now,
             confirmed: now,
-            came: 0,
+            submitted_count: 0,
             lease,
             cfg,
         }
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -4,13 +4,14 @@
 use super::*;
 
 /// Delays that differ by less count as alike.
-pub(super) const FINE: Micros = Micros(2_000_000);
+pub(super) const DELAY_STEP: Micros = Micros(2_000_000);
 
-/// So many seconds after it came a job that missed its start yields to others no more, and the
-/// widest of its shape after so many: it must begin within four minutes.
-pub(super) const YIELDS: f64 = 150.0;
+/// Seconds after which a narrow job that missed its start yields to others no more: it must begin
+/// within four minutes.
+pub(super) const MAX_YIELD_S: f64 = 150.0;
 
-pub(super) const YIELDS_WIDEST: f64 = 90.0;
+/// The same for the widest job of its shape, which takes longer to find its room.
+pub(super) const MAX_YIELD_OF_WIDEST_S: f64 = 90.0;
 
 /// The planner's input, and what its indices mean.
 pub(super) struct PlannerInput {
@@ -48,6 +49,14 @@
         }
         widest
     }
+
+    fn of_shape(self, shape: Shape) -> u32 {
+        if shape == Shape::Gang {
+            self.gang
+        } else {
+            self.other
+        }
+    }
 }
 
 impl Fleet {
@@ -96,7 +105,7 @@
             reserve: self.cfg.operator.reserve,
             clear_rooms: self.clear(),
             low_rank_delay_step: Micros::from_secs(1.5 * self.cfg.platform.settings.workers.report_s),
-            delay_step: FINE,
+            delay_step: DELAY_STEP,
             keep: self.keep(),
             rooms,
             classes,
@@ -167,7 +176,7 @@
         let (waited, adjusted) = (wall - j.submitted, self.adjusted(sp, wall));
         Class {
             rank: sp.rank,
-            raised: (gang && waited.secs() > Self::yields(sp, widest.gang)).then_some(Rank::Urgent),
+            raised: (gang && waited.secs() > Self::max_yield_s(sp, widest.gang)).then_some(Rank::Urgent),
             team: self.team(&sp.team).map_or(usize::MAX, |t| t.0),
             guaranteed: self.guaranteed.contains(&j.id),
             count: self.startable_tasks(j, now),
@@ -188,7 +197,7 @@
             } else {
                 vec![0; self.zones.len()]
             },
-            missed_aims: self.lost(sp, waited, adjusted, if gang { widest.gang } else { widest.other }),
+            missed_aims: self.missed_aims(sp, waited, adjusted, widest.of_shape(sp.shape)),
             patience: self.patience(sp) - waited,
             replicas: service.then(|| self.replica_rooms(j, room_of)),
         }
@@ -200,7 +209,7 @@
         if now < j.not_before || (gang && (j.gang.is_some() || !j.live.is_empty())) {
             return 0;
         }
-        if self.silent == 0 || !self.hidden(&j.spec) {
+        if self.silent == 0 || !self.may_be_on_unheard(&j.spec) {
             return j.waiting.len();
         }
         let tied = j.spec.one_zone || j.spec.spread || gang;
@@ -297,26 +306,26 @@
     }
 
     /// After so many seconds a job yields to others no more: the sooner the wider it is.
-    pub(super) fn yields(s: &JobSpec, widest: u32) -> f64 {
+    pub(super) fn max_yield_s(s: &JobSpec, widest: u32) -> f64 {
         let width = f64::from(s.tasks) / f64::from(widest.max(s.tasks).max(1));
-        YIELDS - (YIELDS - YIELDS_WIDEST) * width
+        MAX_YIELD_S - (MAX_YIELD_S - MAX_YIELD_OF_WIDEST_S) * width
     }
 
     /// How many of its class's aims a job has lost, by its age or by the time it would end if it
     /// started now. So that nothing starves or might be taken for forgotten, a lost aim stops
     /// counting against it after a while: one for its end after five times the aim, one for its
     /// start sooner, and the sooner the wider the job is: it takes longer to find its room.
-    pub(super) fn lost(&self, s: &JobSpec, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
+    pub(super) fn missed_aims(&self, s: &JobSpec, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
         if s.shape == Shape::Service {
             return 0;
         }
         let end = waited.secs() + 0.7 * adjusted.secs();
-        let yields = Self::yields(s, widest);
+        let max_yield_s = Self::max_yield_s(s, widest);
         let by_end = |within: f64| end > within && waited.secs() < 5.0 * within;
         let aims = &self.cfg.platform.settings.objectives;
         let of_class = || aims.iter().filter(|o| Some(&o.class) == s.class.as_ref());
         let lost = of_class().filter(|o| match (o.kind.as_str(), s.deadline_s) {
-            ("wait", _) => waited.secs() > o.within_s && waited.secs() < yields,
+            ("wait", _) => waited.secs() > o.within_s && waited.secs() < max_yield_s,
             ("deadline", Some(due)) => by_end(due * o.times),
             _ => false,
         });
@@ -419,7 +428,7 @@
     /// Has a job's mark written that allows as many of its waiting tasks to start.
     fn raise_mark(&mut self, job: &JobId, count: u32) {
         let Some(j) = self.jobs.get(job) else { return };
-        let from = if self.silent > 0 && self.hidden(&j.spec) { j.inherited } else { 0 };
+        let from = if self.silent > 0 && self.may_be_on_unheard(&j.spec) { j.inherited } else { 0 };
         let top = j.waiting.iter().filter(|n| *n >= from).nth(count.saturating_sub(1) as usize);
         let Some(j) = self.jobs.get_mut(job) else { return };
         if let Some(top) = top.filter(|t| *t >= j.high) {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -59,10 +59,10 @@
 /// Transactions are not made smaller than this, in changes.
 const LEAST_TXN: usize = 4;
 /// How long what nobody waits for is gathered before it is written.
-pub(super) const TIDY: Micros = Micros(3_000_000);
+pub(super) const LAZY_WRITE_INTERVAL: Micros = Micros(3_000_000);
 
 /// How often the list of recent jobs is written at the most.
-pub(super) const NOTE: Micros = Micros(10_000_000);
+pub(super) const RECENT_JOBS_INTERVAL: Micros = Micros(10_000_000);
 
 impl Fleet {
     /// Takes over a machine from its record: tasks may be on it until it is heard. `stamp` is the
@@ -182,13 +182,15 @@
         let mut v = self.pending_of_jobs(now, batch, chunk);
         v.extend(self.packs.pending(true).map(Pending::Machines));
         v.extend(self.marks.pending(true).map(Pending::Marks));
-        if now - self.tidied > TIDY {
+        if now - self.lazily_written > LAZY_WRITE_INTERVAL {
             v.extend(self.packs.pending(false).map(|s| Pending::Tidy(Packed::Machines, s)));
             v.extend(self.marks.pending(false).map(|s| Pending::Tidy(Packed::Marks, s)));
             v.extend(self.history.dirty().map(Pending::History));
         }
         v.extend(self.unenrol.iter().map(|(id, s)| Pending::Unenrol(id.clone(), *s)));
-        if self.came > self.noted.1 && now - self.noted.0 > NOTE {
+        if self.submitted_count > self.recent_jobs_written.1
+            && now - self.recent_jobs_written.0 > RECENT_JOBS_INTERVAL
+        {
             v.push(Pending::Recent);
         }
         v.extend(self.orphans.iter().map(|(k, s)| Pending::Orphan(k.clone(), *s)));
@@ -225,7 +227,7 @@
             Pending::Orphan(key, _) => {
                 self.orphans.remove(key);
             }
-            Pending::Recent => self.noted = (now, self.came),
+            Pending::Recent => self.recent_jobs_written = (now, self.submitted_count),
             Pending::Machines(slot) | Pending::Tidy(Packed::Machines, slot) => {
                 self.machines_written(*slot, revision, said);
             }
@@ -239,7 +241,7 @@
             }
         }
         if matches!(p, Pending::Tidy(..) | Pending::History(_)) {
-            self.tidied = now;
+            self.lazily_written = now;
         }
         self.dirty |= p.urgent();
     }
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -4,10 +4,10 @@
 
 /// With no more pairs of job and machine than this, each report is answered on a plan of the
 /// moment; with more, plans are made beside the answers.
-pub(super) const SMALL: usize = 4_000;
+pub(super) const MAX_PAIRS_PLANNED_INLINE: usize = 4_000;
 
 /// After so many answers in a row that did not arrive, a machine is returned.
-pub(super) const DEAF: u32 = 4;
+pub(super) const MAX_UNDELIVERED_ANSWERS: u32 = 4;
 
 /// How a task ended.
 pub(super) struct Ended {
@@ -231,7 +231,7 @@
             m.not_before = m.not_before.max(now + report.scale(f64::from(1u32 << m.deaf.min(4))));
         }
         tracing::info!(machine = %id, times = m.deaf, "an answer did not arrive");
-        if m.deaf >= DEAF && !m.leaving {
+        if m.deaf >= MAX_UNDELIVERED_ANSWERS && !m.leaving {
             tracing::info!(machine = %id, "returned: it reports, but answers do not reach it");
             m.leaving = true;
         }
@@ -368,7 +368,7 @@
                 }
             }
         }
-        if self.jobs.len() * self.machines.len() <= SMALL {
+        if self.jobs.len() * self.machines.len() <= MAX_PAIRS_PLANNED_INLINE {
             // Cheap enough to be up to date with what was just reported.
             self.replan(now, wall);
         }
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -74,7 +74,7 @@
         out: &mut Vec<Order>,
     ) -> u32 {
         let Some(j) = self.jobs.get(job).filter(|j| !j.cancelled) else { return 0 };
-        let from = if self.hidden(&j.spec) { j.inherited } else { 0 };
+        let from = if self.may_be_on_unheard(&j.spec) { j.inherited } else { 0 };
         let next: Vec<u32> = j.waiting.iter().filter(|n| *n >= from).take(count as usize).collect();
         if let Some(j) = self.jobs.get_mut(job) {
             if let Some(top) = next.last().filter(|t| **t >= j.high) {
@@ -170,7 +170,7 @@
         if n >= j.high || now < j.not_before {
             return false;
         }
-        if self.silent > 0 && !self.startable_blind(j, n) && self.hidden(&j.spec) {
+        if self.silent > 0 && !self.startable_blind(j, n) && self.may_be_on_unheard(&j.spec) {
             return false;
         }
         let total = self.total(ty);
@@ -203,7 +203,7 @@
 
     /// Whether a job's started tasks may be on a machine that is not heard. Only on one that the
     /// job may use: an old owner checked that as this one does.
-    pub(super) fn hidden(&self, s: &JobSpec) -> bool {
+    pub(super) fn may_be_on_unheard(&self, s: &JobSpec) -> bool {
         if self.silent == 0 {
             return false;
         }
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -3,16 +3,16 @@
 use super::*;
 
 /// How often the log says how the machines are used.
-pub(super) const TELL: Micros = Micros(15_000_000);
+pub(super) const USAGE_LOG_INTERVAL: Micros = Micros(15_000_000);
 
 /// How long a machine that the cloud says is running is waited for after its lease ran out.
-pub(super) const CUT: Micros = Micros(40_000_000);
+pub(super) const PARTITION_GRACE: Micros = Micros(40_000_000);
 
 /// Silent machines that are few are fenced no sooner than this after a takeover.
-pub(super) const FENCE_SOON: Micros = Micros(8_000_000);
+pub(super) const MIN_EARLY_FENCE: Micros = Micros(8_000_000);
 
 /// Silent machines that the cloud does not list are returned so long after a takeover.
-pub(super) const NOT_LISTED: Micros = Micros(4_000_000);
+pub(super) const UNLISTED_GRACE: Micros = Micros(4_000_000);
 
 /// The bounds that a check of the leases holds each machine to.
 struct LeaseCheck {
@@ -46,7 +46,7 @@
     /// Marks a machine as leaving if it has been silent for too long since the takeover.
     fn return_unheard(&self, m: &mut Machine) {
         let silent = self.now - self.taken_over;
-        if silent > self.unheard_limit || (m.missing && silent > NOT_LISTED) {
+        if silent > self.unheard_limit || (m.missing && silent > UNLISTED_GRACE) {
             tracing::info!(machine = %m.id, "returned: silent since the takeover");
             m.leaving = true;
         }
@@ -78,7 +78,7 @@
             None if m.up => {
                 // It has shown this owner's token in answer to a direct command, and is bound to
                 // report within moments.
-                if self.now - m.known > self.lease + CUT {
+                if self.now - m.known > self.lease + PARTITION_GRACE {
                     tracing::info!(machine = %m.id, "returned: it does not report");
                     m.leaving = true;
                 }
@@ -96,7 +96,7 @@
     /// Marks a machine as leaving whose lease was last renewed too long ago.
     fn return_unrenewed(&self, m: &mut Machine, renewed: Steady) {
         let silent = self.now - renewed.max(m.alive);
-        if m.expired && silent > self.lease + CUT {
+        if m.expired && silent > self.lease + PARTITION_GRACE {
             // The cloud says it runs: cut off, most likely, and good again afterwards.
             tracing::info!(machine = %m.id, "returned: silent for long");
             m.leaving = true;
@@ -112,9 +112,9 @@
     pub fn tick(&mut self, now: Steady, wall: Wall) {
         self.check_leases(now);
         self.log_takeover_progress(now);
-        if now - self.told > TELL {
-            self.told = now;
-            self.tell_use();
+        if now - self.usage_logged > USAGE_LOG_INTERVAL {
+            self.usage_logged = now;
+            self.log_machine_use();
         }
         self.gone.retain(|_, at| (now - *at).secs() < 900.0);
         self.refused.retain(|_, until| now < *until);
@@ -158,7 +158,7 @@
         // A few silent machines hold up all that was started: once the others are heard, the cloud
         // is asked to end them. Where many are silent a zone is cut off, and they are waited for.
         let few = self.silent * 10 <= self.machines.len();
-        let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(FENCE_SOON);
+        let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(MIN_EARLY_FENCE);
         LeaseCheck {
             now,
             taken_over: self.taken,
@@ -174,15 +174,15 @@
 
     /// Logs when all machines of the earlier owner are heard or ended, and when no longer.
     fn log_takeover_progress(&mut self, now: Steady) {
-        if (self.silent == 0) != self.sighted {
-            self.sighted = self.silent == 0;
+        if (self.silent == 0) != self.all_heard {
+            self.all_heard = self.silent == 0;
             let after = (now - self.taken).secs();
             tracing::info!(after, unheard = self.silent, "machines of the earlier owner are heard or ended");
         }
     }
 
     /// Says by type and kind what is paid for and what of it is used.
-    pub(super) fn tell_use(&self) {
+    pub(super) fn log_machine_use(&self) {
         #[derive(Default)]
         struct Use {
             machines: u32,
