--- a/src/fleet/machines.rs
+++ b/src/fleet/machines.rs
@@ -22,6 +22,12 @@
 }
 
 impl Entry {
+    /// A task whose start leaves now, or that is seen for the first time.
+    pub(super) fn new(need: Option<Need>, now: Steady) -> Entry {
+        Entry { stage: None, need, since: now, running: None, stop: None, stop_at_once: false, ended: None }
+    }
+
+    /// Whether the task has not ended.
     pub(super) fn live(&self) -> bool {
         self.ended.is_none()
     }
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -9,6 +9,15 @@
 /// After so many answers in a row that did not arrive, a machine is returned.
 pub(super) const MAX_UNDELIVERED_ANSWERS: u32 = 4;
 
+/// A machine on which tasks of so many jobs failed, with no success between, is returned.
+const MAX_FAILED_JOBS: usize = 2;
+
+/// How long a machine that had no room for a task gets no other.
+const NO_ROOM_PAUSE: Micros = Micros(2_000_000);
+
+/// Tasks of a report beyond this many are not read.
+const MAX_REPORTED_TASKS: usize = 10_000;
+
 /// How a task ended.
 pub(super) struct Ended {
     /// Why.
@@ -177,7 +186,7 @@
     /// Takes the tasks that a report lists, and returns their keys.
     fn take_tasks(&mut self, id: &MachineId, r: &Report, now: Steady) -> Vec<TaskKey> {
         let mut there: Vec<TaskKey> = Vec::with_capacity(r.tasks.len());
-        for t in r.tasks.iter().take(10_000) {
+        for t in r.tasks.iter().take(MAX_REPORTED_TASKS) {
             let Some((job, n)) = split_task(&t.task) else {
                 tracing::error!(machine = %id, task = %t.task, "a report names a malformed task");
                 continue;
@@ -254,15 +263,7 @@
         // Withdrawn, or done while this task was out of sight.
         let job_is_over = job.is_none_or(|j| j.cancelled);
         let Some(m) = self.machines.get_mut(id) else { return };
-        let e = m.tasks.entry(key.clone()).or_insert_with(|| Entry {
-            stage: None,
-            need,
-            since: now,
-            running: None,
-            stop: None,
-            stop_at_once: false,
-            ended: None,
-        });
+        let e = m.tasks.entry(key.clone()).or_insert_with(|| Entry::new(need, now));
         if job_is_over {
             e.stop = Some(0.0);
         }
@@ -302,43 +303,12 @@
     fn exited(&mut self, id: &MachineId, key: &TaskKey, ended: Ended, now: Steady) {
         let Ended { why, ran, lived } = ended;
         tracing::debug!(machine = %id, job = %key.0, task = key.1, ?why, "a task ended");
-        if let Some(m) = self.machines.get_mut(id) {
-            match why {
-                Why::Done => m.failed.clear(),
-                Why::Error => {
-                    m.failed.insert(key.0.clone());
-                    if m.failed.len() >= 2 && !m.leaving {
-                        // Errors across different jobs: the machine is at fault.
-                        tracing::info!(machine = %id, "returned: tasks of several jobs failed on it");
-                        m.leaving = true;
-                    }
-                }
-                Why::NoRoom => m.not_before = now + Micros::from_secs(2.0),
-                _ => {}
-            }
-        }
+        self.end_on_machine(id, &key.0, why, now);
         let service = self.jobs.get(&key.0).is_some_and(|j| j.spec.shape == Shape::Service);
         if service {
             self.replica_ended(&key.0, id, why, lived, now);
-        } else if let Some(j) = self.jobs.get_mut(&key.0) {
-            match why {
-                Why::Done if key.1 < j.spec.tasks => {
-                    j.errors = 0;
-                    if j.spec.shape == Shape::Gang {
-                        // A gang completes together.
-                        j.done = Ranges::span(0, j.spec.tasks);
-                        j.waiting = Ranges::new();
-                    } else {
-                        j.done.insert(key.1);
-                        j.waiting.remove(key.1);
-                    }
-                    if let Some(r) = ran {
-                        j.ran = (j.ran.0 + r, j.ran.1 + 1);
-                    }
-                }
-                Why::Error | Why::Unknown => j.back_off(now),
-                _ => {}
-            }
+        } else {
+            self.end_in_job(key, why, ran, now);
         }
         if why != Why::Done {
             self.gang_broken(&key.0, key.2);
@@ -346,6 +316,48 @@
         self.refresh(&key.0, key.1, id);
     }
 
+    /// What a task's end says of its machine.
+    fn end_on_machine(&mut self, id: &MachineId, job: &JobId, why: Why, now: Steady) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        match why {
+            Why::Done => m.failed.clear(),
+            Why::Error => {
+                m.failed.insert(job.clone());
+                if m.failed.len() >= MAX_FAILED_JOBS && !m.leaving {
+                    // Errors across different jobs: the machine is at fault.
+                    tracing::info!(machine = %id, "returned: tasks of several jobs failed on it");
+                    m.leaving = true;
+                }
+            }
+            Why::NoRoom => m.not_before = now + NO_ROOM_PAUSE,
+            _ => {}
+        }
+    }
+
+    /// What a task's end says of its job, which is no service.
+    fn end_in_job(&mut self, key: &TaskKey, why: Why, ran: Option<Micros>, now: Steady) {
+        let Some(j) = self.jobs.get_mut(&key.0) else { return };
+        match why {
+            Why::Done if key.1 < j.spec.tasks => {
+                j.errors = 0;
+                if j.spec.shape == Shape::Gang {
+                    // A gang completes together.
+                    j.done = Ranges::span(0, j.spec.tasks);
+                    j.waiting = Ranges::new();
+                } else {
+                    j.done.insert(key.1);
+                    j.waiting.remove(key.1);
+                }
+                if let Some(r) = ran {
+                    j.ran = (j.ran.0 + r, j.ran.1 + 1);
+                }
+            }
+            Why::Error | Why::Unknown => j.back_off(now),
+            _ => {}
+        }
+    }
+
+    /// The orders with which a machine's report is answered.
     pub(super) fn orders(&mut self, id: &MachineId, now: Steady, wall: Wall) -> Vec<Order> {
         let mut out = Vec::new();
         if let Some(m) = self.machines.get(id) {
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -122,22 +122,9 @@
             tracing::debug!(job = %job, machine = %id, "first start");
         }
         let team = j.spec.team.clone();
-        if let Some((at, _)) = self.team(&team) {
-            if let Some(Some(u)) = self.uses.get_mut(at) {
-                *u = u.plus(&need, 1);
-            }
-        }
+        self.add_use(&team, &need);
         if let Some(m) = self.machines.get_mut(id) {
-            let e = Entry {
-                stage: None,
-                need: Some(need),
-                since: now,
-                running: None,
-                stop: None,
-                stop_at_once: false,
-                ended: None,
-            };
-            m.tasks.insert((job.clone(), n, attempt), e);
+            m.tasks.insert((job.clone(), n, attempt), Entry::new(Some(need), now));
             m.sent.push((job.clone(), n, attempt));
             m.idle = now;
         }
@@ -146,6 +133,14 @@
         true
     }
 
+    /// Adds a started task to its team's use, if that is counted at present.
+    fn add_use(&mut self, team: &str, need: &Need) {
+        let Some((at, _)) = self.team(team) else { return };
+        if let Some(Some(used)) = self.uses.get_mut(at) {
+            *used = used.plus(need, 1);
+        }
+    }
+
     /// Attempt numbers come from token and counter: never reused, without a write.
     pub(super) fn next_attempt(&mut self) -> u64 {
         self.counter += 1;
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -14,6 +14,9 @@
 /// Silent machines that the cloud does not list are returned so long after a takeover.
 pub(super) const UNLISTED_GRACE: Micros = Micros(4_000_000);
 
+/// How long a machine that is gone is remembered, so that late reports from it are refused.
+const GONE_KEPT: Micros = Micros(900_000_000);
+
 /// The bounds that a check of the leases holds each machine to.
 struct LeaseCheck {
     now: Steady,
@@ -116,7 +119,7 @@
             self.usage_logged = now;
             self.log_machine_use();
         }
-        self.gone.retain(|_, at| (now - *at).secs() < 900.0);
+        self.gone.retain(|_, at| now - *at < GONE_KEPT);
         self.refused.retain(|_, until| now < *until);
         self.forget_vacated(now);
         self.replan(now, wall);
