--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -4,10 +4,19 @@
 
 /// With no more pairs of job and machine than this, each report is answered on a plan of the
 /// moment; with more, plans are made beside the answers.
-pub(super) const SMALL: usize = 4_000;
+pub(super) const MAX_PAIRS_PLANNED_INLINE: usize = 4_000;
 
 /// After so many answers in a row that did not arrive, a machine is returned.
-pub(super) const DEAF: u32 = 4;
+pub(super) const MAX_UNDELIVERED_ANSWERS: u32 = 4;
+
+/// A machine on which tasks of so many jobs failed, with no success between, is returned.
+const MAX_FAILED_JOBS: usize = 2;
+
+/// How long a machine that had no room for a task gets no other.
+const NO_ROOM_PAUSE: Micros = Micros(2_000_000);
+
+/// Tasks of a report beyond this many are not read.
+const MAX_REPORTED_TASKS: usize = 10_000;
 
 /// How a task ended.
 pub(super) struct Ended {
@@ -19,6 +28,14 @@
     lived: Micros,
 }
 
+impl Entry {
+    /// Marks the task as ended.
+    fn end(&mut self, why: Why, now: Steady) -> Ended {
+        self.ended = Some(why);
+        Ended { why, ran: self.running.map(|r| now - r), lived: now - self.since }
+    }
+}
+
 impl Fleet {
     /// A report came while this owner may answer none. Without this a machine whose lease ended for
     /// that would be taken for silent and returned as soon as the owner may act again: after a long
@@ -123,23 +140,38 @@
         out
     }
 
+    /// Takes what a report says of its machine and tasks, unless it is no newer than the last one;
+    /// returns whether it was taken.
     pub(super) fn take_report(&mut self, id: &MachineId, r: &Report, now: Steady) -> bool {
-        let token = self.token;
         let Some(m) = self.machines.get_mut(id) else { return false };
         if (r.season, r.tally) <= m.seen {
             return false;
         }
         let lost_lease = m.seen.0 > 0 && r.season > m.seen.0;
         m.seen = (r.season, r.tally);
+        self.take_machine_state(id, r, now);
+        let mut there = self.take_tasks(id, r, now);
+        self.arrived(id, &there, lost_lease, now);
+        there.sort_unstable();
+        self.drop_absent_tasks(id, &there);
+        if let Some(m) = self.machines.get_mut(id).filter(|m| !m.tasks.is_empty()) {
+            m.idle = now;
+        }
+        true
+    }
+
+    /// Takes what a report says of the machine itself: that it is up, whose token it has, and any
+    /// spot notice.
+    fn take_machine_state(&mut self, id: &MachineId, r: &Report, now: Steady) {
+        let Some(m) = self.machines.get_mut(id) else { return };
         if !m.up {
             m.up = true;
             m.idle = now;
             self.dirty = true;
         }
-        if !m.heard && r.token == token {
+        if !m.heard && r.token == self.token {
             m.heard = true;
             self.silent = self.silent.saturating_sub(1);
-
             self.uses.clear();
             self.dirty = true;
         }
@@ -149,8 +181,12 @@
             self.dirty = true;
         }
         m.notice = notice;
+    }
+
+    /// Takes the tasks that a report lists, and returns their keys.
+    fn take_tasks(&mut self, id: &MachineId, r: &Report, now: Steady) -> Vec<TaskKey> {
         let mut there: Vec<TaskKey> = Vec::with_capacity(r.tasks.len());
-        for t in r.tasks.iter().take(10_000) {
+        for t in r.tasks.iter().take(MAX_REPORTED_TASKS) {
             let Some((job, n)) = split_task(&t.task) else {
                 tracing::error!(machine = %id, task = %t.task, "a report names a malformed task");
                 continue;
@@ -160,9 +196,12 @@
             self.take_task(id, &key, t, now);
             there.push(key);
         }
-        self.arrived(id, &there, lost_lease, now);
-        there.sort_unstable();
-        let Some(m) = self.machines.get_mut(id) else { return false };
+        there
+    }
+
+    /// Drops a machine's tasks that are not among those reported, which are sorted.
+    fn drop_absent_tasks(&mut self, id: &MachineId, there: &[TaskKey]) {
+        let Some(m) = self.machines.get(id) else { return };
         let absent: Vec<TaskKey> =
             m.tasks.keys().filter(|k| there.binary_search(k).is_err()).cloned().collect();
         for k in absent {
@@ -173,12 +212,6 @@
                 self.vanished(&k, id);
             }
         }
-        if let Some(m) = self.machines.get_mut(id) {
-            if !m.tasks.is_empty() {
-                m.idle = now;
-            }
-        }
-        true
     }
 
     /// Whether the last answer arrived, by what the report after it shows. A machine whose reports
@@ -207,13 +240,14 @@
             m.not_before = m.not_before.max(now + report.scale(f64::from(1u32 << m.deaf.min(4))));
         }
         tracing::info!(machine = %id, times = m.deaf, "an answer did not arrive");
-        if m.deaf >= DEAF && !m.leaving {
+        if m.deaf >= MAX_UNDELIVERED_ANSWERS && !m.leaving {
             tracing::info!(machine = %id, "returned: it reports, but answers do not reach it");
             m.leaving = true;
         }
         self.dirty = true;
     }
 
+    /// Takes what a report says of one task.
     pub(super) fn take_task(&mut self, id: &MachineId, key: &TaskKey, t: &TaskReport, now: Steady) {
         // Most of a report says what is known already.
         let known = self.machines.get(id).and_then(|m| m.tasks.get(key));
@@ -221,111 +255,60 @@
             return;
         }
         let fresh = known.is_none();
-        let job = self
-            .jobs
-            .get(&key.0)
-            .map(|j| (need_of(&j.spec), j.cancelled, j.spec.image.clone(), j.spec.image_gb));
-        let image = match &job {
-            Some((_, _, Some(name), gb)) => Some((self.image(name), *gb)),
-            _ => None,
-        };
-        let cache = self
-            .machines
-            .get(id)
-            .and_then(|m| m.ty)
-            .and_then(|t| self.types.get(t))
-            .map_or(0.0, |t| t.cache_gb);
         if fresh {
             self.uses.clear();
         }
+        let job = self.jobs.get(&key.0);
+        let need = job.map(|j| need_of(&j.spec));
+        // Withdrawn, or done while this task was out of sight.
+        let job_is_over = job.is_none_or(|j| j.cancelled);
         let Some(m) = self.machines.get_mut(id) else { return };
-        let e = m.tasks.entry(key.clone()).or_insert_with(|| Entry {
-            stage: None,
-            need: job.as_ref().map(|j| j.0),
-            since: now,
-            running: None,
-            stop: None,
-            stop_at_once: false,
-            ended: None,
-        });
-        if e.ended.is_some() {
-            return;
-        }
-        if job.as_ref().is_none_or(|j| j.1) {
-            // The job is over: withdrawn, or done while this task was out of sight.
+        let e = m.tasks.entry(key.clone()).or_insert_with(|| Entry::new(need, now));
+        if job_is_over {
             e.stop = Some(0.0);
         }
-        let before = e.stage;
-        e.stage = Some(t.stage);
-        if t.stage == TaskStage::Running
-            && e.running.is_none()
-            && !fresh
-            && before != Some(TaskStage::Running)
-        {
+        let before = e.stage.replace(t.stage);
+        let changed = before != Some(t.stage);
+        if t.stage == TaskStage::Running && e.running.is_none() && !fresh && changed {
             e.running = Some(now);
             tracing::debug!(machine = %id, job = %key.0, task = key.1, "runs");
         }
-        if let Some((image, gb)) = image {
-            if before != e.stage {
-                m.images.retain(|i| i.0 != image);
-                m.images.push((image, gb));
-                let mut held: f64 = m.images.iter().map(|i| i.1).sum();
-                while held > cache && m.images.len() > 1 {
-                    held -= m.images.remove(0).1;
-                }
-            }
+        let ended = (t.stage == TaskStage::Exited).then(|| e.end(t.why.unwrap_or(Why::Other), now));
+        if changed {
+            self.note_cached_image(id, &key.0);
         }
-        if t.stage == TaskStage::Exited {
-            let why = t.why.unwrap_or(Why::Other);
-            e.ended = Some(why);
-            let ran = e.running.map(|r| now - r);
-            let lived = now - e.since;
-            self.exited(id, key, Ended { why, ran, lived }, now);
-        } else if before != e.stage && (fresh || before.is_none()) {
+        if let Some(ended) = ended {
+            self.exited(id, key, ended, now);
+        } else if before.is_none() {
             self.refresh(&key.0, key.1, id);
         }
     }
 
+    /// Notes that a machine holds a job's image, and that the oldest ones beyond its cache are gone.
+    fn note_cached_image(&mut self, id: &MachineId, job: &JobId) {
+        let Some(spec) = self.jobs.get(job).map(|j| &j.spec) else { return };
+        let (Some(name), image_gb) = (spec.image.clone(), spec.image_gb) else { return };
+        let image = self.image(&name);
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let cache_gb = m.ty.and_then(|t| self.types.get(t)).map_or(0.0, |t| t.cache_gb);
+        m.images.retain(|i| i.0 != image);
+        m.images.push((image, image_gb));
+        let mut held: f64 = m.images.iter().map(|i| i.1).sum();
+        while held > cache_gb && m.images.len() > 1 {
+            held -= m.images.remove(0).1;
+        }
+    }
+
+    /// Takes the end of a task into its machine and job.
     fn exited(&mut self, id: &MachineId, key: &TaskKey, ended: Ended, now: Steady) {
         let Ended { why, ran, lived } = ended;
         tracing::debug!(machine = %id, job = %key.0, task = key.1, ?why, "a task ended");
-        if let Some(m) = self.machines.get_mut(id) {
-            match why {
-                Why::Done => m.failed.clear(),
-                Why::Error => {
-                    m.failed.insert(key.0.clone());
-                    if m.failed.len() >= 2 && !m.leaving {
-                        // Errors across different jobs: the machine is at fault.
-                        tracing::info!(machine = %id, "returned: tasks of several jobs failed on it");
-                        m.leaving = true;
-                    }
-                }
-                Why::NoRoom => m.not_before = now + Micros::from_secs(2.0),
-                _ => {}
-            }
-        }
+        self.end_on_machine(id, &key.0, why, now);
         let service = self.jobs.get(&key.0).is_some_and(|j| j.spec.shape == Shape::Service);
         if service {
             self.replica_ended(&key.0, id, why, lived, now);
-        } else if let Some(j) = self.jobs.get_mut(&key.0) {
-            match why {
-                Why::Done if key.1 < j.spec.tasks => {
-                    j.errors = 0;
-                    if j.spec.shape == Shape::Gang {
-                        // A gang completes together.
-                        j.done = Ranges::span(0, j.spec.tasks);
-                        j.waiting = Ranges::new();
-                    } else {
-                        j.done.insert(key.1);
-                        j.waiting.remove(key.1);
-                    }
-                    if let Some(r) = ran {
-                        j.ran = (j.ran.0 + r, j.ran.1 + 1);
-                    }
-                }
-                Why::Error | Why::Unknown => j.back_off(now),
-                _ => {}
-            }
+        } else {
+            self.end_in_job(key, why, ran, now);
         }
         if why != Why::Done {
             self.gang_broken(&key.0, key.2);
@@ -333,6 +316,48 @@
         self.refresh(&key.0, key.1, id);
     }
 
+    /// What a task's end says of its machine.
+    fn end_on_machine(&mut self, id: &MachineId, job: &JobId, why: Why, now: Steady) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        match why {
+            Why::Done => m.failed.clear(),
+            Why::Error => {
+                m.failed.insert(job.clone());
+                if m.failed.len() >= MAX_FAILED_JOBS && !m.leaving {
+                    // Errors across different jobs: the machine is at fault.
+                    tracing::info!(machine = %id, "returned: tasks of several jobs failed on it");
+                    m.leaving = true;
+                }
+            }
+            Why::NoRoom => m.not_before = now + NO_ROOM_PAUSE,
+            _ => {}
+        }
+    }
+
+    /// What a task's end says of its job, which is no service.
+    fn end_in_job(&mut self, key: &TaskKey, why: Why, ran: Option<Micros>, now: Steady) {
+        let Some(j) = self.jobs.get_mut(&key.0) else { return };
+        match why {
+            Why::Done if key.1 < j.spec.tasks => {
+                j.errors = 0;
+                if j.spec.shape == Shape::Gang {
+                    // A gang completes together.
+                    j.done = Ranges::span(0, j.spec.tasks);
+                    j.waiting = Ranges::new();
+                } else {
+                    j.done.insert(key.1);
+                    j.waiting.remove(key.1);
+                }
+                if let Some(r) = ran {
+                    j.ran = (j.ran.0 + r, j.ran.1 + 1);
+                }
+            }
+            Why::Error | Why::Unknown => j.back_off(now),
+            _ => {}
+        }
+    }
+
+    /// The orders with which a machine's report is answered.
     pub(super) fn orders(&mut self, id: &MachineId, now: Steady, wall: Wall) -> Vec<Order> {
         let mut out = Vec::new();
         if let Some(m) = self.machines.get(id) {
@@ -355,7 +380,7 @@
                 }
             }
         }
-        if self.jobs.len() * self.machines.len() <= SMALL {
+        if self.jobs.len() * self.machines.len() <= MAX_PAIRS_PLANNED_INLINE {
             // Cheap enough to be up to date with what was just reported.
             self.replan(now, wall);
         }
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -74,7 +74,7 @@
         out: &mut Vec<Order>,
     ) -> u32 {
         let Some(j) = self.jobs.get(job).filter(|j| !j.cancelled) else { return 0 };
-        let from = if self.hidden(&j.spec) { j.inherited } else { 0 };
+        let from = if self.may_be_on_unheard(&j.spec) { j.inherited } else { 0 };
         let next: Vec<u32> = j.waiting.iter().filter(|n| *n >= from).take(count as usize).collect();
         if let Some(j) = self.jobs.get_mut(job) {
             if let Some(top) = next.last().filter(|t| **t >= j.high) {
@@ -122,22 +122,9 @@
             tracing::debug!(job = %job, machine = %id, "first start");
         }
         let team = j.spec.team.clone();
-        if let Some((at, _)) = self.team(&team) {
-            if let Some(Some(u)) = self.uses.get_mut(at) {
-                *u = u.plus(&need, 1);
-            }
-        }
+        self.add_use(&team, &need);
         if let Some(m) = self.machines.get_mut(id) {
-            let e = Entry {
-                stage: None,
-                need: Some(need),
-                since: now,
-                running: None,
-                stop: None,
-                stop_at_once: false,
-                ended: None,
-            };
-            m.tasks.insert((job.clone(), n, attempt), e);
+            m.tasks.insert((job.clone(), n, attempt), Entry::new(Some(need), now));
             m.sent.push((job.clone(), n, attempt));
             m.idle = now;
         }
@@ -146,6 +133,14 @@
         true
     }
 
+    /// Adds a started task to its team's use, if that is counted at present.
+    fn add_use(&mut self, team: &str, need: &Need) {
+        let Some((at, _)) = self.team(team) else { return };
+        if let Some(Some(used)) = self.uses.get_mut(at) {
+            *used = used.plus(need, 1);
+        }
+    }
+
     /// Attempt numbers come from token and counter: never reused, without a write.
     pub(super) fn next_attempt(&mut self) -> u64 {
         self.counter += 1;
@@ -170,7 +165,7 @@
         if n >= j.high || now < j.not_before {
             return false;
         }
-        if self.silent > 0 && !self.startable_blind(j, n) && self.hidden(&j.spec) {
+        if self.silent > 0 && !self.startable_blind(j, n) && self.may_be_on_unheard(&j.spec) {
             return false;
         }
         let total = self.total(ty);
@@ -203,7 +198,7 @@
 
     /// Whether a job's started tasks may be on a machine that is not heard. Only on one that the
     /// job may use: an old owner checked that as this one does.
-    pub(super) fn hidden(&self, s: &JobSpec) -> bool {
+    pub(super) fn may_be_on_unheard(&self, s: &JobSpec) -> bool {
         if self.silent == 0 {
             return false;
         }
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -3,37 +3,134 @@
 use super::*;
 
 /// How often the log says how the machines are used.
-pub(super) const TELL: Micros = Micros(15_000_000);
+pub(super) const USAGE_LOG_INTERVAL: Micros = Micros(15_000_000);
 
 /// How long a machine that the cloud says is running is waited for after its lease ran out.
-pub(super) const CUT: Micros = Micros(40_000_000);
+pub(super) const PARTITION_GRACE: Micros = Micros(40_000_000);
 
 /// Silent machines that are few are fenced no sooner than this after a takeover.
-pub(super) const FENCE_SOON: Micros = Micros(8_000_000);
+pub(super) const MIN_EARLY_FENCE: Micros = Micros(8_000_000);
 
 /// Silent machines that the cloud does not list are returned so long after a takeover.
-pub(super) const NOT_LISTED: Micros = Micros(4_000_000);
+pub(super) const UNLISTED_GRACE: Micros = Micros(4_000_000);
+
+/// How long a machine that is gone is remembered, so that late reports from it are refused.
+const GONE_KEPT: Micros = Micros(900_000_000);
+
+/// The bounds that a check of the leases holds each machine to.
+struct LeaseCheck {
+    now: Steady,
+    /// When this owner took over.
+    taken_over: Steady,
+    /// At this moment nobody had taken over from this owner.
+    confirmed: Steady,
+    lease: Micros,
+    /// So long after the takeover no lease of an earlier owner is left.
+    earlier_owners_limit: Micros,
+    /// So long after the takeover a machine that was not heard is returned.
+    unheard_limit: Micros,
+    report_interval: Micros,
+}
+
+impl LeaseCheck {
+    /// Takes a machine that was not heard for expired once no earlier owner's lease can hold on
+    /// it, and returns whether that is so now.
+    fn outlive_earlier_owners(&self, m: &mut Machine) -> bool {
+        if m.heard || self.now - self.taken_over <= self.earlier_owners_limit {
+            return false;
+        }
+        // Not heard and, with the cloud out, not returned: no earlier owner's command or
+        // answer can still count on it.
+        tracing::info!(machine = %m.id, "leases of earlier owners have run out");
+        (m.heard, m.expired) = (true, true);
+        true
+    }
+
+    /// Marks a machine as leaving if it has been silent for too long since the takeover.
+    fn return_unheard(&self, m: &mut Machine) {
+        let silent = self.now - self.taken_over;
+        if silent > self.unheard_limit || (m.missing && silent > UNLISTED_GRACE) {
+            tracing::info!(machine = %m.id, "returned: silent since the takeover");
+            m.leaving = true;
+        }
+    }
+
+    /// Expires a machine's lease if it ran out, and returns whether it did.
+    fn expire(&self, m: &mut Machine) -> bool {
+        // The last answer was this owner's and its token had arrived: the lease is ours to
+        // count. Otherwise an earlier owner may still be renewing it, or, if this owner may
+        // have been replaced before the lease ended, a later one: cut off from the state
+        // service and from this machine, but not from others, it would start the same tasks
+        // there.
+        let Some(renewed) = m.renewed() else { return false };
+        if m.expired || self.now - renewed <= self.lease || self.confirmed - renewed <= self.lease {
+            return false;
+        }
+        tracing::info!(machine = %m.id, "its lease ran out");
+        m.expired = true;
+        // The worker is in its next session, or will be: a late copy of a report from
+        // this one must not bring back what has ended.
+        m.seen.1 = u64::MAX;
+        true
+    }
+
+    /// Marks a machine as leaving if it was heard but does not report, or never came up.
+    fn return_silent(&self, m: &mut Machine, boot_s: f64) {
+        match m.renewed() {
+            Some(renewed) => self.return_unrenewed(m, renewed),
+            None if m.up => {
+                // It has shown this owner's token in answer to a direct command, and is bound to
+                // report within moments.
+                if self.now - m.known > self.lease + PARTITION_GRACE {
+                    tracing::info!(machine = %m.id, "returned: it does not report");
+                    m.leaving = true;
+                }
+            }
+            None => {
+                let age = m.age + (self.now - m.known);
+                if m.missing || age.secs() > (boot_s * 2.5).max(60.0) {
+                    tracing::info!(machine = %m.id, age = age.secs(), "returned: it never came up");
+                    m.leaving = true;
+                }
+            }
+        }
+    }
+
+    /// Marks a machine as leaving whose lease was last renewed too long ago.
+    fn return_unrenewed(&self, m: &mut Machine, renewed: Steady) {
+        let silent = self.now - renewed.max(m.alive);
+        if m.expired && silent > self.lease + PARTITION_GRACE {
+            // The cloud says it runs: cut off, most likely, and good again afterwards.
+            tracing::info!(machine = %m.id, "returned: silent for long");
+            m.leaving = true;
+        } else if m.missing && silent > self.report_interval.scale(3.0) {
+            tracing::info!(machine = %m.id, "returned: silent and not in the cloud's list");
+            m.leaving = true;
+        }
+    }
+}
 
 impl Fleet {
     /// Leases that ran out, machines silent since a takeover, and boots that never end.
     pub fn tick(&mut self, now: Steady, wall: Wall) {
-        let fence = Micros::from_secs(self.cfg.operator.fence_after_s);
-        // A few silent machines hold up all that was started: once the others are heard, the cloud
-        // is asked to end them. Where many are silent a zone is cut off, and they are waited for.
-        let few = self.silent * 10 <= self.machines.len();
-        let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(FENCE_SOON);
-        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
-        let (lease, confirmed) = (self.lease, self.confirmed);
-        // An earlier owner answers no longer than `blind_bound` after it last knew that nobody had
-        // taken over, and that was before this owner's claim.
-        let outlived = self.cfg.blind_bound().scale(1.001) + lease;
+        self.check_leases(now);
+        self.log_takeover_progress(now);
+        if now - self.usage_logged > USAGE_LOG_INTERVAL {
+            self.usage_logged = now;
+            self.log_machine_use();
+        }
+        self.gone.retain(|_, at| now - *at < GONE_KEPT);
+        self.refused.retain(|_, until| now < *until);
+        self.forget_vacated(now);
+        self.replan(now, wall);
+    }
+
+    /// Expires leases, and marks machines that have been silent for too long as leaving.
+    fn check_leases(&mut self, now: Steady) {
+        let check = self.lease_check(now);
         let (mut ended, mut outlasted) = (Vec::new(), 0);
         for m in self.machines.values_mut() {
-            if !m.heard && now - self.taken > outlived {
-                // Not heard and, with the cloud out, not returned: no earlier owner's command or
-                // answer can still count on it.
-                tracing::info!(machine = %m.id, "leases of earlier owners have run out");
-                (m.heard, m.expired) = (true, true);
+            if check.outlive_earlier_owners(m) {
                 outlasted += 1;
                 ended.push(m.id.clone());
             }
@@ -41,54 +138,12 @@
                 continue;
             }
             if !m.heard {
-                let silent = now - self.taken;
-                if silent > fence || (few && silent > soon) || (m.missing && silent > NOT_LISTED) {
-                    tracing::info!(machine = %m.id, "returned: silent since the takeover");
-                    m.leaving = true;
-                }
-                continue;
-            }
-            match m.renewed() {
-                // The last answer was this owner's and its token had arrived: the lease is ours to
-                // count. Otherwise an earlier owner may still be renewing it, or, if this owner may
-                // have been replaced before the lease ended, a later one: cut off from the state
-                // service and from this machine, but not from others, it would start the same tasks
-                // there.
-                Some(a) if now - a > lease && !m.expired && confirmed - a > lease => {
-                    tracing::info!(machine = %m.id, "its lease ran out");
-                    m.expired = true;
-                    // The worker is in its next session, or will be: a late copy of a report from
-                    // this one must not bring back what has ended.
-                    m.seen.1 = u64::MAX;
-                    ended.push(m.id.clone());
-                }
-                _ if m.leaving => {}
-                // The cloud says it runs: cut off, most likely, and good again afterwards.
-                Some(a) if m.expired && now - a.max(m.alive) > lease + CUT => {
-                    tracing::info!(machine = %m.id, "returned: silent for long");
-                    m.leaving = true;
-                }
-                Some(a) if m.missing && now - a.max(m.alive) > report.scale(3.0) => {
-                    tracing::info!(machine = %m.id, "returned: silent and not in the cloud's list");
-                    m.leaving = true;
-                }
-                Some(_) => {}
-                None if m.up => {
-                    // It has shown this owner's token in answer to a direct command, and is bound to
-                    // report within moments.
-                    if now - m.known > lease + CUT {
-                        tracing::info!(machine = %m.id, "returned: it does not report");
-                        m.leaving = true;
-                    }
-                }
-                None => {
-                    let boot = m.ty.and_then(|t| self.types.get(t)).map_or(60.0, |t| t.boot_s);
-                    let age = m.age + (now - m.known);
-                    if m.missing || age.secs() > (boot * 2.5).max(60.0) {
-                        tracing::info!(machine = %m.id, age = age.secs(), "returned: it never came up");
-                        m.leaving = true;
-                    }
-                }
+                check.return_unheard(m);
+            } else if check.expire(m) {
+                ended.push(m.id.clone());
+            } else if !m.leaving {
+                let boot_s = m.ty.and_then(|t| self.types.get(t)).map_or(60.0, |t| t.boot_s);
+                check.return_silent(m, boot_s);
             }
         }
         if outlasted > 0 {
@@ -98,23 +153,39 @@
         for id in ended {
             self.emptied(&id);
         }
-        if (self.silent == 0) != self.sighted {
-            self.sighted = self.silent == 0;
+    }
+
+    /// The bounds for a check of the leases at a moment.
+    fn lease_check(&self, now: Steady) -> LeaseCheck {
+        let fence = Micros::from_secs(self.cfg.operator.fence_after_s);
+        // A few silent machines hold up all that was started: once the others are heard, the cloud
+        // is asked to end them. Where many are silent a zone is cut off, and they are waited for.
+        let few = self.silent * 10 <= self.machines.len();
+        let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(MIN_EARLY_FENCE);
+        LeaseCheck {
+            now,
+            taken_over: self.taken,
+            confirmed: self.confirmed,
+            lease: self.lease,
+            // An earlier owner answers no longer than `blind_bound` after it last knew that nobody
+            // had taken over, and that was before this owner's claim.
+            earlier_owners_limit: self.cfg.blind_bound().scale(1.001) + self.lease,
+            unheard_limit: if few { fence.min(soon) } else { fence },
+            report_interval: Micros::from_secs(self.cfg.platform.settings.workers.report_s),
+        }
+    }
+
+    /// Logs when all machines of the earlier owner are heard or ended, and when no longer.
+    fn log_takeover_progress(&mut self, now: Steady) {
+        if (self.silent == 0) != self.all_heard {
+            self.all_heard = self.silent == 0;
             let after = (now - self.taken).secs();
             tracing::info!(after, unheard = self.silent, "machines of the earlier owner are heard or ended");
         }
-        if now - self.told > TELL {
-            self.told = now;
-            self.tell_use();
-        }
-        self.gone.retain(|_, at| (now - *at).secs() < 900.0);
-        self.refused.retain(|_, until| now < *until);
-        self.forget_vacated(now);
-        self.replan(now, wall);
     }
 
     /// Says by type and kind what is paid for and what of it is used.
-    pub(super) fn tell_use(&self) {
+    pub(super) fn log_machine_use(&self) {
         #[derive(Default)]
         struct Use {
             machines: u32,
@@ -150,59 +221,83 @@
     pub fn capacity(&mut self, now: Steady, wall: Wall) -> Vec<(Offer, u32)> {
         // Always on a plan of this very moment: its indices are the snapshot's.
         let (snapshot, machines) = self.plan_now(now, wall);
-        let upkeep: Vec<Upkeep> = machines
-            .iter()
-            .filter_map(|id| self.machines.get(id))
+        let zones = self.type_zones();
+        let view = View {
+            warm: &self.warm(now),
+            due: &self.types_with_deadlines(),
+            snapshot: &snapshot,
+            plan: &self.plan,
+            upkeep: &self.upkeep_of(&machines, now),
+            types: &self.types,
+            zones: &zones,
+            refused: &self.offers_to_avoid(now),
+            policy: self.capacity_policy(),
+        };
+        let decision = view.decide();
+        for m in decision.returns {
+            self.return_idle(&machines[m]);
+        }
+        decision.rents.into_iter().map(|r| (r.offer, r.count)).collect()
+    }
+
+    /// What renting and returning need to know of each machine.
+    fn upkeep_of(&self, machines: &[MachineId], now: Steady) -> Vec<Upkeep> {
+        let known = machines.iter().filter_map(|id| self.machines.get(id));
+        known
             .map(|m| Upkeep {
                 age: m.age + (now - m.known),
                 idle: (m.up && m.tasks.is_empty()).then(|| now - m.idle),
                 booting: !m.up,
             })
-            .collect();
-        let type_zones: Vec<Vec<usize>> =
-            self.types.clone().iter().map(|t| t.zones.iter().map(|z| self.zone(z)).collect()).collect();
-        let mut refused: Vec<Offer> = self.refused.keys().copied().collect();
-        // Where most machines are silent the zone is cut off: new ones could not report either.
+            .collect()
+    }
+
+    /// The zones that each type is offered in.
+    fn type_zones(&mut self) -> Vec<Vec<usize>> {
+        self.types.clone().iter().map(|t| t.zones.iter().map(|z| self.zone(z)).collect()).collect()
+    }
+
+    /// For each type, whether recent jobs with a deadline may use it.
+    fn types_with_deadlines(&self) -> Vec<bool> {
+        (0..self.types.len()).map(|t| self.demands.iter().any(|d| d.due && d.types.contains(&t))).collect()
+    }
+
+    /// Offers that the cloud refused lately, and all of zones that are cut off: new machines there
+    /// could not report either.
+    fn offers_to_avoid(&self, now: Steady) -> Vec<Offer> {
+        let mut offers: Vec<Offer> = self.refused.keys().copied().collect();
+        for zone in (0..self.zones.len()).filter(|z| self.is_cut_off(*z, now)) {
+            let types = 0..self.types.len();
+            offers.extend(types.flat_map(|ty| [false, true].map(|spot| Offer { ty, zone, spot })));
+        }
+        offers
+    }
+
+    /// Whether most of a zone's machines are silent.
+    fn is_cut_off(&self, zone: usize, now: Steady) -> bool {
         let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
-        for z in 0..self.zones.len() {
-            let up = || self.machines.values().filter(|m| m.up && m.zone == z && !m.leaving);
-            let silent = up().filter(|m| now - m.report > report.scale(3.0)).count();
-            if silent >= 2 && silent * 2 > up().count() {
-                let all = (0..self.types.len())
-                    .flat_map(|ty| [false, true].map(|spot| Offer { ty, zone: z, spot }));
-                refused.extend(all);
-            }
+        let up = || self.machines.values().filter(|m| m.up && m.zone == zone && !m.leaving);
+        let silent = up().filter(|m| now - m.report > report.scale(3.0)).count();
+        silent >= 2 && silent * 2 > up().count()
+    }
+
+    fn capacity_policy(&self) -> Policy {
+        let operator = &self.cfg.operator;
+        Policy {
+            drain: Micros::from_secs(operator.drain_s),
+            idle: Micros::from_secs(operator.idle_s),
+            idle_kept: Micros::from_secs(operator.idle_protected_s),
+            idle_due: Micros::from_secs(operator.idle_deadline_s),
+            slow_boot: operator.slow_boot,
         }
-        let o = &self.cfg.operator;
-        let warm = self.warm(now);
-        let due: Vec<bool> = (0..self.types.len())
-            .map(|t| self.demands.iter().any(|d| d.due && d.types.contains(&t)))
-            .collect();
-        let view = View {
-            warm: &warm,
-            due: &due,
-            snapshot: &snapshot,
-            plan: &self.plan,
-            upkeep: &upkeep,
-            types: &self.types,
-            zones: &type_zones,
-            refused: &refused,
-            policy: Policy {
-                drain: Micros::from_secs(o.drain_s),
-                idle: Micros::from_secs(o.idle_s),
-                idle_kept: Micros::from_secs(o.idle_protected_s),
-                idle_due: Micros::from_secs(o.idle_deadline_s),
-                slow_boot: o.slow_boot,
-            },
-        };
-        let d = view.decide();
-        for m in d.returns {
-            if let Some(m) = self.machines.get_mut(&machines[m]).filter(|m| m.tasks.is_empty()) {
-                tracing::info!(machine = %m.id, "returned: idle");
-                m.leaving = true;
-            }
+    }
+
+    /// Marks a machine as leaving if nothing is on it.
+    fn return_idle(&mut self, id: &MachineId) {
+        if let Some(m) = self.machines.get_mut(id).filter(|m| m.tasks.is_empty()) {
+            tracing::info!(machine = %m.id, "returned: idle");
+            m.leaving = true;
         }
-        d.rents.into_iter().map(|r| (r.offer, r.count)).collect()
     }
 
     /// The cloud had nothing of this for now.
