--- a/tests/common/planner.rs
+++ b/tests/common/planner.rs
@@ -2,7 +2,7 @@
 
 use milletlock::sched::{Class, Need};
 use milletlock::time::Micros;
-use milletlock::wire::Rank;
+use milletlock::wire::{MachineType, Rank};
 
 /// Whole seconds.
 pub fn secs(s: i64) -> Micros {
@@ -40,3 +40,19 @@
         replicas: None,
     }
 }
+
+/// The only machine type where renting is looked at by itself.
+pub fn one_small_type() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "small".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 8.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: Some(0.3),
+        boot_s: 30.0,
+        zones: vec!["north".into()],
+    }]
+}
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use common::planner::{class, need, secs};
+use common::planner::{class, need, one_small_type, secs};
 use milletlock::capacity::{Offer, Policy, Upkeep, View, WarmPool};
 use milletlock::sched::{plan, Class, Held, KeptRoom, Room, Snapshot};
 use milletlock::time::Micros;
-use milletlock::wire::{MachineType, Rank};
+use milletlock::wire::Rank;
 
 /// A machine of eight processors with this many one-processor tasks.
 fn room(held: usize, left: i64) -> Room {
@@ -38,21 +38,6 @@
     }
 }
 
-fn types() -> Vec<MachineType> {
-    vec![MachineType {
-        name: "small".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 8.0,
-        cache_gb: 10.0,
-        fetch_gb_per_s: 1.0,
-        price: 1.0,
-        spot_price: Some(0.3),
-        boot_s: 30.0,
-        zones: vec!["north".into()],
-    }]
-}
-
 fn decide(
     rooms: Vec<Room>,
     classes: Vec<Class>,
@@ -74,7 +59,7 @@
     let policy =
         Policy { drain: secs(40), idle: secs(20), idle_due: secs(60), idle_kept: secs(30), slow_boot: 1.6 };
     let p = plan(&s);
-    let types = types();
+    let types = one_small_type();
     let view = View {
         snapshot: &s,
         plan: &p,
--- a/tests/service_placement.rs
+++ b/tests/service_placement.rs
@@ -4,11 +4,11 @@
 
 use std::collections::BTreeSet;
 
-use common::planner::{class, need, secs};
+use common::planner::{class, need, one_small_type, secs};
 use milletlock::capacity::{Policy, Upkeep, View, WarmPool};
 use milletlock::sched::{order, plan, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, TeamUse};
 use milletlock::time::Micros;
-use milletlock::wire::{MachineType, Rank};
+use milletlock::wire::Rank;
 use proptest::prelude::*;
 
 /// The image of all classes here.
@@ -436,21 +436,6 @@
 
 // Renting.
 
-fn types() -> Vec<MachineType> {
-    vec![MachineType {
-        name: "small".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 8.0,
-        cache_gb: 10.0,
-        fetch_gb_per_s: 1.0,
-        price: 1.0,
-        spot_price: Some(0.3),
-        boot_s: 30.0,
-        zones: vec!["north".into()],
-    }]
-}
-
 /// What is rented, by kind, with so many machines booting for so long.
 fn rents(classes: Vec<Class>, booting: usize, age: Micros) -> Vec<(bool, u32)> {
     let closed = Room { open: false, opens_in: secs(20), ..room(8.0) };
@@ -460,7 +445,7 @@
         snapshot: &snapshot,
         plan: &plan,
         upkeep: &vec![Upkeep { age, idle: None, booting: true }; booting],
-        types: &types(),
+        types: &one_small_type(),
         zones: &[vec![0]],
         refused: &[],
         warm: &[WarmPool::default()],
