--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,7 +33,7 @@
     MachineId, MachineRecord, Ranges,
 };
 use crate::packs::Packs;
-use crate::sched::{self, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, TeamUse};
+use crate::sched::{self, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, TeamUse, TopUp};
 use crate::time::{Micros, Steady, Wall};
 use crate::wire::{
     JobSpec, ListedMachine, MachineType, Order, Rank, Report, ReportReply, Shape, TaskReport, TaskStage, Why,
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -42,9 +42,15 @@
             self.start_some(&job, count, id, now, out);
         }
         let Some(room) = self.top_up_room(id, now) else { return };
-        let (s, wanted) = (&self.planned_for, &self.plan.contended_types);
-        let more = sched::top_up(s, wanted, &mut self.plan.unmet, &room);
-        for (class, count) in more {
+        let team_uses = self.current_team_uses();
+        let top_up = TopUp {
+            snapshot: &self.planned_for,
+            contended_types: &self.plan.contended_types,
+            claimed_limits: &self.plan.claimed_limits,
+            team_uses,
+            room: &room,
+        };
+        for (class, count) in top_up.starts(&mut self.plan.unmet) {
             if let Some(job) = self.planned_jobs.get(class).cloned() {
                 self.start_some(&job, count, id, now, out);
             }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -21,7 +21,7 @@
 pub(crate) use placement::allowed;
 pub use queue::{order, score};
 pub use services::{runs_in, ReportedRoom};
-pub use top_up::top_up;
+pub use top_up::TopUp;
 pub use types::{Class, Held, KeptRoom, Need, Plan, Reservation, Room, Snapshot, Start, TeamUse};
 
 use gangs::GangOutcome;
@@ -37,6 +37,7 @@
         }
     }
     plan.contended_types = state.contended_types;
+    plan.claimed_limits = state.gang_at_limit;
     plan
 }
 
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -2,61 +2,100 @@
 
 use super::placement::{allowed, delay};
 use super::types::EPS;
-use super::{Class, Room, Snapshot};
+use super::{Class, Need, Room, Snapshot, TeamUse};
 use crate::time::Micros;
 
 /// A class that waited longer than this is not passed over for one whose image is there already.
 const PASSED_OVER: Micros = Micros::from_millis(60_000);
 
-/// Between two plans: what of the array tasks that found no room may start on a machine that has
-/// room now. Called for machines outside the reservation on which nothing is being stopped, so it
-/// delays nobody that the plan made wait for them; jobs tied to zones and teams with a limit are
-/// left to the next plan. It goes in the queue's order, but among jobs of one rank that missed as
-/// many aims, those whose image the machine has go first: where all machines are in use, each would
-/// otherwise fetch every image, and fetching takes as much of its time as running. What it starts
-/// is taken off `unmet`.
-pub fn top_up(
-    snapshot: &Snapshot,
-    contended_types: &[bool],
-    unmet: &mut [(usize, u32)],
-    room: &Room,
-) -> Vec<(usize, u32)> {
-    let mut starts = Vec::new();
-    let mut free = room.free;
-    let kept = snapshot.kept(room.ty, room.spot);
-    let has_image = |c: &Class| c.image.is_none_or(|i| room.images.contains(&i));
-    let group = |c: &Class| (c.guaranteed, c.queue_rank(), c.missed_aims);
-    let may_start = |c: &Class| {
-        let limited = snapshot.teams.get(c.team).is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
-        let low = kept.is_some_and(|k| c.rank < k.rank);
-        let clear =
-            low && (snapshot.clear_rooms > 0 || contended_types.get(room.ty).copied().unwrap_or(false));
-        let ends = room.until.is_none_or(|u| delay(c, room) + c.adjusted <= u);
-        !(c.gang || c.one_zone || c.spread || limited || clear) && allowed(c, room) && ends
-    };
-    let mut from = 0;
-    while from < unmet.len() && free.cpus > EPS {
+/// What fills a machine up between two plans. It is asked for machines outside the reservation on
+/// which nothing is being stopped, so it delays nobody that the plan made wait for them; jobs tied to
+/// zones, and teams a gang of which waits for their limit, are left to the next plan.
+pub struct TopUp<'a> {
+    /// What the latest plan was made for.
+    pub snapshot: &'a Snapshot,
+    /// By type, whether tasks wait that it is kept for.
+    pub contended_types: &'a [bool],
+    /// By team, whether what frees of its limit is claimed by a gang.
+    pub claimed_limits: &'a [bool],
+    /// By team, what it uses now; none for teams that are not limited.
+    pub team_uses: Vec<TeamUse>,
+    /// The machine.
+    pub room: &'a Room,
+}
+
+impl TopUp<'_> {
+    /// Which of the array tasks that found no room start on the machine, by class; they are taken off
+    /// `unmet`. It goes in the queue's order, but among jobs of one rank that missed as many aims, those
+    /// whose image the machine has go first: where all machines are in use, each would otherwise fetch
+    /// every image, and fetching takes as much of its time as running.
+    pub fn starts(mut self, unmet: &mut [(usize, u32)]) -> Vec<(usize, u32)> {
+        let group = |c: &Class| (c.guaranteed, c.queue_rank(), c.missed_aims);
+        let classes = &self.snapshot.classes;
+        let mut starts = Vec::new();
+        let mut free = self.room.free;
         // Classes of one group stand together in the queue.
-        let current = group(&snapshot.classes[unmet[from].0]);
-        let to = (from..unmet.len())
-            .find(|&i| group(&snapshot.classes[unmet[i].0]) != current)
-            .unwrap_or(unmet.len());
-        for first_pass in [true, false] {
-            for (class_index, left) in unmet[from..to].iter_mut().filter(|u| u.1 > 0) {
-                let class = &snapshot.classes[*class_index];
-                let goes_first = has_image(class) || class.waited > PASSED_OVER;
-                if goes_first != first_pass || !may_start(class) {
-                    continue;
-                }
-                let count = free.fits(&class.need).min(*left);
-                if count > 0 {
-                    free = free.less(&class.need, count);
-                    *left -= count;
-                    starts.push((*class_index, count));
-                }
+        for alike in unmet.chunk_by_mut(|a, b| group(&classes[a.0]) == group(&classes[b.0])) {
+            for goes_first in [true, false] {
+                self.fill(alike, goes_first, &mut free, &mut starts);
+            }
+            if free.cpus <= EPS {
+                break;
             }
         }
-        from = to;
+        starts
+    }
+
+    /// Starts what fits of the classes that go first, or of the others.
+    fn fill(
+        &mut self,
+        unmet: &mut [(usize, u32)],
+        goes_first: bool,
+        free: &mut Need,
+        starts: &mut Vec<(usize, u32)>,
+    ) {
+        for (class_index, left) in unmet.iter_mut().filter(|u| u.1 > 0) {
+            let class = &self.snapshot.classes[*class_index];
+            if self.goes_first(class) != goes_first || !self.may_start(class) {
+                continue;
+            }
+            let count = free.fits(&class.need).min(*left).min(self.limit_allows(class));
+            if count > 0 {
+                *free = free.less(&class.need, count);
+                *left -= count;
+                self.add_use(class, count);
+                starts.push((*class_index, count));
+            }
+        }
+    }
+
+    /// Whether the class goes before others of its group.
+    fn goes_first(&self, class: &Class) -> bool {
+        let has_image = class.image.is_none_or(|image| self.room.images.contains(&image));
+        has_image || class.waited > PASSED_OVER
+    }
+
+    /// Whether tasks of the class may start on the machine before the next plan.
+    fn may_start(&self, class: &Class) -> bool {
+        let room = self.room;
+        let below_kept = self.snapshot.kept(room.ty, room.spot).is_some_and(|kept| class.rank < kept.rank);
+        let contended = self.contended_types.get(room.ty).copied().unwrap_or(false);
+        let left_clear = below_kept && (self.snapshot.clear_rooms > 0 || contended);
+        let claimed = self.claimed_limits.get(class.team).copied().unwrap_or(false);
+        let tied = class.gang || class.one_zone || class.spread;
+        let ends_in_time = room.until.is_none_or(|until| delay(class, room) + class.adjusted <= until);
+        !(tied || claimed || left_clear) && allowed(class, room) && ends_in_time
+    }
+
+    /// How many more tasks of the class its team's limit allows.
+    fn limit_allows(&self, class: &Class) -> u32 {
+        self.team_uses.get(class.team).map_or(u32::MAX, |team_use| team_use.allows(&class.need))
+    }
+
+    /// Counts started tasks against their team's limit.
+    fn add_use(&mut self, class: &Class, count: u32) {
+        if let Some(team_use) = self.team_uses.get_mut(class.team) {
+            team_use.used = team_use.used.plus(&class.need, count);
+        }
     }
-    starts
 }
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -282,4 +282,6 @@
     pub unmet: Vec<(usize, u32)>,
     /// By type, whether tasks wait that it is kept for: nothing lower starts on it.
     pub contended_types: Vec<bool>,
+    /// By team, whether a gang is held back by its limit: what frees of it is left to that gang.
+    pub claimed_limits: Vec<bool>,
 }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::planner::{class as job, need, secs};
-use milletlock::sched::{plan, top_up, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, Start, TeamUse};
+use milletlock::sched::{plan, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, Start, TeamUse, TopUp};
 use milletlock::time::Micros;
 use milletlock::wire::Rank;
 use proptest::prelude::*;
@@ -435,8 +435,8 @@
     assert_eq!(milletlock::sched::order(&[base, d, h, i]), [3, 2, 1, 0]);
 }
 
-#[test]
-fn between_plans_a_machine_takes_first_what_it_has_the_image_for() {
+/// What starts between two plans on an empty machine of four processors that has image 7.
+fn top_up(classes: Vec<Class>, team_uses: Vec<TeamUse>, claimed: bool) -> Vec<(usize, u32)> {
     let room = Room {
         ty: 0,
         zone: 0,
@@ -452,13 +452,17 @@
         until: None,
         held: vec![],
     };
+    let s = Snapshot { zones: 1, classes, ..Snapshot::default() };
+    let mut unmet: Vec<(usize, u32)> =
+        milletlock::sched::order(&s.classes).into_iter().map(|c| (c, s.classes[c].count)).collect();
+    TopUp { snapshot: &s, contended_types: &[false], claimed_limits: &[claimed], team_uses, room: &room }
+        .starts(&mut unmet)
+}
+
+#[test]
+fn between_plans_a_machine_takes_first_what_it_has_the_image_for() {
     let with = |image: u32, waited: i64| Class { image: Some(image), image_gb: 5.0, ..job(3, 30, waited) };
-    let top = |classes: Vec<Class>| {
-        let s = Snapshot { zones: 1, classes, ..Snapshot::default() };
-        let mut unmet: Vec<(usize, u32)> =
-            milletlock::sched::order(&s.classes).into_iter().map(|c| (c, s.classes[c].count)).collect();
-        top_up(&s, &[false], &mut unmet, &room)
-    };
+    let top = |classes: Vec<Class>| top_up(classes, Vec::new(), false);
     // The older one has to fetch: it gets what is left.
     assert_eq!(top(vec![with(1, 20), with(7, 10)]), [(1, 3), (0, 1)]);
     // Not for ever, and never past a higher rank or one that is not late.
@@ -467,6 +471,26 @@
     assert_eq!(top(vec![with(1, 20), Class { missed_aims: 1, ..with(7, 90) }]), [(0, 3), (1, 1)]);
 }
 
+/// With every team limited, what was left to the next plan was all work: each processor that came free
+/// waited for the next report, two seconds or more of tasks that take fifteen.
+#[test]
+fn between_plans_limited_teams_start_as_much_as_their_limit_allows() {
+    let two = || vec![Class { team: 1, ..job(3, 30, 20) }, Class { team: 0, ..job(3, 30, 10) }];
+    let uses = |used: f64| {
+        let limited = |used: f64| TeamUse { used: need(used), cpus_max: 10.0, gpus_max: 0.0 };
+        vec![limited(0.0), limited(used)]
+    };
+    assert_eq!(top_up(two(), uses(0.0), false), [(0, 3), (1, 1)]);
+    // What the limit lets start of the one leaves room for the other.
+    assert_eq!(top_up(two(), uses(8.0), false), [(0, 2), (1, 2)]);
+    assert_eq!(top_up(two(), uses(10.0), false), [(1, 3)]);
+    // A gang of the second one's team waits for what frees of its limit.
+    assert_eq!(top_up(two(), uses(0.0), true), [(0, 3)]);
+    // Classes of one team share its limit.
+    let one_team = || vec![Class { team: 1, ..job(3, 30, 20) }, Class { team: 1, ..job(3, 30, 10) }];
+    assert_eq!(top_up(one_team(), uses(7.0), false), [(0, 3)]);
+}
+
 /// On a calm day of a team with a limit each waiting gang claimed its part of it, and had the team's small
 /// tasks stopped though there was no room for it: they began again and were stopped again, 21,000 times.
 #[test]
