Spot machines that are taken: unfinishable tasks stop at the notice, silent ones are returned

Now what cannot end before the notice does is stopped as it comes, and a spot machine that is silent for four reports while others report is returned: the cloud's answer ends its tasks for certain. Also: machines stay idle for jobs with deadlines, and warm ones for urgent work, only while more such jobs are expected (the whole fleet idled for a minute after the last one), and jobs with deadlines are passed over for images as long as their slack allows.

--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -5,6 +5,16 @@
 /// How far back jobs count for what is kept.
 pub(super) const RECENT: Micros = Micros(300_000_000);
 
+/// No more jobs of a kind are expected once none has come in so many of their usual intervals. With fewer,
+/// the chance gaps of a steady stream would count as its end; with more, machines wait in vain.
+const MISSED_ARRIVALS: f64 = 4.0;
+
+/// Seconds over which recent jobs have come.
+fn span_of<'a>(recent: impl Iterator<Item = &'a Demand>, now: Steady) -> f64 {
+    let first = recent.map(|d| d.at).min().unwrap_or(now);
+    (now - first).secs().clamp(60.0, RECENT.secs())
+}
+
 /// A recent job, for what large machines are kept for.
 #[derive(Clone, Debug)]
 pub(super) struct Demand {
@@ -104,18 +114,27 @@
         self.demands.retain(|d| now - d.at < RECENT);
     }
 
+    /// Whether more jobs like some recent ones are expected: not if none has come for much longer than
+    /// usual, and for longer than the slowest type boots, since a machine that is given up sooner may
+    /// have to be rented again.
+    pub(super) fn more_expected<'a, I>(&self, recent: impl Fn() -> I, now: Steady) -> bool
+    where
+        I: Iterator<Item = &'a Demand>,
+    {
+        let Some(last) = recent().map(|d| d.at).max() else { return false };
+        let usual = span_of(recent(), now) / recent().count() as f64;
+        let slowest_boot = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        (now - last).secs() <= (MISSED_ARRIVALS * usual).max(slowest_boot)
+    }
+
     /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, with
     /// some to spare, since a new machine would come too late for the next.
     pub(super) fn warm(&self, now: Steady) -> Vec<WarmPool> {
-        let hasty = || self.demands.iter().filter(|d| d.hasty).map(|d| d.at);
-        let (Some(first), Some(last)) = (hasty().min(), hasty().max()) else {
-            return vec![WarmPool::default(); self.types.len()];
-        };
-        let span = (now - first).secs().clamp(60.0, RECENT.secs());
-        // No such job for much longer than usual: no more are expected.
-        if (now - last).secs() > (4.0 * span / hasty().count() as f64).max(60.0) {
+        let hasty = || self.demands.iter().filter(|d| d.hasty);
+        if !self.more_expected(hasty, now) {
             return vec![WarmPool::default(); self.types.len()];
         }
+        let span = span_of(hasty(), now);
         (0..self.types.len())
             .map(|ty| {
                 let of = self.demands.iter().filter(|d| d.hasty && d.types.first() == Some(&ty));
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -197,6 +197,7 @@
             } else {
                 vec![0; self.zones.len()]
             },
+            slack: sp.deadline_s.map(|due| Micros::from_secs(due) - waited - adjusted),
             missed_aims: self.missed_aims(sp, waited, adjusted, widest.of_shape(sp.shape)),
             patience: self.patience(sp) - waited,
             replicas: service.then(|| self.replica_rooms(j, room_of)),
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -149,8 +149,12 @@
         }
         let lost_lease = m.seen.0 > 0 && r.season > m.seen.0;
         m.seen = (r.season, r.tally);
+        let had_notice = m.notice.is_some();
         self.take_machine_state(id, r, now);
         let mut there = self.take_tasks(id, r, now);
+        if !had_notice {
+            self.stop_unfinishable(id, now);
+        }
         self.arrived(id, &there, lost_lease, now);
         there.sort_unstable();
         self.drop_absent_tasks(id, &there);
@@ -199,6 +203,27 @@
         there
     }
 
+    /// Stops the array tasks on a machine that the cloud is about to take which, by their stated time,
+    /// end only after that: what they have done is lost anyway, and the sooner they run elsewhere the
+    /// better. Decided once, when the notice comes: later on, one that overruns its stated time would be
+    /// stopped just before its end.
+    fn stop_unfinishable(&mut self, id: &MachineId, now: Steady) {
+        let Some(m) = self.machines.get(id) else { return };
+        let Some(notice) = m.notice else { return };
+        let saves_nothing = |s: &JobSpec| s.shape == Shape::Array && s.checkpoint_s <= 0.0;
+        let unfinishable = m.tasks.iter().filter(|(k, e)| {
+            let spec = self.jobs.get(&k.0).map(|j| &j.spec);
+            e.live() && spec.is_some_and(saves_nothing) && self.stated_left(e, spec, now) > notice - now
+        });
+        let stopped: Vec<TaskKey> = unfinishable.map(|(k, _)| k.clone()).collect();
+        let Some(m) = self.machines.get_mut(id) else { return };
+        for key in stopped {
+            if let Some(e) = m.tasks.get_mut(&key) {
+                e.stop.get_or_insert(0.0);
+            }
+        }
+    }
+
     /// Drops a machine's tasks that are not among those reported, which are sorted.
     fn drop_absent_tasks(&mut self, id: &MachineId, there: &[TaskKey]) {
         let Some(m) = self.machines.get(id) else { return };
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -43,12 +43,16 @@
         }
         let Some(room) = self.top_up_room(id, now) else { return };
         let team_uses = self.current_team_uses();
+        let classes = &self.planned_for.classes;
+        let waits = |unmet: &(usize, u32)| unmet.1 > 0 && classes[unmet.0].gang;
+        let gang_waits = self.plan.unmet.iter().any(|u| waits(u) && sched::allowed(&classes[u.0], &room));
         let top_up = TopUp {
             snapshot: &self.planned_for,
             contended_types: &self.plan.contended_types,
             claimed_limits: &self.plan.claimed_limits,
             team_uses,
             room: &room,
+            gang_waits,
         };
         for (class, count) in top_up.starts(&mut self.plan.unmet) {
             if let Some(job) = self.planned_jobs.get(class).cloned() {
@@ -135,6 +139,7 @@
             m.idle = now;
         }
         self.refresh(job, n, id);
+        tracing::debug!(machine = %id, job = %job, task = n, "a start leaves");
         out.push(Order::Start { task: format!("{job}/{n}"), attempt });
         true
     }
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -34,6 +34,8 @@
             return;
         }
         let mut job = Job::new(record, stamp, now);
+        let JobSpec { class, tasks, cpus, estimate_s, deadline_s, .. } = &job.spec;
+        tracing::debug!(job = %id, ?class, tasks, cpus, estimate_s, ?deadline_s, "a job is known");
         if job.spec.shape == Shape::Service {
             // All its replicas are to run at once: their mark need not wait for a plan.
             job.high_wanted = job.spec.tasks;
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -14,6 +14,19 @@
 /// Silent machines that the cloud does not list are returned so long after a takeover.
 pub(super) const UNLISTED_GRACE: Micros = Micros(4_000_000);
 
+/// A spot machine that has been silent for so many reports has been taken, most likely, and is returned:
+/// the cloud's answer shows that its tasks are gone, well before its lease would. With fewer, a worker that
+/// was not answered in time and tries other controllers would be taken for gone; with more, the tasks of
+/// each machine that is taken without notice begin again later.
+const SILENT_REPORTS: f64 = 4.0;
+
+/// The same after a notice.
+const SILENT_REPORTS_AFTER_NOTICE: f64 = 2.5;
+
+/// Spot machines are not taken for gone sooner than this: a worker waits for four seconds for an answer
+/// and another one before it tries the next controller.
+const LEAST_SILENCE: Micros = Micros(5_000_000);
+
 /// How long a machine that is gone is remembered, so that late reports from it are refused.
 const GONE_KEPT: Micros = Micros(900_000_000);
 
@@ -30,6 +43,8 @@
     /// So long after the takeover a machine that was not heard is returned.
     unheard_limit: Micros,
     report_interval: Micros,
+    /// Few machines are silent: neither this owner nor a zone is cut off.
+    few_silent: bool,
 }
 
 impl LeaseCheck {
@@ -106,8 +121,17 @@
         } else if m.missing && silent > self.report_interval.scale(3.0) {
             tracing::info!(machine = %m.id, "returned: silent and not in the cloud's list");
             m.leaving = true;
+        } else if self.is_taken(m, silent) {
+            tracing::info!(machine = %m.id, "returned: a silent spot machine");
+            m.leaving = true;
         }
     }
+
+    /// Whether the cloud has taken a machine, most likely, that has been silent for so long.
+    fn is_taken(&self, m: &Machine, silent: Micros) -> bool {
+        let reports = if m.notice.is_some() { SILENT_REPORTS_AFTER_NOTICE } else { SILENT_REPORTS };
+        m.spot && self.few_silent && silent > self.report_interval.scale(reports).max(LEAST_SILENCE)
+    }
 }
 
 impl Fleet {
@@ -161,6 +185,7 @@
         // A few silent machines hold up all that was started: once the others are heard, the cloud
         // is asked to end them. Where many are silent a zone is cut off, and they are waited for.
         let few = self.silent * 10 <= self.machines.len();
+        let report_interval = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
         let soon = Micros::from_secs(self.cfg.platform.settings.workers.report_s + 5.0).max(MIN_EARLY_FENCE);
         LeaseCheck {
             now,
@@ -171,10 +196,18 @@
             // had taken over, and that was before this owner's claim.
             earlier_owners_limit: self.cfg.blind_bound().scale(1.001) + self.lease,
             unheard_limit: if few { fence.min(soon) } else { fence },
-            report_interval: Micros::from_secs(self.cfg.platform.settings.workers.report_s),
+            report_interval,
+            few_silent: self.are_few_silent(report_interval.scale(SILENT_REPORTS_AFTER_NOTICE), now),
         }
     }
 
+    /// Whether at most a tenth of the machines that are up have been silent for so long.
+    fn are_few_silent(&self, silence: Micros, now: Steady) -> bool {
+        let up = || self.machines.values().filter(|m| m.up && !m.leaving);
+        let silent = up().filter(|m| now - m.report.max(m.alive) > silence).count();
+        silent * 10 <= up().count()
+    }
+
     /// Logs when all machines of the earlier owner are heard or ended, and when no longer.
     fn log_takeover_progress(&mut self, now: Steady) {
         if (self.silent == 0) != self.all_heard {
@@ -224,7 +257,7 @@
         let zones = self.type_zones();
         let view = View {
             warm: &self.warm(now),
-            due: &self.types_with_deadlines(),
+            due: &self.types_with_deadlines(now),
             snapshot: &snapshot,
             plan: &self.plan,
             upkeep: &self.upkeep_of(&machines, now),
@@ -257,9 +290,14 @@
         self.types.clone().iter().map(|t| t.zones.iter().map(|z| self.zone(z)).collect()).collect()
     }
 
-    /// For each type, whether recent jobs with a deadline may use it.
-    fn types_with_deadlines(&self) -> Vec<bool> {
-        (0..self.types.len()).map(|t| self.demands.iter().any(|d| d.due && d.types.contains(&t))).collect()
+    /// For each type, whether more jobs with a deadline that may use it are expected.
+    fn types_with_deadlines(&self, now: Steady) -> Vec<bool> {
+        (0..self.types.len())
+            .map(|ty| {
+                let due = || self.demands.iter().filter(|d| d.due && d.types.contains(&ty));
+                self.more_expected(due, now)
+            })
+            .collect()
     }
 
     /// Offers that the cloud refused lately, and all of zones that are cut off: new machines there
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -5,12 +5,19 @@
 use super::{Class, Need, Room, Snapshot, TeamUse};
 use crate::time::Micros;
 
-/// A class that waited longer than this is not passed over for one whose image is there already.
+/// A class without a deadline that waited longer than this is not passed over for one whose image is
+/// there already.
 const PASSED_OVER: Micros = Micros::from_millis(60_000);
 
+/// A class with a deadline is not passed over once it may wait no longer than this part of its run time.
+/// A larger part makes machines fetch images that others have; a smaller one leaves no time to fetch.
+const LEAST_SLACK: f64 = 0.2;
+
 /// What fills a machine up between two plans. It is asked for machines outside the reservation on
 /// which nothing is being stopped, so it delays nobody that the plan made wait for them; jobs tied to
-/// zones, and teams a gang of which waits for their limit, are left to the next plan.
+/// zones, and teams a gang of which waits for their limit, are left to the next plan. So are all teams
+/// with a limit where a gang waits for room on such a machine: what they start beyond the plan would
+/// keep a wide gang from it, behind work within a guarantee.
 pub struct TopUp<'a> {
     /// What the latest plan was made for.
     pub snapshot: &'a Snapshot,
@@ -22,6 +29,8 @@
     pub team_uses: Vec<TeamUse>,
     /// The machine.
     pub room: &'a Room,
+    /// Whether a gang waits that may use the machine.
+    pub gang_waits: bool,
 }
 
 impl TopUp<'_> {
@@ -72,7 +81,11 @@
     /// Whether the class goes before others of its group.
     fn goes_first(&self, class: &Class) -> bool {
         let has_image = class.image.is_none_or(|image| self.room.images.contains(&image));
-        has_image || class.waited > PASSED_OVER
+        let is_pressed = match class.slack {
+            Some(slack) => slack < class.adjusted.scale(LEAST_SLACK),
+            None => class.waited > PASSED_OVER,
+        };
+        has_image || is_pressed
     }
 
     /// Whether tasks of the class may start on the machine before the next plan.
@@ -82,7 +95,9 @@
         let contended = self.contended_types.get(room.ty).copied().unwrap_or(false);
         let left_clear = below_kept && (self.snapshot.clear_rooms > 0 || contended);
         let claimed = self.claimed_limits.get(class.team).copied().unwrap_or(false);
-        let tied = class.gang || class.one_zone || class.spread;
+        let team_use = self.team_uses.get(class.team);
+        let limited = team_use.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
+        let tied = class.gang || class.one_zone || class.spread || (limited && self.gang_waits);
         let ends_in_time = room.until.is_none_or(|until| delay(class, room) + class.adjusted <= until);
         !(tied || claimed || left_clear) && allowed(class, room) && ends_in_time
     }
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -163,6 +163,8 @@
     pub waited: Micros,
     /// Its tasks that are or may be somewhere, by zone.
     pub zones: Vec<u32>,
+    /// How long it may still wait without missing its deadline; none if it has no deadline.
+    pub slack: Option<Micros>,
     /// How many of its aims it has missed, or will even if it starts now: beyond capacity, those
     /// that can still make more of theirs go first.
     pub missed_aims: u8,
--- a/tests/common/planner.rs
+++ b/tests/common/planner.rs
@@ -35,6 +35,7 @@
         adjusted: secs(adjusted),
         waited: secs(waited),
         zones: vec![0, 0],
+        slack: None,
         missed_aims: 0,
         patience: secs(10),
         replicas: None,
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -34,7 +34,7 @@
                adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
         Class { rank, raised: (missed_aims == 2 && gang).then_some(Rank::Urgent), team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
                 one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, adjusted: secs(adjusted),
-                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), missed_aims, replicas: None }
+                waited: secs(waited), zones: vec![live, 0], patience: secs(1000), slack: None, missed_aims, replicas: None }
     }
 }
 
@@ -436,7 +436,12 @@
 }
 
 /// What starts between two plans on an empty machine of four processors that has image 7.
-fn top_up(classes: Vec<Class>, team_uses: Vec<TeamUse>, claimed: bool) -> Vec<(usize, u32)> {
+fn top_up(
+    classes: Vec<Class>,
+    team_uses: Vec<TeamUse>,
+    claimed: bool,
+    gang_waits: bool,
+) -> Vec<(usize, u32)> {
     let room = Room {
         ty: 0,
         zone: 0,
@@ -455,14 +460,21 @@
     let s = Snapshot { zones: 1, classes, ..Snapshot::default() };
     let mut unmet: Vec<(usize, u32)> =
         milletlock::sched::order(&s.classes).into_iter().map(|c| (c, s.classes[c].count)).collect();
-    TopUp { snapshot: &s, contended_types: &[false], claimed_limits: &[claimed], team_uses, room: &room }
-        .starts(&mut unmet)
+    TopUp {
+        snapshot: &s,
+        contended_types: &[false],
+        claimed_limits: &[claimed],
+        team_uses,
+        room: &room,
+        gang_waits,
+    }
+    .starts(&mut unmet)
 }
 
 #[test]
 fn between_plans_a_machine_takes_first_what_it_has_the_image_for() {
     let with = |image: u32, waited: i64| Class { image: Some(image), image_gb: 5.0, ..job(3, 30, waited) };
-    let top = |classes: Vec<Class>| top_up(classes, Vec::new(), false);
+    let top = |classes: Vec<Class>| top_up(classes, Vec::new(), false, true);
     // The older one has to fetch: it gets what is left.
     assert_eq!(top(vec![with(1, 20), with(7, 10)]), [(1, 3), (0, 1)]);
     // Not for ever, and never past a higher rank or one that is not late.
@@ -480,15 +492,17 @@
         let limited = |used: f64| TeamUse { used: need(used), cpus_max: 10.0, gpus_max: 0.0 };
         vec![limited(0.0), limited(used)]
     };
-    assert_eq!(top_up(two(), uses(0.0), false), [(0, 3), (1, 1)]);
+    assert_eq!(top_up(two(), uses(0.0), false, false), [(0, 3), (1, 1)]);
     // What the limit lets start of the one leaves room for the other.
-    assert_eq!(top_up(two(), uses(8.0), false), [(0, 2), (1, 2)]);
-    assert_eq!(top_up(two(), uses(10.0), false), [(1, 3)]);
+    assert_eq!(top_up(two(), uses(8.0), false, false), [(0, 2), (1, 2)]);
+    assert_eq!(top_up(two(), uses(10.0), false, false), [(1, 3)]);
     // A gang of the second one's team waits for what frees of its limit.
-    assert_eq!(top_up(two(), uses(0.0), true), [(0, 3)]);
+    assert_eq!(top_up(two(), uses(0.0), true, false), [(0, 3)]);
+    // A gang waits for room: it is left to the next plan.
+    assert_eq!(top_up(two(), uses(0.0), false, true), []);
     // Classes of one team share its limit.
     let one_team = || vec![Class { team: 1, ..job(3, 30, 20) }, Class { team: 1, ..job(3, 30, 10) }];
-    assert_eq!(top_up(one_team(), uses(7.0), false), [(0, 3)]);
+    assert_eq!(top_up(one_team(), uses(7.0), false, false), [(0, 3)]);
 }
 
 /// On a calm day of a team with a limit each waiting gang claimed its part of it, and had the team's small
