--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -85,9 +85,6 @@
 /// The least time that is charged for a machine.
 const LEAST_CHARGE: Micros = Micros::from_millis(60_000);
 
-/// Most machines that are rented at once for the arrays of one group.
-const MOST_FOR_ARRAYS: f64 = 1000.0;
-
 /// What to rent, and which rooms to return.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Decision {
@@ -227,16 +224,26 @@
                 continue;
             }
             let by_work = (demand.work - supply) / (machine.cpus * self.policy.drain.secs());
-            let by_width = demand.cpus / machine.cpus;
+            // What waits cannot use more processors than it has, and some are coming already.
+            let by_width = (demand.cpus - self.coming_cpus(demand.class)) / machine.cpus;
             // Less than half a machine is not worth one, unless there is none at all.
             let least = if supply > 0.0 { 0.0 } else { 1.0 };
-            let count = by_work.min(by_width).round().clamp(least, MOST_FOR_ARRAYS) as u32;
+            let count = by_work.min(by_width).round().max(least) as u32;
             if count > 0 {
                 add(rents, Rent { offer, count });
             }
         }
     }
 
+    /// Processors of machines that boot and that a class may use. Without counting them, a few tasks that
+    /// had waited for long had machines rented for them again and again until the first was up.
+    fn coming_cpus(&self, class: &Class) -> f64 {
+        let rooms = self.snapshot.rooms.iter().enumerate();
+        let coming =
+            rooms.filter(|(index, _)| self.upkeep[*index].booting && self.serves_array(class, *index));
+        coming.map(|(_, room)| room.free.cpus).sum()
+    }
+
     /// What the waiting arrays ask for. Classes that can use the same machines share them; they are
     /// counted together.
     fn array_demands(&self) -> Vec<ArrayDemand<'_>> {
@@ -265,13 +272,19 @@
         demands
     }
 
+    /// Whether an array's tasks can count on a room.
+    fn serves_array(&self, class: &Class, index: usize) -> bool {
+        let room = &self.snapshot.rooms[index];
+        let kept = self.snapshot.kept(room.ty, room.spot).is_some_and(|kept| class.rank < kept.rank);
+        let stays = room.until.is_none() && self.coming(index);
+        allowed(class, room) && stays && !kept && room.total.fits(&class.need) > 0
+    }
+
     /// Processor seconds that the rooms there are have for a class within so many seconds.
     fn array_supply(&self, class: &Class, horizon_s: f64) -> f64 {
         let mut supply = 0.0;
         for (index, room) in self.snapshot.rooms.iter().enumerate() {
-            let kept = self.snapshot.kept(room.ty, room.spot).is_some_and(|kept| class.rank < kept.rank);
-            let usable = allowed(class, room) && room.until.is_none() && !kept && self.coming(index);
-            if !usable || room.total.fits(&class.need) == 0 {
+            if !self.serves_array(class, index) {
                 continue;
             }
             let late = if self.upkeep[index].booting { room.opens_in.secs() } else { 0.0 };
--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -186,7 +186,9 @@
         let types = self.allowed_types(s);
         let fetch = types.iter().map(|&t| s.image_gb / self.types[t].fetch_gb_per_s.max(0.001));
         let fetch = fetch.fold(f64::INFINITY, f64::min);
-        let fetch = if fetch.is_finite() { fetch } else { 0.0 };
+        // Where the fetch alone takes longer than the aim allows, only machines that have the image make
+        // it: stopping others sooner gains nothing.
+        let fetch = if fetch < aim { fetch } else { 0.0 };
         Micros::from_secs((aim - 1.5 * w.workers.report_s - fetch).max(0.0))
     }
 }
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -18,7 +18,7 @@
 /// the cloud's answer shows that its tasks are gone, well before its lease would. With fewer, a worker that
 /// was not answered in time and tries other controllers would be taken for gone; with more, the tasks of
 /// each machine that is taken without notice begin again later.
-const SILENT_REPORTS: f64 = 4.0;
+const SILENT_REPORTS: f64 = 3.0;
 
 /// The same after a notice.
 const SILENT_REPORTS_AFTER_NOTICE: f64 = 2.5;
