--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod starts;
 mod status;
 mod tasks;
+mod team_use;
 mod upkeep;
 
 pub use machines::{Entry, Machine};
@@ -99,7 +100,7 @@
     planned_for: Snapshot,
     closed: BTreeSet<MachineId>,
     /// Use of teams with limits, by index; counted anew when emptied.
-    uses: Vec<Option<Need>>,
+    uses: Vec<Need>,
     /// How many machines have not been heard since the takeover.
     silent: usize,
     /// Whether the log said last that all machines are heard.
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -221,37 +221,6 @@
         }
     }
 
-    /// The use of all teams for a plan, with the places promised to their gangs.
-    fn team_uses(&mut self) -> Vec<TeamUse> {
-        // Counted anew with each plan, so that what has ended is seen.
-        self.uses.clear();
-        self.uses_with_promises()
-    }
-
-    /// The use of all teams at this moment; none if no team is limited.
-    pub(super) fn current_team_uses(&mut self) -> Vec<TeamUse> {
-        let limited = |t: &Team| t.cpus_max > 0.0 || t.gpus_max > 0.0;
-        if self.cfg.platform.settings.teams.iter().any(limited) {
-            self.uses_with_promises()
-        } else {
-            Vec::new()
-        }
-    }
-
-    fn uses_with_promises(&mut self) -> Vec<TeamUse> {
-        let names: Vec<String> = self.cfg.platform.settings.teams.iter().map(|t| t.name.clone()).collect();
-        let mut teams: Vec<TeamUse> = names.iter().map(|t| self.team_use(t)).collect();
-        // Places promised to gangs count against their teams' limits: nothing lower takes them.
-        for j in self.jobs.values() {
-            let (Some(g), Some((at, _))) = (&j.gang, self.team(&j.spec.team)) else { continue };
-            let unsent = g.places.len() as u32 - g.sent.len().min(g.places.len() as u32);
-            if let Some(t) = teams.get_mut(at) {
-                t.used = t.used.plus(&need_of(&j.spec), unsent);
-            }
-        }
-        teams
-    }
-
     /// A machine as the planner sees it, with places promised on it.
     pub(super) fn room(&self, m: &Machine, now: Steady, promised: u32, promise: Need) -> Option<Room> {
         let ty = m.ty?;
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -144,14 +144,6 @@
         true
     }
 
-    /// Adds a started task to its team's use, if that is counted at present.
-    fn add_use(&mut self, team: &str, need: &Need) {
-        let Some((at, _)) = self.team(team) else { return };
-        if let Some(Some(used)) = self.uses.get_mut(at) {
-            *used = used.plus(need, 1);
-        }
-    }
-
     /// Attempt numbers come from token and counter: never reused, without a write.
     pub(super) fn next_attempt(&mut self) -> u64 {
         self.counter += 1;
@@ -233,42 +225,4 @@
         }
         v
     }
-
-    /// What a team uses, with all that may be somewhere counted against its limit. Kept between
-    /// plans: starts are added, ends only lower it, and all else that may raise it empties it.
-    pub(super) fn team_use(&mut self, name: &str) -> TeamUse {
-        let Some((at, t)) = self.team(name) else { return TeamUse::default() };
-        let mut u = TeamUse { used: Need::default(), cpus_max: t.cpus_max, gpus_max: t.gpus_max };
-        if t.cpus_max <= 0.0 && t.gpus_max <= 0.0 {
-            return u;
-        }
-        if let Some(Some(used)) = self.uses.get(at) {
-            u.used = *used;
-            return u;
-        }
-        u.used = self.count_use(name);
-        if self.uses.len() <= at {
-            self.uses.resize(at + 1, None);
-        }
-        self.uses[at] = Some(u.used);
-        u
-    }
-
-    pub(super) fn count_use(&self, name: &str) -> Need {
-        let mut used = Need::default();
-        for m in self.machines.values() {
-            if !m.heard || m.unknown_use() {
-                // Nothing is known of what is there: it may all be this team's.
-                used =
-                    used.plus(&m.ty.map_or(Need { cpus: 1e9, gpus: 1e9, memory: 0.0 }, |t| self.total(t)), 1);
-                continue;
-            }
-            for (k, e) in m.tasks.iter().filter(|x| x.1.live()) {
-                if let (Some(n), true) = (e.need, self.jobs.get(&k.0).is_none_or(|j| j.spec.team == name)) {
-                    used = used.plus(&n, 1);
-                }
-            }
-        }
-        used
-    }
 }
