--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -198,7 +198,7 @@
                 vec![0; self.zones.len()]
             },
             slack: sp.deadline_s.map(|due| Micros::from_secs(due) - waited - adjusted),
-            missed_aims: self.missed_aims(sp, waited, adjusted, widest.of_shape(sp.shape)),
+            missed_aims: self.missed_aims(j, waited, adjusted, widest.of_shape(sp.shape)),
             patience: self.patience(sp) - waited,
             replicas: service.then(|| self.replica_rooms(j, room_of)),
         }
@@ -301,7 +301,11 @@
     /// started now. So that nothing starves or might be taken for forgotten, a lost aim stops
     /// counting against it after a while: one for its end after five times the aim, one for its
     /// start sooner, and the sooner the wider the job is: it takes longer to find its room.
-    pub(super) fn missed_aims(&self, s: &JobSpec, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
+    /// An array of which tasks have begun has its start behind it: tasks that are lost with a machine
+    /// would otherwise wait behind all newer jobs, and the job miss its deadline for them.
+    pub(super) fn missed_aims(&self, j: &Job, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
+        let s = &j.spec;
+        let begun = s.shape == Shape::Array && (j.first_start.is_some() || j.inherited > 0);
         if s.shape == Shape::Service {
             return 0;
         }
@@ -311,7 +315,7 @@
         let aims = &self.cfg.platform.settings.objectives;
         let of_class = || aims.iter().filter(|o| Some(&o.class) == s.class.as_ref());
         let lost = of_class().filter(|o| match (o.kind.as_str(), s.deadline_s) {
-            ("wait", _) => waited.secs() > o.within_s && waited.secs() < max_yield_s,
+            ("wait", _) => !begun && waited.secs() > o.within_s && waited.secs() < max_yield_s,
             ("deadline", Some(due)) => by_end(due * o.times),
             _ => false,
         });
--- a/tests/spot_machines.rs
+++ b/tests/spot_machines.rs
@@ -100,3 +100,23 @@
     s.step(&[]);
     assert!(s.steps_until_returned(&silent, 12).is_none());
 }
+
+/// In a burst the tasks lost with a machine waited behind all newer jobs, since theirs had waited for longer
+/// than its aim for the start allows, though it had begun in time.
+#[test]
+fn lost_tasks_of_an_array_that_began_in_time_do_not_wait_behind_newer_ones() {
+    let quick = |n: u32| JobSpec { class: Some("quick".into()), estimate_s: 60.0, ..spec(n, 4, "batch") };
+    let mut s = Scenario::new(1, true);
+    s.submit(quick(1));
+    // Beyond the 20 s within which its class should start.
+    (0..10).for_each(|_| s.step(&[]));
+    assert_eq!(s.tasks("i-000").len(), 4);
+    s.fleet.returned(&["i-000".into()], s.now);
+    s.machines.clear();
+    s.submit(quick(2));
+    s.add_ordinary(1, 0);
+    (0..3).for_each(|_| s.step(&[]));
+    let started = s.tasks("j-000");
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|(task, _)| task.starts_with("wk-000001")), "{started:?}");
+}
