Fleet size: attempt numbers, orders in an answer, halts beside silent machines, the cloud's list

An owner whose 16.7 million attempt numbers are used up (an hour at 4,000 machines) gives its parts up and is followed under a higher token; before, numbers would have come again. An answer holds at most 500 orders, within the 64 KiB of a line. Halts have threads of their own beside those that bring tokens: 2,000 machines behind a cut held them up for minutes. The cloud's list takes at most a quarter of its requests, however long it is.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -31,6 +31,10 @@
     next: Mutex<Steady>,
 }
 
+/// Machines in one page of the list, the most that the cloud gives at once.
+pub const MACHINES_PER_LIST_PAGE: usize = 500;
+
+/// How long the cloud has to answer.
 const CALL: Micros = Micros::from_millis(8000);
 
 impl CloudClient {
@@ -93,7 +97,7 @@
         let mut all: Vec<ListedMachine> = Vec::new();
         loop {
             let from = all.last().map(|m| format!("from={}&", m.id)).unwrap_or_default();
-            let b = self.call("GET", &format!("/rentals?{from}most=500"), None)?;
+            let b = self.call("GET", &format!("/rentals?{from}most={MACHINES_PER_LIST_PAGE}"), None)?;
             let page: MachineList =
                 serde_json::from_slice(&b).map_err(|e| CloudError::Malformed(e.to_string()))?;
             let empty = page.machines.is_empty();
--- a/src/config.rs
+++ b/src/config.rs
@@ -305,13 +305,17 @@
 /// Memory that an open connection takes while its request is read and answered, generously, in
 /// KiB. Quiet ones take next to nothing.
 const CONNECTION_KB: f64 = 8.0;
-/// Threads of the duties: eight, three for the other controllers, their runtime, the one that
+/// Threads of the duties: nine, three for the other controllers, their runtime, the one that
 /// waits for readiness, the main one, and those that send direct commands.
-pub const DUTY_THREADS: usize = 14 + RAISERS;
-/// Threads that send direct commands to machines at once.
-pub const RAISERS: usize = 16;
-/// Sockets of the duties: listeners, watches, the cloud, the other controllers, raisers.
-const DUTY_SOCKETS: usize = 16 + RAISERS;
+pub const DUTY_THREADS: usize = 15 + COMMAND_THREADS;
+/// Threads that bring a new owner's token to machines at once.
+pub const RAISE_THREADS: usize = 10;
+/// Threads that send halts at once.
+pub const HALT_THREADS: usize = 5;
+/// Threads that send direct commands at once.
+const COMMAND_THREADS: usize = RAISE_THREADS + HALT_THREADS;
+/// Sockets of the duties: listeners, watches, the cloud, the other controllers, direct commands.
+const DUTY_SOCKETS: usize = 17 + COMMAND_THREADS;
 
 /// The least KiB of a value: a job's record with the longest names that are usual fits.
 const LEAST_VALUE_KB: f64 = 1.0;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -42,6 +42,7 @@
 
 use demand::*;
 use replicas::WaitingService;
+use starts::MAX_ORDERS;
 
 /// A task on a machine, by job, number and attempt.
 pub type TaskKey = (JobId, u32, u64);
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -393,6 +393,9 @@
         let mut out = Vec::new();
         if let Some(m) = self.machines.get(id) {
             for (k, e) in &m.tasks {
+                if out.len() >= MAX_ORDERS {
+                    break;
+                }
                 let task = format!("{}/{}", k.0, k.1);
                 match (e.ended, e.stop) {
                     (Some(why), _) => {
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -2,6 +2,19 @@
 
 use super::*;
 
+/// Bits of an attempt number that count; the others are the owner's token.
+const ATTEMPT_BITS: u32 = 24;
+
+/// The highest count of an attempt number.
+const MAX_ATTEMPTS: u64 = (1 << ATTEMPT_BITS) - 1;
+
+/// Attempt numbers that are left for what one plan places, gangs included, before no more is started.
+const ATTEMPTS_RESERVED: u64 = 1 << 18;
+
+/// Most orders in an answer to a worker. A line of an answer may take 64 KiB, and an order up to a hundred
+/// bytes; what is beyond leaves with the next answers.
+pub(super) const MAX_ORDERS: usize = 500;
+
 impl Fleet {
     /// Whether starts wait for a mark to be written.
     pub fn starts_wait(&self) -> bool {
@@ -110,7 +123,7 @@
         now: Steady,
         out: &mut Vec<Order>,
     ) -> bool {
-        if !self.may_start(job, n, id, now) {
+        if out.len() >= MAX_ORDERS || !self.may_start(job, n, id, now) {
             return false;
         }
         let fresh_attempt = self.next_attempt();
@@ -147,7 +160,19 @@
     /// Attempt numbers come from token and counter: never reused, without a write.
     pub(super) fn next_attempt(&mut self) -> u64 {
         self.counter += 1;
-        (self.token << 24) | (self.counter & 0xff_ffff)
+        (self.token << ATTEMPT_BITS) | (self.counter & MAX_ATTEMPTS)
+    }
+
+    /// Whether this owner has hardly an attempt number left. It starts nothing more: under a higher
+    /// token there are as many again. Four thousand machines that each start a task a second get here
+    /// within little more than an hour.
+    pub fn attempts_exhausted(&self) -> bool {
+        self.counter + ATTEMPTS_RESERVED > MAX_ATTEMPTS
+    }
+
+    /// As if so many attempt numbers had been used: for tests.
+    pub fn use_attempts(&mut self, count: u64) {
+        self.counter += count;
     }
 
     /// The one place where a start is checked, with everything that is possibly there counted.
@@ -171,6 +196,9 @@
         if self.silent > 0 && !self.startable_blind(j, n) && self.may_be_on_unheard(&j.spec) {
             return false;
         }
+        if self.attempts_exhausted() {
+            return false;
+        }
         let total = self.total(ty);
         if !self.allowed_types(s).contains(&ty) || m.free(total).fits(&need_of(s)) == 0 {
             return false;
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -3,7 +3,7 @@
 
 use super::Node;
 use crate::capacity::Offer;
-use crate::cloud::CloudError;
+use crate::cloud::{CloudError, MACHINES_PER_LIST_PAGE};
 use crate::fleet::Fleet;
 use crate::time::{wall, Micros, Steady};
 use crate::wire::RentRequest;
@@ -22,6 +22,8 @@
 const CLOUD_INTERVAL: Micros = Micros::from_millis(500);
 /// How often the cloud's list is read at the most.
 const MIN_LIST_INTERVAL: Micros = Micros::from_millis(2_000);
+/// The part of the cloud's requests that may be spent on its list.
+const MAX_LIST_SHARE: f64 = 0.25;
 /// How often the prices are read.
 const PRICES_INTERVAL: Micros = Micros::from_millis(45_000);
 
@@ -30,7 +32,7 @@
     /// requests, which must not delay renting.
     pub(super) fn refresh_cloud(&self) {
         let lag = Micros::from_secs(self.cfg.platform.settings.cloud.list_lag_s);
-        let every = lag.scale(0.75).max(MIN_LIST_INTERVAL);
+        let mut every = lag.scale(0.75).max(MIN_LIST_INTERVAL);
         let (mut listed, mut priced, mut last) = (Steady(0), Steady(0), 0u64);
         while !self.stopping() {
             self.sleep(CLOUD_INTERVAL);
@@ -43,8 +45,11 @@
             if now - priced > PRICES_INTERVAL && self.refresh_prices() {
                 priced = now;
             }
-            if now - listed > every && self.refresh_list(token) {
-                listed = now;
+            if now - listed > every {
+                if let Some(machines) = self.refresh_list(token) {
+                    listed = now;
+                    every = lag.scale(0.75).max(MIN_LIST_INTERVAL).max(self.least_list_interval(machines));
+                }
             }
         }
     }
@@ -60,13 +65,21 @@
         true
     }
 
-    /// Reads the cloud's list; false if the cloud did not answer.
-    fn refresh_list(&self, token: u64) -> bool {
-        let Ok(list) = self.cloud.list() else { return false };
+    /// Reads the cloud's list and returns its length; none if the cloud did not answer.
+    fn refresh_list(&self, token: u64) -> Option<usize> {
+        let list = self.cloud.list().ok()?;
         if let Some(ownership) = self.lock().owned_with(token) {
             ownership.fleet.listed(&list, self.now());
         }
-        true
+        Some(list.len())
+    }
+
+    /// How far apart lists of so many machines are read at least, so that they take no more than
+    /// their part of the requests: a long list takes many, which renting and returning would wait for.
+    fn least_list_interval(&self, machines: usize) -> Micros {
+        let requests = machines.div_ceil(MACHINES_PER_LIST_PAGE).max(1) as f64;
+        let rps = self.cfg.platform.settings.cloud.rps;
+        Micros::from_secs(requests / (rps * MAX_LIST_SHARE))
     }
 
     /// Rents and returns machines until the controller ends.
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -1,10 +1,11 @@
-//! The commanding duty: direct commands to workers. They bring a new owner's token, and halts to
-//! machines that do not report.
+//! The commanding duties: direct commands to workers. One brings a new owner's token to machines that do
+//! not report to it, the other halts. Halts have threads of their own: thousands of machines behind a
+//! cut, each of which is waited for, must not hold them up.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use super::{Node, Ownership};
-use crate::config::RAISERS;
+use crate::config::{HALT_THREADS, RAISE_THREADS};
 use crate::direct_command::DirectCommand;
 use crate::fleet::Fleet;
 use crate::http::Client;
@@ -13,7 +14,7 @@
 
 /// How often halts that cannot wait for a report are sent.
 const HALT_INTERVAL: Micros = Micros::from_millis(100);
-/// How long after commands were sent machines are asked again to take this owner's token.
+/// How often machines that do not report are asked to take this owner's token.
 const RAISE_INTERVAL: Micros = Micros::from_millis(500);
 /// How long a worker has to answer a command.
 const COMMAND_TIMEOUT: Micros = Micros::from_millis(1500);
@@ -23,29 +24,29 @@
 const COMMAND_STACK: usize = 128 * 1024;
 
 impl Node {
-    /// Sends direct commands until the controller ends.
-    pub(super) fn command(&self) {
-        let mut raise_after = Steady(0);
+    /// Sends halts until the controller ends.
+    pub(super) fn send_halts(&self) {
         while !self.stopping() {
             self.sleep(HALT_INTERVAL);
-            if self.now() < raise_after {
-                self.send_due(Fleet::to_halt);
-            } else if self.command_once() {
-                raise_after = self.now() + RAISE_INTERVAL;
-            }
+            self.send_due(Fleet::to_halt, HALT_THREADS);
+        }
+    }
+
+    /// Brings this owner's token to machines until the controller ends.
+    pub(super) fn raise_tokens(&self) {
+        while !self.stopping() {
+            self.sleep(RAISE_INTERVAL);
+            self.send_due(|fleet, now| fleet.to_raise(now), RAISE_THREADS);
         }
     }
 
     /// Sends the direct commands that are due; false if there were none.
     pub fn command_once(&self) -> bool {
-        self.send_due(|fleet, now| {
-            let mut commands = fleet.to_raise(now);
-            commands.extend(fleet.to_halt(now));
-            commands
-        })
+        let raised = self.send_due(|fleet, now| fleet.to_raise(now), RAISE_THREADS);
+        self.send_due(Fleet::to_halt, HALT_THREADS) || raised
     }
 
-    fn send_due(&self, due: impl FnOnce(&mut Fleet, Steady) -> Vec<DirectCommand>) -> bool {
+    fn send_due(&self, due: impl FnOnce(&mut Fleet, Steady) -> Vec<DirectCommand>, threads: usize) -> bool {
         let due = self.lock().ownership.as_mut().map(|o| {
             let commands = due(&mut o.fleet, self.now());
             (o.fleet.token, commands)
@@ -54,7 +55,7 @@
         // A worker that does not answer holds up only one thread: the others go on with the list.
         let next = AtomicUsize::new(0);
         std::thread::scope(|s| {
-            for _ in 0..list.len().min(RAISERS) {
+            for _ in 0..list.len().min(threads) {
                 let (next, list) = (&next, &list);
                 let send = move || {
                     while let Some(c) = list.get(next.fetch_add(1, Ordering::Relaxed)) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -215,14 +215,15 @@
 
     /// Starts a thread for each duty.
     fn start_duties(self: &Arc<Node>, inbound: Receiver<Inbound>) -> std::io::Result<Vec<JoinHandle<()>>> {
-        let duties: [(&str, Duty); 8] = [
+        let duties: [(&str, Duty); 9] = [
             ("keeper", Node::keep),
             ("watcher", Node::watch),
             ("writer", Node::write),
             ("cloud", Node::rent_and_return),
             ("list", Node::refresh_cloud),
             ("announcer", Node::announce),
-            ("commander", Node::command),
+            ("halts", Node::send_halts),
+            ("tokens", Node::raise_tokens),
             ("planner", Node::plan),
         ];
         let mut threads = Vec::new();
--- a/src/node/planning.rs
+++ b/src/node/planning.rs
@@ -22,6 +22,9 @@
             ownership.fleet.tick(self.now(), wall());
             ownership.fleet.starts_wait()
         });
+        if shared.ownership.as_ref().is_some_and(|o| o.fleet.attempts_exhausted()) {
+            self.step_down(&mut shared, 0, "its attempt numbers are used up");
+        }
         drop(shared);
         self.answer_deferred();
         if writes {
