Fleet size: a test with 4,200 machines, settings that do not carry 4,000 are named at the start

tests/fleet_size.rs rents, enrols, fills, takes over and returns 4,200 machines against models of cloud, workers and state service. Settings: a lease no longer than reports are apart, and a cancellation time so close to the lease that no report could be answered, are refused. The test of an owner that sees no cancellations had reports every 3 s with a lease of 2 s: it now has them every half second, all else as it was.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -87,7 +87,7 @@
     let level = match std::env::var("LOG_LEVEL").as_deref() {
         Ok("debug") => tracing::Level::DEBUG,
         Ok("info") => tracing::Level::INFO,
-        _ => tracing::Level::ERROR,
+        _ => tracing::Level::WARN,
     };
     // The time is the platform's to add; a line is written whole.
     let _ = tracing_subscriber::fmt()
@@ -122,6 +122,9 @@
         Err(e) => return fail(2, e),
     };
     start_log();
+    if let Some(warning) = cfg.size_warning() {
+        tracing::warn!("{warning}");
+    }
     match Node::run(cfg, Arc::new(AtomicBool::new(false))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(1, e),
@@ -144,6 +147,9 @@
                 c.room().bulk_connections,
                 c.operator.max_threads
             );
+            if let Some(warning) = c.size_warning() {
+                println!("warning: {warning}");
+            }
             ExitCode::SUCCESS
         }
         Err(e) => fail(2, e),
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -305,9 +305,9 @@
                     j.ran.1 = 0;
                 }
             }
-            for c in chunks.keys().take(ops.saturating_sub(then.len())) {
-                then.push(Change::drop(done_key(id, *c)));
-            }
+            let dropped: Vec<u32> = chunks.keys().take(ops.saturating_sub(then.len())).copied().collect();
+            then.extend(dropped.iter().map(|c| Change::drop(done_key(id, *c))));
+            said = Said::Dropped(dropped);
         }
         Pending::Machines(slot) | Pending::Tidy(Packed::Machines, slot) => {
             let (stamp, version, items) = fleet.packs.slot(*slot)?;
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,8 @@
 //! Settings: the platform's JSON file and the operators' own HCL file. Both are checked in full
 //! before anything starts; a mistake is one line that names the field.
 
+mod fleet_size;
+
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -8,6 +10,8 @@
 use crate::http::{Room, READERS};
 use crate::time::Micros;
 
+pub use fleet_size::TARGET_MACHINES;
+
 /// What is wrong with the settings, in one line.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -116,6 +120,15 @@
     pub cancel_s: f64,
 }
 
+impl Workers {
+    /// How long an owner that cannot see cancellations may go on renewing leases: the last renewal plus
+    /// the lease must fall within `cancel_s` of the last fresh view, with drift and the worker's own
+    /// answer time allowed for.
+    fn blind_bound(&self) -> Micros {
+        Micros::from_secs((self.cancel_s - self.lease_s) * 0.998 - 2.0)
+    }
+}
+
 /// Limits of the state service.
 #[derive(Clone, Debug, Deserialize)]
 pub struct StateLimits {
@@ -317,6 +330,11 @@
 /// Sockets of the duties: listeners, watches, the cloud, the other controllers, direct commands.
 const DUTY_SOCKETS: usize = 17 + COMMAND_THREADS;
 
+/// Workers report after up to so many times their interval.
+const LATEST_REPORT: f64 = 1.25;
+/// With a shorter bound on acting without the state service an owner would answer hardly any report,
+/// since its view of the state service is never fresher than the interval of its reads.
+const LEAST_BLIND_BOUND: Micros = Micros::from_millis(400);
 /// The least KiB of a value: a job's record with the longest names that are usual fits.
 const LEAST_VALUE_KB: f64 = 1.0;
 /// The fewest changes of a transaction.
@@ -360,12 +378,9 @@
         Micros::from_secs(self.platform.settings.workers.lease_s)
     }
 
-    /// How long an owner that cannot see cancellations may go on renewing leases: the last
-    /// renewal plus the lease must fall within `cancel_s` of the last fresh view, with drift and
-    /// the worker's own answer time allowed for.
+    /// How long an owner that cannot see cancellations may go on renewing leases.
     pub fn blind_bound(&self) -> Micros {
-        let w = &self.platform.settings.workers;
-        Micros::from_secs((w.cancel_s - w.lease_s) * 0.998 - 2.0)
+        self.platform.settings.workers.blind_bound()
     }
 
     /// Room for callers. Connections: what the operators say, or else what the platform allows,
@@ -373,14 +388,12 @@
     /// eighth is for users and probes alone. Threads: what the operators say, less the duties.
     pub fn room(&self) -> Room {
         let l = &self.platform.settings.limits;
-        let threads = self.operator.max_threads.saturating_sub(DUTY_THREADS + READERS).max(2);
-        // Each answer to a user may need a connection to the state service.
-        let prompt_threads = (threads * 2 / 3).min(l.max_sockets / 8).max(1);
-        let own = (DUTY_SOCKETS + prompt_threads).min(l.max_sockets / 2);
+        let threads = self.caller_threads();
+        let prompt_threads = self.prompt_threads();
         let connections = match self.operator.max_connections {
             0 => {
                 let by_memory = (l.ram_mb * 0.5 * 1024.0 / CONNECTION_KB) as usize;
-                (l.max_sockets - own).min(by_memory).max(8)
+                self.connections_by_sockets().min(by_memory).max(8)
             }
             n => n,
         };
@@ -392,6 +405,24 @@
         }
     }
 
+    /// Threads that answer callers.
+    fn caller_threads(&self) -> usize {
+        self.operator.max_threads.saturating_sub(DUTY_THREADS + READERS).max(2)
+    }
+
+    /// Threads that answer users and probes. Each answer to a user may need a connection to the state
+    /// service.
+    fn prompt_threads(&self) -> usize {
+        (self.caller_threads() * 2 / 3).min(self.platform.settings.limits.max_sockets / 8).max(1)
+    }
+
+    /// Connections of callers that the platform's limit of sockets leaves beside the service's own.
+    fn connections_by_sockets(&self) -> usize {
+        let max_sockets = self.platform.settings.limits.max_sockets;
+        let own = (DUTY_SOCKETS + self.prompt_threads()).min(max_sockets / 2);
+        max_sockets - own
+    }
+
     /// Bytes that a value may hold, now and after the coming change of limits.
     pub fn value_bytes(&self) -> usize {
         (self.platform.settings.state.least_value_kb() * 1024.0) as usize
@@ -463,9 +494,16 @@
         not_negative("settings.workers.gang_wait_s", w.gang_wait_s)?;
         not_negative("settings.workers.gang_peer_s", w.gang_peer_s)?;
         positive("settings.workers.cancel_s", w.cancel_s)?;
+        if w.report_s * LATEST_REPORT >= w.lease_s {
+            return Err(bad("settings.workers.report_s", "must be well below lease_s: leases would run out"));
+        }
         if w.cancel_s <= w.lease_s {
             return Err(bad("settings.workers.cancel_s", "must be above lease_s"));
         }
+        if w.blind_bound() < LEAST_BLIND_BOUND {
+            let least = "must be at least 2.5 s above lease_s: no report could be answered";
+            return Err(bad("settings.workers.cancel_s", least));
+        }
         positive("settings.state.rps", s.state.rps)?;
         positive("settings.state.write_rps", s.state.write_rps)?;
         positive("settings.state.value_kb", s.state.value_kb)?;
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -48,6 +48,8 @@
     Nothing,
     /// Done ranges.
     Done(Ranges),
+    /// Chunks of done ranges, by number, that go with the job's end.
+    Dropped(Vec<u32>),
     /// Machines, with the count of changes to their value.
     Machines(Vec<MachineId>, u64),
     /// Marks, with the count of changes to their value.
@@ -222,8 +224,14 @@
     /// A write has been applied at a revision.
     pub fn written(&mut self, p: &Pending, revision: u64, said: &Said, now: Steady) {
         match p {
-            // Its chunks, most of them gone in the same transaction, become orphans to be removed.
-            Pending::Final(id) => self.job_over(id, revision),
+            Pending::Final(id) => {
+                // Chunks that did not go in the same transaction become orphans to be removed. Those
+                // that did would each cost a failed transaction and a read.
+                if let (Said::Dropped(chunks), Some(j)) = (said, self.jobs.get_mut(id)) {
+                    j.chunks.retain(|chunk, _| !chunks.contains(chunk));
+                }
+                self.job_over(id, revision);
+            }
             Pending::Orphan(key, _) => {
                 self.orphans.remove(key);
             }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -319,6 +319,7 @@
     let out = Arc::new(AtomicBool::new(false));
     let state = state_service(out.clone());
     let s = start_with(state, out.clone(), |p| {
+        p["settings"]["workers"]["report_s"] = json!(0.5);
         p["settings"]["workers"]["lease_s"] = json!(2.0);
         p["settings"]["workers"]["cancel_s"] = json!(4.5);
     });
--- /dev/null
+++ b/tests/fleet_size.rs
@@ -0,0 +1,265 @@
+//! More than four thousand machines: rented, enrolled, filled with work, taken over, and returned, against
+//! a model of the cloud, the workers and the state service, without a clock.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use common::clock::{wall_at, START};
+use common::controllers::Controller;
+use common::servers::serve;
+use common::state_service::parameter;
+use common::store::{submission, Store};
+use common::{config, record, report, spec};
+use milletlock::cloud::CloudClient;
+use milletlock::config::Config;
+use milletlock::fleet::CheckIn;
+use milletlock::http::Response;
+use milletlock::jobs::{JobId, MachineId};
+use milletlock::time::{Micros, Steady};
+use milletlock::wire::{JobSpec, Order, TaskStage, Why};
+use serde_json::json;
+
+/// More than the service has to carry.
+const MACHINES: usize = 4_200;
+/// Most machines in one request for some, by the cloud's rules.
+const MACHINES_PER_RENTAL: usize = 50;
+/// Tasks of one processor that fit on a small machine.
+const TASKS_PER_MACHINE: usize = 4;
+/// Workers report this far apart in these settings.
+const REPORT: Micros = Micros(3_000_000);
+/// Resident memory for each machine with its tasks, the models of worker and state service included; 35 KiB
+/// when this was written.
+const MAX_KB_PER_MACHINE: usize = 48;
+
+/// A task's name and attempt with what its worker says of it.
+type Tasks = BTreeMap<(String, u64), TaskStage>;
+
+/// The cluster around the owner.
+struct Cluster {
+    cfg: Arc<Config>,
+    store: Store,
+    now: Steady,
+    owner: Controller,
+    workers: BTreeMap<String, Tasks>,
+    tally: u64,
+    /// Tasks that were ever started; none may be twice.
+    started: BTreeSet<String>,
+}
+
+impl Cluster {
+    fn new() -> Cluster {
+        let cfg = config();
+        let mut store = Store::default();
+        let owner = Controller::claim(&mut store, &cfg, START);
+        Cluster {
+            cfg,
+            store,
+            now: START,
+            owner,
+            workers: BTreeMap::new(),
+            tally: 0,
+            started: BTreeSet::new(),
+        }
+    }
+
+    fn submit(&mut self, job: JobSpec) {
+        let mut record = record(job);
+        record.submitted_us = self.now.0;
+        self.store.txn(&submission(&record)).expect("a new job");
+        self.owner.read_changes(&self.store, self.now);
+    }
+
+    /// Rents as the owner asks, fifty at a time, up to what the cloud has.
+    fn rent(&mut self) {
+        for (offer, count) in self.owner.fleet.capacity(self.now, wall_at(self.now)) {
+            let mut left = (count as usize).min(MACHINES - self.workers.len());
+            while left > 0 {
+                let names: Vec<String> = (0..left.min(MACHINES_PER_RENTAL))
+                    .map(|n| format!("i-{:06}", self.workers.len() + n))
+                    .collect();
+                left -= names.len();
+                self.workers.extend(names.iter().map(|name| (name.clone(), Tasks::new())));
+                self.owner.fleet.rented(&names, offer, self.now);
+            }
+        }
+    }
+
+    /// Lets a report's interval pass: plans, writes, and answers the report of every worker.
+    fn step(&mut self) {
+        self.now = self.now + REPORT;
+        self.owner.fleet.tick(self.now, wall_at(self.now));
+        self.write();
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        names.iter().for_each(|name| self.report(name));
+        self.write();
+    }
+
+    /// Writes all that is pending, in as many transactions as that takes.
+    fn write(&mut self) {
+        loop {
+            // Nobody reads the changes up to here again.
+            self.store.log.clear();
+            let batches = self.owner.batches(Micros::ZERO, 1_000, self.now);
+            if batches.is_empty() {
+                return;
+            }
+            for batch in batches {
+                let result = self.store.txn(&batch.txn);
+                self.owner.acknowledge(&batch, Some(result), self.now).expect("written");
+            }
+        }
+    }
+
+    fn report(&mut self, name: &str) {
+        self.tally += 1;
+        let tasks = &self.workers[name];
+        let why = |stage: &TaskStage| (*stage == TaskStage::Exited).then_some(Why::Done);
+        let listed: Vec<_> = tasks
+            .iter()
+            .map(|((task, attempt), stage)| (task.as_str(), *attempt, *stage, why(stage)))
+            .collect();
+        let report = report(name, self.tally, self.owner.fleet.token, &listed);
+        let CheckIn::Reply(reply) = self.owner.fleet.check_in(&report, self.now, wall_at(self.now)) else {
+            panic!("the report of {name} is refused");
+        };
+        for order in reply.orders {
+            self.execute(name, order);
+        }
+    }
+
+    fn execute(&mut self, name: &str, order: Order) {
+        let tasks = self.workers.get_mut(name).expect("a worker");
+        match order {
+            Order::Start { task, attempt } => {
+                assert!(self.started.insert(task.clone()), "{task} starts twice");
+                tasks.insert((task, attempt), TaskStage::Running);
+                let running = tasks.values().filter(|stage| **stage == TaskStage::Running).count();
+                assert!(running <= TASKS_PER_MACHINE, "{name} has no room for that");
+            }
+            Order::Halt { task, .. } => panic!("{task} is stopped"),
+            Order::Forget { task, attempt } => {
+                tasks.remove(&(task, attempt));
+            }
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.workers.values().flatten().filter(|task| *task.1 == TaskStage::Running).count()
+    }
+
+    /// All running tasks complete.
+    fn complete_all(&mut self) {
+        self.workers.values_mut().flat_map(|tasks| tasks.values_mut()).for_each(|s| *s = TaskStage::Exited);
+    }
+
+    /// A new owner takes over, under the next token.
+    fn change_owner(&mut self) {
+        self.owner = Controller::claim(&mut self.store, &self.cfg, self.now);
+    }
+
+    /// Returns what the owner gives back, a hundred at a time; how many.
+    fn return_machines(&mut self) -> usize {
+        self.owner.fleet.capacity(self.now, wall_at(self.now));
+        let leaving = self.owner.fleet.leaving();
+        for part in leaving.chunks(100) {
+            self.owner.fleet.returned(part, self.now);
+            for name in part {
+                assert!(self.workers.remove(name).is_some_and(|tasks| tasks.is_empty()), "{name} was in use");
+            }
+        }
+        leaving.len()
+    }
+}
+
+/// Resident memory of this process in KiB.
+fn resident_kb() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("this system tells");
+    let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("resident memory");
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("a number")
+}
+
+#[test]
+fn four_thousand_machines_are_rented_filled_taken_over_and_returned() {
+    let mut c = Cluster::new();
+    let before = resident_kb();
+    let wide = |n: u32| JobSpec { estimate_s: 200.0, ..spec(n, 10_000, "batch") };
+    c.submit(wide(1));
+    c.submit(wide(2));
+    c.rent();
+    assert_eq!(c.workers.len(), MACHINES, "all that the cloud has, in one round");
+    (0..4).for_each(|_| c.step());
+    assert_eq!(c.running(), MACHINES * TASKS_PER_MACHINE);
+    let values = c.store.rows("machines/").len();
+    assert!(values * 15 < MACHINES, "{values} values hold the machines' records");
+    let kb = resident_kb().saturating_sub(before) / MACHINES;
+    assert!(kb <= MAX_KB_PER_MACHINE, "{kb} KiB for a machine");
+
+    // Another takes over: it hears all, and starts nothing that runs.
+    c.change_owner();
+    assert_eq!(c.owner.fleet.unheard(), MACHINES);
+    c.step();
+    assert_eq!(c.owner.fleet.unheard(), 0);
+    c.step();
+    assert_eq!(c.running(), MACHINES * TASKS_PER_MACHINE);
+
+    // What is left starts as the first tasks end, and all of it ends.
+    for _ in 0..4 {
+        c.complete_all();
+        (0..3).for_each(|_| c.step());
+    }
+    assert_eq!((c.started.len(), c.running()), (20_000, 0));
+    assert!(c.store.rows("job/").is_empty() && c.store.rows("done/").is_empty());
+
+    // With nothing left to do all machines go back.
+    let mut returned = 0;
+    for _ in 0..40 {
+        c.step();
+        returned += c.return_machines();
+    }
+    assert_eq!((returned, c.workers.len()), (MACHINES, 0));
+    c.write();
+    let left: BTreeSet<JobId> = c.owner.fleet.jobs.keys().cloned().collect();
+    assert!(left.is_empty() && c.owner.fleet.machines.is_empty());
+}
+
+#[test]
+fn the_clouds_list_is_read_to_its_end_page_by_page() {
+    let address = serve(|request| {
+        let from = parameter(&request, "from").trim_start_matches("i-").parse::<usize>().unwrap_or(0);
+        let most: usize = parameter(&request, "most").parse().expect("a number");
+        let to = (from + most).min(MACHINES);
+        let machine = |n: usize| {
+            json!({"nameId": format!("i-{n:06}"), "addr": "10.0.0.1:9000", "breed": "small", "field": "north",
+                   "gleanings": false, "stage": "running", "ageS": 5.0})
+        };
+        let page: Vec<_> = (from + 1..=to).map(machine).collect();
+        Response::json(200, &json!({ "husks": page, "more": to < MACHINES }))
+    });
+    let list = CloudClient::new(address, 1e6).list().expect("a list");
+    let names: BTreeSet<MachineId> = list.iter().map(|m| m.id.as_str().into()).collect();
+    assert_eq!((list.len(), names.len()), (MACHINES, MACHINES));
+}
+
+/// Attempt numbers have 24 bits below the token; after that many they would have come again.
+#[test]
+fn an_owner_that_has_used_up_its_attempt_numbers_starts_nothing_more() {
+    let mut c = Cluster::new();
+    c.submit(spec(1, 4, "batch"));
+    c.rent();
+    (0..3).for_each(|_| c.step());
+    assert_eq!(c.running(), 4);
+    c.owner.fleet.use_attempts(1 << 24);
+    assert!(c.owner.fleet.attempts_exhausted());
+    c.submit(spec(2, 200, "batch"));
+    c.rent();
+    (0..3).for_each(|_| c.step());
+    assert!(c.workers.len() > 1);
+    assert_eq!(c.running(), 4);
+    // Its successor has as many again.
+    c.change_owner();
+    assert!(!c.owner.fleet.attempts_exhausted());
+    (0..3).for_each(|_| c.step());
+    assert!(c.running() > 4);
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -33,6 +33,8 @@
         (with(&[s, "teams"], json!([{"name": "a", "cpus_max": -1.0}])), "settings.teams[0].cpus_max"),
         (with(&[s, "workers", "lease_s"], json!(0.0)), "settings.workers.lease_s"),
         (with(&[s, "workers", "cancel_s"], json!(10.0)), "settings.workers.cancel_s"),
+        (with(&[s, "workers", "cancel_s"], json!(24.0)), "settings.workers.cancel_s"),
+        (with(&[s, "workers", "report_s"], json!(18.0)), "settings.workers.report_s"),
         (with(&[s, "state", "rps"], json!(0)), "settings.state.rps"),
         (with(&[s, "state", "txn_ops"], json!(1)), "settings.state.txn_ops"),
         (with(&[s, "cloud", "rps"], json!(-3)), "settings.cloud.rps"),
@@ -44,6 +46,57 @@
     }
 }
 
+/// What is unusual and makes sense is served: one zone or none named, a report every quarter of the lease, a
+/// bound on acting without the state service of a second, no team, limits of nought.
+#[test]
+fn unusual_settings_are_taken() {
+    let s = "settings";
+    for v in [
+        with(&[s, "zones"], json!(["north"])),
+        with(&[s, "zones"], json!([])),
+        with(&[s, "teams"], json!([])),
+        with(&[s, "teams"], json!([{"name": "a", "cpus": 4.0, "cpus_max": 0.0}])),
+        with(&[s, "objectives"], json!([{"kind": "unheard of", "share": 0.5}])),
+        with(&[s, "workers", "report_s"], json!(17.0)),
+        with(&[s, "workers", "cancel_s"], json!(25.0)),
+        with(&[s, "cloud", "list_lag_s"], json!(0.0)),
+        with(&[s, "initial_size"], json!(0)),
+    ] {
+        assert_eq!(said(&v), "", "{v}");
+    }
+}
+
+/// A fleet that outgrows its settings would be noticed only when workers are turned away.
+#[test]
+fn settings_that_do_not_carry_four_thousand_machines_are_named_in_one_line() {
+    let warning = |limits: Value, state: Value, cloud: Value| {
+        let mut p = platform_json();
+        p["settings"]["limits"] = limits;
+        p["settings"]["state"] = state;
+        p["settings"]["cloud"] = cloud;
+        let platform = Platform::parse(&p.to_string(), "f.json").expect("settings");
+        Config { platform, operator: Operator::default() }.size_warning()
+    };
+    let limits = json!({"cpu": 0.5, "ram_mb": 200.0, "max_sockets": 5_000});
+    let state = json!({"rps": 150.0, "write_rps": 60.0, "value_kb": 8.0, "txn_ops": 12});
+    let cloud = json!({"rps": 3.0, "list_lag_s": 8.0});
+    assert_eq!(warning(limits.clone(), state.clone(), cloud.clone()), None);
+    let few_sockets = json!({"cpu": 0.5, "ram_mb": 200.0, "max_sockets": 1_200});
+    let said = warning(few_sockets, state.clone(), cloud.clone()).expect("a warning");
+    assert!(said.contains("settings.limits.max_sockets (911 machines)") && !said.contains("ram"), "{said}");
+    let little = json!({"cpu": 0.05, "ram_mb": 40.0, "max_sockets": 5_000});
+    let said = warning(little, state, cloud).expect("a warning");
+    assert!(
+        said.contains("limits.ram_mb (2000 machines)") && said.contains("limits.cpu (1500 machines)"),
+        "{said}"
+    );
+    let slow_state = json!({"rps": 150.0, "write_rps": 2.0, "value_kb": 4.0, "txn_ops": 12});
+    let slow_cloud = json!({"rps": 0.5, "list_lag_s": 8.0});
+    let said = warning(limits, slow_state, slow_cloud).expect("a warning");
+    assert!(said.contains("state.write_rps (3000 machines)") && said.contains("cloud.rps (1500"), "{said}");
+    assert!(!said.contains('\n'));
+}
+
 #[test]
 fn operators_settings_are_checked_as_well() {
     let said = |t: &str| Operator::parse(t, "f.hcl").err().map(|e| e.to_string()).unwrap_or_default();
