Urgent arrays wait for machines that have their image while there is time

While the fetch would take them past it and a report's time is left, they start only where their image is; others use the room.

--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -174,6 +174,26 @@
             .collect()
     }
 
+    /// Whether an array should wait a moment for machines that have its image: where it has to be fetched
+    /// its tasks would begin too late for their aim, and there is still time for a report.
+    pub(super) fn should_wait_for_image(&self, s: &JobSpec, waited: Micros) -> bool {
+        let Some(aim) = self.start_aim(s).filter(|_| s.shape == Shape::Array) else { return false };
+        let left = aim - waited.secs();
+        left > self.cfg.platform.settings.workers.report_s && self.least_fetch_s(s) > left
+    }
+
+    /// Seconds that a job's image takes to fetch on the fastest type that it may use.
+    fn least_fetch_s(&self, s: &JobSpec) -> f64 {
+        let types = self.allowed_types(s);
+        let fetch = types.iter().map(|&t| s.image_gb / self.types[t].fetch_gb_per_s.max(0.001));
+        let fetch = fetch.fold(f64::INFINITY, f64::min);
+        if fetch.is_finite() {
+            fetch
+        } else {
+            0.0
+        }
+    }
+
     /// How long a job may wait before others are stopped for it: what its class's aim allows, less
     /// the reports that carry the stops and the starts, and the fetch of its image.
     pub(super) fn patience(&self, s: &JobSpec) -> Micros {
@@ -183,9 +203,7 @@
             return Micros::ZERO;
         }
         let Some(aim) = self.start_aim(s) else { return Micros::from_secs(2.0 * w.workers.report_s) };
-        let types = self.allowed_types(s);
-        let fetch = types.iter().map(|&t| s.image_gb / self.types[t].fetch_gb_per_s.max(0.001));
-        let fetch = fetch.fold(f64::INFINITY, f64::min);
+        let fetch = self.least_fetch_s(s);
         // Where the fetch alone takes longer than the aim allows, only machines that have the image make
         // it: stopping others sooner gains nothing.
         let fetch = if fetch < aim { fetch } else { 0.0 };
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -158,6 +158,11 @@
         for (class, name) in classes.iter_mut().zip(images) {
             class.image = name.map(|n| self.image(&n));
         }
+        let cached: BTreeSet<u32> =
+            self.machines.values().flat_map(|m| m.images.iter().map(|image| image.0)).collect();
+        for class in &mut classes {
+            class.waits_for_image &= class.image.is_some_and(|image| cached.contains(&image));
+        }
         (classes, jobs)
     }
 
@@ -190,6 +195,7 @@
             spot: sp.spot,
             image: None,
             image_gb: sp.image_gb,
+            waits_for_image: self.should_wait_for_image(sp, waited),
             adjusted,
             waited,
             zones: if sp.one_zone || sp.spread || service {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -8,6 +8,11 @@
     class.types.contains(&room.ty) && class.zone.is_none_or(|z| z == room.zone) && (class.spot || !room.spot)
 }
 
+/// Whether the class passes the room over for one that has its image.
+pub(super) fn lacks_awaited_image(class: &Class, room: &Room) -> bool {
+    class.waits_for_image && fetch_seconds(class, room) > 0.0
+}
+
 /// Seconds that the class's image takes to fetch there.
 pub(super) fn fetch_seconds(class: &Class, room: &Room) -> f64 {
     match class.image {
--- a/src/sched/preemption.rs
+++ b/src/sched/preemption.rs
@@ -1,6 +1,6 @@
 //! Preemption: which running tasks are stopped so that a class of higher rank can start.
 
-use super::placement::{allowed, fetch_seconds};
+use super::placement::{allowed, fetch_seconds, lacks_awaited_image};
 use super::state::PlanState;
 use super::{Class, Held, Plan, Room};
 use crate::time::Micros;
@@ -70,7 +70,10 @@
     /// What it takes for at least one task of the class to fit into a room; `None` if it cannot.
     fn preemption_option(&self, class: &Class, room_index: usize) -> Option<PreemptionOption> {
         let room = &self.snapshot.rooms[room_index];
-        if !room.open || room.until.is_some() || self.being_cleared[room_index] || !allowed(class, room) {
+        if !room.open || room.until.is_some() || self.being_cleared[room_index] {
+            return None;
+        }
+        if !allowed(class, room) || lacks_awaited_image(class, room) {
             return None;
         }
         let ending = room.held.iter().filter(|task| task.stopping);
--- a/src/sched/state.rs
+++ b/src/sched/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::limits::{Claim, StatedEnd};
-use super::placement::{allowed, delay};
+use super::placement::{allowed, delay, lacks_awaited_image};
 use super::{Class, Need, Room, Snapshot, TeamUse};
 use crate::time::Micros;
 use crate::wire::Rank;
@@ -105,7 +105,7 @@
     /// How many tasks of the class could start there now.
     pub(super) fn fits_now(&self, class: &Class, room_index: usize) -> u32 {
         let room = &self.snapshot.rooms[room_index];
-        if !room.open || !allowed(class, room) {
+        if !room.open || !allowed(class, room) || lacks_awaited_image(class, room) {
             return 0;
         }
         let mut count = self.free[room_index].fits(&class.need);
--- a/src/sched/top_up.rs
+++ b/src/sched/top_up.rs
@@ -1,6 +1,6 @@
 //! Starts between two plans, on a machine that has room now.
 
-use super::placement::{allowed, delay};
+use super::placement::{allowed, delay, lacks_awaited_image};
 use super::types::EPS;
 use super::{Class, Need, Room, Snapshot, TeamUse};
 use crate::time::Micros;
@@ -99,7 +99,8 @@
         let limited = team_use.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0);
         let tied = class.gang || class.one_zone || class.spread || (limited && self.gang_waits);
         let ends_in_time = room.until.is_none_or(|until| delay(class, room) + class.adjusted <= until);
-        !(tied || claimed || left_clear) && allowed(class, room) && ends_in_time
+        let usable = allowed(class, room) && !lacks_awaited_image(class, room);
+        !(tied || claimed || left_clear) && usable && ends_in_time
     }
 
     /// How many more tasks of the class its team's limit allows.
--- a/src/sched/types.rs
+++ b/src/sched/types.rs
@@ -157,6 +157,9 @@
     pub image: Option<u32>,
     /// Its size in GB.
     pub image_gb: f64,
+    /// It starts only where its image is, for now: with the fetch it would miss its aim anyway, and
+    /// machines that have the image come free.
+    pub waits_for_image: bool,
     /// Adjusted run time of a task.
     pub adjusted: Micros,
     /// Time since it was accepted.
--- a/tests/common/planner.rs
+++ b/tests/common/planner.rs
@@ -32,6 +32,7 @@
         spot: true,
         image: None,
         image_gb: 0.0,
+        waits_for_image: false,
         adjusted: secs(adjusted),
         waited: secs(waited),
         zones: vec![0, 0],
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -33,7 +33,7 @@
                zone in prop::option::weighted(0.2, 0usize..2), tie in 0u8..3, spot in any::<bool>(),
                adjusted in 1i64..100, waited in 0i64..200, live in 0u32..2) -> Class {
         Class { rank, raised: (missed_aims == 2 && gang).then_some(Rank::Urgent), team, guaranteed: false, count, tasks: count + live, gang, need: need(f64::from(cpus)), types, zone,
-                one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, adjusted: secs(adjusted),
+                one_zone: tie == 1, spread: tie == 2, spot, image: Some(1), image_gb: 2.0, waits_for_image: false, adjusted: secs(adjusted),
                 waited: secs(waited), zones: vec![live, 0], patience: secs(1000), slack: None, missed_aims, replicas: None }
     }
 }
@@ -580,3 +580,57 @@
     let p = plan(&s);
     assert_eq!((p.preempt.len(), by_room(&p.starts)), (0, vec![(3, 0, 2)]));
 }
+
+/// An urgent array whose image takes longer to fetch than its aim allows filled whatever room was free, and
+/// began late everywhere; a moment later machines that have the image come free.
+#[test]
+fn an_array_that_waits_for_its_image_takes_only_machines_that_have_it() {
+    let room = |images: Vec<u32>, held: Vec<Held>| Room {
+        ty: 0,
+        zone: 0,
+        spot: false,
+        total: need(4.0),
+        free: need(4.0 - held.len() as f64),
+        open: true,
+        opens_in: Micros::ZERO,
+        images,
+        fetch_rate: 0.2,
+        rate: 1,
+        penalty: Micros::ZERO,
+        until: None,
+        held,
+    };
+    let low = Held {
+        need: need(1.0),
+        rank: Rank::Idle,
+        guaranteed: false,
+        team: 0,
+        left: secs(40),
+        lost_work: secs(1),
+        stoppable: true,
+        stopping: false,
+        endless: false,
+    };
+    let urgent = |waits_for_image: bool| Class {
+        rank: Rank::Urgent,
+        image: Some(7),
+        image_gb: 1.0,
+        waits_for_image,
+        patience: secs(-1),
+        ..job(6, 15, 1)
+    };
+    let planned = |class: Class| {
+        let rooms = vec![room(vec![], vec![]), room(vec![7], vec![low.clone(); 2])];
+        let s = Snapshot { zones: 1, rooms, classes: vec![class], keep: vec![None], ..Snapshot::default() };
+        let p = plan(&s);
+        (by_room(&p.starts), p.preempt)
+    };
+    assert_eq!(planned(urgent(false)), (vec![(0, 0, 4), (0, 1, 2)], vec![]));
+    // Nothing goes to the machine without it, and what is stopped is stopped on the other.
+    assert_eq!(planned(urgent(true)), (vec![(0, 1, 2)], vec![(1, 0)]));
+    // Between plans as well.
+    let waits = Class { image: Some(8), ..urgent(true) };
+    assert_eq!(top_up(vec![waits.clone()], Vec::new(), false, false), []);
+    let other = Class { waits_for_image: false, ..waits };
+    assert_eq!(top_up(vec![other], Vec::new(), false, false), [(0, 4)]);
+}
