Writes are composed in a module of their own, one short function each; standard names

cluster::compose (over 70 lines) is cluster/writes.rs; Said is WriteContents, deaf undelivered, hasty starts_before_boot, beside extra_machines. Names in stored records stay as they are.

--- a/src/cluster.rs
+++ b/src/cluster/mod.rs
@@ -2,21 +2,22 @@
 //! leased record and takes the parts; the term is the only source of tokens. Today all parts are
 //! one and are taken over whole.
 
+mod writes;
+
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::config::Config;
-use crate::fleet::{Fleet, Packed, Pending, Said};
-use crate::history::{Key, Record};
-use crate::jobs::{
-    chunk_span, done_key, final_key, job_key, slot_key, FinalRecord, JobRecord, MachineRecord, HISTORY,
-    MACHINES, MARKS, RECENT_KEY,
-};
+use crate::fleet::Fleet;
+use crate::history::Record;
+use crate::jobs::{JobRecord, MachineRecord, HISTORY, MACHINES, MARKS, RECENT_KEY};
 use crate::state::{Applied, StateClient, StateError, Urgency};
 use crate::time::{wall, Micros, Steady, Wall};
-use crate::wire::{Change, Guard, MachineType, Row, Stage, Txn};
+use crate::wire::{Change, Guard, MachineType, Row, Txn};
+
+pub use writes::{batches, Batch};
 
 /// Key of the leader's leased record.
 pub const LEADER: &str = "leader";
@@ -241,120 +242,6 @@
     fleet.split_oversized();
 }
 
-/// Puts what waits to be written into transactions, each guarded by the part.
-pub fn batches(
-    fleet: &mut Fleet,
-    part: u64,
-    pending: Vec<Pending>,
-    ops: usize,
-    now: Steady,
-    wall: Wall,
-) -> Vec<Batch> {
-    let mut out: Vec<Batch> = Vec::new();
-    for p in pending {
-        // What somebody waits for never shares a transaction with what can wait.
-        let urgent = p.urgent();
-        let Some(w) = compose(fleet, p, ops, now, wall) else { continue };
-        let fits = |b: &Batch| {
-            b.urgent == urgent
-                && b.txn.then.len() + w.then.len() <= ops
-                && b.txn.guards.len() + w.guards.len() <= 4 * ops
-                && b.bytes + w.bytes <= 40_000
-        };
-        if !out.last().is_some_and(fits) {
-            if out.len() >= 4 {
-                break;
-            }
-            let guards = vec![Guard { key: PART.into(), stamp: part }];
-            out.push(Batch { txn: Txn { guards, then: Vec::new() }, items: Vec::new(), urgent, bytes: 0 });
-        }
-        if let Some(b) = out.last_mut() {
-            for g in w.guards {
-                if !b.txn.guards.contains(&g) {
-                    b.txn.guards.push(g);
-                }
-            }
-            b.txn.then.extend(w.then);
-            b.bytes += w.bytes;
-            b.items.push((w.item, w.said));
-        }
-    }
-    out
-}
-
-fn compose(fleet: &mut Fleet, p: Pending, ops: usize, now: Steady, wall: Wall) -> Option<Write> {
-    let guard = |key: String, stamp: u64| Guard { key, stamp };
-    let (mut guards, mut then, mut said) = (Vec::new(), Vec::new(), Said::Nothing);
-    match &p {
-        Pending::Final(id) => {
-            let (spec, stamp, chunks, ran) =
-                fleet.jobs.get(id).map(|j| (j.spec.clone(), j.stamp, j.chunks.clone(), j.ran))?;
-            guards.push(guard(job_key(id), stamp));
-            guards.push(guard(final_key(id), 0));
-            then.push(Change::drop(job_key(id)));
-            then.push(Change::put(
-                final_key(id),
-                json!(FinalRecord { stage: Stage::Done, tasks: spec.tasks }),
-            ));
-            if ran.1 > 0 {
-                let key = Key { team: spec.team.clone(), stated: Micros::from_secs(spec.estimate_s) };
-                let ratio = ran.0.secs() / f64::from(ran.1) / spec.estimate_s.max(0.001);
-                fleet.history.add(&key, wall, ratio);
-                if let Some(j) = fleet.jobs.get_mut(id) {
-                    // Counted once, even if the write has to be repeated.
-                    j.ran.1 = 0;
-                }
-            }
-            let dropped: Vec<u32> = chunks.keys().take(ops.saturating_sub(then.len())).copied().collect();
-            then.extend(dropped.iter().map(|c| Change::drop(done_key(id, *c))));
-            said = Said::Dropped(dropped);
-        }
-        Pending::Machines(slot) | Pending::Tidy(Packed::Machines, slot) => {
-            let (stamp, version, items) = fleet.packs.slot(*slot)?;
-            let key = slot_key(MACHINES, *slot);
-            guards.push(guard(key.clone(), stamp));
-            then.push(Change::put(key, json!(items)));
-            said = Said::Machines(items.keys().cloned().collect(), version);
-        }
-        Pending::Marks(slot) | Pending::Tidy(Packed::Marks, slot) => {
-            let (stamp, version, items) = fleet.marks.slot(*slot)?;
-            let key = slot_key(MARKS, *slot);
-            guards.push(guard(key.clone(), stamp));
-            then.push(Change::put(key, json!(items)));
-            said = Said::Marks(items.iter().map(|(id, high)| (id.clone(), *high)).collect(), version);
-        }
-        Pending::History(bucket) => {
-            let key = slot_key(HISTORY, *bucket);
-            guards.push(guard(key.clone(), fleet.history.stamp(*bucket)));
-            let value = fleet.history.value(*bucket, fleet.value_bytes().saturating_sub(64));
-            then.push(Change::put(key, json!(value)));
-        }
-        Pending::Done(id, c) => {
-            let j = fleet.jobs.get(id)?;
-            let (from, to) = chunk_span(*c);
-            let part = j.done.within(from, to);
-            guards.push(guard(job_key(id), j.stamp));
-            guards.push(guard(done_key(id, *c), j.chunks.get(c).copied().unwrap_or(0)));
-            then.push(Change::put(done_key(id, *c), json!(part.text())));
-            said = Said::Done(part);
-        }
-        Pending::Recent => {
-            let list = fleet.recent(now, wall, fleet.value_bytes().saturating_sub(64));
-            then.push(Change::put(RECENT_KEY, json!(list)));
-        }
-        Pending::Orphan(key, stamp) => {
-            guards.push(guard(key.clone(), *stamp));
-            then.push(Change::drop(key.clone()));
-        }
-        Pending::Unenrol(id, stamp) => {
-            guards.push(guard(format!("machine/{id}"), *stamp));
-            then.push(Change::drop(format!("machine/{id}")));
-        }
-    }
-    let bytes = then.iter().map(|c| serde_json::to_string(c).map_or(0, |s| s.len())).sum();
-    Some(Write { item: p, guards, then, said, bytes })
-}
-
 /// Learns how a key stands after a conflict or an unknown outcome.
 pub fn learn(fleet: &mut Fleet, key: &str, row: Option<Row>, now: Steady) {
     let stamp = row.as_ref().map_or(0, |r| r.stamp);
@@ -389,22 +276,3 @@
         _ => {}
     }
 }
-
-struct Write {
-    item: Pending,
-    guards: Vec<Guard>,
-    then: Vec<Change>,
-    said: Said,
-    bytes: usize,
-}
-
-/// A transaction and what it writes.
-pub struct Batch {
-    /// The transaction.
-    pub txn: Txn,
-    /// What it writes, and what has to be remembered of it.
-    pub items: Vec<(Pending, Said)>,
-    /// Somebody waits for it.
-    pub urgent: bool,
-    bytes: usize,
-}
--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -25,9 +25,9 @@
     /// Task-seconds, by the stated time.
     pub(super) work: f64,
     /// Its class should start sooner than a machine boots and fetches.
-    pub(super) hasty: bool,
+    pub(super) starts_before_boot: bool,
     /// Machines that it takes at once, beyond the first: a gang's tasks.
-    pub(super) beside: u32,
+    pub(super) extra_machines: u32,
     /// It has a deadline.
     pub(super) due: bool,
     /// It may use spot machines.
@@ -54,8 +54,8 @@
             rank: s.rank,
             types,
             work: each * f64::from(s.tasks),
-            hasty: service || aim.is_some_and(|a| a < ready),
-            beside: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
+            starts_before_boot: service || aim.is_some_and(|a| a < ready),
+            extra_machines: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
             due: s.deadline_s.is_some(),
             spot: s.spot,
         });
@@ -73,15 +73,15 @@
     pub fn recent(&self, now: Steady, wall: Wall, bytes: usize) -> Vec<DemandRecord> {
         let name = |t: &usize| self.types.get(*t).map(|t| t.name.clone());
         let mut left = bytes;
-        let kept = self.demands.iter().rev().filter(|d| d.hasty || d.rank > Rank::Idle);
+        let kept = self.demands.iter().rev().filter(|d| d.starts_before_boot || d.rank > Rank::Idle);
         kept.map(|d| DemandRecord {
             at_us: (wall - (now - d.at)).0,
             need: (d.need.cpus, d.need.gpus, d.need.memory),
             rank: d.rank,
             types: d.types.iter().filter_map(name).collect(),
             work: d.work,
-            hasty: d.hasty,
-            beside: d.beside,
+            starts_before_boot: d.starts_before_boot,
+            extra_machines: d.extra_machines,
             due: d.due,
             spot: d.spot,
         })
@@ -105,8 +105,8 @@
                 rank: r.rank,
                 types: r.types.iter().filter_map(index).collect(),
                 work: r.work,
-                hasty: r.hasty,
-                beside: r.beside,
+                starts_before_boot: r.starts_before_boot,
+                extra_machines: r.extra_machines,
                 due: r.due,
                 spot: r.spot,
             });
@@ -127,17 +127,17 @@
         (now - last).secs() <= (MISSED_ARRIVALS * usual).max(slowest_boot)
     }
 
-    /// By type, how many machines stay though idle: those that hasty jobs of late kept busy, with
+    /// By type, how many machines stay though idle: those that jobs that start before a machine boots of late kept busy, with
     /// some to spare, since a new machine would come too late for the next.
     pub(super) fn warm(&self, now: Steady) -> Vec<WarmPool> {
-        let hasty = || self.demands.iter().filter(|d| d.hasty);
-        if !self.more_expected(hasty, now) {
+        let early = || self.demands.iter().filter(|d| d.starts_before_boot);
+        if !self.more_expected(early, now) {
             return vec![WarmPool::default(); self.types.len()];
         }
-        let span = span_of(hasty(), now);
+        let span = span_of(early(), now);
         (0..self.types.len())
             .map(|ty| {
-                let of = self.demands.iter().filter(|d| d.hasty && d.types.first() == Some(&ty));
+                let of = self.demands.iter().filter(|d| d.starts_before_boot && d.types.first() == Some(&ty));
                 let (work, any, spot) = of.fold((0.0, false, false), |(w, _, spot), d| {
                     (w + d.work / f64::from(self.total(ty).fits(&d.need).max(1)), true, spot || d.spot)
                 });
@@ -154,7 +154,11 @@
     /// How many rooms of a large type low ranks leave clear: what the operators say, or as many
     /// as the widest gang of late that should start at once takes.
     pub(super) fn clear(&self) -> usize {
-        let wide = self.demands.iter().filter(|d| d.hasty && d.beside > 0).map(|d| d.beside as usize + 1);
+        let wide = self
+            .demands
+            .iter()
+            .filter(|d| d.starts_before_boot && d.extra_machines > 0)
+            .map(|d| d.extra_machines as usize + 1);
         wide.max().unwrap_or(0).max(self.cfg.operator.keep_clear)
     }
 
--- a/src/fleet/machines.rs
+++ b/src/fleet/machines.rs
@@ -103,7 +103,7 @@
     /// Starts that left in the last answer: the next newer report should show them.
     pub sent: Vec<TaskKey>,
     /// Answers in a row that by the next report did not arrive.
-    pub deaf: u32,
+    pub undelivered: u32,
     /// Until when the answer to its latest report waits for a start.
     pub deferred_until: Steady,
 }
@@ -142,7 +142,7 @@
             failed_at: Steady(0),
             report: Steady(0),
             sent: Vec::new(),
-            deaf: 0,
+            undelivered: 0,
             deferred_until: Steady(0),
         }
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 mod upkeep;
 
 pub use machines::{Entry, Machine};
-pub use records::{Packed, Pending, Said};
+pub use records::{Packed, Pending, WriteContents};
 pub use status::{FactorView, JobView, MachineView, StatusView};
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -41,15 +41,15 @@
     Marks,
 }
 
-/// What a write says, as it stood when it was composed.
+/// What a write holds, as it stood when it was composed.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
+pub enum WriteContents {
     /// Nothing that has to be remembered.
     Nothing,
     /// Done ranges.
     Done(Ranges),
     /// Chunks of done ranges, by number, that go with the job's end.
-    Dropped(Vec<u32>),
+    DroppedChunks(Vec<u32>),
     /// Machines, with the count of changes to their value.
     Machines(Vec<MachineId>, u64),
     /// Marks, with the count of changes to their value.
@@ -222,12 +222,12 @@
     }
 
     /// A write has been applied at a revision.
-    pub fn written(&mut self, p: &Pending, revision: u64, said: &Said, now: Steady) {
+    pub fn written(&mut self, p: &Pending, revision: u64, contents: &WriteContents, now: Steady) {
         match p {
             Pending::Final(id) => {
                 // Chunks that did not go in the same transaction become orphans to be removed. Those
                 // that did would each cost a failed transaction and a read.
-                if let (Said::Dropped(chunks), Some(j)) = (said, self.jobs.get_mut(id)) {
+                if let (WriteContents::DroppedChunks(chunks), Some(j)) = (contents, self.jobs.get_mut(id)) {
                     j.chunks.retain(|chunk, _| !chunks.contains(chunk));
                 }
                 self.job_over(id, revision);
@@ -237,12 +237,12 @@
             }
             Pending::Recent => self.recent_jobs_written = (now, self.submitted_count),
             Pending::Machines(slot) | Pending::Tidy(Packed::Machines, slot) => {
-                self.machines_written(*slot, revision, said);
+                self.machines_written(*slot, revision, contents);
             }
             Pending::Marks(slot) | Pending::Tidy(Packed::Marks, slot) => {
-                self.marks_written(*slot, revision, said);
+                self.marks_written(*slot, revision, contents);
             }
-            Pending::Done(id, chunk) => self.done_chunk_written(id, *chunk, revision, said, now),
+            Pending::Done(id, chunk) => self.done_chunk_written(id, *chunk, revision, contents, now),
             Pending::History(bucket) => self.history.written(*bucket, revision),
             Pending::Unenrol(id, _) => {
                 self.unenrol.remove(id);
@@ -254,8 +254,8 @@
         self.dirty |= p.urgent();
     }
 
-    fn machines_written(&mut self, slot: u32, revision: u64, said: &Said) {
-        let Said::Machines(ids, version) = said else { return };
+    fn machines_written(&mut self, slot: u32, revision: u64, contents: &WriteContents) {
+        let WriteContents::Machines(ids, version) = contents else { return };
         self.packs.written(slot, *version, revision);
         for id in ids {
             if let Some(m) = self.machines.get_mut(id) {
@@ -264,8 +264,8 @@
         }
     }
 
-    fn marks_written(&mut self, slot: u32, revision: u64, said: &Said) {
-        let Said::Marks(marks, version) = said else { return };
+    fn marks_written(&mut self, slot: u32, revision: u64, contents: &WriteContents) {
+        let WriteContents::Marks(marks, version) = contents else { return };
         self.marks.written(slot, *version, revision);
         for (id, high) in marks {
             if let Some(j) = self.jobs.get_mut(id) {
@@ -274,9 +274,16 @@
         }
     }
 
-    fn done_chunk_written(&mut self, id: &JobId, chunk: u32, revision: u64, said: &Said, now: Steady) {
+    fn done_chunk_written(
+        &mut self,
+        id: &JobId,
+        chunk: u32,
+        revision: u64,
+        contents: &WriteContents,
+        now: Steady,
+    ) {
         let Some(j) = self.jobs.get_mut(id) else { return };
-        if let Said::Done(tasks) = said {
+        if let WriteContents::Done(tasks) = contents {
             for n in tasks.iter() {
                 j.done_written.insert(n);
             }
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -251,22 +251,22 @@
         let sent = std::mem::take(&mut m.sent);
         if lost_lease && answered {
             // Its lease ran out although each report was answered.
-            m.deaf += 2;
+            m.undelivered += 2;
         } else if !sent.is_empty() {
             if sent.iter().any(|k| there.contains(k)) {
-                m.deaf = 0;
+                m.undelivered = 0;
                 return;
             }
-            m.deaf += 1;
+            m.undelivered += 1;
         } else {
             return;
         }
         // One may be lost on the way: only the next says that something is wrong.
-        if m.deaf >= 2 {
-            m.not_before = m.not_before.max(now + report.scale(f64::from(1u32 << m.deaf.min(4))));
+        if m.undelivered >= 2 {
+            m.not_before = m.not_before.max(now + report.scale(f64::from(1u32 << m.undelivered.min(4))));
         }
-        tracing::info!(machine = %id, times = m.deaf, "an answer did not arrive");
-        if m.deaf >= MAX_UNDELIVERED_ANSWERS && !m.leaving {
+        tracing::info!(machine = %id, times = m.undelivered, "an answer did not arrive");
+        if m.undelivered >= MAX_UNDELIVERED_ANSWERS && !m.leaving {
             tracing::info!(machine = %id, "returned: it reports, but answers do not reach it");
             m.leaving = true;
         }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -189,10 +189,11 @@
     /// Task-seconds, by the stated time.
     pub work: f64,
     /// Its class should start sooner than a machine boots and fetches.
-    pub hasty: bool,
+    #[serde(rename = "hasty")]
+    pub starts_before_boot: bool,
     /// Machines that it takes at once, beyond the first.
-    #[serde(default)]
-    pub beside: u32,
+    #[serde(rename = "beside", default)]
+    pub extra_machines: u32,
     /// It has a deadline.
     #[serde(default)]
     pub due: bool,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -158,7 +158,7 @@
     }
     assert_eq!(fleet.history.factor(&Key { team: "free".into(), stated: Micros(20_000_000) }, WALL), 0.6);
     let recent = fleet.recent(NOW, WALL, 4000);
-    assert!(recent.iter().any(|d| d.beside == 3 && d.types == ["large"]), "{recent:?}");
+    assert!(recent.iter().any(|d| d.extra_machines == 3 && d.types == ["large"]), "{recent:?}");
     // The list of recent jobs has been added to; nothing else is written for a takeover alone.
     let written = waiting(&mut fleet, 19, LATER);
     assert!(written.iter().flat_map(|b| &b.items).all(|(p, _)| *p == Pending::Recent));
