Done ranges are written as often as the rate of changes allows

Cause: they were written every 12 s, whatever the rates; what a spot machine had done since was lost with it and ran again. The interval is now what lets the ranges of all jobs take a fifth of the changes, from 2 to 12 s.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -28,6 +28,7 @@
 use self::ownership::StateBudget;
 use self::reports::DeferredReply;
 pub use self::status::STATUS;
+pub use self::writer::done_write_interval;
 use crate::api;
 use crate::cloud::CloudClient;
 use crate::cluster::{Claim, Owner};
--- a/src/node/writer.rs
+++ b/src/node/writer.rs
@@ -8,13 +8,25 @@
 use crate::time::{wall, Micros};
 use crate::wire::Stage;
 
-/// How often the done ranges of a job that goes on are written; its workers keep the results.
-const DONE_WRITE_INTERVAL: Micros = Micros::from_millis(12_000);
+/// How often the done ranges of a job that goes on are written at least. Its workers keep the results;
+/// what is lost with a machine until then runs again.
+const MAX_DONE_WRITE_INTERVAL: Micros = Micros::from_millis(12_000);
+/// They are written no more often than this: a short job is over before it matters.
+const MIN_DONE_WRITE_INTERVAL: Micros = Micros::from_millis(2_000);
+/// The part of the state service's changes that done ranges of jobs that go on may take.
+const DONE_WRITE_SHARE: f64 = 0.2;
 /// How long the writer waits to be woken.
 const WRITE_INTERVAL: Micros = Micros::from_millis(150);
 /// Pause after a write that did not succeed.
 const WRITE_RETRY_DELAY: Micros = Micros::from_millis(150);
 
+/// How far apart the done ranges of each job are written, so that those of all fit their part of the
+/// changes.
+pub fn done_write_interval(jobs: usize, write_rps: f64) -> Micros {
+    let interval = Micros::from_secs(jobs as f64 / (write_rps * DONE_WRITE_SHARE));
+    interval.clamp(MIN_DONE_WRITE_INTERVAL, MAX_DONE_WRITE_INTERVAL)
+}
+
 impl Node {
     /// Writes pending records until the controller ends.
     pub(super) fn write(&self) {
@@ -32,7 +44,9 @@
         let work = self.lock().ownership.as_mut().map(|ownership| {
             let ops = ownership.fleet.txn_ops();
             let chunk = chunk_tasks(ownership.fleet.value_bytes());
-            let pending = ownership.fleet.pending(now, DONE_WRITE_INTERVAL, chunk);
+            let interval =
+                done_write_interval(ownership.fleet.jobs.len(), self.cfg.platform.settings.state.write_rps);
+            let pending = ownership.fleet.pending(now, interval, chunk);
             let part = ownership.claim.part;
             (ownership.claim.clone(), cluster::batches(&mut ownership.fleet, part, pending, ops, now, wall()))
         });
--- a/tests/fleet_size.rs
+++ b/tests/fleet_size.rs
@@ -17,6 +17,7 @@
 use milletlock::fleet::CheckIn;
 use milletlock::http::Response;
 use milletlock::jobs::{JobId, MachineId};
+use milletlock::node::done_write_interval;
 use milletlock::time::{Micros, Steady};
 use milletlock::wire::{JobSpec, Order, TaskStage, Why};
 use serde_json::json;
@@ -263,3 +264,13 @@
     (0..3).for_each(|_| c.step());
     assert!(c.running() > 4);
 }
+
+/// Every twelve seconds, whatever the rates: what a spot machine had done since was lost with it, and ran
+/// again. Guards against that, and against many jobs taking the changes that starts wait for.
+#[test]
+fn done_ranges_are_written_as_often_as_the_rate_of_changes_allows() {
+    let interval = |jobs: usize, write_rps: f64| done_write_interval(jobs, write_rps).secs();
+    assert_eq!(interval(48, 60.0), 4.0);
+    assert_eq!((interval(0, 60.0), interval(3, 60.0)), (2.0, 2.0));
+    assert_eq!((interval(48, 15.0), interval(4_000, 60.0)), (12.0, 12.0));
+}
