Ready machines outlast a lull of a minute again; halts to silent machines are few at once

With a lull of one boot a chance gap of forty seconds returned the whole pool for gangs. Halts had five threads and, behind a cut, hundreds of machines to wait for: at most six of those are sent at once now, the ones least recently commanded.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -322,9 +322,9 @@
 /// waits for readiness, the main one, and those that send direct commands.
 pub const DUTY_THREADS: usize = 15 + COMMAND_THREADS;
 /// Threads that bring a new owner's token to machines at once.
-pub const RAISE_THREADS: usize = 10;
+pub const RAISE_THREADS: usize = 6;
 /// Threads that send halts at once.
-pub const HALT_THREADS: usize = 5;
+pub const HALT_THREADS: usize = 9;
 /// Threads that send direct commands at once.
 const COMMAND_THREADS: usize = RAISE_THREADS + HALT_THREADS;
 /// Sockets of the duties: listeners, watches, the cloud, the other controllers, direct commands.
--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -9,6 +9,10 @@
 /// the chance gaps of a steady stream would count as its end; with more, machines wait in vain.
 const MISSED_ARRIVALS: f64 = 4.0;
 
+/// Machines for jobs that start before one boots are kept for at least so many seconds without such a job:
+/// where they come every ten seconds, a chance gap of forty would have the whole pool returned.
+const LEAST_WARM_LULL_S: f64 = 60.0;
+
 /// Seconds over which recent jobs have come.
 fn span_of<'a>(recent: impl Iterator<Item = &'a Demand>, now: Steady) -> f64 {
     let first = recent.map(|d| d.at).min().unwrap_or(now);
@@ -115,23 +119,27 @@
     }
 
     /// Whether more jobs like some recent ones are expected: not if none has come for much longer than
-    /// usual, and for longer than the slowest type boots, since a machine that is given up sooner may
-    /// have to be rented again.
-    pub(super) fn more_expected<'a, I>(&self, recent: impl Fn() -> I, now: Steady) -> bool
+    /// usual, and for at least `least_lull_s`.
+    pub(super) fn more_expected<'a, I>(&self, recent: impl Fn() -> I, least_lull_s: f64, now: Steady) -> bool
     where
         I: Iterator<Item = &'a Demand>,
     {
         let Some(last) = recent().map(|d| d.at).max() else { return false };
         let usual = span_of(recent(), now) / recent().count() as f64;
-        let slowest_boot = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
-        (now - last).secs() <= (MISSED_ARRIVALS * usual).max(slowest_boot)
+        (now - last).secs() <= (MISSED_ARRIVALS * usual).max(least_lull_s)
+    }
+
+    /// Seconds that the slowest type takes to boot. A machine that is given up for a shorter lull may have
+    /// to be rented again.
+    pub(super) fn slowest_boot_s(&self) -> f64 {
+        self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max)
     }
 
-    /// By type, how many machines stay though idle: those that jobs that start before a machine boots of late kept busy, with
-    /// some to spare, since a new machine would come too late for the next.
+    /// By type, how many machines stay though idle: those that recent jobs which start before a machine
+    /// boots kept busy, with some to spare, since a new machine would come too late for the next.
     pub(super) fn warm(&self, now: Steady) -> Vec<WarmPool> {
         let early = || self.demands.iter().filter(|d| d.starts_before_boot);
-        if !self.more_expected(early, now) {
+        if !self.more_expected(early, LEAST_WARM_LULL_S, now) {
             return vec![WarmPool::default(); self.types.len()];
         }
         let span = span_of(early(), now);
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -19,6 +19,15 @@
 /// Tasks of a report beyond this many are not read.
 const MAX_REPORTED_TASKS: usize = 10_000;
 
+/// Most machines whose report is overdue to which halts are sent at once. Behind a cut each is waited for in
+/// vain, and halts for tasks in whose place others wait would wait as well; the lease ends what is there.
+const MAX_OVERDUE_HALTS: usize = 6;
+
+/// Whether the job of a task is over, or not known.
+fn is_over(jobs: &BTreeMap<JobId, Job>, task: &TaskKey) -> bool {
+    jobs.get(&task.0).is_none_or(|j| j.cancelled)
+}
+
 /// How a task ended.
 pub(super) struct Ended {
     /// Why.
@@ -117,18 +126,17 @@
     /// whose report is overdue. The answer to a report carries the same halts; a machine that
     /// reaches no controller, or whose owner may no longer answer, has them from here.
     pub fn to_halt(&mut self, now: Steady) -> Vec<DirectCommand> {
-        let overdue = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 1.5);
+        let overdue = self.overdue_with_remains(now);
         let mut out = Vec::new();
         for m in self.machines.values_mut() {
             if m.addr.is_empty() {
                 continue;
             }
-            let is_overdue = now - m.report.max(m.commanded) > overdue;
-            let over = |k: &TaskKey| self.jobs.get(&k.0).is_none_or(|j| j.cancelled);
+            let is_overdue = overdue.contains(&m.id);
             let mut orders = Vec::new();
             for (k, e) in m.tasks.iter_mut().filter(|x| x.1.live()) {
                 let Some(grace_s) = e.stop else { continue };
-                if e.stop_at_once || (is_overdue && grace_s == 0.0 && over(k)) {
+                if e.stop_at_once || (is_overdue && grace_s == 0.0 && is_over(&self.jobs, k)) {
                     e.stop_at_once = false;
                     orders.push(Order::Halt { task: format!("{}/{}", k.0, k.1), attempt: k.2, grace_s });
                 }
@@ -141,6 +149,19 @@
         out
     }
 
+    /// Machines whose report is overdue and on which jobs that are over have tasks left: those that were
+    /// commanded least recently, and no more than are waited for without holding up other halts.
+    fn overdue_with_remains(&self, now: Steady) -> BTreeSet<MachineId> {
+        let overdue = Micros::from_secs(self.cfg.platform.settings.workers.report_s * 1.5);
+        let has_remains = |m: &Machine| {
+            m.tasks.iter().any(|(k, e)| e.live() && e.stop == Some(0.0) && is_over(&self.jobs, k))
+        };
+        let due = self.machines.values().filter(|m| now - m.report.max(m.commanded) > overdue);
+        let mut machines: Vec<&Machine> = due.filter(|m| has_remains(m)).collect();
+        machines.sort_by_key(|m| m.commanded);
+        machines.into_iter().take(MAX_OVERDUE_HALTS).map(|m| m.id.clone()).collect()
+    }
+
     /// Takes what a report says of its machine and tasks, unless it is no newer than the last one;
     /// returns whether it was taken.
     pub(super) fn take_report(&mut self, id: &MachineId, r: &Report, now: Steady) -> bool {
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -304,7 +304,7 @@
         (0..self.types.len())
             .map(|ty| {
                 let due = || self.demands.iter().filter(|d| d.due && d.types.contains(&ty));
-                self.more_expected(due, now)
+                self.more_expected(due, self.slowest_boot_s(), now)
             })
             .collect()
     }
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -162,7 +162,7 @@
 /// The whole fleet stayed for a minute after the last job, for deadlines that no more jobs had.
 #[test]
 fn machines_stay_for_deadlines_only_while_more_such_jobs_are_expected() {
-    let returned_after = |deadline_s: Option<f64>| {
+    let returned_after = |deadline_s: Option<f64>, class: &str| {
         let mut s = Scenario::new(1, false);
         s.submit(spec(1, 4, "batch"));
         (0..22).for_each(|_| s.step(&[]));
@@ -172,7 +172,7 @@
         s.report(&empty);
         // One a second, usually: none for as long as a machine boots is the end of them.
         for n in 2..22 {
-            s.submit(JobSpec { deadline_s, ..spec(n, 1, "batch") });
+            s.submit(JobSpec { deadline_s, class: Some(class.into()), ..spec(n, 1, "batch") });
             s.fleet.job_over(&format!("wk-{n:06}"), 1000 + u64::from(n));
         }
         let is_returned = |_: &usize| {
@@ -182,6 +182,8 @@
         };
         (1..=30).find(is_returned)
     };
-    assert_eq!(returned_after(None), Some(3), "after eight seconds");
-    assert_eq!(returned_after(Some(100.0)), Some(7), "after twenty");
+    assert_eq!(returned_after(None, "any"), Some(3), "after eight seconds");
+    assert_eq!(returned_after(Some(100.0), "any"), Some(7), "after twenty");
+    // Of a class that should start before a machine boots the lull has to last a minute.
+    assert_eq!(returned_after(None, "quick"), Some(21), "after sixty");
 }
