Two garbled comments, one constant for the size of a rental, a set made only where needed

Found on reading the change once more: the rename of Said had changed two comments of the HTTP server; the most machines in a request stood in the cloud duty and in the check of the settings; the images that machines have were collected for each plan though no class waited for one. Behaviour is as it was.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -31,6 +31,9 @@
     next: Mutex<Steady>,
 }
 
+/// Most machines in one request for some.
+pub const MAX_MACHINES_PER_RENTAL: u32 = 50;
+
 /// Machines in one page of the list, the most that the cloud gives at once.
 pub const MACHINES_PER_LIST_PAGE: usize = 500;
 
--- a/src/config/fleet_size.rs
+++ b/src/config/fleet_size.rs
@@ -1,6 +1,7 @@
 //! Whether the settings carry a large fleet, as far as they tell before it exists.
 
 use super::Config;
+use crate::cloud::MAX_MACHINES_PER_RENTAL;
 
 /// The fleet that the service is to carry, in machines. The program itself has no fixed limit below it.
 pub const TARGET_MACHINES: usize = 4_000;
@@ -14,8 +15,6 @@
 const MACHINE_RECORD_BYTES: f64 = 160.0;
 /// Within so many seconds the records of a whole fleet should be written, and the fleet rented.
 const BUILD_UP_S: f64 = 120.0;
-/// Most machines in one request for some.
-const MACHINES_PER_RENTAL: f64 = 50.0;
 /// The part of the state service's changes, and of the cloud's requests, that the owner has for it.
 const OWNER_SHARE: f64 = 0.5;
 
@@ -36,7 +35,7 @@
         need("limits.cpu", s.limits.cpu * s.workers.report_s / CPU_PER_REPORT_S);
         let records_per_value = (self.value_bytes() as f64 / MACHINE_RECORD_BYTES).floor();
         need("state.write_rps", s.state.write_rps * OWNER_SHARE * BUILD_UP_S * records_per_value);
-        need("cloud.rps", s.cloud.rps * OWNER_SHARE * BUILD_UP_S * MACHINES_PER_RENTAL);
+        need("cloud.rps", s.cloud.rps * OWNER_SHARE * BUILD_UP_S * f64::from(MAX_MACHINES_PER_RENTAL));
         short
     }
 
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -158,12 +158,20 @@
         for (class, name) in classes.iter_mut().zip(images) {
             class.image = name.map(|n| self.image(&n));
         }
+        self.wait_only_for_cached_images(&mut classes);
+        (classes, jobs)
+    }
+
+    /// No class waits for an image that no machine has.
+    fn wait_only_for_cached_images(&self, classes: &mut [Class]) {
+        if !classes.iter().any(|class| class.waits_for_image) {
+            return;
+        }
         let cached: BTreeSet<u32> =
             self.machines.values().flat_map(|m| m.images.iter().map(|image| image.0)).collect();
-        for class in &mut classes {
+        for class in classes {
             class.waits_for_image &= class.image.is_some_and(|image| cached.contains(&image));
         }
-        (classes, jobs)
     }
 
     /// A job as the planner sees it, but for its image.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -193,7 +193,7 @@
                 head.expects = value.eq_ignore_ascii_case("100-continue");
             }
         }
-        // WriteContents before the body is read: an oversized one is never taken in.
+        // Said before the body is read: an oversized one is never taken in.
         if head.length > MAX_BODY {
             return Err(Response::error(413, "body over 64 KiB"));
         }
@@ -426,7 +426,7 @@
         } else if w.prompt.len() < most {
             w.prompt.push_back(job);
         } else {
-            // WriteContents at once, with when to come back.
+            // Said at once, with when to come back.
             drop(w);
             let busy = Response::error(503, "too many requests at once").later(1);
             Reply { conn: job.conn, shared: self.clone() }.send(&busy);
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -3,13 +3,11 @@
 
 use super::Node;
 use crate::capacity::Offer;
-use crate::cloud::{CloudError, MACHINES_PER_LIST_PAGE};
+use crate::cloud::{CloudError, MACHINES_PER_LIST_PAGE, MAX_MACHINES_PER_RENTAL};
 use crate::fleet::Fleet;
 use crate::time::{wall, Micros, Steady};
 use crate::wire::RentRequest;
 
-/// Most machines in one request for some.
-const MAX_MACHINES_PER_RENTAL: u32 = 50;
 /// Most machines in one request to return some.
 const MAX_MACHINES_PER_RETURN: usize = 100;
 /// How often a request for machines is repeated when its outcome is not known.
