--- a/crates/cells/src/home.rs
+++ b/crates/cells/src/home.rs
@@ -131,14 +131,14 @@
         (lending.loans.len() < before).then_some(lending)
     }
 
-    /// The message to a guest. `wish` says what is wanted of a job's loans that is not cancelled,
+    /// The message to a guest. `wish` says what is wanted of a loan whose job is not being cancelled,
     /// `offer` has the job of a loan that the guest is not known to hold.
     pub fn request(
         &self,
         from: &str,
         to: &str,
         term: u64,
-        wish: Wish,
+        mut wish: impl FnMut(&str, &Loan) -> Wish,
         mut offer: impl FnMut(&str, LoanNumber) -> Option<Offer>,
     ) -> Request {
         let mut loans: Vec<LoanItem> = self
@@ -147,7 +147,7 @@
                 number: loan.number,
                 job: job.to_string(),
                 tasks: loan.tasks.clone(),
-                wish: if self.is_cancelling(job) { Wish::Cancel } else { wish },
+                wish: if self.is_cancelling(job) { Wish::Cancel } else { wish(job, loan) },
                 offer: offer(job, loan.number),
             })
             .collect();
--- a/crates/cells/tests/common/mod.rs
+++ b/crates/cells/tests/common/mod.rs
@@ -532,7 +532,7 @@
                 (!cell.owner.accepted.contains(&number))
                     .then(|| Offer { description: json!({ "job": job }), job_tasks: jobs[job].tasks })
             };
-            let request = cell.owner.home.request(&cell.name, &guest, cell.owner.term, wish, offer);
+            let request = cell.owner.home.request(&cell.name, &guest, cell.owner.term, |_, _| wish, offer);
             self.post(|| Message::Request { to, request: request.clone() });
         }
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,42 +1,16 @@
 //! What users ask. Every answer rests on a read of the state service begun after the request
 //! came, or on a final stage known to be written; without one the answer is 503.
 
+use milletlock_cells::Lending;
 use serde_json::json;
 
-use crate::config::Config;
+use crate::fleet::never_runs;
 use crate::http::{Request, Response};
-use crate::jobs::{final_key, job_key, FinalRecord, JobRecord};
+use crate::jobs::{borrowed_key, final_key, job_key, FinalRecord, JobRecord};
 use crate::node::Node;
-use crate::sched::TeamUse;
 use crate::state::{Applied, StateError, Urgency};
 use crate::time::wall;
-use crate::wire::{is_job_id, Change, Guard, JobSpec, JobStatus, MachineType, Shape, Stage, Txn};
-
-/// Why a submission can never run, as far as the settings and the catalogue tell. Whether a type is to
-/// be had as an ordinary machine they don't: capacity shows only when a rental is refused, and may be
-/// back at any time.
-pub fn never_runs(s: &JobSpec, cfg: &Config, types: &[MachineType]) -> Option<String> {
-    let Some(team) = cfg.team(&s.team) else {
-        return Some(format!("owner: no team {}", s.team));
-    };
-    if let Some(zone) = &s.zone {
-        let zones = &cfg.platform.settings.zones;
-        if !zones.is_empty() && !zones.contains(zone) {
-            return Some(format!("field: no zone {zone}"));
-        }
-    }
-    let allowed = crate::fleet::allowed_types(types, s);
-    if allowed.is_empty() {
-        return Some("a task fits no allowed machine type".into());
-    }
-    let limit = TeamUse { cpus_max: team.cpus_max, gpus_max: team.gpus_max, ..TeamUse::default() };
-    // Gangs and services need all their tasks at once; an array gets on with one at a time.
-    let least = if s.shape == Shape::Array { 1 } else { s.tasks };
-    if limit.allows(&crate::fleet::need_of(s)) < least {
-        return Some(format!("over the limit of team {}", s.team));
-    }
-    None
-}
+use crate::wire::{is_job_id, Change, Guard, JobSpec, JobStatus, Stage, Txn};
 
 /// What is known of a job from the state service.
 enum Known {
@@ -169,16 +143,18 @@
         return known_or(node, Some(&spec.id), Response::error(422, &why));
     }
     let id = spec.id.clone();
-    let record = JobRecord { spec, submitted_us: wall().0, high: 0 };
+    let record = JobRecord { spec, submitted_us: wall().0, high: 0, lending: Lending::default() };
     let value = json!(record);
     if value.to_string().len() > node.cfg.value_bytes() {
         return known_or(node, Some(&id), Response::error(400, "the description is too long"));
     }
     let guard = |key: String| Guard { key, stamp: 0 };
-    let txn = Txn {
-        guards: vec![guard(job_key(&id)), guard(final_key(&id))],
-        then: vec![Change::put(job_key(&id), value)],
-    };
+    let mut guards = vec![guard(job_key(&id)), guard(final_key(&id))];
+    if node.cfg.operator.cells.is_some() {
+        // Tasks of that name run here for another cell: two jobs of one id cannot be told apart.
+        guards.push(guard(borrowed_key(&id)));
+    }
+    let txn = Txn { guards, then: vec![Change::put(job_key(&id), value)] };
     let mut result = node.state.txn(&txn, Urgency::User);
     if matches!(result, Err(StateError::Unknown(_))) {
         // The guards make a repeat harmless, and tell whether the first try was carried out.
@@ -200,6 +176,25 @@
     }
 }
 
+/// Records that a job's user wants it cancelled, which it is once no other cell holds tasks of it. From then
+/// on nothing of it starts. False: the record has changed meanwhile, or it is not known what happened.
+fn record_cancelling(node: &Node, mut record: JobRecord, stamp: u64) -> Result<bool, StateError> {
+    let id = record.spec.id.clone();
+    record.lending.cancelling = true;
+    let txn = Txn {
+        guards: vec![Guard { key: job_key(&id), stamp }, Guard { key: final_key(&id), stamp: 0 }],
+        then: vec![Change::put(job_key(&id), json!(record))],
+    };
+    match node.state.txn(&txn, Urgency::User) {
+        Ok(Applied::Yes(revision)) => {
+            node.job_written(&id, record, revision);
+            Ok(true)
+        }
+        Ok(Applied::Conflict(_)) | Err(StateError::Unknown(_)) => Ok(false),
+        Err(e) => Err(e),
+    }
+}
+
 fn withdraw(node: &Node, id: &str) -> Result<Response, StateError> {
     if !is_job_id(id) {
         return Ok(Response::error(404, "no such job"));
@@ -214,6 +209,12 @@
                 }
                 return Ok(Response::json(200, &json!({ "nameId": id, "stage": f.stage })));
             }
+            Known::Live(record, stamp) if !record.lending.loans.is_empty() => {
+                if record.lending.cancelling || record_cancelling(node, *record, stamp)? {
+                    let why = "other cells hold tasks of the job and are being told";
+                    return Ok(Response::error(503, why).later(1));
+                }
+            }
             Known::Live(record, stamp) => {
                 let over = FinalRecord { stage: Stage::Cancelled, tasks: record.spec.tasks };
                 let txn = Txn {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -14,6 +14,7 @@
 use crate::node::{Node, STATUS};
 use crate::peer::{self, Call};
 use crate::time::Micros;
+use crate::wire::WRITE_OFF_PATH;
 
 /// Schedules jobs on rented machines.
 #[derive(Parser, Debug)]
@@ -49,6 +50,17 @@
         #[arg(long)]
         team: Option<String>,
     },
+    /// Write off what a cell that is lost for good holds: it runs here again
+    WriteOff {
+        /// The lost cell's name
+        cell: String,
+        /// The leading controller's address for the other controllers
+        #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:8081")]
+        internal: SocketAddr,
+        /// The cell is lost for good; if it is not, its tasks may run twice
+        #[arg(long)]
+        lost_for_good: bool,
+    },
     /// Submit, show or cancel a job on a running service
     Job {
         /// A controller's address for users
@@ -112,6 +124,9 @@
         (None, None) => fail(2, "--config FILE is needed to run a controller; see --help"),
         (Some(Command::Check { config, operator }), _) => check(config, operator),
         (Some(Command::Status { internal, team }), _) => status(internal, team),
+        (Some(Command::WriteOff { cell, internal, lost_for_good }), _) => {
+            write_off(internal, &cell, lost_for_good)
+        }
         (Some(Command::Job { server, what }), _) => job(server, what),
     }
 }
@@ -147,6 +162,16 @@
                 c.room().bulk_connections,
                 c.operator.max_threads
             );
+            if let Some(cells) = &c.operator.cells {
+                println!(
+                    "cell {}: {} other cells, lends {:?}, borrows {:?} up to {} processors",
+                    cells.name,
+                    cells.others.len(),
+                    cells.lend,
+                    cells.borrow,
+                    cells.borrow_cpus
+                );
+            }
             if let Some(warning) = c.size_warning() {
                 println!("warning: {warning}");
             }
@@ -169,6 +194,26 @@
     }
 }
 
+fn write_off(internal: SocketAddr, cell: &str, lost_for_good: bool) -> ExitCode {
+    if !lost_for_good {
+        let why = "tasks that the cell still runs would run twice, and their results count twice; \
+                   say --lost-for-good if none of its machines runs any more";
+        return fail(2, why);
+    }
+    let call = Call { method: "POST".into(), path: format!("{WRITE_OFF_PATH}{cell}"), body: Vec::new() };
+    match peer::ask(internal, call, Micros::from_secs(30.0)) {
+        Ok(answer) => {
+            println!("{}", String::from_utf8_lossy(&answer.body));
+            if answer.status == 200 {
+                ExitCode::SUCCESS
+            } else {
+                fail(1, format!("the controller answered {}", answer.status))
+            }
+        }
+        Err(e) => fail(1, format!("{internal}: {e}")),
+    }
+}
+
 fn job(server: SocketAddr, what: JobCommand) -> ExitCode {
     let client = Client::new(server, 1);
     let call = |method: &str, path: &str, body: Option<&[u8]>| {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 //! leased record and takes the parts; the term is the only source of tokens. Today all parts are
 //! one and are taken over whole.
 
+mod loan_records;
 mod writes;
 
 use std::sync::Arc;
@@ -12,11 +13,12 @@
 use crate::config::Config;
 use crate::fleet::Fleet;
 use crate::history::Record;
-use crate::jobs::{JobRecord, MachineRecord, HISTORY, MACHINES, MARKS, RECENT_KEY};
+use crate::jobs::{JobRecord, MachineRecord, BORROWED, HISTORY, MACHINES, MARKS, RECENT_KEY};
 use crate::state::{Applied, StateClient, StateError, Urgency};
 use crate::time::{wall, Micros, Steady, Wall};
 use crate::wire::{Change, Guard, MachineType, Row, Txn};
 
+pub use loan_records::{loan_txn, read_loan_records};
 pub use writes::{batches, Batch};
 
 /// Key of the leader's leased record.
@@ -169,7 +171,8 @@
     let (done, _) = state.list("done/")?;
     let (history, _) = state.list("hist/")?;
     let (recent, _) = state.list(RECENT_KEY)?;
-    load(&mut fleet, [recent, jobs, machines, marks, done, history].concat(), now, wall());
+    let borrowed = if fleet.uses_cells() { loan_records::borrowed_rows(state)? } else { Vec::new() };
+    load(&mut fleet, [recent, jobs, borrowed, machines, marks, done, history].concat(), now, wall());
     fleet.has_read_to(revision);
     Ok(fleet)
 }
@@ -215,6 +218,7 @@
                     slot.parse().into_iter().for_each(|s| fleet.marks.keep_unreadable(s));
                 }
             },
+            (Some(BORROWED), ..) => loan_records::load_borrowed(fleet, r, now, wall),
             (Some("done"), Some(id), Some(chunk)) => {
                 if let (Ok(chunk), Some(text)) = (chunk.parse(), r.value.as_str()) {
                     fleet.inherit_done(id, chunk, text, r.stamp);
@@ -256,6 +260,7 @@
                 }
             }
         }
+        (Some(BORROWED), ..) => loan_records::learn_borrowed(fleet, key, row, now, wall()),
         (Some("machine"), Some(id), _) => fleet.learn_machine(id, stamp),
         (Some(prefix @ (MACHINES | MARKS | HISTORY)), Some(slot), None) => {
             let Ok(slot) = slot.parse() else { return };
--- a/src/cluster/writes.rs
+++ b/src/cluster/writes.rs
@@ -190,9 +190,9 @@
     let job = fleet.jobs.get(id)?;
     let (from, to) = chunk_span(chunk);
     let tasks = job.done.within(from, to);
-    let key = done_key(id, chunk);
+    let key = job.done_chunk_key(chunk);
     let stamp = job.chunks.get(&chunk).copied().unwrap_or(0);
-    let guards = vec![Guard { key: job_key(id), stamp: job.stamp }, Guard { key: key.clone(), stamp }];
+    let guards = vec![Guard { key: job.record_key(), stamp: job.stamp }, Guard { key: key.clone(), stamp }];
     let change = Change::put(key, json!(tasks.text()));
     Some(Write::new(item, guards, vec![change]).with_contents(WriteContents::Done(tasks)))
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! Settings: the platform's JSON file and the operators' own HCL file. Both are checked in full
 //! before anything starts; a mistake is one line that names the field.
 
+mod cells;
 mod fleet_size;
 
 use serde::Deserialize;
@@ -10,6 +11,7 @@
 use crate::http::{Room, READERS};
 use crate::time::Micros;
 
+pub use cells::{CellsSettings, OtherCell};
 pub use fleet_size::TARGET_MACHINES;
 
 /// What is wrong with the settings, in one line.
@@ -284,6 +286,8 @@
     pub adjust: bool,
     /// False switches the reservation off (for measuring).
     pub reserve: bool,
+    /// Lending to and borrowing from other cells; none: off.
+    pub cells: Option<CellsSettings>,
 }
 
 impl Default for Operator {
@@ -302,6 +306,7 @@
             history_per_key: 64,
             adjust: true,
             reserve: true,
+            cells: None,
         }
     }
 }
@@ -407,7 +412,8 @@
 
     /// Threads that answer callers.
     fn caller_threads(&self) -> usize {
-        self.operator.max_threads.saturating_sub(DUTY_THREADS + READERS).max(2)
+        let lending = usize::from(self.operator.cells.is_some());
+        self.operator.max_threads.saturating_sub(DUTY_THREADS + READERS + lending).max(2)
     }
 
     /// Threads that answer users and probes. Each answer to a user may need a connection to the state
@@ -553,6 +559,7 @@
         if o.history_per_key < 10 || o.history_per_key > 10_000 {
             return Err(bad("history_per_key", "must be from 10 to 10000"));
         }
+        o.cells.as_ref().map_or(Ok(()), CellsSettings::check)?;
         Ok(o)
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,7 +4,9 @@
 //! A task is *possibly there* from the moment a start may leave until a newer report lacks it or
 //! shows it exited, or the machine is gone for certain. Nothing is started elsewhere before.
 
+mod admission;
 mod demand;
+mod loans;
 mod machines;
 mod planning;
 mod records;
@@ -16,6 +18,8 @@
 mod team_use;
 mod upkeep;
 
+pub use admission::never_runs;
+pub use loans::{BorrowedTasks, LendingCandidate, LoanWrite, Loans};
 pub use machines::{Entry, Machine};
 pub use records::{Packed, Pending, WriteContents};
 pub use status::{FactorView, JobView, MachineView, StatusView};
@@ -23,6 +27,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use milletlock_cells::BorrowedJob;
 use serde::Serialize;
 
 use crate::capacity::{Offer, Policy, Upkeep, View, WarmPool};
@@ -75,6 +80,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// Machines.
     pub machines: BTreeMap<MachineId, Machine>,
+    /// Tasks lent to other cells and borrowed from them.
+    pub loans: Loans,
     /// Past jobs.
     pub history: History,
     /// The latest plan's unmet tasks and reservation, for renting and the log.
@@ -149,6 +156,7 @@
             token,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
+            loans: Loans::new(token),
             history: History::new(cfg.operator.history_per_key),
             plan: Plan::default(),
             dirty: true,
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -80,7 +80,9 @@
 
     /// The jobs that fit their team's guarantee together with its earlier unfinished ones.
     pub(super) fn within_guarantee(&self) -> BTreeSet<JobId> {
-        let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
+        // What is borrowed counts towards its team's guarantee in the cell that accepted it.
+        let own = |j: &&Job| !j.cancelled && j.borrowed_from.is_none();
+        let mut by_age: Vec<&Job> = self.jobs.values().filter(own).collect();
         by_age.sort_by_key(|j| j.submitted);
         let mut sums: BTreeMap<&str, Need> = BTreeMap::new();
         let mut fits = |j: &&Job| {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -1,6 +1,7 @@
 //! What the owner keeps in the state service: taking records over, and what waits to be written.
 
 use super::*;
+use crate::jobs::borrowed_done_key;
 
 /// Something to write for the owner.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -63,6 +64,9 @@
 /// How long what nobody waits for is gathered before it is written.
 pub(super) const LAZY_WRITE_INTERVAL: Micros = Micros(3_000_000);
 
+/// How often done ranges of borrowed tasks are written: a user at their home waits for the last of them.
+const BORROWED_DONE_INTERVAL: Micros = Micros(400_000);
+
 /// How often the list of recent jobs is written at the most.
 pub(super) const RECENT_JOBS_INTERVAL: Micros = Micros(10_000_000);
 
@@ -135,7 +139,7 @@
 
     /// Learns done ranges from their record. Those of a job that is over are to be removed.
     pub fn inherit_done(&mut self, id: &str, chunk: u32, text: &str, stamp: u64) {
-        let Some(j) = self.jobs.get_mut(id) else {
+        let Some(j) = self.jobs.get(id).filter(|j| j.borrowed_from.is_none()) else {
             self.orphans.insert(done_key(id, chunk), stamp);
             return;
         };
@@ -144,6 +148,21 @@
             self.orphans.insert(done_key(id, chunk), stamp);
             return;
         }
+        self.add_done(id, chunk, text, stamp);
+    }
+
+    /// Learns done ranges of borrowed tasks from their record. Those of a job that is not held any more
+    /// are to be removed.
+    pub fn inherit_borrowed_done(&mut self, id: &str, chunk: u32, text: &str, stamp: u64) {
+        if self.jobs.get(id).is_some_and(|j| j.borrowed_from.is_some()) {
+            self.add_done(id, chunk, text, stamp);
+        } else if stamp > 0 {
+            self.orphans.insert(borrowed_done_key(id, chunk), stamp);
+        }
+    }
+
+    fn add_done(&mut self, id: &str, chunk: u32, text: &str, stamp: u64) {
+        let Some(j) = self.jobs.get_mut(id) else { return };
         let mut r = Ranges::new();
         r.add_text(text, j.spec.tasks);
         for n in r.iter() {
@@ -204,10 +223,13 @@
     fn pending_of_jobs(&self, now: Steady, batch: Micros, chunk: u32) -> Vec<Pending> {
         let mut v = Vec::new();
         for j in self.jobs.values().filter(|j| !j.cancelled) {
-            if j.complete() {
+            // The end of a borrowed job is its home's to write, which waits for what is done here.
+            let is_own = j.borrowed_from.is_none();
+            if is_own && j.complete() {
                 v.push(Pending::Final(j.id.clone()));
                 continue;
             }
+            let batch = if is_own { batch } else { batch.min(BORROWED_DONE_INTERVAL) };
             if now - j.wrote_done >= batch && j.done.len() > j.done_written.len() {
                 for index in 0..j.spec.tasks.div_ceil(chunk) {
                     let number = chunk_number(chunk, index);
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -139,6 +139,9 @@
             }
             None => fresh_attempt,
         };
+        if j.borrowed_from.is_some() {
+            j.begun.insert(n);
+        }
         let need = need_of(&j.spec);
         if j.first_start.is_none() {
             j.first_start = Some(now);
@@ -190,6 +193,10 @@
         {
             return false;
         }
+        // Lent to another cell, or not held here: another cell may run it.
+        if j.withheld.contains(n) {
+            return false;
+        }
         if n >= j.high || now < j.not_before {
             return false;
         }
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -25,14 +25,26 @@
         if late || self.over.get(&id).is_some_and(|&r| r >= stamp) {
             return;
         }
+        if record.lending.cancelling {
+            // Its user waits for other cells to give up what they hold; nothing of it runs any more.
+            self.job_over(&id, stamp);
+            self.apply_lending(&record, stamp);
+            return;
+        }
         if let Some(j) = self.jobs.get_mut(&id) {
+            if j.borrowed_from.is_some() {
+                tracing::error!(job = %id, "a job was accepted here while tasks of its id are borrowed");
+                return;
+            }
             if stamp > j.stamp {
                 j.stamp = stamp;
                 j.high = j.high.max(record.high);
                 j.high_wanted = j.high_wanted.max(j.high);
+                self.apply_lending(&record, stamp);
             }
             return;
         }
+        let lending = (!record.lending.is_empty()).then(|| record.clone());
         let mut job = Job::new(record, stamp, now);
         let JobSpec { class, tasks, cpus, estimate_s, deadline_s, .. } = &job.spec;
         tracing::debug!(job = %id, ?class, tasks, cpus, estimate_s, ?deadline_s, "a job is known");
@@ -49,6 +61,9 @@
             }
         }
         self.jobs.insert(id.clone(), job);
+        if let Some(record) = lending {
+            self.apply_lending(&record, stamp);
+        }
         for (n, at) in self.located(&id) {
             self.refresh(&id, n, &at);
         }
@@ -63,14 +78,22 @@
             let r = self.over.entry(id.clone()).or_insert(0);
             *r = (*r).max(revision);
         }
-        let Some(j) = self.jobs.get_mut(&id) else { return };
-        if j.stamp > revision {
+        // A borrowed job has a record of its own; one of its id under the jobs' prefix is another's.
+        if self.jobs.get(&id).is_some_and(|j| j.stamp > revision || j.borrowed_from.is_some()) {
             return;
         }
+        self.end_lending(&id);
+        self.end_job(&id);
+    }
+
+    /// A job is over here: what is left of it is stopped, and its records go.
+    pub(super) fn end_job(&mut self, id: &str) {
+        let id: JobId = id.into();
+        let Some(j) = self.jobs.get_mut(&id) else { return };
         j.cancelled = true;
         j.gang = None;
         for (c, stamp) in std::mem::take(&mut j.chunks).into_iter().filter(|c| c.1 > 0) {
-            self.orphans.insert(done_key(&id, c), stamp);
+            self.orphans.insert(j.done_chunk_key(c), stamp);
         }
         self.marks.remove(&id);
         self.stop_all(&id, None, 0.0, true);
@@ -130,7 +153,7 @@
                     j.live.remove(&n);
                 }
             }
-            if !j.live.contains_key(&n) && !j.done.contains(n) {
+            if !j.live.contains_key(&n) && !j.done.contains(n) && !j.withheld.contains(n) {
                 j.waiting.insert(n);
             }
         }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use milletlock_cells::{Lending, LoanNumber, TaskSet};
+use serde::ser::{SerializeMap, Serializer};
 use serde::{Deserialize, Serialize};
 
 use crate::time::{Micros, Steady, Wall};
@@ -103,6 +105,11 @@
         Ranges(self.0.iter().map(|r| (r.0.max(a), r.1.min(b))).filter(|r| r.0 < r.1).collect())
     }
 
+    /// The same numbers as a compressed bitmap.
+    pub fn task_set(&self) -> TaskSet {
+        self.iter().collect()
+    }
+
     /// The compact text: `0-4,7`, inclusive.
     pub fn text(&self) -> String {
         let one = |&(a, b): &(u32, u32)| if b == a + 1 { a.to_string() } else { format!("{a}-{}", b - 1) };
@@ -122,20 +129,48 @@
     }
 }
 
+impl FromIterator<u32> for Ranges {
+    fn from_iter<I: IntoIterator<Item = u32>>(numbers: I) -> Ranges {
+        let mut ranges = Ranges::new();
+        for number in numbers {
+            ranges.insert(number);
+        }
+        ranges
+    }
+}
+
 /// What is written for a live job, under `job/<id>`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 pub struct JobRecord {
     /// The job as its user described it.
+    #[serde(alias = "spec_of_lent")]
     pub spec: JobSpec,
     /// When it was accepted, in microseconds of the time of day.
     pub submitted_us: i64,
     /// Tasks below this may have been started, as earlier versions wrote it; now in the marks.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     pub high: u32,
+    /// Loans to other cells, and whether the job is being cancelled while some are open.
+    #[serde(default)]
+    pub lending: Lending,
 }
 
-fn is_zero(n: &u32) -> bool {
-    *n == 0
+/// While there is something to say of loans, the description has another name: versions that know nothing
+/// of loans cannot read the record then, so that none of them starts what is lent.
+impl Serialize for JobRecord {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut record = serializer.serialize_map(None)?;
+        let spec_name = if self.lending.is_empty() { "spec" } else { "spec_of_lent" };
+        record.serialize_entry(spec_name, &self.spec)?;
+        record.serialize_entry("submitted_us", &self.submitted_us)?;
+        if self.high > 0 {
+            record.serialize_entry("high", &self.high)?;
+        }
+        if !self.lending.is_empty() {
+            record.serialize_entry("lending", &self.lending)?;
+        }
+        record.end()
+    }
 }
 
 /// What is kept for ever of a job that is over, under `final/<id>`.
@@ -232,6 +267,33 @@
     format!("done/{id}/{chunk}")
 }
 
+/// Prefix of all that a cell keeps of tasks that it has borrowed.
+pub const BORROWED: &str = "borrowed";
+
+/// Key of a borrowed job.
+pub fn borrowed_key(id: &str) -> String {
+    format!("{BORROWED}/job/{id}")
+}
+
+/// Key of a chunk of a borrowed job's done ranges.
+pub fn borrowed_done_key(id: &str, chunk: u32) -> String {
+    format!("{BORROWED}/done/{id}/{chunk}")
+}
+
+/// Key of what is kept of a cell from which tasks are borrowed.
+pub fn lender_key(cell: &str) -> String {
+    format!("{BORROWED}/lender/{cell}")
+}
+
+/// What is kept of a cell from which tasks are borrowed, under `borrowed/lender/<cell>`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LenderRecord {
+    /// No loan up to this number is accepted any more.
+    pub high_water: LoanNumber,
+    /// Tasks that were done here in loans that are closed.
+    pub finished: u64,
+}
+
 /// Tasks in a chunk of done ranges, so that the longest text fits a value: ranges of one task
 /// each, apart by one, take up to seven bytes for two tasks.
 pub fn chunk_tasks(value_bytes: usize) -> u32 {
@@ -325,6 +387,13 @@
     pub ran: (Micros, u32),
     /// A start has been counted (for the log).
     pub first_start: Option<Steady>,
+    /// Tasks that must not start in this cell: those lent to others, or, of a borrowed job, all that are
+    /// not held here.
+    pub withheld: Ranges,
+    /// The cell that accepted the job, if another one did.
+    pub borrowed_from: Option<String>,
+    /// Tasks of a borrowed job whose start has left.
+    pub begun: Ranges,
 }
 
 impl Job {
@@ -354,6 +423,38 @@
             vacated: BTreeMap::new(),
             ran: (Micros::ZERO, 0),
             first_start: None,
+            withheld: Ranges::new(),
+            borrowed_from: None,
+            begun: Ranges::new(),
+        }
+    }
+
+    /// Key of the job's record.
+    pub fn record_key(&self) -> String {
+        match self.borrowed_from {
+            Some(_) => borrowed_key(&self.id),
+            None => job_key(&self.id),
+        }
+    }
+
+    /// Key of a chunk of the job's done ranges.
+    pub fn done_chunk_key(&self, chunk: u32) -> String {
+        match self.borrowed_from {
+            Some(_) => borrowed_done_key(&self.id, chunk),
+            None => done_key(&self.id, chunk),
+        }
+    }
+
+    /// Withholds these tasks from being started here, and no others.
+    pub fn withhold(&mut self, tasks: Ranges) {
+        let before = std::mem::replace(&mut self.withheld, tasks);
+        for task in before.iter().filter(|task| !self.withheld.contains(*task)) {
+            if !self.live.contains_key(&task) && !self.done.contains(task) {
+                self.waiting.insert(task);
+            }
+        }
+        for task in self.withheld.iter() {
+            self.waiting.remove(task);
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod jobs;
 pub mod live;
+pub mod loan_messages;
 pub mod node;
 pub mod notices;
 pub mod packs;
--- a/src/node/announce.rs
+++ b/src/node/announce.rs
@@ -119,7 +119,7 @@
                     self.notices.lock().unwrap_or_else(|e| e.into_inner()).answered(to, &batch);
                     self.peer_answered(a.token);
                 }
-                Ok(Outcome::Answer(_)) => all = false,
+                Ok(_) => all = false,
                 Err(e) => {
                     tracing::debug!(to, error = %e, "could not be told of cancellations yet");
                     all = false;
--- /dev/null
+++ b/src/node/borrowing.rs
@@ -0,0 +1,103 @@
+//! The borrowing side: answers the messages of other cells about their loans.
+
+use milletlock_cells::Request;
+
+use super::{Node, Ownership, SharedState};
+use crate::config::CellsSettings;
+use crate::loan_messages::{report_to_proto, request_from_proto, summary_to_proto};
+use crate::node::loan_writes::LoanOutcome;
+use crate::peer::{LoanReply, LoanRequest, Outcome};
+use crate::time::{wall, Micros};
+
+/// Most changes that one message leads to; the rest follow with the next.
+const MAX_CHANGES: usize = 32;
+/// No change is begun this long after the message came: its sender does not wait for the answer.
+const ANSWER_TIME: Micros = Micros::from_millis(600);
+
+impl Node {
+    /// Answers another cell's message about its loans.
+    pub(super) fn on_loans(&self, message: &LoanRequest) -> Outcome {
+        let Some(cells) = &self.cfg.operator.cells else { return Outcome::Loans(LoanReply::default()) };
+        let request = match checked(cells, message) {
+            Ok(request) => request,
+            Err(why) => {
+                tracing::error!(from = %message.from, why, "a message of another cell is refused");
+                return Outcome::Loans(LoanReply { from: cells.name.clone(), ..LoanReply::default() });
+            }
+        };
+        let token = self.lock().ownership.as_ref().map(|ownership| ownership.claim.token);
+        if let Some(token) = token {
+            // One at a time: each change rests on the records as the one before left them.
+            let _guard = self.loan_changes.lock().unwrap_or_else(|e| e.into_inner());
+            self.carry_out(token, &request);
+        }
+        let shared = self.lock();
+        Outcome::Loans(match &shared.ownership {
+            Some(ownership) => loan_reply(cells, ownership, &request),
+            None => self.not_leading(cells, &shared),
+        })
+    }
+
+    /// Makes the changes that a message asks for.
+    fn carry_out(&self, token: u64, request: &Request) {
+        let begun = self.now();
+        self.retry_loan_writes(token);
+        for _ in 0..MAX_CHANGES {
+            if self.now() - begun > ANSWER_TIME {
+                return;
+            }
+            let write = {
+                let mut shared = self.lock();
+                let Some(ownership) = shared.owned_with(token) else { return };
+                let fleet = &mut ownership.fleet;
+                let Some(change) = fleet.loans.guest.next_change(request, &fleet.local_tasks()) else {
+                    return;
+                };
+                if fleet.loans.is_returning(&change.job) {
+                    return;
+                }
+                if let Some(why) = &change.refusal {
+                    tracing::info!(job = %change.job, home = %change.home, %why, "a loan is refused");
+                }
+                fleet.begin_guest_change(change)
+            };
+            tracing::debug!(job = write.job(), home = %request.from, "a borrowed job changes");
+            if self.write_loan(token, write) == LoanOutcome::Unknown {
+                return;
+            }
+        }
+    }
+
+    /// The answer of a controller that does not lead: who does.
+    fn not_leading(&self, cells: &CellsSettings, shared: &SharedState) -> LoanReply {
+        let leader = shared.leader.as_ref().and_then(|leader| {
+            let member = self.cfg.platform.members.iter().find(|member| member.label == leader.label)?;
+            Some(member.addr.to_string())
+        });
+        LoanReply { from: cells.name.clone(), leader: leader.unwrap_or_default(), ..LoanReply::default() }
+    }
+}
+
+/// The message, if it can be read and is from a cell that is known here.
+fn checked(cells: &CellsSettings, message: &LoanRequest) -> Result<Request, String> {
+    if message.to != cells.name {
+        return Err(format!("it is for cell {}, this is {}", message.to, cells.name));
+    }
+    if cells.other(&message.from).is_none() {
+        return Err(format!("no cell {} is known here", message.from));
+    }
+    request_from_proto(message).map_err(|e| e.to_string())
+}
+
+fn loan_reply(cells: &CellsSettings, ownership: &Ownership, request: &Request) -> LoanReply {
+    let fleet = &ownership.fleet;
+    let reports = fleet.loans.guest.reports(request, |job| fleet.recorded_done(job));
+    LoanReply {
+        from: cells.name.clone(),
+        term: ownership.claim.token,
+        leads: true,
+        leader: String::new(),
+        summary: Some(summary_to_proto(fleet.cell_summary(wall()))),
+        reports: reports.iter().map(report_to_proto).collect(),
+    }
+}
--- /dev/null
+++ b/src/node/lending.rs
@@ -0,0 +1,284 @@
+//! The lending duty: tells other cells of the loans that they hold, takes what they report, and lends them
+//! tasks that this cell does not get to in time.
+
+use std::collections::BTreeMap;
+
+use milletlock_cells::{BacklogGate, CellSummary, Lending, Loan, LoanReport, Script, Wish};
+
+use super::loan_writes::LoanOutcome;
+use super::{Node, Ownership, SharedState};
+use crate::config::{CellsSettings, OtherCell};
+use crate::fleet::{Fleet, LoanWrite};
+use crate::loan_messages::{report_from_proto, request_to_proto, summary_from_proto, MAX_LOANS};
+use crate::peer::{LoanReply, Message, Outcome, Waiting};
+use crate::time::{wall, Micros};
+
+/// How often a cell is told of its loans while it holds some, or some are to be made.
+const ACTIVE_INTERVAL: Micros = Micros::from_millis(400);
+/// How often it is asked for its room otherwise.
+const IDLE_INTERVAL: Micros = Micros::from_millis(1_000);
+/// How long another cell has to answer.
+const CELL_TIMEOUT: Micros = Micros::from_millis(900);
+/// A summary that is older is not acted on, in microseconds.
+const MAX_SUMMARY_AGE_US: i64 = 3_000_000;
+/// With less own work than this waiting, loans are recalled that this cell can run itself, in seconds.
+const RECALL_BACKLOG_S: f64 = 0.5;
+/// The first version that knows of loans: major and minor number.
+const FIRST_LENDING_VERSION: (u32, u32) = (0, 3);
+
+/// What is known of another cell.
+#[derive(Debug, Default)]
+pub(super) struct OtherCellState {
+    /// Which of its controllers is asked.
+    controller: usize,
+    /// The highest term of its owner that was seen.
+    term: u64,
+    /// Its latest summary.
+    summary: Option<CellSummary>,
+    /// Whether its leader answered the last message.
+    answers: bool,
+}
+
+impl OtherCellState {
+    /// Its latest summary, if its leader answers.
+    pub(super) fn summary(&self) -> Option<&CellSummary> {
+        self.summary.as_ref().filter(|_| self.answers)
+    }
+
+    /// The next controller is asked, or the one that is said to lead.
+    fn ask_elsewhere(&mut self, cell: &OtherCell, leader: &str) {
+        self.answers = false;
+        let leads = cell.controllers.iter().position(|addr| addr.to_string() == leader);
+        self.controller = leads.unwrap_or((self.controller + 1) % cell.controllers.len().max(1));
+    }
+}
+
+/// The choice of how much to lend.
+struct Choice {
+    gate: BacklogGate,
+    script: Option<Script>,
+}
+
+impl Node {
+    /// Lends until the controller ends.
+    pub(super) fn lend(&self) {
+        let Some(cells) = &self.cfg.operator.cells else { return };
+        // Checked when the settings were read.
+        let script = cells.script.as_deref().and_then(|text| Script::parse(text).ok());
+        let mut choice = Choice { gate: BacklogGate::default(), script };
+        while !self.stopping() {
+            let is_active = self.lend_once(cells, &mut choice);
+            self.sleep(if is_active { ACTIVE_INTERVAL } else { IDLE_INTERVAL });
+        }
+    }
+
+    /// One round with all other cells; whether there are loans or some are to be made.
+    fn lend_once(&self, cells: &CellsSettings, choice: &mut Choice) -> bool {
+        let (token, backlog_s) = match &self.lock().ownership {
+            Some(ownership) => (ownership.claim.token, ownership.fleet.array_backlog_s()),
+            None => return false,
+        };
+        let wants_to_lend = choice.gate.update(backlog_s, self.cfg.operator.drain_s);
+        self.retry_loan_writes(token);
+        let asked: Vec<(&OtherCell, Option<Waiting>)> = self.ask_cells(cells, token);
+        for (cell, waiting) in asked {
+            let outcome = waiting.ok_or_else(|| "not sent".to_string()).and_then(Waiting::wait);
+            match outcome {
+                Ok(Outcome::Loans(reply)) => self.on_loan_reply(token, cell, &reply, choice),
+                Ok(_) => self.cell_unreachable(cell, "a wrong answer"),
+                Err(e) => self.cell_unreachable(cell, &e),
+            }
+        }
+        let has_loans = match &self.lock().ownership {
+            Some(ownership) => ownership.fleet.loans.home.jobs().next().is_some(),
+            None => false,
+        };
+        has_loans || wants_to_lend
+    }
+
+    /// Tells each cell of its loans.
+    fn ask_cells<'a>(&self, cells: &'a CellsSettings, token: u64) -> Vec<(&'a OtherCell, Option<Waiting>)> {
+        let mut first_address = self.peers.count();
+        let mut asked = Vec::new();
+        for cell in &cells.others {
+            let mut shared = self.lock();
+            let controller = shared.other_cells.entry(cell.name.clone()).or_default().controller;
+            let Some(ownership) = shared.owned_with(token) else { return asked };
+            let fleet = &ownership.fleet;
+            let backlog_s = fleet.array_backlog_s();
+            let wish = |job: &str, loan: &Loan| recall_or_run(fleet, job, loan, backlog_s);
+            let offer = |job: &str, number| fleet.loans.offer(job, number);
+            let request = fleet.loans.home.request(&cells.name, &cell.name, token, wish, offer);
+            drop(shared);
+            let message = Message::Lend(request_to_proto(&request));
+            let waiting = self.peers.begin(first_address + controller, message, CELL_TIMEOUT).ok();
+            asked.push((cell, waiting));
+            first_address += cell.controllers.len();
+        }
+        asked
+    }
+
+    fn cell_unreachable(&self, cell: &OtherCell, why: &str) {
+        let mut shared = self.lock();
+        let state = shared.other_cells.entry(cell.name.clone()).or_default();
+        if state.answers {
+            tracing::info!(cell = %cell.name, why, "another cell does not answer");
+        }
+        state.ask_elsewhere(cell, "");
+    }
+
+    /// Takes another cell's answer.
+    fn on_loan_reply(&self, token: u64, cell: &OtherCell, reply: &LoanReply, choice: &Choice) {
+        if reply.from != cell.name {
+            tracing::error!(cell = %cell.name, from = %reply.from, "another cell answers under a wrong name");
+            return self.cell_unreachable(cell, "a wrong name");
+        }
+        if !self.note_cell(cell, reply) {
+            return;
+        }
+        for report in &reply.reports {
+            match report_from_proto(report) {
+                Ok(report) => self.take_loan_report(token, cell, &report),
+                Err(e) => tracing::error!(cell = %cell.name, error = %e, "a report of a loan is refused"),
+            }
+        }
+        self.make_loan(token, cell, choice);
+    }
+
+    /// Notes what an answer says of the cell itself; whether its reports count.
+    fn note_cell(&self, cell: &OtherCell, reply: &LoanReply) -> bool {
+        let mut shared = self.lock();
+        let state = shared.other_cells.entry(cell.name.clone()).or_default();
+        if !reply.leads {
+            state.ask_elsewhere(cell, &reply.leader);
+            return false;
+        }
+        if reply.term < state.term {
+            tracing::error!(cell = %cell.name, term = reply.term, known = state.term, "an answer of an older term is refused");
+            state.ask_elsewhere(cell, "");
+            return false;
+        }
+        state.term = reply.term;
+        if !state.answers {
+            tracing::info!(cell = %cell.name, term = reply.term, "another cell answers");
+        }
+        state.answers = true;
+        state.summary = self.checked_summary(cell, reply);
+        true
+    }
+
+    fn checked_summary(&self, cell: &OtherCell, reply: &LoanReply) -> Option<CellSummary> {
+        let summary = summary_from_proto(reply.summary.as_ref()?);
+        let skew_us = (self.cfg.platform.settings.skew_ms * 1000.0) as i64;
+        match summary.check(wall().0, MAX_SUMMARY_AGE_US, skew_us) {
+            Ok(()) => Some(summary),
+            Err(e) => {
+                tracing::error!(cell = %cell.name, error = %e, "another cell's summary is refused");
+                None
+            }
+        }
+    }
+
+    /// Takes a guest's word on a loan.
+    fn take_loan_report(&self, token: u64, cell: &OtherCell, report: &LoanReport) {
+        let write = {
+            let mut shared = self.lock();
+            let Some(ownership) = shared.owned_with(token) else { return };
+            let fleet = &mut ownership.fleet;
+            let settled = fleet.loans.home.settle(&cell.name, report, |job| fleet.recorded_done(job));
+            match settled {
+                Ok(Some(settlement)) => {
+                    fleet.loans.note_decided_by_guest(report.number);
+                    fleet.lent_tasks_done(&settlement.job, &settlement.done);
+                    settlement.lending.and_then(|lending| fleet.settle_loan(&settlement.job, lending))
+                }
+                Ok(None) => None,
+                Err(e) => {
+                    tracing::error!(cell = %cell.name, error = %e, "a report of a loan is refused");
+                    None
+                }
+            }
+        };
+        self.wake.notify_all();
+        if let Some(write) = write {
+            self.settle_loan(token, cell, write);
+        }
+    }
+
+    fn settle_loan(&self, token: u64, cell: &OtherCell, write: LoanWrite) {
+        let job = write.job().to_string();
+        let is_end = matches!(&write, LoanWrite::Home { record, .. } if is_cancelled(&record.lending));
+        if self.write_loan(token, write) == LoanOutcome::Written {
+            tracing::debug!(%job, cell = %cell.name, "a loan is settled");
+            if is_end {
+                tracing::info!(%job, "cancelled: no other cell holds any of it");
+            }
+        }
+    }
+
+    /// Lends tasks to a cell if this one's arrays do not drain and that one has room. One loan at a time:
+    /// the next waits until the guest has decided, so that its room is known again.
+    fn make_loan(&self, token: u64, cell: &OtherCell, choice: &Choice) {
+        if !choice.gate.is_open() {
+            return;
+        }
+        let write = {
+            let mut shared = self.lock();
+            let knows_loans = self.all_know_loans(&shared);
+            let summary = shared.other_cells.get(&cell.name).and_then(|state| state.summary().cloned());
+            let (Some(summary), Some(ownership)) = (summary, shared.owned_with(token)) else { return };
+            if !knows_loans || !ownership.view.may_act(self.now()) || has_undecided(ownership, &cell.name) {
+                return;
+            }
+            let fleet = &mut ownership.fleet;
+            let Some(candidate) = fleet.lending_candidate(&summary, wall()) else { return };
+            let count = match &choice.script {
+                Some(script) => script.portion(&candidate.view),
+                None => candidate.view.portion(),
+            };
+            fleet.begin_loan(&candidate, count, &cell.name)
+        };
+        let Some(write) = write else { return };
+        let job = write.job().to_string();
+        if self.write_loan(token, write) == LoanOutcome::Written {
+            tracing::info!(%job, cell = %cell.name, "tasks are lent");
+        }
+    }
+
+    /// Whether all controllers of this cell know of loans: an older one would take lent tasks for its own.
+    fn all_know_loans(&self, shared: &SharedState) -> bool {
+        let versions: &BTreeMap<String, String> = &shared.peer_versions;
+        self.cfg.platform.members.iter().all(|member| {
+            versions
+                .get(&member.label)
+                .and_then(|v| parse_version(v))
+                .is_some_and(|v| v >= FIRST_LENDING_VERSION)
+        })
+    }
+}
+
+/// Major and minor number of a version.
+fn parse_version(version: &str) -> Option<(u32, u32)> {
+    let mut numbers = version.split('.').map(str::parse);
+    Some((numbers.next()?.ok()?, numbers.next()?.ok()?))
+}
+
+fn is_cancelled(lending: &Lending) -> bool {
+    lending.cancelling && lending.loans.is_empty()
+}
+
+/// Whether a guest has not decided on a loan yet, or holds as many as one message names.
+fn has_undecided(ownership: &Ownership, cell: &str) -> bool {
+    let loans = &ownership.fleet.loans;
+    let open: Vec<_> = loans.home.loans_with(cell).collect();
+    open.len() >= MAX_LOANS / 2 || open.iter().any(|(job, loan)| loans.offer(job, loan.number).is_some())
+}
+
+/// A loan is recalled once this cell has nothing else to do and gets to the loan's tasks soon.
+fn recall_or_run(fleet: &Fleet, job: &str, loan: &Loan, backlog_s: f64) -> Wish {
+    if backlog_s < RECALL_BACKLOG_S && fleet.could_run_soon(job, &loan.tasks) {
+        Wish::Recall
+    } else {
+        Wish::Run
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,10 +2,14 @@
 //! threads share one lock, which is never held during I/O.
 
 mod announce;
+mod borrowing;
 mod catalog;
+mod cells_status;
 mod cloud;
 mod commands;
 mod latency;
+mod lending;
+mod loan_writes;
 mod ownership;
 mod peers;
 mod planning;
@@ -25,6 +29,7 @@
 use rand::Rng;
 
 use self::latency::{histogram, Latencies};
+use self::lending::OtherCellState;
 use self::ownership::StateBudget;
 use self::reports::DeferredReply;
 pub use self::status::STATUS;
@@ -42,7 +47,7 @@
 use crate::state::StateClient;
 use crate::time::{Clock, Micros, Steady};
 use crate::view::View;
-use crate::wire::{MachineType, HEALTH_PATH, REPORT_PATH};
+use crate::wire::{MachineType, HEALTH_PATH, REPORT_PATH, WRITE_OFF_PATH};
 
 /// The state of a controller that owns the machines.
 struct Ownership {
@@ -69,6 +74,8 @@
     highest_token: u64,
     /// Versions of the other controllers, by label, as last told.
     peer_versions: BTreeMap<String, String>,
+    /// The other cells, by name.
+    other_cells: BTreeMap<String, OtherCellState>,
     /// The machine types, once known.
     machine_types: Option<Vec<MachineType>>,
     /// Final stages known to be written, with the revisions at which they were written.
@@ -131,6 +138,8 @@
     notices: Mutex<Notices>,
     /// Notified when a cancellation was added to `notices`.
     notices_added: Condvar,
+    /// Held while another cell's message changes what is borrowed.
+    loan_changes: Mutex<()>,
     latencies: Mutex<Latencies>,
     stop: Arc<AtomicBool>,
     clock: Clock,
@@ -173,6 +182,7 @@
             cloud: CloudClient::new(p.services.cloud, p.settings.cloud.rps * 0.8),
             notices: Mutex::new(Notices::new(peers.count(), keep)),
             notices_added: Condvar::new(),
+            loan_changes: Mutex::new(()),
             peers,
             shared: Mutex::new(SharedState { last_peer_contact: now, ..SharedState::default() }),
             wake: Condvar::new(),
@@ -192,8 +202,9 @@
         internal: TcpListener,
         stop: Arc<AtomicBool>,
     ) -> anyhow::Result<()> {
-        let (peers, inbound) =
-            PeerHub::start(internal, cfg.platform.members.iter().map(|m| m.addr).collect())?;
+        let members = cfg.platform.members.iter().map(|m| m.addr).collect();
+        let other_cells = cfg.operator.cells.as_ref().map(|cells| cells.addresses()).unwrap_or_default();
+        let (peers, inbound) = PeerHub::start(internal, members, &other_cells)?;
         let node = Node::new(cfg, peers, Clock::Machine, stop)?;
         tracing::info!(label = %node.cfg.platform.label, incarnation = node.incarnation, "started");
         let duties = node.start_duties(inbound)?;
@@ -232,6 +243,10 @@
             let node = self.clone();
             threads.push(spawn_duty(name.into(), move || duty(&node))?);
         }
+        if self.cfg.operator.cells.is_some() {
+            let node = self.clone();
+            threads.push(spawn_duty("lending".into(), move || node.lend())?);
+        }
         let inbound = Arc::new(Mutex::new(inbound));
         for i in 0..PEER_THREADS {
             let (node, inbound) = (self.clone(), inbound.clone());
@@ -303,6 +318,7 @@
             // For people on call, by the controllers' own interface: users' connections never
             // reach it.
             p if relayed && p.starts_with(STATUS) => self.status(req),
+            p if relayed && p.starts_with(WRITE_OFF_PATH) => self.write_off(req),
             _ => api::handle(self, req, relayed),
         }
     }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -55,8 +55,12 @@
 
     /// Answers a message of another controller.
     pub fn hear(&self, m: &Message) -> Outcome {
-        self.lock().last_peer_contact = self.now();
+        // Another cell's word says nothing of this cell's own controllers.
+        if !matches!(m, Message::Lend(_)) {
+            self.lock().last_peer_contact = self.now();
+        }
         match m {
+            Message::Lend(request) => self.on_loans(request),
             Message::Announce(s) => self.on_announcement(s),
             Message::Notify(n) => self.on_job_news(n),
             Message::Cancelled(c) => self.on_cancellations(c),
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -49,6 +49,7 @@
                 parts: ownership.map(|o| vec![part(o)]),
                 versions: Some(self.versions(&shared)),
                 view_age_s: ownership.map(|o| o.view.age(self.now()).secs()),
+                cells: ownership.filter(|_| team.is_none()).and_then(|o| self.cells_status(&shared, o)),
             },
         )
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -19,7 +19,9 @@
 
 use proto::peer_client::PeerClient;
 use proto::peer_server::{Peer, PeerServer};
-pub use proto::{Ack, Answer, Call, Cancellation, Cancellations, JobCounts, JobNews, Summary};
+pub use proto::{
+    Ack, Answer, Call, Cancellation, Cancellations, JobCounts, JobNews, LoanReply, LoanRequest, Summary,
+};
 
 /// A message to another controller.
 #[derive(Clone, Debug)]
@@ -32,6 +34,8 @@
     Cancelled(Cancellations),
     /// A request to be answered by the other.
     Relay(Call),
+    /// Another cell's open loans.
+    Lend(LoanRequest),
 }
 
 /// The answer to a message.
@@ -41,6 +45,8 @@
     Ack(Ack),
     /// To a relayed request.
     Answer(Answer),
+    /// To another cell's loans.
+    Loans(LoanReply),
 }
 
 /// A message from another controller, with the way back.
@@ -86,14 +92,17 @@
 }
 
 impl PeerHub {
-    /// Starts the runtime's thread; messages from others come out of the receiver.
+    /// Starts the runtime's thread; messages from others come out of the receiver. Addresses of other
+    /// cells' controllers are numbered after those of the own cell's `members`.
     pub fn start(
         listener: TcpListener,
-        members: Vec<SocketAddr>,
+        mut members: Vec<SocketAddr>,
+        other_cells: &[SocketAddr],
     ) -> std::io::Result<(PeerHub, Receiver<Inbound>)> {
         let (out, orders) = tokio::sync::mpsc::channel(64);
         let (inbound, messages) = sync_channel(64);
         let count = members.len();
+        members.extend(other_cells);
         listener.set_nonblocking(true)?;
         std::thread::Builder::new().name("peer".into()).stack_size(1024 * 1024).spawn(move || {
             if let Err(e) = run(listener, members, orders, inbound) {
@@ -111,7 +120,7 @@
         PeerHub { out: Arc::new(carry), count }
     }
 
-    /// How many other controllers there are.
+    /// How many other controllers the cell has.
     pub fn count(&self) -> usize {
         self.count
     }
@@ -164,7 +173,7 @@
     async fn ack(&self, message: Message) -> Result<Response<Ack>, Status> {
         match self.ask(message).await? {
             Outcome::Ack(a) => Ok(Response::new(a)),
-            Outcome::Answer(_) => Err(Status::internal("wrong answer")),
+            _ => Err(Status::internal("wrong answer")),
         }
     }
 }
@@ -186,7 +195,14 @@
     async fn relay(&self, r: Request<Call>) -> Result<Response<Answer>, Status> {
         match self.ask(Message::Relay(r.into_inner())).await? {
             Outcome::Answer(a) => Ok(Response::new(a)),
-            Outcome::Ack(_) => Err(Status::internal("wrong answer")),
+            _ => Err(Status::internal("wrong answer")),
+        }
+    }
+
+    async fn lend(&self, r: Request<LoanRequest>) -> Result<Response<LoanReply>, Status> {
+        match self.ask(Message::Lend(r.into_inner())).await? {
+            Outcome::Loans(reply) => Ok(Response::new(reply)),
+            _ => Err(Status::internal("wrong answer")),
         }
     }
 }
@@ -256,6 +272,7 @@
         Message::Notify(m) => Outcome::Ack(c.notify(m).await?.into_inner()),
         Message::Cancelled(m) => Outcome::Ack(c.cancelled(m).await?.into_inner()),
         Message::Relay(m) => Outcome::Answer(c.relay(m).await?.into_inner()),
+        Message::Lend(m) => Outcome::Loans(c.lend(m).await?.into_inner()),
     })
 }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,12 +1,14 @@
 //! The messages of each interface, one module each. The names that travel are odd and stay in this
 //! folder, as serde renames; the code has the field's own names.
 
+mod cells;
 mod cloud;
 mod jobs;
 mod replies;
 mod state;
 mod workers;
 
+pub use cells::{BorrowedStatus, CellsStatus, LentStatus, OtherCellStatus, WrittenOff, WRITE_OFF_PATH};
 pub use cloud::{Catalog, ListedMachine, MachineList, MachineNames, MachineType, RentRequest};
 pub use jobs::{is_job_id, JobSpec, JobStatus, Rank, Shape, Stage, MAX_TASKS, REQUIRED};
 pub use replies::{Health, NodeStatus, PartStatus, Redirect, HEALTH_PATH};
--- a/src/wire/replies.rs
+++ b/src/wire/replies.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::CellsStatus;
+
 /// Path of the load balancer's health check.
 pub const HEALTH_PATH: &str = "/up";
 
@@ -42,6 +44,9 @@
     /// Age in seconds of the owner's view of the state service.
     #[serde(rename = "state_seen_s_ago", default, skip_serializing_if = "Option::is_none")]
     pub view_age_s: Option<f64>,
+    /// What the cell lends and borrows, where cells are in use.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cells: Option<CellsStatus>,
 }
 
 /// A part and its owner, as part of a controller's status.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use milletlock::jobs::JobRecord;
 use milletlock::time::Micros;
 use milletlock::wire::{JobSpec, MachineType, Report, TaskReport, TaskStage, Why};
+use milletlock_cells::Lending;
 use serde_json::{json, Value};
 
 /// The workers' lease in these settings.
@@ -101,7 +102,7 @@
 
 /// A job's record.
 pub fn record(spec: JobSpec) -> JobRecord {
-    JobRecord { spec, submitted_us: 0, high: 0 }
+    JobRecord { spec, submitted_us: 0, high: 0, lending: Lending::default() }
 }
 
 /// A report of a small machine in the north.
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -110,7 +110,7 @@
 #[test]
 fn an_unknown_method_is_answered_with_an_error_and_reaches_nobody() {
     let (own, addr) = listener();
-    let (_hub, messages) = PeerHub::start(own, vec![]).expect("a service");
+    let (_hub, messages) = PeerHub::start(own, vec![], &[]).expect("a service");
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build().expect("a runtime");
     let refused = runtime.block_on(call_method(addr, "/milletlock.peer.v1.Peer/Later"));
--- a/tests/replies.rs
+++ b/tests/replies.rs
@@ -23,6 +23,7 @@
         versions: None,
         parts: Some(vec![PartStatus { owner: "a".into(), part: 0, token: 7 }]),
         view_age_s: Some(0.5),
+        cells: None,
     };
     let expected = json!({
         "leader": "a", "node": "a", "owner": { "token": 7 },
@@ -40,6 +41,7 @@
         versions: None,
         parts: None,
         view_age_s: None,
+        cells: None,
     };
     assert_eq!(json!(status), json!({ "leader": null, "node": "b", "owner": null }));
 }
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::{config, record, report, spec, types};
-use milletlock::api::never_runs;
 use milletlock::cluster;
+use milletlock::fleet::never_runs;
 use milletlock::fleet::{CheckIn, Fleet, Pending};
 use milletlock::jobs::{JobRecord, MachineRecord};
 use milletlock::time::{Micros, Steady, Wall};
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{config, spec, types};
-use milletlock::api::never_runs;
+use milletlock::fleet::never_runs;
 use milletlock::jobs::JobRecord;
 use milletlock::wire::{JobSpec, Shape};
 use serde_json::{json, Value};
