--- /dev/null
+++ b/tests/common/cells.rs
@@ -0,0 +1,488 @@
+//! Cells of the real program on loopback: controllers as processes, between stand-ins for the state
+//! service, the cloud and the workers, and links between cells that can be cut.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use milletlock::http::{Client, Request, Response};
+use milletlock::peer::{self, Call};
+use milletlock::time::{Micros, Steady};
+use milletlock::wire::{CellsStatus, Change, Order, ReportReply, TaskStage, Why};
+use serde_json::{json, Value};
+
+use super::servers::serve;
+use super::state_service::{answer_read, answer_transaction, events, parameter, transaction, watched};
+use super::store::Store;
+use super::worker::{Attempt, Task, WorkerState};
+use super::{platform_json, types};
+
+/// Controllers of each cell.
+const CONTROLLERS: usize = 2;
+/// How long a task runs.
+const TASK_TIME: Duration = Duration::from_millis(250);
+/// How often a worker reports if nothing changes.
+const REPORT_TIME: Duration = Duration::from_millis(300);
+/// Port on which controllers hear each other.
+const INTERNAL_PORT: u16 = 8081;
+
+/// Waits for a condition that is bound to come; the deadline only ends a broken run.
+pub fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(60);
+    while !condition() {
+        assert!(Instant::now() < deadline, "never: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// What the workers of all cells did.
+#[derive(Default)]
+pub struct History {
+    /// Each task that ever began, with the cells and attempts.
+    pub begun: BTreeMap<String, BTreeSet<(usize, u64)>>,
+    /// How often each task finished in which cell.
+    pub finished: BTreeMap<String, Vec<usize>>,
+    /// Tasks that are on a machine.
+    pub present: BTreeSet<(usize, Attempt)>,
+}
+
+impl History {
+    /// How many tasks finished in each cell.
+    pub fn tally(&self, cells: usize) -> Vec<usize> {
+        let of = |cell: usize| self.finished.values().flatten().filter(|at| **at == cell).count();
+        (0..cells).map(of).collect()
+    }
+
+    /// How many tasks of a job finished.
+    pub fn finished_of(&self, job: &str) -> usize {
+        self.finished.keys().filter(|task| task.starts_with(&format!("{job}/"))).count()
+    }
+
+    /// Each task that was submitted finished once, in the only cell where it ever began.
+    pub fn assert_each_finished_once(&self, tasks: usize) {
+        for (task, cells) in &self.finished {
+            assert_eq!(cells.len(), 1, "{task} finished in cells {cells:?}");
+        }
+        for (task, began) in &self.begun {
+            let cells: BTreeSet<usize> = began.iter().map(|at| at.0).collect();
+            assert_eq!(cells.len(), 1, "{task} began in cells {cells:?}");
+        }
+        assert_eq!(self.finished.len(), tasks);
+    }
+}
+
+/// The state service of a cell, with leases that end.
+#[derive(Default)]
+struct StateService {
+    store: Store,
+    /// Lease to its time to live, its end and its keys.
+    leases: BTreeMap<u64, (Duration, Instant, Vec<String>)>,
+}
+
+impl StateService {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> = self.leases.iter().filter(|l| l.1 .1 < now).map(|l| *l.0).collect();
+        for lease in ended {
+            let keys = self.leases.remove(&lease).map(|l| l.2).unwrap_or_default();
+            for key in keys.into_iter().filter(|key| self.store.keys.remove(key).is_some()) {
+                self.store.revision += 1;
+                self.store.log.push((self.store.revision, key, None));
+            }
+        }
+    }
+
+    fn answer(&mut self, r: &Request) -> Response {
+        let path = r.path.split('?').next().unwrap_or("");
+        let lease = path.trim_start_matches("/leases/").trim_end_matches("/renew").parse().unwrap_or(0);
+        match (r.method.as_str(), path) {
+            ("POST", "/leases") => {
+                let body: Value = serde_json::from_slice(&r.body).expect("a lease");
+                let ttl = Duration::from_millis(body["ttlMs"].as_u64().expect("a time to live"));
+                let id = self.leases.last_key_value().map_or(1, |l| l.0 + 1);
+                self.leases.insert(id, (ttl, Instant::now() + ttl, Vec::new()));
+                Response::json(200, &json!({ "tenure": id }))
+            }
+            ("POST", p) if p.ends_with("/renew") => match self.leases.get_mut(&lease) {
+                Some(l) => {
+                    l.1 = Instant::now() + l.0;
+                    Response::json(200, &json!({}))
+                }
+                None => Response::error(404, "no such lease"),
+            },
+            ("DELETE", _) => {
+                self.leases.get_mut(&lease).into_iter().for_each(|l| l.1 = Instant::now());
+                Response::json(200, &json!({}))
+            }
+            ("POST", "/txn") => {
+                let txn = transaction(r);
+                let result = self.store.txn(&txn);
+                for change in txn.then.iter().filter(|_| result.is_ok()) {
+                    if let Change::Put { put, lease: Some(lease), .. } = change {
+                        self.leases.get_mut(lease).into_iter().for_each(|l| l.2.push(put.clone()));
+                    }
+                }
+                answer_transaction(&self.store, result)
+            }
+            ("GET", _) => answer_read(&self.store, r),
+            _ => Response::error(404, "no such path"),
+        }
+    }
+}
+
+fn state_service() -> SocketAddr {
+    let (state, changed) = (Mutex::new(StateService::default()), Condvar::new());
+    serve(move |r| {
+        let mut state = lock(&state);
+        if r.path.starts_with("/watch") {
+            let (prefix, from) = watched(&r);
+            let block = Duration::from_millis(parameter(&r, "blockMs").parse().unwrap_or(0));
+            let end = Instant::now() + block;
+            while events(&state.store, prefix, from).is_empty() && Instant::now() < end {
+                let wait = Duration::from_millis(20);
+                state = changed.wait_timeout(state, wait).unwrap_or_else(|e| e.into_inner()).0;
+                state.expire();
+            }
+        }
+        state.expire();
+        let answer = state.answer(&r);
+        changed.notify_all();
+        answer
+    })
+}
+
+/// A cloud that has just the cell's machines; it rents none and takes none back.
+fn cloud(machines: Vec<String>) -> SocketAddr {
+    serve(move |r| match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
+        ("GET", "/catalog") => Response::json(200, &json!({ "breeds": types() })),
+        ("GET", "/rentals") => {
+            let from = parameter(&r, "from");
+            let machine = |id: &String| {
+                json!({ "nameId": id, "addr": "", "breed": "small", "field": "north", "gleanings": false,
+                        "stage": "running", "ageS": 60.0 })
+            };
+            let list: Vec<Value> = machines.iter().filter(|id| id.as_str() > from).map(machine).collect();
+            Response::json(200, &json!({ "husks": list, "more": false }))
+        }
+        _ => Response::error(503, "no capacity"),
+    })
+}
+
+/// A worker that reports to its cell's controllers in turn until the test ends.
+struct Worker {
+    cell: usize,
+    state: WorkerState,
+    ends: BTreeMap<Attempt, Instant>,
+    history: Arc<Mutex<History>>,
+}
+
+impl Worker {
+    fn run(mut self, controllers: &[SocketAddr], stop: &AtomicBool) {
+        let started = Instant::now();
+        let now = || Steady(started.elapsed().as_micros() as i64);
+        let (mut at, mut reported, mut changed) = (0, Instant::now(), true);
+        while !stop.load(Ordering::Relaxed) {
+            changed |= self.finish_tasks(now());
+            if changed || reported.elapsed() > REPORT_TIME {
+                let body = serde_json::to_vec(&self.state.report()).expect("a report");
+                reported = Instant::now();
+                let client = Client::new(controllers[at], 0);
+                let answer = client.call("POST", "/checkin", Some(&body), Micros::from_secs(4.0));
+                changed = match answer {
+                    Ok((200, body)) => {
+                        self.execute(&serde_json::from_slice(&body).expect("an answer"), now())
+                    }
+                    _ => {
+                        at = (at + 1) % controllers.len();
+                        true
+                    }
+                };
+            }
+            std::thread::sleep(Duration::from_millis(40));
+        }
+    }
+
+    fn finish_tasks(&mut self, now: Steady) -> bool {
+        let ended: Vec<Attempt> = self
+            .ends
+            .iter()
+            .filter(|(_, end)| **end < Instant::now())
+            .map(|(attempt, _)| attempt.clone())
+            .collect();
+        for attempt in &ended {
+            self.ends.remove(attempt);
+            if let Some(task) = self.state.tasks.get_mut(attempt) {
+                task.enter(TaskStage::Exited, Some(Why::Done), now);
+            }
+            let mut history = lock(&self.history);
+            history.present.remove(&(self.cell, attempt.clone()));
+            history.finished.entry(attempt.0.clone()).or_default().push(self.cell);
+        }
+        !ended.is_empty()
+    }
+
+    /// Executes the orders of an answer; whether anything changed.
+    fn execute(&mut self, reply: &ReportReply, now: Steady) -> bool {
+        if !self.state.accept_answer(reply.token, now) {
+            return false;
+        }
+        for order in &reply.orders {
+            match order {
+                Order::Start { task, attempt } => self.start((task.clone(), *attempt), now),
+                Order::Halt { task, attempt, .. } => {
+                    let key = (task.clone(), *attempt);
+                    self.state.halt(task, *attempt);
+                    self.ends.remove(&key);
+                    lock(&self.history).present.remove(&(self.cell, key));
+                }
+                Order::Forget { task, attempt } => self.state.forget(task, *attempt),
+            }
+        }
+        !reply.orders.is_empty()
+    }
+
+    fn start(&mut self, attempt: Attempt, now: Steady) {
+        if self.state.tasks.contains_key(&attempt) {
+            return;
+        }
+        self.state.tasks.insert(attempt.clone(), Task::new(TaskStage::Running, Micros::ZERO, now));
+        self.ends.insert(attempt.clone(), Instant::now() + TASK_TIME);
+        let mut history = lock(&self.history);
+        let elsewhere = history.present.iter().any(|(_, there)| there.0 == attempt.0);
+        assert!(!elsewhere, "{} starts while it is on another machine", attempt.0);
+        history.begun.entry(attempt.0.clone()).or_default().insert((self.cell, attempt.1));
+        history.present.insert((self.cell, attempt));
+    }
+}
+
+/// A link to a controller of another cell that can be cut.
+struct Link {
+    cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    fn start(at: SocketAddr, to: SocketAddr) -> Link {
+        let cut = Arc::new(AtomicBool::new(false));
+        let listener = TcpListener::bind(at).expect("the link's address");
+        let is_cut = cut.clone();
+        std::thread::spawn(move || {
+            for from in listener.incoming().flatten() {
+                if is_cut.load(Ordering::Relaxed) {
+                    continue;
+                }
+                let Ok(target) = TcpStream::connect_timeout(&to, Duration::from_millis(500)) else {
+                    continue;
+                };
+                let pairs = [(&from, &target), (&target, &from)];
+                for (source, sink) in pairs {
+                    let (source, sink) = (source.try_clone(), sink.try_clone());
+                    let is_cut = is_cut.clone();
+                    if let (Ok(source), Ok(sink)) = (source, sink) {
+                        std::thread::spawn(move || carry(source, sink, &is_cut));
+                    }
+                }
+            }
+        });
+        Link { cut }
+    }
+}
+
+/// Carries bytes until a side closes or the link is cut.
+fn carry(mut source: TcpStream, mut sink: TcpStream, is_cut: &AtomicBool) {
+    let mut bytes = [0; 8192];
+    while let Ok(count) = source.read(&mut bytes) {
+        if count == 0 || is_cut.load(Ordering::Relaxed) || sink.write_all(&bytes[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = (source.shutdown(Shutdown::Both), sink.shutdown(Shutdown::Both));
+}
+
+/// Settings of one cell.
+pub struct CellPlan {
+    /// Its number of workers, of four processors each.
+    pub workers: usize,
+    /// Processors' worth of tasks that it borrows.
+    pub borrow_cpus: u32,
+}
+
+/// A cell.
+struct Cell {
+    controllers: Vec<Option<Child>>,
+    users: Vec<SocketAddr>,
+    internal: Vec<SocketAddr>,
+}
+
+/// Cells that know each other.
+pub struct Cells {
+    cells: Vec<Cell>,
+    /// Links by the cell that asks and the cell that is asked.
+    links: BTreeMap<(usize, usize), Vec<Link>>,
+    /// What the workers did.
+    pub history: Arc<Mutex<History>>,
+    stop: Arc<AtomicBool>,
+    folder: std::path::PathBuf,
+}
+
+impl Cells {
+    /// Starts cells; `group` tells the addresses of tests that run at once apart.
+    pub fn start(group: u8, plans: &[CellPlan]) -> Cells {
+        let network = (std::process::id() % 200 + 20) as u8;
+        let addr =
+            |host: usize, port: u16| SocketAddr::from((Ipv4Addr::new(127, network, group, host as u8), port));
+        let host = |cell: usize, controller: usize| cell * 10 + controller + 1;
+        let link_host = |from: usize, to: usize, controller: usize| 100 + from * 30 + to * 10 + controller;
+        let folder = std::env::temp_dir().join(format!("milletlock-cells-{}-{group}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let mut cells = Cells {
+            cells: Vec::new(),
+            links: BTreeMap::new(),
+            history: Arc::default(),
+            stop: Arc::default(),
+            folder,
+        };
+        for (i, plan) in plans.iter().enumerate() {
+            let controllers = 0..CONTROLLERS;
+            let users: Vec<SocketAddr> = controllers.clone().map(|c| addr(host(i, c), 8080)).collect();
+            let internal: Vec<SocketAddr> =
+                controllers.clone().map(|c| addr(host(i, c), INTERNAL_PORT)).collect();
+            let mut others = String::new();
+            for to in (0..plans.len()).filter(|to| *to != i) {
+                let at = |c: usize| addr(link_host(i, to, c), INTERNAL_PORT);
+                let link = |c: usize| Link::start(at(c), addr(host(to, c), INTERNAL_PORT));
+                cells.links.insert((i, to), controllers.clone().map(link).collect());
+                let list: Vec<String> = controllers.clone().map(|c| format!("\"{}\"", at(c))).collect();
+                others += &format!("{{ name = \"cell-{to}\", controllers = [{}] }},", list.join(", "));
+            }
+            let hcl = format!(
+                "leader_ttl_s = 1.0\ndrain_s = 3.0\nidle_s = 600.0\nidle_protected_s = 600.0\n\
+                 cells {{\n name = \"cell-{i}\"\n others = [{others}]\n lend = [\"*\"]\n borrow = [\"any\"]\n \
+                 borrow_cpus = {}\n lend_after_s = 0.3\n}}\n",
+                plan.borrow_cpus
+            );
+            std::fs::write(cells.folder.join(format!("{i}.hcl")), hcl).expect("written");
+            let machines: Vec<String> = (0..plan.workers).map(|w| format!("i-{i}{w:05}")).collect();
+            let (state, cloud) = (state_service(), cloud(machines.clone()));
+            for c in 0..CONTROLLERS {
+                let mut p = platform_json();
+                p["label"] = json!(format!("c-{c}"));
+                p["serve_on"] = json!(users[c].to_string());
+                p["internal_addr"] = json!(internal[c].to_string());
+                let member = |other: usize| json!({ "label": format!("c-{other}"), "addr": internal[other] });
+                p["members"] = (0..CONTROLLERS).filter(|other| *other != c).map(member).collect();
+                p["services"] = json!({ "cloud": cloud, "state": state });
+                let workers = &mut p["settings"]["workers"];
+                workers["report_s"] = json!(0.5);
+                workers["lease_s"] = json!(4.0);
+                workers["cancel_s"] = json!(8.0);
+                std::fs::write(cells.folder.join(format!("{i}-{c}.json")), p.to_string()).expect("written");
+            }
+            let none = (0..CONTROLLERS).map(|_| None).collect();
+            cells.cells.push(Cell { controllers: none, users: users.clone(), internal });
+            (0..CONTROLLERS).for_each(|c| cells.start_controller(i, c));
+            for id in machines {
+                let mut state = WorkerState::new(id, "north", Steady(0));
+                state.addr = String::new();
+                let history = cells.history.clone();
+                let worker = Worker { cell: i, state, ends: BTreeMap::new(), history };
+                let (users, stop) = (users.clone(), cells.stop.clone());
+                std::thread::spawn(move || worker.run(&users, &stop));
+            }
+        }
+        (0..plans.len()).for_each(|i| until("a cell is up", || cells.leader(i).is_some()));
+        cells
+    }
+
+    /// Starts a controller's process.
+    pub fn start_controller(&mut self, cell: usize, controller: usize) {
+        let file = |name: String| self.folder.join(name);
+        let log = std::fs::File::create(file(format!("{cell}-{controller}.log"))).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_milletlock"))
+            .arg("--config")
+            .arg(file(format!("{cell}-{controller}.json")))
+            .arg("--operator")
+            .arg(file(format!("{cell}.hcl")))
+            .env("LOG_LEVEL", "info")
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the program");
+        self.cells[cell].controllers[controller] = Some(child);
+    }
+
+    /// Ends a controller's process at once.
+    pub fn kill_controller(&mut self, cell: usize, controller: usize) {
+        if let Some(mut child) = self.cells[cell].controllers[controller].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Cuts two cells off from each other, or connects them again.
+    pub fn cut(&self, one: usize, other: usize, is_cut: bool) {
+        for pair in [(one, other), (other, one)] {
+            self.links[&pair].iter().for_each(|link| link.cut.store(is_cut, Ordering::Relaxed));
+        }
+    }
+
+    fn status(&self, cell: usize, controller: usize) -> Option<Value> {
+        self.cells[cell].controllers[controller].as_ref()?;
+        let call = Call { method: "GET".into(), path: "/status".into(), body: Vec::new() };
+        let answer = peer::ask(self.cells[cell].internal[controller], call, Micros::from_secs(2.0)).ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    /// Which controller leads a cell.
+    pub fn leader(&self, cell: usize) -> Option<usize> {
+        (0..CONTROLLERS).find(|c| self.status(cell, *c).is_some_and(|status| status["owner"].is_object()))
+    }
+
+    /// What a cell's leader says of loans.
+    pub fn cells_status(&self, cell: usize) -> Option<CellsStatus> {
+        let status = self.status(cell, self.leader(cell)?)?;
+        serde_json::from_value(status["cells"].clone()).ok()
+    }
+
+    /// Calls a cell's users' interface, at whichever controller answers.
+    pub fn call(&self, cell: usize, method: &str, path: &str, body: Option<&Value>) -> (u16, Value) {
+        let body = body.map(|body| body.to_string().into_bytes());
+        for addr in &self.cells[cell].users {
+            let client = Client::new(*addr, 0);
+            if let Ok((status, bytes)) = client.call(method, path, body.as_deref(), Micros::from_secs(5.0)) {
+                return (status, serde_json::from_slice(&bytes).unwrap_or(Value::Null));
+            }
+        }
+        (0, Value::Null)
+    }
+
+    /// Submits a job to a cell.
+    pub fn submit(&self, cell: usize, job: &Value) {
+        until("a job is accepted", || self.call(cell, "POST", "/api/jobs", Some(job)).0 / 100 == 2);
+    }
+
+    /// A job's stage at its home.
+    pub fn stage(&self, cell: usize, job: &str) -> String {
+        let answer = self.call(cell, "GET", &format!("/api/jobs/{job}"), None).1;
+        answer["stage"].as_str().unwrap_or("").to_string()
+    }
+}
+
+impl Drop for Cells {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for cell in 0..self.cells.len() {
+            (0..CONTROLLERS).for_each(|c| self.kill_controller(cell, c));
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Shared by the tests: settings and builders here, models of the parts of a cluster in the modules.
 #![allow(dead_code)]
 
+pub mod cells;
 pub mod clock;
 pub mod controllers;
 pub mod fleet_scenario;
