Cells: what loans mean for a fleet, lost answers, settings; tests

Change: tests of the fleet's side, of mistakes in settings, of a replaced owner's writes, of records that production must not read, of state services that lose answers. A first draft of one submitted the same id before the guest had accepted, and was accepted itself: it waits for the guest now.

--- a/tests/common/cells.rs
+++ b/tests/common/cells.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -15,7 +15,7 @@
 use milletlock::wire::{CellsStatus, Change, Order, ReportReply, TaskStage, Why};
 use serde_json::{json, Value};
 
-use super::servers::serve;
+use super::servers::{serve, serve_some};
 use super::state_service::{answer_read, answer_transaction, events, parameter, transaction, watched};
 use super::store::Store;
 use super::worker::{Attempt, Task, WorkerState};
@@ -138,9 +138,11 @@
     }
 }
 
-fn state_service() -> SocketAddr {
+/// While `drops_answers`, every fourth transaction has no answer: some are carried out, some are not.
+fn state_service(drops_answers: Arc<AtomicBool>) -> SocketAddr {
     let (state, changed) = (Mutex::new(StateService::default()), Condvar::new());
-    serve(move |r| {
+    let transactions = AtomicUsize::new(0);
+    serve_some(move |r| {
         let mut state = lock(&state);
         if r.path.starts_with("/watch") {
             let (prefix, from) = watched(&r);
@@ -153,9 +155,14 @@
             }
         }
         state.expire();
+        let drops = r.path == "/txn" && drops_answers.load(Ordering::Relaxed);
+        let number = if drops { transactions.fetch_add(1, Ordering::Relaxed) } else { 1 };
+        if number % 8 == 0 {
+            return None;
+        }
         let answer = state.answer(&r);
         changed.notify_all();
-        answer
+        (number % 8 != 4).then_some(answer)
     })
 }
 
@@ -328,6 +335,8 @@
     links: BTreeMap<(usize, usize), Vec<Link>>,
     /// What the workers did.
     pub history: Arc<Mutex<History>>,
+    /// Whether the state services drop answers.
+    pub drops_answers: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
     folder: std::path::PathBuf,
 }
@@ -346,6 +355,7 @@
             cells: Vec::new(),
             links: BTreeMap::new(),
             history: Arc::default(),
+            drops_answers: Arc::default(),
             stop: Arc::default(),
             folder,
         };
@@ -370,7 +380,7 @@
             );
             std::fs::write(cells.folder.join(format!("{i}.hcl")), hcl).expect("written");
             let machines: Vec<String> = (0..plan.workers).map(|w| format!("i-{i}{w:05}")).collect();
-            let (state, cloud) = (state_service(), cloud(machines.clone()));
+            let (state, cloud) = (state_service(cells.drops_answers.clone()), cloud(machines.clone()));
             for c in 0..CONTROLLERS {
                 let mut p = platform_json();
                 p["label"] = json!(format!("c-{c}"));
--- a/tests/common/fleet_scenario.rs
+++ b/tests/common/fleet_scenario.rs
@@ -5,6 +5,7 @@
 use super::{config, record, report, types};
 use milletlock::capacity::Offer;
 use milletlock::cluster;
+use milletlock::config::Config;
 use milletlock::fleet::{CheckIn, Fleet};
 use milletlock::jobs::MachineId;
 use milletlock::time::{Micros, Steady, Wall};
@@ -23,8 +24,13 @@
 
 impl Scenario {
     pub fn new(machines: usize, spot: bool) -> Scenario {
+        Scenario::with_config(config(), machines, spot)
+    }
+
+    /// The same with other settings.
+    pub fn with_config(config: Arc<Config>, machines: usize, spot: bool) -> Scenario {
         let now = Steady(1_000_000_000);
-        let mut fleet = Fleet::new(config(), types(), 7, now);
+        let mut fleet = Fleet::new(config, types(), 7, now);
         let machines: Vec<String> = (0..machines).map(|n| format!("i-{n:03}")).collect();
         fleet.rented(&machines, Offer { ty: 0, zone: 0, spot }, now);
         let mut s = Scenario { fleet, now, tally: 0, machines };
--- /dev/null
+++ b/tests/loans.rs
@@ -0,0 +1,291 @@
+//! What loans mean for an owner's fleet: lent tasks never start at home, a guest starts what it holds and
+//! nothing else, and both are rebuilt from the records.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::fleet_scenario::Scenario;
+use common::store::Store;
+use common::{config, production, record, spec, types};
+use milletlock::cluster::{self, PART};
+use milletlock::config::{Config, Operator};
+use milletlock::fleet::{Fleet, LoanWrite};
+use milletlock::time::{Steady, Wall};
+use milletlock::wire::{Order, TaskStage, Why};
+use milletlock_cells::{
+    CellSummary, GuestChange, Lending, Loan, LoanItem, LoanNumber, LocalTasks, Offer, Refusal, Request,
+    TaskSet, Wish, SUMMARY_FORM,
+};
+use serde_json::json;
+
+fn with_cells() -> Arc<Config> {
+    let hcl =
+        "cells {\n name = \"here\"\n others = [{ name = \"there\", controllers = [\"127.0.0.1:1\"] }]\n \
+               lend = [\"any\"]\n borrow = [\"any\"]\n borrow_cpus = 20\n lend_after_s = 0\n}\n";
+    let operator = Operator::parse(hcl, "test").expect("settings");
+    Arc::new(Config { platform: config().platform.clone(), operator })
+}
+
+fn scenario() -> Scenario {
+    Scenario::with_config(with_cells(), 2, false)
+}
+
+/// A guest with room for so many processors.
+fn guest(spare_cpus: f64) -> CellSummary {
+    CellSummary { form: SUMMARY_FORM, spare_cpus, ..CellSummary::default() }
+}
+
+fn wall(s: &Scenario) -> Wall {
+    Wall(s.now.0)
+}
+
+/// Has the fleet lend the last tasks of its only job.
+fn lend(s: &mut Scenario, count: u32) -> LoanWrite {
+    let candidate = s.fleet.lending_candidate(&guest(1000.0), wall(s)).expect("a job to lend from");
+    s.fleet.begin_loan(&candidate, count, "there").expect("a loan")
+}
+
+fn tasks(text: &str) -> TaskSet {
+    TaskSet::parse(text).expect("tasks")
+}
+
+/// Runs until nothing more starts; the numbers of all tasks that are on machines.
+fn started(s: &mut Scenario) -> TaskSet {
+    let mut all = TaskSet::new();
+    for _ in 0..30 {
+        s.step(&[]);
+        for id in s.machines.clone() {
+            let there = s.tasks(&id);
+            let numbers = there.iter().filter_map(|t| t.0.rsplit_once('/')?.1.parse::<u32>().ok());
+            numbers.for_each(|n| {
+                all.insert(n);
+            });
+            // They are done at once, and gone after that.
+            let done: Vec<_> =
+                there.iter().map(|t| (t.0.as_str(), t.1, TaskStage::Exited, Some(Why::Done))).collect();
+            for tasks in [done.as_slice(), &[]] {
+                s.tally += 1;
+                s.report(&common::report(&id, s.tally, 7, tasks));
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn lent_tasks_do_not_start_at_home_from_before_the_write_on() {
+    let mut s = scenario();
+    s.submit(spec(1, 100, "batch"));
+    let write = lend(&mut s, 60);
+    // The write has no answer yet, and never gets one here.
+    s.fleet.loan_unresolved(write.clone());
+    assert_eq!(started(&mut s), tasks("0-39"));
+    // It was not applied, and no copy of it can be any more: all may start again.
+    s.fleet.loan_not_written(&write);
+    assert_eq!(started(&mut s), tasks("40-99"));
+}
+
+#[test]
+fn only_tasks_that_never_began_are_lent_and_only_of_arrays_without_rules() {
+    let mut s = scenario();
+    s.submit(spec(1, 100, "batch"));
+    (0..4).for_each(|_| s.step(&[]));
+    let begun = s.fleet.jobs["wk-000001"].high_wanted;
+    assert!(begun > 0);
+    let candidate = s.fleet.lending_candidate(&guest(1000.0), wall(&s)).expect("a candidate");
+    assert_eq!(candidate.tasks, TaskSet::span(begun, 100), "what the mark covers may have been started");
+    for (name, value) in [("spread", json!(true)), ("oneZone", json!(true)), ("field", json!("north"))] {
+        let mut s = scenario();
+        let mut job = json!(spec(1, 100, "batch"));
+        job[name] = value;
+        s.submit(serde_json::from_value(job).expect("a job"));
+        assert!(s.fleet.lending_candidate(&guest(1000.0), wall(&s)).is_none(), "{name}");
+    }
+    for shape in ["gang", "daemon"] {
+        let mut s = scenario();
+        s.submit(spec(1, 100, shape));
+        assert!(s.fleet.lending_candidate(&guest(1000.0), wall(&s)).is_none(), "{shape}");
+    }
+}
+
+/// An offer of tasks of a job with a hundred.
+fn offer(number: u64, n: u32, held: &str) -> LoanItem {
+    let description = json!(spec(n, 100, "batch"));
+    LoanItem {
+        number: LoanNumber(number),
+        job: spec(n, 100, "batch").id,
+        tasks: tasks(held),
+        wish: Wish::Run,
+        offer: Some(Offer { description, job_tasks: 100 }),
+    }
+}
+
+fn request(loans: Vec<LoanItem>) -> Request {
+    Request { from: "there".into(), to: "here".into(), term: 1, horizon: LoanNumber(0), loans }
+}
+
+/// Carries out what a message asks for, each change durable at once.
+fn handle(fleet: &mut Fleet, request: &Request, store: &mut Store, now: Steady) -> Vec<GuestChange> {
+    let mut changes = Vec::new();
+    while let Some(change) = fleet.loans.guest.next_change(request, &fleet.local_tasks()) {
+        changes.push(change.clone());
+        let write = fleet.begin_guest_change(change);
+        match store.txn(&cluster::loan_txn(&write, store.stamp(PART))) {
+            Ok(revision) => fleet.loan_written(&write, revision, now, Wall(now.0)),
+            Err(keys) => {
+                assert!(keys.iter().any(|key| key.starts_with("job/")), "{keys:?}");
+                fleet.note_known_job(write.job());
+                fleet.loan_not_written(&write);
+            }
+        }
+    }
+    changes
+}
+
+#[test]
+fn a_guest_runs_what_it_holds_and_nothing_else() {
+    let (mut s, mut store) = (scenario(), Store::default());
+    let held = request(vec![offer(5, 1, "10-19")]);
+    handle(&mut s.fleet, &held, &mut store, s.now);
+    assert_eq!(started(&mut s), tasks("10-19"));
+    assert_eq!(s.fleet.recorded_done("wk-000001"), tasks("10-19"));
+    let pending = s.fleet.pending(s.now, milletlock::time::Micros::ZERO, 1000);
+    assert!(
+        !pending.iter().any(|p| matches!(p, milletlock::fleet::Pending::Final(_))),
+        "the end is its home's"
+    );
+    // Nothing can be recalled any more, since all has begun.
+    let recall = Request { loans: vec![LoanItem { wish: Wish::Recall, ..offer(5, 1, "10-19") }], ..held };
+    assert!(handle(&mut s.fleet, &recall, &mut store, s.now).is_empty());
+}
+
+#[test]
+fn what_a_guest_gives_back_does_not_start_there() {
+    let (mut s, mut store) = (scenario(), Store::default());
+    handle(&mut s.fleet, &request(vec![offer(5, 1, "0-19")]), &mut store, s.now);
+    s.step(&[]);
+    s.step(&[]);
+    let recall = request(vec![LoanItem { wish: Wish::Recall, ..offer(5, 1, "0-19") }]);
+    let changes = handle(&mut s.fleet, &recall, &mut store, s.now);
+    let given_back = &changes[0].withdrawn;
+    assert!(!given_back.is_empty() && !given_back.contains(0), "{given_back}");
+    assert!(started(&mut s).is_disjoint(given_back));
+}
+
+#[test]
+fn a_cancelled_loan_is_halted_and_its_tasks_are_gone() {
+    let (mut s, mut store) = (scenario(), Store::default());
+    handle(&mut s.fleet, &request(vec![offer(5, 1, "0-19")]), &mut store, s.now);
+    (0..3).for_each(|_| s.step(&[]));
+    let machine = s.machines[0].clone();
+    assert!(!s.tasks(&machine).is_empty());
+    let cancel = request(vec![LoanItem { wish: Wish::Cancel, ..offer(5, 1, "0-19") }]);
+    handle(&mut s.fleet, &cancel, &mut store, s.now);
+    let report = s.running(&machine);
+    let orders = s.report(&report);
+    assert!(!orders.is_empty() && orders.iter().all(|o| matches!(o, Order::Halt { .. })), "{orders:?}");
+}
+
+#[test]
+fn a_guest_refuses_what_it_cannot_or_will_not_run() {
+    let s = scenario();
+    let admit = |item: &LoanItem| s.fleet.local_tasks().admit(item, item.offer.as_ref().expect("an offer"));
+    let with = |name: &str, value: serde_json::Value| {
+        let mut item = offer(5, 1, "0-9");
+        item.offer.as_mut().expect("an offer").description[name] = value;
+        item
+    };
+    assert_eq!(admit(&offer(5, 1, "0-9")), Ok(()));
+    assert_eq!(admit(&offer(5, 1, "0-20")), Err(Refusal::NoRoom(21)));
+    assert_eq!(admit(&with("shape", json!("gang"))), Err(Refusal::NotBorrowable));
+    assert_eq!(admit(&with("spread", json!(true))), Err(Refusal::NotBorrowable));
+    assert_eq!(admit(&with("grain", json!("quick"))), Err(Refusal::Class("quick".into())));
+    assert!(matches!(admit(&with("owner", json!("nobody"))), Err(Refusal::NeverRuns(_))));
+    assert!(matches!(admit(&with("breeds", json!(["unheard"]))), Err(Refusal::NeverRuns(_))));
+    assert!(matches!(admit(&with("kernels", json!(7))), Err(Refusal::Malformed(_))));
+    assert!(matches!(admit(&with("nameId", json!("wk-2"))), Err(Refusal::Malformed(_))));
+    assert!(matches!(admit(&with("cpus", json!("many"))), Err(Refusal::Malformed(_))));
+}
+
+/// Two jobs of one id could not be told apart on a worker.
+#[test]
+fn a_job_that_was_accepted_here_is_not_borrowed() {
+    let (mut s, mut store) = (scenario(), Store::default());
+    let put = milletlock::wire::Change::put("job/wk-000001".to_string(), json!(record(spec(1, 5, "batch"))));
+    store.txn(&milletlock::wire::Txn { guards: Vec::new(), then: vec![put] }).expect("written");
+    // The owner has not heard of it yet: the transaction fails, and the next try refuses.
+    let changes = handle(&mut s.fleet, &request(vec![offer(5, 1, "0-9")]), &mut store, s.now);
+    assert_eq!(changes.last().and_then(|c| c.refusal.clone()), Some(Refusal::KnownJob));
+    assert!(store.row("borrowed/job/wk-000001").is_none());
+}
+
+#[test]
+fn a_takeover_finds_both_sides_of_loans_in_the_records() {
+    let (mut s, mut store) = (scenario(), Store::default());
+    handle(&mut s.fleet, &request(vec![offer(5, 1, "10-19")]), &mut store, s.now);
+    let mut lent = record(spec(2, 50, "batch"));
+    lent.lending.loans = vec![Loan { number: LoanNumber(9), guest: "there".into(), tasks: tasks("30-49") }];
+    let put = milletlock::wire::Change::put("job/wk-000002".to_string(), json!(lent));
+    store.txn(&milletlock::wire::Txn { guards: Vec::new(), then: vec![put] }).expect("written");
+    let mut fleet = Fleet::new(with_cells(), types(), 8, s.now);
+    cluster::load(&mut fleet, store.rows(""), s.now, wall(&s));
+    assert_eq!(fleet.jobs["wk-000001"].waiting.task_set(), tasks("10-19"));
+    assert_eq!(fleet.jobs["wk-000002"].waiting.task_set(), tasks("0-29"));
+    assert_eq!(fleet.loans.guest.high_water("there"), LoanNumber(5));
+    let late = fleet.loans.guest.next_change(&request(vec![offer(4, 3, "0-9")]), &fleet.local_tasks());
+    assert_eq!(late, None, "a late copy of an offer that was decided on creates nothing");
+}
+
+#[test]
+fn a_job_being_cancelled_starts_nothing_and_ends_once_no_loan_is_open() {
+    let mut s = scenario();
+    s.submit(spec(1, 100, "batch"));
+    let write = lend(&mut s, 60);
+    s.fleet.loan_written(&write, 20, s.now, wall(&s));
+    let LoanWrite::Home { record: lent, .. } = write else { panic!("a loan of this cell") };
+    let mut cancelling = *lent;
+    cancelling.lending.cancelling = true;
+    s.fleet.job_put(cancelling.clone(), 21, s.now);
+    assert!(started(&mut s).is_empty());
+    let over =
+        s.fleet.settle_loan("wk-000001", Lending { loans: Vec::new(), cancelling: true }).expect("a write");
+    let txn = cluster::loan_txn(&over, 1);
+    let keys: Vec<String> = txn.then.iter().map(|change| format!("{change:?}")).collect();
+    assert!(keys.iter().any(|change| change.contains("final/wk-000001")), "{keys:?}");
+    s.fleet.loan_written(&over, 22, s.now, wall(&s));
+    assert!(s.fleet.loans.home.jobs().next().is_none());
+}
+
+/// An earlier owner that does not know yet that it was replaced must not lend, take or give back.
+#[test]
+fn a_write_of_an_owner_that_was_replaced_is_refused() {
+    let (mut s, mut store) = (scenario(), Store::default());
+    s.submit(spec(1, 100, "batch"));
+    let put = |key: &str, value| milletlock::wire::Change::put(key.to_string(), value);
+    let then = vec![put("job/wk-000001", json!(record(spec(1, 100, "batch"))))];
+    store.txn(&milletlock::wire::Txn { guards: Vec::new(), then }).expect("written");
+    let write = lend(&mut s, 60);
+    let txn = cluster::loan_txn(&write, store.stamp(PART));
+    let then = vec![put(PART, json!({ "label": "another" }))];
+    store.txn(&milletlock::wire::Txn { guards: Vec::new(), then }).expect("taken over");
+    assert_eq!(store.txn(&txn), Err(vec![PART.to_string()]));
+}
+
+/// The version in production would start lent tasks: it must not be able to read such a record.
+#[test]
+fn production_reads_a_record_only_while_nothing_is_lent() {
+    let mut own = record(spec(1, 10, "batch"));
+    let reads = |record: &milletlock::jobs::JobRecord| {
+        serde_json::from_value::<production::JobRecord>(json!(record)).is_ok()
+    };
+    assert!(reads(&own));
+    own.lending.loans = vec![Loan { number: LoanNumber(1), guest: "there".into(), tasks: tasks("1") }];
+    assert!(!reads(&own));
+    let back: milletlock::jobs::JobRecord = serde_json::from_value(json!(own)).expect("read by this version");
+    assert_eq!(back.lending, own.lending);
+    own.lending = Lending { loans: Vec::new(), cancelling: true };
+    assert!(!reads(&own));
+    own.lending = Lending::default();
+    assert!(reads(&own), "and again once the loans are closed");
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -112,6 +112,34 @@
     assert!(!said("idle_s = ").is_empty());
 }
 
+#[test]
+fn mistakes_in_the_settings_of_cells_name_their_field() {
+    let said = |cells: &str| {
+        let text = format!("cells {{\n{cells}\n}}\n");
+        Operator::parse(&text, "f.hcl").err().map(|e| e.to_string()).unwrap_or_default()
+    };
+    let other = |name: &str| format!("{{ name = \"{name}\", controllers = [\"127.0.0.1:8081\"] }}");
+    let good = format!("name = \"a\"\nothers = [{}]", other("b"));
+    assert_eq!(said(&good), "");
+    assert_eq!(said(&format!("{good}\nscript = \"fn portion(view) {{ 1 }}\"")), "");
+    let cases = [
+        (format!("name = \"a\"\nothers = [{}, {}]", other("b"), other("b")), "cells.others[1].name"),
+        (format!("name = \"a\"\nothers = [{}]", other("a")), "cells.others[0].name"),
+        (format!("name = \"A b\"\nothers = [{}]", other("b")), "cells.name"),
+        ("name = \"a\"\nothers = [{ name = \"b\", controllers = [] }]".into(), "cells.others[0].controllers"),
+        ("name = \"a\"\nothers = [{ name = \"b\", controllers = [\"here\"] }]".into(), "controllers"),
+        (format!("{good}\nborrow_cpus = -1"), "cells.borrow_cpus"),
+        (format!("{good}\nlend_after_s = -1"), "cells.lend_after_s"),
+        (format!("{good}\nlent = []"), "lent"),
+        (format!("{good}\nscript = \"fn portion(view {{ 1 }}\""), "cells.script"),
+        (format!("{good}\nscript = \"fn share(view) {{ 1 }}\""), "cells.script"),
+    ];
+    for (cells, field) in cases {
+        let why = said(&cells);
+        assert!(why.contains(field) && !why.contains('\n'), "{cells}: {why}");
+    }
+}
+
 #[test]
 fn callers_have_room_within_sockets_memory_and_threads() {
     let room = |sockets: usize, ram: f64, operator: &str| {
--- a/tests/three_cells.rs
+++ b/tests/three_cells.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use common::cells::{until, CellPlan, Cells};
@@ -117,6 +118,18 @@
     assert_tally(&cells, tasks);
 }
 
+/// A transaction without an answer may have been carried out or not, and may yet be.
+#[test]
+fn lost_answers_of_the_state_services_lose_and_repeat_nothing() {
+    let cells = Cells::start(4, &plans());
+    cells.drops_answers.store(true, Ordering::Relaxed);
+    let tasks = flood(&cells);
+    wait_until_done(&cells);
+    cells.drops_answers.store(false, Ordering::Relaxed);
+    assert_gang_whole(&cells);
+    assert_tally(&cells, tasks);
+}
+
 #[test]
 fn a_cancellation_is_confirmed_only_when_no_guest_behind_a_cut_holds_the_job() {
     let cells = Cells::start(3, &plans());
@@ -127,6 +140,11 @@
         status.lent.iter().map(|loan| loan.cell.clone()).collect::<std::collections::BTreeSet<_>>()
     };
     until("both others hold tasks", || holders().len() == 2);
+    until("the guest has accepted", || {
+        cells.cells_status(2).is_some_and(|status| !status.borrowed.is_empty())
+    });
+    let same_id = cells.call(2, "POST", "/api/jobs", Some(&job(1, 1, "batch"))).0;
+    assert_eq!(same_id, 503, "two jobs of one id could not be told apart on a worker");
     cells.cut(0, 1, true);
     let withdraw = || cells.call(0, "POST", &format!("/api/jobs/{}/withdraw", id(1)), Some(&json!({})));
     assert_eq!(withdraw().0, 503);
