--- a/tests/common/cells.rs
+++ b/tests/common/cells.rs
@@ -138,11 +138,22 @@
     }
 }
 
+/// What the controllers of a cell asked of their state service.
+#[derive(Default)]
+pub struct StateLoad {
+    pub requests: AtomicUsize,
+    pub changes: AtomicUsize,
+}
+
 /// While `drops_answers`, every fourth transaction has no answer: some are carried out, some are not.
-fn state_service(drops_answers: Arc<AtomicBool>) -> SocketAddr {
+fn state_service(drops_answers: Arc<AtomicBool>, load: Arc<StateLoad>) -> SocketAddr {
     let (state, changed) = (Mutex::new(StateService::default()), Condvar::new());
     let transactions = AtomicUsize::new(0);
     serve_some(move |r| {
+        load.requests.fetch_add(1, Ordering::Relaxed);
+        if r.path == "/txn" {
+            load.changes.fetch_add(transaction(&r).then.len(), Ordering::Relaxed);
+        }
         let mut state = lock(&state);
         if r.path.starts_with("/watch") {
             let (prefix, from) = watched(&r);
@@ -319,6 +330,8 @@
     pub workers: usize,
     /// Processors' worth of tasks that it borrows.
     pub borrow_cpus: u32,
+    /// Whether its settings have a block of cells.
+    pub has_block: bool,
 }
 
 /// A cell.
@@ -326,6 +339,7 @@
     controllers: Vec<Option<Child>>,
     users: Vec<SocketAddr>,
     internal: Vec<SocketAddr>,
+    load: Arc<StateLoad>,
 }
 
 /// Cells that know each other.
@@ -372,15 +386,20 @@
                 let list: Vec<String> = controllers.clone().map(|c| format!("\"{}\"", at(c))).collect();
                 others += &format!("{{ name = \"cell-{to}\", controllers = [{}] }},", list.join(", "));
             }
-            let hcl = format!(
-                "leader_ttl_s = 1.0\ndrain_s = 3.0\nidle_s = 600.0\nidle_protected_s = 600.0\n\
-                 cells {{\n name = \"cell-{i}\"\n others = [{others}]\n lend = [\"*\"]\n borrow = [\"any\"]\n \
+            let block = format!(
+                "cells {{\n name = \"cell-{i}\"\n others = [{others}]\n lend = [\"*\"]\n borrow = [\"any\"]\n \
                  borrow_cpus = {}\n lend_after_s = 0.3\n}}\n",
                 plan.borrow_cpus
             );
+            let block = if plan.has_block { block.as_str() } else { "" };
+            let hcl = format!(
+                "leader_ttl_s = 1.0\ndrain_s = 3.0\nidle_s = 600.0\nidle_protected_s = 600.0\n{block}"
+            );
             std::fs::write(cells.folder.join(format!("{i}.hcl")), hcl).expect("written");
             let machines: Vec<String> = (0..plan.workers).map(|w| format!("i-{i}{w:05}")).collect();
-            let (state, cloud) = (state_service(cells.drops_answers.clone()), cloud(machines.clone()));
+            let load = Arc::<StateLoad>::default();
+            let (state, cloud) =
+                (state_service(cells.drops_answers.clone(), load.clone()), cloud(machines.clone()));
             for c in 0..CONTROLLERS {
                 let mut p = platform_json();
                 p["label"] = json!(format!("c-{c}"));
@@ -396,7 +415,7 @@
                 std::fs::write(cells.folder.join(format!("{i}-{c}.json")), p.to_string()).expect("written");
             }
             let none = (0..CONTROLLERS).map(|_| None).collect();
-            cells.cells.push(Cell { controllers: none, users: users.clone(), internal });
+            cells.cells.push(Cell { controllers: none, users: users.clone(), internal, load });
             (0..CONTROLLERS).for_each(|c| cells.start_controller(i, c));
             for id in machines {
                 let mut state = WorkerState::new(id, "north", Steady(0));
@@ -443,6 +462,22 @@
         }
     }
 
+    /// What a cell's controllers have asked of their state service.
+    pub fn state_load(&self, cell: usize) -> (usize, usize) {
+        let load = &self.cells[cell].load;
+        (load.requests.load(Ordering::Relaxed), load.changes.load(Ordering::Relaxed))
+    }
+
+    /// Processor time in clock ticks that a cell's controllers have taken.
+    pub fn processor_ticks(&self, cell: usize) -> u64 {
+        let ticks = |child: &Child| -> u64 {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
+            let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+            [11, 12].iter().filter_map(|i| fields.get(*i)?.parse::<u64>().ok()).sum()
+        };
+        self.cells[cell].controllers.iter().flatten().map(ticks).sum()
+    }
+
     fn status(&self, cell: usize, controller: usize) -> Option<Value> {
         self.cells[cell].controllers[controller].as_ref()?;
         let call = Call { method: "GET".into(), path: "/status".into(), body: Vec::new() };
--- /dev/null
+++ b/tests/measure_cells.rs
@@ -0,0 +1,64 @@
+//! Measurements of cells on loopback, run by hand:
+//! `cargo test --release --test measure_cells -- --ignored --nocapture`. The figures are of the machine at
+//! hand; docs/results.md has some.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::cells::{until, CellPlan, Cells};
+use common::spec;
+use serde_json::json;
+
+/// Tasks of the flood.
+const TASKS: u32 = 1000;
+
+fn plans(borrow_cpus: u32, has_block: bool) -> [CellPlan; 3] {
+    [2, 4, 4].map(|workers| CellPlan { workers, borrow_cpus, has_block })
+}
+
+/// Floods the first cell and prints how long it takes and what it costs.
+fn drain(title: &str, group: u8, borrow_cpus: u32, cut: bool) {
+    let cells = Cells::start(group, &plans(borrow_cpus, true));
+    cells.cut(0, 2, cut);
+    let before: Vec<(usize, usize)> = (0..3).map(|cell| cells.state_load(cell)).collect();
+    let begun = Instant::now();
+    for number in 1..=5 {
+        let mut job = json!(spec(number, TASKS / 5, "batch"));
+        job["expectS"] = json!(2.0);
+        cells.submit(0, &job);
+    }
+    for number in 1..=5 {
+        until("an array is done", || cells.stage(0, &spec(number, 1, "batch").id) == "done");
+    }
+    let took = begun.elapsed().as_secs_f64();
+    let history = cells.history.lock().expect("the history");
+    history.assert_each_finished_once(TASKS as usize);
+    let changes: Vec<usize> = (0..3).map(|cell| cells.state_load(cell).1 - before[cell].1).collect();
+    println!("{title}: {took:.1} s, finished by cell {:?}, changes by cell {changes:?}", history.tally(3));
+}
+
+#[test]
+#[ignore = "a measurement, run by hand"]
+fn time_to_drain_a_flood() {
+    drain("without lending", 11, 0, false);
+    drain("with lending", 12, 60, false);
+    drain("with lending, one guest cut off", 13, 60, true);
+}
+
+#[test]
+#[ignore = "a measurement, run by hand"]
+fn cost_of_an_idle_block() {
+    for (title, group, has_block) in [("without a block", 14, false), ("with a block", 15, true)] {
+        let cells = Cells::start(group, &plans(60, has_block));
+        let before = (cells.state_load(0), cells.processor_ticks(0));
+        std::thread::sleep(Duration::from_secs(20));
+        let (requests, changes) = cells.state_load(0);
+        let ticks = cells.processor_ticks(0) - before.1;
+        println!(
+            "{title}, 20 s idle: {} requests, {} changes, {ticks} ticks of processor time",
+            requests - before.0 .0,
+            changes - before.0 .1
+        );
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -112,6 +112,14 @@
     assert!(!said("idle_s = ").is_empty());
 }
 
+#[test]
+fn the_example_of_cells_is_good() {
+    let example = Operator::parse(include_str!("../deploy/cells.hcl"), "cells.hcl").expect("settings");
+    let cells = example.cells.expect("cells");
+    assert_eq!((cells.name.as_str(), cells.others.len(), cells.addresses().len()), ("north", 2, 6));
+    assert!(cells.script.is_some_and(|script| script.contains("default_portion")));
+}
+
 #[test]
 fn mistakes_in_the_settings_of_cells_name_their_field() {
     let said = |cells: &str| {
