--- /dev/null
+++ b/src/fleet/lending.rs
@@ -0,0 +1,154 @@
+//! The lending side of loans: what may be lent, and the writes that lend and settle.
+
+use milletlock_cells::{CellSummary, Lending, LendingView, Loan, LoanNumber, TaskSet, MAX_PORTION};
+
+use super::borrowing::is_array_without_rules;
+use super::*;
+
+/// Tasks are recalled only if they take no more than this part of the drain time: with more they would be
+/// lent again at once.
+const RECALLED_SHARE: f64 = 0.5;
+/// Bytes of a record that are left free.
+const RECORD_SLACK: usize = 128;
+
+/// Tasks of a job that could be lent.
+#[derive(Clone, Debug)]
+pub struct LendingCandidate {
+    /// The job.
+    pub job: JobId,
+    /// Its tasks that have not begun.
+    pub tasks: TaskSet,
+    /// What the choice rests on.
+    pub view: LendingView,
+}
+
+impl Fleet {
+    /// Tasks of a lent job that are done elsewhere.
+    pub fn lent_tasks_done(&mut self, id: &str, tasks: &TaskSet) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none()) else { return };
+        for task in tasks.iter().filter(|task| *task < job.spec.tasks) {
+            job.done.insert(task);
+            job.waiting.remove(task);
+        }
+        self.dirty = true;
+    }
+
+    /// Seconds for which this cell's own waiting arrays keep its machines busy, and whether anything
+    /// waits at all. Without a machine there is nothing to measure by: a processor is taken for it.
+    pub fn array_backlog_s(&self) -> f64 {
+        let own_arrays = self
+            .jobs
+            .values()
+            .filter(|job| !job.cancelled && job.borrowed_from.is_none() && job.spec.shape == Shape::Array);
+        let work = |job: &Job| f64::from(job.waiting.len()) * job.spec.cpus * job.spec.estimate_s;
+        own_arrays.map(work).sum::<f64>() / self.array_cpus().max(1.0)
+    }
+
+    /// Whether this cell would get through such tasks of a job well within the drain time.
+    pub fn could_run_soon(&self, id: &str, tasks: &TaskSet) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let left = tasks.difference(&job.done.task_set()).len();
+        let work_s = f64::from(left) * job.spec.cpus * job.spec.estimate_s;
+        left > 0 && work_s / self.array_cpus().max(1.0) <= self.cfg.operator.drain_s * RECALLED_SHARE
+    }
+
+    /// Processors of the machines that arrays can run on.
+    fn array_cpus(&self) -> f64 {
+        let machines = self.machines.values().filter(|m| m.up && !m.leaving && !m.expired);
+        machines.filter_map(|m| m.ty).map(|ty| self.total(ty).cpus).sum()
+    }
+
+    /// The job to lend from to a guest with this summary: the youngest that waits long enough, since the
+    /// older ones are served first here. Only tasks above its mark: those have never been started.
+    pub fn lending_candidate(&self, guest: &CellSummary, now: Wall) -> Option<LendingCandidate> {
+        let cells = self.cfg.operator.cells.as_ref()?;
+        let backlog_s = self.array_backlog_s();
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(|job| self.is_lendable(job, guest)).collect();
+        jobs.sort_by_key(|job| std::cmp::Reverse(job.submitted));
+        jobs.into_iter().find_map(|job| {
+            let waited_s = (now - job.submitted).secs();
+            let begun = job.high.max(job.high_wanted);
+            let tasks: TaskSet = job.waiting.iter().filter(|task| *task >= begun).collect();
+            let view = LendingView {
+                backlog_s,
+                drain_s: self.cfg.operator.drain_s,
+                lendable: tasks.len(),
+                task_cpus: job.spec.cpus,
+                task_s: job.spec.estimate_s,
+                waited_s,
+                guest_spare_cpus: guest.spare_cpus,
+                guest_backlog_s: guest.backlog_s,
+            };
+            let is_due = waited_s >= cells.lend_after_s && !tasks.is_empty();
+            is_due.then(|| LendingCandidate { job: job.id.clone(), tasks, view })
+        })
+    }
+
+    /// Whether tasks of a job may be lent to a guest at all: only those of arrays without a rule over all
+    /// their tasks, and never what is borrowed itself.
+    fn is_lendable(&self, job: &Job, guest: &CellSummary) -> bool {
+        let spec = &job.spec;
+        let lends = self.cfg.operator.cells.as_ref().is_some_and(|cells| cells.lends(spec.class.as_ref()));
+        let has_type =
+            spec.types.as_ref().is_none_or(|types| types.iter().any(|ty| guest.free_cpus.contains_key(ty)));
+        lends
+            && has_type
+            && !job.cancelled
+            && job.borrowed_from.is_none()
+            && is_array_without_rules(spec)
+            && !self.loans.is_lending(&job.id)
+    }
+
+    /// Begins to lend the last `count` of a candidate's tasks: from now on none of them may start here.
+    pub fn begin_loan(&mut self, candidate: &LendingCandidate, count: u32, guest: &str) -> Option<LoanWrite> {
+        let skipped = candidate.tasks.len().saturating_sub(count.min(MAX_PORTION)) as usize;
+        let tasks: TaskSet = candidate.tasks.iter().skip(skipped).collect();
+        if tasks.is_empty() {
+            return None;
+        }
+        let number = self.loans.home.next_number()?;
+        let loan = Loan { number, guest: guest.to_string(), tasks: tasks.clone() };
+        let lending = self.loans.home.with_loan(&candidate.job, loan);
+        let write = self.home_write(&candidate.job, lending, Some(number));
+        if write.is_none() {
+            self.loans.home.decided(number);
+            return None;
+        }
+        self.loans.lending_in_flight.insert(candidate.job.clone(), tasks);
+        self.update_withheld(&candidate.job);
+        write
+    }
+
+    /// The write of what a job's record says of loans from now on; none while another is in flight or if
+    /// it does not fit a value.
+    fn home_write(&self, job: &str, lending: Lending, made: Option<LoanNumber>) -> Option<LoanWrite> {
+        if self.loans.is_lending(job) {
+            return None;
+        }
+        let (mut record, stamp) = match (self.loans.lent.get(job), self.jobs.get(job)) {
+            (Some(lent), _) => (lent.record.clone(), lent.stamp),
+            (None, Some(job)) => {
+                let spec = job.spec.clone();
+                let submitted_us = job.submitted.0;
+                (JobRecord { spec, submitted_us, high: 0, lending: Lending::default() }, job.stamp)
+            }
+            (None, None) => return None,
+        };
+        record.lending = lending;
+        let bytes = serde_json::to_string(&record).map_or(usize::MAX, |text| text.len());
+        let fits = bytes + RECORD_SLACK <= self.value_limit;
+        (fits || made.is_none()).then(|| LoanWrite::Home {
+            job: job.into(),
+            record: Box::new(record),
+            stamp,
+            made,
+        })
+    }
+
+    /// The write by which a settlement with a guest takes effect.
+    pub fn settle_loan(&mut self, job: &str, lending: Lending) -> Option<LoanWrite> {
+        let write = self.home_write(job, lending, None)?;
+        self.loans.lending_in_flight.insert(job.into(), TaskSet::new());
+        Some(write)
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,7 +5,9 @@
 //! shows it exited, or the machine is gone for certain. Nothing is started elsewhere before.
 
 mod admission;
+mod borrowing;
 mod demand;
+mod lending;
 mod loans;
 mod machines;
 mod planning;
@@ -19,7 +21,9 @@
 mod upkeep;
 
 pub use admission::never_runs;
-pub use loans::{BorrowedTasks, LendingCandidate, LoanWrite, Loans};
+pub use borrowing::BorrowedTasks;
+pub use lending::LendingCandidate;
+pub use loans::{LoanWrite, Loans};
 pub use machines::{Entry, Machine};
 pub use records::{Packed, Pending, WriteContents};
 pub use status::{FactorView, JobView, MachineView, StatusView};
--- a/src/loan_messages.rs
+++ b/src/loan_messages.rs
@@ -30,13 +30,16 @@
     Description(u64),
 }
 
-/// A request as it is sent.
+/// A request as it is sent. Loans beyond what a message may name are beyond its horizon: otherwise they
+/// would count as closed.
 pub fn request_to_proto(request: &Request) -> proto::LoanRequest {
+    let left_out = request.loans.get(MAX_LOANS);
+    let horizon = left_out.map_or(request.horizon.0, |loan| request.horizon.0.min(loan.number.0 - 1));
     proto::LoanRequest {
         from: request.from.clone(),
         to: request.to.clone(),
         term: request.term,
-        horizon: request.horizon.0,
+        horizon,
         loans: request.loans.iter().take(MAX_LOANS).map(item_to_proto).collect(),
     }
 }
--- a/src/node/borrowing.rs
+++ b/src/node/borrowing.rs
@@ -14,6 +14,9 @@
 /// No change is begun this long after the message came: its sender does not wait for the answer.
 const ANSWER_TIME: Micros = Micros::from_millis(600);
 
+/// Most senders of refused messages that are remembered.
+const MAX_REFUSED_CELLS: usize = 100;
+
 impl Node {
     /// Answers another cell's message about its loans.
     pub(super) fn on_loans(&self, message: &LoanRequest) -> Outcome {
@@ -21,7 +24,7 @@
         let request = match checked(cells, message) {
             Ok(request) => request,
             Err(why) => {
-                tracing::error!(from = %message.from, why, "a message of another cell is refused");
+                self.log_refused_message(&message.from, why);
                 return Outcome::Loans(LoanReply { from: cells.name.clone(), ..LoanReply::default() });
             }
         };
@@ -68,6 +71,18 @@
         }
     }
 
+    /// Logs why a message is refused, once for each sender and reason: it comes again and again.
+    fn log_refused_message(&self, from: &str, why: String) {
+        let mut shared = self.lock();
+        if shared.refused_cells.len() >= MAX_REFUSED_CELLS {
+            shared.refused_cells.clear();
+        }
+        if shared.refused_cells.get(from) != Some(&why) {
+            tracing::error!(from, why, "a message of another cell is refused");
+            shared.refused_cells.insert(from.to_string(), why);
+        }
+    }
+
     /// The answer of a controller that does not lead: who does.
     fn not_leading(&self, cells: &CellsSettings, shared: &SharedState) -> LoanReply {
         let leader = shared.leader.as_ref().and_then(|leader| {
--- a/src/node/lending.rs
+++ b/src/node/lending.rs
@@ -130,8 +130,8 @@
     /// Takes another cell's answer.
     fn on_loan_reply(&self, token: u64, cell: &OtherCell, reply: &LoanReply, choice: &Choice) {
         if reply.from != cell.name {
-            tracing::error!(cell = %cell.name, from = %reply.from, "another cell answers under a wrong name");
-            return self.cell_unreachable(cell, "a wrong name");
+            return self
+                .cell_unreachable(cell, "a controller of another name, or without a cells block, answers");
         }
         if !self.note_cell(cell, reply) {
             return;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -76,6 +76,8 @@
     peer_versions: BTreeMap<String, String>,
     /// The other cells, by name.
     other_cells: BTreeMap<String, OtherCellState>,
+    /// Why messages of other cells were last refused, by their sender's name.
+    refused_cells: BTreeMap<String, String>,
     /// The machine types, once known.
     machine_types: Option<Vec<MachineType>>,
     /// Final stages known to be written, with the revisions at which they were written.
