Cold restart: orders counted from the workers' side, with all controllers away

Change: tests/cold_restart.rs on real processes: no difference, leases run out, and a mixture of ended tasks, lost machines and a confirmed cancellation; stand-in workers keep their lease, machines can go. Result: without a difference no order; after a lease each lost task starts once; in the mixture starts equal the lost tasks.

--- /dev/null
+++ b/tests/cold_restart.rs
@@ -0,0 +1,190 @@
+//! All controllers of a cell end and come back while its workers go on. The orders that workers get after
+//! that are counted from their side: about as many as there are real differences between what the workers
+//! have and what is recorded, however many workers there are.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use common::cells::{until, CellPlan, Cells, LEASE_S};
+use common::spec;
+use milletlock::wire::Order;
+use serde_json::{json, Value};
+
+/// Processors of a worker, and so tasks that it runs at once.
+const TASKS_PER_WORKER: usize = 4;
+/// How long the tasks of this test run: longer than it takes.
+const LONG: Duration = Duration::from_secs(90);
+/// Less than a lease.
+const SHORT_OUTAGE: Duration = Duration::from_millis(1_500);
+/// More than a lease and a report.
+const LONG_OUTAGE: Duration = Duration::from_millis(6_000);
+
+/// Orders that workers got after a moment, by kind.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Orders {
+    starts: usize,
+    halts: usize,
+    forgets: usize,
+}
+
+/// A cell whose machines are full, and whose controllers are about to end.
+struct Blackout {
+    cells: Cells,
+    workers: usize,
+    since: Instant,
+}
+
+impl Blackout {
+    /// Fills a cell with one array for each worker.
+    fn prepare(group: u8, workers: usize) -> Blackout {
+        let plan = CellPlan { workers, has_block: false, task_time: LONG, ..CellPlan::default() };
+        let cells = Cells::start(group, &[plan]);
+        for number in 1..=workers as u32 {
+            cells.submit(0, &job(number, TASKS_PER_WORKER as u32));
+        }
+        let blackout = Blackout { cells, workers, since: Instant::now() };
+        blackout.wait_until_full();
+        blackout
+    }
+
+    fn wait_until_full(&self) {
+        until("all machines are full", || self.present() == self.workers * TASKS_PER_WORKER);
+    }
+
+    fn present(&self) -> usize {
+        self.cells.history.lock().expect("the history").present.len()
+    }
+
+    /// Ends all controllers, has something happen, and starts them again after a while.
+    fn run(&mut self, outage: Duration, meanwhile: impl FnOnce(&Cells)) {
+        (0..2).for_each(|controller| self.cells.kill_controller(0, controller));
+        let begun = Instant::now();
+        meanwhile(&self.cells);
+        std::thread::sleep(outage.saturating_sub(begun.elapsed()));
+        self.since = Instant::now();
+        (0..2).for_each(|controller| self.cells.start_controller(0, controller));
+        until("somebody leads", || self.cells.leader(0).is_some());
+        until("all machines are heard or gone", || self.unheard() == 0);
+    }
+
+    /// Machines that the leader has not heard.
+    fn unheard(&self) -> usize {
+        let status = self.cells.leader(0).and_then(|leader| self.cells.status(0, leader)).unwrap_or_default();
+        let machines: Vec<Value> = status["owner"]["machines"].as_array().cloned().unwrap_or_default();
+        machines.iter().filter(|m| ["unheard", "silent", "leaving"].iter().any(|s| m["state"] == *s)).count()
+    }
+
+    /// The orders since the controllers were started again, once no more come for a while.
+    fn orders(&self) -> Orders {
+        let count = || self.cells.history.lock().expect("the history").orders.len();
+        let (mut seen, mut quiet_since) = (count(), Instant::now());
+        until("no more orders come", || {
+            if count() > seen {
+                (seen, quiet_since) = (count(), Instant::now());
+            }
+            quiet_since.elapsed() > Duration::from_secs(2)
+        });
+        let mut orders = Orders::default();
+        let history = self.cells.history.lock().expect("the history");
+        for (_, order) in history.orders.iter().filter(|(at, _)| *at > self.since) {
+            match order {
+                Order::Start { .. } => orders.starts += 1,
+                Order::Halt { .. } => orders.halts += 1,
+                Order::Forget { .. } => orders.forgets += 1,
+            }
+        }
+        orders
+    }
+}
+
+fn job(number: u32, tasks: u32) -> Value {
+    let mut job = json!(spec(number, tasks, "batch"));
+    job["expectS"] = json!(LONG.as_secs_f64());
+    job["gleanings"] = json!(false);
+    job
+}
+
+/// The workers' tasks with their machines.
+fn tasks_of(cells: &Cells) -> BTreeMap<String, Vec<String>> {
+    let mut by_machine: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for ((_, attempt), machine) in &cells.history.lock().expect("the history").present {
+        by_machine.entry(machine.clone()).or_default().push(attempt.0.clone());
+    }
+    by_machine
+}
+
+#[test]
+fn without_a_difference_no_order_is_given() {
+    let mut blackout = Blackout::prepare(31, 40);
+    blackout.run(SHORT_OUTAGE, |_| ());
+    assert_eq!(blackout.orders(), Orders::default());
+    assert_eq!(blackout.cells.history.lock().expect("the history").rentals, 0, "nothing is rented");
+}
+
+#[test]
+fn after_more_than_a_lease_each_lost_task_starts_once() {
+    let mut blackout = Blackout::prepare(32, 40);
+    blackout.run(LONG_OUTAGE, |cells| {
+        assert!(LONG_OUTAGE.as_secs_f64() > LEASE_S);
+        until("all leases have run out", || cells.history.lock().expect("the history").present.is_empty());
+    });
+    blackout.wait_until_full();
+    let lost = blackout.workers * TASKS_PER_WORKER;
+    assert_eq!(blackout.orders(), Orders { starts: lost, ..Orders::default() });
+}
+
+/// Tasks that end while nobody listens, machines that go, a cancellation that was just confirmed.
+#[test]
+fn orders_are_about_as_many_as_differences() {
+    let mut blackout = Blackout::prepare(33, 40);
+    let cancelled = spec(1, 1, "batch").id;
+    let path = format!("/api/jobs/{cancelled}/withdraw");
+    let answer = blackout.cells.call(0, "POST", &path, Some(&json!({})));
+    assert_eq!(answer, (200, json!({ "nameId": cancelled, "stage": "cancelled" })));
+    let (mut ended, mut lost) = (0, 0);
+    blackout.run(SHORT_OUTAGE, |cells| {
+        let mut machines = tasks_of(cells);
+        let is_cancelled = |task: &String| task.starts_with(&format!("{cancelled}/"));
+        machines.retain(|_, tasks| !tasks.iter().any(is_cancelled));
+        for (id, tasks) in machines.iter().take(2) {
+            lost += tasks.len();
+            cells.history.lock().expect("the history").remove_machine(id);
+        }
+        for tasks in machines.values().skip(2).take(5) {
+            ended += tasks.len();
+            cells.end_tasks(tasks);
+        }
+    });
+    let left = (blackout.workers - 1) * TASKS_PER_WORKER - ended;
+    until("what was lost with machines runs again", || blackout.present() == left);
+    let orders = blackout.orders();
+    let differences = ended + lost + TASKS_PER_WORKER;
+    // An order is repeated until a report shows its effect: at most once more for each.
+    assert_eq!(orders.starts, lost, "{orders:?}");
+    assert!(orders.halts <= 2 * TASKS_PER_WORKER, "{orders:?}, one job was cancelled");
+    assert!(orders.forgets <= 2 * (ended + TASKS_PER_WORKER), "{orders:?}, {ended} tasks ended");
+    assert!(orders.starts + orders.halts + orders.forgets <= 2 * differences, "{orders:?}");
+    let history = blackout.cells.history.lock().expect("the history");
+    assert!(history.present.keys().all(|(_, attempt)| !attempt.0.starts_with(&format!("{cancelled}/"))));
+    assert!(history.finished.values().all(|cells| cells.len() == 1), "no task finishes twice");
+}
+
+#[test]
+#[ignore = "a measurement, run by hand"]
+fn orders_with_many_workers() {
+    for (group, workers) in [(34, 200), (35, 1000)] {
+        for outage in [SHORT_OUTAGE, LONG_OUTAGE] {
+            let mut blackout = Blackout::prepare(group, workers);
+            let changes = blackout.cells.state_load(0).1;
+            blackout.run(outage, |_| ());
+            let heard = blackout.since.elapsed();
+            let orders = blackout.orders();
+            let changes = blackout.cells.state_load(0).1 - changes;
+            println!(
+                "{workers} workers, away {outage:?}: heard after {heard:?}, {orders:?}, {changes} changes"
+            );
+        }
+    }
+}
--- a/tests/common/cells.rs
+++ b/tests/common/cells.rs
@@ -23,10 +23,12 @@
 
 /// Controllers of each cell.
 const CONTROLLERS: usize = 2;
-/// How long a task runs.
-const TASK_TIME: Duration = Duration::from_millis(250);
+/// The workers' lease in these settings, in seconds.
+pub const LEASE_S: f64 = 4.0;
 /// How often a worker reports if nothing changes.
 const REPORT_TIME: Duration = Duration::from_millis(300);
+/// How often a worker looks whether it has something to report.
+const WORKER_STEP: Duration = Duration::from_millis(40);
 /// Port on which controllers hear each other.
 const INTERNAL_PORT: u16 = 8081;
 
@@ -50,11 +52,27 @@
     pub begun: BTreeMap<String, BTreeSet<(usize, u64)>>,
     /// How often each task finished in which cell.
     pub finished: BTreeMap<String, Vec<usize>>,
-    /// Tasks that are on a machine.
-    pub present: BTreeSet<(usize, Attempt)>,
+    /// Tasks that are on a machine, with its name.
+    pub present: BTreeMap<(usize, Attempt), String>,
+    /// Machines that are gone.
+    pub gone: BTreeSet<String>,
+    /// Tasks that end before their time.
+    pub ended_early: BTreeSet<String>,
+    /// Machines that were asked for in vain.
+    pub rentals: u64,
+    /// The orders that workers executed, and when.
+    pub orders: Vec<(Instant, Order)>,
+    /// Tasks that were killed by the end of a worker's lease.
+    pub killed_by_lease: usize,
 }
 
 impl History {
+    /// A machine is gone, with all that is on it.
+    pub fn remove_machine(&mut self, id: &str) {
+        self.gone.insert(id.to_string());
+        self.present.retain(|_, machine| machine != id);
+    }
+
     /// How many tasks finished in each cell.
     pub fn tally(&self, cells: usize) -> Vec<usize> {
         let of = |cell: usize| self.finished.values().flatten().filter(|at| **at == cell).count();
@@ -177,9 +195,20 @@
     })
 }
 
-/// A cloud that has just the cell's machines; it rents none and takes none back.
-fn cloud(machines: Vec<String>) -> SocketAddr {
+/// A cloud that has just the cell's machines, and no more to rent.
+fn cloud(machines: Vec<String>, history: Arc<Mutex<History>>) -> SocketAddr {
     serve(move |r| match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
+        ("POST", "/rentals/return") => {
+            let body: Value = serde_json::from_slice(&r.body).expect("a request");
+            let names = body["husks"].as_array().expect("names").iter().filter_map(Value::as_str);
+            names.for_each(|id| lock(&history).remove_machine(id));
+            Response::json(200, &json!({}))
+        }
+        ("POST", "/rentals") => {
+            let body: Value = serde_json::from_slice(&r.body).expect("a request");
+            lock(&history).rentals += body["count"].as_u64().unwrap_or(0);
+            Response::error(503, "no capacity")
+        }
         ("GET", "/catalog") => Response::json(200, &json!({ "breeds": types() })),
         ("GET", "/rentals") => {
             let from = parameter(&r, "from");
@@ -187,7 +216,9 @@
                 json!({ "nameId": id, "addr": "", "breed": "small", "field": "north", "gleanings": false,
                         "stage": "running", "ageS": 60.0 })
             };
-            let list: Vec<Value> = machines.iter().filter(|id| id.as_str() > from).map(machine).collect();
+            let history = lock(&history);
+            let listed = machines.iter().filter(|id| id.as_str() > from && !history.gone.contains(*id));
+            let list: Vec<Value> = listed.map(machine).collect();
             Response::json(200, &json!({ "husks": list, "more": false }))
         }
         _ => Response::error(503, "no capacity"),
@@ -199,24 +230,29 @@
     cell: usize,
     state: WorkerState,
     ends: BTreeMap<Attempt, Instant>,
+    task_time: Duration,
     history: Arc<Mutex<History>>,
 }
 
 impl Worker {
     fn run(mut self, controllers: &[SocketAddr], stop: &AtomicBool) {
         let started = Instant::now();
+        let lease = Micros::from_secs(LEASE_S);
         let now = || Steady(started.elapsed().as_micros() as i64);
         let (mut at, mut reported, mut changed) = (0, Instant::now(), true);
-        while !stop.load(Ordering::Relaxed) {
+        while !stop.load(Ordering::Relaxed) && !lock(&self.history).gone.contains(&self.state.id) {
             changed |= self.finish_tasks(now());
+            changed |= self.end_session(lease, now());
             if changed || reported.elapsed() > REPORT_TIME {
                 let body = serde_json::to_vec(&self.state.report()).expect("a report");
                 reported = Instant::now();
                 let client = Client::new(controllers[at], 0);
+                let sent = now();
                 let answer = client.call("POST", "/checkin", Some(&body), Micros::from_secs(4.0));
                 changed = match answer {
                     Ok((200, body)) => {
-                        self.execute(&serde_json::from_slice(&body).expect("an answer"), now())
+                        let reply = serde_json::from_slice(&body).expect("an answer");
+                        self.execute(&reply, sent, now())
                     }
                     _ => {
                         at = (at + 1) % controllers.len();
@@ -224,15 +260,29 @@
                     }
                 };
             }
-            std::thread::sleep(Duration::from_millis(40));
+            std::thread::sleep(WORKER_STEP);
         }
     }
 
+    /// Kills all tasks if the lease has run out.
+    fn end_session(&mut self, lease: Micros, now: Steady) -> bool {
+        if !self.state.end_session_after(lease, now) {
+            return false;
+        }
+        let mut history = lock(&self.history);
+        history.killed_by_lease += self.ends.len();
+        for attempt in std::mem::take(&mut self.ends).into_keys() {
+            history.present.remove(&(self.cell, attempt));
+        }
+        true
+    }
+
     fn finish_tasks(&mut self, now: Steady) -> bool {
+        let early = lock(&self.history).ended_early.clone();
         let ended: Vec<Attempt> = self
             .ends
             .iter()
-            .filter(|(_, end)| **end < Instant::now())
+            .filter(|(attempt, end)| **end < Instant::now() || early.contains(&attempt.0))
             .map(|(attempt, _)| attempt.clone())
             .collect();
         for attempt in &ended {
@@ -241,17 +291,21 @@
                 task.enter(TaskStage::Exited, Some(Why::Done), now);
             }
             let mut history = lock(&self.history);
-            history.present.remove(&(self.cell, attempt.clone()));
+            if history.present.remove(&(self.cell, attempt.clone())).is_none() {
+                continue;
+            }
             history.finished.entry(attempt.0.clone()).or_default().push(self.cell);
         }
         !ended.is_empty()
     }
 
     /// Executes the orders of an answer; whether anything changed.
-    fn execute(&mut self, reply: &ReportReply, now: Steady) -> bool {
-        if !self.state.accept_answer(reply.token, now) {
+    fn execute(&mut self, reply: &ReportReply, sent: Steady, now: Steady) -> bool {
+        if !self.state.accept_answer(reply.token, sent) {
             return false;
         }
+        let received = Instant::now();
+        lock(&self.history).orders.extend(reply.orders.iter().map(|order| (received, order.clone())));
         for order in &reply.orders {
             match order {
                 Order::Start { task, attempt } => self.start((task.clone(), *attempt), now),
@@ -272,12 +326,12 @@
             return;
         }
         self.state.tasks.insert(attempt.clone(), Task::new(TaskStage::Running, Micros::ZERO, now));
-        self.ends.insert(attempt.clone(), Instant::now() + TASK_TIME);
+        self.ends.insert(attempt.clone(), Instant::now() + self.task_time);
         let mut history = lock(&self.history);
-        let elsewhere = history.present.iter().any(|(_, there)| there.0 == attempt.0);
+        let elsewhere = history.present.keys().any(|(_, there)| there.0 == attempt.0);
         assert!(!elsewhere, "{} starts while it is on another machine", attempt.0);
         history.begun.entry(attempt.0.clone()).or_default().insert((self.cell, attempt.1));
-        history.present.insert((self.cell, attempt));
+        history.present.insert((self.cell, attempt), self.state.id.clone());
     }
 }
 
@@ -332,6 +386,14 @@
     pub borrow_cpus: u32,
     /// Whether its settings have a block of cells.
     pub has_block: bool,
+    /// How long its tasks run.
+    pub task_time: Duration,
+}
+
+impl Default for CellPlan {
+    fn default() -> CellPlan {
+        CellPlan { workers: 0, borrow_cpus: 0, has_block: true, task_time: Duration::from_millis(250) }
+    }
 }
 
 /// A cell.
@@ -398,8 +460,10 @@
             std::fs::write(cells.folder.join(format!("{i}.hcl")), hcl).expect("written");
             let machines: Vec<String> = (0..plan.workers).map(|w| format!("i-{i}{w:05}")).collect();
             let load = Arc::<StateLoad>::default();
-            let (state, cloud) =
-                (state_service(cells.drops_answers.clone(), load.clone()), cloud(machines.clone()));
+            let (state, cloud) = (
+                state_service(cells.drops_answers.clone(), load.clone()),
+                cloud(machines.clone(), cells.history.clone()),
+            );
             for c in 0..CONTROLLERS {
                 let mut p = platform_json();
                 p["label"] = json!(format!("c-{c}"));
@@ -410,7 +474,7 @@
                 p["services"] = json!({ "cloud": cloud, "state": state });
                 let workers = &mut p["settings"]["workers"];
                 workers["report_s"] = json!(0.5);
-                workers["lease_s"] = json!(4.0);
+                workers["lease_s"] = json!(LEASE_S);
                 workers["cancel_s"] = json!(8.0);
                 std::fs::write(cells.folder.join(format!("{i}-{c}.json")), p.to_string()).expect("written");
             }
@@ -421,7 +485,8 @@
                 let mut state = WorkerState::new(id, "north", Steady(0));
                 state.addr = String::new();
                 let history = cells.history.clone();
-                let worker = Worker { cell: i, state, ends: BTreeMap::new(), history };
+                let worker =
+                    Worker { cell: i, state, ends: BTreeMap::new(), task_time: plan.task_time, history };
                 let (users, stop) = (users.clone(), cells.stop.clone());
                 std::thread::spawn(move || worker.run(&users, &stop));
             }
@@ -478,7 +543,13 @@
         self.cells[cell].controllers.iter().flatten().map(ticks).sum()
     }
 
-    fn status(&self, cell: usize, controller: usize) -> Option<Value> {
+    /// Has tasks end now, done.
+    pub fn end_tasks(&self, tasks: &[String]) {
+        lock(&self.history).ended_early.extend(tasks.iter().cloned());
+    }
+
+    /// What a controller says of itself.
+    pub fn status(&self, cell: usize, controller: usize) -> Option<Value> {
         self.cells[cell].controllers[controller].as_ref()?;
         let call = Call { method: "GET".into(), path: "/status".into(), body: Vec::new() };
         let answer = peer::ask(self.cells[cell].internal[controller], call, Micros::from_secs(2.0)).ok()?;
--- a/tests/loans.rs
+++ b/tests/loans.rs
@@ -86,6 +86,20 @@
     assert_eq!(started(&mut s), tasks("40-99"));
 }
 
+/// Lent tasks are kept out of what waits as well; a start is refused all the same.
+#[test]
+fn a_start_of_a_lent_task_is_refused_whatever_waits() {
+    let mut s = scenario();
+    s.submit(spec(1, 8, "batch"));
+    let write = lend(&mut s, 4);
+    s.fleet.loan_written(&write, 20, s.now, wall(&s));
+    let job = s.fleet.jobs.get_mut("wk-000001").expect("the job");
+    (0..8).for_each(|task| {
+        job.waiting.insert(task);
+    });
+    assert_eq!(started(&mut s), tasks("0-3"));
+}
+
 #[test]
 fn only_tasks_that_never_began_are_lent_and_only_of_arrays_without_rules() {
     let mut s = scenario();
--- a/tests/measure_cells.rs
+++ b/tests/measure_cells.rs
@@ -14,7 +14,7 @@
 const TASKS: u32 = 1000;
 
 fn plans(borrow_cpus: u32, has_block: bool) -> [CellPlan; 3] {
-    [2, 4, 4].map(|workers| CellPlan { workers, borrow_cpus, has_block })
+    [2, 4, 4].map(|workers| CellPlan { workers, borrow_cpus, has_block, ..CellPlan::default() })
 }
 
 /// Floods the first cell and prints how long it takes and what it costs.
--- a/tests/three_cells.rs
+++ b/tests/three_cells.rs
@@ -31,7 +31,7 @@
 
 /// A small cell, and two larger ones with room.
 fn plans() -> [CellPlan; 3] {
-    let plan = |workers, borrow_cpus| CellPlan { workers, borrow_cpus, has_block: true };
+    let plan = |workers, borrow_cpus| CellPlan { workers, borrow_cpus, ..CellPlan::default() };
     [plan(2, 0), plan(4, 60), plan(4, 60)]
 }
 
