Readable code: keys, ranges and records in modules of their own; typed errors of submissions

Change: src/keys.rs, ranges.rs, records.rs; SubmissionError; JobSpec::is_array, is_gang, is_service. Behaviour and texts as they were.

--- a/src/api.rs
+++ b/src/api.rs
@@ -6,8 +6,9 @@
 
 use crate::fleet::never_runs;
 use crate::http::{Request, Response};
-use crate::jobs::{borrowed_key, final_key, job_key, FinalRecord, JobRecord};
+use crate::keys::{borrowed_key, final_key, job_key};
 use crate::node::Node;
+use crate::records::{FinalRecord, JobRecord};
 use crate::state::{Applied, StateError, Urgency};
 use crate::time::wall;
 use crate::wire::{is_job_id, Change, Guard, JobSpec, JobStatus, Stage, Txn};
@@ -131,6 +132,7 @@
     let spec = match JobSpec::parse(body) {
         Ok(s) => s,
         Err(why) => {
+            let why = why.to_string();
             tracing::debug!(why, "a submission is malformed");
             let v: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
             return known_or(node, v.get("nameId").and_then(|i| i.as_str()), Response::error(400, &why));
--- a/src/cluster/loan_records.rs
+++ b/src/cluster/loan_records.rs
@@ -5,9 +5,8 @@
 
 use super::PART;
 use crate::fleet::{Fleet, LoanWrite};
-use crate::jobs::{
-    borrowed_key, final_key, job_key, lender_key, FinalRecord, JobRecord, LenderRecord, BORROWED,
-};
+use crate::keys::{borrowed_key, final_key, job_key, lender_key, BORROWED};
+use crate::records::{FinalRecord, JobRecord, LenderRecord};
 use crate::state::{StateClient, StateError, Urgency};
 use crate::time::{Steady, Wall};
 use crate::wire::{Change, Guard, Row, Stage, Txn};
--- a/src/cluster/writes.rs
+++ b/src/cluster/writes.rs
@@ -5,10 +5,10 @@
 use super::PART;
 use crate::fleet::{Fleet, Packed, Pending, WriteContents};
 use crate::history::Key;
-use crate::jobs::{
-    chunk_span, done_key, final_key, job_key, slot_key, FinalRecord, JobId, HISTORY, MACHINES, MARKS,
-    RECENT_KEY,
-};
+use crate::jobs::JobId;
+use crate::keys::{done_key, final_key, job_key, slot_key, HISTORY, MACHINES, MARKS, RECENT_KEY};
+use crate::ranges::chunk_span;
+use crate::records::FinalRecord;
 use crate::time::{Micros, Steady, Wall};
 use crate::wire::{Change, Guard, Stage, Txn};
 
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -21,7 +21,7 @@
     }
     let limit = TeamUse { cpus_max: team.cpus_max, gpus_max: team.gpus_max, ..TeamUse::default() };
     // Gangs and services need all their tasks at once; an array gets on with one at a time.
-    let least = if s.shape == Shape::Array { 1 } else { s.tasks };
+    let least = if s.is_array() { 1 } else { s.tasks };
     if limit.allows(&need_of(s)) < least {
         return Some(format!("over the limit of team {}", s.team));
     }
--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -6,7 +6,8 @@
 };
 
 use super::*;
-use crate::jobs::{borrowed_done_key, LenderRecord};
+use crate::keys::borrowed_done_key;
+use crate::records::LenderRecord;
 
 /// A cell with more of its own array work waiting than this takes on nothing, in seconds of its machines.
 const BUSY_BACKLOG_S: f64 = 1.0;
@@ -66,7 +67,7 @@
         }
         let spec = match spec {
             Ok(spec) => spec,
-            Err(why) => return tracing::error!(job = id, %home, why, "a borrowed job cannot be read"),
+            Err(error) => return tracing::error!(job = id, %home, %error, "a borrowed job cannot be read"),
         };
         let spec = JobSpec { rank: Rank::Idle, class: None, deadline_s: None, ..spec };
         let own = JobRecord { spec, submitted_us: wall.0, high: 0, lending: Lending::default() };
@@ -168,7 +169,7 @@
 
 /// Whether a job is an array whose tasks may run anywhere, each by itself.
 pub(super) fn is_array_without_rules(spec: &JobSpec) -> bool {
-    spec.shape == Shape::Array && !spec.one_zone && !spec.spread && spec.zone.is_none()
+    spec.is_array() && !spec.one_zone && !spec.spread && spec.zone.is_none()
 }
 
 /// The borrowed tasks of a cell, for its guest ledger.
@@ -179,7 +180,8 @@
 
 impl BorrowedTasks<'_> {
     fn parse(item: &LoanItem, offer: &Offer) -> Result<JobSpec, Refusal> {
-        let spec = JobSpec::parse(offer.description.to_string().as_bytes()).map_err(Refusal::Malformed)?;
+        let spec = JobSpec::parse(offer.description.to_string().as_bytes())
+            .map_err(|e| Refusal::Malformed(e.to_string()))?;
         if spec.id != item.job || spec.tasks != offer.job_tasks {
             return Err(Refusal::Malformed("the job differs from its description".into()));
         }
--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -47,7 +47,7 @@
             .map(|t| t.boot_s + s.image_gb / t.fetch_gb_per_s.max(0.001));
         let ready = slowest.fold(f64::INFINITY, f64::min);
         let aim = self.start_aim(s);
-        let service = s.shape == Shape::Service;
+        let service = s.is_service();
         // A service has its room for as long as it runs; what has to be ready for the next one is the
         // room for the time that a new machine would take.
         let each = if service { ready.min(3600.0) } else { stated(s).secs().min(3600.0) };
@@ -59,7 +59,7 @@
             types,
             work: each * f64::from(s.tasks),
             starts_before_boot: service || aim.is_some_and(|a| a < ready),
-            extra_machines: if s.shape == Shape::Gang { s.tasks - 1 } else { 0 },
+            extra_machines: if s.is_gang() { s.tasks - 1 } else { 0 },
             due: s.deadline_s.is_some(),
             spot: s.spot,
         });
@@ -189,7 +189,7 @@
     /// Whether an array should wait a moment for machines that have its image: where it has to be fetched
     /// its tasks would begin too late for their aim, and there is still time for a report.
     pub(super) fn should_wait_for_image(&self, s: &JobSpec, waited: Micros) -> bool {
-        let Some(aim) = self.start_aim(s).filter(|_| s.shape == Shape::Array) else { return false };
+        let Some(aim) = self.start_aim(s).filter(|_| s.is_array()) else { return false };
         let left = aim - waited.secs();
         left > self.cfg.platform.settings.workers.report_s && self.least_fetch_s(s) > left
     }
@@ -210,7 +210,7 @@
     /// the reports that carry the stops and the starts, and the fetch of its image.
     pub(super) fn patience(&self, s: &JobSpec) -> Micros {
         let w = &self.cfg.platform.settings;
-        if s.shape == Shape::Service {
+        if s.is_service() {
             // Each moment without a replica is missed by its users.
             return Micros::ZERO;
         }
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -39,7 +39,7 @@
         let own_arrays = self
             .jobs
             .values()
-            .filter(|job| !job.cancelled && job.borrowed_from.is_none() && job.spec.shape == Shape::Array);
+            .filter(|job| !job.cancelled && job.borrowed_from.is_none() && job.spec.is_array());
         let work = |job: &Job| f64::from(job.waiting.len()) * job.spec.cpus * job.spec.estimate_s;
         own_arrays.map(work).sum::<f64>() / self.array_cpus().max(1.0)
     }
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -4,7 +4,7 @@
 use milletlock_cells::{GuestChange, GuestLedger, HomeLedger, Lending, LoanNumber, Offer, TaskSet};
 
 use super::*;
-use crate::jobs::LenderRecord;
+use crate::records::LenderRecord;
 
 /// Most decided loans, and refused ids, that are remembered beyond what the records say.
 pub(super) const MAX_REMEMBERED: usize = 4_096;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -38,11 +38,11 @@
 use crate::config::{Config, Team};
 use crate::direct_command::DirectCommand;
 use crate::history::{History, Key};
-use crate::jobs::{
-    chunk_number, chunk_span, done_key, split_task, DemandRecord, GangAttempt, Job, JobId, JobRecord,
-    MachineId, MachineRecord, Ranges,
-};
+use crate::jobs::{split_task, GangAttempt, Job, JobId, MachineId};
+use crate::keys::done_key;
 use crate::packs::Packs;
+use crate::ranges::{chunk_number, chunk_span, Ranges};
+use crate::records::{DemandRecord, JobRecord, MachineRecord};
 use crate::sched::{self, Class, Held, KeptRoom, Need, Plan, Room, Snapshot, TeamUse, TopUp};
 use crate::time::{Micros, Steady, Wall};
 use crate::wire::{
@@ -309,7 +309,7 @@
 
 /// The stated run time of a job's tasks; services are endless, which is a day to the planner.
 fn stated(s: &JobSpec) -> Micros {
-    if s.shape == Shape::Service {
+    if s.is_service() {
         Micros::from_secs(86_400.0)
     } else {
         Micros::from_secs(s.estimate_s)
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -48,7 +48,7 @@
     fn of(jobs: &[&Job]) -> WidestJobs {
         let mut widest = WidestJobs::default();
         for j in jobs {
-            let w = if j.spec.shape == Shape::Gang { &mut widest.gang } else { &mut widest.other };
+            let w = if j.spec.is_gang() { &mut widest.gang } else { &mut widest.other };
             *w = (*w).max(j.spec.tasks);
         }
         widest
@@ -190,8 +190,8 @@
         wall: Wall,
     ) -> Class {
         let sp = &j.spec;
-        let gang = sp.shape == Shape::Gang;
-        let service = sp.shape == Shape::Service;
+        let gang = sp.is_gang();
+        let service = sp.is_service();
         let (waited, adjusted) = (wall - j.submitted, self.adjusted(sp, wall));
         Class {
             rank: sp.rank,
@@ -226,7 +226,7 @@
 
     /// How many of a job's tasks may start now.
     fn startable_tasks(&self, j: &Job, now: Steady) -> u32 {
-        let gang = j.spec.shape == Shape::Gang;
+        let gang = j.spec.is_gang();
         if now < j.not_before || (gang && (j.gang.is_some() || !j.live.is_empty())) {
             return 0;
         }
@@ -273,7 +273,7 @@
         // The fetch of its image counts as well: stopped for others as soon as it was placed, a wide job
         // would never get beyond it.
         let ran = now - e.since;
-        let endless = spec.is_some_and(|s| s.shape == Shape::Service);
+        let endless = spec.is_some_and(|s| s.is_service());
         let worth = if endless { STOPPED_REPLICA_COSTS } else { ran };
         let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0);
         Held {
@@ -287,7 +287,7 @@
             } else {
                 worth.scale(e.need.map_or(1.0, |n| n.cpus.max(0.1)))
             },
-            stoppable: e.stop.is_none() && spec.is_some_and(|s| s.shape != Shape::Gang || s.tasks == 1),
+            stoppable: e.stop.is_none() && spec.is_some_and(|s| !s.is_gang() || s.tasks == 1),
             stopping: e.stop.is_some(),
             endless,
         }
@@ -325,8 +325,8 @@
     /// would otherwise wait behind all newer jobs, and the job miss its deadline for them.
     pub(super) fn missed_aims(&self, j: &Job, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
         let s = &j.spec;
-        let begun = s.shape == Shape::Array && (j.first_start.is_some() || j.inherited > 0);
-        if s.shape == Shape::Service {
+        let begun = s.is_array() && (j.first_start.is_some() || j.inherited > 0);
+        if s.is_service() {
             return 0;
         }
         let end = waited.secs() + 0.7 * adjusted.secs();
@@ -542,7 +542,7 @@
     /// Marks a task as to be stopped, and with a gang's task its whole attempt.
     fn stop_task(&mut self, stop: &TaskStop) {
         let (job, attempt) = (&stop.task.0, stop.task.2);
-        if self.jobs.get(job).is_some_and(|j| j.spec.shape == Shape::Gang) {
+        if self.jobs.get(job).is_some_and(|j| j.spec.is_gang()) {
             self.stop_all(job, Some(attempt), stop.grace_s, false);
         } else if let Some(e) = self.machines.get_mut(&stop.machine).and_then(|m| m.tasks.get_mut(&stop.task))
         {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -1,7 +1,7 @@
 //! What the owner keeps in the state service: taking records over, and what waits to be written.
 
 use super::*;
-use crate::jobs::borrowed_done_key;
+use crate::keys::borrowed_done_key;
 
 /// Something to write for the owner.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -143,7 +143,7 @@
             self.orphans.insert(done_key(id, chunk), stamp);
             return;
         };
-        if j.spec.shape == Shape::Service {
+        if j.spec.is_service() {
             // An earlier version took a replica that ended for done; a service never is.
             self.orphans.insert(done_key(id, chunk), stamp);
             return;
--- a/src/fleet/replicas.rs
+++ b/src/fleet/replicas.rs
@@ -122,7 +122,7 @@
         for m in self.machines.values() {
             let Some(notice) = m.notice else { continue };
             for (key, e) in m.tasks.iter().filter(|x| x.1.live() && x.1.stop.is_none()) {
-                let Some(j) = self.jobs.get(&key.0).filter(|j| j.spec.shape == Shape::Service) else {
+                let Some(j) = self.jobs.get(&key.0).filter(|j| j.spec.is_service()) else {
                     continue;
                 };
                 if e.stage.is_none() {
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -232,7 +232,7 @@
     fn stop_unfinishable(&mut self, id: &MachineId, now: Steady) {
         let Some(m) = self.machines.get(id) else { return };
         let Some(notice) = m.notice else { return };
-        let saves_nothing = |s: &JobSpec| s.shape == Shape::Array && s.checkpoint_s <= 0.0;
+        let saves_nothing = |s: &JobSpec| s.is_array() && s.checkpoint_s <= 0.0;
         let unfinishable = m.tasks.iter().filter(|(k, e)| {
             let spec = self.jobs.get(&k.0).map(|j| &j.spec);
             e.live() && spec.is_some_and(saves_nothing) && self.stated_left(e, spec, now) > notice - now
@@ -351,7 +351,7 @@
         let why = ended.why;
         tracing::debug!(machine = %id, job = %key.0, task = key.1, ?why, "a task ended");
         self.end_on_machine(id, &key.0, &ended, now);
-        let service = self.jobs.get(&key.0).is_some_and(|j| j.spec.shape == Shape::Service);
+        let service = self.jobs.get(&key.0).is_some_and(|j| j.spec.is_service());
         if service {
             self.replica_ended(&key.0, id, why, ended.lived, now);
         } else {
@@ -392,7 +392,7 @@
         match ended.why {
             Why::Done if key.1 < j.spec.tasks => {
                 j.succeeded();
-                if j.spec.shape == Shape::Gang {
+                if j.spec.is_gang() {
                     // A gang completes together.
                     j.done = Ranges::span(0, j.spec.tasks);
                     j.waiting = Ranges::new();
@@ -422,7 +422,7 @@
                     (Some(why), _) => {
                         let written = match self.jobs.get(&k.0) {
                             // A service is never done: nothing of its replicas' ends is written.
-                            Some(j) if j.spec.shape == Shape::Service => true,
+                            Some(j) if j.spec.is_service() => true,
                             Some(j) if why == Why::Done && !j.cancelled => j.done_written.contains(k.1),
                             _ => true,
                         };
@@ -448,7 +448,7 @@
     pub fn may_wait(&self, id: &str, now: Steady) -> bool {
         let Some(m) = self.machines.get(id).filter(|m| m.usable(now)) else { return false };
         let steady_replica = |k: &TaskKey, e: &Entry| {
-            let service = self.jobs.get(&k.0).is_some_and(|j| j.spec.shape == Shape::Service);
+            let service = self.jobs.get(&k.0).is_some_and(|j| j.spec.is_service());
             service && e.stage == Some(TaskStage::Running) && e.stop.is_none()
         };
         m.notice.is_none() && m.tasks.iter().all(|(k, e)| steady_replica(k, e))
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -39,7 +39,7 @@
                 self.promised.entry(id.clone()).or_default().push((job, n));
             }
         }
-        let is_service = |j: &JobId| self.jobs.get(j).is_some_and(|j| j.spec.shape == Shape::Service);
+        let is_service = |j: &JobId| self.jobs.get(j).is_some_and(|j| j.spec.is_service());
         let (replicas, others): (Vec<_>, Vec<_>) =
             self.assigned.remove(id).unwrap_or_default().into_iter().partition(|a| is_service(&a.0));
         for (job, count) in replicas {
@@ -226,7 +226,7 @@
 
     /// While some machine is not heard, only what cannot be on it may start.
     pub(super) fn startable_blind(&self, j: &Job, n: u32) -> bool {
-        let tied = j.spec.one_zone || j.spec.spread || j.spec.shape == Shape::Gang;
+        let tied = j.spec.one_zone || j.spec.spread || j.spec.is_gang();
         if tied {
             j.inherited == 0
         } else {
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -48,7 +48,7 @@
         let mut job = Job::new(record, stamp, now);
         let JobSpec { class, tasks, cpus, estimate_s, deadline_s, .. } = &job.spec;
         tracing::debug!(job = %id, ?class, tasks, cpus, estimate_s, ?deadline_s, "a job is known");
-        if job.spec.shape == Shape::Service {
+        if job.spec.is_service() {
             // All its replicas are to run at once: their mark need not wait for a plan.
             job.high_wanted = job.spec.tasks;
         }
@@ -171,7 +171,7 @@
     /// gone.
     pub(super) fn gang_broken(&mut self, id: &JobId, attempt: u64) {
         let Some(j) = self.jobs.get_mut(id) else { return };
-        if j.spec.shape != Shape::Gang {
+        if !j.spec.is_gang() {
             return;
         }
         if let Some(g) = j.gang.as_mut().filter(|g| g.attempt == attempt) {
--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,49 @@
+//! Keys of the state service.
+
+/// Key of the list of recent jobs.
+pub const RECENT_KEY: &str = "recent";
+
+/// Key of a live job.
+pub fn job_key(id: &str) -> String {
+    format!("job/{id}")
+}
+
+/// Key of a job that is over.
+pub fn final_key(id: &str) -> String {
+    format!("final/{id}")
+}
+
+/// Prefix of the packed machine records.
+pub const MACHINES: &str = "machines";
+/// Prefix of the packed marks: by job, tasks below which may have been started.
+pub const MARKS: &str = "marks";
+/// Prefix of the history, packed by key's hash; earlier versions wrote `hist/<team>/<stated>`.
+pub const HISTORY: &str = "hist";
+
+/// Key of a packed value.
+pub fn slot_key(prefix: &str, slot: u32) -> String {
+    format!("{prefix}/{slot}")
+}
+
+/// Key of a chunk of a job's done ranges.
+pub fn done_key(id: &str, chunk: u32) -> String {
+    format!("done/{id}/{chunk}")
+}
+
+/// Prefix of all that a cell keeps of tasks that it has borrowed.
+pub const BORROWED: &str = "borrowed";
+
+/// Key of a borrowed job.
+pub fn borrowed_key(id: &str) -> String {
+    format!("{BORROWED}/job/{id}")
+}
+
+/// Key of a chunk of a borrowed job's done ranges.
+pub fn borrowed_done_key(id: &str, chunk: u32) -> String {
+    format!("{BORROWED}/done/{id}/{chunk}")
+}
+
+/// Key of what is kept of a cell from which tasks are borrowed.
+pub fn lender_key(cell: &str) -> String {
+    format!("{BORROWED}/lender/{cell}")
+}
--- a/src/node/loan_writes.rs
+++ b/src/node/loan_writes.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::cluster::{self, PART};
 use crate::fleet::LoanWrite;
-use crate::jobs::{final_key, job_key};
+use crate::keys::{final_key, job_key};
 use crate::state::{Applied, StateError, Urgency};
 use crate::time::wall;
 
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -8,8 +8,8 @@
 use crate::cluster::Owner;
 use crate::fleet::Counts;
 use crate::http::{self, Request, Response};
-use crate::jobs::{FinalRecord, JobRecord};
 use crate::peer::{self, Ack, Answer, Call, Inbound, JobNews, Message, Outcome, Summary};
+use crate::records::{FinalRecord, JobRecord};
 use crate::time::Micros;
 use crate::wire::{is_job_id, Stage};
 
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -4,9 +4,9 @@
 use super::Node;
 use crate::fleet::Counts;
 use crate::http::{Request, Response};
-use crate::jobs::{FinalRecord, JobRecord};
 use crate::notices::Cancellation;
 use crate::peer::{JobNews, Message};
+use crate::records::{FinalRecord, JobRecord};
 use crate::time::Micros;
 use crate::wire::MachineType;
 
--- a/src/node/watch.rs
+++ b/src/node/watch.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, Ownership};
 use crate::fleet::Fleet;
-use crate::jobs::JobRecord;
+use crate::records::JobRecord;
 use crate::state::{StateError, Urgency};
 use crate::time::{Micros, Steady};
 use crate::wire::{Event, Events};
--- a/src/node/writer.rs
+++ b/src/node/writer.rs
@@ -3,7 +3,9 @@
 use super::Node;
 use crate::cluster::{self, Batch, Claim, PART};
 use crate::fleet::Pending;
-use crate::jobs::{chunk_tasks, FinalRecord, JobId};
+use crate::jobs::JobId;
+use crate::ranges::chunk_tasks;
+use crate::records::FinalRecord;
 use crate::state::{Applied, StateError, Urgency};
 use crate::time::{wall, Micros};
 use crate::wire::Stage;
--- a/src/wire/jobs.rs
+++ b/src/wire/jobs.rs
@@ -101,6 +101,34 @@
         .is_some_and(|d| (1..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
 }
 
+/// Why a submission cannot be read, in one line.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SubmissionError {
+    /// The body is no JSON.
+    #[error("not JSON: {0}")]
+    NotJson(String),
+    /// The body is JSON, but no object.
+    #[error("not an object")]
+    NotAnObject,
+    /// A field is missing or its value cannot be.
+    #[error("{field}: {why}")]
+    Field {
+        /// The field, by its name on the wire.
+        field: String,
+        /// What is wrong with it.
+        why: String,
+    },
+    /// A field has a value of another form; the text names it.
+    #[error("{0}")]
+    Form(String),
+}
+
+impl SubmissionError {
+    fn field(field: &str, why: impl Into<String>) -> SubmissionError {
+        SubmissionError::Field { field: field.into(), why: why.into() }
+    }
+}
+
 /// Greatest amount of anything in a submission.
 const MAX_AMOUNT: f64 = 1e9;
 
@@ -141,49 +169,65 @@
 
 impl JobSpec {
     /// Parses and checks a submission; the error is a reason for the user, in one line.
-    pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
-        let submission: Value = serde_json::from_slice(body).map_err(|e| format!("not JSON: {e}"))?;
+    pub fn parse(body: &[u8]) -> Result<JobSpec, SubmissionError> {
+        let submission: Value =
+            serde_json::from_slice(body).map_err(|e| SubmissionError::NotJson(e.to_string()))?;
         let Some(fields) = submission.as_object() else {
-            return Err("not an object".into());
+            return Err(SubmissionError::NotAnObject);
         };
         if let Some(name) = REQUIRED.iter().find(|n| fields.get(**n).is_none_or(Value::is_null)) {
-            return Err(format!("{name}: missing"));
+            return Err(SubmissionError::field(name, "missing"));
         }
         // Serde would take an object with the name as its key for one of these as well.
         if let Some(name) = ["shape", "rank"].iter().find(|n| !fields.get(**n).is_some_and(Value::is_string))
         {
-            return Err(format!("{name}: must be a string"));
+            return Err(SubmissionError::field(name, "must be a string"));
         }
-        let spec: JobSpec =
-            serde_path_to_error::deserialize(submission).map_err(|e| one_line(&e.to_string()))?;
+        let spec: JobSpec = serde_path_to_error::deserialize(submission)
+            .map_err(|e| SubmissionError::Form(one_line(&e.to_string())))?;
         spec.check()?;
         Ok(spec)
     }
 
-    fn check(&self) -> Result<(), String> {
+    /// Whether its tasks run by themselves, each to completion.
+    pub fn is_array(&self) -> bool {
+        self.shape == Shape::Array
+    }
+
+    /// Whether all its tasks run at the same time or none does.
+    pub fn is_gang(&self) -> bool {
+        self.shape == Shape::Gang
+    }
+
+    /// Whether its tasks run until it is cancelled.
+    pub fn is_service(&self) -> bool {
+        self.shape == Shape::Service
+    }
+
+    fn check(&self) -> Result<(), SubmissionError> {
         if !is_job_id(&self.id) {
-            return Err("nameId: must be wk- and digits".into());
+            return Err(SubmissionError::field("nameId", "must be wk- and digits"));
         }
         if self.tasks == 0 || self.tasks > MAX_TASKS {
-            return Err(format!("kernels: must be from 1 to {MAX_TASKS}"));
+            return Err(SubmissionError::field("kernels", format!("must be from 1 to {MAX_TASKS}")));
         }
         let amount = |name: &str, value: f64, least: f64| {
             if value.is_finite() && (least..=MAX_AMOUNT).contains(&value) {
                 Ok(())
             } else {
-                Err(format!("{name}: out of range"))
+                Err(SubmissionError::field(name, "out of range"))
             }
         };
         amount("cpus", self.cpus, 0.0)?;
         amount("cards", self.gpus, 0.0)?;
         amount("ramGb", self.memory_gb, 0.0)?;
         if self.cpus == 0.0 && self.gpus == 0.0 && self.memory_gb == 0.0 {
-            return Err("cpus: a task must take something of its machine".into());
+            return Err(SubmissionError::field("cpus", "a task must take something of its machine"));
         }
         amount("pullGb", self.image_gb, 0.0)?;
         amount("expectS", self.estimate_s, 0.0)?;
-        if self.estimate_s <= 0.0 && self.shape != Shape::Service {
-            return Err("expectS: must be above 0".into());
+        if self.estimate_s <= 0.0 && !self.is_service() {
+            return Err(SubmissionError::field("expectS", "must be above 0"));
         }
         amount("stashEveryS", self.checkpoint_s, 0.0)?;
         amount("stashS", self.save_s, 0.0)?;
@@ -192,7 +236,7 @@
         }
         let short = |name: &str, text: &str| {
             if text.is_empty() || text.len() > MAX_TEXT || text.chars().any(char::is_control) {
-                Err(format!("{name}: must be 1 to {MAX_TEXT} bytes"))
+                Err(SubmissionError::field(name, format!("must be 1 to {MAX_TEXT} bytes")))
             } else {
                 Ok(())
             }
@@ -205,7 +249,7 @@
         }
         if let Some(types) = &self.types {
             if types.is_empty() || types.len() > 32 {
-                return Err("breeds: must name 1 to 32 types".into());
+                return Err(SubmissionError::field("breeds", "must name 1 to 32 types"));
             }
             types.iter().try_for_each(|t| short("breeds", t))?;
         }
--- a/tests/common/controllers.rs
+++ b/tests/common/controllers.rs
@@ -7,7 +7,7 @@
 use milletlock::cluster::{self, Batch};
 use milletlock::config::Config;
 use milletlock::fleet::Fleet;
-use milletlock::jobs::JobRecord;
+use milletlock::records::JobRecord;
 use milletlock::time::{Micros, Steady};
 use milletlock::wire::{Change, Txn};
 use serde_json::json;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 
 use milletlock::config::{Config, Operator, Platform};
-use milletlock::jobs::JobRecord;
+use milletlock::records::JobRecord;
 use milletlock::time::Micros;
 use milletlock::wire::{JobSpec, MachineType, Report, TaskReport, TaskStage, Why};
 use milletlock_cells::Lending;
--- a/tests/common/store.rs
+++ b/tests/common/store.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use milletlock::jobs::{final_key, job_key, FinalRecord, JobRecord};
+use milletlock::keys::{final_key, job_key};
+use milletlock::records::{FinalRecord, JobRecord};
 use milletlock::time::Steady;
 use milletlock::wire::{Change, Guard, JobSpec, Row, Stage, Txn};
 use serde_json::{json, Value};
--- a/tests/fault_combinations.rs
+++ b/tests/fault_combinations.rs
@@ -16,7 +16,9 @@
 use milletlock::cluster::{self, Batch};
 use milletlock::config::Config;
 use milletlock::fleet::{CheckIn, Fleet, Pending};
-use milletlock::jobs::{chunk_tasks, final_key, job_key, JobRecord};
+use milletlock::keys::{final_key, job_key};
+use milletlock::ranges::chunk_tasks;
+use milletlock::records::JobRecord;
 use milletlock::time::{Micros, Steady};
 use milletlock::wire::{
     Change, Guard, JobSpec, Order, Rank, Report, ReportReply, Shape, Stage, TaskStage, Txn, Why,
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use milletlock::jobs::Ranges;
+use milletlock::ranges::Ranges;
 use proptest::prelude::*;
 
 /// The shortest text of a set: sorted runs, none next to another.
--- a/tests/loans.rs
+++ b/tests/loans.rs
@@ -290,13 +290,14 @@
 #[test]
 fn production_reads_a_record_only_while_nothing_is_lent() {
     let mut own = record(spec(1, 10, "batch"));
-    let reads = |record: &milletlock::jobs::JobRecord| {
+    let reads = |record: &milletlock::records::JobRecord| {
         serde_json::from_value::<production::JobRecord>(json!(record)).is_ok()
     };
     assert!(reads(&own));
     own.lending.loans = vec![Loan { number: LoanNumber(1), guest: "there".into(), tasks: tasks("1") }];
     assert!(!reads(&own));
-    let back: milletlock::jobs::JobRecord = serde_json::from_value(json!(own)).expect("read by this version");
+    let back: milletlock::records::JobRecord =
+        serde_json::from_value(json!(own)).expect("read by this version");
     assert_eq!(back.lending, own.lending);
     own.lending = Lending { loans: Vec::new(), cancelling: true };
     assert!(!reads(&own));
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -55,7 +55,7 @@
     let mut fleet = taken_over();
     let mut now = TAKEN_OVER + Micros::from_millis(200);
     check_in(&mut fleet, "i-1", 1, &RUNNING, now);
-    fleet.job_put(milletlock::jobs::JobRecord { submitted_us: now.0, ..record(urgent()) }, 10, now);
+    fleet.job_put(milletlock::records::JobRecord { submitted_us: now.0, ..record(urgent()) }, 10, now);
     for tally in 2..=4 {
         now = now + Micros::from_millis(700);
         fleet.tick(now, wall(now));
@@ -70,7 +70,7 @@
     let mut fleet = taken_over();
     let mut now = TAKEN_OVER + Micros::from_millis(200);
     check_in(&mut fleet, "i-1", 1, &RUNNING, now);
-    fleet.job_put(milletlock::jobs::JobRecord { submitted_us: now.0, ..record(urgent()) }, 10, now);
+    fleet.job_put(milletlock::records::JobRecord { submitted_us: now.0, ..record(urgent()) }, 10, now);
     // A report every 3 s in these settings, a quarter more at the most.
     now = TAKEN_OVER + Micros::from_millis(3_800);
     fleet.tick(now, wall(now));
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -7,7 +7,7 @@
 use common::{config, record, report, spec, types};
 use milletlock::cluster;
 use milletlock::fleet::{CheckIn, Fleet, Pending};
-use milletlock::jobs::{JobRecord, MachineRecord};
+use milletlock::records::{JobRecord, MachineRecord};
 use milletlock::time::Micros;
 use milletlock::view::View;
 use milletlock::wire::{JobSpec, ListedMachine, Order, TaskStage, Why};
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -9,7 +9,7 @@
 use milletlock::cluster;
 use milletlock::fleet::never_runs;
 use milletlock::fleet::{CheckIn, Fleet, Pending};
-use milletlock::jobs::{JobRecord, MachineRecord};
+use milletlock::records::{JobRecord, MachineRecord};
 use milletlock::time::{Micros, Steady, Wall};
 use milletlock::wire::{JobSpec, Order, Rank, TaskStage, Why};
 use serde_json::{json, Value};
@@ -825,7 +825,7 @@
 }
 
 fn parse(submission: &Value) -> Result<JobSpec, String> {
-    JobSpec::parse(submission.to_string().as_bytes())
+    JobSpec::parse(submission.to_string().as_bytes()).map_err(|e| e.to_string())
 }
 
 /// Guards against refusing services for their run time, and against accepting any other field's fault.
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -5,7 +5,7 @@
 
 use common::{config, spec, types};
 use milletlock::fleet::never_runs;
-use milletlock::jobs::JobRecord;
+use milletlock::records::JobRecord;
 use milletlock::wire::{JobSpec, Shape};
 use serde_json::{json, Value};
 
@@ -54,7 +54,7 @@
 }
 
 fn parse(v: &Value) -> Result<JobSpec, String> {
-    JobSpec::parse(v.to_string().as_bytes())
+    JobSpec::parse(v.to_string().as_bytes()).map_err(|e| e.to_string())
 }
 
 /// The reason of a refusal: one line that names the field.
@@ -112,7 +112,7 @@
         refused(name, &with(name, json!(-0.5)));
         for endless in ["1e999", "-1e999", "NaN", "Infinity", "-Infinity"] {
             let text = with(name, json!("HERE")).to_string().replace("\"HERE\"", endless);
-            let why = JobSpec::parse(text.as_bytes()).expect_err(&text);
+            let why = JobSpec::parse(text.as_bytes()).expect_err(&text).to_string();
             assert!(!why.is_empty() && !why.contains('\n'), "{why:?}");
         }
     }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -16,7 +16,9 @@
 use milletlock::cluster::Batch;
 use milletlock::config::Config;
 use milletlock::fleet::CheckIn;
-use milletlock::jobs::{chunk_tasks, final_key, job_key, FinalRecord};
+use milletlock::keys::{final_key, job_key};
+use milletlock::ranges::chunk_tasks;
+use milletlock::records::FinalRecord;
 use milletlock::time::{Micros, Steady};
 use milletlock::view::View;
 use milletlock::wire::{
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -10,7 +10,8 @@
 use milletlock::cluster::{self, Owner, PART};
 use milletlock::fleet::{CheckIn, Fleet, Pending};
 use milletlock::history::Key;
-use milletlock::jobs::{chunk_tasks, FinalRecord};
+use milletlock::ranges::chunk_tasks;
+use milletlock::records::FinalRecord;
 use milletlock::state::NextRates;
 use milletlock::time::{Micros, Steady, Wall};
 use milletlock::wire::{Change, Row, Stage, Txn};
--- a/tests/upgrade_takeovers.rs
+++ b/tests/upgrade_takeovers.rs
@@ -13,7 +13,8 @@
 use milletlock::cluster::{self, Batch, PART};
 use milletlock::config::Config;
 use milletlock::fleet::{CheckIn, Fleet, Pending};
-use milletlock::jobs::{chunk_tasks, JobId};
+use milletlock::jobs::JobId;
+use milletlock::ranges::chunk_tasks;
 use milletlock::time::{Micros, Steady, Wall};
 use milletlock::wire::{Change, Guard, Txn};
 use rand::{rngs::StdRng, Rng, SeedableRng};
