Recovery: evidence for each machine, differences from the records, a page made of the log

Change: crates/recovery (evidence, differences by kind, orders counted); the fleet compares each machine's first report with the records; status and log say how far a recovery has come; LOG_FORMAT=json; milletlock report makes a self-contained page (plotters). Found by the test on processes: compared by the report that shows the token, what the first one told was recorded already and no difference was seen.

--- a/crates/cells/tests/bad_input.rs
+++ b/crates/cells/tests/bad_input.rs
@@ -33,8 +33,10 @@
 
 /// Carries out all that a message asks for; returns the refusals.
 fn handle(ledger: &mut GuestLedger, request: &Request) -> Vec<Refusal> {
-    let mut refusals = Vec::new();
+    let (mut refusals, mut changes) = (Vec::new(), 0);
     while let Some(change) = ledger.next_change(request, &Idle) {
+        changes += 1;
+        assert!(changes < 100, "it changes without end");
         refusals.extend(change.refusal.clone());
         ledger.apply(&change);
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::io::Read;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -13,6 +13,7 @@
 use crate::http::{CallError, Client};
 use crate::node::{Node, STATUS};
 use crate::peer::{self, Call};
+use crate::report::RecoveryLog;
 use crate::time::Micros;
 use crate::wire::WRITE_OFF_PATH;
 
@@ -50,6 +51,14 @@
         #[arg(long)]
         team: Option<String>,
     },
+    /// Make an HTML page of the recoveries in a log that was written with LOG_FORMAT=json
+    Report {
+        /// The log
+        file: PathBuf,
+        /// Where to write the page
+        #[arg(long, value_name = "FILE", default_value = "recovery.html")]
+        output: PathBuf,
+    },
     /// Write off what a cell that is lost for good holds: it runs here again
     WriteOff {
         /// The lost cell's name
@@ -102,13 +111,16 @@
         _ => tracing::Level::WARN,
     };
     // The time is the platform's to add; a line is written whole.
-    let _ = tracing_subscriber::fmt()
+    let log = tracing_subscriber::fmt()
         .with_max_level(level)
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .with_target(false)
-        .without_time()
-        .try_init();
+        .without_time();
+    let _ = match std::env::var("LOG_FORMAT").as_deref() {
+        Ok("json") => log.json().flatten_event(true).try_init(),
+        _ => log.try_init(),
+    };
 }
 
 fn fail(code: u8, why: impl std::fmt::Display) -> ExitCode {
@@ -124,6 +136,7 @@
         (None, None) => fail(2, "--config FILE is needed to run a controller; see --help"),
         (Some(Command::Check { config, operator }), _) => check(config, operator),
         (Some(Command::Status { internal, team }), _) => status(internal, team),
+        (Some(Command::Report { file, output }), _) => make_report(&file, &output),
         (Some(Command::WriteOff { cell, internal, lost_for_good }), _) => {
             write_off(internal, &cell, lost_for_good)
         }
@@ -194,6 +207,23 @@
     }
 }
 
+fn make_report(file: &Path, output: &Path) -> ExitCode {
+    let log = match std::fs::read(file) {
+        Ok(log) => log,
+        Err(e) => return fail(2, format!("{}: {e}", file.display())),
+    };
+    let page = RecoveryLog::read(&log).and_then(|log| Ok((log.page()?, log)));
+    let (page, log) = match page {
+        Ok(page) => page,
+        Err(e) => return fail(1, format!("{}: {e}", file.display())),
+    };
+    if let Err(e) = std::fs::write(output, page) {
+        return fail(2, format!("{}: {e}", output.display()));
+    }
+    println!("{}: {} recoveries{}", output.display(), log.recoveries.len(), log.omissions());
+    ExitCode::SUCCESS
+}
+
 fn write_off(internal: SocketAddr, cell: &str, lost_for_good: bool) -> ExitCode {
     if !lost_for_good {
         let why = "tasks that the cell still runs would run twice, and their results count twice; \
--- a/src/fleet/machines.rs
+++ b/src/fleet/machines.rs
@@ -245,6 +245,7 @@
         for id in ids {
             let id: MachineId = id.as_str().into();
             self.emptied(&id);
+            self.machine_given_up(&id, now);
             if let Some(m) = self.machines.remove(&id) {
                 self.silent = self.silent.saturating_sub(usize::from(!m.heard));
                 self.uses.clear();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod machines;
 mod planning;
 mod records;
+mod recovery;
 mod replicas;
 mod reports;
 mod starts;
@@ -32,6 +33,7 @@
 use std::sync::Arc;
 
 use milletlock_cells::BorrowedJob;
+use milletlock_recovery::Recovery;
 use serde::Serialize;
 
 use crate::capacity::{Offer, Policy, Upkeep, View, WarmPool};
@@ -86,6 +88,8 @@
     pub machines: BTreeMap<MachineId, Machine>,
     /// Tasks lent to other cells and borrowed from them.
     pub loans: Loans,
+    /// What is known of the machines that the earlier owner left.
+    pub recovery: Recovery,
     /// Past jobs.
     pub history: History,
     /// The latest plan's unmet tasks and reservation, for renting and the log.
@@ -133,6 +137,8 @@
     confirmed: Steady,
     /// When the log last said how the machines are used.
     usage_logged: Steady,
+    /// When the log last said how far the recovery has come.
+    recovery_logged: Steady,
     /// Machines that are gone; reports from them are late.
     gone: BTreeMap<MachineId, Steady>,
     unenrol: BTreeMap<MachineId, u64>,
@@ -161,6 +167,7 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             loans: Loans::new(token),
+            recovery: Recovery::default(),
             history: History::new(cfg.operator.history_per_key),
             plan: Plan::default(),
             dirty: true,
@@ -194,6 +201,7 @@
             recent_jobs_written: (now, 0),
             lazily_written: now,
             usage_logged: now,
+            recovery_logged: now,
             confirmed: now,
             submitted_count: 0,
             lease,
--- a/src/fleet/planning.rs
+++ b/src/fleet/planning.rs
@@ -6,10 +6,6 @@
 /// Delays that differ by less count as alike.
 pub(super) const DELAY_STEP: Micros = Micros(2_000_000);
 
-/// So many report intervals after a takeover every worker that reaches the new owner has reported: at most
-/// one and a quarter between two reports.
-const REPORTS_TO_HEAR_ALL: f64 = 1.25;
-
 /// Seconds after which a narrow job that missed its start yields to others no more: it must begin
 /// within four minutes.
 pub(super) const MAX_YIELD_S: f64 = 150.0;
@@ -382,14 +378,6 @@
         (snapshot, machines)
     }
 
-    /// Whether machines of an earlier owner are about to be heard. What runs on the others is not stopped
-    /// for work that may have room there: after a takeover the first urgent job would otherwise stop what
-    /// happens to be heard first.
-    fn is_hearing_machines(&self, now: Steady) -> bool {
-        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
-        self.silent > 0 && now - self.taken < report.scale(REPORTS_TO_HEAR_ALL)
-    }
-
     /// A gang keeps the places it was given, so that their workers can be told to report for it. One
     /// none of whose starts has left is planned anew when a place is lost or it takes too long; one
     /// whose starts have left is stopped then.
--- /dev/null
+++ b/src/fleet/recovery.rs
@@ -0,0 +1,136 @@
+//! Recovery after a takeover: what workers report, compared with the records, and what waits until the
+//! machines of the earlier owner can have been heard.
+
+use std::time::Duration;
+
+use milletlock_recovery::{
+    Difference, JobRecordState, OrderKind, Progress, RecordedJobs, ReportedTask, TaskState,
+};
+
+use super::*;
+
+/// So many report intervals after a takeover every worker that reaches the new owner has reported: at most
+/// one and a quarter between two reports.
+const REPORTS_TO_HEAR_ALL: f64 = 1.25;
+
+/// How often the log says how far a recovery has come.
+const PROGRESS_INTERVAL: Micros = Micros(500_000);
+
+/// For so long after a takeover it says so, and orders are counted.
+const RECOVERY_LOGGED_FOR: Micros = Micros(60_000_000);
+
+/// The jobs as the records had them at the takeover, and as they stand now.
+struct Recorded<'a> {
+    jobs: &'a BTreeMap<JobId, Job>,
+}
+
+impl RecordedJobs for Recorded<'_> {
+    fn job(&self, job: &str) -> JobRecordState {
+        match self.jobs.get(job) {
+            Some(job) if job.cancelled => JobRecordState::Over,
+            Some(job) if job.spec.is_gang() => JobRecordState::LiveGang(job.spec.tasks),
+            Some(_) => JobRecordState::Live,
+            None => JobRecordState::Over,
+        }
+    }
+
+    fn is_done(&self, job: &str, task: u32) -> bool {
+        self.jobs.get(job).is_some_and(|job| job.done_written.contains(task))
+    }
+}
+
+impl Fleet {
+    /// Whether machines of an earlier owner are about to be heard. What runs on the others is not stopped
+    /// for work that may have room there: after a takeover the first urgent job would otherwise stop what
+    /// happens to be heard first.
+    pub(super) fn is_hearing_machines(&self, now: Steady) -> bool {
+        let report = Micros::from_secs(self.cfg.platform.settings.workers.report_s);
+        self.recovery.is_gathering(self.since_takeover(now), report.scale(REPORTS_TO_HEAR_ALL).std())
+    }
+
+    /// How far the recovery has come.
+    pub fn recovery_progress(&self, now: Steady) -> Progress {
+        self.recovery.progress(self.since_takeover(now))
+    }
+
+    fn since_takeover(&self, now: Steady) -> Duration {
+        (now - self.taken).max(Micros::ZERO).std()
+    }
+
+    /// A machine's first report after the takeover, before it is taken into the jobs.
+    pub(super) fn compare_with_records(&mut self, id: &MachineId, report: &Report) {
+        let tasks: Vec<ReportedTask<'_>> = report.tasks.iter().filter_map(reported).collect();
+        let records = Recorded { jobs: &self.jobs };
+        for (job, task, difference) in self.recovery.compare(id, &tasks, &records) {
+            tracing::debug!(machine = %id, %job, task, ?difference, "differs from the records");
+        }
+    }
+
+    /// A machine has shown this owner's token.
+    pub(super) fn machine_heard(&mut self, id: &str, now: Steady) {
+        self.recovery.hear(id, self.since_takeover(now));
+    }
+
+    /// All that was on a machine that was not heard is gone.
+    pub(super) fn machine_given_up(&mut self, id: &str, now: Steady) {
+        self.recovery.lose(id, self.since_takeover(now));
+    }
+
+    /// Counts orders that leave, as long as the recovery is of interest.
+    pub(super) fn count_orders<'a>(&mut self, orders: impl IntoIterator<Item = &'a Order>, now: Steady) {
+        if now - self.taken > RECOVERY_LOGGED_FOR {
+            return;
+        }
+        for order in orders {
+            self.recovery.note_order(match order {
+                Order::Start { .. } => OrderKind::Start,
+                Order::Halt { .. } => OrderKind::Halt,
+                Order::Forget { .. } => OrderKind::Forget,
+            });
+        }
+    }
+
+    /// Says now and then how far the recovery has come.
+    pub(super) fn log_recovery(&mut self, now: Steady) {
+        if now - self.recovery_logged < PROGRESS_INTERVAL || now - self.taken > RECOVERY_LOGGED_FOR {
+            return;
+        }
+        self.recovery_logged = now;
+        let progress = self.recovery_progress(now);
+        if progress.machines == 0 {
+            return;
+        }
+        let of = |difference: Difference| progress.differences.of(difference);
+        tracing::info!(
+            token = self.token,
+            after_s = progress.after_s,
+            machines = progress.machines,
+            unheard = progress.unheard,
+            lost = progress.lost,
+            adopted = progress.adopted,
+            finished = of(Difference::Finished),
+            job_over = of(Difference::JobOver),
+            done_before = of(Difference::DoneBefore),
+            placed_twice = of(Difference::PlacedTwice),
+            failed = of(Difference::Failed),
+            partial_gang = of(Difference::PartialGang),
+            machine_lost = of(Difference::MachineLost),
+            starts = progress.orders.starts,
+            halts = progress.orders.halts,
+            forgets = progress.orders.forgets,
+            settled_s = progress.settled_s,
+            "recovery"
+        );
+    }
+}
+
+/// A task of a report, as the comparison sees it; none if it has no task's name.
+fn reported(task: &TaskReport) -> Option<ReportedTask<'_>> {
+    let (job, number) = split_task(&task.task)?;
+    let state = match (task.stage, task.why) {
+        (TaskStage::Exited, Some(Why::Done)) => TaskState::Done,
+        (TaskStage::Exited, _) => TaskState::Failed,
+        _ => TaskState::Present,
+    };
+    Some(ReportedTask { job, task: number, attempt: task.attempt, state })
+}
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -94,6 +94,7 @@
             m.missing = false;
         }
         let orders = self.orders(&id, now, wall);
+        self.count_orders(&orders, now);
         CheckIn::Reply(ReportReply { token: self.token, orders })
     }
 
@@ -146,6 +147,7 @@
                 out.push(m.direct_command(orders));
             }
         }
+        self.count_orders(out.iter().flat_map(|command| &command.orders), now);
         out
     }
 
@@ -190,12 +192,14 @@
     /// spot notice.
     fn take_machine_state(&mut self, id: &MachineId, r: &Report, now: Steady) {
         let Some(m) = self.machines.get_mut(id) else { return };
-        if !m.up {
+        let is_first = !m.up;
+        if is_first {
             m.up = true;
             m.idle = now;
             self.dirty = true;
         }
-        if !m.heard && r.token == self.token {
+        let is_heard_now = !m.heard && r.token == self.token;
+        if is_heard_now {
             m.heard = true;
             self.silent = self.silent.saturating_sub(1);
             self.uses.clear();
@@ -207,6 +211,12 @@
             self.dirty = true;
         }
         m.notice = notice;
+        if is_first {
+            self.compare_with_records(id, r);
+        }
+        if is_heard_now {
+            self.machine_heard(id, now);
+        }
     }
 
     /// Takes the tasks that a report lists, and returns their keys.
@@ -473,6 +483,8 @@
         if self.machines.get(&id).is_none_or(|m| m.seen != (r.season, r.tally)) {
             return Vec::new();
         }
-        self.orders(&id, now, wall)
+        let orders = self.orders(&id, now, wall);
+        self.count_orders(&orders, now);
+        orders
     }
 }
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -1,5 +1,7 @@
 //! The view for people on call.
 
+use milletlock_recovery::Progress;
+
 use super::*;
 
 /// A machine, for people on call.
@@ -72,6 +74,8 @@
     pub reservation: Option<(String, f64)>,
     /// A by key.
     pub factors: Vec<FactorView>,
+    /// How far the recovery after the takeover has come; none for a team's view.
+    pub recovery: Option<Progress>,
 }
 
 impl Fleet {
@@ -124,6 +128,7 @@
                 })
                 .collect(),
             reservation: reserved,
+            recovery: team.is_none().then(|| self.recovery_progress(now)),
             factors: self
                 .history
                 .factors(wall)
--- a/src/fleet/upkeep.rs
+++ b/src/fleet/upkeep.rs
@@ -143,6 +143,7 @@
     pub fn tick(&mut self, now: Steady, wall: Wall) {
         self.check_leases(now);
         self.log_takeover_progress(now);
+        self.log_recovery(now);
         if now - self.usage_logged > USAGE_LOG_INTERVAL {
             self.usage_logged = now;
             self.log_machine_use();
@@ -156,11 +157,12 @@
     /// Expires leases, and marks machines that have been silent for too long as leaving.
     fn check_leases(&mut self, now: Steady) {
         let check = self.lease_check(now);
-        let (mut ended, mut outlasted) = (Vec::new(), 0);
+        let (mut ended, mut given_up, mut outlasted) = (Vec::new(), Vec::new(), 0);
         for m in self.machines.values_mut() {
             if check.outlive_earlier_owners(m) {
                 outlasted += 1;
                 ended.push(m.id.clone());
+                given_up.push(m.id.clone());
             }
             if m.leaving && (m.expired || !m.heard) {
                 continue;
@@ -178,6 +180,9 @@
             self.silent = self.silent.saturating_sub(outlasted);
             self.uses.clear();
         }
+        for id in given_up {
+            self.machine_given_up(&id, now);
+        }
         for id in ended {
             self.emptied(&id);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod peer;
 pub mod ranges;
 pub mod records;
+pub mod report;
 pub mod sched;
 pub mod state;
 pub mod time;
--- a/tests/cold_restart.rs
+++ b/tests/cold_restart.rs
@@ -76,6 +76,37 @@
         machines.iter().filter(|m| ["unheard", "silent", "leaving"].iter().any(|s| m["state"] == *s)).count()
     }
 
+    /// The leader's status says what was found, and its log makes a page.
+    fn assert_told(&self, finished: usize, machines_lost: usize) {
+        let leader = self.cells.leader(0).expect("a leader");
+        let recovery = &self.cells.status(0, leader).expect("a status")["owner"]["recovery"];
+        let (machines, tasks) = (self.workers, self.workers * TASKS_PER_WORKER);
+        assert_eq!(recovery["machines"], machines, "{recovery}");
+        assert_eq!(
+            (&recovery["unheard"], &recovery["lost"]),
+            (&json!(0), &json!(machines_lost)),
+            "{recovery}"
+        );
+        assert_eq!(recovery["differences"]["finished"], finished, "{recovery}");
+        // All but what ended, went with machines, or was cancelled and may be halted by now.
+        let adopted = tasks - finished - (machines_lost + 1) * TASKS_PER_WORKER;
+        assert_eq!(recovery["adopted"], adopted, "{recovery}");
+        let page = self.cells.log_file(0, leader).with_extension("html");
+        let made = std::process::Command::new(env!("CARGO_BIN_EXE_milletlock"))
+            .arg("report")
+            .arg(self.cells.log_file(0, leader))
+            .arg("--output")
+            .arg(&page)
+            .output()
+            .expect("the program");
+        assert!(made.status.success(), "{made:?}");
+        let page = std::fs::read_to_string(page).expect("a page");
+        assert!(
+            page.contains(&format!("{machines} machines, all machines were heard or given up")),
+            "{page}"
+        );
+    }
+
     /// The orders since the controllers were started again, once no more come for a while.
     fn orders(&self) -> Orders {
         let count = || self.cells.history.lock().expect("the history").orders.len();
@@ -166,6 +197,7 @@
     assert!(orders.halts <= 2 * TASKS_PER_WORKER, "{orders:?}, one job was cancelled");
     assert!(orders.forgets <= 2 * (ended + TASKS_PER_WORKER), "{orders:?}, {ended} tasks ended");
     assert!(orders.starts + orders.halts + orders.forgets <= 2 * differences, "{orders:?}");
+    blackout.assert_told(ended, lost / TASKS_PER_WORKER);
     let history = blackout.cells.history.lock().expect("the history");
     assert!(history.present.keys().all(|(_, attempt)| !attempt.0.starts_with(&format!("{cancelled}/"))));
     assert!(history.finished.values().all(|cells| cells.len() == 1), "no task finishes twice");
--- a/tests/common/cells.rs
+++ b/tests/common/cells.rs
@@ -505,6 +505,7 @@
             .arg("--operator")
             .arg(file(format!("{cell}.hcl")))
             .env("LOG_LEVEL", "info")
+            .env("LOG_FORMAT", "json")
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
@@ -512,6 +513,11 @@
         self.cells[cell].controllers[controller] = Some(child);
     }
 
+    /// What a controller's process has logged since it was last started.
+    pub fn log_file(&self, cell: usize, controller: usize) -> std::path::PathBuf {
+        self.folder.join(format!("{cell}-{controller}.log"))
+    }
+
     /// Ends a controller's process at once.
     pub fn kill_controller(&mut self, cell: usize, controller: usize) {
         if let Some(mut child) = self.cells[cell].controllers[controller].take() {
--- a/tests/loans.rs
+++ b/tests/loans.rs
@@ -144,6 +144,7 @@
     let mut changes = Vec::new();
     while let Some(change) = fleet.loans.guest.next_change(request, &fleet.local_tasks()) {
         changes.push(change.clone());
+        assert!(changes.len() < 100, "it changes without end");
         let write = fleet.begin_guest_change(change);
         match store.txn(&cluster::loan_txn(&write, store.stamp(PART))) {
             Ok(revision) => fleet.loan_written(&write, revision, now, Wall(now.0)),
