Cells: records of loans fit their values however their sets of tasks fall apart

Cause, by reading: a loan was only made if its record fitted then; given back here and there its sets grow, and a record beyond its value could neither be settled nor closed. A guest did not look at all, and the rejected write would have taken the coming limits for present. A job's mark from early versions was written as 0 with a loan. Change: both sides count the worst case; the mark stays.

--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -220,7 +220,10 @@
             return Err(Refusal::NeverRuns(why));
         }
         let cpus = f64::from(item.tasks.len()) * spec.cpus;
-        if self.backlog_s > BUSY_BACKLOG_S || cpus > fleet.spare_cpus() {
+        let loans = fleet.loans.guest.job(&item.job).map(|record| record.loans.as_slice());
+        let held = loans.unwrap_or_default().iter().map(|loan| loan.tasks.len());
+        let fits = item.tasks.len() <= fleet.tasks_that_fit(&spec, held);
+        if !fits || self.backlog_s > BUSY_BACKLOG_S || cpus > fleet.spare_cpus() {
             return Err(Refusal::NoRoom(item.tasks.len()));
         }
         Ok(())
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -8,8 +8,12 @@
 /// Tasks are recalled only if they take no more than this part of the drain time: with more they would be
 /// lent again at once.
 const RECALLED_SHARE: f64 = 0.5;
-/// Bytes of a record that are left free.
-const RECORD_SLACK: usize = 128;
+/// Bytes of a record that are left for all but the description and the loans.
+const RECORD_SLACK: usize = 192;
+/// Most bytes that a loan takes in a record, without its tasks: its number and a cell's name.
+const BYTES_PER_LOAN: usize = 110;
+/// Most bytes that a lent task takes in a record: five digits and a comma.
+const BYTES_PER_LENT_TASK: usize = 6;
 
 /// Tasks of a job that could be lent.
 #[derive(Clone, Debug)]
@@ -58,6 +62,17 @@
         machines.filter_map(|m| m.ty).map(|ty| self.total(ty).cpus).sum()
     }
 
+    /// How many more tasks of a job can be lent so that the records of its loans fit a value at both sides,
+    /// however the sets of tasks fall apart as some are given back.
+    pub(super) fn tasks_that_fit(&self, spec: &JobSpec, lent: impl Iterator<Item = u32>) -> u32 {
+        let description = serde_json::to_string(spec).map_or(usize::MAX, |text| text.len());
+        let taken = lent.fold(description, |bytes, tasks| {
+            bytes.saturating_add(BYTES_PER_LOAN + BYTES_PER_LENT_TASK * tasks as usize)
+        });
+        let left = self.value_limit.saturating_sub(RECORD_SLACK + BYTES_PER_LOAN).saturating_sub(taken);
+        u32::try_from(left / BYTES_PER_LENT_TASK).unwrap_or(u32::MAX)
+    }
+
     /// The job to lend from to a guest with this summary: the youngest that waits long enough, since the
     /// older ones are served first here. Only tasks above its mark: those have never been started.
     pub fn lending_candidate(&self, guest: &CellSummary, now: Wall) -> Option<LendingCandidate> {
@@ -69,17 +84,20 @@
             let waited_s = (now - job.submitted).secs();
             let begun = job.high.max(job.high_wanted);
             let tasks: TaskSet = job.waiting.iter().filter(|task| *task >= begun).collect();
+            let loans = self.loans.home.lending(&job.id).map(|lending| lending.loans.as_slice());
+            let lent = loans.unwrap_or_default().iter().map(|loan| loan.tasks.len());
+            let lendable = tasks.len().min(self.tasks_that_fit(&job.spec, lent));
             let view = LendingView {
                 backlog_s,
                 drain_s: self.cfg.operator.drain_s,
-                lendable: tasks.len(),
+                lendable,
                 task_cpus: job.spec.cpus,
                 task_s: job.spec.estimate_s,
                 waited_s,
                 guest_spare_cpus: guest.spare_cpus,
                 guest_backlog_s: guest.backlog_s,
             };
-            let is_due = waited_s >= cells.lend_after_s && !tasks.is_empty();
+            let is_due = waited_s >= cells.lend_after_s && lendable > 0;
             is_due.then(|| LendingCandidate { job: job.id.clone(), tasks, view })
         })
     }
@@ -119,8 +137,7 @@
         write
     }
 
-    /// The write of what a job's record says of loans from now on; none while another is in flight or if
-    /// it does not fit a value.
+    /// The write of what a job's record says of loans from now on; none while another is in flight.
     fn home_write(&self, job: &str, lending: Lending, made: Option<LoanNumber>) -> Option<LoanWrite> {
         if self.loans.is_lending(job) {
             return None;
@@ -130,19 +147,13 @@
             (None, Some(job)) => {
                 let spec = job.spec.clone();
                 let submitted_us = job.submitted.0;
-                (JobRecord { spec, submitted_us, high: 0, lending: Lending::default() }, job.stamp)
+                // Early versions keep the mark here: what it covers stays covered.
+                (JobRecord { spec, submitted_us, high: job.high, lending: Lending::default() }, job.stamp)
             }
             (None, None) => return None,
         };
         record.lending = lending;
-        let bytes = serde_json::to_string(&record).map_or(usize::MAX, |text| text.len());
-        let fits = bytes + RECORD_SLACK <= self.value_limit;
-        (fits || made.is_none()).then(|| LoanWrite::Home {
-            job: job.into(),
-            record: Box::new(record),
-            stamp,
-            made,
-        })
+        Some(LoanWrite::Home { job: job.into(), record: Box::new(record), stamp, made })
     }
 
     /// The write by which a settlement with a guest takes effect.
--- a/tests/loans.rs
+++ b/tests/loans.rs
@@ -223,6 +223,29 @@
     assert!(matches!(admit(&with("cpus", json!("many"))), Err(Refusal::Malformed(_))));
 }
 
+/// A record that outgrew its value could neither be settled nor closed any more.
+#[test]
+fn records_of_loans_fit_their_values_however_the_sets_fall_apart() {
+    let mut s = scenario();
+    s.submit(spec(1, 100_000, "batch"));
+    let mut record = None;
+    for revision in 20..60 {
+        let Some(candidate) = s.fleet.lending_candidate(&guest(1e9), wall(&s)) else { break };
+        let write = s.fleet.begin_loan(&candidate, candidate.view.lendable, "there").expect("a loan");
+        s.fleet.loan_written(&write, revision, s.now, wall(&s));
+        let LoanWrite::Home { record: written, .. } = write else { panic!("a loan of this cell") };
+        record = Some(*written);
+    }
+    assert!(s.fleet.lending_candidate(&guest(1e9), wall(&s)).is_none(), "no more fits");
+    let mut record = record.expect("some loans");
+    for loan in &mut record.lending.loans {
+        loan.tasks = loan.tasks.iter().filter(|task| task % 2 == 0).collect();
+    }
+    let bytes = json!(record).to_string().len();
+    assert!(bytes <= 4096, "{bytes} bytes");
+    assert!(record.lending.tasks().len() > 200, "and many are lent");
+}
+
 /// Two jobs of one id could not be told apart on a worker.
 #[test]
 fn a_job_that_was_accepted_here_is_not_borrowed() {
