Cells: a lost cell is written off; recovery with one and five controllers, and a state service that is down

Change: tests on processes; a task that was stopped is not given back has a test that fails without its guard.

--- a/tests/cold_restart.rs
+++ b/tests/cold_restart.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use common::cells::{until, CellPlan, Cells, LEASE_S};
@@ -33,18 +34,25 @@
 struct Blackout {
     cells: Cells,
     workers: usize,
+    controllers: usize,
     since: Instant,
 }
 
 impl Blackout {
     /// Fills a cell with one array for each worker.
     fn prepare(group: u8, workers: usize) -> Blackout {
-        let plan = CellPlan { workers, has_block: false, task_time: LONG, ..CellPlan::default() };
+        Blackout::prepare_with(group, workers, 2)
+    }
+
+    /// The same with so many controllers.
+    fn prepare_with(group: u8, workers: usize, controllers: usize) -> Blackout {
+        let plan =
+            CellPlan { workers, has_block: false, task_time: LONG, controllers, ..CellPlan::default() };
         let cells = Cells::start(group, &[plan]);
         for number in 1..=workers as u32 {
             cells.submit(0, &job(number, TASKS_PER_WORKER as u32));
         }
-        let blackout = Blackout { cells, workers, since: Instant::now() };
+        let blackout = Blackout { cells, workers, controllers, since: Instant::now() };
         blackout.wait_until_full();
         blackout
     }
@@ -59,16 +67,28 @@
 
     /// Ends all controllers, has something happen, and starts them again after a while.
     fn run(&mut self, outage: Duration, meanwhile: impl FnOnce(&Cells)) {
-        (0..2).for_each(|controller| self.cells.kill_controller(0, controller));
+        self.kill_all();
         let begun = Instant::now();
         meanwhile(&self.cells);
         std::thread::sleep(outage.saturating_sub(begun.elapsed()));
         self.since = Instant::now();
-        (0..2).for_each(|controller| self.cells.start_controller(0, controller));
+        self.start_all();
+        if self.cells.state_is_out.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(1_000));
+            self.cells.state_is_out.store(false, Ordering::Relaxed);
+        }
         until("somebody leads", || self.cells.leader(0).is_some());
         until("all machines are heard or gone", || self.unheard() == 0);
     }
 
+    fn kill_all(&mut self) {
+        (0..self.controllers).for_each(|controller| self.cells.kill_controller(0, controller));
+    }
+
+    fn start_all(&mut self) {
+        (0..self.controllers).for_each(|controller| self.cells.start_controller(0, controller));
+    }
+
     /// Machines that the leader has not heard.
     fn unheard(&self) -> usize {
         let status = self.cells.leader(0).and_then(|leader| self.cells.status(0, leader)).unwrap_or_default();
@@ -154,6 +174,29 @@
     assert_eq!(blackout.cells.history.lock().expect("the history").rentals, 0, "nothing is rented");
 }
 
+#[test]
+fn one_controller_and_five_give_no_order_either() {
+    for (group, controllers) in [(36, 1), (37, 5)] {
+        let mut blackout = Blackout::prepare_with(group, 10, controllers);
+        blackout.run(SHORT_OUTAGE, |_| ());
+        assert_eq!(blackout.orders(), Orders::default(), "{controllers} controllers");
+    }
+}
+
+/// The state service is down when the controllers come back, and they end once more.
+#[test]
+fn a_second_crash_while_the_state_service_is_down_repeats_nothing() {
+    let mut blackout = Blackout::prepare(38, 20);
+    blackout.kill_all();
+    blackout.cells.state_is_out.store(true, Ordering::Relaxed);
+    blackout.start_all();
+    std::thread::sleep(Duration::from_millis(1_000));
+    blackout.run(Duration::from_millis(500), |_| ());
+    let lost = blackout.cells.history.lock().expect("the history").killed_by_lease;
+    blackout.wait_until_full();
+    assert_eq!(blackout.orders(), Orders { starts: lost, ..Orders::default() });
+}
+
 #[test]
 fn after_more_than_a_lease_each_lost_task_starts_once() {
     let mut blackout = Blackout::prepare(32, 40);
--- a/tests/common/cells.rs
+++ b/tests/common/cells.rs
@@ -21,7 +21,7 @@
 use super::worker::{Attempt, Task, WorkerState};
 use super::{platform_json, types};
 
-/// Controllers of each cell.
+/// Controllers of each cell, unless its plan says otherwise.
 const CONTROLLERS: usize = 2;
 /// The workers' lease in these settings, in seconds.
 pub const LEASE_S: f64 = 4.0;
@@ -164,7 +164,11 @@
 }
 
 /// While `drops_answers`, every fourth transaction has no answer: some are carried out, some are not.
-fn state_service(drops_answers: Arc<AtomicBool>, load: Arc<StateLoad>) -> SocketAddr {
+fn state_service(
+    drops_answers: Arc<AtomicBool>,
+    is_out: Arc<AtomicBool>,
+    load: Arc<StateLoad>,
+) -> SocketAddr {
     let (state, changed) = (Mutex::new(StateService::default()), Condvar::new());
     let transactions = AtomicUsize::new(0);
     serve_some(move |r| {
@@ -189,6 +193,9 @@
         if number % 8 == 0 {
             return None;
         }
+        if is_out.load(Ordering::Relaxed) {
+            return Some(Response::error(503, "trouble"));
+        }
         let answer = state.answer(&r);
         changed.notify_all();
         (number % 8 != 4).then_some(answer)
@@ -388,11 +395,19 @@
     pub has_block: bool,
     /// How long its tasks run.
     pub task_time: Duration,
+    /// Its number of controllers.
+    pub controllers: usize,
 }
 
 impl Default for CellPlan {
     fn default() -> CellPlan {
-        CellPlan { workers: 0, borrow_cpus: 0, has_block: true, task_time: Duration::from_millis(250) }
+        CellPlan {
+            workers: 0,
+            borrow_cpus: 0,
+            has_block: true,
+            task_time: Duration::from_millis(250),
+            controllers: CONTROLLERS,
+        }
     }
 }
 
@@ -413,6 +428,8 @@
     pub history: Arc<Mutex<History>>,
     /// Whether the state services drop answers.
     pub drops_answers: Arc<AtomicBool>,
+    /// Whether the state services refuse everybody.
+    pub state_is_out: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
     folder: std::path::PathBuf,
 }
@@ -432,11 +449,12 @@
             links: BTreeMap::new(),
             history: Arc::default(),
             drops_answers: Arc::default(),
+            state_is_out: Arc::default(),
             stop: Arc::default(),
             folder,
         };
         for (i, plan) in plans.iter().enumerate() {
-            let controllers = 0..CONTROLLERS;
+            let controllers = 0..plan.controllers;
             let users: Vec<SocketAddr> = controllers.clone().map(|c| addr(host(i, c), 8080)).collect();
             let internal: Vec<SocketAddr> =
                 controllers.clone().map(|c| addr(host(i, c), INTERNAL_PORT)).collect();
@@ -461,16 +479,16 @@
             let machines: Vec<String> = (0..plan.workers).map(|w| format!("i-{i}{w:05}")).collect();
             let load = Arc::<StateLoad>::default();
             let (state, cloud) = (
-                state_service(cells.drops_answers.clone(), load.clone()),
+                state_service(cells.drops_answers.clone(), cells.state_is_out.clone(), load.clone()),
                 cloud(machines.clone(), cells.history.clone()),
             );
-            for c in 0..CONTROLLERS {
+            for c in 0..plan.controllers {
                 let mut p = platform_json();
                 p["label"] = json!(format!("c-{c}"));
                 p["serve_on"] = json!(users[c].to_string());
                 p["internal_addr"] = json!(internal[c].to_string());
                 let member = |other: usize| json!({ "label": format!("c-{other}"), "addr": internal[other] });
-                p["members"] = (0..CONTROLLERS).filter(|other| *other != c).map(member).collect();
+                p["members"] = (0..plan.controllers).filter(|other| *other != c).map(member).collect();
                 p["services"] = json!({ "cloud": cloud, "state": state });
                 let workers = &mut p["settings"]["workers"];
                 workers["report_s"] = json!(0.5);
@@ -478,9 +496,9 @@
                 workers["cancel_s"] = json!(8.0);
                 std::fs::write(cells.folder.join(format!("{i}-{c}.json")), p.to_string()).expect("written");
             }
-            let none = (0..CONTROLLERS).map(|_| None).collect();
+            let none = (0..plan.controllers).map(|_| None).collect();
             cells.cells.push(Cell { controllers: none, users: users.clone(), internal, load });
-            (0..CONTROLLERS).for_each(|c| cells.start_controller(i, c));
+            (0..plan.controllers).for_each(|c| cells.start_controller(i, c));
             for id in machines {
                 let mut state = WorkerState::new(id, "north", Steady(0));
                 state.addr = String::new();
@@ -526,6 +544,25 @@
         }
     }
 
+    /// A cell is gone, with its controllers and machines.
+    pub fn lose_cell(&mut self, cell: usize) {
+        (0..self.cells[cell].controllers.len()).for_each(|c| self.kill_controller(cell, c));
+        let mut history = lock(&self.history);
+        let of_cell = history.present.iter().filter(|(at, _)| at.0 == cell);
+        let machines: BTreeSet<String> = of_cell.map(|(_, machine)| machine.clone()).collect();
+        machines.iter().for_each(|machine| history.remove_machine(machine));
+    }
+
+    /// The address at which a cell's leader hears other controllers.
+    pub fn leader_address(&self, cell: usize) -> String {
+        let mut leader = None;
+        until("a cell has a leader", || {
+            leader = self.leader(cell);
+            leader.is_some()
+        });
+        self.cells[cell].internal[leader.expect("a leader")].to_string()
+    }
+
     /// Cuts two cells off from each other, or connects them again.
     pub fn cut(&self, one: usize, other: usize, is_cut: bool) {
         for pair in [(one, other), (other, one)] {
@@ -564,7 +601,8 @@
 
     /// Which controller leads a cell.
     pub fn leader(&self, cell: usize) -> Option<usize> {
-        (0..CONTROLLERS).find(|c| self.status(cell, *c).is_some_and(|status| status["owner"].is_object()))
+        (0..self.cells[cell].controllers.len())
+            .find(|c| self.status(cell, *c).is_some_and(|status| status["owner"].is_object()))
     }
 
     /// What a cell's leader says of loans.
@@ -601,7 +639,7 @@
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         for cell in 0..self.cells.len() {
-            (0..CONTROLLERS).for_each(|c| self.kill_controller(cell, c));
+            (0..self.cells[cell].controllers.len()).for_each(|c| self.kill_controller(cell, c));
         }
         if !std::thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.folder);
--- a/tests/loans.rs
+++ b/tests/loans.rs
@@ -188,6 +188,28 @@
     assert!(started(&mut s).is_disjoint(given_back));
 }
 
+/// It waits again, but may have saved progress or left something behind: it stays where it began.
+#[test]
+fn a_task_that_was_stopped_is_not_given_back() {
+    let (mut s, mut store) = (scenario(), Store::default());
+    handle(&mut s.fleet, &request(vec![offer(5, 1, "0-19")]), &mut store, s.now);
+    s.step(&[]);
+    s.step(&[]);
+    let machine = s.machines[0].clone();
+    let there = s.tasks(&machine);
+    let stopped: Vec<_> =
+        there.iter().map(|t| (t.0.as_str(), t.1, TaskStage::Exited, Some(Why::Stopped))).collect();
+    s.tally += 1;
+    // Nothing of the job is started again for now.
+    s.fleet.jobs.get_mut("wk-000001").expect("the job").not_before = Steady(i64::MAX);
+    let report = milletlock::wire::Report { spot: false, ..common::report(&machine, s.tally, 7, &stopped) };
+    s.fleet.check_in(&report, s.now, wall(&s));
+    let numbers: TaskSet = there.iter().filter_map(|t| t.0.rsplit_once('/')?.1.parse().ok()).collect();
+    let recall = request(vec![LoanItem { wish: Wish::Recall, ..offer(5, 1, "0-19") }]);
+    let changes = handle(&mut s.fleet, &recall, &mut store, s.now);
+    assert!(!numbers.is_empty() && changes[0].withdrawn.is_disjoint(&numbers), "{numbers} {changes:?}");
+}
+
 #[test]
 fn a_cancelled_loan_is_halted_and_its_tasks_are_gone() {
     let (mut s, mut store) = (scenario(), Store::default());
--- a/tests/three_cells.rs
+++ b/tests/three_cells.rs
@@ -130,6 +130,39 @@
     assert_tally(&cells, tasks);
 }
 
+/// Nothing comes back by itself from a cell that is gone, only by an operator's word.
+#[test]
+fn a_lost_cell_is_written_off_and_its_tasks_run_at_home() {
+    let mut cells = Cells::start(5, &plans()[..2]);
+    for number in 1..=ARRAYS {
+        cells.submit(0, &job(number, TASKS, "batch"));
+    }
+    let lent = |cells: &Cells| cells.cells_status(0).map_or(0, |status| status.lent.len());
+    until("the other cell holds tasks", || {
+        cells.cells_status(1).is_some_and(|status| !status.borrowed.is_empty())
+    });
+    cells.lose_cell(1);
+    until("the rest is done, and what is lent waits", || {
+        let present = cells.history.lock().expect("the history").present.len();
+        present == 0 && lent(&cells) > 0
+    });
+    assert!((1..=ARRAYS).any(|number| cells.stage(0, &id(number)) != "done"));
+    let write_off = |extra: &[&str]| {
+        std::process::Command::new(env!("CARGO_BIN_EXE_milletlock"))
+            .args(["write-off", "cell-1", "--internal", &cells.leader_address(0)])
+            .args(extra)
+            .output()
+            .expect("the program")
+    };
+    assert_eq!(write_off(&[]).status.code(), Some(2), "not without saying that it is lost");
+    assert!(lent(&cells) > 0);
+    until("it is written off", || write_off(&["--lost-for-good"]).status.success());
+    for number in 1..=ARRAYS {
+        until("an array is done", || cells.stage(0, &id(number)) == "done");
+    }
+    assert_eq!(lent(&cells), 0);
+}
+
 #[test]
 fn a_cancellation_is_confirmed_only_when_no_guest_behind_a_cut_holds_the_job() {
     let cells = Cells::start(3, &plans());
