--- a/src/node/lending.rs
+++ b/src/node/lending.rs
@@ -54,26 +54,33 @@
 }
 
 /// The choice of how much to lend.
-struct Choice {
+pub struct LendingChoice {
     gate: BacklogGate,
     script: Option<Script>,
 }
 
+impl LendingChoice {
+    /// The choice by the settings, which were checked when they were read.
+    pub fn new(cells: &CellsSettings) -> LendingChoice {
+        let script = cells.script.as_deref().and_then(|text| Script::parse(text).ok());
+        LendingChoice { gate: BacklogGate::default(), script }
+    }
+}
+
 impl Node {
     /// Lends until the controller ends.
     pub(super) fn lend(&self) {
         let Some(cells) = &self.cfg.operator.cells else { return };
-        // Checked when the settings were read.
-        let script = cells.script.as_deref().and_then(|text| Script::parse(text).ok());
-        let mut choice = Choice { gate: BacklogGate::default(), script };
+        let mut choice = LendingChoice::new(cells);
         while !self.stopping() {
-            let is_active = self.lend_once(cells, &mut choice);
+            let is_active = self.lend_once(&mut choice);
             self.sleep(if is_active { ACTIVE_INTERVAL } else { IDLE_INTERVAL });
         }
     }
 
     /// One round with all other cells; whether there are loans or some are to be made.
-    fn lend_once(&self, cells: &CellsSettings, choice: &mut Choice) -> bool {
+    pub fn lend_once(&self, choice: &mut LendingChoice) -> bool {
+        let Some(cells) = &self.cfg.operator.cells else { return false };
         let (token, backlog_s) = match &self.lock().ownership {
             Some(ownership) => (ownership.claim.token, ownership.fleet.array_backlog_s()),
             None => return false,
@@ -128,7 +135,7 @@
     }
 
     /// Takes another cell's answer.
-    fn on_loan_reply(&self, token: u64, cell: &OtherCell, reply: &LoanReply, choice: &Choice) {
+    fn on_loan_reply(&self, token: u64, cell: &OtherCell, reply: &LoanReply, choice: &LendingChoice) {
         if reply.from != cell.name {
             return self
                 .cell_unreachable(cell, "a controller of another name, or without a cells block, answers");
@@ -218,7 +225,7 @@
 
     /// Lends tasks to a cell if this one's arrays do not drain and that one has room. One loan at a time:
     /// the next waits until the guest has decided, so that its room is known again.
-    fn make_loan(&self, token: u64, cell: &OtherCell, choice: &Choice) {
+    fn make_loan(&self, token: u64, cell: &OtherCell, choice: &LendingChoice) {
         if !choice.gate.is_open() {
             return;
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -29,6 +29,7 @@
 use rand::Rng;
 
 use self::latency::{histogram, Latencies};
+pub use self::lending::LendingChoice;
 use self::lending::OtherCellState;
 use self::ownership::StateBudget;
 use self::reports::DeferredReply;
--- /dev/null
+++ b/tests/loan_writes.rs
@@ -0,0 +1,117 @@
+//! A controller whose write of a loan has no answer: it may have been carried out, so none of the tasks
+//! starts here until that is known.
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use common::servers::{cloud, serve_some};
+use common::state_service::{answer_read, answer_transaction, transaction};
+use common::store::Store;
+use common::{platform_json, report, spec};
+use milletlock::cluster::PART;
+use milletlock::config::{Config, Operator, Platform};
+use milletlock::http::{Request, Response};
+use milletlock::node::{LendingChoice, Node};
+use milletlock::peer::{proto, LoanReply, Outbound, Outcome, PeerHub};
+use milletlock::time::{wall, Clock, Micros};
+use milletlock::wire::{Order, ReportReply, TaskStage};
+use serde_json::json;
+
+const CELLS: &str =
+    "cells {\n name = \"here\"\n others = [{ name = \"there\", controllers = [\"127.0.0.1:1\"] }]\n \
+                     lend = [\"any\"]\n lend_after_s = 0\n}\n";
+
+/// Time that passes between two reports.
+const STEP: Micros = Micros(200_000);
+
+/// Answers as the leader of another cell that has room.
+fn other_cell(out: Outbound) -> Result<(), String> {
+    let summary = proto::CellSummary {
+        form: 1,
+        composed_us: wall().0,
+        spare_cpus: 100.0,
+        ..proto::CellSummary::default()
+    };
+    let reply = LoanReply {
+        from: "there".into(),
+        term: 1,
+        leads: true,
+        summary: Some(summary),
+        ..LoanReply::default()
+    };
+    out.answer(Ok(Outcome::Loans(reply)));
+    Ok(())
+}
+
+/// A state service that carries out writes of loans, and answers none of them while told so.
+fn state_service(store: Arc<Mutex<Store>>, drops: Arc<AtomicBool>) -> std::net::SocketAddr {
+    serve_some(move |r| {
+        let mut store = store.lock().expect("the store");
+        match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
+            ("POST", "/leases") => Some(Response::json(200, &json!({ "tenure": 1 }))),
+            ("POST", "/txn") => {
+                let txn = transaction(&r);
+                let of_owner = txn.guards.iter().any(|guard| guard.key == PART);
+                let is_loan =
+                    of_owner && txn.then.iter().any(|change| format!("{change:?}").contains("spec_of_lent"));
+                let result = store.txn(&txn);
+                let is_dropped = is_loan && drops.load(Ordering::SeqCst);
+                (!is_dropped).then(|| answer_transaction(&store, result))
+            }
+            ("GET", _) => Some(answer_read(&store, &r)),
+            _ => Some(Response::json(200, &json!({}))),
+        }
+    })
+}
+
+fn post(node: &Node, path: &str, body: Vec<u8>) -> Response {
+    node.answer(&Request { method: "POST".into(), path: path.into(), body }, false)
+}
+
+/// Lets a worker report until nothing more starts; the tasks that are on it.
+fn started(node: &Node, clock: &AtomicI64) -> Vec<String> {
+    let (mut there, mut token) = (Vec::<(String, u64)>::new(), 0);
+    for _ in 0..12 {
+        let tally = clock.load(Ordering::SeqCst) as u64;
+        let tasks: Vec<_> = there.iter().map(|t| (t.0.as_str(), t.1, TaskStage::Running, None)).collect();
+        let report = milletlock::wire::Report { spot: false, ..report("i-000001", tally, token, &tasks) };
+        let answer = post(node, "/checkin", serde_json::to_vec(&report).expect("a report"));
+        let reply: ReportReply = serde_json::from_slice(&answer.body).expect("an answer");
+        token = reply.token;
+        there.extend(reply.orders.into_iter().filter_map(|order| match order {
+            Order::Start { task, attempt } => Some((task, attempt)),
+            _ => None,
+        }));
+        clock.fetch_add(STEP.0, Ordering::SeqCst);
+        node.plan_once();
+        node.write_once();
+    }
+    there.into_iter().map(|t| t.0).collect()
+}
+
+#[test]
+fn tasks_of_a_loan_whose_write_has_no_answer_do_not_start_here() {
+    let (store, drops) = (Arc::<Mutex<Store>>::default(), Arc::new(AtomicBool::new(true)));
+    let mut p = platform_json();
+    p["services"] = json!({ "cloud": cloud(), "state": state_service(store.clone(), drops.clone()) });
+    let platform = Platform::parse(&p.to_string(), "test").expect("settings");
+    let operator = Operator::parse(CELLS, "test").expect("settings");
+    let mut choice = LendingChoice::new(operator.cells.as_ref().expect("cells"));
+    let cfg = Config { platform, operator };
+    let clock = Arc::new(AtomicI64::new(1_000_000_000));
+    let node = Node::new(cfg, PeerHub::over(0, other_cell), Clock::Manual(clock.clone()), Arc::default());
+    let node = node.expect("a controller");
+    assert!(node.learn_types_once());
+    node.keep_once(Micros::from_secs(3.0));
+    assert_eq!(post(&node, "/api/jobs", json!(spec(1, 6, "batch")).to_string().into_bytes()).status, 201);
+    node.lend_once(&mut choice);
+    let lent = store.lock().expect("the store").row("job/wk-000001").expect("the job").value;
+    assert_eq!(lent["lending"]["loans"][0]["tasks"], "1-5", "it was carried out: {lent}");
+    assert_eq!(started(&node, &clock), ["wk-000001/0"], "the others may be lent");
+    // Sent again it fails, since it was carried out: what is recorded is read.
+    drops.store(false, Ordering::SeqCst);
+    node.lend_once(&mut choice);
+    assert!(started(&node, &clock).iter().all(|task| task == "wk-000001/0"));
+}
