--- a/src/api.rs
+++ b/src/api.rs
@@ -11,7 +11,7 @@
 use crate::records::{FinalRecord, JobRecord};
 use crate::state::{Applied, StateError, Urgency};
 use crate::time::wall;
-use crate::wire::{is_job_id, Change, Guard, JobSpec, JobStatus, Stage, Txn};
+use crate::wire::{is_job_id, Change, Guard, JobSpec, JobStage, JobStatus, Stage, Txn};
 
 /// What is known of a job from the state service.
 enum Known {
@@ -61,6 +61,10 @@
     }
 }
 
+fn stage_answer(id: &str, stage: Stage) -> Response {
+    Response::json(200, &JobStage { id: id.to_string(), stage })
+}
+
 fn unavailable(e: &StateError) -> Response {
     Response::error(503, &format!("the state service cannot be asked: {e}")).later(1)
 }
@@ -165,8 +169,7 @@
     match result? {
         Applied::Yes(revision) => {
             node.job_written(&id, record, revision);
-            let body = json!({ "nameId": id, "stage": Stage::Queued });
-            Ok(Response::json(201, &body))
+            Ok(Response::json(201, &JobStage { id, stage: Stage::Queued }))
         }
         Applied::Conflict(_) => {
             let known = look_up(node, &id)?;
@@ -209,7 +212,7 @@
                     // Whoever wrote it may have had no answer to that, and told nobody.
                     node.cancellation_confirmed(id, f, revision);
                 }
-                return Ok(Response::json(200, &json!({ "nameId": id, "stage": f.stage })));
+                return Ok(stage_answer(id, f.stage));
             }
             Known::Live(record, stamp) if !record.lending.loans.is_empty() => {
                 if record.lending.cancelling || record_cancelling(node, *record, stamp)? {
@@ -226,7 +229,7 @@
                 match node.state.txn(&txn, Urgency::User) {
                     Ok(Applied::Yes(revision)) => {
                         node.cancellation_confirmed(id, over, revision);
-                        return Ok(Response::json(200, &json!({ "nameId": id, "stage": Stage::Cancelled })));
+                        return Ok(stage_answer(id, Stage::Cancelled));
                     }
                     // The owner wrote in between, or it is not known what happened: look again.
                     Ok(Applied::Conflict(_)) | Err(StateError::Unknown(_)) => {}
--- a/src/loan_messages.rs
+++ b/src/loan_messages.rs
@@ -13,6 +13,17 @@
 /// A message that cannot be read.
 #[derive(Debug, thiserror::Error)]
 pub enum MessageError {
+    /// A message for another cell.
+    #[error("it is for cell {to}, this is {own}")]
+    Misaddressed {
+        /// The cell that it is for.
+        to: String,
+        /// This cell.
+        own: String,
+    },
+    /// A cell that the settings do not name.
+    #[error("no cell {0} is known here")]
+    UnknownCell(String),
     /// More loans than a message may name.
     #[error("{0} loans in a message")]
     TooMany(usize),
--- a/src/node/borrowing.rs
+++ b/src/node/borrowing.rs
@@ -4,7 +4,7 @@
 
 use super::{Node, Ownership, SharedState};
 use crate::config::CellsSettings;
-use crate::loan_messages::{report_to_proto, request_from_proto, summary_to_proto};
+use crate::loan_messages::{report_to_proto, request_from_proto, summary_to_proto, MessageError};
 use crate::node::loan_writes::LoanOutcome;
 use crate::peer::{LoanReply, LoanRequest, Outcome};
 use crate::time::{wall, Micros};
@@ -24,7 +24,7 @@
         let request = match checked(cells, message) {
             Ok(request) => request,
             Err(why) => {
-                self.log_refused_message(&message.from, why);
+                self.log_refused_message(&message.from, why.to_string());
                 return Outcome::Loans(LoanReply { from: cells.name.clone(), ..LoanReply::default() });
             }
         };
@@ -94,14 +94,14 @@
 }
 
 /// The message, if it can be read and is from a cell that is known here.
-fn checked(cells: &CellsSettings, message: &LoanRequest) -> Result<Request, String> {
+fn checked(cells: &CellsSettings, message: &LoanRequest) -> Result<Request, MessageError> {
     if message.to != cells.name {
-        return Err(format!("it is for cell {}, this is {}", message.to, cells.name));
+        return Err(MessageError::Misaddressed { to: message.to.clone(), own: cells.name.clone() });
     }
     if cells.other(&message.from).is_none() {
-        return Err(format!("no cell {} is known here", message.from));
+        return Err(MessageError::UnknownCell(message.from.clone()));
     }
-    request_from_proto(message).map_err(|e| e.to_string())
+    request_from_proto(message)
 }
 
 fn loan_reply(cells: &CellsSettings, ownership: &Ownership, request: &Request) -> LoanReply {
--- a/src/node/lending.rs
+++ b/src/node/lending.rs
@@ -10,7 +10,7 @@
 use crate::config::{CellsSettings, OtherCell};
 use crate::fleet::{Fleet, LoanWrite};
 use crate::loan_messages::{report_from_proto, request_to_proto, summary_from_proto, MAX_LOANS};
-use crate::peer::{LoanReply, Message, Outcome, Waiting};
+use crate::peer::{LoanReply, Message, Outcome, PeerError, Waiting};
 use crate::time::{wall, Micros};
 
 /// How often a cell is told of its loans while it holds some, or some are to be made.
@@ -87,13 +87,11 @@
         };
         let wants_to_lend = choice.gate.update(backlog_s, self.cfg.operator.drain_s);
         self.retry_loan_writes(token);
-        let asked: Vec<(&OtherCell, Option<Waiting>)> = self.ask_cells(cells, token);
-        for (cell, waiting) in asked {
-            let outcome = waiting.ok_or_else(|| "not sent".to_string()).and_then(Waiting::wait);
-            match outcome {
+        for (cell, waiting) in self.ask_cells(cells, token) {
+            match waiting.and_then(Waiting::wait) {
                 Ok(Outcome::Loans(reply)) => self.on_loan_reply(token, cell, &reply, choice),
                 Ok(_) => self.cell_unreachable(cell, "a wrong answer"),
-                Err(e) => self.cell_unreachable(cell, &e),
+                Err(e) => self.cell_unreachable(cell, &e.to_string()),
             }
         }
         let has_loans = match &self.lock().ownership {
@@ -104,7 +102,11 @@
     }
 
     /// Tells each cell of its loans.
-    fn ask_cells<'a>(&self, cells: &'a CellsSettings, token: u64) -> Vec<(&'a OtherCell, Option<Waiting>)> {
+    fn ask_cells<'a>(
+        &self,
+        cells: &'a CellsSettings,
+        token: u64,
+    ) -> Vec<(&'a OtherCell, Result<Waiting, PeerError>)> {
         let mut first_address = self.peers.count();
         let mut asked = Vec::new();
         for cell in &cells.others {
@@ -118,7 +120,7 @@
             let request = fleet.loans.home.request(&cells.name, &cell.name, token, wish, offer);
             drop(shared);
             let message = Message::Lend(request_to_proto(&request));
-            let waiting = self.peers.begin(first_address + controller, message, CELL_TIMEOUT).ok();
+            let waiting = self.peers.begin(first_address + controller, message, CELL_TIMEOUT);
             asked.push((cell, waiting));
             first_address += cell.controllers.len();
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -49,6 +49,23 @@
     Loans(LoanReply),
 }
 
+/// Why a message to another controller has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PeerError {
+    /// Too many messages are on their way out.
+    #[error("too many messages wait to be sent")]
+    Busy,
+    /// No answer came in time.
+    #[error("time-out")]
+    TimedOut,
+    /// The runtime that sends messages has ended.
+    #[error("the runtime is gone")]
+    Stopped,
+    /// The other cannot be reached, or refused.
+    #[error("{0}")]
+    Failed(String),
+}
+
 /// A message from another controller, with the way back.
 pub struct Inbound {
     /// What it says.
@@ -71,18 +88,18 @@
     /// What it says.
     pub message: Message,
     timeout: Duration,
-    reply: SyncSender<Result<Outcome, String>>,
+    reply: SyncSender<Result<Outcome, PeerError>>,
 }
 
 impl Outbound {
     /// Hands the answer, or why there is none, to whoever waits for it.
-    pub fn answer(self, r: Result<Outcome, String>) {
+    pub fn answer(self, r: Result<Outcome, PeerError>) {
         let _ = self.reply.try_send(r);
     }
 }
 
 /// What takes messages to the other controllers; an error if it takes no more for now.
-pub type Carrier = dyn Fn(Outbound) -> Result<(), String> + Send + Sync;
+pub type Carrier = dyn Fn(Outbound) -> Result<(), PeerError> + Send + Sync;
 
 /// Sends messages to the other controllers.
 #[derive(Clone)]
@@ -109,13 +126,13 @@
                 tracing::error!(error = %e, "the runtime between controllers ended");
             }
         })?;
-        Ok((PeerHub::over(count, move |o| out.try_send(o).map_err(|e| e.to_string())), messages))
+        Ok((PeerHub::over(count, move |o| out.try_send(o).map_err(not_sent)), messages))
     }
 
     /// A hub for so many others over any carrier.
     pub fn over(
         count: usize,
-        carry: impl Fn(Outbound) -> Result<(), String> + Send + Sync + 'static,
+        carry: impl Fn(Outbound) -> Result<(), PeerError> + Send + Sync + 'static,
     ) -> PeerHub {
         PeerHub { out: Arc::new(carry), count }
     }
@@ -126,12 +143,12 @@
     }
 
     /// Sends and waits for the answer.
-    pub fn call(&self, to: usize, message: Message, timeout: Micros) -> Result<Outcome, String> {
+    pub fn call(&self, to: usize, message: Message, timeout: Micros) -> Result<Outcome, PeerError> {
         self.begin(to, message, timeout)?.wait()
     }
 
     /// Sends without waiting yet.
-    pub fn begin(&self, to: usize, message: Message, timeout: Micros) -> Result<Waiting, String> {
+    pub fn begin(&self, to: usize, message: Message, timeout: Micros) -> Result<Waiting, PeerError> {
         let (reply, answer) = sync_channel(1);
         let timeout = timeout.std();
         (self.out)(Outbound { to, message, timeout, reply })?;
@@ -139,19 +156,26 @@
     }
 }
 
+fn not_sent(error: tokio::sync::mpsc::error::TrySendError<Outbound>) -> PeerError {
+    match error {
+        tokio::sync::mpsc::error::TrySendError::Full(_) => PeerError::Busy,
+        tokio::sync::mpsc::error::TrySendError::Closed(_) => PeerError::Stopped,
+    }
+}
+
 /// An answer to come.
 pub struct Waiting {
-    answer: Receiver<Result<Outcome, String>>,
+    answer: Receiver<Result<Outcome, PeerError>>,
     timeout: Duration,
 }
 
 impl Waiting {
     /// Waits for it, no longer than the message's time-out and a little.
-    pub fn wait(self) -> Result<Outcome, String> {
+    pub fn wait(self) -> Result<Outcome, PeerError> {
         match self.answer.recv_timeout(self.timeout + Duration::from_millis(200)) {
             Ok(r) => r,
-            Err(RecvTimeoutError::Timeout) => Err("time-out".into()),
-            Err(RecvTimeoutError::Disconnected) => Err("the runtime is gone".into()),
+            Err(RecvTimeoutError::Timeout) => Err(PeerError::TimedOut),
+            Err(RecvTimeoutError::Disconnected) => Err(PeerError::Stopped),
         }
     }
 }
@@ -251,9 +275,9 @@
                 let Some(channel) = slot.borrow().clone() else { continue };
                 tokio::task::spawn_local(async move {
                     let r = match tokio::time::timeout(o.timeout, send(channel, o.message)).await {
-                        Ok(r) => r.map_err(|s| s.message().to_string()),
+                        Ok(r) => r.map_err(|status| PeerError::Failed(status.message().to_string())),
                         // A cut holds a connection without a word: the next message gets a new one.
-                        Err(_) => Err("time-out".to_string()),
+                        Err(_) => Err(PeerError::TimedOut),
                     };
                     if r.is_err() {
                         *slot.borrow_mut() = None;
--- a/src/wire/jobs.rs
+++ b/src/wire/jobs.rs
@@ -271,6 +271,16 @@
     Cancelled,
 }
 
+/// Answer to an accepted submission or a cancellation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobStage {
+    /// The job.
+    #[serde(rename = "nameId")]
+    pub id: String,
+    /// Its stage.
+    pub stage: Stage,
+}
+
 /// Answer to a poll.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobStatus {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,7 +10,9 @@
 
 pub use cells::{BorrowedStatus, CellsStatus, LentStatus, OtherCellStatus, WrittenOff, WRITE_OFF_PATH};
 pub use cloud::{Catalog, ListedMachine, MachineList, MachineNames, MachineType, RentRequest};
-pub use jobs::{is_job_id, JobSpec, JobStatus, Rank, Shape, Stage, SubmissionError, MAX_TASKS, REQUIRED};
+pub use jobs::{
+    is_job_id, JobSpec, JobStage, JobStatus, Rank, Shape, Stage, SubmissionError, MAX_TASKS, REQUIRED,
+};
 pub use replies::{Health, NodeStatus, PartStatus, Redirect, HEALTH_PATH};
 pub use state::{Change, Event, Events, Guard, Row, Rows, Txn};
 pub use workers::{
--- a/tests/cancellation_in_outage.rs
+++ b/tests/cancellation_in_outage.rs
@@ -18,7 +18,7 @@
 use milletlock::config::{Config, Operator, Platform};
 use milletlock::http::{self, Client, Lane, Reply, Request, Response, Room};
 use milletlock::node::Node;
-use milletlock::peer::{Outbound, PeerHub};
+use milletlock::peer::{Outbound, PeerError, PeerHub};
 use milletlock::time::{Clock, Micros, Steady};
 use milletlock::wire::{Change, Commands, Order, ReportReply, TaskStage, Txn};
 use serde_json::{json, Value};
@@ -270,7 +270,7 @@
                 .get(others[o.to])
                 .cloned()
                 .filter(|_| !partitioned.load(Ordering::SeqCst));
-            let answer = to.map(|n| n.hear(&o.message)).ok_or("cut off".to_string());
+            let answer = to.map(|n| n.hear(&o.message)).ok_or(PeerError::TimedOut);
             o.answer(answer);
             Ok(())
         };
--- a/tests/loan_writes.rs
+++ b/tests/loan_writes.rs
@@ -14,7 +14,7 @@
 use milletlock::config::{Config, Operator, Platform};
 use milletlock::http::{Request, Response};
 use milletlock::node::{LendingChoice, Node};
-use milletlock::peer::{proto, LoanReply, Outbound, Outcome, PeerHub};
+use milletlock::peer::{proto, LoanReply, Outbound, Outcome, PeerError, PeerHub};
 use milletlock::time::{wall, Clock, Micros};
 use milletlock::wire::{Order, ReportReply, TaskStage};
 use serde_json::json;
@@ -27,7 +27,7 @@
 const STEP: Micros = Micros(200_000);
 
 /// Answers as the leader of another cell that has room.
-fn other_cell(out: Outbound) -> Result<(), String> {
+fn other_cell(out: Outbound) -> Result<(), PeerError> {
     let summary = proto::CellSummary {
         form: 1,
         composed_us: wall().0,
