--- a/tests/cold_restart.rs
+++ b/tests/cold_restart.rs
@@ -249,7 +249,7 @@
 #[test]
 #[ignore = "a measurement, run by hand"]
 fn orders_with_many_workers() {
-    for (group, workers) in [(34, 200), (35, 1000)] {
+    for (group, workers) in [(34, 200), (35, 1000), (39, 2000)] {
         for outage in [SHORT_OUTAGE, LONG_OUTAGE] {
             let mut blackout = Blackout::prepare(group, workers);
             let changes = blackout.cells.state_load(0).1;
