--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -37,8 +37,8 @@
         self.dirty = true;
     }
 
-    /// Seconds for which this cell's own waiting arrays keep its machines busy, and whether anything
-    /// waits at all. Without a machine there is nothing to measure by: a processor is taken for it.
+    /// Seconds for which this cell's own waiting arrays keep its machines busy. Without a machine there is
+    /// nothing to measure by: a processor is taken for it.
     pub fn array_backlog_s(&self) -> f64 {
         let own_arrays = self
             .jobs
