On reading the change once more: what stood twice has one place; behaviour as it was

Lending::is_cancelled was asked for in three places; a borrowed job's end composed a change by hand (now GuestLedger::remove); orders were counted by two callers of one function; the prefix of done ranges was cut out of a key; the backlog was worked out once for each cell asked.

--- a/crates/cells/src/guest.rs
+++ b/crates/cells/src/guest.rs
@@ -110,16 +110,20 @@
     pub fn apply(&mut self, change: &GuestChange) {
         match &change.record {
             Some(record) => self.load(&change.job, record.clone()),
-            None if self.is_of(&change.home, &change.job) => {
-                self.jobs.remove(&change.job);
-            }
-            None => {}
+            None => self.remove(&change.home, &change.job),
         }
         if let Some(number) = change.high_water {
             self.load_high_water(&change.home, number);
         }
     }
 
+    /// The record of a job that was borrowed from a home is gone.
+    pub fn remove(&mut self, home: &str, job: &str) {
+        if self.is_of(home, job) {
+            self.jobs.remove(job);
+        }
+    }
+
     /// How the loans stand that a message names. `done` says which tasks of a job are recorded as done
     /// here. What is neither held nor known to be closed is left out.
     pub fn reports(&self, request: &Request, done: impl Fn(&str) -> TaskSet) -> Vec<LoanReport> {
--- a/crates/cells/src/loan.rs
+++ b/crates/cells/src/loan.rs
@@ -55,6 +55,11 @@
         self.loans.is_empty() && !self.cancelling
     }
 
+    /// Whether the job is cancelled: its user wants it, and no cell holds anything of it.
+    pub fn is_cancelled(&self) -> bool {
+        self.cancelling && self.loans.is_empty()
+    }
+
     /// All tasks that are lent.
     pub fn tasks(&self) -> TaskSet {
         self.loans.iter().fold(TaskSet::new(), |all, loan| all.union(&loan.tasks))
--- a/crates/cells/tests/common/mod.rs
+++ b/crates/cells/tests/common/mod.rs
@@ -230,14 +230,7 @@
             ("borrowed", Some(Record::Borrowed(record))) => self.guest.load(name, record.clone()),
             ("borrowed", None) => {
                 let home = self.guest.job(name).map(|record| record.home.clone()).unwrap_or_default();
-                self.guest.apply(&GuestChange {
-                    home,
-                    job: name.to_string(),
-                    record: None,
-                    high_water: None,
-                    withdrawn: TaskSet::new(),
-                    refusal: None,
-                });
+                self.guest.remove(&home, name);
             }
             ("mark", Some(Record::HighWater(number))) => self.guest.load_high_water(name, *number),
             _ => {}
--- a/src/cluster/loan_records.rs
+++ b/src/cluster/loan_records.rs
@@ -30,7 +30,7 @@
 /// A job that is being cancelled and has no open loan any more is over.
 fn home_txn(job: &str, record: &JobRecord, stamp: u64) -> Txn {
     let mut guards = vec![guard(job_key(job), stamp)];
-    let then = if record.lending.cancelling && record.lending.loans.is_empty() {
+    let then = if record.lending.is_cancelled() {
         guards.push(guard(final_key(job), 0));
         let over = FinalRecord { stage: Stage::Cancelled, tasks: record.spec.tasks };
         vec![Change::drop(job_key(job)), Change::put(final_key(job), json!(over))]
--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -6,7 +6,7 @@
 };
 
 use super::*;
-use crate::keys::borrowed_done_key;
+use crate::keys::borrowed_done_prefix;
 use crate::records::LenderRecord;
 
 /// A cell with more of its own array work waiting than this takes on nothing, in seconds of its machines.
@@ -91,8 +91,7 @@
 
     /// Chunks of done ranges that an earlier loan of the job left and that are about to be removed.
     fn take_orphans_of(&mut self, id: &JobId) -> Vec<(u32, u64)> {
-        let prefix = borrowed_done_key(id, 0);
-        let prefix = prefix.trim_end_matches('0').to_string();
+        let prefix = borrowed_done_prefix(id);
         let mut taken = Vec::new();
         self.orphans.retain(|key, stamp| {
             let chunk = key.strip_prefix(&prefix).and_then(|chunk| chunk.parse().ok());
@@ -104,14 +103,7 @@
 
     /// A borrowed job is held no more: what is left of it is stopped.
     pub(super) fn borrowed_over(&mut self, id: &str, home: &str) {
-        self.loans.guest.apply(&GuestChange {
-            home: home.to_string(),
-            job: id.to_string(),
-            record: None,
-            high_water: None,
-            withdrawn: TaskSet::new(),
-            refusal: None,
-        });
+        self.loans.guest.remove(home, id);
         if self.loans.guest.job(id).is_some() {
             return;
         }
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -207,7 +207,7 @@
                 if let Some(number) = made {
                     self.loans.home.decided(*number);
                 }
-                if record.lending.cancelling && record.lending.loans.is_empty() {
+                if record.lending.is_cancelled() {
                     self.end_lending(job);
                     self.job_over(job, revision);
                 } else {
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -94,7 +94,6 @@
             m.missing = false;
         }
         let orders = self.orders(&id, now, wall);
-        self.count_orders(&orders, now);
         CheckIn::Reply(ReportReply { token: self.token, orders })
     }
 
@@ -450,6 +449,7 @@
             self.replan(now, wall);
         }
         self.start_on(id, now, &mut out);
+        self.count_orders(&out, now);
         out
     }
 
@@ -483,8 +483,6 @@
         if self.machines.get(&id).is_none_or(|m| m.seen != (r.season, r.tally)) {
             return Vec::new();
         }
-        let orders = self.orders(&id, now, wall);
-        self.count_orders(&orders, now);
-        orders
+        self.orders(&id, now, wall)
     }
 }
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -40,7 +40,12 @@
 
 /// Key of a chunk of a borrowed job's done ranges.
 pub fn borrowed_done_key(id: &str, chunk: u32) -> String {
-    format!("{BORROWED}/done/{id}/{chunk}")
+    format!("{}{chunk}", borrowed_done_prefix(id))
+}
+
+/// Prefix of the chunks of a borrowed job's done ranges.
+pub fn borrowed_done_prefix(id: &str) -> String {
+    format!("{BORROWED}/done/{id}/")
 }
 
 /// Key of what is kept of a cell from which tasks are borrowed.
--- a/src/node/lending.rs
+++ b/src/node/lending.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use milletlock_cells::{BacklogGate, CellSummary, Lending, Loan, LoanReport, Script, Wish};
+use milletlock_cells::{BacklogGate, CellSummary, Loan, LoanReport, Script, Wish};
 
 use super::loan_writes::LoanOutcome;
 use super::{Node, Ownership, SharedState};
@@ -94,7 +94,7 @@
         };
         let wants_to_lend = choice.gate.update(backlog_s, self.cfg.operator.drain_s);
         self.retry_loan_writes(token);
-        for (cell, waiting) in self.ask_cells(cells, token) {
+        for (cell, waiting) in self.ask_cells(cells, token, backlog_s) {
             match waiting.and_then(Waiting::wait) {
                 Ok(Outcome::Loans(reply)) => self.on_loan_reply(token, cell, &reply, choice),
                 Ok(_) => self.cell_unreachable(cell, "a wrong answer"),
@@ -113,6 +113,7 @@
         &self,
         cells: &'a CellsSettings,
         token: u64,
+        backlog_s: f64,
     ) -> Vec<(&'a OtherCell, Result<Waiting, PeerError>)> {
         let mut first_address = self.peers.count();
         let mut asked = Vec::new();
@@ -123,7 +124,6 @@
             let controller = state.controller;
             let Some(ownership) = shared.owned_with(token) else { return asked };
             let fleet = &ownership.fleet;
-            let backlog_s = fleet.array_backlog_s();
             let wish = |job: &str, loan: &Loan| recall_or_run(fleet, job, loan, backlog_s);
             let offer = |job: &str, number| fleet.loans.offer(job, number);
             let request = fleet.loans.home.request(&cells.name, &cell.name, token, wish, offer);
@@ -225,7 +225,7 @@
 
     fn settle_loan(&self, token: u64, cell: &OtherCell, write: LoanWrite) {
         let job = write.job().to_string();
-        let is_end = matches!(&write, LoanWrite::Home { record, .. } if is_cancelled(&record.lending));
+        let is_end = matches!(&write, LoanWrite::Home { record, .. } if record.lending.is_cancelled());
         if self.write_loan(token, write) == LoanOutcome::Written {
             tracing::debug!(%job, cell = %cell.name, "a loan is settled");
             if is_end {
@@ -281,10 +281,6 @@
     Some((numbers.next()?.ok()?, numbers.next()?.ok()?))
 }
 
-fn is_cancelled(lending: &Lending) -> bool {
-    lending.cancelling && lending.loans.is_empty()
-}
-
 /// Whether a guest has not decided on a loan yet, or holds as many as one message names.
 fn has_undecided(ownership: &Ownership, cell: &str) -> bool {
     let loans = &ownership.fleet.loans;
