--- a/tests/common/production.rs
+++ b/tests/common/production.rs
@@ -265,19 +265,26 @@
 
     fn load_row(&mut self, row: &Row) {
         let parts: Vec<&str> = row.key.split('/').collect();
-        let number = |text: &str| text.parse::<u32>().expect("a number");
+        let slot = |text: &str| text.parse::<usize>().ok();
         match parts[..] {
-            ["machines", slot] => {
-                self.machines.load(number(slot) as usize, row.mod_revision, row.value.clone())
+            ["machines", number] => {
+                if let Some(number) = slot(number) {
+                    self.machines.load(number, row.mod_revision, row.value.clone());
+                }
             }
-            ["marks", slot] => self.load_marks(number(slot) as usize, row),
-            ["done", id, chunk] => self.load_done(id, number(chunk), row),
+            ["marks", number] => {
+                if let Some(number) = slot(number) {
+                    self.load_marks(number, row);
+                }
+            }
+            ["done", id, chunk] => self.load_done(id, chunk, row),
             _ => {}
         }
     }
 
     fn load_marks(&mut self, slot: usize, row: &Row) {
-        let marks: BTreeMap<String, u32> = serde_json::from_value(row.value.clone()).expect("marks");
+        // One that it cannot read it logs and leaves out (`load`, src/cluster.rs:183).
+        let Ok(marks) = serde_json::from_value::<BTreeMap<String, u32>>(row.value.clone()) else { return };
         for (id, mark) in &marks {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.mark = job.mark.max(*mark);
@@ -286,12 +293,15 @@
         self.marks.load(slot, row.mod_revision, row.value.clone());
     }
 
-    fn load_done(&mut self, id: &str, chunk: u32, row: &Row) {
+    fn load_done(&mut self, id: &str, chunk: &str, row: &Row) {
+        // Its form is looked at before its job: a value that is no text, or a chunk that is no number, stays as
+        // it is, with a job or without (`load`, src/cluster.rs:187).
+        let (Ok(chunk), Some(text)) = (chunk.parse::<u32>(), row.value.as_str()) else { return };
         let Some(job) = self.jobs.get_mut(id) else {
             self.orphans.insert(row.key.clone(), row.mod_revision);
             return;
         };
-        let tasks = tasks_of_text(row.value.as_str().expect("a text"));
+        let tasks = tasks_of_text(text);
         job.done.extend(&tasks);
         job.done_written.extend(&tasks);
         job.chunks.insert(chunk, row.mod_revision);
--- /dev/null
+++ b/tests/earlier_leader/world.rs
@@ -0,0 +1,320 @@
+//! A cell that lends tasks, between stand-ins: its state store, one machine at a time, and the cell that
+//! borrows. Controllers of this version lead it by real elections; a model of the earlier version leads it in
+//! between.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use milletlock::api::RequestOrigin;
+use milletlock::config::{Config, OperatorConfig, PlatformConfig};
+use milletlock::controller::{Controller, LendingPolicy};
+use milletlock::http::{Request, Response};
+use milletlock::leadership::{LEADER_KEY, SHARD_KEY, TERM_KEY};
+use milletlock::loan_messages::{report_to_proto, request_from_proto};
+use milletlock::peer::{proto, LoanReply, OutboundMessage, PeerHub, PeerMessage, PeerReply};
+use milletlock::time::{wall, Clock, Micros, Steady};
+use milletlock::wire::{Change, ExitReason, Guard, HeartbeatReply, TaskStage, Txn, WorkerCommand};
+use milletlock_cells::{LoanAction, LoanItem, LoanNumber, LoanReport, LoanState, LoanSyncRequest, TaskSet};
+use serde_json::{json, Value};
+
+use crate::common::servers::{cloud, serve};
+use crate::common::state_store_server::{read_response, transaction, transaction_response};
+use crate::common::store::Store;
+use crate::common::worker::{Attempt, Task, WorkerState};
+use crate::common::{platform_json, production, spec};
+
+const CELLS: &str =
+    "cells {\n name = \"here\"\n others = [{ name = \"there\", controllers = [\"127.0.0.1:1\"] }]\n \
+                     lend = [\"any\"]\n lend_after_s = 0\n}\n";
+
+/// The only job.
+pub const JOB: &str = "wk-000001";
+/// Its tasks.
+pub const TASKS: u32 = 40;
+/// Time that passes between two heartbeats.
+const STEP: Micros = Micros(500_000);
+/// Bytes of a value of the state store in these settings.
+const VALUE_BYTES: usize = 4096;
+
+/// The cell that borrows: it takes on what it is offered.
+#[derive(Default)]
+pub struct Borrower {
+    /// The tasks that it holds, by loan.
+    pub held: BTreeMap<LoanNumber, TaskSet>,
+    /// Tasks that are done there.
+    pub done: TaskSet,
+    /// Tasks that it gives back as soon as it is told so by the test.
+    pub gives_back: TaskSet,
+    /// Whether it answers at all.
+    pub is_cut_off: bool,
+    /// Whether it says that it has no capacity, so that nothing more is lent to it.
+    pub is_full: bool,
+}
+
+impl Borrower {
+    fn on_request(&mut self, request: &LoanSyncRequest) -> Vec<LoanReport> {
+        let is_named = |number: &LoanNumber| request.loans.iter().any(|item| item.number == *number);
+        self.held.retain(|number, _| *number > request.horizon || is_named(number));
+        request.loans.iter().map(|item| self.on_item(item)).collect()
+    }
+
+    fn on_item(&mut self, item: &LoanItem) -> LoanReport {
+        if item.offer.is_some() && item.action == LoanAction::Run {
+            self.held.entry(item.number).or_insert_with(|| item.tasks.clone());
+        }
+        if item.action == LoanAction::Cancel {
+            self.held.remove(&item.number);
+        }
+        if let Some(tasks) = self.held.get_mut(&item.number) {
+            *tasks = tasks.difference(&self.gives_back);
+        }
+        let state = match self.held.get(&item.number) {
+            Some(tasks) => LoanState::Held { tasks: tasks.clone(), done: tasks.intersection(&self.done) },
+            None => LoanState::Closed,
+        };
+        LoanReport { number: item.number, state }
+    }
+
+    /// It gives back, when it is next asked, what is not done there.
+    pub fn give_back_unfinished(&mut self) {
+        self.gives_back = self.tasks().difference(&self.done);
+    }
+
+    /// All tasks that it holds.
+    pub fn tasks(&self) -> TaskSet {
+        TaskSet::union_of(self.held.values())
+    }
+}
+
+/// A machine of the lending cell.
+pub struct Machine {
+    pub state: WorkerState,
+    /// The task numbers that it has ever started, with how often.
+    pub started: BTreeMap<u32, usize>,
+    /// Task numbers whose result a leader of this version has taken: their tasks were forgotten.
+    pub taken: BTreeSet<u32>,
+}
+
+impl Machine {
+    pub fn new(id: &str) -> Machine {
+        let state = WorkerState::new(id.to_string(), "north", Steady(0));
+        Machine { state, started: BTreeMap::new(), taken: BTreeSet::new() }
+    }
+
+    /// All that runs is done.
+    pub fn finish_all(&mut self) {
+        for task in self.state.tasks.values_mut().filter(|task| task.stage == TaskStage::Running) {
+            task.enter(TaskStage::Exited, Some(ExitReason::Done), Steady(0));
+        }
+    }
+
+    /// The task numbers that run.
+    pub fn running(&self) -> BTreeSet<u32> {
+        self.state.executing().map(|attempt| number_of(&attempt.0)).collect()
+    }
+
+    fn execute(&mut self, command: &WorkerCommand) {
+        match command {
+            WorkerCommand::Start { task, attempt } => {
+                let key: Attempt = (task.clone(), *attempt);
+                let running = Task::new(TaskStage::Running, Micros::ZERO, Steady(0));
+                if self.state.tasks.insert(key, running).is_none() {
+                    *self.started.entry(number_of(task)).or_default() += 1;
+                }
+            }
+            WorkerCommand::Halt { task, attempt, .. } => {
+                self.state.halt(task, *attempt);
+            }
+            WorkerCommand::Forget { task, attempt } => {
+                let key = (task.clone(), *attempt);
+                let is_done = |task: &Task| task.why == Some(ExitReason::Done);
+                if self.state.tasks.get(&key).is_some_and(is_done) {
+                    self.taken.insert(number_of(task));
+                }
+                self.state.forget(task, *attempt);
+            }
+        }
+    }
+}
+
+fn number_of(task: &str) -> u32 {
+    milletlock::jobs::split_task(task).expect("a task").1
+}
+
+/// The cell.
+pub struct World {
+    store: Arc<Mutex<Store>>,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    clock: Arc<AtomicI64>,
+    borrower: Arc<Mutex<Borrower>>,
+}
+
+impl World {
+    pub fn new() -> World {
+        let store: Arc<Mutex<Store>> = Arc::default();
+        let served = store.clone();
+        let state = serve(move |request| {
+            let mut store = served.lock().expect("the store");
+            match (request.method.as_str(), request.path.split('?').next().unwrap_or("")) {
+                ("POST", "/leases") => Response::json(200, &json!({ "tenure": 1 })),
+                ("POST", "/txn") => {
+                    let result = store.txn(&transaction(&request));
+                    transaction_response(&store, result)
+                }
+                ("GET", _) => read_response(&store, &request),
+                _ => Response::json(200, &json!({})),
+            }
+        });
+        World {
+            store,
+            state,
+            cloud: cloud(),
+            clock: Arc::new(AtomicI64::new(1_000_000_000)),
+            borrower: Arc::default(),
+        }
+    }
+
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().expect("the store")
+    }
+
+    pub fn borrower(&self) -> MutexGuard<'_, Borrower> {
+        self.borrower.lock().expect("the borrower")
+    }
+
+    /// A controller of this version, elected and with everything read back.
+    pub fn leader(&self) -> Leader<'_> {
+        let mut settings = platform_json();
+        settings["services"] = json!({ "cloud": self.cloud, "state": self.state });
+        let platform = PlatformConfig::parse(&settings.to_string(), "test").expect("settings");
+        let operator = OperatorConfig::parse(CELLS, "test").expect("settings");
+        let policy = LendingPolicy::new(operator.cells.as_ref().expect("cells"));
+        let borrower = self.borrower.clone();
+        let transport = move |out: OutboundMessage| {
+            let PeerMessage::Lend(message) = &out.message else { panic!("no message about loans") };
+            let request = request_from_proto(message).expect("a request");
+            let mut borrower = borrower.lock().expect("the borrower");
+            if !borrower.is_cut_off {
+                let reports = borrower.on_request(&request);
+                let spare_cpus = if borrower.is_full { 0.0 } else { 100.0 };
+                out.answer(Ok(PeerReply::Loans(loan_reply(spare_cpus, &reports))));
+            }
+            Ok(())
+        };
+        let config = Config { platform, operator };
+        let peers = PeerHub::with_transport(0, transport);
+        let clock = Clock::Manual(self.clock.clone());
+        let controller = Controller::new(config, peers, clock, Arc::default()).expect("a controller");
+        assert!(controller.load_machine_types_once());
+        controller.maintain_leadership_once(Micros::from_secs(3.0));
+        Leader { world: self, controller, policy }
+    }
+
+    /// A leader of the version in production, elected by its own transaction, writes all that it has to
+    /// write. Its leader stands for one that was killed: nothing is told to the workers.
+    pub fn earlier_version_leads(&self) {
+        let mut store = self.store();
+        let (part, token) = earlier_election(&mut store);
+        let mut leader = production::Owner::load(part, token, VALUE_BYTES, &store.rows(""));
+        for _ in 0..1000 {
+            let Some(txn) = leader.next_write() else { return };
+            match store.txn(&txn) {
+                Ok(revision) => leader.written(revision),
+                Err(failed) => leader.refused(&failed),
+            }
+        }
+        panic!("it writes without end");
+    }
+
+    /// The tasks of the job whose done ranges the version in production reads.
+    pub fn recorded_done(&self) -> BTreeSet<u32> {
+        production::done_in(&self.store(), JOB)
+    }
+}
+
+/// The election of the version in production; the shard's revision and the token.
+fn earlier_election(store: &mut Store) -> (u64, u64) {
+    let token = store.row(TERM_KEY).map_or(0, |row| row.value["n"].as_u64().expect("a number")) + 1;
+    let owner = json!({ "label": "c-0", "incarnation": token, "token": token, "lease": 1 });
+    let guards = [LEADER_KEY, TERM_KEY, SHARD_KEY]
+        .map(|key| Guard { key: key.into(), mod_revision: store.mod_revision(key) })
+        .to_vec();
+    let then = vec![
+        Change::put(LEADER_KEY, owner.clone()),
+        Change::put(TERM_KEY, json!({ "n": token })),
+        Change::put(SHARD_KEY, owner),
+    ];
+    (store.txn(&Txn { guards, then }).expect("elected"), token)
+}
+
+fn loan_reply(spare_cpus: f64, reports: &[LoanReport]) -> LoanReply {
+    let summary =
+        proto::CellSummary { form: 1, composed_us: wall().0, spare_cpus, ..proto::CellSummary::default() };
+    LoanReply {
+        from: "there".into(),
+        term: 1,
+        leads: true,
+        summary: Some(summary),
+        reports: reports.iter().map(report_to_proto).collect(),
+        ..LoanReply::default()
+    }
+}
+
+/// A controller of this version that leads.
+pub struct Leader<'a> {
+    world: &'a World,
+    pub controller: Arc<Controller>,
+    policy: LendingPolicy,
+}
+
+impl Leader<'_> {
+    /// Sends a user's request; the status code and the body.
+    pub fn ask(&self, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        let body = body.to_string().into_bytes();
+        let request = Request { method: method.into(), path: path.into(), body };
+        let response = self.controller.answer(&request, RequestOrigin::Http);
+        (response.status, serde_json::from_slice(&response.body).unwrap_or(Value::Null))
+    }
+
+    pub fn submit(&self) {
+        assert_eq!(self.ask("POST", "/api/jobs", &json!(spec(1, TASKS, "batch"))).0, 201);
+    }
+
+    pub fn stage(&self) -> String {
+        self.ask("GET", &format!("/api/jobs/{JOB}"), &Value::Null).1["stage"].as_str().unwrap_or("").into()
+    }
+
+    /// One round of messages between the cells.
+    pub fn lend(&mut self) {
+        self.controller.lend_once(&mut self.policy);
+    }
+
+    /// Half a second: a machine's heartbeat with its reply, and the controller's duties.
+    pub fn step(&mut self, machine: &mut Machine) {
+        let message = machine.state.heartbeat();
+        let body = serde_json::to_vec(&message).expect("a heartbeat");
+        let request = Request { method: "POST".into(), path: "/checkin".into(), body };
+        let response = self.controller.answer(&request, RequestOrigin::Http);
+        if let Ok(reply) = serde_json::from_slice::<HeartbeatReply>(&response.body) {
+            machine.state.accept_reply(reply.fencing_token, Steady(0));
+            reply.commands.iter().for_each(|command| machine.execute(command));
+        }
+        self.idle_step();
+    }
+
+    /// Half a second without a heartbeat.
+    pub fn idle_step(&mut self) {
+        self.world.clock.fetch_add(STEP.0, Ordering::SeqCst);
+        self.controller.maintain_leadership_once(Micros::from_secs(3.0));
+        self.controller.watch_once();
+        self.controller.plan_once();
+        self.controller.write_once();
+    }
+
+    pub fn steps(&mut self, machine: &mut Machine, count: usize) {
+        (0..count).for_each(|_| self.step(machine));
+    }
+}
