Finished tasks of a lent job outlast a leader without loans

Symptom: after a leader from before 0.3 had led while loans were open, finished tasks ran again, and tasks that might run on a silent machine were lent (tests/earlier_leader). Cause: that leader cannot read the job's record and removes the done ranges and the start mark that lie under done/ and marks/ as those of an ended job.

Change: a job of which tasks are to be lent keeps copies of both under lent/, which versions without loans neither read nor remove. A copy is written in the transaction of the done range itself; a task is recorded, and its result is forgotten by its worker, only when both are stored; a start needs the copy of its mark. Nothing is lent before all is copied, and a record becomes readable for earlier versions only when all that is copied is under done/ again. The record of a lent job carries the start mark as well. Lending needs 0.3.1 at all controllers. Borrowed records are read back whatever the settings say.

Tests: the set-up of tests/earlier_leader waits a write until tasks are lent; its checks are as committed.

--- a/src/controller/lending.rs
+++ b/src/controller/lending.rs
@@ -22,8 +22,8 @@
 const RECALL_BACKLOG_S: f64 = 0.5;
 /// Most open loans with one cell: half of what a message may name.
 const MAX_OPEN_LOANS: usize = MAX_LOANS / 2;
-/// The first version that supports loans.
-const FIRST_LENDING_VERSION: ReleaseVersion = ReleaseVersion { major: 0, minor: 3 };
+/// The first version whose loans lose nothing to a leader without loans. Older ones keep no copies of progress.
+const FIRST_LENDING_VERSION: ReleaseVersion = ReleaseVersion { major: 0, minor: 3, patch: 1 };
 
 /// A release of this program; releases with the same numbers here know the same messages and records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -31,6 +31,7 @@
     // Compared first.
     major: u32,
     minor: u32,
+    patch: u32,
 }
 
 /// A message that was sent to another cell.
@@ -226,7 +227,8 @@
         let mut numbers = text.split('.').map(str::parse);
         let major = numbers.next()?.ok()?;
         let minor = numbers.next()?.ok()?;
-        Some(ReleaseVersion { major, minor })
+        let patch = numbers.next()?.ok()?;
+        Some(ReleaseVersion { major, minor, patch })
     }
 }
 
--- a/src/fleet/heartbeats.rs
+++ b/src/fleet/heartbeats.rs
@@ -212,7 +212,7 @@
         match self.jobs.get(&key.job) {
             // A service is never done: nothing of its replicas' ends is written.
             Some(job) if job.spec.is_service() => true,
-            Some(job) if reason == ExitReason::Done && !job.ended => job.done_written.contains(key.number),
+            Some(job) if reason == ExitReason::Done && !job.ended => job.is_recorded(key.number),
             _ => true,
         }
     }
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -151,6 +151,12 @@
         if tasks.is_empty() {
             return None;
         }
+        // The earlier versions' rows alone do not outlast a leader that cannot read the job's record.
+        let job = self.jobs.get_mut(&candidate.job)?;
+        job.copy.is_kept = true;
+        if !job.is_copy_complete() {
+            return None;
+        }
         let number = self.loans.lender_ledger.next_number()?;
         let loan = Loan { number, borrower: borrower.to_string(), tasks: tasks.clone() };
         let lending = self.loans.lender_ledger.with_loan(&candidate.job, loan);
@@ -159,14 +165,32 @@
             self.loans.lender_ledger.write_resolved(number);
             return None;
         }
+        self.note_mark_of_first_loan(write.as_ref());
         self.loans.lending_in_flight.insert(candidate.job.clone(), tasks);
         self.update_withheld(&candidate.job);
         write
     }
 
+    /// From the first loan on an earlier version cannot read the job's record, which carries the start mark:
+    /// tasks below it may be started whether or not the write is applied.
+    fn note_mark_of_first_loan(&mut self, write: Option<&LoanWrite>) {
+        let Some(LoanWrite::Lender { job, record, .. }) = write else { return };
+        if self.loans.lent.contains_key(job) {
+            return;
+        }
+        if let Some(known) = self.jobs.get_mut(job) {
+            known.copy.note_start_mark(record.start_mark);
+        }
+    }
+
     /// The write by which a settlement with a borrower takes effect; none while another write about the
-    /// job is in flight.
+    /// job is in flight, or if the record would be one that earlier versions read before all that they have
+    /// removed of the job is written again.
     pub fn settle_loan(&mut self, job: &str, lending: Lending) -> Option<LoanWrite> {
+        let lacks_rows = self.jobs.get(job).is_some_and(|job| !job.has_written_all_copies());
+        if lending.is_empty() && lacks_rows {
+            return None;
+        }
         let write = self.lender_write(job, lending, None)?;
         self.loans.lending_in_flight.insert(job.into(), TaskSet::new());
         Some(write)
@@ -185,6 +209,9 @@
             }
         };
         record.lending = lending;
+        if let Some(job) = self.jobs.get(job) {
+            record.start_mark = record.start_mark.max(job.start_mark).max(job.wanted_start_mark);
+        }
         Some(LoanWrite::Lender { job: job.into(), record: Box::new(record), mod_revision, new_loan })
     }
 }
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -8,7 +8,7 @@
 };
 
 use super::Fleet;
-use crate::jobs::JobId;
+use crate::jobs::{Job, JobId};
 use crate::records::{JobRecord, LenderRecord};
 use crate::time::{Steady, Wall};
 
@@ -176,6 +176,10 @@
             self.loans.lent.remove(&id);
         } else {
             self.loans.lent.insert(id.clone(), LentJob { record: record.clone(), mod_revision });
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.copy.is_kept = true;
+                job.copy.note_start_mark(record.start_mark);
+            }
         }
         self.update_withheld(&id);
     }
@@ -209,7 +213,7 @@
 
     /// Tasks of a job that are recorded as done.
     pub fn recorded_done(&self, id: &str) -> TaskSet {
-        self.jobs.get(id).map(|job| job.done_written.task_set()).unwrap_or_default()
+        self.jobs.get(id).map(Job::recorded_done).unwrap_or_default()
     }
 
     /// Tasks of a job that are done, recorded yet or not.
--- a/src/fleet/record_loading.rs
+++ b/src/fleet/record_loading.rs
@@ -5,7 +5,7 @@
 use super::machine::Machine;
 use super::Fleet;
 use crate::jobs::{Job, JobId, MachineId};
-use crate::keys::{borrowed_done_key, done_key};
+use crate::keys::{borrowed_done_key, done_key, lent_done_key, lent_start_mark_key};
 use crate::records::MachineRecord;
 use crate::task_ranges::TaskRanges;
 use crate::time::Steady;
@@ -79,6 +79,28 @@
         }
     }
 
+    /// Loads the copy of a chunk of a lent job's done ranges. That of a job that has ended is to be deleted.
+    pub fn inherit_lent_done(&mut self, id: &str, chunk: u32, text: &str, mod_revision: u64) {
+        match self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none()) {
+            Some(job) => job.add_done_copy(chunk, text, mod_revision),
+            None if mod_revision > 0 => {
+                self.cleanup.done_chunks.insert(lent_done_key(id, chunk), mod_revision);
+            }
+            None => {}
+        }
+    }
+
+    /// Loads the copy of a lent job's start mark. That of a job that has ended is to be deleted.
+    pub fn inherit_lent_start_mark(&mut self, id: &str, mark: u32, mod_revision: u64) {
+        match self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none()) {
+            Some(job) => job.add_start_mark_copy(mark, mod_revision),
+            None if mod_revision > 0 => {
+                self.cleanup.done_chunks.insert(lent_start_mark_key(id), mod_revision);
+            }
+            None => {}
+        }
+    }
+
     /// Loads a chunk of done ranges of borrowed tasks. That of a job that is not held any more is to be
     /// deleted.
     pub fn inherit_borrowed_done(&mut self, id: &str, chunk: u32, text: &str, mod_revision: u64) {
@@ -95,13 +117,37 @@
 impl Job {
     /// Adds a chunk of done ranges as it is written.
     fn add_done_chunk(&mut self, chunk: u32, text: &str, mod_revision: u64) {
+        for number in self.add_done_text(text).iter() {
+            self.done_written.insert(number);
+        }
+        self.done_chunks.insert(chunk, mod_revision);
+    }
+
+    /// Adds the copy of a chunk of done ranges as it is stored.
+    fn add_done_copy(&mut self, chunk: u32, text: &str, mod_revision: u64) {
+        let done = self.add_done_text(text);
+        self.copy.is_kept = true;
+        self.copy.note_done_chunk(chunk, &done, mod_revision);
+    }
+
+    /// Adds the copy of the start mark as it is stored. An earlier leader may have removed the mark itself,
+    /// which is then written again.
+    fn add_start_mark_copy(&mut self, mark: u32, mod_revision: u64) {
+        self.copy.is_kept = true;
+        self.copy.start_mark_revision = mod_revision;
+        self.copy.note_start_mark(mark);
+        self.wanted_start_mark = self.wanted_start_mark.max(mark);
+        self.inherited_start_mark = self.inherited_start_mark.max(mark);
+    }
+
+    /// Adds the done tasks of a text, and returns them.
+    fn add_done_text(&mut self, text: &str) -> TaskRanges {
         let mut done = TaskRanges::new();
         done.add_text(text, self.spec.tasks);
         for number in done.iter() {
             self.done.insert(number);
-            self.done_written.insert(number);
             self.waiting.remove(number);
         }
-        self.done_chunks.insert(chunk, mod_revision);
+        done
     }
 }
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -18,7 +18,9 @@
     Machines(u32),
     /// The value in this slot of start marks, before tasks that they allow are started.
     StartMarks(u32),
-    /// The chunk of this number of a job's done ranges.
+    /// The copy of a lent job's start mark, before tasks that it allows are started.
+    LentStartMark(JobId),
+    /// The chunk of this number of a job's done ranges, with its copy if one is kept.
     Done(JobId, u32),
     /// The value in this slot of packed records, from which some were only removed.
     Compaction(PackKind, u32),
@@ -36,7 +38,13 @@
 impl PendingWrite {
     /// Whether somebody waits for it: a start, or a job's user.
     pub fn urgent(&self) -> bool {
-        matches!(self, PendingWrite::Final(_) | PendingWrite::Machines(_) | PendingWrite::StartMarks(_))
+        matches!(
+            self,
+            PendingWrite::Final(_)
+                | PendingWrite::Machines(_)
+                | PendingWrite::StartMarks(_)
+                | PendingWrite::LentStartMark(_)
+        )
     }
 }
 
@@ -55,7 +63,14 @@
     /// Nothing that has to be remembered.
     Nothing,
     /// Done ranges.
-    Done(TaskRanges),
+    Done {
+        /// The tasks.
+        tasks: TaskRanges,
+        /// Whether their copy is written as well.
+        is_copied: bool,
+    },
+    /// The copy of a lent job's start mark.
+    LentStartMark(u32),
     /// Chunks of done ranges, by number, that are deleted with the job's end.
     RemovedDoneChunks(Vec<u32>),
     /// Machines, with the count of changes to their value.
@@ -98,9 +113,9 @@
 /// How long records that nobody waits for are gathered before they are written.
 pub(super) const DEFERRED_WRITE_INTERVAL: Micros = Micros(3_000_000);
 
-/// Most time between two writes of the done ranges of borrowed tasks: a user of the cell that accepted the
-/// job waits for the last of them.
-const BORROWED_DONE_INTERVAL: Micros = Micros(400_000);
+/// Most time between two writes of the done ranges of borrowed tasks, since a user of the cell that accepted the
+/// job waits for the last of them, and of lent jobs: what is not recorded is lost to a leader without loans.
+const LOAN_DONE_INTERVAL: Micros = Micros(400_000);
 
 /// Least time between two writes of the list of recent jobs.
 pub(super) const RECENT_JOBS_INTERVAL: Micros = Micros(10_000_000);
@@ -202,8 +217,12 @@
                 writes.push(PendingWrite::Final(job.id.clone()));
                 continue;
             }
-            let batch = if is_own { batch } else { batch.min(BORROWED_DONE_INTERVAL) };
-            if now - job.done_written_at >= batch && job.done.len() > job.done_written.len() {
+            if is_own && job.copy.is_kept && job.copy.start_mark < job.wanted_start_mark {
+                writes.push(PendingWrite::LentStartMark(job.id.clone()));
+            }
+            let has_loans = !is_own || job.copy.is_kept;
+            let batch = if has_loans { batch.min(LOAN_DONE_INTERVAL) } else { batch };
+            if now - job.done_written_at >= batch && job.has_unrecorded() {
                 add_due_chunks(job, chunk, &mut writes);
             }
         }
@@ -233,6 +252,7 @@
             PendingWrite::StartMarks(slot) | PendingWrite::Compaction(PackKind::StartMarks, slot) => {
                 self.start_marks_written(*slot, revision, contents);
             }
+            PendingWrite::LentStartMark(id) => self.start_mark_copied(id, revision, contents),
             PendingWrite::Done(id, chunk) => self.done_chunk_written(id, *chunk, revision, contents, now),
             PendingWrite::History(bucket) => self.history.written(*bucket, revision),
             PendingWrite::ObsoleteMachineRecord(id, _) => {
@@ -274,6 +294,13 @@
         }
     }
 
+    fn start_mark_copied(&mut self, id: &JobId, revision: u64, contents: &WriteContents) {
+        let WriteContents::LentStartMark(mark) = contents else { return };
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.copy.note_start_mark(*mark);
+        job.copy.start_mark_revision = revision;
+    }
+
     fn done_chunk_written(
         &mut self,
         id: &JobId,
@@ -283,10 +310,13 @@
         now: Steady,
     ) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if let WriteContents::Done(tasks) = contents {
+        if let WriteContents::Done { tasks, is_copied } = contents {
             for number in tasks.iter() {
                 job.done_written.insert(number);
             }
+            if *is_copied {
+                job.copy.note_done_chunk(chunk, tasks, revision);
+            }
         }
         job.done_chunks.insert(chunk, revision);
         job.done_written_at = now;
@@ -310,7 +340,7 @@
     for index in 0..job.spec.tasks.div_ceil(chunk) {
         let number = chunk_number(chunk, index);
         let span = chunk_span(number);
-        if job.done.within(span.start, span.end) != job.done_written.within(span.start, span.end) {
+        if job.has_unrecorded_within(span.start, span.end) {
             writes.push(PendingWrite::Done(job.id.clone(), number));
         }
     }
--- a/src/fleet/recovery.rs
+++ b/src/fleet/recovery.rs
@@ -40,7 +40,7 @@
     }
 
     fn is_done(&self, job: &str, task: u32) -> bool {
-        self.jobs.get(job).is_some_and(|job| job.done_written.contains(task))
+        self.jobs.get(job).is_some_and(|job| job.is_recorded(task))
     }
 }
 
--- a/src/fleet/start_check.rs
+++ b/src/fleet/start_check.rs
@@ -104,6 +104,6 @@
         && job.waiting.contains(number)
         && !job.placements.contains_key(&number)
         && !job.withheld.contains(number)
-        && number < job.start_mark
+        && number < job.stored_start_mark()
         && now >= job.not_before
 }
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -49,7 +49,7 @@
 
     /// Whether the start mark that allows a task to start is written.
     pub(super) fn is_below_start_mark(&self, id: &JobId, number: u32) -> bool {
-        self.jobs.get(id).is_some_and(|job| job.start_mark > number)
+        self.jobs.get(id).is_some_and(|job| job.stored_start_mark() > number)
     }
 
     /// Adds the starts for the machine whose heartbeat is being answered: what the latest plan assigns
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -5,6 +5,7 @@
 use super::machine::{TaskEntry, TaskKey};
 use super::Fleet;
 use crate::jobs::{Job, JobId, MachineId};
+use crate::keys::{lent_done_key, lent_start_mark_key};
 use crate::records::JobRecord;
 use crate::sched::Resources;
 use crate::time::{Micros, Steady};
@@ -151,6 +152,11 @@
                 self.cleanup.done_chunks.insert(job.done_chunk_key(chunk), mod_revision);
             }
         }
+        let copy = std::mem::take(&mut job.copy);
+        let chunk_copies =
+            copy.done_chunks.into_iter().map(|(chunk, revision)| (lent_done_key(&id, chunk), revision));
+        let copies = chunk_copies.chain([(lent_start_mark_key(&id), copy.start_mark_revision)]);
+        self.cleanup.done_chunks.extend(copies.filter(|(_, mod_revision)| *mod_revision > 0));
         self.start_marks.remove(&id);
         self.stop_tasks(&id, None, 0.0, true);
         self.remove_if_cleared(&id);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -3,7 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use milletlock_cells::TaskSet;
+
 use crate::keys::{borrowed_done_key, borrowed_key, done_key, job_key};
+use crate::progress_copy::ProgressCopy;
 use crate::records::JobRecord;
 use crate::task_ranges::TaskRanges;
 use crate::time::{Micros, Steady, Wall};
@@ -106,6 +109,8 @@
     pub done_written: TaskRanges,
     /// Versions of the records of done ranges, by chunk number.
     pub done_chunks: BTreeMap<u32, u64>,
+    /// The stored copies of the done ranges and the start mark, kept once tasks of the job are to be lent.
+    pub copy: ProgressCopy,
     /// When done ranges were last written.
     pub done_written_at: Steady,
     /// The machines on which each task is running, or may be.
@@ -153,6 +158,7 @@
             done: TaskRanges::new(),
             done_written: TaskRanges::new(),
             done_chunks: BTreeMap::new(),
+            copy: ProgressCopy::default(),
             done_written_at: now,
             placements: BTreeMap::new(),
             gang: None,
@@ -186,6 +192,53 @@
         }
     }
 
+    /// Whether a task is recorded as done, so that no leader of any version starts it again.
+    pub fn is_recorded(&self, task: u32) -> bool {
+        self.done_written.contains(task) && (!self.copy.is_kept || self.copy.done.contains(task))
+    }
+
+    /// The tasks that are recorded as done.
+    pub fn recorded_done(&self) -> TaskSet {
+        let written = self.done_written.task_set();
+        if self.copy.is_kept {
+            written.intersection(&self.copy.done.task_set())
+        } else {
+            written
+        }
+    }
+
+    /// Whether some tasks that are done have to be recorded.
+    pub(crate) fn has_unrecorded(&self) -> bool {
+        let done = self.done.len();
+        done > self.done_written.len() || self.copy.is_kept && done > self.copy.done.len()
+    }
+
+    /// Whether done tasks from `start` up to but not including `end` have to be recorded.
+    pub(crate) fn has_unrecorded_within(&self, start: u32, end: u32) -> bool {
+        let done = self.done.within(start, end);
+        done != self.done_written.within(start, end)
+            || self.copy.is_kept && done != self.copy.done.within(start, end)
+    }
+
+    /// Whether all that is written as done is copied as well.
+    pub(crate) fn is_copy_complete(&self) -> bool {
+        self.done_written.task_set().is_subset(&self.copy.done.task_set())
+    }
+
+    /// Whether all that is copied is written as done as well.
+    pub(crate) fn has_written_all_copies(&self) -> bool {
+        self.copy.done.task_set().is_subset(&self.done_written.task_set())
+    }
+
+    /// The start mark below which tasks may be started: one that is stored wherever it has to be.
+    pub(crate) fn stored_start_mark(&self) -> u32 {
+        if self.copy.is_kept {
+            self.start_mark.min(self.copy.start_mark)
+        } else {
+            self.start_mark
+        }
+    }
+
     /// Withholds these tasks from being started here, and no others.
     pub fn withhold(&mut self, tasks: TaskRanges) {
         let before = std::mem::replace(&mut self.withheld, tasks);
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -35,6 +35,19 @@
     format!("done/{id}/{chunk}")
 }
 
+/// Prefix of the copies of lent jobs' progress, which versions without loans neither read nor remove.
+pub const LENT_PREFIX: &str = "lent";
+
+/// Key of the copy of a chunk of a lent job's done ranges.
+pub fn lent_done_key(id: &str, chunk: u32) -> String {
+    format!("{LENT_PREFIX}/done/{id}/{chunk}")
+}
+
+/// Key of the copy of a lent job's start mark.
+pub fn lent_start_mark_key(id: &str) -> String {
+    format!("{LENT_PREFIX}/marks/{id}")
+}
+
 /// Prefix of all that a cell stores about tasks that it has borrowed.
 pub const BORROWED_PREFIX: &str = "borrowed";
 
--- a/src/leadership/loan_records.rs
+++ b/src/leadership/loan_records.rs
@@ -5,7 +5,7 @@
 
 use super::keys::SHARD_KEY;
 use super::rebuild::decode;
-use super::record_keys::BorrowedKey;
+use super::record_keys::{BorrowedKey, LentKey};
 use crate::fleet::{Fleet, LoanWrite};
 use crate::keys::{borrowed_key, final_key, job_key, lender_key, BORROWED_PREFIX};
 use crate::records::{FinalRecord, JobRecord, LenderRecord};
@@ -111,6 +111,39 @@
     }
 }
 
+/// Loads a copy of a lent job's progress into a new leader's fleet.
+pub(super) fn load_lent(fleet: &mut Fleet, lent: LentKey, key: &str, value: Value, mod_revision: u64) {
+    match lent {
+        LentKey::DoneChunk { job, chunk } => {
+            if let (Ok(chunk), Some(text)) = (chunk.parse(), value.as_str()) {
+                fleet.inherit_lent_done(job, chunk, text, mod_revision);
+            }
+        }
+        LentKey::StartMark(job) => {
+            if let Some(mark) = decode::<u32>(key, value) {
+                fleet.inherit_lent_start_mark(job, mark, mod_revision);
+            }
+        }
+        LentKey::Other => {}
+    }
+}
+
+/// Updates a copy of a lent job's progress as it stands after a conflict or an unknown outcome.
+pub(super) fn update_lent(fleet: &mut Fleet, lent: LentKey, key: &str, row: Option<Row>) {
+    let mod_revision = row.as_ref().map_or(0, |row| row.mod_revision);
+    fleet.done_chunk_read_back(key, mod_revision);
+    match (lent, row) {
+        (lent, Some(row)) => load_lent(fleet, lent, key, row.value, mod_revision),
+        (LentKey::DoneChunk { job, chunk }, None) => {
+            if let Ok(chunk) = chunk.parse() {
+                fleet.inherit_lent_done(job, chunk, "", 0);
+            }
+        }
+        (LentKey::StartMark(job), None) => fleet.inherit_lent_start_mark(job, 0, 0),
+        (LentKey::Other, None) => {}
+    }
+}
+
 /// Updates a record of borrowed tasks as it stands after a conflict or an unknown outcome.
 pub(super) fn update_borrowed(
     fleet: &mut Fleet,
--- a/src/leadership/read_back.rs
+++ b/src/leadership/read_back.rs
@@ -16,6 +16,7 @@
         RecordKey::Borrowed(borrowed) => {
             loan_records::update_borrowed(fleet, borrowed, key, row, now, wall());
         }
+        RecordKey::Lent(lent) => loan_records::update_lent(fleet, lent, key, row),
         RecordKey::Machine(id) => fleet.machine_record_read_back(id, mod_revision),
         RecordKey::PackedMachines(slot) => {
             if let Ok(slot) = slot.parse() {
--- a/src/leadership/rebuild.rs
+++ b/src/leadership/rebuild.rs
@@ -13,7 +13,7 @@
 use crate::config::Config;
 use crate::fleet::Fleet;
 use crate::history::HistoryRecord;
-use crate::keys::{JOBS_PREFIX, RECENT_KEY, START_MARKS_PREFIX};
+use crate::keys::{JOBS_PREFIX, LENT_PREFIX, RECENT_KEY, START_MARKS_PREFIX};
 use crate::records::{JobRecord, MachineRecord};
 use crate::state::{KeyList, RequestPriority, StateStoreClient, StateStoreError};
 use crate::time::{wall, Steady, Wall};
@@ -48,9 +48,11 @@
     let done = state.list(DONE_PREFIX)?.rows;
     let history = state.list(ALL_HISTORY_PREFIX)?.rows;
     let recent = state.list(RECENT_KEY)?.rows;
-    let borrowed = if fleet.uses_cells() { loan_records::borrowed_rows(state)? } else { Vec::new() };
+    // Whatever the settings say now: what is done of loans of before is not forgotten.
+    let borrowed = loan_records::borrowed_rows(state)?;
+    let lent = state.list(&format!("{LENT_PREFIX}/"))?.rows;
     // Jobs come before the records that belong to them.
-    let rows = [recent, jobs, borrowed, machines, start_marks, done, history].concat();
+    let rows = [recent, jobs, borrowed, machines, start_marks, done, lent, history].concat();
     load_records(&mut fleet, rows, now, wall());
     fleet.advance_jobs_revision(revision);
     Ok(fleet)
@@ -96,6 +98,7 @@
         RecordKey::Borrowed(borrowed) => {
             loan_records::load_borrowed(fleet, borrowed, &key, value, mod_revision, now, wall);
         }
+        RecordKey::Lent(lent) => loan_records::load_lent(fleet, lent, &key, value, mod_revision),
         RecordKey::DoneChunk { job, chunk } => {
             if let (Ok(chunk), Some(text)) = (chunk.parse(), value.as_str()) {
                 fleet.inherit_done(job, chunk, text, mod_revision);
--- a/src/leadership/record_keys.rs
+++ b/src/leadership/record_keys.rs
@@ -1,6 +1,8 @@
 //! The keys of the leader's records, parsed.
 
-use crate::keys::{BORROWED_PREFIX, HISTORY_PREFIX, MACHINES_PREFIX, RECENT_KEY, START_MARKS_PREFIX};
+use crate::keys::{
+    BORROWED_PREFIX, HISTORY_PREFIX, LENT_PREFIX, MACHINES_PREFIX, RECENT_KEY, START_MARKS_PREFIX,
+};
 
 /// Prefix of the machines' records in both forms, `machine/<id>` and `machines/<slot>`.
 pub(super) const ALL_MACHINES_PREFIX: &str = "machine";
@@ -38,6 +40,8 @@
     SingleHistory,
     /// A record of borrowed tasks.
     Borrowed(BorrowedKey<'a>),
+    /// A copy of a lent job's progress.
+    Lent(LentKey<'a>),
     /// None of these.
     Other,
 }
@@ -60,6 +64,22 @@
     Other,
 }
 
+/// What a key under the prefix of lent jobs' progress stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LentKey<'a> {
+    /// The copy of a chunk of a job's done ranges.
+    DoneChunk {
+        /// The job's id.
+        job: &'a str,
+        /// The chunk's number.
+        chunk: &'a str,
+    },
+    /// The copy of a job's start mark, by the job's id.
+    StartMark(&'a str),
+    /// None of these.
+    Other,
+}
+
 /// Key of a single machine's record.
 pub(super) fn single_machine_key(id: &str) -> String {
     format!("machine/{id}")
@@ -73,6 +93,7 @@
             (Some(BORROWED_PREFIX), kind, id) => {
                 RecordKey::Borrowed(BorrowedKey::new(kind, id, parts.next()))
             }
+            (Some(LENT_PREFIX), kind, id) => RecordKey::Lent(LentKey::new(kind, id, parts.next())),
             (Some("job"), Some(id), None) => RecordKey::Job(id),
             (Some("machine"), Some(id), None) => RecordKey::Machine(id),
             (Some(MACHINES_PREFIX), Some(slot), None) => RecordKey::PackedMachines(slot),
@@ -86,6 +107,17 @@
     }
 }
 
+impl<'a> LentKey<'a> {
+    /// What a key stands for, by its parts after the prefix of lent jobs' progress.
+    fn new(kind: Option<&'a str>, id: Option<&'a str>, chunk: Option<&'a str>) -> LentKey<'a> {
+        match (kind, id, chunk) {
+            (Some("done"), Some(job), Some(chunk)) => LentKey::DoneChunk { job, chunk },
+            (Some("marks"), Some(job), None) => LentKey::StartMark(job),
+            _ => LentKey::Other,
+        }
+    }
+}
+
 impl<'a> BorrowedKey<'a> {
     /// What a key stands for, by its parts after the prefix of borrowed tasks.
     fn new(kind: Option<&'a str>, id: Option<&'a str>, chunk: Option<&'a str>) -> BorrowedKey<'a> {
--- a/src/leadership/writes.rs
+++ b/src/leadership/writes.rs
@@ -8,7 +8,8 @@
 use crate::history::EstimateKey;
 use crate::jobs::{JobId, RunTimes};
 use crate::keys::{
-    done_key, final_key, job_key, slot_key, HISTORY_PREFIX, MACHINES_PREFIX, RECENT_KEY, START_MARKS_PREFIX,
+    done_key, final_key, job_key, lent_done_key, lent_start_mark_key, slot_key, HISTORY_PREFIX,
+    MACHINES_PREFIX, RECENT_KEY, START_MARKS_PREFIX,
 };
 use crate::packed_records::SlotContents;
 use crate::records::FinalRecord;
@@ -145,6 +146,7 @@
             compose_start_marks(fleet, pending, *slot)
         }
         PendingWrite::History(bucket) => Some(compose_history(fleet, pending, *bucket)),
+        PendingWrite::LentStartMark(id) => compose_lent_start_mark(fleet, pending, id),
         PendingWrite::Done(id, chunk) => compose_done(fleet, pending, id, *chunk),
         PendingWrite::RecentJobs => Some(compose_recent(fleet, pending, now, wall)),
         PendingWrite::OrphanedDoneChunk(key, mod_revision) => {
@@ -243,10 +245,31 @@
     let tasks = job.done.within(span.start, span.end);
     let key = job.done_chunk_key(chunk);
     let mod_revision = job.done_chunks.get(&chunk).copied().unwrap_or(0);
-    let guards = vec![
+    let text = json!(tasks.text());
+    let mut guards = vec![
         Guard { key: job.record_key(), mod_revision: job.mod_revision },
         Guard { key: key.clone(), mod_revision },
     ];
-    let change = Change::put(key, json!(tasks.text()));
-    Some(Write::new(pending, guards, vec![change]).with_contents(WriteContents::Done(tasks)))
+    let mut changes = vec![Change::put(key, text.clone())];
+    let is_copied = job.copy.is_kept;
+    if is_copied {
+        let key = lent_done_key(id, chunk);
+        let mod_revision = job.copy.done_chunks.get(&chunk).copied().unwrap_or(0);
+        guards.push(Guard { key: key.clone(), mod_revision });
+        changes.push(Change::put(key, text));
+    }
+    Some(Write::new(pending, guards, changes).with_contents(WriteContents::Done { tasks, is_copied }))
+}
+
+/// The copy of a lent job's start mark.
+fn compose_lent_start_mark(fleet: &Fleet, pending: &PendingWrite, id: &JobId) -> Option<Write> {
+    let job = fleet.jobs.get(id)?;
+    let mark = job.wanted_start_mark;
+    let key = lent_start_mark_key(id);
+    let guards = vec![
+        Guard { key: job.record_key(), mod_revision: job.mod_revision },
+        Guard { key: key.clone(), mod_revision: job.copy.start_mark_revision },
+    ];
+    let change = Change::put(key, json!(mark));
+    Some(Write::new(pending, guards, vec![change]).with_contents(WriteContents::LentStartMark(mark)))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,8 @@
 //!   is the users' interface, and [`report`] makes a page of the recoveries in a log. [`time`] tells
 //!   the steady clock from the time of day.
 //! * **State**, what is kept in the state store. [`state`] is its client, [`keys`] and [`records`] are
-//!   what is stored, [`packed_records`] and [`task_ranges`] its compact forms. [`live_jobs`] answers
+//!   what is stored, [`packed_records`] and [`task_ranges`] its compact forms, [`progress_copy`]
+//!   the copies that outlast a version without loans. [`live_jobs`] answers
 //!   which jobs are live, [`store_contact`] whether a leader may still act, and
 //!   [`cancellation_notices`] holds what the other controllers have not acknowledged.
 //! * **Planner**, decisions without input or output. [`sched`] chooses the machine for each task (bin
@@ -46,6 +47,7 @@
 pub mod loan_messages;
 pub mod packed_records;
 pub mod peer;
+pub mod progress_copy;
 pub mod records;
 pub mod report;
 pub mod sched;
--- a/src/records.rs
+++ b/src/records.rs
@@ -17,8 +17,8 @@
     pub spec: JobSpec,
     /// When it was accepted, in microseconds since 1970 (UTC).
     pub submitted_us: i64,
-    /// Tasks with lower numbers may have been started. Only earlier versions wrote it here; it is now
-    /// under [`crate::keys::START_MARKS_PREFIX`].
+    /// Tasks with lower numbers may have been started. Versions without packed start marks wrote it here, and it
+    /// is written here with loans; otherwise it is under [`crate::keys::START_MARKS_PREFIX`].
     #[serde(rename = "high", default)]
     pub start_mark: u32,
     /// Loans to other cells, and whether the job is being cancelled while some are open.
--- a/tests/earlier_leader/main.rs
+++ b/tests/earlier_leader/main.rs
@@ -39,8 +39,7 @@
     leader.steps(machine, SETTLED);
     machine.finish_all();
     leader.steps(machine, 1);
-    leader.lend();
-    leader.lend();
+    lend_some(world, leader, machine);
     leader.steps(machine, SETTLED);
     machine.finish_all();
     leader.steps(machine, SETTLED);
@@ -51,6 +50,18 @@
     leader.steps(machine, SETTLED);
 }
 
+/// Sends messages between the cells until tasks are lent.
+fn lend_some(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
+    for _ in 0..SETTLED {
+        leader.lend();
+        if !world.borrower().tasks().is_empty() {
+            return;
+        }
+        leader.step(machine);
+    }
+    panic!("nothing is lent");
+}
+
 /// Plays on until the job is done.
 fn run_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
     for _ in 0..TO_THE_END {
@@ -145,10 +156,8 @@
     let mut leader = world.leader();
     leader.submit();
     leader.steps(&mut machine, SETTLED);
-    leader.lend();
-    leader.lend();
+    lend_some(&world, &mut leader, &mut machine);
     let lent = world.borrower().tasks();
-    assert!(!lent.is_empty());
     // All comes back and is begun here, but for the last task.
     world.borrower().gives_back = lent.iter().take(lent.len() as usize - 1).collect();
     leader.lend();
