--- a/tests/common/cells/mod.rs
+++ b/tests/common/cells/mod.rs
@@ -13,6 +13,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -21,7 +22,7 @@
 use milletlock::http::Client;
 use milletlock::peer::{self, Call};
 use milletlock::time::{Micros, Steady};
-use milletlock::wire::CellsStatus;
+use milletlock::wire::{CellsStatus, Row};
 use serde_json::Value;
 
 use self::addresses::Addresses;
@@ -55,6 +56,7 @@
     controllers: Vec<Option<Child>>,
     users: Vec<SocketAddr>,
     internal: Vec<SocketAddr>,
+    state: SocketAddr,
     load: Arc<StateLoad>,
 }
 
@@ -120,7 +122,7 @@
             std::fs::write(self.folder.join(format!("{cell}-{c}.json")), settings).expect("written");
         }
         let none = controllers.clone().map(|_| None).collect();
-        self.cells.push(Cell { controllers: none, users: users.clone(), internal, load });
+        self.cells.push(Cell { controllers: none, users: users.clone(), internal, state, load });
         controllers.for_each(|c| self.start_controller(cell, c));
         machines.into_iter().for_each(|id| self.start_worker(cell, id, plan.task_time, users.clone()));
     }
@@ -136,13 +138,25 @@
 
     /// Starts a controller's process.
     pub fn start_controller(&mut self, cell: usize, controller: usize) {
+        let operator = self.folder.join(format!("{cell}.hcl"));
+        self.start_program(cell, controller, Path::new(env!("CARGO_BIN_EXE_milletlock")), &operator);
+    }
+
+    /// Starts the program of a version without cells in a controller's place.
+    pub fn start_earlier_program(&mut self, cell: usize, controller: usize, program: &Path) {
+        let operator = self.folder.join(format!("{cell}-earlier.hcl"));
+        std::fs::write(&operator, "leader_ttl_s = 1.0\n").expect("written");
+        self.start_program(cell, controller, program, &operator);
+    }
+
+    fn start_program(&mut self, cell: usize, controller: usize, program: &Path, operator: &Path) {
         let file = |name: String| self.folder.join(name);
         let log = std::fs::File::create(file(format!("{cell}-{controller}.log"))).expect("a log");
-        let child = Command::new(env!("CARGO_BIN_EXE_milletlock"))
+        let child = Command::new(program)
             .arg("--config")
             .arg(file(format!("{cell}-{controller}.json")))
             .arg("--operator")
-            .arg(file(format!("{cell}.hcl")))
+            .arg(operator)
             .env("LOG_LEVEL", "info")
             .env("LOG_FORMAT", "json")
             .stdout(Stdio::null())
@@ -191,6 +205,15 @@
         }
     }
 
+    /// The rows of a cell's state store whose keys begin with a prefix.
+    pub fn rows(&self, cell: usize, prefix: &str) -> Vec<Row> {
+        let client = Client::new(self.cells[cell].state, 0);
+        let path = format!("/keys?starts={prefix}");
+        let response = client.call("GET", &path, None, Micros::from_secs(2.0)).expect("the state store");
+        let list: Value = serde_json::from_slice(&response.body).expect("a list");
+        serde_json::from_value(list["rows"].clone()).expect("rows")
+    }
+
     /// What a cell's controllers have asked of their state store.
     pub fn state_load(&self, cell: usize) -> (usize, usize) {
         let load = &self.cells[cell].load;
