--- a/tests/earlier_leader/world.rs
+++ b/tests/earlier_leader/world.rs
@@ -27,7 +27,7 @@
 
 const CELLS: &str =
     "cells {\n name = \"here\"\n others = [{ name = \"there\", controllers = [\"127.0.0.1:1\"] }]\n \
-                     lend = [\"any\"]\n lend_after_s = 0\n}\n";
+                     lend = [\"any\"]\n borrow = [\"any\"]\n borrow_cpus = 20\n lend_after_s = 0\n}\n";
 
 /// The only job.
 pub const JOB: &str = "wk-000001";
