--- a/src/api/cancellation.rs
+++ b/src/api/cancellation.rs
@@ -3,7 +3,7 @@
 use serde_json::json;
 
 use super::lookup::{look_up, JobLookup};
-use super::responses::{no_such_job, retry_later, stage_response, TRY_AGAIN};
+use super::responses::{no_such_job, record_unreadable, retry_later, stage_response, TRY_AGAIN};
 use super::{JobsBackend, StoredFinal};
 use crate::http::Response;
 use crate::keys::{final_key, job_key};
@@ -22,6 +22,7 @@
     for _ in 0..CANCEL_ATTEMPTS {
         let attempt = match look_up(backend, id)? {
             JobLookup::Unknown => Some(no_such_job()),
+            JobLookup::Unreadable => Some(record_unreadable()),
             JobLookup::Final(known) => Some(confirm_final(backend, id, known)),
             JobLookup::Live { record, mod_revision } if record.lending.loans.is_empty() => {
                 cancel_live(backend, id, &record, mod_revision)?
--- a/src/api/lookup.rs
+++ b/src/api/lookup.rs
@@ -3,10 +3,11 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use super::responses::no_such_job;
+use super::responses::{no_such_job, record_unreadable};
 use super::{JobsBackend, StoredFinal};
 use crate::http::{status, Response};
 use crate::keys::{final_key, job_key};
+use crate::live_jobs::Presence;
 use crate::records::{FinalRecord, JobRecord};
 use crate::state::{RequestPriority, StateStoreError};
 use crate::wire::{is_job_id, JobStatus, Stage};
@@ -15,6 +16,8 @@
 pub(super) enum JobLookup {
     /// A live job: its record and the record's `mod_revision`.
     Live { record: Box<JobRecord>, mod_revision: u64 },
+    /// A live job whose record this version cannot read.
+    Unreadable,
     /// A finished or cancelled job.
     Final(StoredFinal),
     /// No job of that id was ever accepted.
@@ -29,8 +32,11 @@
     // The live record first: a job goes from one to the other in one transaction, so one of the
     // two reads finds it.
     if let Some(row) = backend.state().get(&job_key(id), RequestPriority::User)? {
-        let record = parse_record(row.value)?;
-        return Ok(JobLookup::Live { record: Box::new(record), mod_revision: row.mod_revision });
+        let mod_revision = row.mod_revision;
+        return Ok(match serde_json::from_value(row.value) {
+            Ok(record) => JobLookup::Live { record: Box::new(record), mod_revision },
+            Err(_) => JobLookup::Unreadable,
+        });
     }
     Ok(read_final(backend, id)?.map_or(JobLookup::Unknown, JobLookup::Final))
 }
@@ -63,14 +69,16 @@
     JobStatus { id: id.to_string(), stage: record.stage, done, running: 0 }
 }
 
-/// The status of a job as the state store holds it; none if there is no such job.
+/// The response with the status of a job as the state store holds it; none if there is no such job.
 pub(super) fn stored_status(
     backend: &dyn JobsBackend,
     id: &str,
-) -> Result<Option<JobStatus>, StateStoreError> {
+) -> Result<Option<Response>, StateStoreError> {
+    let ok = |status: &JobStatus| Some(Response::json(status::OK, status));
     Ok(match look_up(backend, id)? {
-        JobLookup::Live { .. } => Some(live_status(backend, id)),
-        JobLookup::Final(known) => Some(final_status(id, known.record)),
+        JobLookup::Live { .. } => ok(&live_status(backend, id)),
+        JobLookup::Unreadable => Some(record_unreadable()),
+        JobLookup::Final(known) => ok(&final_status(id, known.record)),
         JobLookup::Unknown => None,
     })
 }
@@ -83,8 +91,10 @@
     if let Some(known) = backend.known_final(id) {
         return Ok(Response::json(status::OK, &final_status(id, known.record)));
     }
-    if backend.live_jobs().is_live(id, backend.state())? {
-        return Ok(Response::json(status::OK, &live_status(backend, id)));
+    match backend.live_jobs().presence(id, backend.state())? {
+        Presence::Live => return Ok(Response::json(status::OK, &live_status(backend, id))),
+        Presence::Unreadable => return Ok(record_unreadable()),
+        Presence::Absent => {}
     }
     // If it ever was a live job, the transaction that removed it wrote its final record.
     Ok(match read_final(backend, id)? {
--- a/src/api/responses.rs
+++ b/src/api/responses.rs
@@ -18,6 +18,11 @@
     Response::error(status::NOT_FOUND, "no such job")
 }
 
+/// The response to any request about a job whose record cannot be read.
+pub(super) fn record_unreadable() -> Response {
+    retry_later("the job's record cannot be read by this version")
+}
+
 /// The response to a request that could not be decided and is to be sent again.
 pub(super) fn retry_later(reason: &str) -> Response {
     Response::error(status::SERVICE_UNAVAILABLE, reason).with_retry_after(RETRY_AFTER_S)
--- a/src/api/submission.rs
+++ b/src/api/submission.rs
@@ -60,18 +60,15 @@
     refusal: Response,
 ) -> Result<Response, StateStoreError> {
     let Some(id) = id.filter(|id| is_job_id(id)) else { return Ok(refusal) };
-    let status = stored_status(backend, id)?;
-    Ok(status.map_or(refusal, |status| Response::json(status::OK, &status)))
+    Ok(stored_status(backend, id)?.unwrap_or(refusal))
 }
 
 /// Writes the record of a new job (`value` is its JSON), unless a job of that id is known.
 fn accept(backend: &dyn JobsBackend, record: JobRecord, value: Value) -> Result<Response, StateStoreError> {
     let id = record.spec.id.clone();
-    let mut guards = vec![Guard::must_not_exist(job_key(&id)), Guard::must_not_exist(final_key(&id))];
-    if backend.config().operator.cells.is_some() {
-        // Tasks of that name run here for another cell: two jobs of one id cannot be told apart.
-        guards.push(Guard::must_not_exist(borrowed_key(&id)));
-    }
+    // Tasks of a borrowed job run here for another cell, whatever the settings say now: two jobs of one id cannot
+    // be told apart.
+    let guards = [job_key(&id), final_key(&id), borrowed_key(&id)].map(Guard::must_not_exist).to_vec();
     let txn = Txn { guards, then: vec![Change::put(job_key(&id), value)] };
     let mut result = backend.state().txn(&txn, RequestPriority::User);
     if matches!(result, Err(StateStoreError::Unknown(_))) {
@@ -84,8 +81,8 @@
             Ok(Response::json(status::CREATED, &JobStage { id, stage: Stage::Queued }))
         }
         TxnOutcome::Conflict(_) => {
-            let status = stored_status(backend, &id)?;
-            Ok(status.map_or_else(|| retry_later(TRY_AGAIN), |status| Response::json(status::OK, &status)))
+            let known = stored_status(backend, &id)?;
+            Ok(known.unwrap_or_else(|| retry_later(TRY_AGAIN)))
         }
     }
 }
--- a/src/controller/borrowing.rs
+++ b/src/controller/borrowing.rs
@@ -28,15 +28,19 @@
                 return PeerReply::Loans(LoanReply { from: cells.name.clone(), ..LoanReply::default() });
             }
         };
+        let readable = {
+            let shared = self.lock();
+            shared.leadership.as_ref().and_then(|leadership| leadership.fleet.without_unreadable(&request))
+        };
         let fencing_token = self.lock().fencing_token();
-        if let Some(fencing_token) = fencing_token {
+        if let (Some(fencing_token), Some(request)) = (fencing_token, &readable) {
             // One message at a time: each change rests on the records as the one before left them.
             let _guard = lock_ignoring_poison(&self.loan_changes);
-            self.apply_loan_request(fencing_token, &request);
+            self.apply_loan_request(fencing_token, request);
         }
         let shared = self.lock();
         PeerReply::Loans(match &shared.leadership {
-            Some(leadership) => loan_reply(cells, leadership, &request),
+            Some(leadership) => loan_reply(cells, leadership, readable.as_ref()),
             None => self.not_leading(cells, &shared),
         })
     }
@@ -107,10 +111,16 @@
     request_from_proto(message)
 }
 
-/// The leader's answer: how the loans stand, and this cell's summary.
-fn loan_reply(cells: &CellsSettings, leadership: &Leadership, request: &LoanSyncRequest) -> LoanReply {
+/// The leader's answer: how the loans stand whose records it can read, and this cell's summary.
+fn loan_reply(
+    cells: &CellsSettings,
+    leadership: &Leadership,
+    request: Option<&LoanSyncRequest>,
+) -> LoanReply {
     let fleet = &leadership.fleet;
-    let reports = fleet.loans.borrower_ledger.reports(request, |job| fleet.recorded_done(job));
+    let reports = request
+        .map(|request| fleet.loans.borrower_ledger.reports(request, |job| fleet.recorded_done(job)))
+        .unwrap_or_default();
     LoanReply {
         from: cells.name.clone(),
         term: leadership.term.fencing_token,
--- a/src/controller/lending.rs
+++ b/src/controller/lending.rs
@@ -106,8 +106,9 @@
             let fleet = &leadership.fleet;
             let action = |job: &str, loan: &Loan| recall_or_run(fleet, job, loan, backlog_s);
             let offer = |job: &str, number| fleet.loans.offer(job, number);
-            let request =
+            let mut request =
                 fleet.loans.lender_ledger.request(&cells.name, &cell.name, fencing_token, action, offer);
+            request.horizon = fleet.horizon_if_known(request.horizon);
             drop(shared);
             let message = PeerMessage::Lend(request_to_proto(&request));
             let waiting = self.peers.send(first_address + controller, message, CELL_TIMEOUT);
--- a/src/controller/step_down.rs
+++ b/src/controller/step_down.rs
@@ -23,6 +23,8 @@
     AttemptsExhausted,
     /// The state store no longer keeps the revision from which changes are watched.
     WatchCompacted,
+    /// The record of a job can be read that this leader could not read.
+    RecordReadable,
 }
 
 impl StepDownReason {
@@ -36,7 +38,8 @@
             | StepDownReason::Isolated
             | StepDownReason::ShardTaken
             | StepDownReason::AttemptsExhausted
-            | StepDownReason::WatchCompacted => 0,
+            | StepDownReason::WatchCompacted
+            | StepDownReason::RecordReadable => 0,
         }
     }
 }
@@ -52,6 +55,7 @@
             StepDownReason::ShardTaken => "another owner has taken the part",
             StepDownReason::AttemptsExhausted => "its attempt numbers are used up",
             StepDownReason::WatchCompacted => "watch revision compacted",
+            StepDownReason::RecordReadable => "an unreadable job record is readable again",
         })
     }
 }
--- a/src/controller/watch.rs
+++ b/src/controller/watch.rs
@@ -2,8 +2,8 @@
 
 use super::step_down::StepDownReason;
 use super::{Controller, Leadership};
-use crate::fleet::Fleet;
-use crate::keys::JOBS_PREFIX;
+use crate::fleet::{Fleet, UnreadableRecord};
+use crate::keys::{job_key, JOBS_PREFIX};
 use crate::records::JobRecord;
 use crate::state::{RequestPriority, StateStoreError};
 use crate::store_contact::StoreContact;
@@ -69,7 +69,12 @@
                 let Some(leadership) = shared.leadership_with(position.fencing_token) else {
                     return Micros::ZERO;
                 };
-                self.apply_changes(leadership, changes, is_complete_read.then_some(sent));
+                let is_rebuild_due =
+                    self.apply_changes(leadership, changes, is_complete_read.then_some(sent));
+                drop(shared);
+                if is_rebuild_due {
+                    self.step_down_from(position.fencing_token, StepDownReason::RecordReadable);
+                }
                 WATCH_PAUSE
             }
             Err(StateStoreError::TooOld) => {
@@ -91,27 +96,41 @@
     }
 
     /// Applies changes; `read_at` is when they were requested if they are a complete read, none if a watch
-    /// brought them.
-    fn apply_changes(&self, leadership: &mut Leadership, changes: WatchEvents, read_at: Option<Steady>) {
+    /// brought them. Returns whether everything has to be read anew.
+    fn apply_changes(
+        &self,
+        leadership: &mut Leadership,
+        mut changes: WatchEvents,
+        read_at: Option<Steady>,
+    ) -> bool {
+        let mut is_rebuild_due = false;
+        // The latest record of a job counts, whatever order the events come in.
+        changes.events.sort_by_key(|event| event.mod_revision);
         let latest = changes.events.iter().map(|event| event.mod_revision).max().unwrap_or(0);
         for event in changes.events {
-            apply_change(&mut leadership.fleet, event, self.now());
+            is_rebuild_due |= apply_change(&mut leadership.fleet, event, self.now());
         }
         leadership.fleet.advance_jobs_revision(if read_at.is_some() { changes.revision } else { latest });
         if let Some(sent) = read_at {
             leadership.store_contact.note_read(sent);
         }
+        is_rebuild_due
     }
 }
 
-/// Applies a change under the jobs' prefix.
-fn apply_change(fleet: &mut Fleet, event: WatchEvent, now: Steady) {
-    if let Some(id) = event.drop.as_deref().and_then(|key| key.strip_prefix(JOBS_PREFIX)) {
-        fleet.job_ended(id, event.mod_revision);
-    } else if event.put.is_some() {
-        match serde_json::from_value::<JobRecord>(event.value) {
-            Ok(record) => fleet.apply_job_record(record, event.mod_revision, now),
-            Err(error) => tracing::error!(%error, "malformed job record"),
-        }
+/// Applies a change under the jobs' prefix; returns whether everything has to be read anew, since the record of a
+/// job can be read that could not be read before.
+fn apply_change(fleet: &mut Fleet, event: WatchEvent, now: Steady) -> bool {
+    let job_id = |key: &Option<String>| key.as_deref()?.strip_prefix(JOBS_PREFIX).map(str::to_string);
+    if let Some(id) = job_id(&event.drop) {
+        fleet.job_ended(&id, event.mod_revision);
+        return false;
+    }
+    let Some(id) = job_id(&event.put) else { return false };
+    match serde_json::from_value::<JobRecord>(event.value) {
+        Ok(_) if fleet.is_unread_job(&id) => return true,
+        Ok(record) => fleet.apply_job_record(record, event.mod_revision, now),
+        Err(error) => fleet.note_unreadable(UnreadableRecord::Job(&id), &job_key(&id), &error),
     }
+    false
 }
--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -3,9 +3,9 @@
 use milletlock_cells::{BorrowedJob, BorrowerChange, Lending, TaskSet};
 
 use super::loans::{KnownLender, MAX_REMEMBERED};
-use super::{task_resources, Fleet, LoanWrite, TaskKey};
+use super::{task_resources, Fleet, LoanWrite, TaskKey, UnreadableRecord};
 use crate::jobs::{Job, JobId};
-use crate::keys::borrowed_done_prefix;
+use crate::keys::{borrowed_done_prefix, borrowed_key};
 use crate::records::{JobRecord, LenderRecord};
 use crate::time::{Steady, Wall};
 use crate::wire::{JobSpec, Priority};
@@ -41,7 +41,9 @@
         }
         match spec {
             Ok(spec) => self.add_borrowed_job(spec, lender, mod_revision, now, wall),
-            Err(error) => tracing::error!(job = id, %lender, %error, "borrowed job unreadable"),
+            Err(error) => {
+                self.note_unreadable(UnreadableRecord::BorrowedJob(id), &borrowed_key(id), &error);
+            }
         }
     }
 
--- a/src/fleet/heartbeats.rs
+++ b/src/fleet/heartbeats.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeSet;
 
 use super::machine::{HeartbeatPosition, Machine, TaskEntry, TaskKey};
-use super::reconciliation::has_job_ended;
 use super::starts::MAX_ORDERS;
 use super::tasks::task_name;
+use super::unreadable::has_job_ended;
 use super::Fleet;
 use crate::direct_command::DirectCommand;
 use crate::jobs::MachineId;
@@ -146,7 +146,8 @@
             let mut orders = Vec::new();
             for (key, task) in machine.tasks.iter_mut().filter(|(_, task)| task.is_live()) {
                 let Some(grace_s) = task.stop_grace_s else { continue };
-                let is_remainder = is_overdue && grace_s == 0.0 && has_job_ended(&self.jobs, key);
+                let is_remainder =
+                    is_overdue && grace_s == 0.0 && has_job_ended(&self.jobs, &self.unreadable, key);
                 if task.stop_directly || is_remainder {
                     task.stop_directly = false;
                     orders.push(halt(key, grace_s));
@@ -167,7 +168,9 @@
         let interval_s = self.config.platform.settings.workers.report_s;
         let overdue = Micros::from_secs(interval_s * OVERDUE_INTERVALS);
         let is_remainder = |key: &TaskKey, task: &TaskEntry| {
-            task.is_live() && task.stop_grace_s == Some(0.0) && has_job_ended(&self.jobs, key)
+            task.is_live()
+                && task.stop_grace_s == Some(0.0)
+                && has_job_ended(&self.jobs, &self.unreadable, key)
         };
         let mut machines: Vec<&Machine> = self
             .machines
@@ -213,6 +216,7 @@
             // A service is never done: nothing of its replicas' ends is written.
             Some(job) if job.spec.is_service() => true,
             Some(job) if reason == ExitReason::Done && !job.ended => job.is_recorded(key.number),
+            None => has_job_ended(&self.jobs, &self.unreadable, key),
             _ => true,
         }
     }
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -103,7 +103,7 @@
         backlog_s: f64,
         now: Wall,
     ) -> LendingCandidate {
-        let first_unstarted = job.start_mark.max(job.wanted_start_mark);
+        let first_unstarted = job.start_mark.max(job.wanted_start_mark).max(job.inherited_start_mark);
         let tasks: TaskSet = job.waiting.iter().filter(|task| *task >= first_unstarted).collect();
         let lending = self.loans.lender_ledger.lending(&job.id);
         let loans = lending.map(|lending| lending.loans.as_slice()).unwrap_or_default();
@@ -134,6 +134,7 @@
         lends_class
             && has_type
             && !job.ended
+            && !self.is_held(&job.id)
             && job.borrowed_from.is_none()
             && is_array_without_rules(spec)
             && !self.loans.is_lending(&job.id)
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -264,6 +264,18 @@
         self.loans.unresolved.push(write);
     }
 
+    /// Version of the record of an own job, live or being cancelled with loans; 0: it has none.
+    pub fn job_record_revision(&self, id: &str) -> u64 {
+        let live = self.jobs.get(id).filter(|job| !job.ended && job.borrowed_from.is_none());
+        let lent = self.loans.lent.get(id).map(|lent| lent.mod_revision);
+        live.map(|job| job.mod_revision).or(lent).unwrap_or(0)
+    }
+
+    /// Version of the record of a borrowed job; 0: it has none.
+    pub fn borrowed_record_revision(&self, id: &str) -> u64 {
+        self.loans.borrowed.get(id).copied().unwrap_or(0)
+    }
+
     /// Whether this cell lends or borrows.
     pub fn uses_cells(&self) -> bool {
         self.config.operator.cells.is_some()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -37,6 +37,7 @@
 mod status;
 mod tasks;
 mod team_use;
+mod unreadable;
 
 pub use admission::{check_runnable, NotRunnable};
 pub use borrow_admission::BorrowedTasks;
@@ -47,6 +48,7 @@
 pub use records::{PackKind, PendingWrite, WriteContents};
 pub use status::{FactorView, JobView, MachineState, MachineView, StatusView};
 pub use tasks::JobProgress;
+pub use unreadable::{UnreadableRecord, UnreadableView};
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -70,6 +72,7 @@
 use starts::{AssignedStarts, GangPlace};
 use status::LogState;
 use tasks::{stated_run_time, task_resources};
+use unreadable::UnreadableRecords;
 
 /// The leader's model of the cluster: jobs, machines, loans and the latest plan.
 pub struct Fleet {
@@ -136,6 +139,8 @@
     removed_machines: BTreeMap<MachineId, Steady>,
     /// Stored records that are to be deleted.
     cleanup: RecordCleanup,
+    /// Stored records that could not be read.
+    unreadable: UnreadableRecords,
     /// Offers that the cloud refused, and until when they are not requested again.
     refused_offers: BTreeMap<MachineOffer, Steady>,
     /// Recently submitted jobs, for warm pools and for the headroom that low priorities leave free.
@@ -189,6 +194,7 @@
             ended_jobs: BTreeMap::new(),
             removed_machines: BTreeMap::new(),
             cleanup: RecordCleanup::default(),
+            unreadable: UnreadableRecords::default(),
             refused_offers: BTreeMap::new(),
             recent_jobs: Vec::new(),
             recent_jobs_writes: RecentJobsWrites { submitted: 0, written: 0, written_at: now },
--- a/src/fleet/reconciliation.rs
+++ b/src/fleet/reconciliation.rs
@@ -1,12 +1,11 @@
 //! Reconciliation: bringing the model in line with the machine and the tasks that a heartbeat describes,
 //! and applying a task's exit to its machine and job.
 
-use std::collections::BTreeMap;
-
 use super::machine::{CachedImage, HeartbeatPosition, TaskEntry, TaskKey};
 use super::tasks::task_resources;
+use super::unreadable::has_job_ended;
 use super::Fleet;
-use crate::jobs::{split_task, Job, JobId, MachineId};
+use crate::jobs::{split_task, JobId, MachineId};
 use crate::task_ranges::TaskRanges;
 use crate::time::{Micros, Steady};
 use crate::wire::{ExitReason, Heartbeat, JobSpec, TaskStage, TaskStatus};
@@ -34,11 +33,6 @@
 /// Tasks of a heartbeat beyond this many are not read.
 const MAX_TASKS_PER_HEARTBEAT: usize = 10_000;
 
-/// Whether the job of a task has ended, or is not known.
-pub(super) fn has_job_ended(jobs: &BTreeMap<JobId, Job>, task: &TaskKey) -> bool {
-    jobs.get(&task.job).is_none_or(|job| job.ended)
-}
-
 /// How a task exited, as taken from a heartbeat.
 struct TaskExit {
     reason: ExitReason,
@@ -231,7 +225,7 @@
         let job = self.jobs.get(&key.job);
         let need = job.map(|job| task_resources(&job.spec));
         // Cancelled, or done while this task was out of sight.
-        let job_ended = job.is_none_or(|job| job.ended);
+        let job_ended = has_job_ended(&self.jobs, &self.unreadable, key);
         let Some(machine) = self.machines.get_mut(id) else { return };
         let task = machine.tasks.entry(key.clone()).or_insert_with(|| TaskEntry::new(need, now));
         if job_ended {
--- a/src/fleet/record_loading.rs
+++ b/src/fleet/record_loading.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 
 use super::machine::Machine;
+use super::unreadable::UnreadableRecord;
 use super::Fleet;
 use crate::jobs::{Job, JobId, MachineId};
 use crate::keys::{borrowed_done_key, done_key, lent_done_key, lent_start_mark_key};
 use crate::records::MachineRecord;
-use crate::task_ranges::TaskRanges;
+use crate::task_ranges::{TaskRangeError, TaskRanges};
 use crate::time::Steady;
 
 impl Fleet {
@@ -50,7 +51,8 @@
 
     /// Loads a value of start marks. Those of jobs that have ended are dropped.
     pub fn inherit_start_marks(&mut self, slot: u32, marks: BTreeMap<JobId, u32>, mod_revision: u64) {
-        let ended: Vec<JobId> = marks.keys().filter(|id| !self.jobs.contains_key(*id)).cloned().collect();
+        let has_ended = |id: &&JobId| !self.jobs.contains_key(*id) && !self.is_held(id);
+        let ended: Vec<JobId> = marks.keys().filter(has_ended).cloned().collect();
         for (id, mark) in &marks {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.raise_start_mark(*mark);
@@ -61,8 +63,10 @@
         ended.iter().for_each(|id| self.start_marks.remove(id));
     }
 
-    /// All values have been loaded: those above the present size limit are split.
-    pub fn split_oversized(&mut self) {
+    /// All values have been loaded: those above the present size limit are split, and what unreadable ones may
+    /// say is assumed.
+    pub fn records_loaded(&mut self) {
+        self.assume_start_marks();
         self.machine_records.empty_oversized();
         self.start_marks.empty_oversized();
     }
@@ -72,21 +76,22 @@
         let own = self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none());
         // An earlier version of the program counted a replica that ended as done; a service never is.
         match own.filter(|job| !job.spec.is_service()) {
-            Some(job) => job.add_done_chunk(chunk, text, mod_revision),
-            None => {
-                self.cleanup.done_chunks.insert(done_key(id, chunk), mod_revision);
-            }
+            Some(job) => match TaskRanges::parse(text, job.spec.tasks) {
+                Ok(done) => job.add_done_chunk(chunk, &done, mod_revision),
+                Err(error) => self.note_unreadable_done(id, &done_key(id, chunk), &error),
+            },
+            None => self.note_orphan(id, done_key(id, chunk), mod_revision),
         }
     }
 
     /// Loads the copy of a chunk of a lent job's done ranges. That of a job that has ended is to be deleted.
     pub fn inherit_lent_done(&mut self, id: &str, chunk: u32, text: &str, mod_revision: u64) {
         match self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none()) {
-            Some(job) => job.add_done_copy(chunk, text, mod_revision),
-            None if mod_revision > 0 => {
-                self.cleanup.done_chunks.insert(lent_done_key(id, chunk), mod_revision);
-            }
-            None => {}
+            Some(job) => match TaskRanges::parse(text, job.spec.tasks) {
+                Ok(done) => job.add_done_copy(chunk, &done, mod_revision),
+                Err(error) => self.note_unreadable_done(id, &lent_done_key(id, chunk), &error),
+            },
+            None => self.note_orphan(id, lent_done_key(id, chunk), mod_revision),
         }
     }
 
@@ -94,10 +99,7 @@
     pub fn inherit_lent_start_mark(&mut self, id: &str, mark: u32, mod_revision: u64) {
         match self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none()) {
             Some(job) => job.add_start_mark_copy(mark, mod_revision),
-            None if mod_revision > 0 => {
-                self.cleanup.done_chunks.insert(lent_start_mark_key(id), mod_revision);
-            }
-            None => {}
+            None => self.note_orphan(id, lent_start_mark_key(id), mod_revision),
         }
     }
 
@@ -105,29 +107,43 @@
     /// deleted.
     pub fn inherit_borrowed_done(&mut self, id: &str, chunk: u32, text: &str, mod_revision: u64) {
         match self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_some()) {
-            Some(job) => job.add_done_chunk(chunk, text, mod_revision),
-            None if mod_revision > 0 => {
-                self.cleanup.done_chunks.insert(borrowed_done_key(id, chunk), mod_revision);
-            }
-            None => {}
+            Some(job) => match TaskRanges::parse(text, job.spec.tasks) {
+                Ok(done) => job.add_done_chunk(chunk, &done, mod_revision),
+                Err(error) => self.note_unreadable_done(id, &borrowed_done_key(id, chunk), &error),
+            },
+            None => self.note_orphan(id, borrowed_done_key(id, chunk), mod_revision),
+        }
+    }
+
+    /// Notes what a job that has ended has left behind, which is to be deleted; `mod_revision` is 0 if there is no
+    /// such row.
+    fn note_orphan(&mut self, id: &str, key: String, mod_revision: u64) {
+        if mod_revision > 0 && !self.is_held(id) {
+            self.cleanup.done_chunks.insert(key, mod_revision);
         }
     }
+
+    /// Notes that done ranges of a job cannot be read.
+    fn note_unreadable_done(&mut self, id: &str, key: &str, error: &TaskRangeError) {
+        self.note_unreadable(UnreadableRecord::OfJob(id), key, error);
+    }
 }
 
 impl Job {
     /// Adds a chunk of done ranges as it is written.
-    fn add_done_chunk(&mut self, chunk: u32, text: &str, mod_revision: u64) {
-        for number in self.add_done_text(text).iter() {
+    fn add_done_chunk(&mut self, chunk: u32, done: &TaskRanges, mod_revision: u64) {
+        self.add_done(done);
+        for number in done.iter() {
             self.done_written.insert(number);
         }
         self.done_chunks.insert(chunk, mod_revision);
     }
 
     /// Adds the copy of a chunk of done ranges as it is stored.
-    fn add_done_copy(&mut self, chunk: u32, text: &str, mod_revision: u64) {
-        let done = self.add_done_text(text);
+    fn add_done_copy(&mut self, chunk: u32, done: &TaskRanges, mod_revision: u64) {
+        self.add_done(done);
         self.copy.is_kept = true;
-        self.copy.note_done_chunk(chunk, &done, mod_revision);
+        self.copy.note_done_chunk(chunk, done, mod_revision);
     }
 
     /// Adds the copy of the start mark as it is stored. An earlier leader may have removed the mark itself,
@@ -140,14 +156,11 @@
         self.inherited_start_mark = self.inherited_start_mark.max(mark);
     }
 
-    /// Adds the done tasks of a text, and returns them.
-    fn add_done_text(&mut self, text: &str) -> TaskRanges {
-        let mut done = TaskRanges::new();
-        done.add_text(text, self.spec.tasks);
+    /// Adds done tasks.
+    fn add_done(&mut self, done: &TaskRanges) {
         for number in done.iter() {
             self.done.insert(number);
             self.waiting.remove(number);
         }
-        done
     }
 }
--- a/src/fleet/start_check.rs
+++ b/src/fleet/start_check.rs
@@ -16,6 +16,8 @@
             return false;
         };
         is_startable(job, number, now)
+            && !self.is_held(id)
+            && (is_never_started(job, number) || !self.may_have_unknown_machines(now))
             && machine.is_usable(now)
             && !machine.has_unknown_use()
             && self.runs_nowhere_else(job, number)
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::machine::Machine;
+use super::unreadable::UnreadableView;
 use super::Fleet;
 use crate::jobs::Job;
 use crate::time::{Micros, Steady, Wall};
@@ -116,6 +117,8 @@
     pub reservation: Option<(String, f64)>,
     /// Run-time factors by team and stated run time.
     pub factors: Vec<FactorView>,
+    /// Stored records that could not be read; none for a team's view.
+    pub unreadable: Option<UnreadableView>,
     /// Progress of the recovery after the failover; none for a team's view.
     pub recovery: Option<RecoveryProgress>,
 }
@@ -137,6 +140,7 @@
             machines,
             jobs: jobs.into_iter().map(|job| self.job_view(job, wall)).collect(),
             reservation: self.reservation_view(now, is_visible),
+            unreadable: team.is_none().then(|| self.unreadable_view()),
             recovery: team.is_none().then(|| self.recovery_progress(now)),
             factors: self.factor_views(wall, is_visible),
         }
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -5,7 +5,7 @@
 use super::machine::{TaskEntry, TaskKey};
 use super::Fleet;
 use crate::jobs::{Job, JobId, MachineId};
-use crate::keys::{lent_done_key, lent_start_mark_key};
+use crate::keys::{job_key, lent_done_key, lent_start_mark_key};
 use crate::records::JobRecord;
 use crate::sched::Resources;
 use crate::time::{Micros, Steady};
@@ -67,6 +67,11 @@
     pub fn apply_job_record(&mut self, record: JobRecord, mod_revision: u64, now: Steady) {
         let id: JobId = record.spec.id.as_str().into();
         let is_late = mod_revision <= self.jobs_revision && !self.jobs.contains_key(&id);
+        if self.is_unread_job(&id) {
+            // What is done of it is not known here: only a leader that reads everything anew may begin.
+            return;
+        }
+        self.job_readable(&id, &job_key(&id));
         if is_late || self.ended_jobs.get(&id).is_some_and(|&ended_at| ended_at >= mod_revision) {
             return;
         }
@@ -114,6 +119,7 @@
                 task.need = Some(need);
             }
         }
+        self.keep_records_of(&id);
         self.jobs.insert(id.clone(), job);
         if let Some(record) = lending {
             self.apply_lending(&record, mod_revision);
@@ -128,6 +134,7 @@
     /// What is left of it is stopped.
     pub fn job_ended(&mut self, id: &str, revision: u64) {
         let id: JobId = id.into();
+        self.job_readable(&id, &job_key(&id));
         if revision > self.jobs_revision {
             let ended_at = self.ended_jobs.entry(id.clone()).or_insert(0);
             *ended_at = (*ended_at).max(revision);
--- a/src/leadership/loan_records.rs
+++ b/src/leadership/loan_records.rs
@@ -4,9 +4,9 @@
 use serde_json::{json, Value};
 
 use super::keys::SHARD_KEY;
-use super::rebuild::decode;
+use super::rebuild::{decode, note_no_done_ranges};
 use super::record_keys::{BorrowedKey, LentKey};
-use crate::fleet::{Fleet, LoanWrite};
+use crate::fleet::{Fleet, LoanWrite, UnreadableRecord};
 use crate::keys::{borrowed_key, final_key, job_key, lender_key, BORROWED_PREFIX};
 use crate::records::{FinalRecord, JobRecord, LenderRecord};
 use crate::state::{RequestPriority, StateStoreClient, StateStoreError};
@@ -93,20 +93,20 @@
 ) {
     match borrowed {
         BorrowedKey::Job(id) => {
-            if let Some(record) = decode::<BorrowedJob>(key, value) {
+            if let Some(record) = decode::<BorrowedJob>(fleet, UnreadableRecord::BorrowedJob(id), key, value)
+            {
                 fleet.borrowed_put(id, record, mod_revision, now, wall);
             }
         }
         BorrowedKey::Lender(cell) => {
-            if let Some(record) = decode::<LenderRecord>(key, value) {
+            if let Some(record) = decode::<LenderRecord>(fleet, UnreadableRecord::Lender(cell), key, value) {
                 fleet.inherit_lender(cell, record, mod_revision);
             }
         }
-        BorrowedKey::DoneChunk { job, chunk } => {
-            if let (Ok(chunk), Some(text)) = (chunk.parse(), value.as_str()) {
-                fleet.inherit_borrowed_done(job, chunk, text, mod_revision);
-            }
-        }
+        BorrowedKey::DoneChunk { job, chunk } => match (chunk.parse(), value.as_str()) {
+            (Ok(chunk), Some(text)) => fleet.inherit_borrowed_done(job, chunk, text, mod_revision),
+            _ => note_no_done_ranges(fleet, job, key),
+        },
         BorrowedKey::Other => {}
     }
 }
@@ -114,13 +114,12 @@
 /// Loads a copy of a lent job's progress into a new leader's fleet.
 pub(super) fn load_lent(fleet: &mut Fleet, lent: LentKey, key: &str, value: Value, mod_revision: u64) {
     match lent {
-        LentKey::DoneChunk { job, chunk } => {
-            if let (Ok(chunk), Some(text)) = (chunk.parse(), value.as_str()) {
-                fleet.inherit_lent_done(job, chunk, text, mod_revision);
-            }
-        }
+        LentKey::DoneChunk { job, chunk } => match (chunk.parse(), value.as_str()) {
+            (Ok(chunk), Some(text)) => fleet.inherit_lent_done(job, chunk, text, mod_revision),
+            _ => note_no_done_ranges(fleet, job, key),
+        },
         LentKey::StartMark(job) => {
-            if let Some(mark) = decode::<u32>(key, value) {
+            if let Some(mark) = decode::<u32>(fleet, UnreadableRecord::OfJob(job), key, value) {
                 fleet.inherit_lent_start_mark(job, mark, mod_revision);
             }
         }
--- a/src/leadership/read_back.rs
+++ b/src/leadership/read_back.rs
@@ -1,9 +1,11 @@
 //! Updates the fleet with single keys that were read back, after a write that met a conflict or whose
 //! outcome is unknown.
 
-use super::loan_records;
+use serde_json::json;
+
 use super::record_keys::RecordKey;
-use crate::fleet::Fleet;
+use super::{loan_records, rebuild};
+use crate::fleet::{Fleet, UnreadableRecord};
 use crate::records::JobRecord;
 use crate::time::{wall, Steady};
 use crate::wire::Row;
@@ -35,23 +37,33 @@
         }
         RecordKey::DoneChunk { job, chunk } => {
             fleet.done_chunk_read_back(key, mod_revision);
-            let text = row.as_ref().map_or(Some(""), |row| row.value.as_str());
-            if let (true, Ok(chunk), Some(text)) = (fleet.jobs.contains_key(job), chunk.parse(), text) {
-                fleet.inherit_done(job, chunk, text, mod_revision);
+            if fleet.jobs.contains_key(job) {
+                let value = row.map_or_else(|| json!(""), |row| row.value);
+                rebuild::load_done(fleet, job, chunk, key, &value, mod_revision);
             }
         }
         RecordKey::Recent | RecordKey::SingleHistory | RecordKey::Other => {}
     }
 }
 
-/// Updates a job. One without a record, or with one that cannot be decoded, is over.
+/// Updates a job. Only one without a record has ended: a record that cannot be decoded holds the job.
 fn update_job(fleet: &mut Fleet, id: &str, row: Option<Row>, now: Steady) {
-    let mod_revision = row.as_ref().map_or(0, |row| row.mod_revision);
-    match row.and_then(|row| serde_json::from_value::<JobRecord>(row.value).ok()) {
-        Some(record) => fleet.apply_job_record(record, mod_revision, now),
-        None => {
-            let known = fleet.jobs.get(id).map_or(0, |job| job.mod_revision);
-            fleet.job_ended(id, fleet.jobs_revision().max(known) + 1);
+    let Some(row) = row else {
+        let known = fleet.jobs.get(id).map_or(0, |job| job.mod_revision);
+        fleet.job_ended(id, fleet.jobs_revision().max(known) + 1);
+        return;
+    };
+    match serde_json::from_value::<JobRecord>(row.value) {
+        Ok(record) => {
+            let is_cancelling = record.lending.cancelling;
+            fleet.apply_job_record(record, row.mod_revision, now);
+            if !is_cancelling && !fleet.jobs.contains_key(id) {
+                fleet.keep_records_of(id);
+            }
+        }
+        Err(error) => {
+            fleet.note_unreadable(UnreadableRecord::Job(id), &row.key, &error);
+            fleet.keep_records_of(id);
         }
     }
 }
--- a/src/leadership/rebuild.rs
+++ b/src/leadership/rebuild.rs
@@ -11,7 +11,7 @@
     RecordKey, ALL_HISTORY_PREFIX, ALL_MACHINES_PREFIX, DONE_PREFIX, PACKED_MACHINES_PREFIX,
 };
 use crate::config::Config;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, UnreadableRecord};
 use crate::history::HistoryRecord;
 use crate::keys::{JOBS_PREFIX, LENT_PREFIX, RECENT_KEY, START_MARKS_PREFIX};
 use crate::records::{JobRecord, MachineRecord};
@@ -65,33 +65,36 @@
     for row in rows {
         load_record(fleet, row, now, wall);
     }
-    fleet.split_oversized();
+    fleet.records_loaded();
 }
 
 /// Loads one record, by the form of its key.
 fn load_record(fleet: &mut Fleet, row: Row, now: Steady, wall: Wall) {
     let Row { key, value, mod_revision } = row;
     match RecordKey::parse(&key) {
-        RecordKey::Job(_) => {
-            if let Some(job) = decode::<JobRecord>(&key, value) {
+        RecordKey::Job(id) => {
+            if let Some(job) = decode::<JobRecord>(fleet, UnreadableRecord::Job(id), &key, value) {
                 fleet.apply_job_record(job, mod_revision, now);
             }
         }
         RecordKey::Machine(id) => {
             // One that cannot be decoded may hold tasks all the same: it stays unheard until it sends
             // a heartbeat or is scaled in.
-            let machine = decode::<MachineRecord>(&key, value).unwrap_or_default();
+            let machine =
+                decode::<MachineRecord>(fleet, UnreadableRecord::Other, &key, value).unwrap_or_default();
             fleet.inherit_machine(id, &machine, mod_revision, now);
         }
         RecordKey::PackedMachines(slot) => {
-            let keep_unreadable = |slot| fleet.machine_records.keep_unreadable(slot);
-            if let Some((slot, machines)) = decode_packed(&key, slot, value, keep_unreadable) {
+            if let Some((slot, machines)) =
+                decode_packed(fleet, UnreadableRecord::Machines, &key, slot, value)
+            {
                 fleet.inherit_machines(slot, machines, mod_revision, now);
             }
         }
         RecordKey::PackedStartMarks(slot) => {
-            let keep_unreadable = |slot| fleet.start_marks.keep_unreadable(slot);
-            if let Some((slot, start_marks)) = decode_packed(&key, slot, value, keep_unreadable) {
+            if let Some((slot, start_marks)) =
+                decode_packed(fleet, UnreadableRecord::StartMarks, &key, slot, value)
+            {
                 fleet.inherit_start_marks(slot, start_marks, mod_revision);
             }
         }
@@ -100,18 +103,16 @@
         }
         RecordKey::Lent(lent) => loan_records::load_lent(fleet, lent, &key, value, mod_revision),
         RecordKey::DoneChunk { job, chunk } => {
-            if let (Ok(chunk), Some(text)) = (chunk.parse(), value.as_str()) {
-                fleet.inherit_done(job, chunk, text, mod_revision);
-            }
+            load_done(fleet, job, chunk, &key, &value, mod_revision);
         }
         RecordKey::Recent => {
-            if let Some(list) = decode(&key, value) {
+            if let Some(list) = decode(fleet, UnreadableRecord::Other, &key, value) {
                 fleet.inherit_recent_jobs(list, now, wall);
             }
         }
         RecordKey::HistoryBucket(bucket) => load_history_bucket(fleet, bucket, &key, value, mod_revision),
         RecordKey::SingleHistory => {
-            if let Some(record) = decode::<HistoryRecord>(&key, value) {
+            if let Some(record) = decode::<HistoryRecord>(fleet, UnreadableRecord::Other, &key, value) {
                 fleet.history.load_unpacked(record);
             }
         }
@@ -121,9 +122,8 @@
 
 /// Loads a packed bucket of history records.
 fn load_history_bucket(fleet: &mut Fleet, bucket: &str, key: &str, value: Value, mod_revision: u64) {
-    let Some((bucket, records)) = decode_packed::<Vec<HistoryRecord>>(key, bucket, value, |_| {}) else {
-        return;
-    };
+    let decoded = decode_packed::<Vec<HistoryRecord>>(fleet, UnreadableRecord::Other, key, bucket, value);
+    let Some((bucket, records)) = decoded else { return };
     for record in records {
         fleet.history.load(record);
     }
@@ -141,20 +141,23 @@
     Value(#[from] serde_json::Error),
 }
 
-/// A packed value with its slot number, or none if it cannot be decoded: that is logged, and the slot is
-/// handed to `keep_unreadable`, so that the value is not overwritten.
+/// A packed value with its slot number, or none if it cannot be decoded: that is noted, and the slot is never
+/// overwritten.
 fn decode_packed<T: DeserializeOwned>(
+    fleet: &mut Fleet,
+    record: UnreadableRecord<'_>,
     key: &str,
     slot: &str,
     value: Value,
-    keep_unreadable: impl FnOnce(u32),
 ) -> Option<(u32, T)> {
     match try_decode_packed(slot, value) {
         Ok(decoded) => Some(decoded),
         Err(error) => {
-            log_unreadable(key, &error);
-            if let Ok(slot) = slot.parse() {
-                keep_unreadable(slot);
+            fleet.note_unreadable(record, key, &error);
+            match (record, slot.parse()) {
+                (UnreadableRecord::Machines, Ok(slot)) => fleet.machine_records.keep_unreadable(slot),
+                (UnreadableRecord::StartMarks, Ok(slot)) => fleet.start_marks.keep_unreadable(slot),
+                _ => {}
             }
             None
         }
@@ -166,12 +169,37 @@
     Ok((slot.parse()?, serde_json::from_value(value)?))
 }
 
-/// A record's value, or none if it cannot be decoded: that is logged, and the load goes on without it.
-pub(super) fn decode<T: DeserializeOwned>(key: &str, value: Value) -> Option<T> {
-    serde_json::from_value(value).map_err(|error| log_unreadable(key, &error)).ok()
+/// Why a row of done ranges cannot be read.
+#[derive(Debug, thiserror::Error)]
+#[error("no text of done ranges under the number of a chunk")]
+struct NoDoneRanges;
+
+/// Loads a chunk of an own job's done ranges.
+pub(super) fn load_done(
+    fleet: &mut Fleet,
+    job: &str,
+    chunk: &str,
+    key: &str,
+    value: &Value,
+    mod_revision: u64,
+) {
+    match (chunk.parse(), value.as_str()) {
+        (Ok(chunk), Some(text)) => fleet.inherit_done(job, chunk, text, mod_revision),
+        _ => note_no_done_ranges(fleet, job, key),
+    }
 }
 
-/// Logs a record that cannot be decoded.
-fn log_unreadable(key: &str, error: &dyn std::fmt::Display) {
-    tracing::error!(key, %error, "record unreadable");
+/// Notes that a row is no text of done ranges.
+pub(super) fn note_no_done_ranges(fleet: &mut Fleet, job: &str, key: &str) {
+    fleet.note_unreadable(UnreadableRecord::OfJob(job), key, &NoDoneRanges);
+}
+
+/// A record's value, or none if it cannot be decoded: that is noted, and the load goes on without it.
+pub(super) fn decode<T: DeserializeOwned>(
+    fleet: &mut Fleet,
+    record: UnreadableRecord<'_>,
+    key: &str,
+    value: Value,
+) -> Option<T> {
+    serde_json::from_value(value).map_err(|error| fleet.note_unreadable(record, key, &error)).ok()
 }
--- a/src/leadership/writes.rs
+++ b/src/leadership/writes.rs
@@ -3,12 +3,12 @@
 use serde_json::json;
 
 use super::keys::SHARD_KEY;
-use super::record_keys::single_machine_key;
+use super::record_keys::{single_machine_key, BorrowedKey, LentKey, RecordKey};
 use crate::fleet::{Fleet, PackKind, PendingWrite, WriteContents};
 use crate::history::EstimateKey;
 use crate::jobs::{JobId, RunTimes};
 use crate::keys::{
-    done_key, final_key, job_key, lent_done_key, lent_start_mark_key, slot_key, HISTORY_PREFIX,
+    borrowed_key, done_key, final_key, job_key, lent_done_key, lent_start_mark_key, slot_key, HISTORY_PREFIX,
     MACHINES_PREFIX, RECENT_KEY, START_MARKS_PREFIX,
 };
 use crate::packed_records::SlotContents;
@@ -150,7 +150,7 @@
         PendingWrite::Done(id, chunk) => compose_done(fleet, pending, id, *chunk),
         PendingWrite::RecentJobs => Some(compose_recent(fleet, pending, now, wall)),
         PendingWrite::OrphanedDoneChunk(key, mod_revision) => {
-            Some(compose_drop(pending, key.clone(), *mod_revision))
+            Some(compose_orphan_drop(fleet, pending, key, *mod_revision))
         }
         PendingWrite::ObsoleteMachineRecord(id, mod_revision) => {
             Some(compose_drop(pending, single_machine_key(id), *mod_revision))
@@ -182,6 +182,22 @@
     Write::new(pending, vec![Guard { key: key.clone(), mod_revision }], vec![Change::drop(key)])
 }
 
+/// The removal of what a job has left behind, which fails if the job has another record than is known here.
+fn compose_orphan_drop(fleet: &Fleet, pending: &PendingWrite, key: &str, mod_revision: u64) -> Write {
+    let mut write = compose_drop(pending, key.to_string(), mod_revision);
+    write.guards.extend(match RecordKey::parse(key) {
+        RecordKey::DoneChunk { job, .. }
+        | RecordKey::Lent(LentKey::DoneChunk { job, .. } | LentKey::StartMark(job)) => {
+            Some(Guard { key: job_key(job), mod_revision: fleet.job_record_revision(job) })
+        }
+        RecordKey::Borrowed(BorrowedKey::DoneChunk { job, .. }) => {
+            Some(Guard { key: borrowed_key(job), mod_revision: fleet.borrowed_record_revision(job) })
+        }
+        _ => None,
+    });
+    write
+}
+
 /// The end of a job: its final record replaces the live one, and as many of its chunks of done ranges are
 /// removed as the transaction may still hold.
 fn compose_final(
--- a/src/live_jobs.rs
+++ b/src/live_jobs.rs
@@ -8,10 +8,14 @@
 use std::collections::BTreeSet;
 use std::sync::{Condvar, Mutex, MutexGuard};
 
+use serde::Deserialize;
+use serde_json::Value;
+
 use crate::keys::JOBS_PREFIX;
+use crate::records::JobRecord;
 use crate::state::{KeyList, RequestPriority, StateStoreClient, StateStoreError};
 use crate::time::{steady, Micros, Steady};
-use crate::wire::WatchEvents;
+use crate::wire::{WatchEvent, WatchEvents};
 
 /// How long a status request waits for a read; its user gives up after two seconds.
 const REQUEST_PATIENCE: Micros = Micros::from_millis(1900);
@@ -39,6 +43,57 @@
     }
 }
 
+/// The live jobs, and which of their records this version cannot read.
+#[derive(Default)]
+struct LiveRecords {
+    live: LiveIds,
+    unreadable: BTreeSet<String>,
+}
+
+impl LiveRecords {
+    /// Applies changes since the revision.
+    fn apply(&mut self, changes: &WatchEvents) {
+        // The latest record of a job counts, whatever order the events come in.
+        let mut events: Vec<&WatchEvent> = changes.events.iter().collect();
+        events.sort_by_key(|event| event.mod_revision);
+        for event in events {
+            if let Some(id) = event.put.as_deref().and_then(|key| key.strip_prefix(JOBS_PREFIX)) {
+                self.note_record(id, &event.value);
+            }
+        }
+        self.live.apply(changes);
+        self.unreadable.retain(|id| self.live.ids.contains(id));
+    }
+
+    /// Notes whether a job's record can be read.
+    fn note_record(&mut self, id: &str, record: &Value) {
+        if JobRecord::deserialize(record).is_ok() {
+            self.unreadable.remove(id);
+        } else {
+            self.unreadable.insert(id.to_string());
+        }
+    }
+
+    fn presence(&self, id: &str) -> Presence {
+        match (self.live.ids.contains(id), self.unreadable.contains(id)) {
+            (false, _) => Presence::Absent,
+            (true, true) => Presence::Unreadable,
+            (true, false) => Presence::Live,
+        }
+    }
+}
+
+/// Whether a job is live.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It is live.
+    Live,
+    /// It has a record that this version cannot read.
+    Unreadable,
+    /// It has no record: it has ended, or was never accepted.
+    Absent,
+}
+
 /// A read that failed.
 struct FailedRead {
     number: u64,
@@ -48,7 +103,7 @@
 /// The live jobs as last read, and which reads have begun and ended. Reads are numbered from 1.
 #[derive(Default)]
 struct ReadState {
-    live: LiveIds,
+    records: LiveRecords,
     /// Number of the last read that has begun.
     last_begun: u64,
     /// Number of the last read that succeeded; 0: none.
@@ -62,9 +117,9 @@
 
 impl ReadState {
     /// The answer for a job by a read of at least this number; `None` if none has ended yet.
-    fn result_since(&self, number: u64, id: &str) -> Option<Result<bool, StateStoreError>> {
+    fn result_since(&self, number: u64, id: &str) -> Option<Result<Presence, StateStoreError>> {
         if self.last_succeeded >= number {
-            return Some(Ok(self.live.ids.contains(id)));
+            return Some(Ok(self.records.presence(id)));
         }
         let failed = self.last_failed.as_ref().filter(|failed| failed.number >= number)?;
         Some(Err(failed.error.clone()))
@@ -74,8 +129,8 @@
     fn finish(&mut self, number: u64, result: Result<ReadResult, StateStoreError>) {
         self.read_in_progress = false;
         match result {
-            Ok(ReadResult::All(live)) => self.live = live,
-            Ok(ReadResult::Changes(changes)) => self.live.apply(&changes),
+            Ok(ReadResult::All(records)) => self.records = records,
+            Ok(ReadResult::Changes(changes)) => self.records.apply(&changes),
             Err(error) => {
                 self.last_failed = Some(FailedRead { number, error });
                 return;
@@ -113,7 +168,7 @@
     ///
     /// # Errors
     /// That of the read; [`StateStoreError::Budget`] if none ended in time.
-    pub fn is_live(&self, id: &str, store: &StateStoreClient) -> Result<bool, StateStoreError> {
+    pub fn presence(&self, id: &str, store: &StateStoreClient) -> Result<Presence, StateStoreError> {
         let deadline = steady() + REQUEST_PATIENCE;
         let mut state = self.lock();
         // The store may have executed a read that has begun already before this call.
@@ -149,7 +204,7 @@
         }
         state.last_begun += 1;
         state.last_begun_at = steady();
-        let (number, from) = (state.last_begun, state.live.revision);
+        let (number, from) = (state.last_begun, state.records.live.revision);
         drop(state);
         let result = read(store, from);
         let mut state = self.lock();
@@ -162,7 +217,7 @@
 /// What a read of the live jobs gives.
 enum ReadResult {
     /// All of them.
-    All(LiveIds),
+    All(LiveRecords),
     /// What has changed since the last read.
     Changes(WatchEvents),
 }
@@ -175,10 +230,16 @@
         Some(result) => return result.map(ReadResult::Changes),
     }
     let KeyList { rows, revision } = store.list(JOBS_PREFIX)?;
-    let ids = rows.iter().filter_map(|row| row.key.strip_prefix(JOBS_PREFIX)).map(str::to_string).collect();
+    let mut records = LiveRecords::default();
+    records.live.revision = Some(revision);
+    for row in &rows {
+        if let Some(id) = row.key.strip_prefix(JOBS_PREFIX) {
+            records.live.ids.insert(id.to_string());
+            records.note_record(id, &row.value);
+        }
+    }
     // The pages of a list are not read at one moment: what changed meanwhile is read as well.
     let changes = store.changes(JOBS_PREFIX, revision, RequestPriority::User)?;
-    let mut live = LiveIds { ids, revision: Some(revision) };
-    live.apply(&changes);
-    Ok(ReadResult::All(live))
+    records.apply(&changes);
+    Ok(ReadResult::All(records))
 }
--- a/src/task_ranges.rs
+++ b/src/task_ranges.rs
@@ -26,6 +26,16 @@
     }
 }
 
+/// A part of a compact text that is no range of the job's tasks.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{part}` is no range of tasks below {limit}")]
+pub struct TaskRangeError {
+    /// The part.
+    part: String,
+    /// The job's number of tasks.
+    limit: u32,
+}
+
 /// A set of task numbers as sorted, disjoint, non-adjacent half-open ranges.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TaskRanges(Vec<TaskRange>);
@@ -129,6 +139,24 @@
         self.0.iter().map(|range| range.to_text()).collect::<Vec<_>>().join(",")
     }
 
+    /// The numbers of a compact text, all of which are below `limit`; an error if a part is no range, or is
+    /// beyond it.
+    pub fn parse(text: &str, limit: u32) -> Result<TaskRanges, TaskRangeError> {
+        let mut ranges = TaskRanges::new();
+        for part in text.split(',').filter(|part| !part.is_empty()) {
+            let (first, last) = part.split_once('-').unwrap_or((part, part));
+            match (first.parse::<u32>(), last.parse::<u32>()) {
+                (Ok(first), Ok(last)) if first <= last && last < limit => {
+                    (first..=last).for_each(|task| {
+                        ranges.insert(task);
+                    });
+                }
+                _ => return Err(TaskRangeError { part: part.to_string(), limit }),
+            }
+        }
+        Ok(ranges)
+    }
+
     /// Adds the numbers of a compact text. Numbers from `limit` on and parts that are no range are
     /// left out.
     pub fn add_text(&mut self, text: &str, limit: u32) {
--- a/tests/earlier_leader/world.rs
+++ b/tests/common/lending_world.rs
@@ -19,11 +19,11 @@
 use milletlock_cells::{LoanAction, LoanItem, LoanNumber, LoanReport, LoanState, LoanSyncRequest, TaskSet};
 use serde_json::{json, Value};
 
-use crate::common::servers::{cloud, serve};
-use crate::common::state_store_server::{read_response, transaction, transaction_response};
-use crate::common::store::Store;
-use crate::common::worker::{Attempt, Task, WorkerState};
-use crate::common::{platform_json, production, spec};
+use super::servers::{cloud, serve};
+use super::state_store_server::{read_response, transaction, transaction_response};
+use super::store::Store;
+use super::worker::{Attempt, Task, WorkerState};
+use super::{platform_json, production, spec};
 
 const CELLS: &str =
     "cells {\n name = \"here\"\n others = [{ name = \"there\", controllers = [\"127.0.0.1:1\"] }]\n \
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet_scenario;
 pub mod fleet_writes;
 pub mod lending_scenario;
+pub mod lending_world;
 pub mod planner;
 pub mod production;
 pub mod servers;
--- a/tests/earlier_leader/main.rs
+++ b/tests/earlier_leader.rs
@@ -14,9 +14,7 @@
 //! Seen before the mend: `finished tasks start again: {0, 1, 2, 3, 4, 5, 6, 7}`, of the done ranges `{23, 24} lacks
 //! some of {0, 1, 2, 3, 4, 5, 6, 7}`, and `tasks that may run on the silent machine are lent: [22, 23]`.
 
-#[path = "../common/mod.rs"]
 mod common;
-mod world;
 
 use std::collections::BTreeSet;
 
@@ -25,8 +23,8 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 
+use common::lending_world::{Leader, Machine, World, JOB, TASKS};
 use common::{production, spec};
-use world::{Leader, Machine, World, JOB, TASKS};
 
 /// Steps in which a start or a result goes through all its writes.
 const SETTLED: usize = 8;
--- a/tests/unreadable_records.rs
+++ b/tests/unreadable_records.rs
@@ -10,9 +10,8 @@
 //! shows that.
 
 mod common;
-#[path = "earlier_leader/world.rs"]
-mod world;
 
+use common::lending_world::{Leader, Machine, World, JOB, TASKS};
 use common::store::Store;
 use common::{config, record, spec, types};
 use milletlock::api::RequestOrigin;
@@ -25,7 +24,6 @@
 use milletlock::wire::{Change, Txn};
 use milletlock_cells::{LoanAction, LoanItem, LoanNumber, LoanOffer, LoanSyncRequest, TaskSet};
 use serde_json::{json, Value};
-use world::{Leader, Machine, World, JOB, TASKS};
 
 /// Steps in which a start or a result goes through all its writes.
 const SETTLED: usize = 8;
