--- a/src/controller/borrowing.rs
+++ b/src/controller/borrowing.rs
@@ -28,23 +28,28 @@
                 return PeerReply::Loans(LoanReply { from: cells.name.clone(), ..LoanReply::default() });
             }
         };
-        let readable = {
-            let shared = self.lock();
-            shared.leadership.as_ref().and_then(|leadership| leadership.fleet.without_unreadable(&request))
-        };
-        let fencing_token = self.lock().fencing_token();
-        if let (Some(fencing_token), Some(request)) = (fencing_token, &readable) {
+        let readable = self.decidable(&request);
+        if let Some((fencing_token, request)) = &readable {
             // One message at a time: each change rests on the records as the one before left them.
             let _guard = lock_ignoring_poison(&self.loan_changes);
-            self.apply_loan_request(fencing_token, request);
+            self.apply_loan_request(*fencing_token, request);
         }
         let shared = self.lock();
         PeerReply::Loans(match &shared.leadership {
-            Some(leadership) => loan_reply(cells, leadership, readable.as_ref()),
+            Some(leadership) => loan_reply(cells, leadership, readable.as_ref().map(|(_, request)| request)),
             None => self.not_leading(cells, &shared),
         })
     }
 
+    /// The part of a message that this leader can decide on, with its fencing token; none if it does not lead, or
+    /// cannot read its records about the sender.
+    fn decidable(&self, request: &LoanSyncRequest) -> Option<(u64, LoanSyncRequest)> {
+        let shared = self.lock();
+        let leadership = shared.leadership.as_ref()?;
+        let request = leadership.fleet.without_unreadable(request)?;
+        Some((leadership.term.fencing_token, request))
+    }
+
     /// Makes the changes that a message requests.
     fn apply_loan_request(&self, fencing_token: u64, request: &LoanSyncRequest) {
         let begun = self.now();
--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -187,11 +187,20 @@
 
     /// A controller of this version, elected and with everything read back.
     pub fn leader(&self) -> Leader<'_> {
+        self.leader_with(CELLS)
+    }
+
+    /// The same without a `cells` block.
+    pub fn leader_without_cells(&self) -> Leader<'_> {
+        self.leader_with("")
+    }
+
+    fn leader_with(&self, operator: &str) -> Leader<'_> {
         let mut settings = platform_json();
         settings["services"] = json!({ "cloud": self.cloud, "state": self.state });
         let platform = PlatformConfig::parse(&settings.to_string(), "test").expect("settings");
-        let operator = OperatorConfig::parse(CELLS, "test").expect("settings");
-        let policy = LendingPolicy::new(operator.cells.as_ref().expect("cells"));
+        let operator = OperatorConfig::parse(operator, "test").expect("settings");
+        let policy = operator.cells.as_ref().map(LendingPolicy::new);
         let borrower = self.borrower.clone();
         let transport = move |out: OutboundMessage| {
             let PeerMessage::Lend(message) = &out.message else { panic!("no message about loans") };
@@ -267,7 +276,7 @@
 pub struct Leader<'a> {
     world: &'a World,
     pub controller: Arc<Controller>,
-    policy: LendingPolicy,
+    policy: Option<LendingPolicy>,
 }
 
 impl Leader<'_> {
@@ -289,7 +298,9 @@
 
     /// One round of messages between the cells.
     pub fn lend(&mut self) {
-        self.controller.lend_once(&mut self.policy);
+        if let Some(policy) = &mut self.policy {
+            self.controller.lend_once(policy);
+        }
     }
 
     /// Half a second: a machine's heartbeat with its reply, and the controller's duties.
--- a/tests/unreadable_records.rs
+++ b/tests/unreadable_records.rs
@@ -239,6 +239,59 @@
     }
 }
 
+/// With a value of machine records unreadable, any machine may run what was begun, until its lease has ended.
+#[test]
+fn what_was_begun_waits_while_machine_records_cannot_be_read() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    begun(&world, &mut machine);
+    let running = machine.running();
+    put(&mut world.store(), "machines/0", json!([1]));
+    let (mut leader, mut other) = (world.leader(), Machine::new("i-000002"));
+    leader.steps(&mut other, 3 * SETTLED);
+    assert!(other.running().is_disjoint(&running), "{:?} of {running:?}", other.running());
+    assert_eq!(value(&world, "machines/0"), json!([1]), "it stays as it is");
+}
+
+/// The `cells` block was taken out while loans are open: nothing that is lent starts, nothing is lost, and what
+/// was borrowed is run and recorded.
+#[test]
+fn a_leader_without_the_cells_block_keeps_both_sides_of_loans() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    leader.submit();
+    leader.steps(&mut machine, SETTLED);
+    for _ in 0..SETTLED {
+        leader.lend();
+        leader.step(&mut machine);
+    }
+    let lent = world.borrower().tasks();
+    assert!(!lent.is_empty(), "tasks are lent");
+    let description = json!(spec(5, 10, "batch"));
+    let held =
+        json!({ "home": "there", "description": description, "loans": [{ "number": 5, "tasks": "1-3" }] });
+    borrowed_rows(&mut world.store(), held, json!({ "high_water": 5, "finished": 0 }));
+    let mut leader = world.leader_without_cells();
+    for _ in 0..TO_THE_END {
+        machine.finish_all();
+        leader.step(&mut machine);
+    }
+    assert!(machine.started.keys().all(|task| !lent.contains(*task)), "lent tasks start here");
+    assert_eq!(value(&world, "borrowed/done/wk-000005/0"), json!("1-2"));
+    let done = world.store().rows("borrowed/done/wk-000005/");
+    assert!(done.iter().any(|row| row.value == json!("1-3")), "the held task is run and recorded: {done:?}");
+    let response = leader.ask("POST", "/api/jobs", &json!(spec(5, 10, "batch")));
+    assert_eq!(response.0, 503, "its id is in use: {response:?}");
+    let mut leader = world.leader();
+    for _ in 0..TO_THE_END {
+        let held = world.borrower().tasks();
+        world.borrower().done = held;
+        machine.finish_all();
+        leader.lend();
+        leader.step(&mut machine);
+    }
+    assert_eq!(leader.stage(), "done");
+}
+
 /// Removing what a job has left behind fails if the job's key is back.
 #[test]
 fn done_ranges_of_a_job_that_is_back_are_not_removed() {
