--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -11,7 +11,7 @@
 use crate::wire::{Catalog, ListedMachine, MachineList, MachineNames, MachineType, ScaleOutRequest};
 
 /// Most machines in one rental request.
-pub const MAX_MACHINES_PER_RENTAL: u32 = 50;
+pub const MAX_MACHINES_PER_SCALE_OUT: u32 = 50;
 /// Machines in one page of the list, the most that the cloud gives at once.
 pub const MACHINES_PER_LIST_PAGE: usize = 500;
 
@@ -79,7 +79,7 @@
     ///
     /// [`CloudError::NoCapacity`] if there is not a single machine; after [`CloudError::Unknown`]
     /// the machines may have been rented.
-    pub fn rent(&self, request: &ScaleOutRequest) -> Result<Vec<String>, CloudError> {
+    pub fn scale_out(&self, request: &ScaleOutRequest) -> Result<Vec<String>, CloudError> {
         let rented: MachineNames = parse(&self.post("/rentals", request)?)?;
         Ok(rented.machines)
     }
--- a/src/config/fleet_size.rs
+++ b/src/config/fleet_size.rs
@@ -2,7 +2,7 @@
 
 use super::server_limits::RESERVED_CONNECTION_DIVISOR;
 use super::Config;
-use crate::cloud::MAX_MACHINES_PER_RENTAL;
+use crate::cloud::MAX_MACHINES_PER_SCALE_OUT;
 
 /// Number of machines that the service is made for. The program itself has no fixed limit below it.
 pub const TARGET_MACHINES: usize = 4_000;
@@ -33,7 +33,7 @@
             ("limits.ram_mb", (settings.limits.ram_mb - BASE_RAM_MB) / RAM_PER_MACHINE_MB),
             ("limits.cpu", settings.limits.cpu * settings.workers.report_s / CPU_PER_HEARTBEAT_S),
             ("state.write_rps", scale_out_requests(settings.state.write_rps) * records_per_value),
-            ("cloud.rps", scale_out_requests(settings.cloud.rps) * f64::from(MAX_MACHINES_PER_RENTAL)),
+            ("cloud.rps", scale_out_requests(settings.cloud.rps) * f64::from(MAX_MACHINES_PER_SCALE_OUT)),
         ];
         capacities
             .into_iter()
--- a/src/controller/deferred_replies.rs
+++ b/src/controller/deferred_replies.rs
@@ -72,7 +72,7 @@
     let fencing_token = leadership.term.fencing_token;
     let deferred =
         deferred_replies.get(machine).filter(|deferred| deferred.fencing_token == fencing_token)?;
-    let commands = leadership.fleet.deferred_orders(&deferred.heartbeat, now, wall());
+    let commands = leadership.fleet.deferred_commands(&deferred.heartbeat, now, wall());
     if commands.is_empty() && now < deferred.deadline {
         return None;
     }
--- a/src/controller/scaling.rs
+++ b/src/controller/scaling.rs
@@ -3,7 +3,7 @@
 
 use super::Controller;
 use crate::capacity::{MachineOffer, ScaleOutItem};
-use crate::cloud::{CloudError, MAX_MACHINES_PER_RENTAL};
+use crate::cloud::{CloudError, MAX_MACHINES_PER_SCALE_OUT};
 use crate::fleet::Fleet;
 use crate::leadership::LeadershipTerm;
 use crate::time::{wall, Micros, Steady};
@@ -118,7 +118,7 @@
             let zone = leadership.fleet.zone_name(offer.zone).to_string();
             let mut remaining = count;
             while remaining > 0 {
-                let count = remaining.min(MAX_MACHINES_PER_RENTAL);
+                let count = remaining.min(MAX_MACHINES_PER_SCALE_OUT);
                 remaining -= count;
                 let request = ScaleOutRequest {
                     request: String::new(),
@@ -136,12 +136,12 @@
     /// Sends a scale-out request, again if its outcome is not known: requests are idempotent by their
     /// name.
     fn send_scale_out_request(&self, request: &ScaleOutRequest) -> Result<Vec<String>, CloudError> {
-        let mut outcome = self.cloud.rent(request);
+        let mut outcome = self.cloud.scale_out(request);
         for _ in 0..SCALE_OUT_RETRIES {
             if !matches!(outcome, Err(CloudError::Unknown(_))) {
                 break;
             }
-            outcome = self.cloud.rent(request);
+            outcome = self.cloud.scale_out(request);
         }
         outcome
     }
--- a/src/fleet/heartbeats.rs
+++ b/src/fleet/heartbeats.rs
@@ -253,7 +253,12 @@
     }
 
     /// The orders with which a deferred heartbeat is answered; empty if a newer heartbeat has come.
-    pub fn deferred_orders(&mut self, heartbeat: &Heartbeat, now: Steady, wall: Wall) -> Vec<WorkerCommand> {
+    pub fn deferred_commands(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Steady,
+        wall: Wall,
+    ) -> Vec<WorkerCommand> {
         let id: MachineId = heartbeat.machine.as_str().into();
         let position = HeartbeatPosition::of(heartbeat);
         if self.machines.get(&id).is_none_or(|machine| machine.latest_heartbeat != position) {
--- a/src/fleet/record_loading.rs
+++ b/src/fleet/record_loading.rs
@@ -76,10 +76,10 @@
         let own = self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none());
         // An earlier version of the program counted a replica that ended as done; a service never is.
         match own.filter(|job| !job.spec.is_service()) {
-            Some(job) => match TaskRanges::parse(text, job.spec.tasks) {
-                Ok(done) => job.add_done_chunk(chunk, &done, mod_revision),
-                Err(error) => self.note_unreadable_done(id, &done_key(id, chunk), &error),
-            },
+            Some(job) => {
+                let added = job.add_done_chunk(chunk, text, mod_revision);
+                self.note_added(id, &done_key(id, chunk), added);
+            }
             None => self.note_orphan(id, done_key(id, chunk), mod_revision),
         }
     }
@@ -87,10 +87,10 @@
     /// Loads the copy of a chunk of a lent job's done ranges. That of a job that has ended is to be deleted.
     pub fn inherit_lent_done(&mut self, id: &str, chunk: u32, text: &str, mod_revision: u64) {
         match self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none()) {
-            Some(job) => match TaskRanges::parse(text, job.spec.tasks) {
-                Ok(done) => job.add_done_copy(chunk, &done, mod_revision),
-                Err(error) => self.note_unreadable_done(id, &lent_done_key(id, chunk), &error),
-            },
+            Some(job) => {
+                let added = job.add_done_copy(chunk, text, mod_revision);
+                self.note_added(id, &lent_done_key(id, chunk), added);
+            }
             None => self.note_orphan(id, lent_done_key(id, chunk), mod_revision),
         }
     }
@@ -107,10 +107,10 @@
     /// deleted.
     pub fn inherit_borrowed_done(&mut self, id: &str, chunk: u32, text: &str, mod_revision: u64) {
         match self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_some()) {
-            Some(job) => match TaskRanges::parse(text, job.spec.tasks) {
-                Ok(done) => job.add_done_chunk(chunk, &done, mod_revision),
-                Err(error) => self.note_unreadable_done(id, &borrowed_done_key(id, chunk), &error),
-            },
+            Some(job) => {
+                let added = job.add_done_chunk(chunk, text, mod_revision);
+                self.note_added(id, &borrowed_done_key(id, chunk), added);
+            }
             None => self.note_orphan(id, borrowed_done_key(id, chunk), mod_revision),
         }
     }
@@ -123,27 +123,33 @@
         }
     }
 
-    /// Notes that done ranges of a job cannot be read.
-    fn note_unreadable_done(&mut self, id: &str, key: &str, error: &TaskRangeError) {
-        self.note_unreadable(UnreadableRecord::OfJob(id), key, error);
+    /// Notes whether done ranges of a job could be read and were added.
+    fn note_added(&mut self, id: &str, key: &str, added: Result<(), TaskRangeError>) {
+        if let Err(error) = added {
+            self.note_unreadable(UnreadableRecord::OfJob(id), key, &error);
+        }
     }
 }
 
 impl Job {
     /// Adds a chunk of done ranges as it is written.
-    fn add_done_chunk(&mut self, chunk: u32, done: &TaskRanges, mod_revision: u64) {
-        self.add_done(done);
+    fn add_done_chunk(&mut self, chunk: u32, text: &str, mod_revision: u64) -> Result<(), TaskRangeError> {
+        let done = TaskRanges::parse(text, self.spec.tasks)?;
+        self.add_done(&done);
         for number in done.iter() {
             self.done_written.insert(number);
         }
         self.done_chunks.insert(chunk, mod_revision);
+        Ok(())
     }
 
     /// Adds the copy of a chunk of done ranges as it is stored.
-    fn add_done_copy(&mut self, chunk: u32, done: &TaskRanges, mod_revision: u64) {
-        self.add_done(done);
+    fn add_done_copy(&mut self, chunk: u32, text: &str, mod_revision: u64) -> Result<(), TaskRangeError> {
+        let done = TaskRanges::parse(text, self.spec.tasks)?;
+        self.add_done(&done);
         self.copy.is_kept = true;
-        self.copy.note_done_chunk(chunk, done, mod_revision);
+        self.copy.note_done_chunk(chunk, &done, mod_revision);
+        Ok(())
     }
 
     /// Adds the copy of the start mark as it is stored. An earlier leader may have removed the mark itself,
--- a/src/fleet/unreadable.rs
+++ b/src/fleet/unreadable.rs
@@ -27,8 +27,8 @@
     jobs: BTreeSet<String>,
     /// Borrowed jobs whose record itself cannot be read.
     borrowed_jobs: BTreeSet<String>,
-    /// Jobs, own or borrowed, of which any record cannot be read.
-    held_jobs: BTreeSet<String>,
+    /// Jobs, own or borrowed, of which done ranges or a start mark cannot be read.
+    jobs_of_rows: BTreeSet<String>,
     /// Cells from which tasks are or were borrowed, whose record cannot be read.
     lenders: BTreeSet<String>,
     /// Whether a value of start marks cannot be read.
@@ -40,7 +40,7 @@
 impl UnreadableRecords {
     /// Whether a record of a job cannot be read: nothing of it starts, and nothing of it is removed.
     pub(super) fn holds_job(&self, id: &str) -> bool {
-        self.held_jobs.contains(id)
+        self.jobs_of_rows.contains(id) || self.has_job(id)
     }
 
     /// Whether a job's own record cannot be read: it may be live though it is not known.
@@ -87,14 +87,12 @@
         match record {
             UnreadableRecord::Job(id) => {
                 unreadable.jobs.insert(id.to_string());
-                unreadable.held_jobs.insert(id.to_string());
             }
             UnreadableRecord::BorrowedJob(id) => {
                 unreadable.borrowed_jobs.insert(id.to_string());
-                unreadable.held_jobs.insert(id.to_string());
             }
             UnreadableRecord::OfJob(id) => {
-                unreadable.held_jobs.insert(id.to_string());
+                unreadable.jobs_of_rows.insert(id.to_string());
             }
             UnreadableRecord::Lender(cell) => {
                 unreadable.lenders.insert(cell.to_string());
@@ -120,7 +118,6 @@
     pub(super) fn job_readable(&mut self, id: &str, key: &str) {
         if self.unreadable.jobs.remove(id) {
             self.unreadable.keys.remove(key);
-            self.unreadable.held_jobs.remove(id);
             self.dirty = true;
         }
     }
--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -35,6 +35,8 @@
 pub const TASKS: u32 = 40;
 /// Time that passes between two heartbeats.
 const STEP: Micros = Micros(500_000);
+/// Steps in which a start or a result goes through all its writes.
+pub const SETTLED: usize = 8;
 /// Bytes of a value of the state store in these settings.
 const VALUE_BYTES: usize = 4096;
 
@@ -303,6 +305,18 @@
         }
     }
 
+    /// Sends messages between the cells until tasks are lent.
+    pub fn lend_some(&mut self, machine: &mut Machine) {
+        for _ in 0..SETTLED {
+            self.lend();
+            if !self.world.borrower().tasks().is_empty() {
+                return;
+            }
+            self.step(machine);
+        }
+        panic!("nothing is lent");
+    }
+
     /// Half a second: a machine's heartbeat with its reply, and the controller's duties.
     pub fn step(&mut self, machine: &mut Machine) {
         let message = machine.state.heartbeat();
--- a/tests/earlier_leader.rs
+++ b/tests/earlier_leader.rs
@@ -23,11 +23,9 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 
-use common::lending_world::{Leader, Machine, World, JOB, TASKS};
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
 use common::{production, spec};
 
-/// Steps in which a start or a result goes through all its writes.
-const SETTLED: usize = 8;
 /// Steps until all is done.
 const TO_THE_END: usize = 200;
 
@@ -37,7 +35,7 @@
     leader.steps(machine, SETTLED);
     machine.finish_all();
     leader.steps(machine, 1);
-    lend_some(world, leader, machine);
+    leader.lend_some(machine);
     leader.steps(machine, SETTLED);
     machine.finish_all();
     leader.steps(machine, SETTLED);
@@ -48,18 +46,6 @@
     leader.steps(machine, SETTLED);
 }
 
-/// Sends messages between the cells until tasks are lent.
-fn lend_some(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
-    for _ in 0..SETTLED {
-        leader.lend();
-        if !world.borrower().tasks().is_empty() {
-            return;
-        }
-        leader.step(machine);
-    }
-    panic!("nothing is lent");
-}
-
 /// Plays on until the job is done.
 fn run_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
     for _ in 0..TO_THE_END {
@@ -154,7 +140,7 @@
     let mut leader = world.leader();
     leader.submit();
     leader.steps(&mut machine, SETTLED);
-    lend_some(&world, &mut leader, &mut machine);
+    leader.lend_some(&mut machine);
     let lent = world.borrower().tasks();
     // All comes back and is begun here, but for the last task.
     world.borrower().gives_back = lent.iter().take(lent.len() as usize - 1).collect();
--- a/tests/safety/starts.rs
+++ b/tests/safety/starts.rs
@@ -89,9 +89,9 @@
     assert!(fleet.has_ready_start("i-1"));
     // A newer heartbeat has come in between: its reply carries the starts, this one nothing.
     let mut g = fleet_with(spec(1, 2, "batch"));
-    assert!(g.deferred_orders(&heartbeat("i-1", 0, 7, &[]), at(4.5), wall(4.5)).is_empty());
-    assert_eq!(starts(&fleet.deferred_orders(&idle, at(4.5), wall(4.5))).len(), 2);
-    assert!(starts(&fleet.deferred_orders(&idle, at(4.6), wall(4.6))).is_empty(), "once");
+    assert!(g.deferred_commands(&heartbeat("i-1", 0, 7, &[]), at(4.5), wall(4.5)).is_empty());
+    assert_eq!(starts(&fleet.deferred_commands(&idle, at(4.5), wall(4.5))).len(), 2);
+    assert!(starts(&fleet.deferred_commands(&idle, at(4.6), wall(4.6))).is_empty(), "once");
 }
 
 #[test]
--- a/tests/unreadable_records.rs
+++ b/tests/unreadable_records.rs
@@ -11,7 +11,7 @@
 
 mod common;
 
-use common::lending_world::{Leader, Machine, World, JOB, TASKS};
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
 use common::store::Store;
 use common::{config, record, spec, types};
 use milletlock::api::RequestOrigin;
@@ -25,8 +25,6 @@
 use milletlock_cells::{LoanAction, LoanItem, LoanNumber, LoanOffer, LoanSyncRequest, TaskSet};
 use serde_json::{json, Value};
 
-/// Steps in which a start or a result goes through all its writes.
-const SETTLED: usize = 8;
 /// Steps until all is done.
 const TO_THE_END: usize = 200;
 
@@ -179,12 +177,8 @@
     let mut leader = world.leader();
     leader.submit();
     leader.steps(&mut machine, SETTLED);
-    for _ in 0..SETTLED {
-        leader.lend();
-        leader.step(&mut machine);
-    }
+    leader.lend_some(&mut machine);
     let held = world.borrower().tasks();
-    assert!(!held.is_empty(), "tasks are lent");
     put(&mut world.store(), &job_key(), json!({ "spec_of_a_later_version": {} }));
     let mut leader = world.leader();
     for _ in 0..SETTLED {
@@ -260,12 +254,8 @@
     let mut leader = world.leader();
     leader.submit();
     leader.steps(&mut machine, SETTLED);
-    for _ in 0..SETTLED {
-        leader.lend();
-        leader.step(&mut machine);
-    }
+    leader.lend_some(&mut machine);
     let lent = world.borrower().tasks();
-    assert!(!lent.is_empty(), "tasks are lent");
     let description = json!(spec(5, 10, "batch"));
     let held =
         json!({ "home": "there", "description": description, "loans": [{ "number": 5, "tasks": "1-3" }] });
