--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use milletlock::api::RequestOrigin;
@@ -152,18 +152,27 @@
     cloud: SocketAddr,
     clock: Arc<AtomicI64>,
     borrower: Arc<Mutex<Borrower>>,
+    /// Whether the state store refuses what writes copies of lent jobs' progress.
+    pub refuses_copies: Arc<AtomicBool>,
 }
 
 impl World {
     pub fn new() -> World {
         let store: Arc<Mutex<Store>> = Arc::default();
         let served = store.clone();
+        let refuses_copies: Arc<AtomicBool> = Arc::default();
+        let refuses = refuses_copies.clone();
         let state = serve(move |request| {
             let mut store = served.lock().expect("the store");
             match (request.method.as_str(), request.path.split('?').next().unwrap_or("")) {
                 ("POST", "/leases") => Response::json(200, &json!({ "tenure": 1 })),
                 ("POST", "/txn") => {
-                    let result = store.txn(&transaction(&request));
+                    let txn = transaction(&request);
+                    let writes_copy = txn.then.iter().any(|change| change.key().starts_with("lent/"));
+                    if writes_copy && refuses.load(Ordering::SeqCst) {
+                        return Response::error(503, "refused");
+                    }
+                    let result = store.txn(&txn);
                     transaction_response(&store, result)
                 }
                 ("GET", _) => read_response(&store, &request),
@@ -176,6 +185,7 @@
             cloud: cloud(),
             clock: Arc::new(AtomicI64::new(1_000_000_000)),
             borrower: Arc::default(),
+            refuses_copies,
         }
     }
 
--- a/tests/earlier_leader.rs
+++ b/tests/earlier_leader.rs
@@ -17,6 +17,7 @@
 mod common;
 
 use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
 
 use milletlock_cells::TaskSet;
 use rand::rngs::StdRng;
@@ -170,6 +171,72 @@
     assert!(lent_again.is_empty(), "tasks that may run on the silent machine are lent: {lent_again:?}");
 }
 
+/// Done ranges without a copy, as 0.3.0 wrote them, do not outlast an earlier version: the worker keeps the results.
+#[test]
+fn a_result_is_taken_only_once_its_copy_is_stored() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    lent_and_done_on_both_sides(&world, &mut leader, &mut machine);
+    leader.steps(&mut machine, SETTLED);
+    machine.finish_all();
+    // The results are written, and the worker has not heard of it.
+    leader.step(&mut machine);
+    (0..SETTLED).for_each(|_| leader.idle_step());
+    let copies: Vec<String> = world.store().rows("lent/").into_iter().map(|row| row.key).collect();
+    assert!(!copies.is_empty());
+    copies.iter().for_each(|key| drop(world.store().keys.remove(key)));
+    world.refuses_copies.store(true, Ordering::SeqCst);
+    let taken = machine.taken.clone();
+    let mut leader = world.leader();
+    leader.steps(&mut machine, SETTLED);
+    assert_eq!(machine.taken, taken);
+    world.refuses_copies.store(false, Ordering::SeqCst);
+    leader.steps(&mut machine, SETTLED);
+    assert!(machine.taken.len() > taken.len(), "{:?}", machine.taken);
+}
+
+#[test]
+fn nothing_is_lent_before_all_that_is_done_is_copied() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    leader.submit();
+    leader.steps(&mut machine, SETTLED);
+    machine.finish_all();
+    leader.steps(&mut machine, SETTLED);
+    assert!(!world.recorded_done().is_empty());
+    world.refuses_copies.store(true, Ordering::SeqCst);
+    for _ in 0..SETTLED {
+        leader.lend();
+        leader.step(&mut machine);
+    }
+    assert!(world.borrower().tasks().is_empty());
+    world.refuses_copies.store(false, Ordering::SeqCst);
+    leader.lend_some(&mut machine);
+}
+
+#[test]
+fn no_task_starts_above_the_stored_copy_of_the_start_mark() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    leader.submit();
+    leader.steps(&mut machine, SETTLED);
+    leader.lend_some(&mut machine);
+    world.refuses_copies.store(true, Ordering::SeqCst);
+    // One task stays lent.
+    let held = world.borrower().tasks();
+    world.borrower().gives_back = held.iter().skip(1).collect();
+    leader.lend();
+    for _ in 0..TO_THE_END {
+        machine.finish_all();
+        leader.step(&mut machine);
+    }
+    let stored = |key: &str| world.store().row(key).and_then(|row| row.value.as_u64()).unwrap_or(0);
+    let job = world.store().row(&format!("job/{JOB}")).expect("the job").value;
+    let mark = stored(&format!("lent/marks/{JOB}")).max(job["high"].as_u64().unwrap_or(0));
+    let highest = machine.started.keys().max().copied().map_or(0, u64::from);
+    assert!(highest < mark, "task {highest} started, the stored mark is {mark}");
+}
+
 /// Users repeat the submission and cancel while the earlier version leads, and after it: no cancellation is
 /// confirmed while the borrower holds tasks, and the repeated submission makes no second job.
 #[test]
