A controller that is asked to end records results and gives up its lease

Symptom: on SIGTERM the process died at once: results of lent jobs that it had accepted were lost to an earlier version ('of {0, 1, 2, 3, 4, 5, 6, 7} just {} are recorded'), and the cell had no leader until the lease ran out (0.88 s of a lease of 1 s in the test's settings). Cause: there was no signal handler. A second signal ends the process at once. signal-hook sets the flag (no thread, no pipe).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 
 use clap::{Parser, Subcommand};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::flag;
 
 use crate::config::{Config, ConfigError};
 use crate::controller::{Controller, STATUS_PATH};
@@ -168,12 +170,26 @@
     if let Some(warning) = config.size_warning() {
         tracing::warn!("{warning}");
     }
-    match Controller::run(config, Arc::new(AtomicBool::new(false))) {
+    let stop = Arc::new(AtomicBool::new(false));
+    if let Err(error) = stop_on_signals(&stop) {
+        return fail(EXIT_FAILURE, error);
+    }
+    match Controller::run(config, stop) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(EXIT_FAILURE, error),
     }
 }
 
+/// Has the first signal to end set `stop`; the next one ends the process at once.
+fn stop_on_signals(stop: &Arc<AtomicBool>) -> std::io::Result<()> {
+    for signal in [SIGTERM, SIGINT] {
+        // In this order: the action that is registered first runs first, and finds the flag not set yet.
+        flag::register_conditional_shutdown(signal, i32::from(EXIT_FAILURE), stop.clone())?;
+        flag::register(signal, stop.clone())?;
+    }
+    Ok(())
+}
+
 /// Checks the settings.
 fn check(config: &Path, operator: Option<PathBuf>) -> ExitCode {
     match load_config(config, operator) {
--- a/src/controller/duties.rs
+++ b/src/controller/duties.rs
@@ -73,6 +73,7 @@
         let served = controller.serve_http(listener);
         // Without its HTTP server the controller is of no use: all else ends as well.
         controller.stop.store(true, Ordering::Relaxed);
+        controller.resign();
         controller.wake.notify_all();
         for thread in duties {
             let _ = thread.join();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -29,6 +29,7 @@
 mod routing;
 mod scaling;
 mod shared_state;
+mod shutdown;
 mod state_budget;
 mod status;
 mod step_down;
--- a/src/controller/step_down.rs
+++ b/src/controller/step_down.rs
@@ -25,6 +25,8 @@
     WatchCompacted,
     /// The record of a job can be read that this leader could not read.
     RecordReadable,
+    /// The process is asked to end.
+    AskedToEnd,
 }
 
 impl StepDownReason {
@@ -39,7 +41,8 @@
             | StepDownReason::ShardTaken
             | StepDownReason::AttemptsExhausted
             | StepDownReason::WatchCompacted
-            | StepDownReason::RecordReadable => 0,
+            | StepDownReason::RecordReadable
+            | StepDownReason::AskedToEnd => 0,
         }
     }
 }
@@ -55,6 +58,7 @@
             StepDownReason::ShardTaken => "another owner has taken the part",
             StepDownReason::AttemptsExhausted => "its attempt numbers are used up",
             StepDownReason::WatchCompacted => "watch revision compacted",
+            StepDownReason::AskedToEnd => "the process is asked to end",
             StepDownReason::RecordReadable => "an unreadable job record is readable again",
         })
     }
--- a/src/controller/writer.rs
+++ b/src/controller/writer.rs
@@ -4,7 +4,7 @@
 use super::step_down::StepDownReason;
 use super::Controller;
 use crate::api::{JobsBackend, StoredFinal};
-use crate::fleet::PendingWrite;
+use crate::fleet::{Fleet, PendingWrite};
 use crate::jobs::JobId;
 use crate::leadership::{self, Batch, ComposedWrite, LeadershipTerm, SHARD_KEY};
 use crate::records::FinalRecord;
@@ -52,21 +52,32 @@
 
     /// Writes all records that are pending now; false if writing should pause.
     pub fn write_once(&self) -> bool {
-        let Some(pending) = self.compose_pending() else { return true };
-        pending.batches.into_iter().all(|batch| self.write_batch(&pending.term, batch))
+        self.write_pending(|fleet| {
+            let write_rps = self.config.platform.settings.state.write_rps;
+            let interval = done_write_interval(fleet.jobs.len(), write_rps);
+            fleet.pending_writes(self.now(), interval, chunk_tasks(fleet.max_value_bytes()))
+        })
     }
 
-    /// Composes the records that are pending now; none if this controller does not lead.
-    fn compose_pending(&self) -> Option<PendingBatches> {
+    /// Writes the results of jobs with loans that are not recorded; false if writing should pause.
+    pub(super) fn write_results_of_loans(&self) -> bool {
+        self.write_pending(|fleet| fleet.pending_results_of_loans(chunk_tasks(fleet.max_value_bytes())))
+    }
+
+    /// Writes records of the fleet; false if writing should pause.
+    fn write_pending(&self, pending: impl FnOnce(&mut Fleet) -> Vec<PendingWrite>) -> bool {
+        let Some(composed) = self.compose(pending) else { return true };
+        composed.batches.into_iter().all(|batch| self.write_batch(&composed.term, batch))
+    }
+
+    /// Composes records of the fleet; none if this controller does not lead.
+    fn compose(&self, pending: impl FnOnce(&mut Fleet) -> Vec<PendingWrite>) -> Option<PendingBatches> {
         let now = self.now();
         let mut shared = self.lock();
         let leadership = shared.leadership.as_mut()?;
         let fleet = &mut leadership.fleet;
         let max_changes = fleet.max_txn_changes();
-        let chunk = chunk_tasks(fleet.max_value_bytes());
-        let write_rps = self.config.platform.settings.state.write_rps;
-        let interval = done_write_interval(fleet.jobs.len(), write_rps);
-        let pending = fleet.pending_writes(now, interval, chunk);
+        let pending = pending(fleet);
         let term = leadership.term;
         let batches = leadership::batches(fleet, term.shard_revision, pending, max_changes, now, wall());
         Some(PendingBatches { term, batches })
--- a/tests/common/cells/mod.rs
+++ b/tests/common/cells/mod.rs
@@ -185,14 +185,23 @@
         }
     }
 
-    /// Asks a controller's process to end (SIGTERM) and waits until it has.
+    /// Asks a controller's process to end, with SIGTERM.
+    pub fn ask_to_end(&self, cell: usize, controller: usize) {
+        let child = self.cells[cell].controllers[controller].as_ref().expect("a process");
+        let sent = Command::new("kill").args(["-s", "TERM", &child.id().to_string()]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
+    }
+
+    /// Waits for the end of a controller's process that was asked to end.
+    pub fn await_end(&mut self, cell: usize, controller: usize) {
+        let mut child = self.cells[cell].controllers[controller].take().expect("a process");
+        until("a controller ends", || child.try_wait().is_ok_and(|status| status.is_some()));
+    }
+
+    /// Asks a controller's process to end and waits until it has.
     pub fn terminate_controller(&mut self, cell: usize, controller: usize) {
-        if let Some(mut child) = self.cells[cell].controllers[controller].take() {
-            let pid = child.id().to_string();
-            let sent = Command::new("kill").args(["-s", "TERM", &pid]).status();
-            assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
-            until("a controller ends", || child.try_wait().is_ok_and(|status| status.is_some()));
-        }
+        self.ask_to_end(cell, controller);
+        self.await_end(cell, controller);
     }
 
     /// Cuts a controller off from its state store, or connects it again.
--- a/tests/common/cells/plan.rs
+++ b/tests/common/cells/plan.rs
@@ -24,6 +24,8 @@
     pub task_time: Duration,
     /// Its number of controllers.
     pub controllers: usize,
+    /// The duration of its leader's lease.
+    pub leader_ttl_s: f64,
 }
 
 impl Default for CellPlan {
@@ -34,6 +36,7 @@
             has_block: true,
             task_time: Duration::from_millis(250),
             controllers: CONTROLLERS,
+            leader_ttl_s: 1.0,
         }
     }
 }
@@ -53,7 +56,8 @@
             self.borrow_cpus
         );
         let block = if self.has_block { block.as_str() } else { "" };
-        format!("leader_ttl_s = 1.0\ndrain_s = 3.0\nidle_s = 600.0\nidle_protected_s = 600.0\n{block}")
+        let ttl_s = self.leader_ttl_s;
+        format!("leader_ttl_s = {ttl_s:?}\ndrain_s = 3.0\nidle_s = 600.0\nidle_protected_s = 600.0\n{block}")
     }
 }
 
