--- a/src/controller/cells_status.rs
+++ b/src/controller/cells_status.rs
@@ -32,6 +32,7 @@
             others: others.collect(),
             lent: lent(fleet),
             borrowed: borrowed(fleet),
+            unrecorded_results: fleet.unrecorded_results_of_loans(),
             finished_for: finished_for(fleet),
         })
     }
--- a/src/wire/cells.rs
+++ b/src/wire/cells.rs
@@ -65,6 +65,9 @@
     pub lent: Vec<LentStatus>,
     /// Jobs of which tasks are held here.
     pub borrowed: Vec<BorrowedStatus>,
+    /// Results of jobs with loans that workers have reported and that are not recorded yet.
+    #[serde(default)]
+    pub unrecorded_results: u32,
     /// Tasks that were finished here for each other cell, in loans open and closed.
     pub finished_for: BTreeMap<String, u64>,
 }
--- a/tests/common/cells/mod.rs
+++ b/tests/common/cells/mod.rs
@@ -3,7 +3,7 @@
 
 mod addresses;
 mod cloud;
-mod history;
+pub mod history;
 mod link;
 mod plan;
 mod state_store;
@@ -27,7 +27,7 @@
 
 use self::addresses::Addresses;
 use self::cloud::cloud;
-pub use self::history::Exit;
+
 use self::history::History;
 use self::link::Link;
 use self::plan::platform_settings;
@@ -145,8 +145,13 @@
 
     /// Starts a controller's process.
     pub fn start_controller(&mut self, cell: usize, controller: usize) {
+        self.start_program_with_cells(cell, controller, Path::new(env!("CARGO_BIN_EXE_milletlock")));
+    }
+
+    /// Starts another version's program that knows cells in a controller's place.
+    pub fn start_program_with_cells(&mut self, cell: usize, controller: usize, program: &Path) {
         let operator = self.folder.join(format!("{cell}.hcl"));
-        self.start_program(cell, controller, Path::new(env!("CARGO_BIN_EXE_milletlock")), &operator);
+        self.start_program(cell, controller, program, &operator);
     }
 
     /// Starts the program of a version without cells in a controller's place.
@@ -173,6 +178,13 @@
         self.cells[cell].controllers[controller] = Some(child);
     }
 
+    /// A cell's controllers lend nothing any more from their next start on.
+    pub fn lend_nothing(&self, cell: usize) {
+        let file = self.folder.join(format!("{cell}.hcl"));
+        let settings = std::fs::read_to_string(&file).expect("the settings");
+        std::fs::write(&file, settings.replace("lend = [\"*\"]", "lend = []")).expect("written");
+    }
+
     /// What a controller's process has logged since it was last started.
     pub fn log_file(&self, cell: usize, controller: usize) -> std::path::PathBuf {
         self.folder.join(format!("{cell}-{controller}.log"))
--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -35,7 +35,7 @@
 /// Its tasks.
 pub const TASKS: u32 = 40;
 /// Time that passes between two heartbeats.
-const STEP: Micros = Micros(500_000);
+pub const STEP: Micros = Micros(500_000);
 /// Steps in which a start or a result goes through all its writes.
 pub const SETTLED: usize = 8;
 /// Bytes of a value of the state store in these settings.
--- a/tests/earlier_program.rs
+++ b/tests/earlier_program.rs
@@ -2,6 +2,7 @@
 //!
 //! Run by hand: build the commit that `deploy/service.toml` names in a worktree of its own, then
 //! `MILLETLOCK_EARLIER_PROGRAM=<its program> cargo test --test earlier_program -- --ignored --nocapture`.
+//! `MILLETLOCK_0_3_0_PROGRAM` is the program of the last commit of 0.3.0.
 //! `MILLETLOCK_SEEDS=1-5` chooses the moments at which the leader ends, `MILLETLOCK_CASE` a part of a case's name.
 
 mod common;
@@ -12,7 +13,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use common::cells::{until, CellPlan, Cells, Exit};
+use common::cells::history::Exit;
+use common::cells::{until, CellPlan, Cells};
 use common::{production, spec};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -20,6 +22,8 @@
 
 const JOB: &str = "wk-000001";
 const TASKS: u32 = 240;
+/// Tasks of a job that outlasts its loans.
+const MANY_TASKS: u32 = 1000;
 /// How long each of the two earlier leaders leads.
 const EARLIER_LEADS: Duration = Duration::from_secs(6);
 
@@ -40,7 +44,11 @@
 }
 
 fn job() -> Value {
-    let mut job = json!(spec(1, TASKS, "batch"));
+    job_of(TASKS)
+}
+
+fn job_of(tasks: u32) -> Value {
+    let mut job = json!(spec(1, tasks, "batch"));
     job["expectS"] = json!(2.0);
     job["gleanings"] = json!(false);
     job
@@ -273,3 +281,101 @@
     }
     assert!(failed.is_empty(), "accepted results ran again: {failed:?}");
 }
+
+/// 0.3.0 leads with loans open, then the version in production, then this one. Returns how many tasks were recorded
+/// when 0.3.0 ended, and how many of them ran again.
+fn play_0_3_0(has_follower: bool, group: u8, program: &Path, program_0_3_0: &Path) -> (usize, usize) {
+    let controllers = if has_follower { 2 } else { 1 };
+    let plan = |workers, borrow_cpus| CellPlan { workers, borrow_cpus, controllers, ..CellPlan::default() };
+    let mut cells = Cells::start(group, &[plan(2, 0), plan(4, 60)]);
+    (0..controllers).for_each(|controller| cells.kill_controller(0, controller));
+    cells.start_program_with_cells(0, 0, program_0_3_0);
+    until("0.3.0 leads", || cells.leader(0) == Some(0));
+    if has_follower {
+        cells.start_controller(0, 1);
+    }
+    cells.submit(0, &job());
+    wait_until_done_on_both_sides(&cells);
+    // Time for a round of the follower.
+    std::thread::sleep(EARLIER_TERM / 2);
+    cells.kill_controller(0, 0);
+    let recorded = tasks_in(&cells, "done");
+    let at_borrower: BTreeSet<u32> = cells
+        .rows(1, &format!("borrowed/done/{JOB}/"))
+        .iter()
+        .flat_map(|row| production::tasks_of_text(row.value.as_str().expect("a text")))
+        .collect();
+    println!(
+        "  recorded {}, of these copied {}; finished at the borrower {}, of these recorded at the lender {}",
+        recorded.len(),
+        recorded.intersection(&tasks_in(&cells, "lent/done")).count(),
+        at_borrower.len(),
+        at_borrower.intersection(&recorded).count(),
+    );
+    cells.start_earlier_program(0, 0, program);
+    std::thread::sleep(EARLIER_TERM);
+    cells.kill_controller(0, 0);
+    cells.start_controller(0, 0);
+    until("the job is done", || cells.stage(0, JOB) == "done");
+    let again = recorded.iter().filter(|task| finished(&cells, **task) > 1).count();
+    (recorded.len(), again)
+}
+
+/// Guards against rows that 0.3.0 wrote without copies while a controller of this version was beside it.
+#[test]
+#[ignore = "needs the programs of two earlier versions, see above"]
+fn rows_of_0_3_0_outlast_the_real_programs_beside_a_controller_of_this_version() {
+    let program = program();
+    let program_0_3_0 = PathBuf::from(std::env::var("MILLETLOCK_0_3_0_PROGRAM").expect("the program's path"));
+    let mut failed = 0;
+    for (group, seed) in (FIRST_GROUP..).zip(seeds()) {
+        let alone = play_0_3_0(false, group, &program, &program_0_3_0);
+        println!("no follower, play {seed}: (recorded, ran again) {alone:?}");
+        let beside = play_0_3_0(true, group + 50, &program, &program_0_3_0);
+        println!("with a follower, play {seed}: (recorded, ran again) {beside:?}");
+        failed += beside.1;
+    }
+    assert_eq!(failed, 0, "recorded tasks ran again");
+}
+
+/// Guards against a way back to an earlier version that operators cannot follow to its end.
+#[test]
+#[ignore = "needs the program of an earlier version, see above"]
+fn no_task_runs_again_after_the_way_back_that_operators_take() {
+    let program = program();
+    for (group, seed) in (FIRST_GROUP + 100..).zip(seeds()) {
+        let plan = |workers, borrow_cpus| CellPlan { workers, borrow_cpus, ..CellPlan::default() };
+        let mut cells = Cells::start(group, &[plan(2, 0), plan(4, 60)]);
+        cells.submit(0, &job_of(MANY_TASKS));
+        wait_until_done_on_both_sides(&cells);
+        cells.lend_nothing(0);
+        for controller in 0..2 {
+            cells.terminate_controller(0, controller);
+            cells.start_controller(0, controller);
+            until("it runs", || cells.status(0, controller).is_some());
+        }
+        let is_over = || {
+            let status = cells.cells_status(0);
+            status.is_some_and(|status| status.lent.is_empty() && status.unrecorded_results == 0)
+        };
+        until("all loans are closed", is_over);
+        let done_before = tasks_in(&cells, "done").len();
+        for controller in 0..2 {
+            cells.terminate_controller(0, controller);
+            cells.start_earlier_program(0, controller, &program);
+        }
+        std::thread::sleep(EARLIER_TERM);
+        let done_under_earlier = tasks_in(&cells, "done").len();
+        for controller in 0..2 {
+            cells.kill_controller(0, controller);
+            cells.start_controller(0, controller);
+        }
+        until("the job is done", || cells.stage(0, JOB) == "done");
+        let again: Vec<u32> = (0..MANY_TASKS).filter(|task| finished(&cells, *task) > 1).collect();
+        println!(
+            "play {seed}: {done_before} done when the loans were closed, {done_under_earlier} rows under the \
+             earlier version (none if it has ended the job); ran again: {again:?}"
+        );
+        assert!(again.is_empty(), "ran again: {again:?}");
+    }
+}
--- a/tests/unreadable_records.rs
+++ b/tests/unreadable_records.rs
@@ -11,9 +11,9 @@
 
 mod common;
 
-use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED, STEP, TASKS};
 use common::store::Store;
-use common::{config, record, spec, types};
+use common::{config, record, spec, types, LEASE};
 use milletlock::api::RequestOrigin;
 use milletlock::fleet::{Fleet, PendingWrite};
 use milletlock::http::Request;
@@ -246,6 +246,31 @@
     assert_eq!(value(&world, "machines/0"), json!([1]), "it stays as it is");
 }
 
+/// Guards against a wait for machines of an unreadable value that ends before their leases have, or never. No job
+/// waits for 90 s once all troubles are over.
+#[test]
+fn the_wait_for_machines_of_an_unreadable_value_ends() {
+    const LONGEST_WAIT: Micros = Micros::from_millis(90_000);
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    begun(&world, &mut machine);
+    let running = machine.running();
+    put(&mut world.store(), "machines/0", json!([1]));
+    let (mut leader, mut other) = (world.leader(), Machine::new("i-000002"));
+    // An earlier leader that lost the state store just now may renew the lease of the machine for a while.
+    let last_renewal = config().max_staleness();
+    let mut waited = Micros::ZERO;
+    while other.running().is_disjoint(&running) {
+        other.finish_all();
+        leader.step(&mut other);
+        waited = waited + STEP;
+        assert!(waited < LONGEST_WAIT, "none of {running:?} starts in {} s", waited.secs());
+    }
+    let session = last_renewal + LEASE;
+    assert!(waited >= session, "after {} s of {} s a task is on two machines", waited.secs(), session.secs());
+    run_to_the_end(&mut leader, &mut other);
+    assert_eq!(value(&world, "machines/0"), json!([1]), "it stays as it is");
+}
+
 /// The `cells` block was taken out while loans are open: nothing that is lent starts, nothing is lost, and what
 /// was borrowed is run and recorded.
 #[test]
