--- /dev/null
+++ b/tests/withheld_writes.rs
@@ -0,0 +1,117 @@
+//! A state store that carries out one write of a lent job and withholds the next: each guard that waits for a write
+//! of its own is tested apart from those that wait for others.
+
+mod common;
+
+use common::fleet_scenario::Scenario;
+use common::lending_scenario::{guest, lend, lending_config, lending_scenario, tasks, wall};
+use common::store::Store;
+use common::{heartbeat, record, spec, types};
+use milletlock::fleet::{Fleet, LoanWrite, PendingWrite};
+use milletlock::leadership;
+use milletlock::time::{Micros, Steady, Wall};
+use milletlock::wire::{Change, ExitReason, TaskStage, Txn};
+use milletlock_cells::{Lending, Loan, LoanNumber};
+use serde_json::json;
+
+const JOB: &str = "wk-000001";
+
+/// Acknowledges the writes that are not withheld.
+fn acknowledge(fleet: &mut Fleet, now: Steady, is_withheld: impl Fn(&PendingWrite) -> bool) {
+    let pending = fleet.pending_writes(now, Micros::ZERO, 1000);
+    let (_, answered): (Vec<_>, Vec<_>) = pending.into_iter().partition(is_withheld);
+    for batch in leadership::batches(fleet, 1, answered, 64, now, Wall(now.0)) {
+        for composed in &batch.writes {
+            fleet.write_applied(&composed.write, 1_000_000, &composed.contents, now);
+        }
+    }
+}
+
+/// Three seconds in which all that runs is done and only those writes are carried out that are not withheld;
+/// returns the highest task that is on a machine.
+fn step(scenario: &mut Scenario, is_withheld: impl Fn(&PendingWrite) -> bool) -> Option<u32> {
+    scenario.now = scenario.now + Micros::from_secs(3.0);
+    scenario.fleet.tick(scenario.now, wall(scenario));
+    acknowledge(&mut scenario.fleet, scenario.now, &is_withheld);
+    let mut highest = None;
+    for id in scenario.machines.clone() {
+        let there = scenario.tasks(&id);
+        let numbers = there.iter().filter_map(|(task, _)| task.rsplit_once('/')?.1.parse::<u32>().ok());
+        highest = highest.max(numbers.max());
+        let done: Vec<_> = there
+            .iter()
+            .map(|(task, attempt)| (task.as_str(), *attempt, TaskStage::Exited, Some(ExitReason::Done)))
+            .collect();
+        scenario.sequence += 1;
+        scenario.send_heartbeat(&heartbeat(&id, scenario.sequence, 7, &done));
+    }
+    highest
+}
+
+/// A hundred tasks, of which the last twenty are lent.
+fn lent_job() -> Scenario {
+    let mut scenario = lending_scenario();
+    scenario.submit(spec(1, 100, "batch"));
+    let write = lend(&mut scenario, 20);
+    scenario.fleet.loan_written(&write, 20, scenario.now, wall(&scenario));
+    scenario
+}
+
+/// Guards against a start above the copy of the start mark, which an earlier version's leader would then forget.
+#[test]
+fn a_start_waits_for_the_copy_of_its_mark_when_the_mark_itself_is_written() {
+    let mut scenario = lent_job();
+    let is_copy = |write: &PendingWrite| matches!(write, PendingWrite::LentStartMark(_));
+    let mut highest = None;
+    for _ in 0..20 {
+        highest = highest.max(step(&mut scenario, is_copy));
+    }
+    let job = &scenario.fleet.jobs[JOB];
+    assert!(job.start_mark > job.copy.start_mark, "the mark itself is written");
+    assert!(highest < Some(job.copy.start_mark), "{highest:?} started, copied {}", job.copy.start_mark);
+    let none = |_: &PendingWrite| false;
+    (0..60).for_each(|_| highest = highest.max(step(&mut scenario, none)));
+    assert_eq!(highest, Some(79), "with the copies written all that is not lent runs");
+}
+
+/// Guards against a record that an earlier version reads while rows that it has removed are not written again.
+#[test]
+fn the_last_loan_closes_only_when_all_rows_are_written_again() {
+    let (mut store, now) = (Store::default(), Steady(1_000_000_000));
+    let loan = Loan { number: LoanNumber(1 << 24), borrower: "there".into(), tasks: tasks("80-99") };
+    let mut job = record(spec(1, 100, "batch"));
+    job.lending = Lending { loans: vec![loan], ..Lending::default() };
+    let then = vec![
+        Change::put(format!("job/{JOB}"), json!(job)),
+        Change::put(format!("lent/done/{JOB}/1"), json!("0-3")),
+    ];
+    store.txn(&Txn { guards: Vec::new(), then }).expect("written");
+    let mut fleet = Fleet::new(lending_config(), types(), 8, now);
+    leadership::load_records(&mut fleet, store.rows(""), now, Wall(now.0));
+    assert!(fleet.settle_loan(JOB, Lending::default()).is_none(), "the rows are missing");
+    let all_but_rows = |write: &PendingWrite| matches!(write, PendingWrite::Done(..));
+    acknowledge(&mut fleet, now, all_but_rows);
+    assert!(fleet.settle_loan(JOB, Lending::default()).is_none(), "the rows are still missing");
+    acknowledge(&mut fleet, now, |_| false);
+    assert!(fleet.settle_loan(JOB, Lending::default()).is_some());
+}
+
+/// Guards against a record with loans that says less of what may have been started than an unanswered write of the
+/// start mark does.
+#[test]
+fn a_record_with_loans_carries_the_mark_whose_write_has_no_answer() {
+    let mut scenario = lent_job();
+    let is_mark =
+        |write: &PendingWrite| matches!(write, PendingWrite::StartMarks(_) | PendingWrite::LentStartMark(_));
+    for _ in 0..20 {
+        step(&mut scenario, is_mark);
+    }
+    let job = &scenario.fleet.jobs[JOB];
+    let wanted = job.wanted_start_mark;
+    assert!(wanted > job.start_mark && wanted > job.copy.start_mark, "a write of the mark has no answer");
+    let candidate =
+        scenario.fleet.lending_candidate(&guest(1000.0), wall(&scenario)).expect("a job to lend from");
+    let write = scenario.fleet.begin_loan(&candidate, 10, "there");
+    let Some(LoanWrite::Lender { record, .. }) = write else { panic!("no loan: {write:?}") };
+    assert!(record.start_mark >= wanted, "{} of {wanted}", record.start_mark);
+}
