Tests: a key belongs to the lease of its latest put

The stand-in of the state store removed a key with any lease that it had ever been attached to, against PROTOCOL: a leader that had replaced an earlier process of its label lost the leader's record when that process's lease ran out, a second later. Seen in the traces of tests/earlier_program.rs (a follower led 1.5 s after the replacement). No check changes.

--- a/tests/common/cells/state_store.rs
+++ b/tests/common/cells/state_store.rs
@@ -39,6 +39,14 @@
         }
     }
 
+    /// A key belongs to the lease that its latest put names, or to none.
+    fn attach(&mut self, change: &Change) {
+        self.leases.values_mut().for_each(|lease| lease.2.retain(|key| key != change.key()));
+        if let Change::Put { put, lease: Some(lease), .. } = change {
+            self.leases.get_mut(lease).into_iter().for_each(|l| l.2.push(put.clone()));
+        }
+    }
+
     /// The response to a request.
     fn reply(&mut self, r: &Request) -> Response {
         let path = r.path.split('?').next().unwrap_or("");
@@ -66,9 +74,7 @@
                 let txn = transaction(r);
                 let result = self.store.txn(&txn);
                 for change in txn.then.iter().filter(|_| result.is_ok()) {
-                    if let Change::Put { put, lease: Some(lease), .. } = change {
-                        self.leases.get_mut(lease).into_iter().for_each(|l| l.2.push(put.clone()));
-                    }
+                    self.attach(change);
                 }
                 transaction_response(&self.store, result)
             }
