Names, and results of jobs with loans in a module of their own

Readability: OrphanedRow and RecordCleanup::rows (they hold copies as well), earlier_leases_end_after in one place, ELAPSED_FOR_CERTAIN and SLOWER_CLOCK_FACTOR for two constants of one name, status codes by name in src/http and src/cloud.rs, field terms in a log line, a step-down reason, the help of status and a thread's name; Fleet::uses_cells goes, unused.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -44,7 +44,7 @@
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
     },
-    /// Show parts, machines, queue, reservation and A, for people on call
+    /// Show shards, machines, queue, reservation and A, for people on call
     Status {
         /// A controller's address for the other controllers
         #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:8081")]
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use crate::http::{CallError, Client, ClientResponse};
+use crate::http::{status, CallError, Client, ClientResponse};
 use crate::time::{steady, Micros, Steady};
 use crate::wire::{Catalog, ListedMachine, MachineList, MachineNames, MachineType, ScaleOutRequest};
 
@@ -148,13 +148,15 @@
 
 /// The body of a successful response, or the error that another one stands for.
 fn successful_body(response: ClientResponse) -> Result<Vec<u8>, CloudError> {
-    let ClientResponse { status, body } = response;
+    let ClientResponse { status: code, body } = response;
     let text = || String::from_utf8_lossy(&body);
-    match status {
-        200 => Ok(body),
-        503 if text().contains(NO_CAPACITY_TEXT) => Err(CloudError::NoCapacity),
-        429 | 503 => Err(CloudError::NotExecuted { status }),
-        _ => Err(CloudError::Malformed(format!("{status} {}", text()))),
+    match code {
+        status::OK => Ok(body),
+        status::SERVICE_UNAVAILABLE if text().contains(NO_CAPACITY_TEXT) => Err(CloudError::NoCapacity),
+        status::TOO_MANY_REQUESTS | status::SERVICE_UNAVAILABLE => {
+            Err(CloudError::NotExecuted { status: code })
+        }
+        _ => Err(CloudError::Malformed(format!("{code} {}", text()))),
     }
 }
 
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -174,7 +174,7 @@
 
 impl WorkerTimings {
     /// Part of a span by this process's clock that has passed for certain: clocks drift.
-    const CLOCK_DRIFT_FACTOR: f64 = 0.998;
+    const ELAPSED_FOR_CERTAIN: f64 = 0.998;
     /// Seconds that a worker may take to end its tasks.
     const WORKER_REACTION_S: f64 = 2.0;
 
@@ -183,6 +183,6 @@
     /// the worker's own reaction time allowed for.
     pub(super) fn max_staleness(&self) -> Micros {
         let span_s = self.cancel_s - self.lease_s;
-        Micros::from_secs(span_s * Self::CLOCK_DRIFT_FACTOR - Self::WORKER_REACTION_S)
+        Micros::from_secs(span_s * Self::ELAPSED_FOR_CERTAIN - Self::WORKER_REACTION_S)
     }
 }
--- a/src/controller/duties.rs
+++ b/src/controller/duties.rs
@@ -26,7 +26,7 @@
 
 /// The duties of every controller; lending has a thread only where cells are in use.
 const DUTIES: [Duty; 9] = [
-    Duty { thread_name: "keeper", main: Controller::maintain_leadership },
+    Duty { thread_name: "leadership", main: Controller::maintain_leadership },
     Duty { thread_name: "watcher", main: Controller::watch },
     Duty { thread_name: "writer", main: Controller::write },
     Duty { thread_name: "cloud", main: Controller::scale_out_and_in },
--- a/src/controller/step_down.rs
+++ b/src/controller/step_down.rs
@@ -55,7 +55,7 @@
             StepDownReason::HigherTokenLeads(_) => "another controller leads with a higher fencing token",
             StepDownReason::LeaseExpired => "leader lease expired",
             StepDownReason::Isolated => "hears neither workers nor controllers",
-            StepDownReason::ShardTaken => "another owner has taken the part",
+            StepDownReason::ShardTaken => "another leader has taken the shard",
             StepDownReason::AttemptsExhausted => "its attempt numbers are used up",
             StepDownReason::WatchCompacted => "watch revision compacted",
             StepDownReason::AskedToEnd => "the process is asked to end",
--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -81,7 +81,7 @@
     fn take_orphans_of(&mut self, id: &JobId) -> Vec<(u32, u64)> {
         let prefix = borrowed_done_prefix(id);
         let mut taken = Vec::new();
-        self.cleanup.done_chunks.retain(|key, mod_revision| {
+        self.cleanup.rows.retain(|key, mod_revision| {
             let chunk = key.strip_prefix(&prefix).and_then(|chunk| chunk.parse().ok());
             taken.extend(chunk.map(|chunk| (chunk, *mod_revision)));
             chunk.is_none()
--- a/src/fleet/lease_expiry.rs
+++ b/src/fleet/lease_expiry.rs
@@ -5,7 +5,7 @@
 //! scaled in. A machine on which an earlier leader may have started tasks is *unacknowledged* until it has
 //! acknowledged this leader's fencing token.
 
-use super::{Fleet, Machine, CLOCK_DRIFT_FACTOR};
+use super::{Fleet, Machine, SLOWER_CLOCK_FACTOR};
 use crate::jobs::MachineId;
 use crate::time::{Micros, Steady};
 
@@ -212,6 +212,12 @@
         }
     }
 
+    /// How long after the failover a lease that an earlier leader has renewed can be valid. It answers no longer
+    /// than `max_staleness` after its own lease was last confirmed, and that was before this leader's election.
+    pub(super) fn earlier_leases_end_after(&self) -> Micros {
+        self.config.max_staleness().scale(SLOWER_CLOCK_FACTOR) + self.worker_lease
+    }
+
     /// The time limits for a check at a moment.
     fn lease_expiry_check(&self, now: Steady) -> LeaseExpiryCheck {
         let heartbeat_interval = self.heartbeat_interval();
@@ -221,10 +227,7 @@
             failover_at: self.failover_at,
             leader_lease_confirmed_at: self.lease_confirmed_at,
             lease: self.worker_lease,
-            // An earlier leader answers no longer than `max_staleness` after its lease was last
-            // confirmed, and that was before this leader's election.
-            earlier_leases_end_after: self.config.max_staleness().scale(CLOCK_DRIFT_FACTOR)
-                + self.worker_lease,
+            earlier_leases_end_after: self.earlier_leases_end_after(),
             unacknowledged_timeout: self.unacknowledged_timeout(),
             heartbeat_interval,
             few_silent: (0..self.catalog.zones.len())
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -202,8 +202,8 @@
     /// job is in flight, or if the record would be one that earlier versions read before all that they have
     /// removed of the job is written again.
     pub fn settle_loan(&mut self, job: &str, lending: Lending) -> Option<LoanWrite> {
-        let lacks_rows = self.jobs.get(job).is_some_and(|job| !job.has_written_all_copies());
-        if lending.is_empty() && lacks_rows {
+        let lacks_rows = |job: &Job| !job.has_written_all_copies();
+        if lending.is_empty() && self.jobs.get(job).is_some_and(lacks_rows) {
             return None;
         }
         let write = self.lender_write(job, lending, None)?;
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -275,9 +275,4 @@
     pub fn borrowed_record_revision(&self, id: &str) -> u64 {
         self.loans.borrowed.get(id).copied().unwrap_or(0)
     }
-
-    /// Whether this cell lends or borrows.
-    pub fn uses_cells(&self) -> bool {
-        self.config.operator.cells.is_some()
-    }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod heartbeats;
 mod lease_expiry;
 mod lending;
+mod loan_results;
 mod loans;
 mod machine;
 mod machine_snapshots;
@@ -43,6 +44,7 @@
 pub use borrow_admission::BorrowedTasks;
 pub use heartbeats::HeartbeatOutcome;
 pub use lending::LendingCandidate;
+pub use loan_results::UnrecordedResults;
 pub use loans::{LoanWrite, Loans};
 pub use machine::{CachedImage, HeartbeatPosition, Machine, TaskEntry, TaskKey};
 pub use records::{PackKind, PendingWrite, WriteContents};
@@ -157,7 +159,7 @@
 const LEASE_MARGIN: Micros = Micros(1_500_000);
 
 /// Factor on durations that another computer measures: its clock may run slower by so much.
-const CLOCK_DRIFT_FACTOR: f64 = 1.001;
+const SLOWER_CLOCK_FACTOR: f64 = 1.001;
 
 impl Fleet {
     /// An empty model for a new leader with fencing token `fencing_token`; records are loaded into it
@@ -178,7 +180,7 @@
             attempt_counter: 0,
             failover_at: now,
             lease_confirmed_at: now,
-            worker_lease: config.worker_lease().scale(CLOCK_DRIFT_FACTOR) + LEASE_MARGIN,
+            worker_lease: config.worker_lease().scale(SLOWER_CLOCK_FACTOR) + LEASE_MARGIN,
             planned_at: Steady(0),
             planned_jobs: Vec::new(),
             planned_snapshot: Snapshot::default(),
--- a/src/fleet/record_loading.rs
+++ b/src/fleet/record_loading.rs
@@ -119,7 +119,7 @@
     /// such row.
     fn note_orphan(&mut self, id: &str, key: String, mod_revision: u64) {
         if mod_revision > 0 && !self.is_held(id) {
-            self.cleanup.done_chunks.insert(key, mod_revision);
+            self.cleanup.rows.insert(key, mod_revision);
         }
     }
 
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -3,14 +3,11 @@
 
 use std::collections::BTreeMap;
 
-use milletlock_cells::TaskSet;
-
 use super::Fleet;
-use crate::jobs::{split_task, Job, JobId, MachineId};
+use crate::jobs::{Job, JobId, MachineId};
 use crate::records::MachineRecord;
 use crate::task_ranges::{chunk_number, chunk_span, TaskRanges};
 use crate::time::{Micros, Steady};
-use crate::wire::{ExitReason, Heartbeat, TaskStatus};
 
 /// A record that the leader has to write or delete. Those that sort first are written first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,8 +29,8 @@
     /// Deletion of a removed machine's own record, as earlier versions of the program wrote it, with the
     /// record's version.
     ObsoleteMachineRecord(MachineId, u64),
-    /// Deletion of a chunk of done ranges of an ended job, by key, with the record's version.
-    OrphanedDoneChunk(String, u64),
+    /// Deletion of a row that an ended job has left behind, by key, with the row's version.
+    OrphanedRow(String, u64),
     /// The list of recent jobs.
     RecentJobs,
 }
@@ -82,15 +79,6 @@
     StartMarks(Vec<(JobId, u32)>, u64),
 }
 
-/// Results of a job that are not recorded.
-#[derive(Debug)]
-pub struct UnrecordedResults {
-    /// The job.
-    pub job: JobId,
-    /// The tasks that are done.
-    pub tasks: TaskSet,
-}
-
 /// Sizes that the state store accepts.
 pub(super) struct WriteLimits {
     /// Bytes of a value.
@@ -104,8 +92,8 @@
 pub(super) struct RecordCleanup {
     /// Machines' own records, as earlier versions of the program wrote them.
     pub(super) machine_records: BTreeMap<MachineId, u64>,
-    /// Chunks of done ranges, by key.
-    pub(super) done_chunks: BTreeMap<String, u64>,
+    /// Rows of jobs that have ended, by key: done ranges, and copies of these and of start marks.
+    pub(super) rows: BTreeMap<String, u64>,
 }
 
 /// Which part of the list of recent jobs is stored.
@@ -125,15 +113,6 @@
 /// How long records that nobody waits for are gathered before they are written.
 pub(super) const DEFERRED_WRITE_INTERVAL: Micros = Micros(3_000_000);
 
-/// Longest interval between writes of the done ranges of a job with loans: a user of the cell that accepted it
-/// waits for the last of what is borrowed, and what is not recorded of a lent job is lost to a leader without loans.
-const MAX_LOAN_DONE_INTERVAL: Micros = Micros::from_millis(400);
-/// The share of the state store's allowed changes that done ranges of jobs with loans may take while they are
-/// written more often than that.
-const LOAN_DONE_WRITE_SHARE: f64 = 0.2;
-/// Changes that write a chunk of done ranges of a lent job: the row and its copy.
-const CHANGES_PER_LENT_CHUNK: f64 = 2.0;
-
 /// Least time between two writes of the list of recent jobs.
 pub(super) const RECENT_JOBS_INTERVAL: Micros = Micros(10_000_000);
 
@@ -206,10 +185,8 @@
         if recent.submitted > recent.written && now - recent.written_at > RECENT_JOBS_INTERVAL {
             writes.push(PendingWrite::RecentJobs);
         }
-        let done_chunks = self.cleanup.done_chunks.iter();
-        writes.extend(
-            done_chunks.map(|(key, revision)| PendingWrite::OrphanedDoneChunk(key.clone(), *revision)),
-        );
+        let orphans = self.cleanup.rows.iter();
+        writes.extend(orphans.map(|(key, revision)| PendingWrite::OrphanedRow(key.clone(), *revision)));
         writes.sort();
         writes
     }
@@ -246,53 +223,6 @@
         writes
     }
 
-    /// How far apart the done ranges of each job with loans are written: as results are reported, as long as the
-    /// writes of all such jobs take no more than their share of the allowed changes.
-    fn loan_done_interval(&self) -> Micros {
-        let due =
-            self.jobs.values().filter(|job| !job.ended && job.has_loans() && job.has_unrecorded()).count();
-        let changes_per_s = self.config.platform.settings.state.write_rps * LOAN_DONE_WRITE_SHARE;
-        let interval = Micros::from_secs(due as f64 * CHANGES_PER_LENT_CHUNK / changes_per_s);
-        interval.min(MAX_LOAN_DONE_INTERVAL)
-    }
-
-    /// The chunks of done ranges of jobs with loans that hold more than is written.
-    pub fn pending_results_of_loans(&self, chunk: u32) -> Vec<PendingWrite> {
-        let mut writes = Vec::new();
-        for job in self.jobs_with_unrecorded_loans() {
-            add_due_chunks(job, chunk, &mut writes);
-        }
-        writes
-    }
-
-    /// The results of jobs with loans that are not recorded.
-    pub fn results_of_loans(&self) -> impl Iterator<Item = UnrecordedResults> + '_ {
-        self.jobs_with_unrecorded_loans().map(|job| UnrecordedResults {
-            job: job.id.clone(),
-            tasks: job.done.task_set().difference(&job.recorded_done()),
-        })
-    }
-
-    /// How many results of jobs with loans are not recorded.
-    pub fn unrecorded_results_of_loans(&self) -> u32 {
-        self.results_of_loans().map(|results| results.tasks.len()).sum()
-    }
-
-    fn jobs_with_unrecorded_loans(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.values().filter(|job| !job.ended && job.has_loans() && job.has_unrecorded())
-    }
-
-    /// Whether a heartbeat lists results that are written as they are reported: those of jobs with loans.
-    pub fn has_results_of_loans(&self, heartbeat: &Heartbeat) -> bool {
-        let of_loan = |task: &TaskStatus| {
-            let job = split_task(&task.task).and_then(|(id, number)| Some((self.jobs.get(id)?, number)));
-            job.is_some_and(|(job, number)| {
-                job.has_loans() && job.done.contains(number) && !job.is_recorded(number)
-            })
-        };
-        heartbeat.tasks.iter().filter(|task| task.exit_reason == Some(ExitReason::Done)).any(of_loan)
-    }
-
     /// A write was applied at a revision.
     pub fn write_applied(
         &mut self,
@@ -303,8 +233,8 @@
     ) {
         match write {
             PendingWrite::Final(id) => self.final_written(id, revision, contents),
-            PendingWrite::OrphanedDoneChunk(key, _) => {
-                self.cleanup.done_chunks.remove(key);
+            PendingWrite::OrphanedRow(key, _) => {
+                self.cleanup.rows.remove(key);
             }
             PendingWrite::RecentJobs => {
                 self.recent_jobs_writes.written = self.recent_jobs_writes.submitted;
@@ -386,10 +316,10 @@
         job.done_written_at = now;
     }
 
-    /// The version of a chunk of done ranges that is to be deleted, as read back after its deletion
-    /// failed; 0 if there is none.
-    pub fn done_chunk_read_back(&mut self, key: &str, mod_revision: u64) {
-        set_or_remove(&mut self.cleanup.done_chunks, key, mod_revision);
+    /// The version of a row that is to be deleted, as read back after its deletion failed; 0 if there is
+    /// none.
+    pub fn orphan_read_back(&mut self, key: &str, mod_revision: u64) {
+        set_or_remove(&mut self.cleanup.rows, key, mod_revision);
     }
 
     /// The version of a machine's own record that is to be deleted, as read back after its deletion
@@ -400,7 +330,7 @@
 }
 
 /// Adds the chunks of a job's done ranges that hold more than is written.
-fn add_due_chunks(job: &Job, chunk: u32, writes: &mut Vec<PendingWrite>) {
+pub(super) fn add_due_chunks(job: &Job, chunk: u32, writes: &mut Vec<PendingWrite>) {
     for index in 0..job.spec.tasks.div_ceil(chunk) {
         let number = chunk_number(chunk, index);
         let span = chunk_span(number);
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -5,7 +5,7 @@
 use super::machine::{TaskEntry, TaskKey};
 use super::Fleet;
 use crate::jobs::{Job, JobId, MachineId};
-use crate::keys::{job_key, lent_done_key, lent_start_mark_key};
+use crate::keys::{lent_done_key, lent_start_mark_key};
 use crate::records::JobRecord;
 use crate::sched::Resources;
 use crate::time::{Micros, Steady};
@@ -71,7 +71,7 @@
             // What is done of it is not known here: only a leader that reads everything anew may begin.
             return;
         }
-        self.job_readable(&id, &job_key(&id));
+        self.job_readable(&id);
         if is_late || self.ended_jobs.get(&id).is_some_and(|&ended_at| ended_at >= mod_revision) {
             return;
         }
@@ -134,7 +134,7 @@
     /// What is left of it is stopped.
     pub fn job_ended(&mut self, id: &str, revision: u64) {
         let id: JobId = id.into();
-        self.job_readable(&id, &job_key(&id));
+        self.job_readable(&id);
         if revision > self.jobs_revision {
             let ended_at = self.ended_jobs.entry(id.clone()).or_insert(0);
             *ended_at = (*ended_at).max(revision);
@@ -156,14 +156,14 @@
         job.gang = None;
         for (chunk, mod_revision) in std::mem::take(&mut job.done_chunks) {
             if mod_revision > 0 {
-                self.cleanup.done_chunks.insert(job.done_chunk_key(chunk), mod_revision);
+                self.cleanup.rows.insert(job.done_chunk_key(chunk), mod_revision);
             }
         }
         let copy = std::mem::take(&mut job.copy);
         let chunk_copies =
             copy.done_chunks.into_iter().map(|(chunk, revision)| (lent_done_key(&id, chunk), revision));
         let copies = chunk_copies.chain([(lent_start_mark_key(&id), copy.start_mark_revision)]);
-        self.cleanup.done_chunks.extend(copies.filter(|(_, mod_revision)| *mod_revision > 0));
+        self.cleanup.rows.extend(copies.filter(|(_, mod_revision)| *mod_revision > 0));
         self.start_marks.remove(&id);
         self.stop_tasks(&id, None, 0.0, true);
         self.remove_if_cleared(&id);
--- a/src/fleet/unreadable.rs
+++ b/src/fleet/unreadable.rs
@@ -11,10 +11,9 @@
 
 use super::machine::TaskKey;
 use super::Fleet;
-use crate::config::Config;
 use crate::jobs::{Job, JobId};
 use crate::keys::job_key;
-use crate::time::{Micros, Steady};
+use crate::time::Steady;
 
 /// Most keys of unreadable records that the status names.
 const MAX_LISTED_KEYS: usize = 100;
@@ -115,9 +114,9 @@
     }
 
     /// The record of a known job can be read again, or is gone.
-    pub(super) fn job_readable(&mut self, id: &str, key: &str) {
+    pub(super) fn job_readable(&mut self, id: &str) {
         if self.unreadable.jobs.remove(id) {
-            self.unreadable.keys.remove(key);
+            self.unreadable.keys.remove(&job_key(id));
             self.dirty = true;
         }
     }
@@ -143,8 +142,7 @@
     /// Whether machines of which no record can be read may still run tasks: no leader renews their leases
     /// any more once an earlier one has lost the state store for too long.
     pub(super) fn may_have_unknown_machines(&self, now: Steady) -> bool {
-        self.unreadable.has_machines
-            && now < self.failover_at + unknown_machines_last(&self.config, self.worker_lease)
+        self.unreadable.has_machines && now < self.failover_at + self.earlier_leases_end_after()
     }
 
     /// The horizon of messages to borrowers: a job whose record cannot be read may have any loan.
@@ -174,19 +172,14 @@
     /// Keeps what was left of a job that turned out to have a record, and holds the job: what is done of it is
     /// not known here.
     pub fn keep_records_of(&mut self, id: &str) {
-        let removals = self.cleanup.done_chunks.len();
-        self.cleanup.done_chunks.retain(|key, _| key.split('/').all(|part| part != id));
-        if self.cleanup.done_chunks.len() < removals {
+        let removals = self.cleanup.rows.len();
+        self.cleanup.rows.retain(|key, _| key.split('/').all(|part| part != id));
+        if self.cleanup.rows.len() < removals {
             self.note_unreadable(UnreadableRecord::OfJob(id), &job_key(id), &"the job was taken for ended");
         }
     }
 }
 
-/// How long after a failover a machine that is not known can have tasks.
-fn unknown_machines_last(config: &Config, worker_lease: Micros) -> Micros {
-    config.max_staleness() + worker_lease
-}
-
 /// Whether the job of a task has ended, or there is none.
 pub(super) fn has_job_ended(
     jobs: &BTreeMap<JobId, Job>,
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -2,6 +2,8 @@
 
 use std::io::Write;
 
+use super::status;
+
 /// Bytes of a response's status line and headers, with room to spare.
 const HEAD_CAPACITY: usize = 160;
 
@@ -68,20 +70,20 @@
     }
 }
 
-fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        201 => "Created",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        413 => "Content Too Large",
-        421 => "Misdirected Request",
-        422 => "Unprocessable Content",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        501 => "Not Implemented",
-        503 => "Service Unavailable",
+fn reason_phrase(code: u16) -> &'static str {
+    match code {
+        status::OK => "OK",
+        status::CREATED => "Created",
+        status::BAD_REQUEST => "Bad Request",
+        status::NOT_FOUND => "Not Found",
+        status::METHOD_NOT_ALLOWED => "Method Not Allowed",
+        status::CONTENT_TOO_LARGE => "Content Too Large",
+        status::MISDIRECTED_REQUEST => "Misdirected Request",
+        status::UNPROCESSABLE_CONTENT => "Unprocessable Content",
+        status::TOO_MANY_REQUESTS => "Too Many Requests",
+        status::REQUEST_HEADER_FIELDS_TOO_LARGE => "Request Header Fields Too Large",
+        status::NOT_IMPLEMENTED => "Not Implemented",
+        status::SERVICE_UNAVAILABLE => "Service Unavailable",
         _ => "Other",
     }
 }
--- a/src/http/request_parser.rs
+++ b/src/http/request_parser.rs
@@ -1,6 +1,6 @@
 //! Parsing of request heads.
 
-use super::{header_text, Response, MAX_BODY, MAX_HEADERS};
+use super::{header_text, status, Response, MAX_BODY, MAX_HEADERS};
 
 /// Largest request head, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
@@ -25,10 +25,12 @@
 impl RequestError {
     fn status(self) -> u16 {
         match self {
-            RequestError::HeadTooLong | RequestError::TooManyHeaders => 431,
-            RequestError::NotHttp | RequestError::BadContentLength => 400,
-            RequestError::TransferEncoding => 501,
-            RequestError::BodyTooLarge => 413,
+            RequestError::HeadTooLong | RequestError::TooManyHeaders => {
+                status::REQUEST_HEADER_FIELDS_TOO_LARGE
+            }
+            RequestError::NotHttp | RequestError::BadContentLength => status::BAD_REQUEST,
+            RequestError::TransferEncoding => status::NOT_IMPLEMENTED,
+            RequestError::BodyTooLarge => status::CONTENT_TOO_LARGE,
         }
     }
 
--- a/src/http/status.rs
+++ b/src/http/status.rs
@@ -23,5 +23,9 @@
 pub const UNPROCESSABLE_CONTENT: u16 = 422;
 /// Over a rate limit.
 pub const TOO_MANY_REQUESTS: u16 = 429;
+/// The headers are too long or too many.
+pub const REQUEST_HEADER_FIELDS_TOO_LARGE: u16 = 431;
+/// The request uses a part of HTTP that is not served.
+pub const NOT_IMPLEMENTED: u16 = 501;
 /// Not now, or not here: the request is to be sent again.
 pub const SERVICE_UNAVAILABLE: u16 = 503;
--- a/src/http/thread_pool.rs
+++ b/src/http/thread_pool.rs
@@ -11,7 +11,7 @@
 use super::service::{RequestClass, ServerLimits, Service};
 use super::waiting_connections::WaitingConnections;
 use super::work_queue::{Admission, PendingRequest, WorkItem, WorkQueue};
-use super::{lock, Request, Response};
+use super::{lock, status, Request, Response};
 use crate::time::{steady, Micros};
 
 /// Threads beside those of the request classes: they read requests and answer health checks
@@ -193,7 +193,7 @@
             Admission::Queued => {}
             Admission::Refused(pending) => {
                 drop(queue);
-                let response = Response::error(503, "too many requests at once");
+                let response = Response::error(status::SERVICE_UNAVAILABLE, "too many requests at once");
                 let reply = Reply { connection: pending.connection, pool: self.clone() };
                 reply.send(&response.with_retry_after(OVERLOAD_RETRY_AFTER_S));
             }
--- a/src/leadership/read_back.rs
+++ b/src/leadership/read_back.rs
@@ -36,7 +36,7 @@
             }
         }
         RecordKey::DoneChunk { job, chunk } => {
-            fleet.done_chunk_read_back(key, mod_revision);
+            fleet.orphan_read_back(key, mod_revision);
             if fleet.jobs.contains_key(job) {
                 let value = row.map_or_else(|| json!(""), |row| row.value);
                 rebuild::load_done(fleet, job, chunk, key, &value, mod_revision);
--- a/src/leadership/writes.rs
+++ b/src/leadership/writes.rs
@@ -149,7 +149,7 @@
         PendingWrite::LentStartMark(id) => compose_lent_start_mark(fleet, pending, id),
         PendingWrite::Done(id, chunk) => compose_done(fleet, pending, id, *chunk),
         PendingWrite::RecentJobs => Some(compose_recent(fleet, pending, now, wall)),
-        PendingWrite::OrphanedDoneChunk(key, mod_revision) => {
+        PendingWrite::OrphanedRow(key, mod_revision) => {
             Some(compose_orphan_drop(fleet, pending, key, *mod_revision))
         }
         PendingWrite::ObsoleteMachineRecord(id, mod_revision) => {
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -175,7 +175,7 @@
             tracing::info!(
                 requests_share = self.next.shares.requests,
                 writes_share = self.next.shares.writes,
-                "the state service has its new limits"
+                "next limits of the state store in force"
             );
             self.set_rates();
         }
--- a/tests/beside_earlier_leader.rs
+++ b/tests/beside_earlier_leader.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 
-use common::lending_world::{Leader, Machine, World, JOB, SETTLED};
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
 use common::production;
 use milletlock::leadership::{read_jobs_with_loans, read_start_marks};
 use milletlock::state::{RequestPriority, TxnOutcome};
@@ -142,12 +142,12 @@
     let jobs = read_jobs_with_loans(&client, |error| panic!("{error}")).expect("jobs");
     let marks = read_start_marks(&client).expect("start marks");
     let progress = jobs[0].read_progress(&client, &marks).expect("its progress");
-    let all = TaskSet::span(0, 40);
+    let all = TaskSet::span(0, TASKS);
     let late = progress.missing_copies(&all, 4096);
     assert!(!late.is_empty());
     // The end as 0.3.0 writes it.
     world.store().keys.retain(|key, _| !key.starts_with("job/") && !key.starts_with("done/"));
-    let ended = json!({ "stage": "done", "tasks": 40 });
+    let ended = json!({ "stage": "done", "tasks": TASKS });
     let end = Txn { guards: Vec::new(), then: vec![Change::put(format!("final/{JOB}"), ended)] };
     world.store().txn(&end).expect("written");
     for txn in &late {
@@ -166,6 +166,41 @@
     assert!(left.is_empty(), "{left:?}");
 }
 
+/// Guards against an older copy that is carried out late, after a newer one.
+#[test]
+fn a_late_copy_does_not_replace_a_newer_one() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    lent_and_running(&mut leader, &mut machine);
+    let client = world.state_client();
+    let jobs = read_jobs_with_loans(&client, |error| panic!("{error}")).expect("jobs");
+    let marks = read_start_marks(&client).expect("start marks");
+    let progress = jobs[0].read_progress(&client, &marks).expect("its progress");
+    let copies = |heard: &str| progress.missing_copies(&TaskSet::parse(heard).expect("tasks"), 4096);
+    let (older, newer) = (copies("0-1"), copies("0-3"));
+    let mut outcomes = newer.iter().chain(&older).map(|txn| client.txn(txn, RequestPriority::Background));
+    assert!(matches!(outcomes.next(), Some(Ok(TxnOutcome::Committed(_)))));
+    assert!(outcomes.all(|outcome| matches!(outcome, Ok(TxnOutcome::Conflict(_)))));
+    assert!(world.copied_done().is_superset(&(0..4).collect()));
+}
+
+/// Guards against a start mark that 0.3.0 raises and a version before loans then removes.
+#[test]
+fn a_start_mark_that_0_3_0_raises_is_copied() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    lent_and_running(&mut leader, &mut machine);
+    let raised = Change::put("marks/0".to_string(), json!({ JOB: TASKS }));
+    world.store().txn(&Txn { guards: Vec::new(), then: vec![raised] }).expect("written");
+    let mut follower = world.follower();
+    follower.hears_of_leader("0.3.0");
+    follower.keep_progress();
+    assert_eq!(world.copied_mark(), u64::from(TASKS));
+    let revision = world.store().revision;
+    follower.keep_progress();
+    assert_eq!(world.store().revision, revision, "what is copied is not written again");
+}
+
 /// Copies that are older than the rows beside them take nothing away, nor do they lower a start mark.
 #[test]
 fn old_copies_beside_newer_rows_change_nothing() {
--- a/tests/earlier_leader.rs
+++ b/tests/earlier_leader.rs
@@ -227,6 +227,29 @@
     assert!(again.is_empty(), "finished tasks start again: {again:?}");
 }
 
+/// Guards against a leader that gives up its lead before it has recorded what it was told.
+#[test]
+fn a_leader_that_resigns_first_records_the_results_of_lent_jobs() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    leader.submit();
+    leader.steps(&mut machine, SETTLED);
+    leader.lend_some(&mut machine);
+    leader.steps(&mut machine, SETTLED);
+    machine.finish_all();
+    let finished = machine.held_results();
+    assert_eq!(leader.heartbeat(&mut machine), 200);
+    leader.controller.resign();
+    let copied = world.copied_done();
+    assert!(!finished.is_empty() && copied.is_superset(&finished), "of {finished:?} just {copied:?}");
+    machine.lose_all();
+    world.earlier_version_leads();
+    let mut leader = world.leader();
+    run_to_the_end(&world, &mut leader, &mut machine);
+    let again = started_again(&machine, &finished);
+    assert!(again.is_empty(), "finished tasks start again: {again:?}");
+}
+
 #[test]
 fn nothing_is_lent_before_all_that_is_done_is_copied() {
     let (world, mut machine) = (World::new(), Machine::new("i-000001"));
--- a/tests/services/records.rs
+++ b/tests/services/records.rs
@@ -22,7 +22,7 @@
         !pending.iter().any(|p| matches!(p, PendingWrite::Final(_) | PendingWrite::Done(..))),
         "{pending:?}"
     );
-    assert!(pending.contains(&PendingWrite::OrphanedDoneChunk("done/wk-000001/0".into(), 5)), "{pending:?}");
+    assert!(pending.contains(&PendingWrite::OrphanedRow("done/wk-000001/0".into(), 5)), "{pending:?}");
 }
 
 /// Guards against a new leader that starts replicas which may run on a machine it has not heard.
--- a/tests/unreadable_records.rs
+++ b/tests/unreadable_records.rs
@@ -319,7 +319,7 @@
     put(&mut store, &job_key(), json!(record(spec(1, 10, "batch"))));
     for _ in 0..3 {
         let pending = fleet.pending_writes(now, Micros::ZERO, 1000);
-        let is_removal = |write: &PendingWrite| matches!(write, PendingWrite::OrphanedDoneChunk(..));
+        let is_removal = |write: &PendingWrite| matches!(write, PendingWrite::OrphanedRow(..));
         let shard = store.mod_revision(SHARD_KEY);
         if !pending.iter().any(is_removal) {
             break;
