--- a/src/controller/heard_results.rs
+++ b/src/controller/heard_results.rs
@@ -25,28 +25,36 @@
 #[derive(Debug, Default)]
 pub(super) struct HeardResults {
     jobs: BTreeMap<String, JobResults>,
+    /// How many they are.
+    count: u64,
 }
 
 impl HeardResults {
     /// Notes the results that a worker's heartbeat lists.
     pub(super) fn note_heartbeat(&mut self, heartbeat: &Heartbeat, now: Steady) {
+        let mut by_job: BTreeMap<&str, TaskSet> = BTreeMap::new();
         let done = heartbeat.tasks.iter().filter(|task| task.exit_reason == Some(ExitReason::Done));
         for (job, number) in done.filter_map(|task| split_task(&task.task)) {
-            self.note(job, std::iter::once(number).collect(), now);
+            by_job.entry(job).or_default().insert(number);
         }
+        by_job.into_iter().for_each(|(job, tasks)| self.note(job, &tasks, now));
     }
 
     /// Notes results of a job. Beyond the bound they are left out.
-    pub(super) fn note(&mut self, job: &str, tasks: TaskSet, now: Steady) {
-        self.jobs.retain(|_, results| now - results.heard_at < RETENTION);
-        if self.count() + u64::from(tasks.len()) > MAX_RESULTS {
+    pub(super) fn note(&mut self, job: &str, tasks: &TaskSet, now: Steady) {
+        if self.count + u64::from(tasks.len()) > MAX_RESULTS {
+            self.drop_expired(now);
+        }
+        if self.count + u64::from(tasks.len()) > MAX_RESULTS {
             tracing::debug!(job, results = tasks.len(), "results not kept");
             return;
         }
         let results = self.jobs.entry(job.to_string());
         let results = results.or_insert_with(|| JobResults { tasks: TaskSet::new(), heard_at: now });
-        results.tasks = results.tasks.union(&tasks);
+        let known = results.tasks.len();
+        results.tasks = results.tasks.union(tasks);
         results.heard_at = now;
+        self.count += u64::from(results.tasks.len() - known);
     }
 
     /// The results of a job.
@@ -59,7 +67,9 @@
         self.jobs.keys().map(String::as_str)
     }
 
-    fn count(&self) -> u64 {
-        self.jobs.values().map(|results| u64::from(results.tasks.len())).sum()
+    /// Drops the results that nobody needs any more.
+    pub(super) fn drop_expired(&mut self, now: Steady) {
+        self.jobs.retain(|_, results| now - results.heard_at < RETENTION);
+        self.count = self.jobs.values().map(|results| u64::from(results.tasks.len())).sum();
     }
 }
--- a/src/controller/progress_keeper.rs
+++ b/src/controller/progress_keeper.rs
@@ -64,6 +64,7 @@
     /// One round, if it is due and this controller follows a leader without copies.
     pub fn keep_progress_once(&self, keeper: &mut ProgressKeeper) {
         let begun = self.now();
+        self.lock().heard_results.drop_expired(begun);
         if begun < keeper.next_round || !self.follows_leader_without_copies() {
             return;
         }
--- a/tests/beside_earlier_leader.rs
+++ b/tests/beside_earlier_leader.rs
@@ -3,17 +3,19 @@
 
 mod common;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::Ordering;
 
 use common::lending_world::{Machine, World, JOB, SETTLED, TASKS};
-use common::production;
 use common::worker::Task;
-use milletlock::leadership::{read_jobs_with_loans, read_start_marks};
+use common::{production, spec};
+use milletlock::leadership::{read_jobs_with_loans, read_start_marks, LEADER_KEY};
 use milletlock::state::{RequestPriority, TxnOutcome};
 use milletlock::time::{Micros, Steady};
 use milletlock::wire::{Change, ExitReason, TaskStage, Txn};
 use milletlock_cells::TaskSet;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde_json::json;
 
 /// What a version before 0.2 says of itself.
@@ -25,9 +27,8 @@
     world.store().txn(&Txn { guards: Vec::new(), then: vec![raised] }).expect("written");
 }
 
-/// A leader of this version plays on until the job is done; asserts that none of the tasks that had finished
-/// starts again.
-fn assert_none_runs_again(world: &World, machine: &mut Machine, finished: &BTreeSet<u32>) {
+/// A leader of this version plays on until the job is done.
+fn run_to_the_end(world: &World, machine: &mut Machine) {
     let mut leader = world.leader();
     for _ in 0..200 {
         machine.finish_all();
@@ -36,14 +37,19 @@
         leader.lend();
         leader.step(machine);
         if leader.stage() == "done" {
-            let again: Vec<&u32> = finished.iter().filter(|task| machine.started[task] > 1).collect();
-            assert!(again.is_empty(), "of {finished:?} started again: {again:?}");
             return;
         }
     }
     panic!("the job is not done");
 }
 
+/// Plays on until the job is done; asserts that none of the tasks that had finished starts again.
+fn assert_none_runs_again(world: &World, machine: &mut Machine, finished: &BTreeSet<u32>) {
+    run_to_the_end(world, machine);
+    let again: Vec<&u32> = finished.iter().filter(|task| machine.started[task] > 1).collect();
+    assert!(again.is_empty(), "of {finished:?} started again: {again:?}");
+}
+
 /// Guards against the loss of results that workers reported to a follower after their leader was killed, before
 /// an earlier version that led had them forgotten.
 #[test]
@@ -82,6 +88,101 @@
     assert!(copied.is_superset(&finished), "of {finished:?} just {copied:?} are recorded");
 }
 
+/// Guards against the loss of a borrowed task's result: an earlier version halts and forgets those tasks as well.
+#[test]
+fn results_of_borrowed_tasks_that_a_follower_hears_outlast_an_earlier_leader() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let held = json!({
+        "home": "there", "description": spec(5, 10, "batch"), "loans": [{ "number": 5, "tasks": "1-3" }]
+    });
+    let then = vec![
+        Change::put("borrowed/job/wk-000005".to_string(), held),
+        Change::put("borrowed/done/wk-000005/0".to_string(), json!("1-2")),
+        Change::put("borrowed/lender/there".to_string(), json!({ "high_water": 5, "finished": 0 })),
+    ];
+    world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
+    let mut leader = world.leader();
+    leader.steps(&mut machine, SETTLED);
+    assert_eq!(machine.running(), BTreeSet::from([3]));
+    machine.finish_all();
+    let mut follower = world.follower();
+    world.earlier_version_leads();
+    follower.hears_of_leader(NO_VERSION);
+    follower.heartbeat(&mut machine);
+    machine.lose_all();
+    follower.keep_progress();
+    world.earlier_version_leads();
+    let rows = world.store().rows("borrowed/done/wk-000005/");
+    assert!(rows.iter().any(|row| row.value == json!("1-3")), "{rows:?}");
+    let mut leader = world.leader();
+    leader.steps(&mut machine, SETTLED);
+    assert_eq!(machine.started[&3], 1, "it starts again");
+}
+
+/// Both versions lead in turn while a follower of this version is alive. What a controller of this version has
+/// heard of, with time for one write, never starts again, whichever leader follows.
+#[test]
+fn what_any_controller_has_heard_outlasts_any_changes_between_the_versions() {
+    for seed in 0..24 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+        let mut leader = world.leader();
+        leader.begin_and_lend(&mut machine);
+        // The tasks of which a result was heard, with how often they had started: some were halted before.
+        let mut heard: BTreeMap<u32, usize> = BTreeMap::new();
+        for _ in 0..30 {
+            match random.random_range(0..5) {
+                0 => {
+                    let mut follower = world.follower();
+                    world.earlier_version_leads();
+                    follower.hears_of_leader(if random.random_bool(0.5) { NO_VERSION } else { "0.3.0" });
+                    note_heard(&mut heard, &machine, machine.held_results());
+                    follower.heartbeat(&mut machine);
+                    // Of a job whose record it can read, that version has nothing forgotten.
+                    let record = world.store().row(&format!("job/{JOB}")).expect("the job").value;
+                    if serde_json::from_value::<production::JobRecord>(record).is_err() {
+                        machine.lose_all();
+                    }
+                    if random.random_bool(0.5) {
+                        follower.keep_progress();
+                        leader = world.leader();
+                    } else {
+                        // It has time for one write; a process that ends before that takes what it heard along.
+                        follower.fail_over();
+                        follower.idle_step();
+                        leader = follower;
+                    }
+                }
+                1 => machine.finish_all(),
+                2 => leader.lend(),
+                3 => {
+                    let mut borrower = world.borrower();
+                    let free = borrower.tasks().difference(&borrower.done);
+                    borrower.gives_back = free.iter().filter(|_| random.random_bool(0.2)).collect();
+                }
+                _ => leader.steps(&mut machine, random.random_range(1..5)),
+            }
+            note_heard(&mut heard, &machine, machine.taken.clone());
+            assert_not_started_since(&heard, &machine, seed);
+        }
+        world.borrower().gives_back = TaskSet::new();
+        world.store().keys.remove(LEADER_KEY);
+        run_to_the_end(&world, &mut machine);
+        assert_not_started_since(&heard, &machine, seed);
+    }
+}
+
+fn note_heard(heard: &mut BTreeMap<u32, usize>, machine: &Machine, tasks: BTreeSet<u32>) {
+    for task in tasks {
+        heard.entry(task).or_insert(machine.started[&task]);
+    }
+}
+
+fn assert_not_started_since(heard: &BTreeMap<u32, usize>, machine: &Machine, seed: u64) {
+    let again: Vec<_> = heard.iter().filter(|(task, times)| machine.started[task] > **times).collect();
+    assert!(again.is_empty(), "seed {seed}: started again: {again:?}");
+}
+
 /// Guards against done ranges that no version can read, since a worker lists a task that the job has not.
 #[test]
 fn a_result_beyond_the_jobs_tasks_is_left_out() {
--- a/tests/earlier_program.rs
+++ b/tests/earlier_program.rs
@@ -219,6 +219,10 @@
 /// Sorts the tasks that ran again by what their first exit and its reports show.
 fn sort_by_evidence(cells: &Cells, recorded: &BTreeSet<u32>, last_token: u64) -> RanAgain {
     let history = cells.history.lock().expect("the history");
+    println!(
+        "  tokens that workers accepted: {:?}, the last before: {last_token}",
+        history.first_accepted.keys()
+    );
     let of_next_leaders =
         history.first_accepted.iter().filter(|((cell, token), _)| *cell == 0 && *token > last_token);
     let taken_over: Option<Instant> = of_next_leaders.map(|(_, at)| *at).min();
