--- a/tests/beside_earlier_leader.rs
+++ b/tests/beside_earlier_leader.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::Ordering;
 
-use common::lending_world::{Machine, World, JOB, SETTLED, TASKS};
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
 use common::worker::Task;
 use common::{production, spec};
 use milletlock::leadership::{read_jobs_with_loans, read_start_marks, LEADER_KEY};
@@ -50,6 +50,17 @@
     assert!(again.is_empty(), "of {finished:?} started again: {again:?}");
 }
 
+/// An earlier version takes the lead, the machine reports to a follower of this version first, and then has all its
+/// tasks halted and forgotten by that leader.
+fn follower_that_hears<'a>(world: &'a World, machine: &mut Machine) -> Leader<'a> {
+    let mut follower = world.follower();
+    world.earlier_version_leads();
+    follower.hears_of_leader(NO_VERSION);
+    assert_ne!(follower.heartbeat(machine), 200, "a follower accepts no heartbeat");
+    machine.lose_all();
+    follower
+}
+
 /// Guards against the loss of results that workers reported to a follower after their leader was killed, before
 /// an earlier version that led had them forgotten.
 #[test]
@@ -59,11 +70,7 @@
     leader.begin_and_lend(&mut machine);
     machine.finish_all();
     let finished = machine.held_results();
-    let mut follower = world.follower();
-    world.earlier_version_leads();
-    follower.hears_of_leader(NO_VERSION);
-    assert_ne!(follower.heartbeat(&mut machine), 200);
-    machine.lose_all();
+    let mut follower = follower_that_hears(&world, &mut machine);
     follower.keep_progress();
     world.earlier_version_leads();
     assert_none_runs_again(&world, &mut machine, &finished);
@@ -77,11 +84,7 @@
     leader.begin_and_lend(&mut machine);
     machine.finish_all();
     let finished = machine.held_results();
-    let mut follower = world.follower();
-    world.earlier_version_leads();
-    follower.hears_of_leader(NO_VERSION);
-    follower.heartbeat(&mut machine);
-    machine.lose_all();
+    let mut follower = follower_that_hears(&world, &mut machine);
     follower.fail_over();
     follower.idle_step();
     let copied = world.copied_done();
@@ -105,11 +108,7 @@
     leader.steps(&mut machine, SETTLED);
     assert_eq!(machine.running(), BTreeSet::from([3]));
     machine.finish_all();
-    let mut follower = world.follower();
-    world.earlier_version_leads();
-    follower.hears_of_leader(NO_VERSION);
-    follower.heartbeat(&mut machine);
-    machine.lose_all();
+    let mut follower = follower_that_hears(&world, &mut machine);
     follower.keep_progress();
     world.earlier_version_leads();
     let rows = world.store().rows("borrowed/done/wk-000005/");
@@ -193,11 +192,7 @@
     let finished = machine.held_results();
     let none = Task { why: Some(ExitReason::Done), ..Task::new(TaskStage::Exited, Micros::ZERO, Steady(0)) };
     machine.state.tasks.insert((format!("{JOB}/{TASKS}"), 1), none);
-    let mut follower = world.follower();
-    world.earlier_version_leads();
-    follower.hears_of_leader(NO_VERSION);
-    follower.heartbeat(&mut machine);
-    machine.lose_all();
+    let mut follower = follower_that_hears(&world, &mut machine);
     follower.keep_progress();
     assert!(world.copied_done().iter().all(|task| *task < TASKS), "{:?}", world.copied_done());
     follower.fail_over();
