Status and log: why waiting tasks do not start, and what counts against quotas

wait_reasons counts the waiting tasks of each job by reason, quotas shows what counts against each team's quota. Nothing is decided by either.

--- a/src/fleet/maintenance.rs
+++ b/src/fleet/maintenance.rs
@@ -39,6 +39,7 @@
         if now - self.log_state.machine_use_at > UTILIZATION_LOG_INTERVAL {
             self.log_state.machine_use_at = now;
             self.log_utilization();
+            self.log_wait_reasons(now, wall);
         }
         self.removed_machines.retain(|_, removed_at| now - *removed_at < REMOVED_MACHINE_RETENTION);
         self.refused_offers.retain(|_, until| now < *until);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -39,6 +39,7 @@
 mod tasks;
 mod team_use;
 mod unreadable;
+mod wait_reasons;
 
 pub use admission::{check_runnable, NotRunnable};
 pub use borrow_admission::BorrowedTasks;
@@ -51,6 +52,7 @@
 pub use status::{FactorView, JobView, MachineState, MachineView, StatusView};
 pub use tasks::JobProgress;
 pub use unreadable::{UnreadableRecord, UnreadableView};
+pub use wait_reasons::{QuotaView, WaitReason, WaitReasons};
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -5,9 +5,10 @@
 
 use super::machine::Machine;
 use super::unreadable::UnreadableView;
+use super::wait_reasons::{QuotaView, WaitReasons};
 use super::Fleet;
 use crate::jobs::Job;
-use crate::time::{Micros, Steady, Wall};
+use crate::time::{Steady, Wall};
 use crate::wire::Priority;
 
 /// Heartbeat intervals without a heartbeat after which a machine is shown as silent.
@@ -87,6 +88,8 @@
     /// Failures in a row.
     #[serde(rename = "errors")]
     pub consecutive_failures: u32,
+    /// Why tasks wait, with the number of tasks for each reason; empty if none waits.
+    pub wait_reasons: WaitReasons,
 }
 
 /// How a team's actual run times compare to those that it states.
@@ -117,6 +120,8 @@
     pub reservation: Option<(String, f64)>,
     /// Run-time factors by team and stated run time.
     pub factors: Vec<FactorView>,
+    /// What counts against the quotas; only a team's own, for a team's view.
+    pub quotas: Vec<QuotaView>,
     /// Stored records that could not be read; none for a team's view.
     pub unreadable: Option<UnreadableView>,
     /// Progress of the recovery after the failover; none for a team's view.
@@ -135,10 +140,17 @@
         } else {
             Vec::new()
         };
+        let mut wait_reasons = self.wait_reasons(now);
+        let mut job_view = |job: &Job| {
+            let reasons = wait_reasons.remove(&job.id).unwrap_or_default();
+            self.job_view(job, reasons, wall)
+        };
+        let quotas = self.quota_views(now).into_iter().filter(|quota| is_visible(&quota.team));
         StatusView {
             fencing_token: self.fencing_token,
             machines,
-            jobs: jobs.into_iter().map(|job| self.job_view(job, wall)).collect(),
+            jobs: jobs.into_iter().map(&mut job_view).collect(),
+            quotas: quotas.collect(),
             reservation: self.reservation_view(now, is_visible),
             unreadable: team.is_none().then(|| self.unreadable_view()),
             recovery: team.is_none().then(|| self.recovery_progress(now)),
@@ -160,22 +172,25 @@
     }
 
     fn machine_state(&self, machine: &Machine, now: Steady) -> MachineState {
-        let interval_s = self.config.platform.settings.workers.report_s;
-        let silent_after = Micros::from_secs(interval_s * SILENT_INTERVALS);
         if machine.scaling_in {
             MachineState::ScalingIn
         } else if !machine.acknowledged {
             MachineState::Unacknowledged
         } else if !machine.up {
             MachineState::Booting
-        } else if now - machine.heartbeat_at > silent_after {
+        } else if self.is_silent(machine, now) {
             MachineState::Silent
         } else {
             MachineState::Up
         }
     }
 
-    fn job_view(&self, job: &Job, wall: Wall) -> JobView {
+    /// Whether no heartbeat of a machine has come of late.
+    pub(super) fn is_silent(&self, machine: &Machine, now: Steady) -> bool {
+        now - machine.heartbeat_at > self.heartbeat_interval().scale(SILENT_INTERVALS)
+    }
+
+    fn job_view(&self, job: &Job, wait_reasons: WaitReasons, wall: Wall) -> JobView {
         JobView {
             id: job.id.to_string(),
             team: job.spec.team.clone(),
@@ -187,6 +202,7 @@
             running: self.progress(&job.id).unwrap_or_default().running,
             done: job.done.len(),
             consecutive_failures: job.consecutive_failures,
+            wait_reasons,
         }
     }
 
--- a/src/fleet/team_use.rs
+++ b/src/fleet/team_use.rs
@@ -9,6 +9,14 @@
 /// none of their quotas.
 const UNKNOWN_USE: Resources = Resources { cpus: 1e9, gpus: 1e9, memory: 0.0 };
 
+/// What counts against the teams' quotas.
+pub(super) struct QuotaUse {
+    /// By team: what its own tasks take.
+    pub(super) by_team: Vec<Resources>,
+    /// What counts against each team: tasks of unknown jobs, and whole machines with unknown tasks.
+    pub(super) unknown: Resources,
+}
+
 impl Fleet {
     /// The use of all teams for a plan, with the places reserved for their gangs.
     pub(super) fn team_uses(&mut self) -> Vec<TeamUse> {
@@ -74,9 +82,14 @@
     /// What all teams use, in one pass over all tasks: with a pass for each team, counting took a third
     /// of the leader's processor time where eight teams have quotas.
     fn count_uses(&self) -> Vec<Resources> {
+        let QuotaUse { by_team, unknown } = self.count_quota_use();
+        by_team.into_iter().map(|used| used.plus(&unknown, 1)).collect()
+    }
+
+    /// What counts against the quotas, apart for what may be any team's.
+    pub(super) fn count_quota_use(&self) -> QuotaUse {
         let count = self.config.platform.settings.teams.len();
         let mut by_team = vec![Resources::default(); count];
-        // Tasks of unknown jobs, and machines with unknown tasks: they may be any team's.
         let mut unknown = Resources::default();
         for machine in self.machines.values() {
             if !machine.acknowledged || machine.has_unknown_use() {
@@ -86,11 +99,11 @@
                 self.count_tasks(machine, &mut by_team, &mut unknown);
             }
         }
-        by_team.into_iter().map(|used| used.plus(&unknown, 1)).collect()
+        QuotaUse { by_team, unknown }
     }
 
     /// Adds the live tasks of a machine to what their teams use.
-    fn count_tasks(&self, machine: &Machine, by_team: &mut [Resources], unknown: &mut Resources) {
+    pub(super) fn count_tasks(&self, machine: &Machine, by_team: &mut [Resources], unknown: &mut Resources) {
         // Tasks are ordered by job: each job is looked up once.
         let mut latest: Option<(&JobId, Option<&Job>)> = None;
         for (key, task) in machine.tasks.iter().filter(|(_, task)| task.is_live()) {
@@ -112,6 +125,6 @@
 }
 
 /// Whether a team has a quota: 0 means none.
-fn has_quota(team: &Team) -> bool {
+pub(super) fn has_quota(team: &Team) -> bool {
     team.cpus_max > 0.0 || team.gpus_max > 0.0
 }
