A leader that may have been replaced scales neither in nor out

One cause: a leader behind a network partition, its lease long over, took machines for idle and asked the cloud to take them back, every 8.5 s until the partition ended.

Also, in an outage of the store that ends all work by its lease, every machine was returned for being idle, and was missed right after.

Scaling now needs a lease that is known to be valid: until it ends no other controller leads, and at its end the requests stop. It is asked before each request, since a round at thousands of machines takes many.

tests/cancellation_in_outage/scale_in.rs: whole controllers; two of its three tests failed before (the only machine was returned), the third shows that a leader in contact still returns idle machines.

--- a/src/controller/scaling.rs
+++ b/src/controller/scaling.rs
@@ -28,30 +28,58 @@
     request: ScaleOutRequest,
 }
 
+/// What the duty keeps from round to round.
+#[derive(Default)]
+pub struct ScalingRounds {
+    /// Number of the last scale-out request of this process: its requests' names must never repeat.
+    last_request_number: u64,
+    /// The fencing token of the last round.
+    fencing_token: u64,
+    /// When this controller was first seen to lead with that token.
+    leader_since: Steady,
+}
+
 impl Controller {
     /// Scales out and in until the controller ends.
     pub(super) fn scale_out_and_in(&self) {
-        let lag = Micros::from_secs(self.config.platform.settings.cloud.list_lag_s);
-        let first_scale_out_delay = lag.scale(FIRST_SCALE_OUT_DELAY_IN_LAGS);
-        let mut last_request_number = 0u64;
-        let mut last_fencing_token = 0u64;
-        let mut leader_since = Steady(0);
+        let mut rounds = ScalingRounds::default();
         while !self.stopping() {
             self.sleep(SCALING_INTERVAL);
-            let term = self.lock().leadership.as_ref().map(|leadership| leadership.term);
-            let Some(LeadershipTerm { fencing_token, is_first, .. }) = term else { continue };
-            if last_fencing_token != fencing_token {
-                last_fencing_token = fencing_token;
-                leader_since = self.now();
-            }
-            self.scale_in(fencing_token);
-            // What the last leader requested shows in the list only after a while.
-            if is_first || self.now() - leader_since > first_scale_out_delay {
-                self.scale_out(fencing_token, &mut last_request_number);
-            }
+            self.scale_once(&mut rounds);
+        }
+    }
+
+    /// Scales in and out once, if this controller leads for certain. One whose lease may have ended may have
+    /// been replaced: what it takes for idle may run another leader's tasks, and its requests may be held up
+    /// in the network until they meet them.
+    pub fn scale_once(&self, rounds: &mut ScalingRounds) {
+        let Some(LeadershipTerm { fencing_token, is_first, .. }) = self.confirmed_term() else { return };
+        if rounds.fencing_token != fencing_token {
+            rounds.fencing_token = fencing_token;
+            rounds.leader_since = self.now();
+        }
+        self.scale_in(fencing_token);
+        // What the last leader requested shows in the list only after a while.
+        let lag = Micros::from_secs(self.config.platform.settings.cloud.list_lag_s);
+        let first_scale_out_delay = lag.scale(FIRST_SCALE_OUT_DELAY_IN_LAGS);
+        if is_first || self.now() - rounds.leader_since > first_scale_out_delay {
+            self.scale_out(fencing_token, &mut rounds.last_request_number);
         }
     }
 
+    /// The term of this leader, if its lease is known to be valid.
+    fn confirmed_term(&self) -> Option<LeadershipTerm> {
+        let ttl = Micros::from_secs(self.config.operator.leader_ttl_s);
+        let shared = self.lock();
+        let leadership = shared.leadership.as_ref()?;
+        leadership.store_contact.holds_lease(self.now(), ttl).then_some(leadership.term)
+    }
+
+    /// Whether this controller still leads with a fencing token, and its lease is known to be valid.
+    fn leads_for_certain(&self, fencing_token: u64) -> bool {
+        self.confirmed_term().is_some_and(|term| term.fencing_token == fencing_token)
+    }
+
     /// Scales in: returns the machines that the leader no longer needs.
     fn scale_in(&self, fencing_token: u64) {
         let ids = match self.lock().leadership_with(fencing_token) {
@@ -64,6 +92,9 @@
         // Each answer is recorded at once: a delay of the next request must not hold up tasks that can
         // start elsewhere.
         for batch in ids.chunks(MAX_MACHINES_PER_SCALE_IN) {
+            if !self.leads_for_certain(fencing_token) {
+                return;
+            }
             match self.cloud.return_machines(batch) {
                 Ok(()) => {
                     if let Some(leadership) = self.lock().leadership_with(fencing_token) {
@@ -88,6 +119,9 @@
             if refused.contains(&offer) {
                 continue;
             }
+            if !self.leads_for_certain(fencing_token) {
+                return;
+            }
             *last_request_number += 1;
             let request = ScaleOutRequest {
                 request: format!("r-{fencing_token}-{}-{last_request_number}", self.incarnation),
--- a/src/store_contact.rs
+++ b/src/store_contact.rs
@@ -44,6 +44,12 @@
         now - self.last_read
     }
 
+    /// Whether the leader's own lease, of duration `ttl`, is known to be valid: until it ends no other
+    /// controller leads.
+    pub fn holds_lease(&self, now: Steady, ttl: Micros) -> bool {
+        now - self.last_renewal < ttl
+    }
+
     /// Whether the leader may renew workers' leases and start tasks.
     pub fn may_act(&self, now: Steady) -> bool {
         self.age(now) <= self.max_staleness
--- a/tests/cancellation_in_outage/main.rs
+++ b/tests/cancellation_in_outage/main.rs
@@ -5,6 +5,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod scale_in;
 mod simulation;
 mod state_store;
 mod worker;
--- a/tests/cancellation_in_outage/simulation.rs
+++ b/tests/cancellation_in_outage/simulation.rs
@@ -6,14 +6,14 @@
 
 use milletlock::api::RequestOrigin;
 use milletlock::config::{Config, OperatorConfig, PlatformConfig};
-use milletlock::controller::Controller;
+use milletlock::controller::{Controller, ScalingRounds};
 use milletlock::http::Request;
 use milletlock::peer::{OutboundMessage, PeerError, PeerHub};
 use milletlock::time::{Clock, Micros, Steady};
 use milletlock::wire::HeartbeatReply;
 use serde_json::{json, Value};
 
-use crate::common::servers::{cloud, serve_some};
+use crate::common::servers::{recording_cloud, serve_some};
 use crate::common::{platform_json, spec, LEASE};
 use crate::state_store::StateStoreServer;
 use crate::worker::Worker;
@@ -49,6 +49,8 @@
     pub partitioned: Arc<AtomicBool>,
     pub ports: Vec<SocketAddr>,
     pub cloud: SocketAddr,
+    /// Machines that the cloud was asked to take back.
+    pub returned: Arc<Mutex<Vec<String>>>,
     pub worker: Arc<Mutex<Worker>>,
     /// When the user was told that the job is cancelled.
     pub confirmed_at: Option<i64>,
@@ -70,13 +72,15 @@
         let (w, c) = (worker.clone(), clock.clone());
         let addr = serve_some(move |r| lock(&w).command(&r, c.load(Ordering::SeqCst)));
         lock(&worker).state.addr = addr.to_string();
+        let returned: Arc<Mutex<Vec<String>>> = Arc::default();
         let mut simulation = Simulation {
             clock,
             store,
             controllers: Arc::default(),
             partitioned: Arc::default(),
             ports,
-            cloud: cloud(),
+            cloud: recording_cloud(returned.clone()),
+            returned,
             worker,
             confirmed_at: None,
             steps: 0,
@@ -247,6 +251,15 @@
         }
     }
 
+    /// So many seconds pass, in which a controller scales out and in twice a second.
+    pub fn run_scaling(&mut self, controller: usize, seconds: f64) {
+        let mut rounds = ScalingRounds::default();
+        for _ in 0..(seconds * 2.0) as usize {
+            self.run(0.5);
+            self.controllers()[controller].scale_once(&mut rounds);
+        }
+    }
+
     /// Steps until a condition holds, for 40 s at the most.
     pub fn run_until(&mut self, what: &str, f: impl Fn(&Simulation) -> bool) {
         let end = self.now() + 40 * SECOND;
--- a/tests/common/servers.rs
+++ b/tests/common/servers.rs
@@ -2,10 +2,10 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::AtomicBool;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use milletlock::http::{self, Reply, Request, RequestClass, Response, ServerLimits};
-use serde_json::json;
+use serde_json::{json, Value};
 
 use super::types;
 
@@ -36,10 +36,20 @@
 
 /// A cloud with the usual types, no machines and no capacity.
 pub fn cloud() -> SocketAddr {
-    serve(|r| match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
+    recording_cloud(Arc::default())
+}
+
+/// The same, which records the machines that it is asked to take back.
+pub fn recording_cloud(returned: Arc<Mutex<Vec<String>>>) -> SocketAddr {
+    serve(move |r| match (r.method.as_str(), r.path.split('?').next().unwrap_or("")) {
         ("GET", "/catalog") => Response::json(200, &json!({ "breeds": types() })),
         ("GET", "/rentals") => Response::json(200, &json!({ "husks": [], "more": false })),
-        ("POST", "/rentals/return") => Response::json(200, &json!({})),
+        ("POST", "/rentals/return") => {
+            let request: Value = serde_json::from_slice(&r.body).expect("a request");
+            let ids = request["husks"].as_array().into_iter().flatten().filter_map(Value::as_str);
+            returned.lock().expect("no panic").extend(ids.map(String::from));
+            Response::json(200, &json!({}))
+        }
         _ => Response::error(503, "no capacity"),
     })
 }
