After a failover silent machines are waited for until their leases have expired

Cause: where more than a tenth of the machines are silent they are waited for by fence_after_s, 25 s by default, also where a worker's lease lasts 42 s.

The default is now the workers' lease with its margin, at least 25 s as before: up to then a machine that is back has its tasks, after that they have ended. A set fence_after_s holds as before. Nothing starts sooner or later by rule; the scale-in only ends the doubt.

tests/safety: machines_that_are_back_within_their_lease_keep_their_tasks failed before (scaled in after 26 s); machines_that_stay_silent_... bounds the wait.

--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -21,8 +21,9 @@
 pub struct OperatorConfig {
     /// How long the leader's lease lasts, in seconds.
     pub leader_ttl_s: f64,
-    /// A machine without a heartbeat for this long after a failover is scaled in, in seconds.
-    pub fence_after_s: f64,
+    /// A machine without a heartbeat for this long after a failover is scaled in, in seconds; `None` for
+    /// the time by which its worker's lease has expired.
+    pub fence_after_s: Option<f64>,
     /// Drain time: scale out aims to have waiting job arrays done within it, in seconds.
     pub drain_s: f64,
     /// An idle machine is scaled in after this time, in seconds.
@@ -57,7 +58,7 @@
     fn default() -> Self {
         OperatorConfig {
             leader_ttl_s: 3.0,
-            fence_after_s: 25.0,
+            fence_after_s: None,
             drain_s: 45.0,
             idle_s: 8.0,
             idle_protected_s: 12.0,
@@ -95,7 +96,9 @@
     fn validate(&self) -> Result<(), ConfigError> {
         require_positive("leader_ttl_s", self.leader_ttl_s)?;
         require_in_range("leader_ttl_s", &self.leader_ttl_s, &LEADER_TTL_S)?;
-        require_positive("fence_after_s", self.fence_after_s)?;
+        if let Some(fence_after_s) = self.fence_after_s {
+            require_positive("fence_after_s", fence_after_s)?;
+        }
         require_positive("drain_s", self.drain_s)?;
         require_not_negative("idle_s", self.idle_s)?;
         require_not_negative("idle_protected_s", self.idle_protected_s)?;
--- a/src/fleet/lease_expiry.rs
+++ b/src/fleet/lease_expiry.rs
@@ -18,6 +18,9 @@
 /// Seconds beyond a heartbeat interval after which few silent machines are fenced after a failover.
 const EARLY_FENCE_MARGIN_S: f64 = 5.0;
 
+/// If many machines are silent, they are waited for this long after a failover however short their leases.
+const MIN_FENCE_DELAY: Micros = Micros(25_000_000);
+
 /// Silent machines that the cloud does not list are removed this long after a failover.
 const UNLISTED_GRACE: Micros = Micros(4_000_000);
 
@@ -240,7 +243,7 @@
     /// gone, no task that may be running on them can start elsewhere: they are scaled in as soon as the
     /// others have acknowledged. Where many are silent a zone is partitioned, and they are waited for.
     fn unacknowledged_timeout(&self) -> Micros {
-        let fence = Micros::from_secs(self.config.operator.fence_after_s);
+        let fence = self.fence_delay();
         let interval_s = self.config.platform.settings.workers.report_s;
         let early = Micros::from_secs(interval_s + EARLY_FENCE_MARGIN_S).max(MIN_EARLY_FENCE);
         let few_unacknowledged = self.unacknowledged_machines * FEW_MACHINES_DIVISOR <= self.machines.len();
@@ -251,6 +254,14 @@
         }
     }
 
+    /// How long after a failover machines are waited for where many are silent. Unless the operators say
+    /// otherwise, until the leases that ran at the failover have expired: a machine that is back before
+    /// has its tasks still.
+    fn fence_delay(&self) -> Micros {
+        let by_lease = self.worker_lease.max(MIN_FENCE_DELAY);
+        self.config.operator.fence_after_s.map_or(by_lease, Micros::from_secs)
+    }
+
     /// Whether at most a tenth of a zone's machines have been silent for longer than `max_silence`. Where
     /// there are enough on-demand machines only those count: the cloud may reclaim most spot machines at
     /// once, while a partition silences both kinds.
--- a/tests/safety/machines.rs
+++ b/tests/safety/machines.rs
@@ -1,12 +1,12 @@
 //! Machines that are unknown, fail or cannot be reached.
 
-use milletlock::fleet::{HeartbeatOutcome, PendingWrite};
+use milletlock::fleet::{Fleet, HeartbeatOutcome, PendingWrite};
 use milletlock::time::Micros;
 use milletlock::wire::{ExitReason, TaskStage};
 
 use crate::common::clock::{at, wall, START};
-use crate::common::{heartbeat, record, spec};
-use crate::fixtures::{fleet_with, machine_record, new_fleet, orders, starts, write_all};
+use crate::common::{config_with, heartbeat, record, spec, types};
+use crate::fixtures::{fleet_with, machine_record, new_fleet, orders, started_job, starts, write_all};
 
 #[test]
 fn unknown_machines_are_enrolled_and_returned_ones_stay_gone() {
@@ -95,6 +95,50 @@
     assert_eq!((after(8, 9.0), after(8, 24.0), after(8, 26.0)), (0, 0, 8));
 }
 
+/// A new leader of ten machines, each with a running task, that have not been heard since the failover, where
+/// a worker's lease lasts longer than `fence_after_s` was by default.
+fn silent_fleet_with_long_leases() -> Fleet {
+    let config = config_with(|settings| {
+        settings["workers"]["lease_s"] = LONG_LEASE_S.into();
+        settings["workers"]["cancel_s"] = (LONG_LEASE_S + 30.0).into();
+    });
+    let mut fleet = Fleet::new(config, types(), 9, START);
+    fleet.apply_job_record(started_job(spec(1, 10, "batch"), 10), 1, START);
+    (0..10).for_each(|n| fleet.inherit_machine(&format!("i-{n}"), &machine_record("small"), 0, START));
+    fleet
+}
+
+const LONG_LEASE_S: f64 = 42.0;
+
+/// Machines that could not be reached while the leader changed, and went on within their lease, were scaled in
+/// after 25 s with all that ran on them, failover after failover.
+#[test]
+fn machines_that_are_back_within_their_lease_keep_their_tasks() {
+    let mut fleet = silent_fleet_with_long_leases();
+    for s in 1..LONG_LEASE_S as u32 {
+        fleet.tick(at(f64::from(s)), wall(f64::from(s)));
+        assert!(fleet.machines_to_scale_in().is_empty(), "after {s} s");
+    }
+    for n in 0..10 {
+        let task = format!("wk-000001/{n}");
+        let there = [(task.as_str(), 5, TaskStage::Running, None)];
+        orders(&mut fleet, LONG_LEASE_S - 0.5, &heartbeat(&format!("i-{n}"), 9, 9, &there));
+    }
+    fleet.tick(at(LONG_LEASE_S), wall(LONG_LEASE_S));
+    assert!(fleet.machines_to_scale_in().is_empty());
+    let job = &fleet.jobs["wk-000001"];
+    assert_eq!((job.placements.len(), job.waiting.len()), (10, 0));
+}
+
+/// No longer than that: a task on a machine that stays away waits for the machine's end.
+#[test]
+fn machines_that_stay_silent_are_returned_when_their_lease_has_expired() {
+    let mut fleet = silent_fleet_with_long_leases();
+    let expired = LONG_LEASE_S + 2.0;
+    fleet.tick(at(expired), wall(expired));
+    assert_eq!(fleet.machines_to_scale_in().len(), 10);
+}
+
 /// In a long outage the leader may reply to nobody. The machines go on sending heartbeats, and do not count
 /// as silent, or as unreachable, when it is over.
 #[test]
