Machines that have not found a new leader yet are not taken for boots that failed

Cause: a machine without a record that has sent this leader no heartbeat counts as booting, and its age is counted from its scale-out by whichever leader. After a failover idle machines have no record; in a partitioned zone all machines seem to boot.

Machines that this leader scaled out itself, in a zone that is heard, are returned when they were before.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -10,6 +10,9 @@
 use crate::time::Steady;
 use crate::wire::{JobSpec, MachineType};
 
+/// Boot time in seconds of a machine whose type is not known.
+const UNKNOWN_TYPE_BOOT_S: f64 = 60.0;
+
 /// Machine types, zones and images.
 pub(super) struct Catalog {
     /// Machine types, as the cloud's catalog lists them; empty until it has been read.
@@ -32,6 +35,12 @@
             self.zones.len() - 1
         })
     }
+
+    /// Nominal boot time in seconds of a machine type.
+    pub(super) fn boot_s(&self, type_index: Option<usize>) -> f64 {
+        let machine_type = type_index.and_then(|index| self.types.get(index));
+        machine_type.map_or(UNKNOWN_TYPE_BOOT_S, |known| known.boot_s)
+    }
 }
 
 impl Fleet {
--- a/src/fleet/lease_expiry.rs
+++ b/src/fleet/lease_expiry.rs
@@ -52,8 +52,8 @@
 /// The least seconds a machine is given to come up.
 const MIN_BOOT_GRACE_S: f64 = 60.0;
 
-/// Boot time in seconds of a machine whose type is not known.
-const UNKNOWN_TYPE_BOOT_S: f64 = 60.0;
+/// With fewer machines that have not come up in time a zone does not count as partitioned.
+const MIN_OVERDUE_IN_PARTITIONED_ZONE: usize = 2;
 
 /// The moments and time limits that a check for lease expiry holds each machine to.
 struct LeaseExpiryCheck {
@@ -71,6 +71,10 @@
     heartbeat_interval: Micros,
     /// By zone, whether few machines are silent: neither the zone nor this leader is partitioned.
     few_silent: Vec<bool>,
+    /// By zone, whether fewer machines are heard than have not come up in time.
+    mostly_unheard: Vec<bool>,
+    /// This long after a failover few silent machines are scaled in.
+    early_fence_delay: Micros,
 }
 
 impl LeaseExpiryCheck {
@@ -152,15 +156,31 @@
         }
     }
 
-    /// Marks a machine for scale in that boots for too long.
+    /// Marks a machine for scale in that boots for too long. One that an earlier leader scaled out may be up
+    /// and first has to find this leader; where most of a zone's machines do not, it is partitioned.
     fn remove_never_up(&self, machine: &mut Machine, boot_s: f64) {
-        let age_s = (machine.age_when_known + (self.now - machine.known_since)).secs();
-        if machine.missing || age_s > (boot_s * MAX_BOOT_FACTOR).max(MIN_BOOT_GRACE_S) {
+        let is_partitioned = self.mostly_unheard.get(machine.zone).copied().unwrap_or(false);
+        let grace = if is_partitioned {
+            PARTITION_GRACE
+        } else if machine.age_when_known > Micros::ZERO {
+            self.early_fence_delay
+        } else {
+            Micros::ZERO
+        };
+        if machine.missing || self.boot_overdue(machine, boot_s) > grace {
+            let age_s = machine.age(self.now).secs();
             tracing::info!(machine = %machine.id, age_s, reason = "never came up", "scale in");
             machine.scaling_in = true;
         }
     }
 
+    /// How long this leader has known a machine to be beyond the boot time that is allowed; not above zero
+    /// if it is not.
+    fn boot_overdue(&self, machine: &Machine, boot_s: f64) -> Micros {
+        let allowed = Micros::from_secs((boot_s * MAX_BOOT_FACTOR).max(MIN_BOOT_GRACE_S));
+        (machine.age(self.now) - allowed).min(self.now - machine.known_since)
+    }
+
     /// Whether a machine that has been silent for this long is a spot instance that the cloud has most
     /// likely reclaimed.
     fn is_reclaimed(&self, machine: &Machine, silent: Micros) -> bool {
@@ -192,9 +212,7 @@
             } else if check.expire(machine) {
                 expired.push(machine.id.clone());
             } else if !machine.scaling_in {
-                let machine_type = machine.type_index.and_then(|index| self.catalog.types.get(index));
-                let boot_s = machine_type.map_or(UNKNOWN_TYPE_BOOT_S, |known| known.boot_s);
-                check.remove_silent(machine, boot_s);
+                check.remove_silent(machine, self.catalog.boot_s(machine.type_index));
             }
         }
         self.end_unacknowledged(&expired_unacknowledged, now);
@@ -225,7 +243,7 @@
     fn lease_expiry_check(&self, now: Steady) -> LeaseExpiryCheck {
         let heartbeat_interval = self.heartbeat_interval();
         let max_silence = heartbeat_interval.scale(SPOT_SILENT_INTERVALS_AFTER_NOTICE);
-        LeaseExpiryCheck {
+        let mut check = LeaseExpiryCheck {
             now,
             failover_at: self.failover_at,
             leader_lease_confirmed_at: self.lease_confirmed_at,
@@ -236,7 +254,28 @@
             few_silent: (0..self.catalog.zones.len())
                 .map(|zone| self.few_silent(zone, max_silence, now))
                 .collect(),
-        }
+            mostly_unheard: Vec::new(),
+            early_fence_delay: self.early_fence_delay(),
+        };
+        check.mostly_unheard = self.mostly_unheard(&check, max_silence);
+        check
+    }
+
+    /// By zone, whether at least two machines have not come up in time, and fewer are heard than that.
+    fn mostly_unheard(&self, check: &LeaseExpiryCheck, max_silence: Micros) -> Vec<bool> {
+        let is_heard = |machine: &&Machine| machine.up && check.now - machine.heartbeat_at <= max_silence;
+        let is_overdue = |machine: &&Machine| {
+            let boot_s = self.catalog.boot_s(machine.type_index);
+            !machine.up && machine.acknowledged && check.boot_overdue(machine, boot_s) > Micros::ZERO
+        };
+        let is_unheard = |zone: usize| {
+            let in_zone =
+                |machine: &&Machine| machine.zone == zone && !machine.scaling_in && !machine.missing;
+            let machines = || self.machines.values().filter(in_zone);
+            let overdue = machines().filter(is_overdue).count();
+            overdue >= MIN_OVERDUE_IN_PARTITIONED_ZONE && overdue > machines().filter(is_heard).count()
+        };
+        (0..self.catalog.zones.len()).map(is_unheard).collect()
     }
 
     /// How long after a failover unacknowledged machines are scaled in. Until a few silent machines are
@@ -244,16 +283,21 @@
     /// others have acknowledged. Where many are silent a zone is partitioned, and they are waited for.
     fn unacknowledged_timeout(&self) -> Micros {
         let fence = self.fence_delay();
-        let interval_s = self.config.platform.settings.workers.report_s;
-        let early = Micros::from_secs(interval_s + EARLY_FENCE_MARGIN_S).max(MIN_EARLY_FENCE);
         let few_unacknowledged = self.unacknowledged_machines * FEW_MACHINES_DIVISOR <= self.machines.len();
         if few_unacknowledged {
-            fence.min(early)
+            fence.min(self.early_fence_delay())
         } else {
             fence
         }
     }
 
+    /// How long after a failover machines are waited for where few are silent: by then all others have sent a
+    /// heartbeat.
+    fn early_fence_delay(&self) -> Micros {
+        let interval_s = self.config.platform.settings.workers.report_s;
+        Micros::from_secs(interval_s + EARLY_FENCE_MARGIN_S).max(MIN_EARLY_FENCE)
+    }
+
     /// How long after a failover machines are waited for where many are silent. Unless the operators say
     /// otherwise, until the leases that ran at the failover have expired: a machine that is back before
     /// has its tasks still.
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -234,6 +234,11 @@
         live.filter_map(|task| task.need).fold(total, |free, need| free.minus(&need, 1))
     }
 
+    /// The time since it was scaled out.
+    pub(super) fn age(&self, now: Steady) -> Micros {
+        self.age_when_known + (now - self.known_since)
+    }
+
     /// The last moment at which its lease may have been renewed, if this leader can know that.
     pub(super) fn lease_renewed_at(&self) -> Option<Steady> {
         self.answered_at.max(self.acknowledged_since)
--- a/src/fleet/scaling.rs
+++ b/src/fleet/scaling.rs
@@ -42,7 +42,7 @@
     fn machine_status(&self, machines: &[MachineId], now: Steady) -> Vec<MachineStatus> {
         let known = machines.iter().filter_map(|id| self.machines.get(id));
         let status = |machine: &Machine| MachineStatus {
-            age: machine.age_when_known + (now - machine.known_since),
+            age: machine.age(now),
             idle: (machine.up && machine.tasks.is_empty()).then(|| now - machine.idle_since),
             booting: !machine.up,
         };
--- a/tests/safety/machines.rs
+++ b/tests/safety/machines.rs
@@ -1,8 +1,9 @@
 //! Machines that are unknown, fail or cannot be reached.
 
+use milletlock::capacity::MachineOffer;
 use milletlock::fleet::{Fleet, HeartbeatOutcome, PendingWrite};
 use milletlock::time::Micros;
-use milletlock::wire::{ExitReason, TaskStage};
+use milletlock::wire::{ExitReason, Heartbeat, ListedMachine, TaskStage};
 
 use crate::common::clock::{at, wall, START};
 use crate::common::{config_with, heartbeat, record, spec, types};
@@ -139,6 +140,59 @@
     assert_eq!(fleet.machines_to_scale_in().len(), 10);
 }
 
+/// The cloud's list has so many machines, scaled out `age_s` seconds ago.
+fn listed_machines(count: usize, age_s: f64) -> Vec<ListedMachine> {
+    let machine = |n: usize| ListedMachine {
+        id: format!("i-{n}"),
+        address: None,
+        machine_type: "small".into(),
+        zone: "north".into(),
+        spot: false,
+        stage: "running".into(),
+        age_s,
+    };
+    (0..count).map(machine).collect()
+}
+
+/// Machines that were idle at a failover have no record. A new leader returned them all within a second, as
+/// machines that never came up, before any could send it a heartbeat.
+#[test]
+fn a_new_leader_gives_idle_machines_time_to_send_a_heartbeat() {
+    let mut fleet = new_fleet(9);
+    fleet.machines_listed(&listed_machines(10, 300.0), at(0.5));
+    for s in [1.0, 5.0, 20.0] {
+        fleet.tick(at(s), wall(s));
+        assert!(fleet.machines_to_scale_in().is_empty(), "after {s} s");
+    }
+    (1..10).for_each(|n| drop(orders(&mut fleet, 21.0, &heartbeat(&format!("i-{n}"), 9, 0, &[]))));
+    fleet.tick(at(30.0), wall(30.0));
+    assert_eq!(fleet.machines_to_scale_in(), ["i-0"], "the one that others outlived");
+}
+
+/// With a zone cut off while its machines booted, all of them were returned at the end of the boot time that is
+/// allowed, in the second in which the partition ended.
+#[test]
+fn machines_that_boot_in_a_partitioned_zone_are_waited_for() {
+    let offer = |zone| MachineOffer { ty: 0, zone, spot: false };
+    let ids = |zone: &str| (0..6).map(|n| format!("{zone}-{n}")).collect::<Vec<String>>();
+    let mut fleet = new_fleet(9);
+    fleet.machines_scaled_out(&ids("north"), offer(0), START);
+    fleet.machines_scaled_out(&ids("south"), offer(1), START);
+    // One machine of the south does not come up; nothing is heard of the north.
+    let heard = ids("south").split_off(1);
+    for s in 25..75u32 {
+        for id in &heard {
+            let report = Heartbeat { zone: "south".into(), ..heartbeat(id, u64::from(s), 0, &[]) };
+            orders(&mut fleet, f64::from(s), &report);
+        }
+        fleet.tick(at(f64::from(s)), wall(f64::from(s)));
+    }
+    assert_eq!(fleet.machines_to_scale_in(), ["south-0"]);
+    // Not for ever: machines that never come up are paid for.
+    fleet.tick(at(120.0), wall(120.0));
+    assert!(ids("north").iter().all(|id| fleet.machines_to_scale_in().contains(id)));
+}
+
 /// In a long outage the leader may reply to nobody. The machines go on sending heartbeats, and do not count
 /// as silent, or as unreachable, when it is over.
 #[test]
