A gang that cannot end in time begins within four minutes all the same

In the queue a job goes behind those that have missed fewer objectives, and one whose stated run time alone is beyond the objective on the end has missed it from the beginning, for five times that objective. Only the objective on the start stopped counting in time.

For a gang that has not begun by the end of that time (150 s, 90 s for the widest) no missed objective counts now. Arrays are as before.

tests/starvation.rs: a_gang_that_cannot_end_in_time_... failed before (the gang never began within the test's 350 s).

--- a/src/fleet/objectives.rs
+++ b/src/fleet/objectives.rs
@@ -62,17 +62,23 @@
     /// How many of its class's objectives a job has missed, by its age or by the time it would end if it
     /// started now. So that nothing starves or might be taken for forgotten, a missed objective stops
     /// counting against it after a while: one on its end after five times the limit, one on its start
-    /// sooner, and the sooner the wider the job is: it takes longer to find machines.
+    /// sooner, and the sooner the wider the job is: it takes longer to find machines. For a gang that has
+    /// not begun by then none counts.
     pub(super) fn missed_objectives(&self, job: &Job, waited: Micros, adjusted: Micros, widest: u32) -> u8 {
         let spec = &job.spec;
         if spec.is_service() {
             return 0;
         }
+        let may_have_started = job.first_start_at.is_some() || job.inherited_start_mark > 0;
         // An array of which tasks have started has its start behind it: tasks that are lost with a machine
         // would otherwise wait behind all newer jobs, and the job miss its deadline for them.
-        let has_started = spec.is_array() && (job.first_start_at.is_some() || job.inherited_start_mark > 0);
+        let has_started = spec.is_array() && may_have_started;
         let waited_s = waited.secs();
         let max_yield_s = Self::max_yield_s(spec, widest);
+        if spec.is_gang() && !may_have_started && waited_s >= max_yield_s {
+            // One whose stated run time alone exceeds the objective on the end misses it from the beginning.
+            return 0;
+        }
         let end_s = waited_s + EXPECTED_RUN_SHARE * adjusted.secs();
         let misses_end = |within_s: f64| end_s > within_s && waited_s < MAX_END_OVERRUN * within_s;
         let missed = self.objectives(spec).filter(|objective| match objective.kind {
--- a/tests/starvation.rs
+++ b/tests/starvation.rs
@@ -4,9 +4,11 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use common::fleet_writes::acknowledge_writes;
-use common::{config, heartbeat, record, spec, types};
+use common::{config, config_with, heartbeat, record, spec, types};
+use milletlock::config::Config;
 use milletlock::fleet::{Fleet, HeartbeatOutcome};
 use milletlock::time::{Micros, Steady, Wall};
 use milletlock::wire::{ExitReason, JobSpec, Priority, Shape, TaskStage, WorkerCommand};
@@ -49,9 +51,14 @@
 
 impl Simulation {
     fn new(machines: usize) -> Simulation {
+        Simulation::with_config(config(), machines)
+    }
+
+    /// The same with other settings.
+    fn with_config(config: Arc<Config>, machines: usize) -> Simulation {
         let now = Steady(1_000_000_000);
         Simulation {
-            fleet: Fleet::new(config(), types(), 7, now),
+            fleet: Fleet::new(config, types(), 7, now),
             now,
             specs: BTreeMap::new(),
             workers: (0..machines)
@@ -222,3 +229,29 @@
     let (all, in_time) = rush.fold((0, 0), |(a, t), n| (a + 1, t + u32::from(simulation.waited(*n) < 20.0)));
     assert!(in_time * 3 > all, "{in_time} of {all} in time");
 }
+
+/// A gang whose stated run time alone exceeds its class's objective on the end yielded to all later ones that
+/// could still meet it, for five times that objective.
+#[test]
+fn a_gang_that_cannot_end_in_time_starts_in_a_stream_of_gangs_that_can() {
+    let with_end_objective = config_with(|settings| {
+        let objective =
+            serde_json::json!({"kind": "finished", "class": "quick", "within_s": 100.0, "share": 0.8});
+        settings["objectives"].as_array_mut().expect("objectives").push(objective);
+    });
+    let mut simulation = Simulation::with_config(with_end_objective, 20);
+    for k in 0..900u32 {
+        // A gang of a minute every 2.5 s: a fifth more than 20 machines take.
+        if k % 5 == 0 {
+            simulation.submit(gang(k + 1, 1, "quick"), 60.0);
+        }
+        if k == 202 {
+            let mut long = gang(901, 1, "quick");
+            long.estimate_s = 300.0;
+            simulation.submit(long, 120.0);
+        }
+        simulation.step();
+    }
+    let waited = simulation.waited(901);
+    assert!(waited < 240.0, "the longest gang began after {waited} s");
+}
