Rounds beside an earlier leader are bounded when results of all jobs were heard

Callers: users' requests share the allowed rate of the state store with these rounds, which read three times for each job. With results heard for 30 jobs one round read and wrote all 30, whatever the bound of eight (found by reading next_jobs; shown by the test).

Jobs with heard results and all others now take turns, eight in a round at the most and at least one of the others, so that neither waits for good.

tests/beside_earlier_leader.rs: rounds_are_bounded_when_results_of_all_jobs_were_heard failed before (one round of 30).

--- a/src/controller/progress_keeper.rs
+++ b/src/controller/progress_keeper.rs
@@ -26,8 +26,10 @@
 pub struct ProgressKeeper {
     /// The next round begins no sooner.
     next_round: Steady,
-    /// The job that was read last; the next round goes on behind it.
-    last_job: String,
+    /// Turns of the jobs with results that were heard of.
+    with_results: Rotation,
+    /// Turns of the others.
+    without_results: Rotation,
     /// Errors of rows that cannot be read, which are logged once.
     unreadable: BTreeSet<String>,
 }
@@ -45,18 +47,35 @@
         }
     }
 
-    /// The jobs of the next round: first those with results that were heard of, then those that were not read
-    /// for the longest time.
+    /// The jobs of the next round: first those with results that were heard of, then others, at least one if
+    /// there is any. Of either those that were not read for the longest time.
     fn next_jobs(&mut self, jobs: Vec<JobWithLoans>, heard: &BTreeSet<String>) -> Vec<JobWithLoans> {
-        let (with_results, mut others): (Vec<_>, Vec<_>) =
+        let (with_results, others): (Vec<_>, Vec<_>) =
             jobs.into_iter().partition(|job| heard.contains(&*job.id));
-        others.sort_by_key(|job| (*job.id <= *self.last_job, job.id.clone()));
-        let room = MAX_JOBS_PER_ROUND.saturating_sub(with_results.len()).max(1);
-        others.truncate(room);
-        if let Some(last) = others.last() {
-            self.last_job = last.id.to_string();
+        let kept_for_others = usize::from(!others.is_empty());
+        let mut next = self.with_results.take(with_results, MAX_JOBS_PER_ROUND - kept_for_others);
+        let room = MAX_JOBS_PER_ROUND - next.len();
+        next.extend(self.without_results.take(others, room));
+        next
+    }
+}
+
+/// Takes turns among jobs, in the order of their ids.
+#[derive(Debug, Default)]
+struct Rotation {
+    /// The job that was taken last.
+    last: String,
+}
+
+impl Rotation {
+    /// The next jobs, `count` at the most.
+    fn take(&mut self, mut jobs: Vec<JobWithLoans>, count: usize) -> Vec<JobWithLoans> {
+        jobs.sort_by_key(|job| (*job.id <= *self.last, job.id.clone()));
+        jobs.truncate(count);
+        if let Some(last) = jobs.last() {
+            self.last = last.id.to_string();
         }
-        with_results.into_iter().chain(others).collect()
+        jobs
     }
 }
 
--- a/tests/beside_earlier_leader.rs
+++ b/tests/beside_earlier_leader.rs
@@ -248,6 +248,40 @@
     assert_none_runs_again(&world, &mut machine, &finished);
 }
 
+/// Guards against rounds that take the store's rate from users: with results for all jobs, a round read and wrote
+/// every one of them. Its bound holds then too, and no job is left out for long.
+#[test]
+fn rounds_are_bounded_when_results_of_all_jobs_were_heard() {
+    const JOBS: usize = 30;
+    const MOST_A_ROUND: usize = 8;
+    let world = World::new();
+    let id = |n: usize| format!("wk-0001{n:02}");
+    let record = |n: usize| {
+        let description = spec(100 + n as u32, 2, "batch");
+        let held = json!({ "home": "there", "description": description, "loans": [{ "number": 5, "tasks": "0-1" }] });
+        Change::put(format!("borrowed/job/{}", id(n)), held)
+    };
+    for n in 0..JOBS {
+        world.store().txn(&Txn { guards: Vec::new(), then: vec![record(n)] }).expect("written");
+    }
+    let mut machine = Machine::new("i-000001");
+    for n in 0..JOBS {
+        let done =
+            Task { why: Some(ExitReason::Done), ..Task::new(TaskStage::Exited, Micros::ZERO, Steady(0)) };
+        machine.state.tasks.insert((format!("{}/0", id(n)), 1), done);
+    }
+    let mut follower = follower_that_hears(&world, &mut machine);
+    let copied = || world.store().rows("borrowed/done/").len();
+    let mut rounds = Vec::new();
+    while copied() < JOBS && rounds.len() < JOBS {
+        let before = copied();
+        follower.keep_progress();
+        rounds.push(copied() - before);
+    }
+    assert_eq!(rounds.iter().sum::<usize>(), JOBS, "{rounds:?}");
+    assert!(rounds.iter().all(|jobs| (1..=MOST_A_ROUND).contains(jobs)), "{rounds:?}");
+}
+
 /// Guards against copies that would bring an ended job back, or stay behind it.
 #[test]
 fn copies_of_a_job_that_ends_under_0_3_0_revive_nothing_and_go() {
