Status: how many jobs with loans lack copies, at any controller

Operators had only log lines to tell when rows of 0.3.0 were copied and a version before 0.3 may lead; one that leads too soon has finished tasks run again (docs/incidents/lent-progress-removed.md). lent_progress counts jobs with loans and those without copies: at a leader from its model, at a follower beside a leader without copies from its rounds. What cannot be read counts as not copied.

tests/beside_earlier_leader.rs: two tests, which need the new field.

--- a/src/controller/cells_status.rs
+++ b/src/controller/cells_status.rs
@@ -9,7 +9,9 @@
 use super::{Controller, Leadership, SharedState};
 use crate::fleet::Fleet;
 use crate::http::{status, Request, Response};
-use crate::wire::{BorrowedStatus, CellsStatus, LentStatus, OtherCellStatus, WrittenOff, WRITE_OFF_PATH};
+use crate::wire::{
+    BorrowedStatus, CellsStatus, LentProgressStatus, LentStatus, OtherCellStatus, WrittenOff, WRITE_OFF_PATH,
+};
 
 impl Controller {
     /// Loans in both directions; none where cells are not in use.
@@ -37,6 +39,14 @@
         })
     }
 
+    /// How many jobs with loans this leader has not copied whole yet; none where cells are not in use.
+    pub(super) fn lent_progress_of_leader(&self, leadership: &Leadership) -> Option<LentProgressStatus> {
+        self.config.operator.cells.as_ref()?;
+        let jobs = || leadership.fleet.jobs.values().filter(|job| !job.ended && job.has_loans());
+        let without_copies = jobs().filter(|job| job.lacks_copies()).count();
+        Some(LentProgressStatus { jobs: jobs().count() as u32, without_copies: without_copies as u32 })
+    }
+
     /// Writes off all loans with a cell that is lost for good, as an operator decided: tasks that are not
     /// known to be done there run here again. If the cell is alive after all, tasks may run twice until it
     /// is reached.
--- a/src/controller/progress_keeper.rs
+++ b/src/controller/progress_keeper.rs
@@ -13,7 +13,7 @@
 use crate::leadership::{self, JobWithLoans, ProgressError};
 use crate::state::{RequestPriority, TxnOutcome};
 use crate::time::{Micros, Steady};
-use crate::wire::Txn;
+use crate::wire::{LentProgressStatus, Txn};
 
 /// Most jobs that one round reads, three requests each: users' requests need the rest of the allowed rate.
 const MAX_JOBS_PER_ROUND: usize = 8;
@@ -30,6 +30,8 @@
     with_results: Rotation,
     /// Turns of the others.
     without_results: Rotation,
+    /// Jobs whose progress was copied whole when they were last read.
+    copied: BTreeSet<String>,
     /// Errors of rows that cannot be read, which are logged once.
     unreadable: BTreeSet<String>,
 }
@@ -47,6 +49,15 @@
         }
     }
 
+    /// Notes whether a job's progress is copied whole.
+    fn note_copied(&mut self, job: &JobWithLoans, is_whole: bool) {
+        if is_whole {
+            self.copied.insert(job.id.to_string());
+        } else {
+            self.copied.remove(&*job.id);
+        }
+    }
+
     /// The jobs of the next round: first those with results that were heard of, then others, at least one if
     /// there is any. Of either those that were not read for the longest time.
     fn next_jobs(&mut self, jobs: Vec<JobWithLoans>, heard: &BTreeSet<String>) -> Vec<JobWithLoans> {
@@ -84,7 +95,12 @@
     pub fn keep_progress_once(&self, keeper: &mut ProgressKeeper) {
         let begun = self.now();
         self.lock().heard_results.drop_expired(begun);
-        if begun < keeper.next_round || !self.follows_leader_without_copies() {
+        if !self.follows_leader_without_copies() {
+            keeper.copied.clear();
+            self.lock().lent_progress = None;
+            return;
+        }
+        if begun < keeper.next_round {
             return;
         }
         if let Err(error) = self.copy_progress(keeper) {
@@ -103,7 +119,26 @@
 
     /// Adds to the copies of some jobs what they lack.
     fn copy_progress(&self, keeper: &mut ProgressKeeper) -> Result<(), ProgressError> {
-        let jobs = leadership::read_jobs_with_loans(&self.state, |error| keeper.note_error(error))?;
+        let mut unreadable = 0;
+        let jobs = leadership::read_jobs_with_loans(&self.state, |error| {
+            unreadable += 1;
+            keeper.note_error(error);
+        })?;
+        keeper.copied.retain(|copied| jobs.iter().any(|job| *job.id == **copied));
+        let job_count = jobs.len() + unreadable;
+        let copied = self.copy_progress_of(jobs, keeper);
+        let without_copies = job_count - keeper.copied.len();
+        self.lock().lent_progress =
+            Some(LentProgressStatus { jobs: job_count as u32, without_copies: without_copies as u32 });
+        copied
+    }
+
+    /// Adds to the copies of those jobs whose turn it is.
+    fn copy_progress_of(
+        &self,
+        jobs: Vec<JobWithLoans>,
+        keeper: &mut ProgressKeeper,
+    ) -> Result<(), ProgressError> {
         if jobs.is_empty() {
             return Ok(());
         }
@@ -114,24 +149,30 @@
             match job.read_progress(&self.state, &start_marks) {
                 Ok(progress) => {
                     let txns = progress.missing_copies(&results, self.config.value_bytes());
-                    txns.iter().for_each(|txn| self.write_copy(&job, &results, txn));
+                    let written = txns.iter().filter(|txn| self.write_copy(&job, &results, txn)).count();
+                    keeper.note_copied(&job, written == txns.len());
+                }
+                Err(error) => {
+                    keeper.note_copied(&job, false);
+                    keeper.note_error(&error);
                 }
-                Err(error) => keeper.note_error(&error),
             }
         }
         Ok(())
     }
 
-    /// Writes a copy. After a conflict or an unknown outcome the next round reads anew.
-    fn write_copy(&self, job: &JobWithLoans, heard: &TaskSet, txn: &Txn) {
+    /// Writes a copy; whether it is stored. After a conflict or an unknown outcome the next round reads anew.
+    fn write_copy(&self, job: &JobWithLoans, heard: &TaskSet, txn: &Txn) -> bool {
         match self.state.txn(txn, RequestPriority::Background) {
             Ok(TxnOutcome::Committed(_)) => {
                 tracing::info!(job = %job.id, heard = heard.len(), "progress of lent job copied");
+                return true;
             }
             Ok(TxnOutcome::Conflict(keys)) => {
                 tracing::debug!(job = %job.id, ?keys, "progress of lent job changed meanwhile");
             }
             Err(error) => tracing::info!(job = %job.id, %error, "progress of lent job not copied"),
         }
+        false
     }
 }
--- a/src/controller/shared_state.rs
+++ b/src/controller/shared_state.rs
@@ -12,7 +12,7 @@
 use crate::leadership::{LeaderRecord, LeadershipTerm};
 use crate::store_contact::StoreContact;
 use crate::time::Steady;
-use crate::wire::MachineType;
+use crate::wire::{LentProgressStatus, MachineType};
 
 /// The state of a controller that leads.
 pub(super) struct Leadership {
@@ -55,6 +55,8 @@
     pub(super) redirected: BTreeMap<String, Steady>,
     /// Results that workers have reported and that this controller has not recorded as the leader.
     pub(super) heard_results: HeardResults,
+    /// Copies of the progress of lent jobs, as the latest round beside a leader without copies found them.
+    pub(super) lent_progress: Option<LentProgressStatus>,
     /// Until then users' requests are not relayed to other controllers.
     pub(super) no_relay_until: Steady,
     /// When a message or an answer of another controller last came.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -230,6 +230,12 @@
         self.done_written.task_set().is_subset(&self.copy.done.task_set())
     }
 
+    /// Whether a leader of a version without copies would take recorded progress of the job away.
+    pub(crate) fn lacks_copies(&self) -> bool {
+        let has_copied_mark = self.copy.start_mark >= self.start_mark;
+        self.borrowed_from.is_none() && !(self.is_copy_complete() && has_copied_mark)
+    }
+
     /// Whether all that is copied is written as done as well.
     pub(crate) fn has_written_all_copies(&self) -> bool {
         self.copy.done.task_set().is_subset(&self.done_written.task_set())
--- a/src/wire/cells.rs
+++ b/src/wire/cells.rs
@@ -72,6 +72,16 @@
     pub finished_for: BTreeMap<String, u64>,
 }
 
+/// Copies of the progress of lent jobs, as the answering controller last saw them. Without its copies a job's
+/// finished tasks run again after a leader of a version before 0.3.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LentProgressStatus {
+    /// Jobs with loans, lent or borrowed.
+    pub jobs: u32,
+    /// Those of them that are not known to be copied whole.
+    pub without_copies: u32,
+}
+
 /// Reply to an operator who writes off the tasks that a lost cell holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WrittenOff {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -63,10 +63,12 @@
 mod submissions;
 mod workers;
 
-pub use cells::{BorrowedStatus, CellsStatus, LentStatus, OtherCellStatus, WrittenOff, WRITE_OFF_PATH};
+pub use cells::{
+    BorrowedStatus, CellsStatus, LentProgressStatus, LentStatus, OtherCellStatus, WrittenOff, WRITE_OFF_PATH,
+};
 pub use cloud::{Catalog, ListedMachine, MachineList, MachineNames, MachineType, ScaleOutRequest};
 pub use jobs::{JobSpec, JobStage, JobStatus, Priority, Shape, Stage};
-pub use replies::{ControllerStatus, Health, Redirect, ShardStatus, HEALTH_PATH};
+pub use replies::{ControllerStatus, Health, Redirect, ShardStatus, StatusReply, HEALTH_PATH};
 pub use state::{
     Change, Guard, LeaseGranted, LeaseRequest, Row, RowPage, Txn, TxnCommitted, TxnConflict, WatchEvent,
     WatchEvents,
--- a/src/wire/replies.rs
+++ b/src/wire/replies.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::CellsStatus;
+use super::{CellsStatus, LentProgressStatus};
 
 /// Path of the load balancer's health check.
 pub const HEALTH_PATH: &str = "/up";
@@ -51,6 +51,18 @@
     pub cells: Option<CellsStatus>,
 }
 
+/// A controller's status with what it knows of lent jobs, whether it leads or not.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StatusReply<FleetView> {
+    /// The status.
+    #[serde(flatten)]
+    pub status: ControllerStatus<FleetView>,
+    /// Copies of the progress of lent jobs, where cells are configured; of a follower, while it follows a leader
+    /// that makes none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lent_progress: Option<LentProgressStatus>,
+}
+
 /// A shard and its leader, as part of a controller's status.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardStatus {
--- a/tests/beside_earlier_leader.rs
+++ b/tests/beside_earlier_leader.rs
@@ -9,6 +9,8 @@
 use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
 use common::worker::Task;
 use common::{production, spec};
+use milletlock::api::RequestOrigin;
+use milletlock::http::Request;
 use milletlock::leadership::{read_jobs_with_loans, read_start_marks, LEADER_KEY};
 use milletlock::state::{RequestPriority, TxnOutcome};
 use milletlock::time::{Micros, Steady};
@@ -16,7 +18,7 @@
 use milletlock_cells::TaskSet;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// What a version before 0.2 says of itself.
 const NO_VERSION: &str = "";
@@ -248,6 +250,62 @@
     assert_none_runs_again(&world, &mut machine, &finished);
 }
 
+/// Records of jobs of which tasks 0 and 1 are borrowed: `wk-000100` and following.
+fn borrow_jobs(world: &World, jobs: usize) {
+    for n in 0..jobs {
+        let description = spec(100 + n as u32, 2, "batch");
+        let held = json!({ "home": "there", "description": description, "loans": [{ "number": 5, "tasks": "0-1" }] });
+        let record = Change::put(format!("borrowed/job/wk-0001{n:02}"), held);
+        world.store().txn(&Txn { guards: Vec::new(), then: vec![record] }).expect("written");
+    }
+}
+
+/// Jobs with loans and those without copies, as a controller's status shows them to operators.
+fn lent_progress(controller: &Leader) -> Option<(u64, u64)> {
+    let request = Request { method: "GET".into(), path: "/status".into(), body: Vec::new() };
+    let response = controller.controller.answer(&request, RequestOrigin::Peer);
+    let status: Value = serde_json::from_slice(&response.body).expect("a status");
+    let progress = status.get("lent_progress")?;
+    Some((progress["jobs"].as_u64()?, progress["without_copies"].as_u64()?))
+}
+
+/// Guards against a version before loans that leads too soon: the status of any controller shows how many jobs
+/// still lack copies.
+#[test]
+fn the_status_counts_jobs_without_copies_down_to_none() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    leader.begin_and_lend(&mut machine);
+    machine.finish_all();
+    leader.steps(&mut machine, SETTLED);
+    assert_eq!(lent_progress(&leader), Some((1, 0)), "at a leader that makes copies");
+    world.remove_copies();
+    borrow_jobs(&world, 9);
+    let mut follower = world.follower();
+    assert_eq!(lent_progress(&follower), None, "nothing is known before a round");
+    follower.hears_of_leader("0.3.0");
+    follower.keep_progress();
+    assert_eq!(lent_progress(&follower), Some((10, 2)), "eight jobs a round");
+    follower.keep_progress();
+    assert_eq!(lent_progress(&follower), Some((10, 0)));
+    follower.hears_of_leader("0.3.2");
+    follower.keep_progress();
+    assert_eq!(lent_progress(&follower), None, "the leader has the count");
+}
+
+/// Guards against a count of none while a record cannot be read.
+#[test]
+fn unreadable_records_count_as_jobs_without_copies() {
+    let world = World::new();
+    let unreadable = Change::put("borrowed/job/wk-000100".to_string(), json!({ "home": 3 }));
+    world.store().txn(&Txn { guards: Vec::new(), then: vec![unreadable] }).expect("written");
+    world.leader();
+    let mut follower = world.follower();
+    follower.hears_of_leader("0.3.0");
+    follower.keep_progress();
+    assert_eq!(lent_progress(&follower), Some((1, 1)));
+}
+
 /// Guards against rounds that take the store's rate from users: with results for all jobs, a round read and wrote
 /// every one of them. Its bound holds then too, and no job is left out for long.
 #[test]
@@ -256,14 +314,7 @@
     const MOST_A_ROUND: usize = 8;
     let world = World::new();
     let id = |n: usize| format!("wk-0001{n:02}");
-    let record = |n: usize| {
-        let description = spec(100 + n as u32, 2, "batch");
-        let held = json!({ "home": "there", "description": description, "loans": [{ "number": 5, "tasks": "0-1" }] });
-        Change::put(format!("borrowed/job/{}", id(n)), held)
-    };
-    for n in 0..JOBS {
-        world.store().txn(&Txn { guards: Vec::new(), then: vec![record(n)] }).expect("written");
-    }
+    borrow_jobs(&world, JOBS);
     let mut machine = Machine::new("i-000001");
     for n in 0..JOBS {
         let done =
