A controller full of heard results keeps the newest

Callers: finished tasks of a lent job ran again after an earlier version had led, when a follower had heard 200,000 results before, of jobs without loans or jobs long ended. It keeps that many and left out all that came later (found by reading). While it was full it also went through all of them under its lock for each job of each heartbeat.

What was heard longest ago goes first now, and what has expired is found without looking at the rest.

tests/beside_earlier_leader.rs: results_of_lent_jobs_are_kept_when_many_others_were_heard failed before (all four finished tasks ran again).

--- a/src/controller/heard_results.rs
+++ b/src/controller/heard_results.rs
@@ -14,17 +14,23 @@
 const MAX_RESULTS: u64 = 200_000;
 
 /// The results of a job.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct JobResults {
     tasks: TaskSet,
     heard_at: Steady,
+    /// Its key in `HeardResults::by_age`.
+    order: u64,
 }
 
-/// Results of tasks by job, bounded in number and time. A task that is done stays done, so that none of them is
-/// ever wrong, however late it is used.
+/// Results of tasks by job, bounded in number and time: beyond the bound those go that were heard longest ago. A
+/// task that is done stays done, so that none of them is ever wrong, however late it is used.
 #[derive(Debug, Default)]
 pub(super) struct HeardResults {
     jobs: BTreeMap<String, JobResults>,
+    /// The jobs in the order in which results of them were last heard of.
+    by_age: BTreeMap<u64, String>,
+    /// The next key there.
+    next_order: u64,
     /// How many they are.
     count: u64,
 }
@@ -40,21 +46,20 @@
         by_job.into_iter().for_each(|(job, tasks)| self.note(job, &tasks, now));
     }
 
-    /// Notes results of a job. Beyond the bound they are left out.
+    /// Notes results of a job.
     pub(super) fn note(&mut self, job: &str, tasks: &TaskSet, now: Steady) {
-        if self.count + u64::from(tasks.len()) > MAX_RESULTS {
-            self.drop_expired(now);
-        }
-        if self.count + u64::from(tasks.len()) > MAX_RESULTS {
-            tracing::debug!(job, results = tasks.len(), "results not kept");
-            return;
-        }
-        let results = self.jobs.entry(job.to_string());
-        let results = results.or_insert_with(|| JobResults { tasks: TaskSet::new(), heard_at: now });
+        let results = self.jobs.entry(job.to_string()).or_default();
         let known = results.tasks.len();
         results.tasks = results.tasks.union(tasks);
         results.heard_at = now;
+        self.by_age.remove(&results.order);
+        self.next_order += 1;
+        results.order = self.next_order;
+        self.by_age.insert(results.order, job.to_string());
         self.count += u64::from(results.tasks.len() - known);
+        while self.count > MAX_RESULTS {
+            self.drop_oldest();
+        }
     }
 
     /// The results of a job.
@@ -69,7 +74,17 @@
 
     /// Drops the results that nobody needs any more.
     pub(super) fn drop_expired(&mut self, now: Steady) {
-        self.jobs.retain(|_, results| now - results.heard_at < RETENTION);
-        self.count = self.jobs.values().map(|results| u64::from(results.tasks.len())).sum();
+        let is_expired =
+            |job: &String| self.jobs.get(job).is_none_or(|results| now - results.heard_at >= RETENTION);
+        let expired = self.by_age.values().take_while(|job| is_expired(job)).count();
+        (0..expired).for_each(|_| self.drop_oldest());
+    }
+
+    /// Drops the results of the job of which none was heard for the longest time.
+    fn drop_oldest(&mut self) {
+        let Some((_, job)) = self.by_age.pop_first() else { return };
+        let results = self.jobs.remove(&job).unwrap_or_default();
+        self.count -= u64::from(results.tasks.len());
+        tracing::debug!(job, results = results.tasks.len(), "results no longer kept");
     }
 }
--- a/tests/beside_earlier_leader.rs
+++ b/tests/beside_earlier_leader.rs
@@ -306,6 +306,34 @@
     assert_eq!(lent_progress(&follower), Some((1, 1)));
 }
 
+/// Guards against a store of results that is full of jobs without loans: what was heard of lent jobs after that
+/// was left out.
+#[test]
+fn results_of_lent_jobs_are_kept_when_many_others_were_heard() {
+    const RESULTS: u32 = 10_000;
+    const HEARTBEATS: u32 = 20;
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    leader.begin_and_lend(&mut machine);
+    machine.finish_all();
+    let finished = machine.held_results();
+    let mut follower = world.follower();
+    world.earlier_version_leads();
+    follower.hears_of_leader(NO_VERSION);
+    for n in 0..HEARTBEATS {
+        let mut other = Machine::new("i-000002");
+        let done =
+            || Task { why: Some(ExitReason::Done), ..Task::new(TaskStage::Exited, Micros::ZERO, Steady(0)) };
+        other.state.tasks = (0..RESULTS).map(|task| ((format!("wk-9000{n:02}/{task}"), 1), done())).collect();
+        follower.heartbeat(&mut other);
+    }
+    follower.heartbeat(&mut machine);
+    machine.lose_all();
+    follower.keep_progress();
+    world.earlier_version_leads();
+    assert_none_runs_again(&world, &mut machine, &finished);
+}
+
 /// Guards against rounds that take the store's rate from users: with results for all jobs, a round read and wrote
 /// every one of them. Its bound holds then too, and no job is left out for long.
 #[test]
