Quota that comes free between plans goes to what is next for it alone

held_by_quota now lists of each team only the first group of the queue that its quota holds back, and none if a service goes first; what the plan starts of all other work is counted as used between plans (quota_of_other_starts). Gangs that wait for a quota close it as before.

--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -128,6 +128,9 @@
         let free = taken.fold(machine.free, |free, (need, count)| free.minus(&need, count));
         let machine = MachineSnapshot { free, ..machine.clone() };
         let mut backfill = IncrementalBackfill { machine: &machine, ..backfill };
+        for (team_use, other) in backfill.team_uses.iter_mut().zip(&self.plan.quota_of_other_starts) {
+            team_use.used = team_use.used.plus(other, 1);
+        }
         starts.extend(backfill.starts_on_freed_quota(&mut self.plan.held_by_quota));
         for (class, count) in starts {
             if let Some(job) = self.planned_jobs.get(class).cloned() {
--- a/src/sched/decisions.rs
+++ b/src/sched/decisions.rs
@@ -2,6 +2,7 @@
 //!
 //! Indices are those of the [`super::Snapshot`] that the plan was made for.
 
+use super::resources::Resources;
 use crate::time::Micros;
 
 /// Tasks of one class on one machine: index into `Snapshot::machines`, number of tasks.
@@ -36,7 +37,7 @@
 }
 
 /// The planner's decisions: its only output.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// Tasks to start now.
     pub starts: Vec<Start>,
@@ -46,8 +47,11 @@
     pub preempt: Vec<PlacedTaskIndex>,
     /// Tasks that found no capacity, in the queue's order.
     pub unmet: Vec<UnmetTasks>,
-    /// Tasks of job arrays that their team's quota holds back, in the queue's order.
+    /// Tasks of job arrays that their team's quota holds back, in the queue's order: of each team only the first
+    /// group of the queue that it holds back, and none if a service or a gang goes first.
     pub held_by_quota: Vec<UnmetTasks>,
+    /// By team: what the plan's starts of all other work take of its quota, which is left to them.
+    pub quota_of_other_starts: Vec<Resources>,
     /// By machine type: whether tasks wait that headroom on it is reserved for. Lower priorities do not
     /// start there meanwhile.
     pub contended_types: Vec<bool>,
--- a/src/sched/incremental_backfill.rs
+++ b/src/sched/incremental_backfill.rs
@@ -57,8 +57,9 @@
     }
 
     /// The same of the tasks that their team's quota held back when the plan was made, where tasks have ended
-    /// since. The plan's own starts on other machines count on what is free of the quota: what would have to
-    /// fetch an image leaves it to them.
+    /// since. The plan's starts of the same group on other machines count on what is free of the quota: what
+    /// would have to fetch an image leaves it to them. What the plan starts of other work is to be counted in
+    /// `team_uses`.
     pub fn starts_on_freed_quota(&mut self, held: &mut [UnmetTasks]) -> Vec<UnmetTasks> {
         self.fill_in_turn(held, &[Candidates::WithImage])
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -71,6 +71,7 @@
             state.plan_class(class_index, &mut plan);
         }
     }
+    plan.quota_of_other_starts = state.quota_of_other_starts(&plan.starts);
     plan.contended_types = state.contended_types;
     plan.gang_awaits_quota = state.gang_awaits_quota;
     plan
@@ -88,12 +89,11 @@
                 GangOutcome::AwaitsQuota => return,
             }
         } else if class.replica_machines.is_some() {
+            self.note_held_by_quota(class_index, self.tasks_within_quota(class_index), plan);
             self.start_service(class_index, plan)
         } else {
             let within_quota = self.tasks_within_quota(class_index);
-            if within_quota < class.startable_tasks {
-                plan.held_by_quota.push((class_index, class.startable_tasks - within_quota));
-            }
+            self.note_held_by_quota(class_index, within_quota, plan);
             self.start_array(class_index, within_quota, &mut plan.starts)
         };
         if unmet == 0 {
--- a/src/sched/plan_state.rs
+++ b/src/sched/plan_state.rs
@@ -6,6 +6,7 @@
 use super::decisions::PlacedTaskIndex;
 use super::eligibility::{adjusted_end, lacks_awaited_image, may_use};
 use super::headroom::free_beside_headroom;
+use super::queue::QueueGroup;
 use super::resources::Resources;
 use super::snapshot::{JobClass, Snapshot, TeamUse};
 use super::zone_limits;
@@ -43,6 +44,8 @@
     pub(super) quota_reservations: Vec<Option<QuotaReservation>>,
     /// By team: whether a gang of it is held back by its quota, whether it finds capacity or not.
     pub(super) gang_awaits_quota: Vec<bool>,
+    /// By team: the first group of the queue that its quota holds back.
+    pub(super) first_held_by_quota: Vec<Option<HeldGroup>>,
     /// By team: when the tasks that this plan starts give their quota back.
     pub(super) planned_releases: Vec<Vec<QuotaRelease>>,
 }
@@ -59,6 +62,14 @@
     pub(super) at: Micros,
 }
 
+/// A group of the queue that a team's quota holds back.
+pub(super) struct HeldGroup {
+    /// The group.
+    pub(super) group: QueueGroup,
+    /// Whether its first class is a service.
+    pub(super) is_service: bool,
+}
+
 /// Tasks whose end gives quota back: placed ones end by their stated run time, those that this plan starts
 /// by their adjusted one.
 #[derive(Clone, Copy)]
@@ -90,6 +101,7 @@
             given_to_replicas: vec![Resources::default(); machine_count],
             quota_reservations: vec![None; team_count],
             gang_awaits_quota: vec![false; team_count],
+            first_held_by_quota: (0..team_count).map(|_| None).collect(),
             planned_releases: vec![Vec::new(); team_count],
         }
     }
--- a/src/sched/quota.rs
+++ b/src/sched/quota.rs
@@ -1,8 +1,10 @@
 //! Team quotas: how many tasks of a class they let start, when, and what is preempted for that.
 
-use super::decisions::PlacedTaskIndex;
-use super::plan_state::{PlanState, QuotaRelease};
+use super::decisions::{PlacedTaskIndex, Plan, Start};
+use super::plan_state::{HeldGroup, PlanState, QuotaRelease};
 use super::preemption_rule::may_preempt;
+use super::queue::QueueGroup;
+use super::resources::Resources;
 use super::snapshot::{JobClass, PlacedTask, TeamUse};
 use crate::time::Micros;
 
@@ -37,6 +39,33 @@
         class.startable_tasks.min(team_use.allows(&class.need))
     }
 
+    /// Lists the tasks of an array that its team's quota holds back, unless other work of the team goes first:
+    /// what comes free of the quota is left to that.
+    pub(super) fn note_held_by_quota(&mut self, class_index: usize, within_quota: u32, plan: &mut Plan) {
+        let class = &self.snapshot.classes[class_index];
+        let held = class.startable_tasks.saturating_sub(within_quota);
+        let Some(first) = self.first_held_by_quota.get_mut(class.team).filter(|_| held > 0) else { return };
+        let group = QueueGroup::of(class);
+        let is_service = class.replica_machines.is_some();
+        let first = first.get_or_insert_with(|| HeldGroup { group: QueueGroup::of(class), is_service });
+        if !first.is_service && !is_service && first.group == group {
+            plan.held_by_quota.push((class_index, held));
+        }
+    }
+
+    /// By team: what starts take of its quota that are not of the group which the quota holds back.
+    pub(super) fn quota_of_other_starts(&self, starts: &[Start]) -> Vec<Resources> {
+        let mut taken = vec![Resources::default(); self.first_held_by_quota.len()];
+        for start in starts {
+            let class = &self.snapshot.classes[start.class];
+            let Some(Some(held)) = self.first_held_by_quota.get(class.team) else { continue };
+            if class.replica_machines.is_some() || class.gang || held.group != QueueGroup::of(class) {
+                taken[class.team] = taken[class.team].plus(&class.need, start.count);
+            }
+        }
+        taken
+    }
+
     /// Time until the team's quota lets the class start whole, as the team's tasks end.
     pub(super) fn quota_allows_at(&self, class_index: usize) -> Micros {
         let class = &self.snapshot.classes[class_index];
