--- /dev/null
+++ b/tests/common/leader_without_copies.rs
@@ -0,0 +1,42 @@
+//! What happens to a lent job when a leader that keeps no copies of its progress leads for a while.
+
+use std::collections::BTreeSet;
+
+use super::lending_world::{Leader, Machine, World};
+
+/// What a version before 0.2 says of itself.
+pub const NO_VERSION: &str = "";
+
+/// A leader of this version plays on until the job is done.
+pub fn run_to_the_end(world: &World, machine: &mut Machine) {
+    let mut leader = world.leader();
+    for _ in 0..200 {
+        machine.finish_all();
+        let held = world.borrower().tasks();
+        world.borrower().done = held;
+        leader.lend();
+        leader.step(machine);
+        if leader.stage() == "done" {
+            return;
+        }
+    }
+    panic!("the job is not done");
+}
+
+/// Plays on until the job is done; asserts that none of the tasks that had finished starts again.
+pub fn assert_none_runs_again(world: &World, machine: &mut Machine, finished: &BTreeSet<u32>) {
+    run_to_the_end(world, machine);
+    let again: Vec<&u32> = finished.iter().filter(|task| machine.started[task] > 1).collect();
+    assert!(again.is_empty(), "of {finished:?} started again: {again:?}");
+}
+
+/// An earlier version takes the lead, the machine reports to a follower of this version first, and then has all its
+/// tasks halted and forgotten by that leader.
+pub fn follower_that_hears<'a>(world: &'a World, machine: &mut Machine) -> Leader<'a> {
+    let mut follower = world.follower();
+    world.earlier_version_leads();
+    follower.hears_of_leader(NO_VERSION);
+    assert_ne!(follower.heartbeat(machine), 200, "a follower accepts no heartbeat");
+    machine.lose_all();
+    follower
+}
