--- a/src/fleet/wait_reasons.rs
+++ b/src/fleet/wait_reasons.rs
@@ -1,6 +1,6 @@
 //! Why waiting tasks do not start, by job and by team: for the status and the log. Nothing is decided here.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 
@@ -68,6 +68,8 @@
 struct PlanView<'a> {
     /// Tasks that the plan starts, by job.
     starting: BTreeMap<&'a JobId, u32>,
+    /// The jobs that it was made for.
+    planned: BTreeSet<&'a JobId>,
     /// Tasks that found no capacity, by job.
     unmet: BTreeMap<&'a JobId, u32>,
     /// The machines with free capacity.
@@ -145,6 +147,7 @@
         let usable = self.machines.values().filter(|machine| machine.is_usable(now));
         PlanView {
             starting,
+            planned: self.planned_jobs.iter().collect(),
             unmet: unmet.collect(),
             free_machines: usable.filter_map(|machine| self.free_machine(machine)).collect(),
         }
@@ -183,7 +186,7 @@
         let without_capacity =
             if self.has_room_for(job, plan) { WaitReason::ReservedCapacity } else { WaitReason::NoCapacity };
         let beyond_quota =
-            if self.planned_jobs.contains(&job.id) { WaitReason::Quota } else { WaitReason::NextPlan };
+            if plan.planned.contains(&job.id) { WaitReason::Quota } else { WaitReason::NextPlan };
         let counts = [
             (WaitReason::UnacknowledgedMachines, waiting - startable),
             (WaitReason::Starting, starting),
