One piece of code where the change had two, and less work on the way

- Fleet::is_silent serves the status, the wait reasons and the check for partitioned zones, which had the same three intervals of its own.
- Job::is_placed_gang serves the planner's input and the wait reasons; Job::add_done serves the loading of rows, lent results and heard results.
- A heartbeat between plans no longer copies the machine for what a quota held back: the second pass is handed what the first has left free.
- The check for leases is built at once, and a zone's heard machines are counted only where some are overdue.
- lent_progress is a field of ControllerStatus, as cells is, in place of a reply type around it, and is not computed for a team's view.
The literals of two tests name the new field; what they expect is as it was.
- A new leader takes heard results by reference; a borrowed job's start mark, which is not stored, is a default in place of three zeros by hand.

--- a/src/controller/failover.rs
+++ b/src/controller/failover.rs
@@ -108,8 +108,8 @@
             "failover: state rebuilt"
         );
         end_cancelled_jobs(&mut fleet, shared);
-        for job in shared.heard_results.jobs() {
-            fleet.heard_results(job, &shared.heard_results.of(job));
+        for (job, results) in shared.heard_results.iter() {
+            fleet.heard_results(job, results);
         }
         shared.leader = Some(LeaderRecord {
             label: self.config.platform.label.clone(),
--- a/src/controller/heard_results.rs
+++ b/src/controller/heard_results.rs
@@ -67,9 +67,9 @@
         self.jobs.get(job).map(|results| results.tasks.clone()).unwrap_or_default()
     }
 
-    /// The jobs of which there are results.
-    pub(super) fn jobs(&self) -> impl Iterator<Item = &str> {
-        self.jobs.keys().map(String::as_str)
+    /// The jobs of which there are results, with these.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&str, &TaskSet)> {
+        self.jobs.iter().map(|(job, results)| (job.as_str(), &results.tasks))
     }
 
     /// Drops the results that nobody needs any more.
--- a/src/controller/progress_keeper.rs
+++ b/src/controller/progress_keeper.rs
@@ -142,7 +142,7 @@
         if jobs.is_empty() {
             return Ok(());
         }
-        let heard = self.lock().heard_results.jobs().map(str::to_string).collect();
+        let heard = self.lock().heard_results.iter().map(|(job, _)| job.to_string()).collect();
         let start_marks = leadership::read_start_marks(&self.state)?;
         for job in keeper.next_jobs(jobs, &heard) {
             let results = self.lock().heard_results.of(&job.id);
--- a/src/controller/status.rs
+++ b/src/controller/status.rs
@@ -6,7 +6,7 @@
 use super::{Controller, Leadership, SharedState, VERSION};
 use crate::http::{status, Request, Response};
 use crate::time::{wall, Micros};
-use crate::wire::{ControllerStatus, Health, ShardStatus, StatusReply};
+use crate::wire::{ControllerStatus, Health, ShardStatus};
 
 /// Path of the status view between controllers; a team's name may follow.
 pub const STATUS_PATH: &str = "/status";
@@ -40,7 +40,7 @@
         let team = request.path.strip_prefix(STATUS_PATH).and_then(|rest| rest.strip_prefix('/'));
         let shared = self.lock();
         let leadership = shared.leadership.as_ref();
-        let lent_progress = match leadership {
+        let lent_progress = || match leadership {
             Some(leadership) => self.lent_progress_of_leader(leadership),
             None => shared.lent_progress,
         };
@@ -52,10 +52,10 @@
             shards: leadership.map(|leadership| vec![self.shard_status(leadership)]),
             versions: Some(self.versions(&shared)),
             state_age_s: leadership.map(|leadership| leadership.store_contact.age(self.now()).secs()),
+            lent_progress: team.is_none().then(lent_progress).flatten(),
             cells: leadership.filter(|_| team.is_none()).and_then(cells_status),
         };
-        let lent_progress = lent_progress.filter(|_| team.is_none());
-        Response::json(status::OK, &StatusReply { status, lent_progress })
+        Response::json(status::OK, &status)
     }
 
     /// The status of the only shard, which this leader has.
--- a/src/fleet/lease_expiry.rs
+++ b/src/fleet/lease_expiry.rs
@@ -167,20 +167,13 @@
         } else {
             Micros::ZERO
         };
-        if machine.missing || self.boot_overdue(machine, boot_s) > grace {
+        if machine.missing || boot_overdue(machine, boot_s, self.now) > grace {
             let age_s = machine.age(self.now).secs();
             tracing::info!(machine = %machine.id, age_s, reason = "never came up", "scale in");
             machine.scaling_in = true;
         }
     }
 
-    /// How long this leader has known a machine to be beyond the boot time that is allowed; not above zero
-    /// if it is not.
-    fn boot_overdue(&self, machine: &Machine, boot_s: f64) -> Micros {
-        let allowed = Micros::from_secs((boot_s * MAX_BOOT_FACTOR).max(MIN_BOOT_GRACE_S));
-        (machine.age(self.now) - allowed).min(self.now - machine.known_since)
-    }
-
     /// Whether a machine that has been silent for this long is a spot instance that the cloud has most
     /// likely reclaimed.
     fn is_reclaimed(&self, machine: &Machine, silent: Micros) -> bool {
@@ -243,7 +236,8 @@
     fn lease_expiry_check(&self, now: Steady) -> LeaseExpiryCheck {
         let heartbeat_interval = self.heartbeat_interval();
         let max_silence = heartbeat_interval.scale(SPOT_SILENT_INTERVALS_AFTER_NOTICE);
-        let mut check = LeaseExpiryCheck {
+        let zones = 0..self.catalog.zones.len();
+        LeaseExpiryCheck {
             now,
             failover_at: self.failover_at,
             leader_lease_confirmed_at: self.lease_confirmed_at,
@@ -251,31 +245,23 @@
             earlier_leases_end_after: self.earlier_leases_end_after(),
             unacknowledged_timeout: self.unacknowledged_timeout(),
             heartbeat_interval,
-            few_silent: (0..self.catalog.zones.len())
-                .map(|zone| self.few_silent(zone, max_silence, now))
-                .collect(),
-            mostly_unheard: Vec::new(),
+            few_silent: zones.clone().map(|zone| self.few_silent(zone, max_silence, now)).collect(),
+            mostly_unheard: zones.map(|zone| self.mostly_unheard(zone, max_silence, now)).collect(),
             early_fence_delay: self.early_fence_delay(),
-        };
-        check.mostly_unheard = self.mostly_unheard(&check, max_silence);
-        check
+        }
     }
 
-    /// By zone, whether at least two machines have not come up in time, and fewer are heard than that.
-    fn mostly_unheard(&self, check: &LeaseExpiryCheck, max_silence: Micros) -> Vec<bool> {
-        let is_heard = |machine: &&Machine| machine.up && check.now - machine.heartbeat_at <= max_silence;
+    /// Whether at least two machines of a zone have not come up in time, and fewer are heard than that.
+    fn mostly_unheard(&self, zone: usize, max_silence: Micros, now: Steady) -> bool {
+        let in_zone = |machine: &&Machine| machine.zone == zone && !machine.scaling_in && !machine.missing;
         let is_overdue = |machine: &&Machine| {
             let boot_s = self.catalog.boot_s(machine.type_index);
-            !machine.up && machine.acknowledged && check.boot_overdue(machine, boot_s) > Micros::ZERO
+            !machine.up && machine.acknowledged && boot_overdue(machine, boot_s, now) > Micros::ZERO
         };
-        let is_unheard = |zone: usize| {
-            let in_zone =
-                |machine: &&Machine| machine.zone == zone && !machine.scaling_in && !machine.missing;
-            let machines = || self.machines.values().filter(in_zone);
-            let overdue = machines().filter(is_overdue).count();
-            overdue >= MIN_OVERDUE_IN_PARTITIONED_ZONE && overdue > machines().filter(is_heard).count()
-        };
-        (0..self.catalog.zones.len()).map(is_unheard).collect()
+        let is_heard = |machine: &&Machine| machine.up && now - machine.heartbeat_at <= max_silence;
+        let overdue = self.machines.values().filter(in_zone).filter(is_overdue).count();
+        overdue >= MIN_OVERDUE_IN_PARTITIONED_ZONE
+            && overdue > self.machines.values().filter(in_zone).filter(is_heard).count()
     }
 
     /// How long after a failover unacknowledged machines are scaled in. Until a few silent machines are
@@ -326,3 +312,10 @@
         machines.filter(move |machine| machine.up && machine.zone == zone && !machine.scaling_in)
     }
 }
+
+/// How long this leader has known a machine to be beyond the boot time that is allowed; not above zero if it
+/// is not.
+fn boot_overdue(machine: &Machine, boot_s: f64, now: Steady) -> Micros {
+    let allowed = Micros::from_secs((boot_s * MAX_BOOT_FACTOR).max(MIN_BOOT_GRACE_S));
+    (machine.age(now) - allowed).min(now - machine.known_since)
+}
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -34,10 +34,8 @@
     /// Records tasks of a lent job as done that are done in the borrowing cell.
     pub fn lent_tasks_done(&mut self, id: &str, tasks: &TaskSet) {
         let Some(job) = self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_none()) else { return };
-        for task in tasks.iter().filter(|task| *task < job.spec.tasks) {
-            job.done.insert(task);
-            job.waiting.remove(task);
-        }
+        let count = job.spec.tasks;
+        job.add_done(tasks.iter().filter(|task| *task < count));
         self.dirty = true;
     }
 
@@ -48,10 +46,7 @@
             Some(record) => tasks.intersection(&record.tasks()),
             None => tasks.intersection(&TaskSet::span(0, job.spec.tasks)),
         };
-        for task in in_this_cell.iter() {
-            job.done.insert(task);
-            job.waiting.remove(task);
-        }
+        job.add_done(in_this_cell.iter());
         self.dirty = true;
     }
 
--- a/src/fleet/machines.rs
+++ b/src/fleet/machines.rs
@@ -12,7 +12,15 @@
 /// Stage in the cloud's list of a machine that failed to start.
 const FAILED_STAGE: &str = "failed";
 
+/// Heartbeat intervals without a heartbeat after which a machine counts as silent.
+const SILENT_INTERVALS: f64 = 3.0;
+
 impl Fleet {
+    /// Whether no heartbeat of a machine has come of late.
+    pub(super) fn is_silent(&self, machine: &Machine, now: Steady) -> bool {
+        now - machine.heartbeat_at > self.heartbeat_interval().scale(SILENT_INTERVALS)
+    }
+
     /// How many machines have not acknowledged this leader's fencing token: commands of an earlier
     /// leader may still reach them.
     pub fn unacknowledged_machines(&self) -> usize {
--- a/src/fleet/planner_input.rs
+++ b/src/fleet/planner_input.rs
@@ -194,9 +194,7 @@
 
     /// How many of a job's tasks may start now.
     pub(super) fn startable_tasks(&self, job: &Job, now: Steady) -> u32 {
-        let is_gang = job.spec.is_gang();
-        let is_placed_gang = is_gang && (job.gang.is_some() || !job.placements.is_empty());
-        if now < job.not_before || is_placed_gang {
+        if now < job.not_before || job.is_placed_gang() {
             return 0;
         }
         if !self.may_run_on_unacknowledged(&job.spec) {
--- a/src/fleet/record_loading.rs
+++ b/src/fleet/record_loading.rs
@@ -136,7 +136,7 @@
     /// Adds a chunk of done ranges as it is written.
     fn add_done_chunk(&mut self, chunk: u32, text: &str, mod_revision: u64) -> Result<(), TaskRangeError> {
         let done = TaskRanges::parse(text, self.spec.tasks)?;
-        self.add_done(&done);
+        self.add_done(done.iter());
         for number in done.iter() {
             self.done_written.insert(number);
         }
@@ -147,7 +147,7 @@
     /// Adds the copy of a chunk of done ranges as it is stored.
     fn add_done_copy(&mut self, chunk: u32, text: &str, mod_revision: u64) -> Result<(), TaskRangeError> {
         let done = TaskRanges::parse(text, self.spec.tasks)?;
-        self.add_done(&done);
+        self.add_done(done.iter());
         self.copy.is_kept = true;
         self.copy.note_done_chunk(chunk, &done, mod_revision);
         Ok(())
@@ -162,12 +162,4 @@
         self.wanted_start_mark = self.wanted_start_mark.max(mark);
         self.inherited_start_mark = self.inherited_start_mark.max(mark);
     }
-
-    /// Adds done tasks.
-    fn add_done(&mut self, done: &TaskRanges) {
-        for number in done.iter() {
-            self.done.insert(number);
-            self.waiting.remove(number);
-        }
-    }
 }
--- a/src/fleet/scaling.rs
+++ b/src/fleet/scaling.rs
@@ -10,9 +10,6 @@
 /// A zone counts as partitioned only if at least this many of its machines are silent.
 const MIN_SILENT_IN_PARTITIONED_ZONE: usize = 2;
 
-/// After this many heartbeat intervals a machine counts as silent when its zone is checked.
-const SILENT_INTERVALS: f64 = 3.0;
-
 impl Fleet {
     /// Plans and decides on scaling: returns the machines to add, at most one item for each offer, and
     /// marks idle machines for scale in.
@@ -82,8 +79,7 @@
 
     /// Whether a zone is cut off by a network partition, most likely: most of its machines are silent.
     fn is_partitioned(&self, zone: usize, now: Steady) -> bool {
-        let max_silence = self.heartbeat_interval().scale(SILENT_INTERVALS);
-        let is_silent = |machine: &&Machine| now - machine.heartbeat_at > max_silence;
+        let is_silent = |machine: &&Machine| self.is_silent(machine, now);
         let silent = self.machines_up_in(zone).filter(is_silent).count();
         silent >= MIN_SILENT_IN_PARTITIONED_ZONE && silent * 2 > self.machines_up_in(zone).count()
     }
--- a/src/fleet/starts.rs
+++ b/src/fleet/starts.rs
@@ -126,12 +126,10 @@
         let mut starts = backfill.starts(&mut self.plan.unmet);
         let taken = starts.iter().map(|(class, count)| (classes[*class].need, *count));
         let free = taken.fold(machine.free, |free, (need, count)| free.minus(&need, count));
-        let machine = MachineSnapshot { free, ..machine.clone() };
-        let mut backfill = IncrementalBackfill { machine: &machine, ..backfill };
         for (team_use, other) in backfill.team_uses.iter_mut().zip(&self.plan.quota_of_other_starts) {
             team_use.used = team_use.used.plus(other, 1);
         }
-        starts.extend(backfill.starts_on_freed_quota(&mut self.plan.held_by_quota));
+        starts.extend(backfill.starts_on_freed_quota(&mut self.plan.held_by_quota, free));
         for (class, count) in starts {
             if let Some(job) = self.planned_jobs.get(class).cloned() {
                 self.start_tasks(&job, count, id, now, orders);
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -11,9 +11,6 @@
 use crate::time::{Steady, Wall};
 use crate::wire::Priority;
 
-/// Heartbeat intervals without a heartbeat after which a machine is shown as silent.
-const SILENT_INTERVALS: f64 = 3.0;
-
 /// When the periodic log lines were last written, and what the latest of them said.
 pub(super) struct LogState {
     /// When machine utilization was logged.
@@ -185,11 +182,6 @@
         }
     }
 
-    /// Whether no heartbeat of a machine has come of late.
-    pub(super) fn is_silent(&self, machine: &Machine, now: Steady) -> bool {
-        now - machine.heartbeat_at > self.heartbeat_interval().scale(SILENT_INTERVALS)
-    }
-
     fn job_view(&self, job: &Job, wait_reasons: WaitReasons, wall: Wall) -> JobView {
         JobView {
             id: job.id.to_string(),
--- a/src/fleet/wait_reasons.rs
+++ b/src/fleet/wait_reasons.rs
@@ -204,8 +204,7 @@
         if now < job.not_before {
             return Some(WaitReason::Backoff);
         }
-        let is_placed_gang = job.spec.is_gang() && (job.gang.is_some() || !job.placements.is_empty());
-        is_placed_gang.then_some(WaitReason::GangAttempt)
+        job.is_placed_gang().then_some(WaitReason::GangAttempt)
     }
 
     /// Whether a usable machine has room for a task of the job, whoever it is kept for.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -197,6 +197,19 @@
         self.borrowed_from.is_some() || self.copy.is_kept
     }
 
+    /// Whether it is a gang with an attempt: one whose starts are due, or of which tasks may be running.
+    pub(crate) fn is_placed_gang(&self) -> bool {
+        self.spec.is_gang() && (self.gang.is_some() || !self.placements.is_empty())
+    }
+
+    /// Adds done tasks.
+    pub(crate) fn add_done(&mut self, tasks: impl Iterator<Item = u32>) {
+        for task in tasks {
+            self.done.insert(task);
+            self.waiting.remove(task);
+        }
+    }
+
     /// Whether a task is recorded as done, so that no leader of any version starts it again.
     pub fn is_recorded(&self, task: u32) -> bool {
         self.done_written.contains(task) && (!self.copy.is_kept || self.copy.done.contains(task))
--- a/src/leadership/stored_progress.rs
+++ b/src/leadership/stored_progress.rs
@@ -80,11 +80,18 @@
     written: TaskSet,
     /// The rows that it leaves alone: the copies, or those of a borrowed job.
     kept: StoredRanges,
-    /// The start mark in values that such a leader writes.
-    start_mark: u32,
-    /// The copy of the start mark, with its version; 0: there is none.
-    copied_mark: u32,
-    copied_mark_revision: u64,
+    start_mark: StoredStartMark,
+}
+
+/// A job's start mark as it is stored; 0 where there is none. That of a borrowed job is not.
+#[derive(Debug, Default)]
+struct StoredStartMark {
+    /// In values that a leader without copies writes.
+    written: u32,
+    /// Its copy.
+    copied: u32,
+    /// The copy's version.
+    copy_revision: u64,
 }
 
 /// Reads the jobs with loans, lent or borrowed. Records that cannot be decoded are handed to `unreadable`.
@@ -170,25 +177,19 @@
         let id = &self.id;
         if self.held.is_some() {
             let kept = self.read_ranges(state, &borrowed_done_prefix(id))?;
-            let written = TaskSet::new();
-            let none = 0;
-            return Ok(StoredProgress {
-                job: self,
-                written,
-                kept,
-                start_mark: none,
-                copied_mark: none,
-                copied_mark_revision: 0,
-            });
+            let start_mark = StoredStartMark::default();
+            return Ok(StoredProgress { job: self, written: TaskSet::new(), kept, start_mark });
         }
         let written = self.read_ranges(state, &done_prefix(id))?.tasks;
         let kept = self.read_ranges(state, &lent_done_prefix(id))?;
         let key = lent_start_mark_key(id);
         let copy = state.get(&key, RequestPriority::Background)?;
-        let copied_mark_revision = copy.as_ref().map_or(0, |row| row.mod_revision);
-        let copied_mark = copy.map_or(Ok(0), |row| decode(&key, row.value))?;
-        let start_mark = start_marks.get(id).copied().unwrap_or(0).min(self.tasks);
-        Ok(StoredProgress { job: self, written, kept, start_mark, copied_mark, copied_mark_revision })
+        let start_mark = StoredStartMark {
+            written: start_marks.get(id).copied().unwrap_or(0).min(self.tasks),
+            copy_revision: copy.as_ref().map_or(0, |row| row.mod_revision),
+            copied: copy.map_or(Ok(0), |row| decode(&key, row.value))?,
+        };
+        Ok(StoredProgress { job: self, written, kept, start_mark })
     }
 
     fn read_ranges(&self, state: &StateStoreClient, prefix: &str) -> Result<StoredRanges, ProgressError> {
@@ -245,14 +246,12 @@
 
     fn missing_start_mark(&self) -> Option<Txn> {
         let job = self.job;
-        if self.start_mark <= self.copied_mark.max(job.start_mark) {
+        let StoredStartMark { written, copied, copy_revision } = self.start_mark;
+        if written <= copied.max(job.start_mark) {
             return None;
         }
         let key = lent_start_mark_key(&job.id);
-        let guard = Guard { key: key.clone(), mod_revision: self.copied_mark_revision };
-        Some(Txn {
-            guards: vec![job.record.clone(), guard],
-            then: vec![Change::put(key, json!(self.start_mark))],
-        })
+        let guard = Guard { key: key.clone(), mod_revision: copy_revision };
+        Some(Txn { guards: vec![job.record.clone(), guard], then: vec![Change::put(key, json!(written))] })
     }
 }
--- a/src/sched/incremental_backfill.rs
+++ b/src/sched/incremental_backfill.rs
@@ -53,23 +53,27 @@
     /// cached go first: where all machines are in use, each would otherwise fetch every image, and
     /// fetching takes as much of its time as running.
     pub fn starts(&mut self, unmet: &mut [UnmetTasks]) -> Vec<UnmetTasks> {
-        self.fill_in_turn(unmet, &[Candidates::First, Candidates::Last])
+        self.fill_in_turn(unmet, &[Candidates::First, Candidates::Last], self.machine.free)
     }
 
     /// The same of the tasks that their team's quota held back when the plan was made, where tasks have ended
     /// since. The plan's starts of the same group on other machines count on what is free of the quota: what
     /// would have to fetch an image leaves it to them. What the plan starts of other work is to be counted in
-    /// `team_uses`.
-    pub fn starts_on_freed_quota(&mut self, held: &mut [UnmetTasks]) -> Vec<UnmetTasks> {
-        self.fill_in_turn(held, &[Candidates::WithImage])
+    /// `team_uses`; `free` is what is left of the machine.
+    pub fn starts_on_freed_quota(&mut self, held: &mut [UnmetTasks], free: Resources) -> Vec<UnmetTasks> {
+        self.fill_in_turn(held, &[Candidates::WithImage], free)
     }
 
     /// Starts what fits, by groups of the queue; within a group some candidates after the others.
-    fn fill_in_turn(&mut self, unmet: &mut [UnmetTasks], turns: &[Candidates]) -> Vec<UnmetTasks> {
+    fn fill_in_turn(
+        &mut self,
+        unmet: &mut [UnmetTasks],
+        turns: &[Candidates],
+        mut free: Resources,
+    ) -> Vec<UnmetTasks> {
         let classes = &self.snapshot.classes;
         let group = |unmet: &UnmetTasks| QueueGroup::of(&classes[unmet.0]);
         let mut starts = Vec::new();
-        let mut free = self.machine.free;
         // Classes of one group stand together in the queue.
         for alike in unmet.chunk_by_mut(|a, b| group(a) == group(b)) {
             for candidates in turns {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -68,7 +68,7 @@
 };
 pub use cloud::{Catalog, ListedMachine, MachineList, MachineNames, MachineType, ScaleOutRequest};
 pub use jobs::{JobSpec, JobStage, JobStatus, Priority, Shape, Stage};
-pub use replies::{ControllerStatus, Health, Redirect, ShardStatus, StatusReply, HEALTH_PATH};
+pub use replies::{ControllerStatus, Health, Redirect, ShardStatus, HEALTH_PATH};
 pub use state::{
     Change, Guard, LeaseGranted, LeaseRequest, Row, RowPage, Txn, TxnCommitted, TxnConflict, WatchEvent,
     WatchEvents,
--- a/src/wire/replies.rs
+++ b/src/wire/replies.rs
@@ -46,21 +46,13 @@
     /// Age in seconds of the leader's last contact with the state store.
     #[serde(rename = "state_seen_s_ago", default, skip_serializing_if = "Option::is_none")]
     pub state_age_s: Option<f64>,
-    /// What the cell lends and borrows, if cells are configured.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub cells: Option<CellsStatus>,
-}
-
-/// A controller's status with what it knows of lent jobs, whether it leads or not.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct StatusReply<FleetView> {
-    /// The status.
-    #[serde(flatten)]
-    pub status: ControllerStatus<FleetView>,
     /// Copies of the progress of lent jobs, where cells are configured; of a follower, while it follows a leader
     /// that makes none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lent_progress: Option<LentProgressStatus>,
+    /// What the cell lends and borrows, if cells are configured.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cells: Option<CellsStatus>,
 }
 
 /// A shard and its leader, as part of a controller's status.
--- a/tests/controller_replies.rs
+++ b/tests/controller_replies.rs
@@ -23,6 +23,7 @@
         versions: None,
         shards: Some(vec![ShardStatus { leader: "a".into(), shard: 0, fencing_token: 7 }]),
         state_age_s: Some(0.5),
+        lent_progress: None,
         cells: None,
     };
     let expected = json!({
@@ -41,6 +42,7 @@
         versions: None,
         shards: None,
         state_age_s: None,
+        lent_progress: None,
         cells: None,
     };
     assert_eq!(json!(status), json!({ "leader": null, "node": "b", "owner": null }));
