--- a/tests/beside_earlier_leader.rs
+++ b/tests/beside_earlier_leader.rs
@@ -132,7 +132,7 @@
         }
         world.borrower().gives_back = TaskSet::new();
         world.store().keys.remove(LEADER_KEY);
-        run_to_the_end(&world, &mut machine);
+        run_to_the_end(&world, &mut world.leader(), &mut machine);
         assert_not_started_since(&heard, &machine, seed);
     }
 }
--- a/tests/common/leader_without_copies.rs
+++ b/tests/common/leader_without_copies.rs
@@ -7,10 +7,12 @@
 /// What a version before 0.2 says of itself.
 pub const NO_VERSION: &str = "";
 
+/// Steps within which a job that can end has ended.
+pub const TO_THE_END: usize = 200;
+
 /// A leader of this version plays on until the job is done.
-pub fn run_to_the_end(world: &World, machine: &mut Machine) {
-    let mut leader = world.leader();
-    for _ in 0..200 {
+pub fn run_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
+    for _ in 0..TO_THE_END {
         machine.finish_all();
         let held = world.borrower().tasks();
         world.borrower().done = held;
@@ -25,7 +27,7 @@
 
 /// Plays on until the job is done; asserts that none of the tasks that had finished starts again.
 pub fn assert_none_runs_again(world: &World, machine: &mut Machine, finished: &BTreeSet<u32>) {
-    run_to_the_end(world, machine);
+    run_to_the_end(world, &mut world.leader(), machine);
     let again: Vec<&u32> = finished.iter().filter(|task| machine.started[task] > 1).collect();
     assert!(again.is_empty(), "of {finished:?} started again: {again:?}");
 }
--- a/tests/earlier_leader.rs
+++ b/tests/earlier_leader.rs
@@ -25,11 +25,10 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 
+use common::leader_without_copies::{run_to_the_end, TO_THE_END};
 use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
 use common::{production, spec};
 
-/// Steps until all is done.
-const TO_THE_END: usize = 200;
 /// Time between two results of a machine, less than between two writes of results of other jobs.
 const BETWEEN_RESULTS: Micros = Micros::from_millis(100);
 
@@ -50,21 +49,6 @@
     leader.steps(machine, SETTLED);
 }
 
-/// Plays on until the job is done.
-fn run_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
-    for _ in 0..TO_THE_END {
-        machine.finish_all();
-        let held = world.borrower().tasks();
-        world.borrower().done = held;
-        leader.lend();
-        leader.step(machine);
-        if leader.stage() == "done" {
-            return;
-        }
-    }
-    panic!("the job is not done");
-}
-
 fn started_again(machine: &Machine, finished: &BTreeSet<u32>) -> BTreeSet<u32> {
     finished.iter().filter(|task| machine.started.get(task).is_some_and(|n| *n > 1)).copied().collect()
 }
