--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -39,7 +39,7 @@
 /// Steps in which a start or a result goes through all its writes.
 pub const SETTLED: usize = 8;
 /// Bytes of a value of the state store in these settings.
-const VALUE_BYTES: usize = 4096;
+pub const VALUE_BYTES: usize = 4096;
 
 /// The cell that borrows: it takes on what it is offered.
 #[derive(Default)]
@@ -135,7 +135,8 @@
         self.state.executing().map(|attempt| number_of(&attempt.0)).collect()
     }
 
-    fn execute(&mut self, command: &WorkerCommand) {
+    /// Carries out a command of a leader of either version.
+    pub fn execute(&mut self, command: &WorkerCommand) {
         match command {
             WorkerCommand::Start { task, attempt } => {
                 let key: Attempt = (task.clone(), *attempt);
@@ -288,6 +289,11 @@
         panic!("it writes without end");
     }
 
+    /// A leader of the version in production is elected; the shard's revision and the token.
+    pub fn elect_earlier(&self) -> (u64, u64) {
+        earlier_election(&mut self.store())
+    }
+
     /// Time passes in which nobody does anything.
     pub fn wait(&self, time: Micros) {
         self.clock.fetch_add(time.0, Ordering::SeqCst);
--- a/tests/common/production.rs
+++ b/tests/common/production.rs
@@ -201,22 +201,39 @@
         self.slot_of.get(id).and_then(|&slot| self.slots[slot].items.get(id))
     }
 
-    fn first_dirty(&self) -> Option<usize> {
-        self.slots.iter().position(|s| s.dirty)
+    /// A slot as read back (`learn`, src/packs.rs:127).
+    fn learn(&mut self, slot: &str, mod_revision: u64) {
+        let number = slot.parse::<usize>().ok();
+        if let Some(slot) = number.and_then(|number| self.slots.get_mut(number)) {
+            slot.mod_revision = mod_revision;
+        }
+    }
+
+    /// Numbers of the slots that are to be written.
+    fn dirty(&self) -> impl Iterator<Item = usize> + '_ {
+        self.slots.iter().enumerate().filter(|(_, slot)| slot.dirty).map(|(number, _)| number)
     }
 }
 
-struct Job {
-    mod_revision: u64,
-    tasks: u32,
-    mark: u32,
-    done: BTreeSet<u32>,
-    done_written: BTreeSet<u32>,
-    chunks: BTreeMap<u32, u64>,
+pub(super) struct Job {
+    pub(super) mod_revision: u64,
+    pub(super) tasks: u32,
+    pub(super) mark: u32,
+    pub(super) done: BTreeSet<u32>,
+    pub(super) done_written: BTreeSet<u32>,
+    pub(super) chunks: BTreeMap<u32, u64>,
+}
+
+impl Job {
+    /// Whether all tasks are done (`complete`, src/jobs.rs:324).
+    pub(super) fn is_complete(&self) -> bool {
+        self.done.len() == self.tasks as usize
+    }
 }
 
 /// What a transaction of the production version's owner writes.
-enum Written {
+#[derive(Clone)]
+pub(super) enum Written {
     Machines(usize),
     Marks(usize),
     Done(String, u32),
@@ -224,15 +241,22 @@
     Orphan(String),
 }
 
+/// A write that waits, with what it guards.
+pub(super) struct PendingWrite {
+    pub(super) written: Written,
+    pub(super) guards: Vec<Guard>,
+    pub(super) then: Vec<Change>,
+}
+
 /// A plain model of the production version's owner: how it takes records over and writes them.
 pub struct Owner {
-    part: u64,
-    token: u64,
+    pub(super) part: u64,
+    pub(super) token: u64,
     chunk: u32,
-    jobs: BTreeMap<String, Job>,
+    pub(super) jobs: BTreeMap<String, Job>,
     machines: Packs<MachineRecord>,
     marks: Packs<u32>,
-    orphans: BTreeMap<String, u64>,
+    pub(super) orphans: BTreeMap<String, u64>,
     writing: Option<Written>,
 }
 
@@ -324,6 +348,47 @@
         self.marks.remove(id);
     }
 
+    /// The machines' records.
+    pub(super) fn machine_records(&self) -> impl Iterator<Item = (&String, &MachineRecord)> {
+        self.machines.slots.iter().flat_map(|slot| &slot.items)
+    }
+
+    /// Whether a machine's record is written.
+    pub(super) fn has_enrolled(&self, id: &str) -> bool {
+        self.machines.slot_of.get(id).is_some_and(|&slot| !self.machines.slots[slot].dirty)
+    }
+
+    /// The start mark of a job as it is written.
+    pub(super) fn written_mark(&self, id: &str) -> u32 {
+        let slot = self.marks.slot_of.get(id).map(|&slot| &self.marks.slots[slot]);
+        slot.filter(|slot| !slot.dirty).and_then(|slot| slot.items.get(id).copied()).unwrap_or(0)
+    }
+
+    /// Learns how a key stands after a conflict (`learn`, src/cluster.rs:322).
+    pub(super) fn read_back(&mut self, key: &str, row: Option<&Row>) {
+        let mod_revision = row.map_or(0, |row| row.mod_revision);
+        let parts: Vec<&str> = key.split('/').collect();
+        match parts[..] {
+            ["machines", slot] => self.machines.learn(slot, mod_revision),
+            ["marks", slot] => self.marks.learn(slot, mod_revision),
+            ["done", id, chunk] => {
+                match self.orphans.get_mut(key) {
+                    Some(_) if mod_revision == 0 => drop(self.orphans.remove(key)),
+                    Some(known) => *known = mod_revision,
+                    None => {}
+                }
+                let Some(job) = self.jobs.get_mut(id) else { return };
+                let text = row.map_or(Some(""), |row| row.value.as_str());
+                if let (Ok(chunk), Some(text)) = (chunk.parse(), text) {
+                    job.done.extend(tasks_of_text(text));
+                    job.done_written.extend(tasks_of_text(text));
+                    job.chunks.insert(chunk, mod_revision);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Enrols a machine.
     pub fn enrol(&mut self, id: &str) {
         let addr = "127.0.0.1:9".into();
@@ -355,19 +420,30 @@
 
     /// The next transaction that is to be written, if any.
     pub fn next_write(&mut self) -> Option<Txn> {
-        let (written, guards, then) = self
-            .compose_final()
-            .or_else(|| self.compose_machines())
-            .or_else(|| self.compose_marks())
-            .or_else(|| self.compose_done())
-            .or_else(|| self.compose_orphan())?;
+        let PendingWrite { written, guards, then } = self.pending().into_iter().next()?;
         self.writing = Some(written);
         let part = Guard { key: "part/0".into(), mod_revision: self.part };
         Some(Txn { guards: [vec![part], guards].concat(), then })
     }
 
-    fn compose_final(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
-        let (id, job) = self.jobs.iter().find(|(_, job)| job.done.len() == job.tasks as usize)?;
+    /// All that waits to be written, the most urgent first (`Fleet::pending`, src/fleet.rs:2116).
+    pub(super) fn pending(&self) -> Vec<PendingWrite> {
+        let complete = self.jobs.iter().filter(|(_, job)| job.is_complete());
+        let finals = complete.map(|(id, job)| self.compose_final(id, job));
+        let machines = self.machines.dirty().map(|number| self.compose_machines(number));
+        let marks = self.marks.dirty().map(|number| self.compose_marks(number));
+        // A job of which all tasks are done has its end written, and no done ranges.
+        let unfinished = self.jobs.iter().filter(|(_, job)| !job.is_complete());
+        let done = unfinished.flat_map(|(id, job)| {
+            let chunks: BTreeSet<u32> =
+                job.done.difference(&job.done_written).map(|task| task / self.chunk).collect();
+            chunks.into_iter().map(move |chunk| self.compose_done(id, job, chunk))
+        });
+        let orphans = self.orphans.iter().map(|(key, revision)| Self::compose_orphan(key, *revision));
+        finals.chain(machines).chain(marks).chain(done).chain(orphans).collect()
+    }
+
+    fn compose_final(&self, id: &str, job: &Job) -> PendingWrite {
         let (key, over) = (format!("job/{id}"), format!("final/{id}"));
         let guards = vec![
             Guard { key: key.clone(), mod_revision: job.mod_revision },
@@ -376,27 +452,24 @@
         let record = FinalRecord { stage: "done".into(), tasks: job.tasks };
         let mut then = vec![Change::drop(key), Change::put(over, json!(record))];
         then.extend(job.chunks.keys().take(2).map(|chunk| Change::drop(format!("done/{id}/{chunk}"))));
-        Some((Written::Final(id.clone()), guards, then))
+        PendingWrite { written: Written::Final(id.into()), guards, then }
     }
 
-    fn compose_machines(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
-        let number = self.machines.first_dirty()?;
+    fn compose_machines(&self, number: usize) -> PendingWrite {
         let (key, slot) = (format!("machines/{number}"), &self.machines.slots[number]);
         let guards = vec![Guard { key: key.clone(), mod_revision: slot.mod_revision }];
-        Some((Written::Machines(number), guards, vec![Change::put(key, json!(slot.items))]))
+        let then = vec![Change::put(key, json!(slot.items))];
+        PendingWrite { written: Written::Machines(number), guards, then }
     }
 
-    fn compose_marks(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
-        let number = self.marks.first_dirty()?;
+    fn compose_marks(&self, number: usize) -> PendingWrite {
         let (key, slot) = (format!("marks/{number}"), &self.marks.slots[number]);
         let guards = vec![Guard { key: key.clone(), mod_revision: slot.mod_revision }];
-        Some((Written::Marks(number), guards, vec![Change::put(key, json!(slot.items))]))
+        let then = vec![Change::put(key, json!(slot.items))];
+        PendingWrite { written: Written::Marks(number), guards, then }
     }
 
-    fn compose_done(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
-        let chunk_of = |task: &u32| task / self.chunk;
-        let changed = |job: &Job| job.done.difference(&job.done_written).next().map(chunk_of);
-        let (id, job, chunk) = self.jobs.iter().find_map(|(id, job)| Some((id, job, changed(job)?)))?;
+    fn compose_done(&self, id: &str, job: &Job, chunk: u32) -> PendingWrite {
         let span: BTreeSet<u32> =
             job.done.range(chunk * self.chunk..(chunk + 1) * self.chunk).copied().collect();
         let key = format!("done/{id}/{chunk}");
@@ -406,32 +479,38 @@
             Guard { key: key.clone(), mod_revision },
         ];
         let then = vec![Change::put(key, json!(ranges_text(&span)))];
-        Some((Written::Done(id.clone(), chunk), guards, then))
+        PendingWrite { written: Written::Done(id.into(), chunk), guards, then }
     }
 
-    fn compose_orphan(&self) -> Option<(Written, Vec<Guard>, Vec<Change>)> {
-        let (key, mod_revision) = self.orphans.first_key_value()?;
-        let guards = vec![Guard { key: key.clone(), mod_revision: *mod_revision }];
-        Some((Written::Orphan(key.clone()), guards, vec![Change::drop(key.clone())]))
+    fn compose_orphan(key: &str, mod_revision: u64) -> PendingWrite {
+        let guards = vec![Guard { key: key.into(), mod_revision }];
+        let then = vec![Change::drop(key.to_string())];
+        PendingWrite { written: Written::Orphan(key.into()), guards, then }
     }
 
     /// The latest transaction was executed at a revision.
     pub fn written(&mut self, revision: u64) {
-        match self.writing.take() {
-            Some(Written::Machines(number)) => {
+        if let Some(written) = self.writing.take() {
+            self.apply_written(written, revision);
+        }
+    }
+
+    /// A write was executed at a revision (`Fleet::written`, src/fleet.rs:2150).
+    pub(super) fn apply_written(&mut self, written: Written, revision: u64) {
+        match written {
+            Written::Machines(number) => {
                 let slot = &mut self.machines.slots[number];
                 (slot.mod_revision, slot.dirty) = (revision, false);
             }
-            Some(Written::Marks(number)) => {
+            Written::Marks(number) => {
                 let slot = &mut self.marks.slots[number];
                 (slot.mod_revision, slot.dirty) = (revision, false);
             }
-            Some(Written::Done(id, chunk)) => self.done_written(&id, chunk, revision),
-            Some(Written::Final(id)) => self.job_over(&id),
-            Some(Written::Orphan(key)) => {
+            Written::Done(id, chunk) => self.done_written(&id, chunk, revision),
+            Written::Final(id) => self.job_over(&id),
+            Written::Orphan(key) => {
                 self.orphans.remove(&key);
             }
-            None => {}
         }
     }
 
--- /dev/null
+++ b/tests/common/production_leader.rs
@@ -0,0 +1,322 @@
+//! A leader of the version in production at work: what it reads, starts, halts, forgets, records and ends. How
+//! it takes records over is in `production`, what it writes in `production_writes`. It starts all that the checks of that version let it
+//! start, at once, where the real one plans first. Line numbers are of that version's sources.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use milletlock::time::Steady;
+use milletlock::wire::{ExitReason, Heartbeat, TaskStage, Txn, WorkerCommand};
+
+use super::lending_world::{Machine, World, VALUE_BYTES};
+use super::production::Owner;
+use super::production_api::{read_job, JobDescription};
+use super::types;
+
+/// Tasks that a start mark is written ahead (`start_some`, src/fleet.rs:1234).
+const MARK_AHEAD: u32 = 16;
+/// Bits of an attempt's number below the token (`next_attempt`, src/fleet.rs:1286).
+const COUNTER_BITS: u32 = 24;
+
+/// A job as it knows it.
+pub(super) struct KnownJob {
+    description: JobDescription,
+    /// Tasks below it may be started: written (`Job::high`, src/jobs.rs:277).
+    pub(super) mark: u32,
+    /// The mark as it found it (`Job::inherited`).
+    inherited: u32,
+}
+
+/// A task on a machine (`Entry`, src/fleet.rs:30).
+pub(super) struct Entry {
+    ended: Option<ExitReason>,
+    is_halted: bool,
+    is_known: bool,
+}
+
+/// A machine as it knows it (`Machine`, src/fleet.rs:53).
+pub(super) struct KnownMachine {
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    is_heard: bool,
+    pub(super) is_enrolled: bool,
+    tasks: BTreeMap<(String, u32, u64), Entry>,
+}
+
+/// The leader.
+pub struct ProductionLeader<'a> {
+    pub(super) world: &'a World,
+    pub(super) owner: Owner,
+    pub(super) jobs: BTreeMap<String, KnownJob>,
+    pub(super) machines: BTreeMap<String, KnownMachine>,
+    /// Up to here it has seen all changes of jobs.
+    read_to: u64,
+    counter: u64,
+    /// Whether it still leads as far as it knows.
+    pub leads: bool,
+    /// Transactions of its latest round that were refused.
+    pub refused: Vec<Txn>,
+}
+
+impl<'a> ProductionLeader<'a> {
+    /// Elected by its own transaction, with all records taken over (`rebuild`, src/cluster.rs:134).
+    pub fn elected(world: &'a World) -> ProductionLeader<'a> {
+        let (part, token) = world.elect_earlier();
+        let store = world.store();
+        let owner = Owner::load(part, token, VALUE_BYTES, &store.rows(""));
+        let machines = owner.machine_records().map(|(id, record)| {
+            let machine = KnownMachine {
+                machine_type: record.ty.clone(),
+                zone: record.zone.clone(),
+                spot: record.spot,
+                is_heard: false,
+                is_enrolled: true,
+                tasks: BTreeMap::new(),
+            };
+            (id.clone(), machine)
+        });
+        let machines = machines.collect();
+        let mut leader = ProductionLeader {
+            world,
+            owner,
+            jobs: BTreeMap::new(),
+            machines,
+            read_to: store.revision,
+            counter: 0,
+            leads: true,
+            refused: Vec::new(),
+        };
+        for row in store.rows("job/") {
+            if let Some((_, description)) = read_job(&row.value) {
+                leader.learn_description(description);
+            }
+        }
+        leader
+    }
+
+    fn learn_description(&mut self, description: JobDescription) {
+        let id = description.id.clone();
+        let mark = self.owner.jobs[&id].mark;
+        self.jobs.insert(id, KnownJob { description, mark, inherited: mark });
+    }
+
+    /// Whether it knows the job.
+    pub fn knows(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// The tasks of a job that it counts as done.
+    pub fn done(&self, id: &str) -> BTreeSet<u32> {
+        self.owner.jobs.get(id).map(|job| job.done.clone()).unwrap_or_default()
+    }
+
+    /// One round of all that it does: the machine's heartbeat, the watch of the jobs, its writes.
+    pub fn step(&mut self, machine: &mut Machine) {
+        self.heartbeat(machine);
+        self.watch();
+        self.write_once();
+        self.world.wait(super::lending_world::STEP);
+    }
+
+    /// So many rounds.
+    pub fn steps(&mut self, machine: &mut Machine, count: usize) {
+        (0..count).for_each(|_| self.step(machine));
+    }
+
+    /// Takes in changes of jobs (`take_change`, src/node.rs:1336).
+    pub fn watch(&mut self) {
+        let store = self.world.store();
+        let changes: Vec<_> = store.changes_since(self.read_to).to_vec();
+        self.read_to = store.revision;
+        drop(store);
+        for (revision, key, value) in changes {
+            let Some(id) = key.strip_prefix("job/") else { continue };
+            match value {
+                Some(value) => self.learn_job(&value, revision),
+                None => self.job_over(id),
+            }
+        }
+    }
+
+    /// A new or changed record. Of one that it knows it takes the version and the mark, not the description
+    /// (`job_put`, src/fleet.rs:532).
+    pub(super) fn learn_job(&mut self, value: &serde_json::Value, revision: u64) {
+        let Some((record, description)) = read_job(value) else { return };
+        let Some(known) = self.owner.jobs.get_mut(&description.id) else {
+            self.owner.job_put(&record, revision);
+            self.learn_description(description);
+            return;
+        };
+        if revision > known.mod_revision {
+            known.mod_revision = revision;
+            known.mark = known.mark.max(record.high);
+            let job = self.jobs.get_mut(&description.id).expect("known");
+            job.mark = job.mark.max(record.high);
+        }
+    }
+
+    /// A job's record is gone: its tasks are halted (`job_over`, src/fleet.rs:707).
+    pub(super) fn job_over(&mut self, id: &str) {
+        self.owner.job_over(id);
+        self.jobs.remove(id);
+        for machine in self.machines.values_mut() {
+            machine
+                .tasks
+                .iter_mut()
+                .filter(|(key, _)| key.0 == id)
+                .for_each(|(_, entry)| entry.is_halted = true);
+        }
+    }
+
+    /// A heartbeat and its reply, if it gives one (`check_in`, src/fleet.rs:837).
+    pub fn heartbeat(&mut self, machine: &mut Machine) -> bool {
+        let message = machine.state.heartbeat();
+        if message.fencing_token > self.owner.token {
+            self.leads = false;
+        }
+        // Nothing is started on a machine without a record.
+        let is_late = !self.machines.contains_key(&message.machine) && !message.tasks.is_empty();
+        if !self.leads || is_late {
+            return false;
+        }
+        self.take_heartbeat(&message);
+        let commands = self.commands(&message.machine);
+        machine.state.accept_reply(self.owner.token, Steady(0));
+        commands.iter().for_each(|command| machine.execute(command));
+        true
+    }
+
+    fn take_heartbeat(&mut self, message: &Heartbeat) {
+        let id = &message.machine;
+        if !self.machines.contains_key(id) {
+            self.owner.enrol(id);
+        }
+        let machine = self.machines.entry(id.clone()).or_insert_with(|| KnownMachine {
+            machine_type: message.machine_type.clone(),
+            zone: message.zone.clone(),
+            spot: message.spot,
+            is_heard: true,
+            is_enrolled: false,
+            tasks: BTreeMap::new(),
+        });
+        machine.is_heard |= message.fencing_token == self.owner.token;
+        let key = |task: &str, attempt| {
+            let (job, number) = milletlock::jobs::split_task(task).expect("a task");
+            (job.to_string(), number, attempt)
+        };
+        // What is not listed is not there (`take_report`, src/fleet.rs:921).
+        let listed: BTreeSet<_> = message.tasks.iter().map(|task| key(&task.task, task.attempt)).collect();
+        machine.tasks.retain(|key, _| listed.contains(key));
+        for task in &message.tasks {
+            let key = key(&task.task, task.attempt);
+            let is_known = self.jobs.contains_key(&key.0);
+            let entry =
+                machine.tasks.entry(key.clone()).or_insert(Entry { ended: None, is_halted: false, is_known });
+            entry.is_known = is_known;
+            // The job is over, or was never known (`take_task`, src/fleet.rs:1049).
+            entry.is_halted |= !is_known;
+            if task.stage == TaskStage::Exited && entry.ended.is_none() {
+                let reason = task.exit_reason.unwrap_or(ExitReason::Other);
+                entry.ended = Some(reason);
+                if reason == ExitReason::Done {
+                    self.owner.done(&key.0, key.1);
+                }
+            }
+        }
+    }
+
+    /// What it answers a machine (`orders`, src/fleet.rs:1130).
+    fn commands(&mut self, id: &str) -> Vec<WorkerCommand> {
+        let mut commands = Vec::new();
+        for ((job, number, attempt), entry) in &self.machines[id].tasks {
+            let (task, attempt) = (format!("{job}/{number}"), *attempt);
+            match entry.ended {
+                Some(reason) => {
+                    let known = self.owner.jobs.get(job).filter(|_| reason == ExitReason::Done);
+                    if known.is_none_or(|job| job.done_written.contains(number)) {
+                        commands.push(WorkerCommand::Forget { task, attempt });
+                    }
+                }
+                None if entry.is_halted => commands.push(WorkerCommand::Halt { task, attempt, grace_s: 0.0 }),
+                None => {}
+            }
+        }
+        let jobs: Vec<String> = self.jobs.keys().cloned().collect();
+        jobs.iter().for_each(|job| commands.extend(self.start_some(job, id)));
+        commands
+    }
+
+    /// Starts what may start of a job, and asks for a start mark for the rest (`start_some`, src/fleet.rs:1228).
+    fn start_some(&mut self, job: &str, id: &str) -> Vec<WorkerCommand> {
+        let waiting: Vec<u32> =
+            self.waiting(job).into_iter().filter(|task| self.may_start(job, *task, id)).collect();
+        let mut commands = Vec::new();
+        for number in waiting {
+            let mark = self.jobs[job].mark;
+            if number >= mark {
+                let tasks = self.jobs[job].description.tasks;
+                self.owner.raise(job, (number + 1 + MARK_AHEAD).min(tasks));
+                return commands;
+            }
+            if !self.has_room(job, id) {
+                return commands;
+            }
+            self.counter += 1;
+            let attempt = (self.owner.token << COUNTER_BITS) | self.counter;
+            let entry = Entry { ended: None, is_halted: false, is_known: true };
+            let machine = self.machines.get_mut(id).expect("a machine");
+            machine.tasks.insert((job.into(), number, attempt), entry);
+            commands.push(WorkerCommand::Start { task: format!("{job}/{number}"), attempt });
+        }
+        commands
+    }
+
+    /// Tasks of a job that are neither done nor anywhere.
+    fn waiting(&self, id: &str) -> Vec<u32> {
+        let job = &self.owner.jobs[id];
+        let is_live = |task: &u32| {
+            let mut entries = self.machines.values().flat_map(|machine| &machine.tasks);
+            entries.any(|(key, entry)| key.0 == id && key.1 == *task && entry.ended.is_none())
+        };
+        (0..job.tasks).filter(|task| !job.done.contains(task) && !is_live(task)).collect()
+    }
+
+    /// Whether a waiting task of a job may start on a machine, but for its start mark and the room there
+    /// (`may_start`, src/fleet.rs:1292).
+    pub fn may_start(&self, job: &str, number: u32, id: &str) -> bool {
+        let (Some(known), Some(machine)) = (self.jobs.get(job), self.machines.get(id)) else { return false };
+        let description = &known.description;
+        // A task of a job that is not known takes an unknown share (`unknown_use`, src/fleet.rs:157).
+        let has_unknown = machine.tasks.values().any(|entry| entry.ended.is_none() && !entry.is_known);
+        let is_usable = machine.is_heard && machine.is_enrolled && !has_unknown;
+        // While some machine is silent, only what cannot be on it (`startable_blind`, src/fleet.rs:1331).
+        let is_visible = number >= known.inherited || !self.is_hidden(description);
+        is_usable && is_visible && allows(description, machine)
+    }
+
+    /// Whether started tasks of a job may be on a machine that is not heard (`hidden`, src/fleet.rs:812).
+    fn is_hidden(&self, description: &JobDescription) -> bool {
+        self.machines.values().any(|machine| !machine.is_heard && allows(description, machine))
+    }
+
+    /// Whether a machine has room for one more task of a job.
+    fn has_room(&self, job: &str, id: &str) -> bool {
+        let machine = &self.machines[id];
+        let live = machine.tasks.iter().filter(|(_, entry)| entry.ended.is_none());
+        let cpus_of = |id: &String| self.jobs.get(id).map_or(0.0, |job| job.description.cpus);
+        let used: f64 = live.map(|(key, _)| cpus_of(&key.0)).sum();
+        let types = types();
+        let found = types.iter().find(|known| known.name == machine.machine_type);
+        found.is_some_and(|known| used + self.jobs[job].description.cpus <= known.cpus)
+    }
+}
+
+/// Whether a job's description lets its tasks run on a machine (`allowed_types`, src/fleet.rs:2382, and the checks of
+/// zone and kind in `may_start`).
+fn allows(description: &JobDescription, machine: &KnownMachine) -> bool {
+    let fits =
+        types().iter().any(|known| known.name == machine.machine_type && known.cpus >= description.cpus);
+    fits && description.types.as_ref().is_none_or(|types| types.contains(&machine.machine_type))
+        && description.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
+        && (!machine.spot || description.spot.unwrap_or(false))
+}
