Tests: lost, late and repeated writes of a job with loans

A state store that loses transactions or their answers, or carries them out late, for each write of a job's record: lend, settle, close, write off, cancel, end.

--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -20,9 +20,10 @@
 use milletlock_cells::{LoanAction, LoanItem, LoanNumber, LoanReport, LoanState, LoanSyncRequest, TaskSet};
 use serde_json::{json, Value};
 
-use super::servers::{cloud, serve};
+use super::servers::{cloud, serve_some};
 use super::state_store_server::{read_response, transaction, transaction_response};
 use super::store::Store;
+use super::store_faults::StoreFaults;
 use super::worker::{Attempt, Task, WorkerState};
 use super::{platform_json, production, spec};
 
@@ -173,6 +174,7 @@
     borrower: Arc<Mutex<Borrower>>,
     /// Whether the state store refuses what writes copies of lent jobs' progress.
     pub refuses_copies: Arc<AtomicBool>,
+    faults: Arc<Mutex<StoreFaults>>,
 }
 
 impl World {
@@ -181,22 +183,24 @@
         let served = store.clone();
         let refuses_copies: Arc<AtomicBool> = Arc::default();
         let refuses = refuses_copies.clone();
-        let state = serve(move |request| {
+        let faults: Arc<Mutex<StoreFaults>> = Arc::default();
+        let served_faults = faults.clone();
+        let state = serve_some(move |request| {
             let mut store = served.lock().expect("the store");
-            match (request.method.as_str(), request.path.split('?').next().unwrap_or("")) {
+            Some(match (request.method.as_str(), request.path.split('?').next().unwrap_or("")) {
                 ("POST", "/leases") => Response::json(200, &json!({ "tenure": 1 })),
                 ("POST", "/txn") => {
                     let txn = transaction(&request);
                     let writes_copy = txn.then.iter().any(|change| change.key().starts_with("lent/"));
                     if writes_copy && refuses.load(Ordering::SeqCst) {
-                        return Response::error(503, "refused");
+                        return Some(Response::error(503, "refused"));
                     }
-                    let result = store.txn(&txn);
+                    let result = served_faults.lock().expect("the faults").execute(&mut store, &txn)?;
                     transaction_response(&store, result)
                 }
                 ("GET", _) => read_response(&store, &request),
                 _ => Response::json(200, &json!({})),
-            }
+            })
         });
         World {
             store,
@@ -205,9 +209,15 @@
             clock: Arc::new(AtomicI64::new(1_000_000_000)),
             borrower: Arc::default(),
             refuses_copies,
+            faults,
         }
     }
 
+    /// What becomes of writes of the job's record.
+    pub fn faults(&self) -> MutexGuard<'_, StoreFaults> {
+        self.faults.lock().expect("the faults")
+    }
+
     pub fn store(&self) -> MutexGuard<'_, Store> {
         self.store.lock().expect("the store")
     }
@@ -386,6 +396,13 @@
         (response.status, serde_json::from_slice(&response.body).unwrap_or(Value::Null))
     }
 
+    /// An operator has the loans of the other cell written off; the status code.
+    pub fn write_off(&self) -> u16 {
+        let request =
+            Request { method: "POST".into(), path: "/cells/write-off/there".into(), body: Vec::new() };
+        self.controller.answer(&request, RequestOrigin::Peer).status
+    }
+
     pub fn submit(&self) {
         assert_eq!(self.ask("POST", "/api/jobs", &json!(spec(1, TASKS, "batch"))).0, 201);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,6 +17,7 @@
 pub mod simulated_controller;
 pub mod state_store_server;
 pub mod store;
+pub mod store_faults;
 pub mod worker;
 
 use std::sync::Arc;
--- a/tests/common/production_api.rs
+++ b/tests/common/production_api.rs
@@ -158,6 +158,16 @@
     }
 }
 
+impl Store {
+    /// What a controller of that version writes for a cancellation, by the job's live record as it stands; none: it
+    /// cannot read that.
+    pub fn production_cancellation(&self, id: &str) -> Option<Txn> {
+        let row = self.row(&format!("job/{id}"))?;
+        let (_, JobDescription { tasks, .. }) = read_job(&row.value)?;
+        Some(cancellation(id, row.mod_revision, &FinalRecord { stage: "cancelled".into(), tasks }))
+    }
+}
+
 /// The transaction of a cancellation (src/api.rs:215).
 fn cancellation(id: &str, mod_revision: u64, over: &FinalRecord) -> Txn {
     let (live, ended) = (format!("job/{id}"), format!("final/{id}"));
--- a/tests/common/store.rs
+++ b/tests/common/store.rs
@@ -17,6 +17,9 @@
     pub revision: u64,
     /// All changes, with the value where one was put.
     pub log: Vec<(u64, String, Option<Value>)>,
+    /// Whether it keeps the transactions that it executes.
+    pub keeps_executed: bool,
+    pub executed: Vec<Txn>,
 }
 
 impl Store {
@@ -31,6 +34,9 @@
         if !failed.is_empty() {
             return Err(failed);
         }
+        if self.keeps_executed {
+            self.executed.push(t.clone());
+        }
         self.revision += 1;
         for c in &t.then {
             match c {
@@ -48,6 +54,12 @@
         Ok(self.revision)
     }
 
+    /// The executed transactions of which a late copy would be executed once more.
+    pub fn repeatable(&self) -> Vec<&Txn> {
+        let holds = |guard: &Guard| self.mod_revision(&guard.key) == guard.mod_revision;
+        self.executed.iter().filter(|txn| txn.guards.iter().all(holds)).collect()
+    }
+
     /// A key's version; 0: it does not exist.
     pub fn mod_revision(&self, key: &str) -> u64 {
         self.keys.get(key).map_or(0, |k| k.1)
--- /dev/null
+++ b/tests/held_job_writes.rs
@@ -0,0 +1,267 @@
+//! The writes that lend tasks of a job, settle, cancel, end and write off: what an answer that is lost, a write that
+//! is lost and one that comes late do, and what is left under `final/`. The records are those that leaders of this
+//! version write.
+
+mod common;
+
+use common::leader_without_copies::TO_THE_END;
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
+use common::production_api::{read_final_record, CancelAnswer, ProductionApi};
+use common::production_leader::ProductionLeader;
+use common::store_faults::Fate;
+use milletlock::wire::Txn;
+use serde_json::Value;
+
+/// Writes of a job's record, in the order of a job's life.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Lend,
+    Settle,
+    CloseLastLoan,
+    WriteOff,
+    Cancel,
+    EndCancelled,
+    EndDone,
+}
+
+const STEPS: [Step; 7] = [
+    Step::Lend,
+    Step::Settle,
+    Step::CloseLastLoan,
+    Step::WriteOff,
+    Step::Cancel,
+    Step::EndCancelled,
+    Step::EndDone,
+];
+
+const FATES: [Fate; 3] = [Fate::AnswerLost, Fate::Lost, Fate::Late];
+
+fn cancel(leader: &Leader<'_>) -> u16 {
+    leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0
+}
+
+/// The borrower holds all that is lent to it, and takes nothing more.
+fn borrow_no_more(world: &World, leader: &mut Leader<'_>) {
+    world.borrower().is_full = true;
+    leader.lend();
+}
+
+/// A cell in which the next write of a job's record is the one of a step.
+fn world_before(step: Step) -> (World, Machine) {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    world.store().keeps_executed = true;
+    let mut leader = world.leader();
+    leader.submit();
+    leader.steps(&mut machine, SETTLED);
+    if step != Step::Lend {
+        leader.lend_some(&mut machine);
+        leader.steps(&mut machine, SETTLED);
+        machine.finish_one();
+        leader.steps(&mut machine, SETTLED);
+        borrow_no_more(&world, &mut leader);
+    }
+    if step == Step::EndCancelled {
+        world.borrower().is_cut_off = true;
+        assert_eq!(cancel(&leader), 503);
+        world.borrower().is_cut_off = false;
+    }
+    if step == Step::EndDone {
+        all_done_but_not_ended(&world, &mut leader, &mut machine);
+    }
+    (world, machine)
+}
+
+/// All tasks but those that run last are done, with a loan open.
+fn all_done_but_not_ended(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
+    let held = world.borrower().tasks();
+    for _ in 0..TO_THE_END {
+        leader.step(machine);
+        let recorded = world.recorded_done().len() as u32;
+        if recorded + held.len() + machine.running().len() as u32 == TASKS {
+            break;
+        }
+        machine.finish_all();
+    }
+    world.borrower().done = held;
+    leader.lend();
+    world.borrower().is_cut_off = true;
+    leader.steps(machine, SETTLED);
+    machine.finish_all();
+}
+
+/// A new leader that is about to take a step.
+fn leader_before<'a>(step: Step, world: &'a World, machine: &mut Machine) -> Leader<'a> {
+    let mut leader = world.leader();
+    if step != Step::EndDone {
+        leader.steps(machine, 1);
+    }
+    leader
+}
+
+/// Takes a step, whatever becomes of its write.
+fn take(step: Step, world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
+    match step {
+        Step::Lend => leader.lend(),
+        Step::Settle => {
+            let held = world.borrower().tasks();
+            world.borrower().gives_back = held.iter().take(2).collect();
+            leader.lend();
+        }
+        Step::CloseLastLoan => {
+            world.borrower().give_back_unfinished();
+            leader.lend();
+        }
+        Step::WriteOff => {
+            world.borrower().is_cut_off = true;
+            leader.write_off();
+        }
+        Step::Cancel => {
+            world.borrower().is_cut_off = true;
+            cancel(leader);
+        }
+        Step::EndCancelled => leader.lend(),
+        Step::EndDone => leader.steps(machine, 1),
+    }
+}
+
+fn job_row(world: &World) -> Option<Value> {
+    world.store().row(&format!("job/{JOB}")).map(|row| row.value)
+}
+
+fn final_row(world: &World) -> Option<Value> {
+    world.store().row(&format!("final/{JOB}")).map(|row| row.value)
+}
+
+fn has_loans(world: &World) -> bool {
+    job_row(world).is_some_and(|record| record.get("lending").is_some())
+}
+
+/// A job that is live has no final record, one without loans nothing under `final/`, and one that has ended nothing
+/// else. No late copy of a write would be carried out.
+fn assert_consistent(world: &World, context: &str) {
+    let over = final_row(world);
+    let is_final = over.as_ref().is_some_and(|value| read_final_record(value).is_some());
+    match job_row(world) {
+        Some(_) if has_loans(world) => assert!(!is_final, "{context}: {over:?}"),
+        Some(_) => assert_eq!(over, None, "{context}: without loans"),
+        None => assert!(over.is_none() || is_final, "{context}: {over:?} of no live job"),
+    }
+    let store = world.store();
+    let of_job = |txn: &&&Txn| txn.then.iter().any(|change| change.key().contains(JOB));
+    let repeatable: Vec<_> = store.repeatable();
+    let repeatable: Vec<_> = repeatable.iter().filter(of_job).collect();
+    assert!(repeatable.is_empty(), "{context}: a late copy is carried out: {repeatable:?}");
+}
+
+/// Plays on until the job has ended, by a leader that goes on or by the next one.
+fn play_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine, context: &str) {
+    world.borrower().is_cut_off = false;
+    for _ in 0..TO_THE_END {
+        machine.finish_all();
+        let held = world.borrower().tasks();
+        world.borrower().done = held;
+        leader.lend();
+        leader.step(machine);
+        assert_consistent(world, context);
+        if job_row(world).is_none() {
+            break;
+        }
+    }
+    leader.steps(machine, 2 * SETTLED);
+    let store = world.store();
+    let left: Vec<&String> = store.keys.keys().filter(|key| key.contains(JOB)).collect();
+    assert_eq!(left, [&format!("final/{JOB}")], "{context}");
+}
+
+fn assert_none_ran_twice(machine: &Machine, context: &str) {
+    let twice: Vec<_> = machine.started.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(twice.is_empty(), "{context}: started more than once: {twice:?}");
+}
+
+/// Guards against a write that does harm when its answer is lost, when it is lost, or when it comes late.
+#[test]
+fn a_write_without_an_answer_does_no_harm() {
+    for step in STEPS {
+        for fate in FATES {
+            for is_replaced in [false, true] {
+                let context = format!("{step:?}, {fate:?}, leader replaced: {is_replaced}");
+                let (world, mut machine) = world_before(step);
+                let mut leader = leader_before(step, &world, &mut machine);
+                world.faults().next = [fate].into();
+                take(step, &world, &mut leader, &mut machine);
+                assert!(world.faults().next.is_empty(), "{context}: nothing was written");
+                assert_consistent(&world, &context);
+                if is_replaced {
+                    leader = world.leader();
+                }
+                play_to_the_end(&world, &mut leader, &mut machine, &context);
+                assert_none_ran_twice(&machine, &context);
+                let is_cancelled = matches!(step, Step::Cancel | Step::EndCancelled);
+                let stage = final_row(&world).expect("ended")["stage"].clone();
+                assert_eq!(stage == "cancelled", is_cancelled, "{context}: {stage}");
+            }
+        }
+    }
+}
+
+/// Guards against late copies that are carried out, and a placeholder that outlasts what it stands for.
+#[test]
+fn each_write_leaves_consistent_records_and_no_late_copy_applies() {
+    for step in STEPS {
+        let context = format!("{step:?}");
+        let (world, mut machine) = world_before(step);
+        assert_consistent(&world, &context);
+        let mut leader = leader_before(step, &world, &mut machine);
+        take(step, &world, &mut leader, &mut machine);
+        assert_consistent(&world, &context);
+        let is_held = matches!(step, Step::Lend | Step::Settle | Step::Cancel);
+        assert_eq!(has_loans(&world), is_held, "{context}: {:?}", job_row(&world));
+        let answer = ProductionApi::default().cancel(&mut world.store(), JOB);
+        let is_refused = answer == CancelAnswer::Refused;
+        assert_eq!(is_refused, is_held, "{context}: the earlier version answers {answer:?}");
+    }
+}
+
+/// Guards against a cancellation of the earlier version that comes late, once the loans are closed.
+#[test]
+fn a_refused_cancellation_of_the_earlier_version_does_not_apply_later() {
+    let (world, mut machine) = world_before(Step::CloseLastLoan);
+    let late = world.store().production_cancellation(JOB);
+    let is_refused = || late.as_ref().is_none_or(|txn| world.store().txn(txn).is_err());
+    let mut leader = world.leader();
+    leader.steps(&mut machine, 1);
+    assert!(is_refused(), "a loan is open");
+    take(Step::CloseLastLoan, &world, &mut leader, &mut machine);
+    assert!(!has_loans(&world));
+    assert!(is_refused(), "the job has changed since");
+}
+
+/// Guards against a cancellation that is confirmed by one version and not by the other.
+#[test]
+fn a_cancellation_beside_the_earlier_leader_takes_effect_under_this_version() {
+    let (world, mut machine) = world_before(Step::Cancel);
+    let follower = world.follower();
+    let (started, running) = (machine.started.clone(), machine.running());
+    assert!(!running.is_empty());
+    let mut earlier = ProductionLeader::elected(&world);
+    earlier.steps(&mut machine, SETTLED);
+    let mut users = ProductionApi::default();
+    assert_eq!(users.cancel(&mut world.store(), JOB), CancelAnswer::Refused);
+    world.borrower().is_cut_off = true;
+    assert_eq!(cancel(&follower), 503);
+    assert_eq!(job_row(&world).expect("live")["lending"]["cancelling"], true);
+    earlier.steps(&mut machine, SETTLED);
+    assert_eq!(users.cancel(&mut world.store(), JOB), CancelAnswer::Refused);
+    assert_eq!(machine.running(), running, "it runs on, since nothing was confirmed");
+    let mut leader = world.leader();
+    world.borrower().is_cut_off = false;
+    for _ in 0..SETTLED {
+        leader.lend();
+        leader.step(&mut machine);
+    }
+    assert_eq!(cancel(&leader), 200);
+    assert_eq!(final_row(&world).expect("ended")["stage"], "cancelled");
+    leader.steps(&mut machine, SETTLED);
+    assert!(machine.running().is_empty() && machine.started == started);
+    assert_eq!(users.cancel(&mut world.store(), JOB), CancelAnswer::AlreadyOver("cancelled".into()));
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -138,7 +138,7 @@
 fn store_of(rows: Vec<Row>) -> Store {
     let revision = rows.iter().map(|row| row.mod_revision).max().unwrap_or(0);
     let keys = rows.into_iter().map(|row| (row.key, (row.value, row.mod_revision))).collect();
-    Store { keys, revision, log: Vec::new() }
+    Store { keys, revision, ..Store::default() }
 }
 
 /// What transactions put.
