An earlier version finds jobs with loans, and holds them

Symptom: tasks of a job are lent, a version before 0.3 leads for a while (a rollout taken back). It removes the job's done ranges, forgets its start mark, halts its running tasks and has their results forgotten; users are told `queued` with nothing done.

Cause: that version counts everything of a job as left over that is not in its table of jobs, and a record that it cannot decode is not (load, inherit_done, inherit_marks, take_task there). Records of jobs with loans were unreadable to it on purpose, so that it starts, cancels and ends nothing of them.

Change: while tasks are lent the record has two descriptions. `spec`, which versions before 0.3 read, allows no machine type, so nothing starts, and has one task more than there is, so the job is never complete: a refused end would hold up the urgent writes that such a version puts into the same transaction. `spec_of_lent` is the job's own. A placeholder under `final/<id>`, no final record, is written and removed with the record and always has its revision; each cancellation of such a version guards that key as absent. 0.3.0 to 0.3.2 cannot read the record ("duplicate field"), so nothing is lent, and no record of theirs rewritten, before all controllers of the cell report 0.3.3. The status counts `hidden_records`, those still in their form.

--- a/src/api/cancellation.rs
+++ b/src/api/cancellation.rs
@@ -1,15 +1,13 @@
 //! Cancellation of jobs.
 
-use serde_json::json;
-
 use super::lookup::{look_up, JobLookup};
 use super::responses::{no_such_job, record_unreadable, retry_later, stage_response, TRY_AGAIN};
 use super::{JobsBackend, StoredFinal};
 use crate::http::Response;
-use crate::keys::{final_key, job_key};
+use crate::job_changes::StoredJob;
 use crate::records::{FinalRecord, JobRecord};
 use crate::state::{RequestPriority, StateStoreError, TxnOutcome};
-use crate::wire::{is_job_id, Change, Guard, Stage, Txn};
+use crate::wire::{is_job_id, Stage, Txn};
 
 /// How often a cancellation is tried within one request when the job's record changes meanwhile.
 const CANCEL_ATTEMPTS: usize = 6;
@@ -54,10 +52,7 @@
     mod_revision: u64,
 ) -> Result<Option<Response>, StateStoreError> {
     let cancelled = FinalRecord { stage: Stage::Cancelled, tasks: record.spec.tasks };
-    let txn = Txn {
-        guards: live_job_guards(id, mod_revision),
-        then: vec![Change::drop(job_key(id)), Change::put(final_key(id), json!(cancelled))],
-    };
+    let txn = StoredJob::new(record, mod_revision).end(cancelled);
     let Some(revision) = commit(backend, &txn)? else { return Ok(None) };
     backend.cancellation_confirmed(id, StoredFinal { record: cancelled, revision });
     Ok(Some(stage_response(id, Stage::Cancelled)))
@@ -73,22 +68,15 @@
 ) -> Result<Option<Response>, StateStoreError> {
     if !record.lending.cancelling {
         let id = record.spec.id.clone();
+        let has_placeholder = record.has_placeholder();
         record.lending.cancelling = true;
-        let txn = Txn {
-            guards: live_job_guards(&id, mod_revision),
-            then: vec![Change::put(job_key(&id), json!(record))],
-        };
+        let txn = StoredJob { id: &id, mod_revision, has_placeholder }.replace(&record);
         let Some(revision) = commit(backend, &txn)? else { return Ok(None) };
         backend.job_written(&id, record, revision);
     }
     Ok(Some(retry_later("other cells hold tasks of the job and are being told")))
 }
 
-/// The guards of a change to a live job that was read at `mod_revision`.
-fn live_job_guards(id: &str, mod_revision: u64) -> Vec<Guard> {
-    vec![Guard { key: job_key(id), mod_revision }, Guard::must_not_exist(final_key(id))]
-}
-
 /// Executes a transaction; returns its revision, or `None` if its guards failed (the leader wrote in
 /// between) or its outcome is not known.
 fn commit(backend: &dyn JobsBackend, txn: &Txn) -> Result<Option<u64>, StateStoreError> {
--- a/src/api/lookup.rs
+++ b/src/api/lookup.rs
@@ -1,8 +1,5 @@
 //! The status of jobs: looks up what the state store holds of a job, and answers status requests.
 
-use serde::de::DeserializeOwned;
-use serde_json::Value;
-
 use super::responses::{no_such_job, record_unreadable};
 use super::{JobsBackend, StoredFinal};
 use crate::http::{status, Response};
@@ -43,17 +40,30 @@
 
 /// Reads a job's final record, and remembers it; none if the job has not ended or was never accepted.
 fn read_final(backend: &dyn JobsBackend, id: &str) -> Result<Option<StoredFinal>, StateStoreError> {
-    let Some(row) = backend.state().get(&final_key(id), RequestPriority::User)? else { return Ok(None) };
-    let record: FinalRecord = parse_record(row.value)?;
+    let key = final_key(id);
+    let Some(row) = backend.state().get(&key, RequestPriority::User)? else { return Ok(None) };
+    let record: FinalRecord = match serde_json::from_value(row.value) {
+        Ok(record) => record,
+        Err(error) => return Err(no_final_record(backend, id, &key, &error)?),
+    };
     // Written once, in the transaction that removed the live record.
     let ended = StoredFinal { record, revision: row.mod_revision };
     backend.learn_final(id, ended);
     Ok(Some(ended))
 }
 
-/// Decodes a stored record; [`StateStoreError::Malformed`] if that fails.
-fn parse_record<T: DeserializeOwned>(value: Value) -> Result<T, StateStoreError> {
-    serde_json::from_value(value).map_err(|e| StateStoreError::Malformed(e.to_string()))
+/// The error of a final record that cannot be decoded. A placeholder of a live job is none; the job has been
+/// accepted and lent since its record was looked for.
+fn no_final_record(
+    backend: &dyn JobsBackend,
+    id: &str,
+    key: &str,
+    error: &serde_json::Error,
+) -> Result<StateStoreError, StateStoreError> {
+    if backend.state().get(&job_key(id), RequestPriority::User)?.is_none() {
+        backend.note_unreadable(key, error);
+    }
+    Ok(StateStoreError::Malformed(error.to_string()))
 }
 
 /// The status of a live job: its task counts.
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -46,6 +46,8 @@
     fn known_final(&self, id: &str) -> Option<StoredFinal>;
     /// Remembers a final record read from the state store; final records never change.
     fn learn_final(&self, id: &str, ended: StoredFinal);
+    /// Logs that a record cannot be read, and lists it in the leader's status.
+    fn note_unreadable(&self, key: &str, error: &dyn std::fmt::Display);
     /// Task counts of a live job, for display.
     fn counts(&self, id: &str) -> JobProgress;
     /// The machine types, once known; until then no submission can be decided.
--- a/src/api/submission.rs
+++ b/src/api/submission.rs
@@ -1,6 +1,5 @@
 //! Submission of jobs. A repeat of an accepted submission is answered with the job's status.
 
-use milletlock_cells::Lending;
 use serde_json::{json, Value};
 
 use super::lookup::stored_status;
@@ -31,7 +30,7 @@
             Response::error(status::UNPROCESSABLE_CONTENT, &reason.to_string()),
         );
     }
-    let record = JobRecord { spec, submitted_us: wall().0, start_mark: 0, lending: Lending::default() };
+    let record = JobRecord::new(spec, wall().0);
     let value = json!(record);
     if value.to_string().len() > config.value_bytes() {
         let refusal = Response::error(status::BAD_REQUEST, "the description is too long");
--- a/src/controller/cells_status.rs
+++ b/src/controller/cells_status.rs
@@ -44,7 +44,11 @@
         self.config.operator.cells.as_ref()?;
         let jobs = || leadership.fleet.jobs.values().filter(|job| !job.ended && job.has_loans());
         let without_copies = jobs().filter(|job| job.lacks_copies()).count();
-        Some(LentProgressStatus { jobs: jobs().count() as u32, without_copies: without_copies as u32 })
+        Some(LentProgressStatus {
+            jobs: jobs().count() as u32,
+            without_copies: without_copies as u32,
+            hidden_records: leadership.fleet.hidden_records() as u32,
+        })
     }
 
     /// Writes off all loans with a cell that is lost for good, as an operator decided: tasks that are not
--- a/src/controller/lending.rs
+++ b/src/controller/lending.rs
@@ -6,7 +6,7 @@
 use super::loan_writes::LoanOutcome;
 use super::other_cells::CellExchangeError;
 use super::progress_keeper::ProgressKeeper;
-use super::versions::keeps_progress_copies;
+use super::versions::reads_held_records;
 use super::{Controller, Leadership, SharedState};
 use crate::config::{CellsSettings, OtherCell};
 use crate::fleet::{Fleet, LoanWrite};
@@ -24,6 +24,9 @@
 const RECALL_BACKLOG_S: f64 = 0.5;
 /// Most open loans with one cell: half of what a message may name.
 const MAX_OPEN_LOANS: usize = MAX_LOANS / 2;
+/// Most records that a round rewrites, two changes each.
+const MAX_HOLDS_PER_ROUND: usize = 8;
+
 /// A message that was sent to another cell.
 struct CellExchange<'a> {
     cell: &'a OtherCell,
@@ -67,6 +70,7 @@
         };
         let wants_to_lend = policy.threshold.update(backlog_s, self.config.operator.drain_s);
         self.retry_loan_writes(fencing_token);
+        self.hold_hidden_records(fencing_token);
         for exchange in self.send_loan_requests(cells, fencing_token, backlog_s) {
             let cell = exchange.cell;
             match exchange.waiting.and_then(PendingReply::wait) {
@@ -169,11 +173,11 @@
     /// The write of a new loan to a cell; none if none is to be made now.
     fn begin_loan(&self, fencing_token: u64, cell: &OtherCell, policy: &LendingPolicy) -> Option<LoanWrite> {
         let mut shared = self.lock();
-        let all_support_loans = self.all_support_loans(&shared);
+        let all_read_held_records = self.all_read_held_records(&shared);
         let summary = shared.other_cells.get(&cell.name).and_then(|state| state.summary().cloned())?;
         let leadership = shared.leadership_with(fencing_token)?;
         let may_act = leadership.store_contact.may_act(self.now());
-        if !all_support_loans || !may_act || has_undecided(leadership, &cell.name) {
+        if !all_read_held_records || !may_act || has_undecided(leadership, &cell.name) {
             return None;
         }
         let fleet = &mut leadership.fleet;
@@ -185,11 +189,32 @@
         fleet.begin_loan(&candidate, count, &cell.name)
     }
 
-    /// Whether all controllers of this cell support loans: an older one would run lent tasks here as well.
-    fn all_support_loans(&self, shared: &SharedState) -> bool {
+    /// Rewrites records of lent jobs that 0.3.0 to 0.3.2 wrote, so that versions before 0.3 find the jobs.
+    fn hold_hidden_records(&self, fencing_token: u64) {
+        for write in self.begin_holds(fencing_token) {
+            let job = write.job().to_string();
+            if self.write_loan(fencing_token, write) == LoanOutcome::Written {
+                tracing::info!(%job, "record of lent job rewritten for versions before 0.3");
+            }
+        }
+    }
+
+    /// The writes of [`Controller::hold_hidden_records`]; none if some controller could not read the records then.
+    fn begin_holds(&self, fencing_token: u64) -> Vec<LoanWrite> {
+        let mut shared = self.lock();
+        let all_read_held_records = self.all_read_held_records(&shared);
+        let Some(leadership) = shared.leadership_with(fencing_token) else { return Vec::new() };
+        if !all_read_held_records || !leadership.store_contact.may_act(self.now()) {
+            return Vec::new();
+        }
+        leadership.fleet.begin_holds(MAX_HOLDS_PER_ROUND)
+    }
+
+    /// Whether all controllers of this cell read the records of lent jobs.
+    fn all_read_held_records(&self, shared: &SharedState) -> bool {
         self.config.platform.members.iter().all(|member| {
             let version = shared.peer_versions.get(&member.label);
-            version.is_some_and(|version| keeps_progress_copies(version))
+            version.is_some_and(|version| reads_held_records(version))
         })
     }
 }
--- a/src/controller/progress_keeper.rs
+++ b/src/controller/progress_keeper.rs
@@ -126,10 +126,14 @@
         })?;
         keeper.copied.retain(|copied| jobs.iter().any(|job| *job.id == **copied));
         let job_count = jobs.len() + unreadable;
+        let hidden_records = jobs.iter().filter(|job| job.is_hidden).count();
         let copied = self.copy_progress_of(jobs, keeper);
         let without_copies = job_count - keeper.copied.len();
-        self.lock().lent_progress =
-            Some(LentProgressStatus { jobs: job_count as u32, without_copies: without_copies as u32 });
+        self.lock().lent_progress = Some(LentProgressStatus {
+            jobs: job_count as u32,
+            without_copies: without_copies as u32,
+            hidden_records: hidden_records as u32,
+        });
         copied
     }
 
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -2,11 +2,13 @@
 //! covers the final stages and task counts that this controller knows, and notices of written and cancelled
 //! jobs to the other controllers.
 
+use std::fmt::Display;
+
 use super::{lock_ignoring_poison, Controller};
 use crate::api::{JobsBackend, StoredFinal};
 use crate::cancellation_notices::Cancellation;
 use crate::config::Config;
-use crate::fleet::JobProgress;
+use crate::fleet::{JobProgress, UnreadableRecord};
 use crate::http::{status, Request, Response};
 use crate::live_jobs::LiveJobs;
 use crate::peer::{JobNews, PeerMessage};
@@ -60,6 +62,13 @@
         self.lock().final_records.insert(id, ended);
     }
 
+    fn note_unreadable(&self, key: &str, error: &dyn Display) {
+        match self.lock().leadership.as_mut() {
+            Some(leadership) => leadership.fleet.note_unreadable(UnreadableRecord::Other, key, error),
+            None => tracing::error!(key, %error, "record unreadable"),
+        }
+    }
+
     fn machine_types(&self) -> Option<Vec<MachineType>> {
         self.lock().machine_types.clone()
     }
--- a/src/controller/versions.rs
+++ b/src/controller/versions.rs
@@ -3,6 +3,9 @@
 /// The first version whose loans lose nothing to a leader without loans: it keeps copies of lent jobs' progress.
 const FIRST_VERSION_WITH_COPIES: ReleaseVersion = ReleaseVersion { major: 0, minor: 3, patch: 1 };
 
+/// The first version that reads records in the held form ([`crate::records::LentForm::Held`]).
+const FIRST_VERSION_WITH_HELD_RECORDS: ReleaseVersion = ReleaseVersion { major: 0, minor: 3, patch: 3 };
+
 /// A release of this program; releases with the same numbers here know the same messages and records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ReleaseVersion {
@@ -25,5 +28,14 @@
 
 /// Whether a controller of a version, as it reports it, keeps copies of lent jobs' progress.
 pub(super) fn keeps_progress_copies(version: &str) -> bool {
-    ReleaseVersion::parse(version).is_some_and(|version| version >= FIRST_VERSION_WITH_COPIES)
+    is_at_least(version, FIRST_VERSION_WITH_COPIES)
+}
+
+/// Whether a controller of a version, as it reports it, reads records in the held form.
+pub(super) fn reads_held_records(version: &str) -> bool {
+    is_at_least(version, FIRST_VERSION_WITH_HELD_RECORDS)
+}
+
+fn is_at_least(version: &str, first: ReleaseVersion) -> bool {
+    ReleaseVersion::parse(version).is_some_and(|version| version >= first)
 }
--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -1,6 +1,6 @@
 //! The borrowing side of loans: the borrowed jobs in this cell, and the writes that change them.
 
-use milletlock_cells::{BorrowedJob, BorrowerChange, Lending, TaskSet};
+use milletlock_cells::{BorrowedJob, BorrowerChange, TaskSet};
 
 use super::loans::{KnownLender, MAX_REMEMBERED};
 use super::{task_resources, Fleet, LoanWrite, TaskKey, UnreadableRecord};
@@ -58,7 +58,7 @@
         wall: Wall,
     ) {
         let spec = JobSpec { priority: Priority::Idle, class: None, deadline_s: None, ..spec };
-        let record = JobRecord { spec, submitted_us: wall.0, start_mark: 0, lending: Lending::default() };
+        let record = JobRecord::new(spec, wall.0);
         let mut job = Job::new(record, mod_revision, now);
         job.borrowed_from = Some(lender);
         let need = task_resources(&job.spec);
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -3,9 +3,10 @@
 use milletlock_cells::{CellSummary, Lending, LendingInputs, Loan, LoanNumber, TaskSet, MAX_TASKS_PER_LOAN};
 
 use super::borrowing::is_array_without_rules;
+use super::loans::LentJob;
 use super::{Fleet, LoanWrite, Machine};
 use crate::jobs::{Job, JobId};
-use crate::records::JobRecord;
+use crate::records::{JobRecord, LentForm};
 use crate::time::Wall;
 use crate::wire::JobSpec;
 
@@ -19,6 +20,9 @@
 /// Most bytes that a lent task takes in a record: five digits and a comma.
 const BYTES_PER_LENT_TASK: usize = 6;
 
+/// How often the lender's record of a job with loans has the job's description.
+const LENDER_DESCRIPTIONS: usize = 2;
+
 /// Tasks of a job that could be lent.
 #[derive(Clone, Debug)]
 pub struct LendingCandidate {
@@ -80,11 +84,17 @@
         self.machines.values().filter(|machine| machine.up && !machine.scaling_in && !machine.lease_expired)
     }
 
-    /// How many more tasks of a job can be lent so that the records of its loans fit a value on both sides,
-    /// however the sets of tasks are split as some are returned. `lent`: the sizes of its open loans.
-    pub(super) fn tasks_that_fit(&self, spec: &JobSpec, lent: impl Iterator<Item = u32>) -> u32 {
+    /// How many more tasks of a job can be lent so that the record of its loans fits a value, however the sets of
+    /// tasks are split as some are returned. `descriptions`: how often the record has the job's description;
+    /// `lent`: the sizes of its open loans.
+    pub(super) fn tasks_that_fit(
+        &self,
+        spec: &JobSpec,
+        descriptions: usize,
+        lent: impl Iterator<Item = u32>,
+    ) -> u32 {
         let description = serde_json::to_string(spec).map_or(usize::MAX, |text| text.len());
-        let taken = lent.fold(description, |bytes, tasks| {
+        let taken = lent.fold(description.saturating_mul(descriptions), |bytes, tasks| {
             bytes.saturating_add(BYTES_PER_LOAN + BYTES_PER_LENT_TASK * tasks as usize)
         });
         let left =
@@ -120,7 +130,7 @@
         let inputs = LendingInputs {
             backlog_s,
             drain_s: self.config.operator.drain_s,
-            lendable: tasks.len().min(self.tasks_that_fit(&job.spec, lent)),
+            lendable: tasks.len().min(self.tasks_that_fit(&job.spec, LENDER_DESCRIPTIONS, lent)),
             task_cpus: job.spec.cpus,
             task_s: job.spec.estimate_s,
             waited_s: (now - job.submitted).secs(),
@@ -206,6 +216,30 @@
         Some(write)
     }
 
+    /// Writes that store records in the held form which were read in the hidden one, `count` at the most. Those
+    /// that would not fit a value stay as they are.
+    pub fn begin_holds(&mut self, count: usize) -> Vec<LoanWrite> {
+        let is_hidden = |lent: &LentJob| lent.record.lent_form == LentForm::Hidden;
+        let hidden = self.loans.lent.iter().filter(|(_, lent)| is_hidden(lent));
+        let writes = hidden.filter_map(|(job, lent)| {
+            let mut write = self.lender_write(job, lent.record.lending.clone(), None)?;
+            let LoanWrite::Lender { record, .. } = &mut write else { return None };
+            record.lent_form = LentForm::Held;
+            let bytes = serde_json::to_string(record).map_or(usize::MAX, |text| text.len());
+            (bytes <= self.write_limits.value_bytes).then_some(write)
+        });
+        let writes: Vec<LoanWrite> = writes.take(count).collect();
+        for write in &writes {
+            self.loans.lending_in_flight.insert(write.job().into(), TaskSet::new());
+        }
+        writes
+    }
+
+    /// How many records of lent jobs are stored in the form of 0.3.0 to 0.3.2.
+    pub fn hidden_records(&self) -> usize {
+        self.loans.lent.values().filter(|lent| lent.record.lent_form == LentForm::Hidden).count()
+    }
+
     /// The write that replaces the loans in a job's record; none while another is in flight.
     fn lender_write(&self, job: &str, lending: Lending, new_loan: Option<LoanNumber>) -> Option<LoanWrite> {
         if self.loans.is_lending(job) {
@@ -218,21 +252,27 @@
                 (unlent_record(job), job.mod_revision)
             }
         };
+        let has_placeholder = record.has_placeholder();
         record.lending = lending;
+        if new_loan.is_some() {
+            // All controllers of the cell read that form, or nothing would be lent.
+            record.lent_form = LentForm::Held;
+        }
         if let Some(job) = self.jobs.get(job) {
             record.start_mark = record.start_mark.max(job.start_mark).max(job.wanted_start_mark);
         }
-        Some(LoanWrite::Lender { job: job.into(), record: Box::new(record), mod_revision, new_loan })
+        Some(LoanWrite::Lender {
+            job: job.into(),
+            record: Box::new(record),
+            mod_revision,
+            has_placeholder,
+            new_loan,
+        })
     }
 }
 
 /// The record of a job of which nothing is lent.
 fn unlent_record(job: &Job) -> JobRecord {
-    JobRecord {
-        spec: job.spec.clone(),
-        submitted_us: job.submitted.0,
-        // Early versions store the start mark in this record; it must not fall.
-        start_mark: job.start_mark,
-        lending: Lending::default(),
-    }
+    // Early versions store the start mark in this record; it must not fall.
+    JobRecord { start_mark: job.start_mark, ..JobRecord::new(job.spec.clone(), job.submitted.0) }
 }
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -26,6 +26,8 @@
         record: Box<JobRecord>,
         /// The revision of the record that it replaces.
         mod_revision: u64,
+        /// Whether a placeholder is stored with the record that it replaces.
+        has_placeholder: bool,
         /// The loan that it makes, if it makes one.
         new_loan: Option<LoanNumber>,
     },
@@ -271,6 +273,11 @@
         live.map(|job| job.mod_revision).or(lent).unwrap_or(0)
     }
 
+    /// Whether a placeholder is stored with the record of an own job.
+    pub fn has_placeholder(&self, id: &str) -> bool {
+        self.loans.lent.get(id).is_some_and(|lent| lent.record.has_placeholder())
+    }
+
     /// Version of the record of a borrowed job; 0: it has none.
     pub fn borrowed_record_revision(&self, id: &str) -> u64 {
         self.loans.borrowed.get(id).copied().unwrap_or(0)
--- a/src/leadership/loan_records.rs
+++ b/src/leadership/loan_records.rs
@@ -7,6 +7,7 @@
 use super::rebuild::{decode, note_no_done_ranges};
 use super::record_keys::{BorrowedKey, LentKey};
 use crate::fleet::{Fleet, LoanWrite, UnreadableRecord};
+use crate::job_changes::StoredJob;
 use crate::keys::{borrowed_key, final_key, job_key, lender_key, BORROWED_PREFIX};
 use crate::records::{FinalRecord, JobRecord, LenderRecord};
 use crate::state::{RequestPriority, StateStoreClient, StateStoreError};
@@ -21,7 +22,9 @@
 /// The transaction that carries out a write of loans, guarded by the shard's revision.
 pub fn loan_txn(write: &LoanWrite, shard_revision: u64) -> Txn {
     let mut txn = match write {
-        LoanWrite::Lender { job, record, mod_revision, .. } => lender_txn(job, record, *mod_revision),
+        LoanWrite::Lender { record, mod_revision, has_placeholder, .. } => {
+            lender_txn(record, *mod_revision, *has_placeholder)
+        }
         LoanWrite::Borrower { change, job_revision, lender, lender_revision } => {
             borrower_txn(change, *job_revision, *lender, *lender_revision)
         }
@@ -32,16 +35,13 @@
 
 /// Writes the loans of one of this cell's own jobs. A job that is being cancelled and has no open loan
 /// any more is over.
-fn lender_txn(job: &str, record: &JobRecord, mod_revision: u64) -> Txn {
-    let mut guards = vec![guard(job_key(job), mod_revision)];
-    let then = if record.lending.is_cancelled() {
-        guards.push(Guard::must_not_exist(final_key(job)));
-        let final_record = FinalRecord { stage: Stage::Cancelled, tasks: record.spec.tasks };
-        vec![Change::drop(job_key(job)), Change::put(final_key(job), json!(final_record))]
+fn lender_txn(record: &JobRecord, mod_revision: u64, has_placeholder: bool) -> Txn {
+    let stored = StoredJob { id: &record.spec.id, mod_revision, has_placeholder };
+    if record.lending.is_cancelled() {
+        stored.end(FinalRecord { stage: Stage::Cancelled, tasks: record.spec.tasks })
     } else {
-        vec![Change::put(job_key(job), json!(record))]
-    };
-    Txn { guards, then }
+        stored.replace(record)
+    }
 }
 
 /// Writes a borrowed job and the record of its lender. A job of which tasks are borrowed must not have
--- a/src/leadership/stored_progress.rs
+++ b/src/leadership/stored_progress.rs
@@ -16,7 +16,7 @@
     borrowed_done_key, borrowed_done_prefix, borrowed_key, done_prefix, lent_done_key, lent_done_prefix,
     lent_start_mark_key, JOBS_PREFIX, START_MARKS_PREFIX,
 };
-use crate::records::JobRecord;
+use crate::records::{JobRecord, LentForm};
 use crate::state::{RequestPriority, StateStoreClient, StateStoreError};
 use crate::task_ranges::{chunk_number, chunk_span, chunk_tasks, TaskRangeError, TaskRanges};
 use crate::wire::{Change, Guard, JobSpec, Row, Txn};
@@ -56,6 +56,8 @@
 pub struct JobWithLoans {
     /// The job.
     pub id: JobId,
+    /// Whether its record is one that versions before 0.3 cannot read.
+    pub is_hidden: bool,
     record: Guard,
     /// Its number of tasks.
     tasks: u32,
@@ -124,6 +126,7 @@
     let record: JobRecord = decode(&key, value)?;
     Ok((!record.lending.is_empty()).then(|| JobWithLoans {
         id: record.spec.id.as_str().into(),
+        is_hidden: record.lent_form == LentForm::Hidden,
         record: Guard { key, mod_revision },
         tasks: record.spec.tasks,
         held: None,
@@ -138,6 +141,7 @@
     let spec: JobSpec = decode(&key, record.description.clone())?;
     Ok(JobWithLoans {
         id: spec.id.as_str().into(),
+        is_hidden: false,
         record: Guard { key, mod_revision },
         tasks: spec.tasks,
         held: Some(record.tasks()),
--- a/src/leadership/writes.rs
+++ b/src/leadership/writes.rs
@@ -6,9 +6,10 @@
 use super::record_keys::{single_machine_key, BorrowedKey, LentKey, RecordKey};
 use crate::fleet::{Fleet, PackKind, PendingWrite, WriteContents};
 use crate::history::EstimateKey;
+use crate::job_changes::StoredJob;
 use crate::jobs::{JobId, RunTimes};
 use crate::keys::{
-    borrowed_key, done_key, final_key, job_key, lent_done_key, lent_start_mark_key, slot_key, HISTORY_PREFIX,
+    borrowed_key, done_key, job_key, lent_done_key, lent_start_mark_key, slot_key, HISTORY_PREFIX,
     MACHINES_PREFIX, RECENT_KEY, START_MARKS_PREFIX,
 };
 use crate::packed_records::SlotContents;
@@ -209,12 +210,10 @@
 ) -> Option<Write> {
     add_to_history(fleet, id, wall);
     let job = fleet.jobs.get(id)?;
-    let guards = vec![
-        Guard { key: job_key(id), mod_revision: job.mod_revision },
-        Guard::must_not_exist(final_key(id)),
-    ];
-    let final_record = FinalRecord { stage: Stage::Done, tasks: job.spec.tasks };
-    let mut changes = vec![Change::drop(job_key(id)), Change::put(final_key(id), json!(final_record))];
+    // All tasks may be done while a loan is still in the record.
+    let stored = StoredJob { id, mod_revision: job.mod_revision, has_placeholder: fleet.has_placeholder(id) };
+    let Txn { guards, then: mut changes } =
+        stored.end(FinalRecord { stage: Stage::Done, tasks: job.spec.tasks });
     let free_changes = max_changes.saturating_sub(changes.len());
     let dropped: Vec<u32> = job.done_chunks.keys().take(free_changes).copied().collect();
     changes.extend(dropped.iter().map(|chunk| Change::drop(done_key(id, *chunk))));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,8 @@
 //!   is the users' interface, and [`report`] makes a page of the recoveries in a log. [`time`] tells
 //!   the steady clock from the time of day.
 //! * **State**, what is kept in the state store. [`state`] is its client, [`keys`] and [`records`] are
-//!   what is stored, [`packed_records`] and [`task_ranges`] its compact forms, [`progress_copy`]
+//!   what is stored, [`job_changes`] how a live job's record is replaced or ended, [`packed_records`] and
+//!   [`task_ranges`] the compact forms, [`progress_copy`]
 //!   the copies that outlast a version without loans. [`live_jobs`] answers
 //!   which jobs are live, [`store_contact`] whether a leader may still act, and
 //!   [`cancellation_notices`] holds what the other controllers have not acknowledged.
@@ -40,6 +41,7 @@
 pub mod fleet;
 pub mod history;
 pub mod http;
+pub mod job_changes;
 pub mod jobs;
 pub mod keys;
 pub mod leadership;
--- a/src/records.rs
+++ b/src/records/mod.rs
@@ -3,46 +3,14 @@
 
 use std::collections::BTreeMap;
 
-use milletlock_cells::{Lending, LoanNumber};
-use serde::ser::{SerializeMap, Serializer};
+use milletlock_cells::LoanNumber;
 use serde::{Deserialize, Serialize};
 
-use crate::wire::{JobSpec, Priority, Stage};
+use crate::wire::{Priority, Stage};
 
-/// The record of a live job, under `job/<id>`.
-#[derive(Clone, Debug, Deserialize)]
-pub struct JobRecord {
-    /// The job as its user described it.
-    #[serde(alias = "spec_of_lent")]
-    pub spec: JobSpec,
-    /// When it was accepted, in microseconds since 1970 (UTC).
-    pub submitted_us: i64,
-    /// Tasks with lower numbers may have been started. Versions without packed start marks wrote it here, and it
-    /// is written here with loans; otherwise it is under [`crate::keys::START_MARKS_PREFIX`].
-    #[serde(rename = "high", default)]
-    pub start_mark: u32,
-    /// Loans to other cells, and whether the job is being cancelled while some are open.
-    #[serde(default)]
-    pub lending: Lending,
-}
+mod job;
 
-/// While the job has loans, the description is stored under another name: versions without loans cannot
-/// read the record then, so that none of them starts tasks that are lent.
-impl Serialize for JobRecord {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let mut record = serializer.serialize_map(None)?;
-        let spec_name = if self.lending.is_empty() { "spec" } else { "spec_of_lent" };
-        record.serialize_entry(spec_name, &self.spec)?;
-        record.serialize_entry("submitted_us", &self.submitted_us)?;
-        if self.start_mark > 0 {
-            record.serialize_entry("high", &self.start_mark)?;
-        }
-        if !self.lending.is_empty() {
-            record.serialize_entry("lending", &self.lending)?;
-        }
-        record.end()
-    }
-}
+pub use job::{FinalPlaceholder, JobRecord, JobRecordError, LentForm};
 
 /// The record of a job that has ended, under `final/<id>`. It is never removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/wire/cells.rs
+++ b/src/wire/cells.rs
@@ -80,6 +80,9 @@
     pub jobs: u32,
     /// Those of them that are not known to be copied whole.
     pub without_copies: u32,
+    /// Those of them whose record versions before 0.3 cannot read: they remove the progress of such a job.
+    #[serde(default)]
+    pub hidden_records: u32,
 }
 
 /// Reply to an operator who writes off the tasks that a lost cell holds.
--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -13,7 +13,7 @@
 use milletlock::http::{Request, Response};
 use milletlock::leadership::{LEADER_KEY, SHARD_KEY, TERM_KEY};
 use milletlock::loan_messages::{report_to_proto, request_from_proto};
-use milletlock::peer::{proto, LoanReply, OutboundMessage, PeerHub, PeerMessage, PeerReply, Summary};
+use milletlock::peer::{proto, Ack, LoanReply, OutboundMessage, PeerHub, PeerMessage, PeerReply, Summary};
 use milletlock::state::{AllowedRates, RateShares, StateStoreClient};
 use milletlock::time::{wall, Clock, Micros, Steady};
 use milletlock::wire::{Change, ExitReason, Guard, HeartbeatReply, TaskStage, Txn, WorkerCommand};
@@ -236,22 +236,32 @@
         self.leader_with("")
     }
 
+    /// The same beside another controller, which reports a version.
+    pub fn leader_beside(&self, version: &'static str) -> Leader<'_> {
+        let leader = self.controller("c-0", CELLS, Some(version));
+        leader.controller.maintain_leadership_once(Micros::from_secs(3.0));
+        leader.controller.announce_once();
+        leader
+    }
+
     fn leader_with(&self, operator: &str) -> Leader<'_> {
-        let leader = self.controller("c-0", operator);
+        let leader = self.controller("c-0", operator, None);
         leader.controller.maintain_leadership_once(Micros::from_secs(3.0));
         leader
     }
 
     /// A controller of this version that stands in no election.
     pub fn follower(&self) -> Leader<'_> {
-        self.controller("c-1", CELLS)
+        self.controller("c-1", CELLS, Some(""))
     }
 
-    fn controller(&self, label: &str, operator: &str) -> Leader<'_> {
+    /// A controller, beside another one if that has a version.
+    fn controller(&self, label: &str, operator: &str, beside: Option<&'static str>) -> Leader<'_> {
         let mut settings = platform_json();
         settings["label"] = json!(label);
-        if label != "c-0" {
-            settings["members"] = json!([{ "label": "c-0", "addr": "127.0.0.1:1" }]);
+        if beside.is_some() {
+            let other = if label == "c-0" { "c-1" } else { "c-0" };
+            settings["members"] = json!([{ "label": other, "addr": "127.0.0.1:1" }]);
         }
         settings["services"] = json!({ "cloud": self.cloud, "state": self.state });
         let platform = PlatformConfig::parse(&settings.to_string(), "test").expect("settings");
@@ -259,7 +269,11 @@
         let policy = operator.cells.as_ref().map(LendingPolicy::new);
         let borrower = self.borrower.clone();
         let transport = move |out: OutboundMessage| {
-            let PeerMessage::Lend(message) = &out.message else { panic!("no message about loans") };
+            let PeerMessage::Lend(message) = &out.message else {
+                let version = beside.unwrap_or_default().into();
+                out.answer(Ok(PeerReply::Ack(Ack { token: 0, version })));
+                return Ok(());
+            };
             let request = request_from_proto(message).expect("a request");
             let mut borrower = borrower.lock().expect("the borrower");
             if !borrower.is_cut_off {
@@ -270,7 +284,8 @@
             Ok(())
         };
         let config = Config { platform, operator };
-        let peers = PeerHub::with_transport(0, transport);
+        let asked_controllers = usize::from(label == "c-0" && beside.is_some());
+        let peers = PeerHub::with_transport(asked_controllers, transport);
         let clock = Clock::Manual(self.clock.clone());
         let controller = Controller::new(config, peers, clock, Arc::default()).expect("a controller");
         assert!(controller.load_machine_types_once());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -26,7 +26,6 @@
 use milletlock::records::JobRecord;
 use milletlock::time::Micros;
 use milletlock::wire::{ExitReason, Heartbeat, JobSpec, MachineType, TaskStage, TaskStatus};
-use milletlock_cells::Lending;
 use serde_json::{json, Value};
 
 /// The workers' lease in these settings.
@@ -111,7 +110,7 @@
 
 /// A job's record.
 pub fn record(spec: JobSpec) -> JobRecord {
-    JobRecord { spec, submitted_us: 0, start_mark: 0, lending: Lending::default() }
+    JobRecord::new(spec, 0)
 }
 
 /// A heartbeat of a small machine in the north.
--- /dev/null
+++ b/tests/lent_records.rs
@@ -0,0 +1,312 @@
+//! The record of a job with loans in each form that some version writes: which version reads what, when a form is
+//! written, and what a damaged record or placeholder does.
+
+mod common;
+
+use common::lending_scenario::tasks;
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED};
+use common::production;
+use common::production_api::read_final_record;
+use common::{record, spec};
+use milletlock::api::RequestOrigin;
+use milletlock::http::Request;
+use milletlock::records::{FinalPlaceholder, JobRecord, LentForm};
+use milletlock::wire::{Change, JobSpec, Txn};
+use milletlock_cells::{Lending, Loan, LoanNumber};
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+/// Tasks of the job in the fixtures.
+const FIXTURE_TASKS: u64 = 50;
+
+/// The description of the job in the fixtures, as its user sent it.
+fn description() -> Value {
+    json!({
+        "nameId": "wk-000001", "grain": "any", "owner": "free", "shape": "batch", "rank": "normal",
+        "kernels": FIXTURE_TASKS, "cpus": 1.0, "cards": 0.0, "ramGb": 1.0, "seed": "img", "pullGb": 0.5,
+        "breeds": ["small"], "oneZone": false, "spread": false, "gleanings": true,
+        "expectS": 20.0, "stashEveryS": 0.0, "stashS": 0.0
+    })
+}
+
+/// The description as versions before 0.3 see it while the job has loans.
+fn held_description() -> Value {
+    let mut held = description();
+    held["breeds"] = json!([]);
+    held["kernels"] = json!(FIXTURE_TASKS + 1);
+    held
+}
+
+fn lending(cancelling: bool) -> Value {
+    json!({ "loans": [{ "number": 9, "guest": "there", "tasks": "30-49" }], "cancelling": cancelling })
+}
+
+fn plain() -> Value {
+    json!({ "spec": description(), "submitted_us": 1_700_000_000_000_000_i64, "high": 30 })
+}
+
+fn held(cancelling: bool) -> Value {
+    let mut held = plain();
+    held["spec"] = held_description();
+    held["spec_of_lent"] = description();
+    held["lending"] = lending(cancelling);
+    held
+}
+
+/// As 0.3.0 to 0.3.2 write it.
+fn hidden(cancelling: bool) -> Value {
+    let mut hidden = plain();
+    hidden["spec_of_lent"] = description();
+    hidden["lending"] = lending(cancelling);
+    hidden.as_object_mut().expect("an object").remove("spec");
+    hidden
+}
+
+/// The record as 0.3.0 to 0.3.2 decode it (`JobRecord`, src/records.rs there).
+#[derive(Debug, Deserialize)]
+struct RecordOf0_3_2 {
+    #[serde(alias = "spec_of_lent")]
+    spec: JobSpec,
+    #[serde(default)]
+    lending: Lending,
+}
+
+fn read(value: &Value) -> JobRecord {
+    serde_json::from_value(value.clone()).expect("a record that this version reads")
+}
+
+fn read_by_production(value: &Value) -> Option<production::JobRecord> {
+    serde_json::from_value(value.clone()).ok()
+}
+
+/// Guards against a record that this version reads as another one than was written, or writes in another form.
+#[test]
+fn each_form_is_read_and_written_back_as_it_was() {
+    let forms = [plain(), held(false), held(true), hidden(false), hidden(true)];
+    for value in forms {
+        let record = read(&value);
+        assert_eq!(json!(record.spec), description(), "{value}");
+        assert_eq!(record.start_mark, 30, "{value}");
+        assert_eq!(json!(record), value);
+    }
+    assert_eq!(read(&held(false)).lent_form, LentForm::Held);
+    assert_eq!(read(&hidden(false)).lent_form, LentForm::Hidden);
+}
+
+/// Guards against a version before 0.3 that may start or end something of a job with loans, or does not find it.
+#[test]
+fn production_finds_a_job_with_loans_that_it_can_neither_start_nor_complete() {
+    let mut job_record = read(&plain());
+    let reads = |record: &JobRecord| read_by_production(&json!(record)).expect("it reads the record").spec;
+    assert_eq!(reads(&job_record), description(), "nothing is lent");
+    let loans = vec![Loan { number: LoanNumber(1), borrower: "there".into(), tasks: tasks("1") }];
+    for lending in [Lending { loans, cancelling: false }, Lending { loans: Vec::new(), cancelling: true }] {
+        job_record.lending = lending;
+        let seen = reads(&job_record);
+        assert_eq!(seen["breeds"], json!([]), "a machine type is allowed");
+        assert_eq!(seen["kernels"], json!(FIXTURE_TASKS + 1), "it can be complete");
+        assert_eq!(seen, held_description(), "all else is as in the job's description");
+        let back: JobRecord = serde_json::from_value(json!(job_record)).expect("read by this version");
+        assert_eq!((&back.lending, &back.spec), (&job_record.lending, &job_record.spec));
+    }
+    job_record.lending = Lending::default();
+    assert_eq!(reads(&job_record), description(), "and again once the loans are closed");
+}
+
+/// Guards against 0.3.0 to 0.3.2 taking the description for versions before 0.3 for the job's own.
+#[test]
+fn versions_0_3_0_to_0_3_2_read_all_forms_but_the_held_one() {
+    let read = |value: Value| serde_json::from_value::<RecordOf0_3_2>(value);
+    for value in [held(false), held(true)] {
+        let error = read(value).expect_err("it cannot read the record").to_string();
+        assert!(error.contains("duplicate field `spec`"), "{error}");
+    }
+    for value in [plain(), hidden(false), hidden(true)] {
+        assert_eq!(json!(read(value).expect("it reads the record").spec), description());
+    }
+    assert!(read(hidden(true)).expect("a record").lending.cancelling);
+}
+
+/// Guards against a placeholder that some version takes for the end of the job.
+#[test]
+fn the_placeholder_is_no_final_record() {
+    let placeholder = json!(FinalPlaceholder::HELD);
+    assert_eq!(placeholder, json!({ "held": true }));
+    assert!(read_final_record(&placeholder).is_none());
+    assert!(serde_json::from_value::<milletlock::records::FinalRecord>(placeholder).is_err());
+}
+
+/// Guards against damaged records that are read as something else.
+#[test]
+fn a_damaged_record_of_a_lent_job_is_unreadable() {
+    let error = |value: Value| serde_json::from_value::<JobRecord>(value).expect_err("damaged").to_string();
+    let mut without_loans = held(false);
+    without_loans.as_object_mut().expect("an object").remove("lending");
+    assert_eq!(error(without_loans), "the record of a job with loans names none");
+    let mut without_description = held(false);
+    let fields = without_description.as_object_mut().expect("an object");
+    fields.remove("spec");
+    fields.remove("spec_of_lent");
+    assert_eq!(error(without_description), "no description of the job");
+    let mut of_two_jobs = held(false);
+    of_two_jobs["spec"]["nameId"] = json!("wk-000002");
+    assert_eq!(error(of_two_jobs), "descriptions of two jobs, wk-000002 and wk-000001");
+    for damage in [json!("held"), json!({ "loans": "30-49" }), json!({ "loans": [{ "number": 9 }] })] {
+        let mut damaged = held(false);
+        damaged["lending"] = damage;
+        error(damaged);
+    }
+}
+
+fn put(world: &World, key: &str, value: Value) {
+    let then = vec![Change::put(key.to_string(), value)];
+    world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
+}
+
+fn job_key() -> String {
+    format!("job/{JOB}")
+}
+
+fn final_key() -> String {
+    format!("final/{JOB}")
+}
+
+fn value(world: &World, key: &str) -> Option<Value> {
+    world.store().row(key).map(|row| row.value)
+}
+
+/// What the leader's status says.
+fn status(leader: &Leader<'_>) -> Value {
+    let request = Request { method: "GET".into(), path: "/status".into(), body: Vec::new() };
+    let response = leader.controller.answer(&request, RequestOrigin::Peer);
+    serde_json::from_slice(&response.body).expect("a status")
+}
+
+/// A job with an open loan, of which nothing else happens any more.
+fn lent_job(world: &World, machine: &mut Machine) {
+    let mut leader = world.leader();
+    leader.begin_and_lend(machine);
+    world.borrower().is_full = true;
+    leader.lend();
+}
+
+/// The records of a job with an open loan as 0.3.2 left them.
+fn lent_by_0_3_2(world: &World, machine: &mut Machine) {
+    lent_job(world, machine);
+    let mut record = value(world, &job_key()).expect("the job");
+    record.as_object_mut().expect("an object").remove("spec");
+    put(world, &job_key(), record);
+    world.store().keys.remove(&final_key());
+}
+
+fn is_hidden(world: &World) -> bool {
+    let record = value(world, &job_key()).expect("the job");
+    record.get("spec").is_none() && record.get("spec_of_lent").is_some()
+}
+
+/// Guards against a record that a controller beside the leader cannot read.
+#[test]
+fn records_of_0_3_2_keep_their_form_until_all_controllers_read_the_held_one() {
+    for version in ["", "0.1.0", "0.3.0", "0.3.2"] {
+        let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+        lent_by_0_3_2(&world, &mut machine);
+        let mut leader = world.leader_beside(version);
+        leader.steps(&mut machine, SETTLED);
+        let held = world.borrower().tasks();
+        world.borrower().gives_back = held.iter().take(1).collect();
+        (0..SETTLED).for_each(|_| leader.lend());
+        let record = read(&value(&world, &job_key()).expect("the job"));
+        assert_eq!(record.lending.tasks().len(), held.len() - 1, "{version}: a task is given back");
+        assert!(is_hidden(&world), "{version}");
+        assert_eq!(value(&world, &final_key()), None, "{version}");
+        assert_eq!(status(&leader)["lent_progress"]["hidden_records"], 1, "{version}");
+        let cancelled = leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null);
+        assert_eq!(cancelled.0, 503, "{version}: the borrower holds tasks");
+        assert!(is_hidden(&world) && value(&world, &final_key()).is_none(), "{version}: cancelling");
+        leader.lend();
+        assert_eq!(value(&world, &final_key()).expect("ended")["stage"], "cancelled", "{version}");
+    }
+}
+
+/// Guards against loans whose record a controller beside the leader cannot read.
+#[test]
+fn nothing_is_lent_beside_a_controller_that_cannot_read_the_held_form() {
+    for version in ["", "0.1.0", "0.3.0", "0.3.2"] {
+        let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+        let mut leader = world.leader_beside(version);
+        leader.submit();
+        for _ in 0..SETTLED {
+            leader.step(&mut machine);
+            leader.lend();
+        }
+        assert!(world.borrower().tasks().is_empty(), "{version}");
+    }
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader_beside("0.3.3");
+    leader.submit();
+    leader.steps(&mut machine, SETTLED);
+    leader.lend_some(&mut machine);
+}
+
+/// Guards against a job that stays unreadable to versions before 0.3 after the rollout.
+#[test]
+fn records_of_0_3_2_are_rewritten_once_all_controllers_read_the_held_form() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    lent_by_0_3_2(&world, &mut machine);
+    let before = read(&value(&world, &job_key()).expect("the job"));
+    let mut leader = world.leader_beside("0.3.3");
+    leader.lend();
+    let record = world.store().row(&job_key()).expect("the job");
+    assert!(read_by_production(&record.value).is_some(), "{}", record.value);
+    let after = read(&record.value);
+    assert_eq!((after.spec, after.lending), (before.spec, before.lending));
+    let placeholder = world.store().row(&final_key()).expect("a placeholder");
+    assert_eq!((placeholder.value, placeholder.mod_revision), (json!({ "held": true }), record.mod_revision));
+    assert_eq!(status(&leader)["lent_progress"]["hidden_records"], 0);
+    leader.lend();
+    assert_eq!(world.store().mod_revision(&job_key()), record.mod_revision, "it is written once");
+}
+
+/// Guards against a record that outgrows a value when it is rewritten.
+#[test]
+fn a_record_that_would_not_fit_a_value_keeps_its_form() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    lent_by_0_3_2(&world, &mut machine);
+    let mut large = value(&world, &job_key()).expect("the job");
+    let types: Vec<String> = (0..36).map(|n| format!("{n:0100}")).chain(["small".to_string()]).collect();
+    large["spec_of_lent"]["breeds"] = json!(types);
+    put(&world, &job_key(), large);
+    let mut leader = world.leader_beside("0.3.3");
+    (0..SETTLED).for_each(|_| leader.lend());
+    assert!(is_hidden(&world));
+    assert_eq!(status(&leader)["lent_progress"]["hidden_records"], 1);
+}
+
+/// Guards against a start or an answer on a guess where a placeholder has no job.
+#[test]
+fn a_placeholder_without_a_job_is_named_and_kept() {
+    let world = World::new();
+    put(&world, &final_key(), json!({ "held": true }));
+    let leader = world.leader();
+    let submission = json!(spec(1, 4, "batch"));
+    assert_eq!(leader.ask("POST", "/api/jobs", &submission).0, 503);
+    assert_eq!(leader.ask("GET", &format!("/api/jobs/{JOB}"), &Value::Null).0, 503);
+    assert_eq!(leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0, 503);
+    assert_eq!(status(&leader)["owner"]["unreadable"], json!({ "count": 1, "keys": [final_key()] }));
+    assert_eq!(value(&world, &final_key()), Some(json!({ "held": true })));
+    assert_eq!(value(&world, &job_key()), None);
+}
+
+/// Guards against a submission that stands for a held job.
+#[test]
+fn a_submission_that_allows_no_machine_type_is_refused() {
+    let world = World::new();
+    let leader = world.leader();
+    let mut submission = json!(record(spec(1, 4, "batch")).spec);
+    for field in ["field", "dueS"] {
+        submission[field] = Value::Null;
+    }
+    submission["breeds"] = json!([]);
+    assert_eq!(leader.ask("POST", "/api/jobs", &submission).0, 400);
+    assert_eq!(value(&world, &job_key()), None);
+}
