--- a/tests/lent_records.rs
+++ b/tests/lent_records.rs
@@ -5,7 +5,7 @@
 
 use common::lending_scenario::tasks;
 use common::lending_world::{Leader, Machine, World, JOB, SETTLED};
-use common::production;
+use common::production::{self, ranges_text};
 use common::production_api::read_final_record;
 use common::{record, spec};
 use milletlock::api::RequestOrigin;
@@ -297,6 +297,34 @@
     assert_eq!(value(&world, &job_key()), None);
 }
 
+/// Guards against a job without its placeholder whose end is refused again and again, with the writes of others.
+#[test]
+fn a_missing_or_strange_placeholder_holds_up_its_own_job_only() {
+    for strange in [None, Some(json!({ "stage": "done" })), Some(json!({ "held": true }))] {
+        let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+        lent_job(&world, &mut machine);
+        match &strange {
+            None => drop(world.store().keys.remove(&final_key())),
+            Some(row) => put(&world, &final_key(), row.clone()),
+        }
+        put(&world, &format!("done/{JOB}/0"), json!(ranges_text(&(0..40).collect())));
+        let mut leader = world.leader();
+        let other = json!(spec(2, 2, "batch"));
+        assert_eq!(leader.ask("POST", "/api/jobs", &other).0, 201);
+        for _ in 0..2 * SETTLED {
+            leader.step(&mut machine);
+            machine.finish_all();
+        }
+        let ended = value(&world, "final/wk-000002");
+        assert_eq!(ended, Some(json!({ "stage": "done", "tasks": 2 })), "{strange:?}: the other job");
+        assert!(value(&world, &job_key()).is_some(), "{strange:?}: the job is kept");
+        assert_eq!(value(&world, &final_key()), strange, "nothing is removed");
+        let keys = status(&leader)["owner"]["unreadable"]["keys"].clone();
+        assert_eq!(keys, json!([final_key()]), "{strange:?}");
+        assert_eq!(leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0, 503);
+    }
+}
+
 /// Guards against a submission that stands for a held job.
 #[test]
 fn a_submission_that_allows_no_machine_type_is_refused() {
