A job that cannot be ended for what stands under its final record holds up no other

Symptom: with a strange row under the key of a live job's final record, or without the placeholder that belongs there, the job's end is refused again and again, and with it all urgent writes of the same transaction: no other job ends, no machine and no start mark is written.

Cause: a refused end stayed among the pending writes, and only the job's own record was read back.

Change: a write that is refused for the key of a final record alone (the job's own record is as it is known here) has the key logged and counted under `unreadable`; nothing of the job starts, and its end is not sent again in that term. Nothing is removed.

--- a/src/controller/writer.rs
+++ b/src/controller/writer.rs
@@ -93,6 +93,9 @@
                     self.step_down_from(term.fencing_token, StepDownReason::ShardTaken);
                     return false;
                 }
+                if let Some(leadership) = self.lock().leadership_with(term.fencing_token) {
+                    leadership::note_refused_finals(&mut leadership.fleet, &keys);
+                }
                 self.read_back(term, &keys)
             }
             Err(StateStoreError::Unknown(error)) => {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -209,7 +209,10 @@
             // done here.
             let is_own = job.borrowed_from.is_none();
             if is_own && job.is_complete() {
-                writes.push(PendingWrite::Final(job.id.clone()));
+                // A write that is refused again and again would hold up those in the same transaction.
+                if !self.unreadable.cannot_end(&job.id) {
+                    writes.push(PendingWrite::Final(job.id.clone()));
+                }
                 continue;
             }
             if is_own && job.copy.is_kept && job.copy.start_mark < job.wanted_start_mark {
--- a/src/fleet/unreadable.rs
+++ b/src/fleet/unreadable.rs
@@ -28,6 +28,8 @@
     borrowed_jobs: BTreeSet<String>,
     /// Jobs, own or borrowed, of which done ranges or a start mark cannot be read.
     jobs_of_rows: BTreeSet<String>,
+    /// Live jobs that cannot be ended for what stands under the key of their final record.
+    jobs_of_finals: BTreeSet<String>,
     /// Cells from which tasks are or were borrowed, whose record cannot be read.
     lenders: BTreeSet<String>,
     /// Whether a value of start marks cannot be read.
@@ -39,7 +41,12 @@
 impl UnreadableRecords {
     /// Whether a record of a job cannot be read: nothing of it starts, and nothing of it is removed.
     pub(super) fn holds_job(&self, id: &str) -> bool {
-        self.jobs_of_rows.contains(id) || self.has_job(id)
+        self.jobs_of_rows.contains(id) || self.cannot_end(id) || self.has_job(id)
+    }
+
+    /// Whether a live job cannot be ended for what stands under the key of its final record.
+    pub(super) fn cannot_end(&self, id: &str) -> bool {
+        self.jobs_of_finals.contains(id)
     }
 
     /// Whether a job's own record cannot be read: it may be live though it is not known.
@@ -57,6 +64,8 @@
     BorrowedJob(&'a str),
     /// Done ranges or a start mark of a job, own or borrowed.
     OfJob(&'a str),
+    /// What stands under the key of a live job's final record.
+    Final(&'a str),
     /// The record of a cell from which tasks are borrowed.
     Lender(&'a str),
     /// A value of packed start marks.
@@ -93,6 +102,9 @@
             UnreadableRecord::OfJob(id) => {
                 unreadable.jobs_of_rows.insert(id.to_string());
             }
+            UnreadableRecord::Final(id) => {
+                unreadable.jobs_of_finals.insert(id.to_string());
+            }
             UnreadableRecord::Lender(cell) => {
                 unreadable.lenders.insert(cell.to_string());
             }
--- a/src/leadership/read_back.rs
+++ b/src/leadership/read_back.rs
@@ -6,6 +6,7 @@
 use super::record_keys::RecordKey;
 use super::{loan_records, rebuild};
 use crate::fleet::{Fleet, UnreadableRecord};
+use crate::keys::job_key;
 use crate::records::JobRecord;
 use crate::time::{wall, Steady};
 use crate::wire::Row;
@@ -42,7 +43,23 @@
                 rebuild::load_done(fleet, job, chunk, key, &value, mod_revision);
             }
         }
-        RecordKey::Recent | RecordKey::SingleHistory | RecordKey::Other => {}
+        RecordKey::Final(_) | RecordKey::Recent | RecordKey::SingleHistory | RecordKey::Other => {}
+    }
+}
+
+/// Why a live job cannot be ended.
+#[derive(Debug, thiserror::Error)]
+#[error("not the placeholder of the live job's record, or missing")]
+struct NoPlaceholder;
+
+/// Notes the live jobs that cannot be ended: a write was refused for the key of their final record alone, so that
+/// their own record is as it is known here. `failed`: the keys for which it was refused.
+pub fn note_refused_finals(fleet: &mut Fleet, failed: &[String]) {
+    for key in failed {
+        let RecordKey::Final(id) = RecordKey::parse(key) else { continue };
+        if !failed.contains(&job_key(id)) {
+            fleet.note_unreadable(UnreadableRecord::Final(id), key, &NoPlaceholder);
+        }
     }
 }
 
--- a/src/leadership/rebuild.rs
+++ b/src/leadership/rebuild.rs
@@ -116,7 +116,7 @@
                 fleet.history.load_unpacked(record);
             }
         }
-        RecordKey::Other => {}
+        RecordKey::Final(_) | RecordKey::Other => {}
     }
 }
 
--- a/src/leadership/record_keys.rs
+++ b/src/leadership/record_keys.rs
@@ -19,6 +19,8 @@
 pub(super) enum RecordKey<'a> {
     /// A live job, by id.
     Job(&'a str),
+    /// The final record of a job, by id.
+    Final(&'a str),
     /// A single machine's record, by machine id, as versions before packed records wrote it.
     Machine(&'a str),
     /// A value of packed machine records, by slot.
@@ -95,6 +97,7 @@
             }
             (Some(LENT_PREFIX), kind, id) => RecordKey::Lent(LentKey::new(kind, id, parts.next())),
             (Some("job"), Some(id), None) => RecordKey::Job(id),
+            (Some("final"), Some(id), None) => RecordKey::Final(id),
             (Some("machine"), Some(id), None) => RecordKey::Machine(id),
             (Some(MACHINES_PREFIX), Some(slot), None) => RecordKey::PackedMachines(slot),
             (Some(START_MARKS_PREFIX), Some(slot), None) => RecordKey::PackedStartMarks(slot),
