Whether a task's job has ended is a method of the fleet

It stood outside for the sake of one borrow: what is left on machines whose heartbeat is overdue is now gathered before the machines are changed. Behaviour as it was.

--- a/src/fleet/heartbeats.rs
+++ b/src/fleet/heartbeats.rs
@@ -2,12 +2,11 @@
 //! a start comes up, and direct commands that carry this leader's fencing token or halts to machines
 //! that send no heartbeat.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::machine::{HeartbeatPosition, Machine, TaskEntry, TaskKey};
 use super::starts::MAX_ORDERS;
 use super::tasks::task_name;
-use super::unreadable::has_job_ended;
 use super::Fleet;
 use crate::direct_command::DirectCommand;
 use crate::jobs::MachineId;
@@ -139,15 +138,14 @@
     /// jobs on machines whose heartbeat is overdue. The reply to a heartbeat carries the same halts;
     /// these reach a machine that reaches no controller, or whose leader may no longer answer.
     pub fn halt_commands(&mut self, now: Steady) -> Vec<DirectCommand> {
-        let overdue = self.overdue_with_remains(now);
+        let remains = self.remains_on_overdue_machines(now);
         let mut commands = Vec::new();
         for machine in self.machines.values_mut().filter(|machine| !machine.address.is_empty()) {
-            let is_overdue = overdue.contains(&machine.id);
+            let remains = remains.get(&machine.id);
             let mut orders = Vec::new();
             for (key, task) in machine.tasks.iter_mut().filter(|(_, task)| task.is_live()) {
                 let Some(grace_s) = task.stop_grace_s else { continue };
-                let is_remainder =
-                    is_overdue && grace_s == 0.0 && has_job_ended(&self.jobs, &self.unreadable, key);
+                let is_remainder = remains.is_some_and(|remains| remains.contains(key));
                 if task.stop_directly || is_remainder {
                     task.stop_directly = false;
                     orders.push(halt(key, grace_s));
@@ -162,24 +160,27 @@
         commands
     }
 
-    /// Machines whose heartbeat is overdue and on which tasks of ended jobs are left: those that were
-    /// commanded least recently, and no more than can be waited for without holding up other halts.
-    fn overdue_with_remains(&self, now: Steady) -> BTreeSet<MachineId> {
+    /// What is left of ended jobs on machines whose heartbeat is overdue: on those that were commanded least
+    /// recently, and no more than can be waited for without holding up other halts.
+    fn remains_on_overdue_machines(&self, now: Steady) -> BTreeMap<MachineId, BTreeSet<TaskKey>> {
         let interval_s = self.config.platform.settings.workers.report_s;
         let overdue = Micros::from_secs(interval_s * OVERDUE_INTERVALS);
+        let is_overdue = |machine: &&Machine| now - machine.heartbeat_at.max(machine.commanded_at) > overdue;
+        let with_remains = |machine| (machine, self.remains_on(machine));
+        let machines = self.machines.values().filter(is_overdue).map(with_remains);
+        let mut machines: Vec<_> = machines.filter(|(_, remains)| !remains.is_empty()).collect();
+        machines.sort_by_key(|(machine, _)| machine.commanded_at);
+        machines.truncate(MAX_OVERDUE_HALTS);
+        machines.into_iter().map(|(machine, remains)| (machine.id.clone(), remains)).collect()
+    }
+
+    /// Tasks of ended jobs on a machine that are to exit at once.
+    fn remains_on(&self, machine: &Machine) -> BTreeSet<TaskKey> {
         let is_remainder = |key: &TaskKey, task: &TaskEntry| {
-            task.is_live()
-                && task.stop_grace_s == Some(0.0)
-                && has_job_ended(&self.jobs, &self.unreadable, key)
+            task.is_live() && task.stop_grace_s == Some(0.0) && self.has_job_ended(key)
         };
-        let mut machines: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|machine| now - machine.heartbeat_at.max(machine.commanded_at) > overdue)
-            .filter(|machine| machine.tasks.iter().any(|(key, task)| is_remainder(key, task)))
-            .collect();
-        machines.sort_by_key(|machine| machine.commanded_at);
-        machines.into_iter().take(MAX_OVERDUE_HALTS).map(|machine| machine.id.clone()).collect()
+        let remains = machine.tasks.iter().filter(|(key, task)| is_remainder(key, task));
+        remains.map(|(key, _)| key.clone()).collect()
     }
 
     /// The orders with which a machine's heartbeat is answered: forgets of exited tasks whose end is
@@ -216,7 +217,7 @@
             // A service is never done: nothing of its replicas' ends is written.
             Some(job) if job.spec.is_service() => true,
             Some(job) if reason == ExitReason::Done && !job.ended => job.is_recorded(key.number),
-            None => has_job_ended(&self.jobs, &self.unreadable, key),
+            None => self.has_job_ended(key),
             _ => true,
         }
     }
--- a/src/fleet/reconciliation.rs
+++ b/src/fleet/reconciliation.rs
@@ -3,7 +3,6 @@
 
 use super::machine::{CachedImage, HeartbeatPosition, TaskEntry, TaskKey};
 use super::tasks::task_resources;
-use super::unreadable::has_job_ended;
 use super::Fleet;
 use crate::jobs::{split_task, JobId, MachineId};
 use crate::task_ranges::TaskRanges;
@@ -225,7 +224,7 @@
         let job = self.jobs.get(&key.job);
         let need = job.map(|job| task_resources(&job.spec));
         // Cancelled, or done while this task was out of sight.
-        let job_ended = has_job_ended(&self.jobs, &self.unreadable, key);
+        let job_ended = self.has_job_ended(key);
         let Some(machine) = self.machines.get_mut(id) else { return };
         let task = machine.tasks.entry(key.clone()).or_insert_with(|| TaskEntry::new(need, now));
         if job_ended {
--- a/src/fleet/unreadable.rs
+++ b/src/fleet/unreadable.rs
@@ -3,7 +3,7 @@
 //! That a record cannot be read does not show that there is none. What belongs to such a job is kept as it is,
 //! its tasks run on, and nothing of it starts on a guess, until a leader reads the record.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::fmt::Display;
 
 use milletlock_cells::{LoanNumber, LoanSyncRequest};
@@ -11,7 +11,6 @@
 
 use super::machine::TaskKey;
 use super::Fleet;
-use crate::jobs::{Job, JobId};
 use crate::keys::job_key;
 use crate::time::Steady;
 
@@ -190,16 +189,12 @@
             self.note_unreadable(UnreadableRecord::OfJob(id), &job_key(id), &"the job was taken for ended");
         }
     }
-}
 
-/// Whether the job of a task has ended, or there is none.
-pub(super) fn has_job_ended(
-    jobs: &BTreeMap<JobId, Job>,
-    unreadable: &UnreadableRecords,
-    task: &TaskKey,
-) -> bool {
-    match jobs.get(&task.job) {
-        Some(job) => job.ended,
-        None => !unreadable.has_job(&task.job),
+    /// Whether the job of a task has ended, or there is none.
+    pub(super) fn has_job_ended(&self, task: &TaskKey) -> bool {
+        match self.jobs.get(&task.job) {
+            Some(job) => job.ended,
+            None => !self.unreadable.has_job(&task.job),
+        }
     }
 }
