--- /dev/null
+++ b/tests/held_jobs_before_0_3_3.rs
@@ -0,0 +1,201 @@
+//! Held jobs under leaders of 0.3.0 to 0.3.2, which know loans and read the description for versions before 0.3: they
+//! keep the job and its loans, and drop the job's own fields whenever they write its record.
+
+mod common;
+
+use common::leader_without_copies::run_to_the_end;
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
+use common::production_api::{CancelAnswer, ProductionApi};
+use common::production_leader::ProductionLeader;
+use milletlock::wire::{Change, Guard, JobSpec, Txn};
+use milletlock_cells::Lending;
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+/// The record as 0.3.0 to 0.3.2 decode it (`JobRecord`, src/records.rs there).
+#[derive(Deserialize)]
+struct RecordOf0_3_2 {
+    #[serde(alias = "spec_of_lent")]
+    spec: JobSpec,
+    submitted_us: i64,
+    #[serde(rename = "high", default)]
+    start_mark: u32,
+    #[serde(default)]
+    lending: Lending,
+}
+
+impl RecordOf0_3_2 {
+    /// The record as they encode it.
+    fn encode(&self) -> Value {
+        let is_lent = !self.lending.is_empty();
+        let mut value = json!({ "submitted_us": self.submitted_us, "high": self.start_mark });
+        value[if is_lent { "spec_of_lent" } else { "spec" }] = json!(self.spec);
+        if is_lent {
+            value["lending"] = json!(self.lending);
+        }
+        value
+    }
+}
+
+/// What 0.3.2 makes of the loans before it writes the record.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Loans {
+    Kept,
+    Closed,
+}
+
+fn job_key() -> String {
+    format!("job/{JOB}")
+}
+
+fn final_key() -> String {
+    format!("final/{JOB}")
+}
+
+fn value(world: &World, key: &str) -> Option<Value> {
+    world.store().row(key).map(|row| row.value)
+}
+
+/// A job with an open loan; some of its tasks are done, some run.
+fn lent_job(world: &World) -> Machine {
+    let mut machine = Machine::new("i-000001");
+    let mut leader = world.leader();
+    leader.begin_and_lend(&mut machine);
+    machine.finish_one();
+    leader.steps(&mut machine, SETTLED);
+    world.borrower().is_full = true;
+    leader.lend();
+    machine
+}
+
+/// A leader of 0.3.2 writes the job's record. With the loans closed, the borrower has given all back.
+fn written_by_0_3_2(world: &World, loans: Loans) {
+    world.elect_earlier();
+    let row = world.store().row(&job_key()).expect("the job");
+    let mut record: RecordOf0_3_2 = serde_json::from_value(row.value).expect("0.3.2 reads the record");
+    if loans == Loans::Closed {
+        record.lending = Lending::default();
+        world.borrower().held.clear();
+    }
+    let guards = vec![Guard { key: job_key(), mod_revision: row.mod_revision }];
+    let then = vec![Change::put(job_key(), record.encode())];
+    world.store().txn(&Txn { guards, then }).expect("written");
+}
+
+fn cancel(leader: &Leader<'_>) -> u16 {
+    leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0
+}
+
+/// Guards against a job that goes on with the description for versions before 0.3, or waits for ever.
+#[test]
+fn a_held_record_that_0_3_2_wrote_back_is_restored() {
+    for loans in [Loans::Kept, Loans::Closed] {
+        let world = World::new();
+        let mut machine = lent_job(&world);
+        let user_spec = json!(common::spec(1, TASKS, "batch"));
+        written_by_0_3_2(&world, loans);
+        let mut leader = world.leader();
+        leader.steps(&mut machine, 1);
+        let record = value(&world, &job_key()).expect("the job");
+        let name = if loans == Loans::Kept { "spec_of_lent" } else { "spec" };
+        assert_eq!(record[name], user_spec, "{loans:?}: {record}");
+        assert_eq!(value(&world, &final_key()), None, "{loans:?}: the placeholder is gone");
+        assert_eq!(leader.stage(), "running", "{loans:?}");
+        run_to_the_end(&world, &mut leader, &mut machine);
+        let ended = json!({ "stage": "done", "tasks": TASKS });
+        assert_eq!(value(&world, &final_key()), Some(ended), "{loans:?}");
+        let twice: Vec<_> = machine.started.iter().filter(|(_, count)| **count > 1).collect();
+        assert!(twice.is_empty(), "{loans:?}: started more than once: {twice:?}");
+    }
+}
+
+/// Guards against a job that can't be cancelled, or is cancelled with a wrong number of tasks, after 0.3.2 has led.
+#[test]
+fn a_restored_job_can_be_cancelled() {
+    for loans in [Loans::Kept, Loans::Closed] {
+        let world = World::new();
+        let mut machine = lent_job(&world);
+        written_by_0_3_2(&world, loans);
+        let follower = world.follower();
+        assert_eq!(cancel(&follower), 503, "{loans:?}: nobody has restored the record");
+        let mut leader = world.leader();
+        leader.steps(&mut machine, 1);
+        cancel(&leader);
+        leader.lend();
+        leader.lend();
+        assert_eq!(cancel(&leader), 200, "{loans:?}");
+        let ended = json!({ "stage": "cancelled", "tasks": TASKS });
+        assert_eq!(value(&world, &final_key()), Some(ended), "{loans:?}");
+        leader.steps(&mut machine, SETTLED);
+        assert!(machine.running().is_empty(), "{loans:?}");
+    }
+}
+
+/// Guards against a version before 0.3 that starts, cancels or ends a job whose loans 0.3.2 has closed.
+#[test]
+fn production_holds_a_job_of_which_0_3_2_has_closed_the_loans() {
+    let world = World::new();
+    let mut machine = lent_job(&world);
+    written_by_0_3_2(&world, Loans::Closed);
+    let (started, done) = (machine.started.clone(), world.recorded_done());
+    let mut earlier = ProductionLeader::elected(&world);
+    let mut users = ProductionApi::default();
+    for _ in 0..2 * SETTLED {
+        machine.finish_all();
+        earlier.step(&mut machine);
+        assert_eq!(users.cancel(&mut world.store(), JOB), CancelAnswer::Refused);
+    }
+    assert_eq!(machine.started, started);
+    assert!(world.recorded_done().len() > done.len(), "what exits is recorded");
+    run_to_the_end(&world, &mut world.leader(), &mut machine);
+    let twice: Vec<_> = machine.started.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(twice.is_empty(), "started more than once: {twice:?}");
+}
+
+/// Guards against a start on a guess where the job's own fields are lost.
+#[test]
+fn a_record_that_cannot_be_restored_is_unreadable_and_kept() {
+    for placeholder in
+        [None, Some(json!({ "held": true })), Some(json!({ "held": { "kernels": TASKS - 1 } }))]
+    {
+        let world = World::new();
+        let mut machine = lent_job(&world);
+        written_by_0_3_2(&world, Loans::Kept);
+        match &placeholder {
+            None => drop(world.store().keys.remove(&final_key())),
+            Some(value) => {
+                let then = vec![Change::put(final_key(), value.clone())];
+                world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
+            }
+        }
+        let (record, started) = (value(&world, &job_key()), machine.started.clone());
+        let done = world.recorded_done();
+        let mut leader = world.leader();
+        for _ in 0..SETTLED {
+            leader.step(&mut machine);
+            leader.lend();
+        }
+        assert_eq!(cancel(&leader), 503, "{placeholder:?}");
+        assert_eq!(leader.ask("GET", &format!("/api/jobs/{JOB}"), &Value::Null).0, 503, "{placeholder:?}");
+        assert_eq!(value(&world, &job_key()), record, "{placeholder:?}");
+        assert_eq!(value(&world, &final_key()), placeholder);
+        assert_eq!((machine.started, world.recorded_done()), (started, done), "{placeholder:?}");
+        assert!(!world.borrower().tasks().is_empty(), "{placeholder:?}: the loan is open");
+    }
+}
+
+/// Guards against copies that a controller of this version does not make beside 0.3.0, which has written the record.
+#[test]
+fn a_follower_copies_what_0_3_0_records_of_a_held_job() {
+    let world = World::new();
+    let machine = lent_job(&world);
+    written_by_0_3_2(&world, Loans::Kept);
+    let mut follower = world.follower();
+    follower.hears_of_leader("0.3.0");
+    let done: Vec<u32> = machine.started.keys().copied().collect();
+    let text = common::production::ranges_text(&done.iter().copied().collect());
+    let then = vec![Change::put(format!("done/{JOB}/0"), json!(text))];
+    world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
+    follower.keep_progress();
+    assert!(done.iter().all(|task| world.copied_done().contains(task)), "{:?}", world.copied_done());
+}
