0.3.0 to 0.3.2 find held jobs as well, and their records are restored

Change: the record has one description, the held one, under the name that all versions read. The job's own values of the two fields stand in `held` beside it, and in the placeholder. 0.3.0 to 0.3.2 drop `held` when they write the record; a description without any machine type, which no submission may have, shows that. A new leader restores such a record from the placeholder and writes it in their form; a follower beside 0.3.0 reads it the same way. Without a placeholder the record is unreadable: nothing starts, nothing is removed. The record takes about as many bytes as before 0.3.3.

--- a/src/api/cancellation.rs
+++ b/src/api/cancellation.rs
@@ -68,9 +68,9 @@
 ) -> Result<Option<Response>, StateStoreError> {
     if !record.lending.cancelling {
         let id = record.spec.id.clone();
-        let has_placeholder = record.has_placeholder();
+        let StoredJob { placeholder_revision, .. } = StoredJob::new(&record, mod_revision);
         record.lending.cancelling = true;
-        let txn = StoredJob { id: &id, mod_revision, has_placeholder }.replace(&record);
+        let txn = StoredJob { id: &id, mod_revision, placeholder_revision }.replace(&record);
         let Some(revision) = commit(backend, &txn)? else { return Ok(None) };
         backend.job_written(&id, record, revision);
     }
--- a/src/controller/loan_writes.rs
+++ b/src/controller/loan_writes.rs
@@ -31,6 +31,18 @@
         }
     }
 
+    /// Writes the records of held jobs that 0.3.0 to 0.3.2 wrote back and that were restored, in the form which
+    /// those versions write: all controllers read it.
+    pub(super) fn write_restored_records(&self) {
+        let (fencing_token, writes) = match self.lock().leadership.as_mut() {
+            Some(leadership) => (leadership.term.fencing_token, leadership.fleet.begin_restores()),
+            None => return,
+        };
+        for write in writes {
+            self.write_loan(fencing_token, write);
+        }
+    }
+
     /// Carries out a write of loans.
     pub(super) fn write_loan(&self, fencing_token: u64, write: LoanWrite) -> LoanOutcome {
         let shard_revision = match self.lock().leadership_with(fencing_token) {
--- a/src/controller/writer.rs
+++ b/src/controller/writer.rs
@@ -52,6 +52,7 @@
 
     /// Writes all records that are pending now; false if writing should pause.
     pub fn write_once(&self) -> bool {
+        self.write_restored_records();
         self.write_pending(|fleet| {
             let write_rps = self.config.platform.settings.state.write_rps;
             let interval = done_write_interval(fleet.jobs.len(), write_rps);
--- a/src/fleet/borrow_admission.rs
+++ b/src/fleet/borrow_admission.rs
@@ -97,7 +97,7 @@
         let record = fleet.loans.borrower_ledger.job(&item.job);
         let loans = record.map(|record| record.loans.as_slice()).unwrap_or_default();
         let held = loans.iter().map(|loan| loan.tasks.len());
-        let fits_record = item.tasks.len() <= fleet.tasks_that_fit(spec, 1, held);
+        let fits_record = item.tasks.len() <= fleet.tasks_that_fit(spec, held);
         if !fits_record || self.backlog_s > MAX_BACKLOG_S || cpus > fleet.spare_cpus() {
             return Err(BorrowRefusal::NoCapacity(item.tasks.len()));
         }
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -20,9 +20,6 @@
 /// Most bytes that a lent task takes in a record: five digits and a comma.
 const BYTES_PER_LENT_TASK: usize = 6;
 
-/// How often the lender's record of a job with loans has the job's description.
-const LENDER_DESCRIPTIONS: usize = 2;
-
 /// Tasks of a job that could be lent.
 #[derive(Clone, Debug)]
 pub struct LendingCandidate {
@@ -84,17 +81,11 @@
         self.machines.values().filter(|machine| machine.up && !machine.scaling_in && !machine.lease_expired)
     }
 
-    /// How many more tasks of a job can be lent so that the record of its loans fits a value, however the sets of
-    /// tasks are split as some are returned. `descriptions`: how often the record has the job's description;
-    /// `lent`: the sizes of its open loans.
-    pub(super) fn tasks_that_fit(
-        &self,
-        spec: &JobSpec,
-        descriptions: usize,
-        lent: impl Iterator<Item = u32>,
-    ) -> u32 {
+    /// How many more tasks of a job can be lent so that the records of its loans fit a value on both sides,
+    /// however the sets of tasks are split as some are returned. `lent`: the sizes of its open loans.
+    pub(super) fn tasks_that_fit(&self, spec: &JobSpec, lent: impl Iterator<Item = u32>) -> u32 {
         let description = serde_json::to_string(spec).map_or(usize::MAX, |text| text.len());
-        let taken = lent.fold(description.saturating_mul(descriptions), |bytes, tasks| {
+        let taken = lent.fold(description, |bytes, tasks| {
             bytes.saturating_add(BYTES_PER_LOAN + BYTES_PER_LENT_TASK * tasks as usize)
         });
         let left =
@@ -130,7 +121,7 @@
         let inputs = LendingInputs {
             backlog_s,
             drain_s: self.config.operator.drain_s,
-            lendable: tasks.len().min(self.tasks_that_fit(&job.spec, LENDER_DESCRIPTIONS, lent)),
+            lendable: tasks.len().min(self.tasks_that_fit(&job.spec, lent)),
             task_cpus: job.spec.cpus,
             task_s: job.spec.estimate_s,
             waited_s: (now - job.submitted).secs(),
@@ -235,6 +226,14 @@
         writes
     }
 
+    /// The write that stores a job's record as it is known here.
+    pub(super) fn settle_as_it_is(&mut self, job: &str) -> Option<LoanWrite> {
+        let lending = self.loans.lender_ledger.lending(job).cloned().unwrap_or_default();
+        let write = self.lender_write(job, lending, None)?;
+        self.loans.lending_in_flight.insert(job.into(), TaskSet::new());
+        Some(write)
+    }
+
     /// How many records of lent jobs are stored in the form of 0.3.0 to 0.3.2.
     pub fn hidden_records(&self) -> usize {
         self.loans.lent.values().filter(|lent| lent.record.lent_form == LentForm::Hidden).count()
@@ -252,7 +251,7 @@
                 (unlent_record(job), job.mod_revision)
             }
         };
-        let has_placeholder = record.has_placeholder();
+        let placeholder_revision = self.placeholder_revision(job);
         record.lending = lending;
         if new_loan.is_some() {
             // All controllers of the cell read that form, or nothing would be lent.
@@ -265,7 +264,7 @@
             job: job.into(),
             record: Box::new(record),
             mod_revision,
-            has_placeholder,
+            placeholder_revision,
             new_loan,
         })
     }
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -26,8 +26,8 @@
         record: Box<JobRecord>,
         /// The revision of the record that it replaces.
         mod_revision: u64,
-        /// Whether a placeholder is stored with the record that it replaces.
-        has_placeholder: bool,
+        /// The revision of the placeholder that is stored with that record; 0: there is none.
+        placeholder_revision: u64,
         /// The loan that it makes, if it makes one.
         new_loan: Option<LoanNumber>,
     },
@@ -85,6 +85,8 @@
     pub(super) lending_in_flight: BTreeMap<JobId, TaskSet>,
     /// Tasks of borrowed jobs that are withheld for a write in flight, by job.
     pub(super) returning_in_flight: BTreeMap<JobId, TaskSet>,
+    /// Revisions of placeholders that 0.3.0 to 0.3.2 left behind when they wrote the records back, by job.
+    left_placeholders: BTreeMap<JobId, u64>,
     /// Writes whose outcome is unknown, which are sent again until it is known.
     unresolved: Vec<LoanWrite>,
     /// Loans on which their borrowers have decided.
@@ -103,6 +105,7 @@
             borrowed: BTreeMap::new(),
             lending_in_flight: BTreeMap::new(),
             returning_in_flight: BTreeMap::new(),
+            left_placeholders: BTreeMap::new(),
             unresolved: Vec::new(),
             decided: BTreeSet::new(),
             accepted_here: BTreeSet::new(),
@@ -190,6 +193,7 @@
     pub(super) fn end_lending(&mut self, id: &str) {
         self.loans.lender_ledger.remove(id);
         self.loans.lent.remove(id);
+        self.loans.left_placeholders.remove(id);
     }
 
     /// Withholds the tasks of a job that must not start here: those that are lent or, of a borrowed job,
@@ -231,6 +235,7 @@
                 if let Some(number) = new_loan {
                     self.loans.lender_ledger.write_resolved(*number);
                 }
+                self.loans.left_placeholders.remove(job);
                 if record.lending.is_cancelled() {
                     self.end_lending(job);
                     self.job_ended(job, revision);
@@ -273,9 +278,25 @@
         live.map(|job| job.mod_revision).or(lent).unwrap_or(0)
     }
 
-    /// Whether a placeholder is stored with the record of an own job.
-    pub fn has_placeholder(&self, id: &str) -> bool {
-        self.loans.lent.get(id).is_some_and(|lent| lent.record.has_placeholder())
+    /// The revision of the placeholder that is stored with the record of an own job; 0: there is none.
+    pub fn placeholder_revision(&self, id: &str) -> u64 {
+        if let Some(revision) = self.loans.left_placeholders.get(id) {
+            return *revision;
+        }
+        let lent = self.loans.lent.get(id).filter(|lent| lent.record.has_placeholder());
+        lent.map_or(0, |lent| lent.mod_revision)
+    }
+
+    /// Notes that the record of a job was restored, which 0.3.0 to 0.3.2 had written back without its
+    /// placeholder.
+    pub fn note_left_placeholder(&mut self, id: JobId, revision: u64) {
+        self.loans.left_placeholders.insert(id, revision);
+    }
+
+    /// Writes of the records that were restored.
+    pub fn begin_restores(&mut self) -> Vec<LoanWrite> {
+        let restored: Vec<JobId> = self.loans.left_placeholders.keys().cloned().collect();
+        restored.iter().filter_map(|job| self.settle_as_it_is(job)).collect()
     }
 
     /// Version of the record of a borrowed job; 0: it has none.
--- a/src/job_changes.rs
+++ b/src/job_changes.rs
@@ -13,22 +13,22 @@
     pub id: &'a str,
     /// The record's version.
     pub mod_revision: u64,
-    /// Whether a placeholder is stored with it, which always has the record's version.
-    pub has_placeholder: bool,
+    /// The version of the placeholder that is stored with it; 0: there is none.
+    pub placeholder_revision: u64,
 }
 
 impl<'a> StoredJob<'a> {
-    /// A record that was read at a version.
+    /// A record that was read at a version. Its placeholder was written with it.
     pub fn new(record: &'a JobRecord, mod_revision: u64) -> StoredJob<'a> {
-        StoredJob { id: &record.spec.id, mod_revision, has_placeholder: record.has_placeholder() }
+        let placeholder_revision = if record.has_placeholder() { mod_revision } else { 0 };
+        StoredJob { id: &record.spec.id, mod_revision, placeholder_revision }
     }
 
     /// The guards of a change: the record is as it was read, and the job has not ended.
     pub fn guards(&self) -> Vec<Guard> {
-        let placeholder_revision = if self.has_placeholder { self.mod_revision } else { 0 };
         vec![
             Guard { key: job_key(self.id), mod_revision: self.mod_revision },
-            Guard { key: final_key(self.id), mod_revision: placeholder_revision },
+            Guard { key: final_key(self.id), mod_revision: self.placeholder_revision },
         ]
     }
 
@@ -36,8 +36,8 @@
     pub fn replace(&self, record: &JobRecord) -> Txn {
         let mut then = vec![Change::put(job_key(self.id), json!(record))];
         if record.has_placeholder() {
-            then.push(Change::put(final_key(self.id), json!(FinalPlaceholder::HELD)));
-        } else if self.has_placeholder {
+            then.push(Change::put(final_key(self.id), json!(FinalPlaceholder::new(&record.spec))));
+        } else if self.placeholder_revision > 0 {
             then.push(Change::drop(final_key(self.id)));
         }
         Txn { guards: self.guards(), then }
--- a/src/leadership/loan_records.rs
+++ b/src/leadership/loan_records.rs
@@ -22,8 +22,8 @@
 /// The transaction that carries out a write of loans, guarded by the shard's revision.
 pub fn loan_txn(write: &LoanWrite, shard_revision: u64) -> Txn {
     let mut txn = match write {
-        LoanWrite::Lender { record, mod_revision, has_placeholder, .. } => {
-            lender_txn(record, *mod_revision, *has_placeholder)
+        LoanWrite::Lender { record, mod_revision, placeholder_revision, .. } => {
+            lender_txn(record, *mod_revision, *placeholder_revision)
         }
         LoanWrite::Borrower { change, job_revision, lender, lender_revision } => {
             borrower_txn(change, *job_revision, *lender, *lender_revision)
@@ -35,8 +35,8 @@
 
 /// Writes the loans of one of this cell's own jobs. A job that is being cancelled and has no open loan
 /// any more is over.
-fn lender_txn(record: &JobRecord, mod_revision: u64, has_placeholder: bool) -> Txn {
-    let stored = StoredJob { id: &record.spec.id, mod_revision, has_placeholder };
+fn lender_txn(record: &JobRecord, mod_revision: u64, placeholder_revision: u64) -> Txn {
+    let stored = StoredJob { id: &record.spec.id, mod_revision, placeholder_revision };
     if record.lending.is_cancelled() {
         stored.end(FinalRecord { stage: Stage::Cancelled, tasks: record.spec.tasks })
     } else {
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -18,6 +18,7 @@
 mod read_back;
 mod rebuild;
 mod record_keys;
+mod restored_records;
 mod stored_progress;
 mod writes;
 
--- a/src/leadership/rebuild.rs
+++ b/src/leadership/rebuild.rs
@@ -10,6 +10,7 @@
 use super::record_keys::{
     RecordKey, ALL_HISTORY_PREFIX, ALL_MACHINES_PREFIX, DONE_PREFIX, PACKED_MACHINES_PREFIX,
 };
+use super::restored_records;
 use crate::config::Config;
 use crate::fleet::{Fleet, UnreadableRecord};
 use crate::history::HistoryRecord;
@@ -42,7 +43,8 @@
     now: Steady,
 ) -> Result<Fleet, StateStoreError> {
     let mut fleet = Fleet::new(config, types, fencing_token, now);
-    let KeyList { rows: jobs, revision } = state.list(JOBS_PREFIX)?;
+    let KeyList { rows: mut jobs, revision } = state.list(JOBS_PREFIX)?;
+    let left_placeholders = restored_records::restore_records(state, &mut jobs)?;
     let machines = state.list(ALL_MACHINES_PREFIX)?.rows;
     let start_marks = state.list(&format!("{START_MARKS_PREFIX}/"))?.rows;
     let done = state.list(DONE_PREFIX)?.rows;
@@ -54,6 +56,10 @@
     // Jobs come before the records that belong to them.
     let rows = [recent, jobs, borrowed, machines, start_marks, done, lent, history].concat();
     load_records(&mut fleet, rows, now, wall());
+    for left in left_placeholders {
+        tracing::info!(job = %left.job, "record of held job restored");
+        fleet.note_left_placeholder(left.job, left.mod_revision);
+    }
     fleet.advance_jobs_revision(revision);
     Ok(fleet)
 }
--- a/src/leadership/stored_progress.rs
+++ b/src/leadership/stored_progress.rs
@@ -11,6 +11,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{json, Value};
 
+use super::restored_records;
 use crate::jobs::JobId;
 use crate::keys::{
     borrowed_done_key, borrowed_done_prefix, borrowed_key, done_prefix, lent_done_key, lent_done_prefix,
@@ -105,7 +106,9 @@
     mut unreadable: impl FnMut(&ProgressError),
 ) -> Result<Vec<JobWithLoans>, StateStoreError> {
     let mut jobs = Vec::new();
-    for row in state.list(JOBS_PREFIX)?.rows {
+    let mut rows = state.list(JOBS_PREFIX)?.rows;
+    restored_records::restore_records(state, &mut rows)?;
+    for row in rows {
         match lent_job(row) {
             Ok(job) => jobs.extend(job),
             Err(error) => unreadable(&error),
--- a/src/leadership/writes.rs
+++ b/src/leadership/writes.rs
@@ -211,7 +211,8 @@
     add_to_history(fleet, id, wall);
     let job = fleet.jobs.get(id)?;
     // All tasks may be done while a loan is still in the record.
-    let stored = StoredJob { id, mod_revision: job.mod_revision, has_placeholder: fleet.has_placeholder(id) };
+    let placeholder_revision = fleet.placeholder_revision(id);
+    let stored = StoredJob { id, mod_revision: job.mod_revision, placeholder_revision };
     let Txn { guards, then: mut changes } =
         stored.end(FinalRecord { stage: Stage::Done, tasks: job.spec.tasks });
     let free_changes = max_changes.saturating_sub(changes.len());
--- a/src/records/job.rs
+++ b/src/records/job.rs
@@ -6,6 +6,7 @@
 
 use milletlock_cells::Lending;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::wire::JobSpec;
 
@@ -29,8 +30,8 @@
 /// How the record of a job with loans is stored.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LentForm {
-    /// With two descriptions: versions before 0.3 read one of which they can start and end nothing, and a
-    /// [`FinalPlaceholder`] keeps them from cancelling the job. 0.3.0 to 0.3.2 cannot read the record.
+    /// With a description of which nothing can start or be complete, which all versions read, and a
+    /// [`FinalPlaceholder`] that keeps earlier ones from cancelling the job.
     #[default]
     Held,
     /// As 0.3.0 to 0.3.2 write it: versions before 0.3 cannot read the record.
@@ -53,41 +54,115 @@
     pub fn has_placeholder(&self) -> bool {
         !self.lending.is_empty() && self.lent_form == LentForm::Held
     }
+
+    /// Whether a stored record is a held one that 0.3.0 to 0.3.2 wrote back; see [`JobRecord::restore`].
+    pub fn is_stripped(value: &Value) -> bool {
+        let description = value.get("spec").or_else(|| value.get("spec_of_lent"));
+        let types = description.and_then(|description| description.get("breeds")).and_then(Value::as_array);
+        types.is_some_and(Vec::is_empty) && value.get("held").is_none()
+    }
+
+    /// A held record that 0.3.0 to 0.3.2 wrote back: they drop the fields of the job's own description, which
+    /// the placeholder still has.
+    ///
+    /// # Errors
+    /// If it is no such record.
+    pub fn restore(value: Value, placeholder: FinalPlaceholder) -> Result<JobRecord, JobRecordError> {
+        let stored: StoredJobRecord = serde_json::from_value(value)?;
+        let description = stored.spec.or(stored.spec_of_lent).ok_or(JobRecordError::NoSpec)?;
+        Ok(JobRecord {
+            spec: placeholder.held.apply_to(description)?,
+            submitted_us: stored.submitted_us,
+            start_mark: stored.start_mark,
+            lending: stored.lending,
+            lent_form: LentForm::Hidden,
+        })
+    }
 }
 
 /// What stands under `final/<id>` while a job with loans is live: versions before 0.3 cancel and end jobs only
 /// where there is no such key. It is no final record, so that no version takes the job for ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FinalPlaceholder {
-    held: bool,
+    held: OwnFields,
 }
 
 impl FinalPlaceholder {
-    /// The placeholder.
-    pub const HELD: FinalPlaceholder = FinalPlaceholder { held: true };
+    /// The placeholder of a job.
+    pub fn new(spec: &JobSpec) -> FinalPlaceholder {
+        FinalPlaceholder { held: OwnFields::of(spec) }
+    }
+}
+
+/// The fields of a job's own description in which the held one differs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct OwnFields {
+    #[serde(rename = "breeds")]
+    types: Option<Vec<String>>,
+    #[serde(rename = "kernels")]
+    tasks: u32,
+}
+
+impl OwnFields {
+    fn of(spec: &JobSpec) -> OwnFields {
+        OwnFields { types: spec.types.clone(), tasks: spec.tasks }
+    }
+
+    /// The job's own description, from the held one.
+    fn apply_to(self, held: JobSpec) -> Result<JobSpec, JobRecordError> {
+        if !is_held(&held) || held.tasks != held_tasks(self.tasks) {
+            return Err(JobRecordError::NotHeld);
+        }
+        Ok(JobSpec { types: self.types, tasks: self.tasks, ..held })
+    }
+}
+
+/// The description of a job with loans for versions before 0.3. No machine type is allowed, so that no task
+/// starts. The job has one task more than there is, so that it is never complete: a refused end would hold up
+/// the urgent writes that such a version puts into the same transaction.
+fn held_spec(spec: JobSpec) -> JobSpec {
+    JobSpec { types: Some(Vec::new()), tasks: held_tasks(spec.tasks), ..spec }
+}
+
+fn held_tasks(tasks: u32) -> u32 {
+    tasks.saturating_add(1)
+}
+
+/// Whether a description is one for versions before 0.3. No user's is: a submission has to allow some type.
+fn is_held(spec: &JobSpec) -> bool {
+    spec.types.as_ref().is_some_and(Vec::is_empty)
 }
 
 /// Why a record of a job cannot be read.
-#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum JobRecordError {
     /// It has no description.
     #[error("no description of the job")]
     NoSpec,
-    /// It has the descriptions of a job with loans, but no loans.
+    /// It has two descriptions.
+    #[error("two descriptions of the job")]
+    TwoSpecs,
+    /// It is held, but has no loans.
     #[error("the record of a job with loans names none")]
     NoLoans,
-    /// Its descriptions are of two jobs.
-    #[error("descriptions of two jobs, {0} and {1}")]
-    TwoJobs(String, String),
+    /// It says what its description differs in from a held one, which it is not.
+    #[error("the description is not one of a held job")]
+    NotHeld,
+    /// 0.3.0 to 0.3.2 wrote a held record back; see [`JobRecord::restore`].
+    #[error("the description of a held job without the job's own fields")]
+    Stripped,
+    /// It is damaged in another way.
+    #[error(transparent)]
+    Malformed(#[from] serde_json::Error),
 }
 
 /// The record as it is stored.
 #[derive(Serialize, Deserialize)]
 struct StoredJobRecord {
-    /// The description that versions before 0.3 read.
+    /// The description, for all versions; of a held job the held one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     spec: Option<JobSpec>,
-    /// The description of a job with loans.
+    /// The description in the hidden form.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     spec_of_lent: Option<JobSpec>,
     submitted_us: i64,
@@ -95,28 +170,28 @@
     start_mark: u32,
     #[serde(default, skip_serializing_if = "Lending::is_empty")]
     lending: Lending,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    held: Option<OwnFields>,
 }
 
 fn is_zero(number: &u32) -> bool {
     *number == 0
 }
 
-/// The description of a job with loans for versions before 0.3. No machine type is allowed, so that no task
-/// starts. The job has one task more than there is, so that it is never complete: a refused end would hold up
-/// the urgent writes that such a version puts into the same transaction.
-fn held_spec(spec: &JobSpec) -> JobSpec {
-    JobSpec { types: Some(Vec::new()), tasks: spec.tasks.saturating_add(1), ..spec.clone() }
-}
-
 impl From<JobRecord> for StoredJobRecord {
     fn from(record: JobRecord) -> StoredJobRecord {
         let JobRecord { spec, submitted_us, start_mark, lending, lent_form } = record;
-        let (spec, spec_of_lent) = match lent_form {
-            _ if lending.is_empty() => (Some(spec), None),
-            LentForm::Held => (Some(held_spec(&spec)), Some(spec)),
-            LentForm::Hidden => (None, Some(spec)),
-        };
-        StoredJobRecord { spec, spec_of_lent, submitted_us, start_mark, lending }
+        let mut stored =
+            StoredJobRecord { spec: None, spec_of_lent: None, submitted_us, start_mark, lending, held: None };
+        match lent_form {
+            _ if stored.lending.is_empty() => stored.spec = Some(spec),
+            LentForm::Held => {
+                stored.held = Some(OwnFields::of(&spec));
+                stored.spec = Some(held_spec(spec));
+            }
+            LentForm::Hidden => stored.spec_of_lent = Some(spec),
+        }
+        stored
     }
 }
 
@@ -124,17 +199,18 @@
     type Error = JobRecordError;
 
     fn try_from(stored: StoredJobRecord) -> Result<JobRecord, JobRecordError> {
-        let StoredJobRecord { spec, spec_of_lent, submitted_us, start_mark, lending } = stored;
-        let (spec, lent_form) = match (spec, spec_of_lent) {
+        let StoredJobRecord { spec, spec_of_lent, submitted_us, start_mark, lending, held } = stored;
+        let description = match (spec, spec_of_lent) {
             (None, None) => return Err(JobRecordError::NoSpec),
-            (Some(_), Some(_)) if lending.is_empty() => return Err(JobRecordError::NoLoans),
-            (Some(held), Some(spec)) if held.id != spec.id => {
-                return Err(JobRecordError::TwoJobs(held.id, spec.id));
-            }
-            (Some(_), Some(spec)) => (spec, LentForm::Held),
-            (Some(spec), None) if lending.is_empty() => (spec, LentForm::default()),
-            // No placeholder was written with it.
-            (Some(spec), None) | (None, Some(spec)) => (spec, LentForm::Hidden),
+            (Some(_), Some(_)) => return Err(JobRecordError::TwoSpecs),
+            (Some(spec), None) | (None, Some(spec)) => spec,
+        };
+        let (spec, lent_form) = match held {
+            Some(_) if lending.is_empty() => return Err(JobRecordError::NoLoans),
+            Some(own) => (own.apply_to(description)?, LentForm::Held),
+            None if is_held(&description) => return Err(JobRecordError::Stripped),
+            None if lending.is_empty() => (description, LentForm::default()),
+            None => (description, LentForm::Hidden),
         };
         Ok(JobRecord { spec, submitted_us, start_mark, lending, lent_form })
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,6 +13,7 @@
 pub mod production_api;
 pub mod production_leader;
 pub mod production_writes;
+pub mod records_of_0_3_2;
 pub mod servers;
 pub mod simulated_controller;
 pub mod state_store_server;
