--- /dev/null
+++ b/tests/rows_of_0_3_0.rs
@@ -0,0 +1,69 @@
+//! The rows that the real program of the last commit of 0.3.0 left of a job with loans: what a controller of this
+//! version makes of them, leading or following, before a leader of a version before 0.3 comes.
+
+mod common;
+
+use common::lending_world::{Machine, World, JOB, SETTLED};
+use common::production;
+use common::production_leader::ProductionLeader;
+use milletlock::wire::{Change, Txn};
+use serde_json::Value;
+
+/// The rows as that program sent them, with sorted keys.
+const ROWS: [(&str, &str); 3] = [
+    (
+        "job/wk-000001",
+        r#"{"high":24,"lending":{"cancelling":false,"loans":[{"guest":"cell-1","number":2097153,"tasks":"180-239"},{"guest":"cell-1","number":2097154,"tasks":"164-179"},{"guest":"cell-1","number":2097155,"tasks":"152-163"}]},"spec_of_lent":{"cards":0.0,"cpus":1.0,"expectS":2.0,"gleanings":false,"grain":"any","kernels":240,"nameId":"wk-000001","oneZone":false,"owner":"free","pullGb":0.5,"ramGb":1.0,"rank":"normal","seed":"img","shape":"batch","spread":false,"stashEveryS":0.0,"stashS":0.0},"submitted_us":1796312092051021}"#,
+    ),
+    ("done/wk-000001/4161536", r#""0-31""#),
+    ("marks/0", r#"{"wk-000001":44}"#),
+];
+/// The start mark in these rows.
+const START_MARK: u64 = 44;
+
+fn world_of_0_3_0() -> World {
+    let world = World::new();
+    let put = |(key, text): &(&str, &str)| {
+        let value: Value = serde_json::from_str(text).expect("JSON");
+        Change::put((*key).to_string(), value)
+    };
+    let then = ROWS.iter().map(put).collect();
+    world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
+    world
+}
+
+/// The start mark that outlasts a leader of a version before 0.3.
+fn kept_mark(world: &World) -> u64 {
+    let record = world.store().row(&format!("job/{JOB}")).expect("the job").value;
+    world.copied_mark().max(record["high"].as_u64().unwrap_or(0))
+}
+
+/// Guards against rows that a version before 0.3 removes although a leader of this version had them.
+#[test]
+fn a_leader_of_this_version_has_a_version_before_0_3_find_the_job() {
+    let world = world_of_0_3_0();
+    let mut machine = Machine::new("i-000001");
+    let mut leader = world.leader();
+    leader.steps(&mut machine, SETTLED);
+    leader.lend();
+    leader.steps(&mut machine, SETTLED);
+    let done = production::tasks_of_text("0-31");
+    assert!(world.copied_done().is_superset(&done), "{:?}", world.copied_done());
+    assert!(kept_mark(&world) >= START_MARK);
+    let mut earlier = ProductionLeader::elected(&world);
+    earlier.steps(&mut machine, SETTLED);
+    assert!(earlier.knows(JOB));
+    assert!(world.recorded_done().is_superset(&done), "{:?}", world.recorded_done());
+}
+
+/// Guards against rows that a version before 0.3 removes although a controller of this version was beside 0.3.0.
+#[test]
+fn a_follower_of_this_version_copies_the_rows() {
+    let world = world_of_0_3_0();
+    let mut follower = world.follower();
+    world.elect_earlier();
+    follower.hears_of_leader("0.3.0");
+    follower.keep_progress();
+    assert_eq!(world.copied_done(), production::tasks_of_text("0-31"));
+    assert!(kept_mark(&world) >= START_MARK);
+}
