--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -3,7 +3,6 @@
 use milletlock_cells::{CellSummary, Lending, LendingInputs, Loan, LoanNumber, TaskSet, MAX_TASKS_PER_LOAN};
 
 use super::borrowing::is_array_without_rules;
-use super::loans::LentJob;
 use super::{Fleet, LoanWrite, Machine};
 use crate::jobs::{Job, JobId};
 use crate::records::{JobRecord, LentForm};
@@ -84,13 +83,18 @@
     /// How many more tasks of a job can be lent so that the records of its loans fit a value on both sides,
     /// however the sets of tasks are split as some are returned. `lent`: the sizes of its open loans.
     pub(super) fn tasks_that_fit(&self, spec: &JobSpec, lent: impl Iterator<Item = u32>) -> u32 {
+        let taken = Self::record_bytes(spec, lent).saturating_add(BYTES_PER_LOAN);
+        let left = self.write_limits.value_bytes.saturating_sub(taken);
+        u32::try_from(left / BYTES_PER_LENT_TASK).unwrap_or(u32::MAX)
+    }
+
+    /// Most bytes that the record of a job with loans takes, however the sets of tasks are split. `lent`: the
+    /// sizes of the loans.
+    fn record_bytes(spec: &JobSpec, lent: impl Iterator<Item = u32>) -> usize {
         let description = serde_json::to_string(spec).map_or(usize::MAX, |text| text.len());
-        let taken = lent.fold(description, |bytes, tasks| {
+        lent.fold(description.saturating_add(RECORD_SLACK), |bytes, tasks| {
             bytes.saturating_add(BYTES_PER_LOAN + BYTES_PER_LENT_TASK * tasks as usize)
-        });
-        let left =
-            self.write_limits.value_bytes.saturating_sub(RECORD_SLACK + BYTES_PER_LOAN).saturating_sub(taken);
-        u32::try_from(left / BYTES_PER_LENT_TASK).unwrap_or(u32::MAX)
+        })
     }
 
     /// The job to lend from to a borrower with this summary: the youngest that waits long enough, since the
@@ -208,16 +212,14 @@
     }
 
     /// Writes that store records in the held form which were read in the hidden one, `count` at the most. Those
-    /// that would not fit a value stay as they are.
+    /// that would not fit a value, however their loans are split, stay as they are.
     pub fn begin_holds(&mut self, count: usize) -> Vec<LoanWrite> {
-        let is_hidden = |lent: &LentJob| lent.record.lent_form == LentForm::Hidden;
-        let hidden = self.loans.lent.iter().filter(|(_, lent)| is_hidden(lent));
-        let writes = hidden.filter_map(|(job, lent)| {
+        let hidden = self.loans.lent.iter().filter(|(_, lent)| lent.record.lent_form == LentForm::Hidden);
+        let writes = hidden.filter(|(_, lent)| self.fits_held(&lent.record)).filter_map(|(job, lent)| {
             let mut write = self.lender_write(job, lent.record.lending.clone(), None)?;
             let LoanWrite::Lender { record, .. } = &mut write else { return None };
             record.lent_form = LentForm::Held;
-            let bytes = serde_json::to_string(record).map_or(usize::MAX, |text| text.len());
-            (bytes <= self.write_limits.value_bytes).then_some(write)
+            Some(write)
         });
         let writes: Vec<LoanWrite> = writes.take(count).collect();
         for write in &writes {
@@ -234,6 +236,12 @@
         Some(write)
     }
 
+    /// Whether a record with its loans fits a value in the held form, however the loans are split.
+    fn fits_held(&self, record: &JobRecord) -> bool {
+        let lent = record.lending.loans.iter().map(|loan| loan.tasks.len());
+        Self::record_bytes(&record.spec, lent) <= self.write_limits.value_bytes
+    }
+
     /// How many records of lent jobs are stored in the form of 0.3.0 to 0.3.2.
     pub fn hidden_records(&self) -> usize {
         self.loans.lent.values().filter(|lent| lent.record.lent_form == LentForm::Hidden).count()
