Loans of a job that cannot be ended are not written again and again

Symptom: with a strange row under the key of a lent job's final record each round of loans writes the job's record again (a settlement for each report of a borrower, the rewriting of a hidden record), is refused and reads it back: two requests and two counted changes a round, some 400 ms, for as long as the leader leads.

Cause: only the job's end was kept from being sent again.

Change: no write of the job's loans is composed in that term, so an operator's write-off lists the job as left.

tests/held_record_bounds.rs: no_loans_are_written_of_a_job_that_cannot_be_ended failed before.

--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -247,9 +247,10 @@
         self.loans.lent.values().filter(|lent| lent.record.lent_form == LentForm::Hidden).count()
     }
 
-    /// The write that replaces the loans in a job's record; none while another is in flight.
+    /// The write that replaces the loans in a job's record; none while another is in flight, or if it would be
+    /// refused for what stands under the key of the job's final record.
     fn lender_write(&self, job: &str, lending: Lending, new_loan: Option<LoanNumber>) -> Option<LoanWrite> {
-        if self.loans.is_lending(job) {
+        if self.loans.is_lending(job) || self.unreadable.cannot_end(job) {
             return None;
         }
         let (mut record, mod_revision) = match self.loans.lent.get(job) {
