A borrower reports done tasks of the borrowed job only

Cause: the reports looked the job up by its id, whichever cell it is of.

Change: only a job that is borrowed has done tasks for another cell, in reports, in the lender's record and in the status.

tests/one_id_in_two_cells.rs failed before.

--- a/src/controller/borrowing.rs
+++ b/src/controller/borrowing.rs
@@ -124,7 +124,9 @@
 ) -> LoanReply {
     let fleet = &leadership.fleet;
     let reports = request
-        .map(|request| fleet.loans.borrower_ledger.reports(request, |job| fleet.recorded_done(job)))
+        .map(|request| {
+            fleet.loans.borrower_ledger.reports(request, |job| fleet.recorded_done_of_borrowed(job))
+        })
         .unwrap_or_default();
     LoanReply {
         from: cells.name.clone(),
--- a/src/controller/cells_status.rs
+++ b/src/controller/cells_status.rs
@@ -131,7 +131,7 @@
             job: job.clone(),
             home: record.lender.clone(),
             tasks: tasks.len(),
-            done: tasks.intersection(&fleet.recorded_done(job)).len(),
+            done: tasks.intersection(&fleet.recorded_done_of_borrowed(job)).len(),
         }
     };
     fleet.loans.borrower_ledger.jobs().map(of_job).collect()
--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -107,7 +107,7 @@
         let KnownLender { record: mut lender, mod_revision: lender_revision } =
             self.loans.lender(&change.lender);
         lender.high_water = lender.high_water.max(change.high_water.unwrap_or_default());
-        let done = self.recorded_done(&id);
+        let done = self.recorded_done_of_borrowed(&id);
         lender.finished += u64::from(change.withdrawn.intersection(&done).len());
         let is_held = self.loans.borrower_ledger.job(&id).is_some_and(|job| job.lender == change.lender);
         let job_revision = self.loans.borrowed.get(&change.job).filter(|_| is_held).copied().unwrap_or(0);
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -222,6 +222,12 @@
         self.jobs.get(id).map(Job::recorded_done).unwrap_or_default()
     }
 
+    /// Tasks of a borrowed job that are recorded as done; none of a job of this cell that has its id.
+    pub fn recorded_done_of_borrowed(&self, id: &str) -> TaskSet {
+        let borrowed = self.jobs.get(id).filter(|job| job.borrowed_from.is_some());
+        borrowed.map(Job::recorded_done).unwrap_or_default()
+    }
+
     /// Tasks of a job that are done, recorded yet or not.
     pub fn done_tasks(&self, id: &str) -> TaskSet {
         self.jobs.get(id).map(|job| job.done.task_set()).unwrap_or_default()
