--- a/tests/one_id_in_two_cells.rs
+++ b/tests/one_id_in_two_cells.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::lending_scenario::tasks;
-use common::lending_world::{World, JOB};
+use common::lending_world::{Machine, World, JOB, SETTLED};
 use common::{record, spec};
 use milletlock::loan_messages::{report_from_proto, request_to_proto};
 use milletlock::peer::{PeerMessage, PeerReply};
@@ -50,3 +50,16 @@
     let state = LoanState::Held { tasks: tasks("0-9"), done: TaskSet::new() };
     assert_eq!(reports, [LoanReport { number: LOAN, state }]);
 }
+
+/// Guards against results of borrowed tasks that are removed as those of an ended loan.
+#[test]
+fn the_results_of_a_loan_are_kept_beside_an_own_job_of_its_id() {
+    let world = World::new();
+    write_records_of_both(&world);
+    let key = format!("borrowed/done/{JOB}/0");
+    let then = vec![Change::put(key.clone(), json!("5-9"))];
+    world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
+    let mut leader = world.leader();
+    leader.steps(&mut Machine::new("i-000001"), SETTLED);
+    assert_eq!(world.store().row(&key).map(|row| row.value), Some(json!("5-9")));
+}
