Results of a loan outlast an own job of its id

Cause: the row was taken for one of an ended loan because the job of that id is not a borrowed one.

Change: a row of a job of which the ledger holds a loan stays.

tests/one_id_in_two_cells.rs: the_results_of_a_loan_are_kept_beside_an_own_job_of_its_id failed before.

--- a/src/fleet/record_loading.rs
+++ b/src/fleet/record_loading.rs
@@ -104,13 +104,14 @@
     }
 
     /// Loads a chunk of done ranges of borrowed tasks. That of a job that is not held any more is to be
-    /// deleted.
+    /// deleted; one of a loan that is open beside an own job of its id stays for a later leader.
     pub fn inherit_borrowed_done(&mut self, id: &str, chunk: u32, text: &str, mod_revision: u64) {
         match self.jobs.get_mut(id).filter(|job| job.borrowed_from.is_some()) {
             Some(job) => {
                 let added = job.add_done_chunk(chunk, text, mod_revision);
                 self.note_added(id, &borrowed_done_key(id, chunk), added);
             }
+            None if self.loans.borrower_ledger.job(id).is_some() => {}
             None => self.note_orphan(id, borrowed_done_key(id, chunk), mod_revision),
         }
     }
