--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -363,8 +363,13 @@
 }
 
 fn loan_reply(spare_cpus: f64, reports: &[LoanReport]) -> LoanReply {
-    let summary =
-        proto::CellSummary { form: 1, composed_us: wall().0, spare_cpus, ..proto::CellSummary::default() };
+    let summary = proto::CellSummary {
+        form: 1,
+        composed_us: wall().0,
+        free_cpus: [("small".to_string(), spare_cpus)].into(),
+        spare_cpus,
+        ..proto::CellSummary::default()
+    };
     LoanReply {
         from: "there".into(),
         term: 1,
--- a/tests/common/records_of_0_3_2.rs
+++ b/tests/common/records_of_0_3_2.rs
@@ -1,5 +1,6 @@
 //! The record of a job as 0.3.0 to 0.3.2 read and write it (`JobRecord`, src/records.rs there).
 
+use milletlock::records::{JobRecord, LentForm};
 use milletlock::wire::{Change, Guard, JobSpec, Txn};
 use milletlock_cells::Lending;
 use serde::Deserialize;
@@ -34,6 +35,17 @@
 }
 
 impl Store {
+    /// The record of a job with loans as this version wrote it becomes the one that 0.3.2 would have written in its
+    /// place.
+    pub fn lend_as_0_3_2(&mut self, id: &str) {
+        let key = format!("job/{id}");
+        let mut record: JobRecord =
+            serde_json::from_value(self.row(&key).expect("the job").value).expect("a record");
+        record.lent_form = LentForm::Hidden;
+        self.keys.remove(&format!("final/{id}"));
+        self.txn(&Txn { guards: Vec::new(), then: vec![Change::put(key, json!(record))] }).expect("written");
+    }
+
     /// A leader of 0.3.2 writes a job's record back with other loans.
     pub fn rewrite_as_0_3_2(&mut self, id: &str, change: impl FnOnce(&mut Lending)) {
         let key = format!("job/{id}");
--- /dev/null
+++ b/tests/held_job_forms.rs
@@ -0,0 +1,158 @@
+//! Forms of the record of a job with loans: as 0.3.0 to 0.3.2 wrote it, and with descriptions so long that a value has
+//! little room for loans, or none.
+
+mod common;
+
+use common::leader_without_copies::TO_THE_END;
+use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS, VALUE_BYTES};
+use common::production_leader::ProductionLeader;
+use common::spec;
+use serde_json::{json, Value};
+
+/// Machine types in a description that takes more than half of a value.
+const MANY_TYPES: usize = 22;
+
+fn job_row(world: &World) -> Option<Value> {
+    world.store().row(&format!("job/{JOB}")).map(|row| row.value)
+}
+
+fn final_row(world: &World) -> Option<Value> {
+    world.store().row(&format!("final/{JOB}")).map(|row| row.value)
+}
+
+fn cancel(leader: &Leader<'_>) -> u16 {
+    leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0
+}
+
+/// A long description in a record of the form of 0.3.2.
+fn with_long_description(world: &World) {
+    let mut store = world.store();
+    let (record, _) = store.keys.get_mut(&format!("job/{JOB}")).expect("the job");
+    record["spec_of_lent"]["breeds"] = type_names(MANY_TYPES);
+}
+
+/// Names of machine types of such a length that 31 leave no room for a loan, and one that there is.
+fn type_names(count: usize) -> Value {
+    let others = (0..count).map(|number| format!("{number:0>115}"));
+    json!(others.chain(["small".to_string()]).collect::<Vec<_>>())
+}
+
+/// A cell of 0.3.2 that has lent tasks; some are done, some run.
+fn lent_by_0_3_2() -> (World, Machine) {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    leader.begin_and_lend(&mut machine);
+    machine.finish_one();
+    leader.steps(&mut machine, SETTLED);
+    drop(leader);
+    world.store().lend_as_0_3_2(JOB);
+    (world, machine)
+}
+
+fn assert_values_fit(world: &World) {
+    for (key, (value, _)) in &world.store().keys {
+        let bytes = value.to_string().len();
+        assert!(bytes <= VALUE_BYTES, "{key}: {bytes} bytes");
+    }
+}
+
+/// Plays on until the job has ended; nothing but its final record is left.
+fn play_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
+    world.borrower().is_cut_off = false;
+    for _ in 0..TO_THE_END {
+        machine.finish_all();
+        let held = world.borrower().tasks();
+        world.borrower().done = held;
+        leader.lend();
+        leader.step(machine);
+        assert_values_fit(world);
+        if job_row(world).is_none() {
+            break;
+        }
+    }
+    leader.steps(machine, 2 * SETTLED);
+    let store = world.store();
+    let left: Vec<&String> = store.keys.keys().filter(|key| key.contains(JOB)).collect();
+    assert_eq!(left, [&format!("final/{JOB}")]);
+    let twice: Vec<_> = machine.started.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(twice.is_empty(), "started more than once: {twice:?}");
+}
+
+/// Guards against progress of jobs that 0.3.2 has lent: a leader of this version makes it safe from production.
+#[test]
+fn a_job_that_0_3_2_lent_outlasts_production_once_this_version_has_led() {
+    let (world, mut machine) = lent_by_0_3_2();
+    let mut leader = world.leader();
+    leader.steps(&mut machine, 1);
+    leader.lend();
+    leader.steps(&mut machine, SETTLED);
+    let (done, running) = (world.recorded_done(), machine.running());
+    assert!(!done.is_empty() && !running.is_empty());
+    drop(leader);
+    let mut earlier = ProductionLeader::elected(&world);
+    earlier.steps(&mut machine, SETTLED);
+    assert!(earlier.knows(JOB));
+    assert_eq!((world.recorded_done(), machine.running()), (done, running));
+    play_to_the_end(&world, &mut world.leader(), &mut machine);
+}
+
+/// Guards against guards that expect a placeholder where 0.3.2 wrote none.
+#[test]
+fn a_job_that_0_3_2_lent_is_settled_cancelled_and_ended() {
+    for is_cancelled in [false, true] {
+        // A controller that does not know the versions of the others leads and leaves the form as it is.
+        for knows_versions in [false, true] {
+            for has_long_description in [false, true] {
+                let (world, mut machine) = lent_by_0_3_2();
+                if has_long_description {
+                    with_long_description(&world);
+                }
+                let mut leader = if knows_versions { world.leader() } else { world.follower() };
+                leader.fail_over();
+                leader.steps(&mut machine, 2);
+                leader.lend();
+                let given_back = world.borrower().tasks().iter().take(2).collect();
+                world.borrower().gives_back = given_back;
+                let before = job_row(&world);
+                leader.lend();
+                assert_ne!(job_row(&world), before, "settled");
+                if is_cancelled {
+                    world.borrower().is_cut_off = true;
+                    assert_eq!(cancel(&leader), 503);
+                    assert_eq!(job_row(&world).expect("live")["lending"]["cancelling"], true);
+                }
+                play_to_the_end(&world, &mut leader, &mut machine);
+                let stage = if is_cancelled { "cancelled" } else { "done" };
+                assert_eq!(final_row(&world), Some(json!({ "stage": stage, "tasks": TASKS })));
+            }
+        }
+    }
+}
+
+/// Guards against a record that the state store rejects for its size, so that the job could not be lent, settled or
+/// cancelled any more.
+#[test]
+fn a_job_whose_description_leaves_no_room_for_loans_runs_all_the_same() {
+    let mut most_lent = Vec::new();
+    for types in (4..32).step_by(3) {
+        let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+        let mut leader = world.leader();
+        let mut job = json!(spec(1, TASKS, "batch"));
+        job["breeds"] = type_names(types);
+        assert_eq!(leader.ask("POST", "/api/jobs", &job).0, 201);
+        leader.steps(&mut machine, SETTLED);
+        for _ in 0..SETTLED {
+            leader.lend();
+            leader.steps(&mut machine, 1);
+            assert_values_fit(&world);
+        }
+        most_lent.push(world.borrower().tasks().len());
+        let given_back = world.borrower().tasks().iter().step_by(2).collect();
+        world.borrower().gives_back = given_back;
+        leader.lend();
+        assert_values_fit(&world);
+        play_to_the_end(&world, &mut leader, &mut machine);
+    }
+    assert!(most_lent[0] > 0, "few types: {most_lent:?}");
+    assert!(most_lent.contains(&0), "many types: {most_lent:?}");
+}
--- a/tests/held_record_bounds.rs
+++ b/tests/held_record_bounds.rs
@@ -27,11 +27,9 @@
     while json!(record).to_string().len() + 2 <= VALUE_BYTES {
         record.spec.image = Some(record.spec.image.unwrap_or_default() + "x");
     }
-    record.lent_form = LentForm::Hidden;
-    let mut store = world.store();
-    store.keys.remove(&format!("final/{JOB}"));
     let then = vec![Change::put(format!("job/{JOB}"), json!(record))];
-    store.txn(&Txn { guards: Vec::new(), then }).expect("written");
+    world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
+    world.store().lend_as_0_3_2(JOB);
 }
 
 /// Guards against a rewritten record that a value cannot hold any more once tasks are given back.
--- a/tests/lent_records.rs
+++ b/tests/lent_records.rs
@@ -195,10 +195,7 @@
 /// The records of a job with an open loan as 0.3.2 left them.
 fn lent_by_0_3_2(world: &World, machine: &mut Machine) {
     lent_job(world, machine);
-    let mut record = read(&value(world, &job_key()).expect("the job"));
-    record.lent_form = LentForm::Hidden;
-    put(world, &job_key(), json!(record));
-    world.store().keys.remove(&final_key());
+    world.store().lend_as_0_3_2(JOB);
 }
 
 fn is_hidden(world: &World) -> bool {
