--- a/tests/held_job_writes.rs
+++ b/tests/held_job_writes.rs
@@ -265,3 +265,17 @@
     assert!(machine.running().is_empty() && machine.started == started);
     assert_eq!(users.cancel(&mut world.store(), JOB), CancelAnswer::AlreadyOver("cancelled".into()));
 }
+
+/// Guards against a placeholder that stays, or that holds up the end, under a leader without the `cells` block.
+#[test]
+fn a_leader_without_the_cells_block_ends_the_job_with_its_placeholder() {
+    let (world, mut machine) = world_before(Step::EndDone);
+    assert!(has_loans(&world) && final_row(&world).is_some());
+    let mut leader = world.leader_without_cells();
+    leader.steps(&mut machine, 2 * SETTLED);
+    assert_consistent(&world, "without the block");
+    assert_eq!(final_row(&world).expect("ended")["stage"], "done");
+    let store = world.store();
+    let left: Vec<&String> = store.keys.keys().filter(|key| key.contains(JOB)).collect();
+    assert_eq!(left, [&format!("final/{JOB}")]);
+}
