Comments and one signature of the change that holds jobs with loans

lookup.rs: the note of a final record that cannot be decoded no longer returns an error inside a result. Comments that said that no earlier version reads the record of a job with loans say in which form.

--- a/src/api/lookup.rs
+++ b/src/api/lookup.rs
@@ -44,7 +44,10 @@
     let Some(row) = backend.state().get(&key, RequestPriority::User)? else { return Ok(None) };
     let record: FinalRecord = match serde_json::from_value(row.value) {
         Ok(record) => record,
-        Err(error) => return Err(no_final_record(backend, id, &key, &error)?),
+        Err(error) => {
+            note_no_final_record(backend, id, &key, &error)?;
+            return Err(StateStoreError::Malformed(error.to_string()));
+        }
     };
     // Written once, in the transaction that removed the live record.
     let ended = StoredFinal { record, revision: row.mod_revision };
@@ -52,18 +55,18 @@
     Ok(Some(ended))
 }
 
-/// The error of a final record that cannot be decoded. A placeholder of a live job is none; the job has been
-/// accepted and lent since its record was looked for.
-fn no_final_record(
+/// Notes that what stands under the key of a final record cannot be decoded, unless it is the placeholder of a live
+/// job, which has been accepted and lent since its record was looked for.
+fn note_no_final_record(
     backend: &dyn JobsBackend,
     id: &str,
     key: &str,
     error: &serde_json::Error,
-) -> Result<StateStoreError, StateStoreError> {
+) -> Result<(), StateStoreError> {
     if backend.state().get(&job_key(id), RequestPriority::User)?.is_none() {
         backend.note_unreadable(key, error);
     }
-    Ok(StateStoreError::Malformed(error.to_string()))
+    Ok(())
 }
 
 /// The status of a live job: its task counts.
--- a/src/fleet/lending.rs
+++ b/src/fleet/lending.rs
@@ -186,7 +186,7 @@
         write
     }
 
-    /// From the first loan on an earlier version cannot read the job's record, which carries the start mark:
+    /// From the first loan on the job's record carries the start mark, which outlasts a leader that cannot read it:
     /// tasks below it may be started whether or not the write is applied.
     fn note_mark_of_first_loan(&mut self, write: Option<&LoanWrite>) {
         let Some(LoanWrite::Lender { job, record, .. }) = write else { return };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,9 +14,8 @@
 //!   the steady clock from the time of day.
 //! * **State**, what is kept in the state store. [`state`] is its client, [`keys`] and [`records`] are
 //!   what is stored, [`job_changes`] how a live job's record is replaced or ended, [`packed_records`] and
-//!   [`task_ranges`] the compact forms, [`progress_copy`]
-//!   the copies that outlast a version without loans. [`live_jobs`] answers
-//!   which jobs are live, [`store_contact`] whether a leader may still act, and
+//!   [`task_ranges`] the compact forms, [`progress_copy`] the copies that outlast a version without loans.
+//!   [`live_jobs`] answers which jobs are live, [`store_contact`] whether a leader may still act, and
 //!   [`cancellation_notices`] holds what the other controllers have not acknowledged.
 //! * **Planner**, decisions without input or output. [`sched`] chooses the machine for each task (bin
 //!   packing, gang scheduling, quota, preemption), [`capacity`] what to scale out and in, and
--- a/src/progress_copy.rs
+++ b/src/progress_copy.rs
@@ -1,8 +1,9 @@
 //! Copies of a lent job's progress, under keys that only versions with loans look at.
 //!
-//! A version without loans cannot read the record of a job with open loans. It takes the job's done ranges and
-//! start mark for those of a job that has ended, and removes them. What is copied outlasts that: a task counts
-//! as recorded only once its copy is stored as well, see docs/cells.md.
+//! A version without loans cannot read the record of a job with open loans in the form of 0.3.0 to 0.3.2
+//! ([`crate::records::LentForm::Hidden`]). It takes the job's done ranges and start mark for those of a job that has
+//! ended, and removes them. What is copied outlasts that: a task counts as recorded only once its copy is stored as
+//! well, see docs/cells.md.
 
 use std::collections::BTreeMap;
 
