--- /dev/null
+++ b/tests/unreadable_history.rs
@@ -0,0 +1,34 @@
+//! Values of the run-time history that this version cannot read.
+
+mod common;
+
+use common::leader_without_copies::TO_THE_END;
+use common::lending_world::{Machine, World, SETTLED};
+use milletlock::history::BUCKETS;
+use milletlock::wire::{Change, Txn};
+use serde_json::{json, Value};
+
+fn history(world: &World) -> Vec<Value> {
+    world.store().rows("hist/").into_iter().map(|row| row.value).collect()
+}
+
+/// Guards against a history of a later version that is overwritten once the write of a value was refused.
+#[test]
+fn a_history_that_cannot_be_read_is_not_overwritten() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let later = json!({ "form": 2 });
+    let then = (0..BUCKETS).map(|bucket| Change::put(format!("hist/{bucket}"), later.clone())).collect();
+    world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
+    let mut leader = world.leader();
+    leader.submit();
+    for _ in 0..TO_THE_END {
+        leader.steps(&mut machine, 2);
+        machine.finish_all();
+        if leader.stage() == "done" {
+            break;
+        }
+    }
+    assert_eq!(leader.stage(), "done");
+    leader.steps(&mut machine, 2 * SETTLED);
+    assert_eq!(history(&world), vec![later; BUCKETS as usize]);
+}
