A value of the history that cannot be read is kept

Symptom: a value of the run-time history in a form of a later version is overwritten by the first job that ends after a failover, although docs/safety.md says that a value that cannot be read never is.

Cause: the first write is refused, since the value's version is not known; the version is read back, and the next write overwrites the value. Machines and start marks have a note against this, the history had none.

Change: such a bucket is never written.

--- a/src/history.rs
+++ b/src/history.rs
@@ -99,12 +99,20 @@
     dirty: BTreeSet<u32>,
     /// By bucket: the state store's revision of it, for compare-and-swap writes.
     revisions: BTreeMap<u32, u64>,
+    /// Buckets whose stored value cannot be read.
+    unreadable: BTreeSet<u32>,
 }
 
 impl History {
     /// An empty history that keeps `jobs_per_key` jobs for each key.
     pub fn new(jobs_per_key: usize) -> History {
-        History { jobs_per_key, jobs: BTreeMap::new(), dirty: BTreeSet::new(), revisions: BTreeMap::new() }
+        History {
+            jobs_per_key,
+            jobs: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            revisions: BTreeMap::new(),
+            unreadable: BTreeSet::new(),
+        }
     }
 
     /// Loads a key from its stored record, dropping ratios that are negative or not finite and keeping
@@ -139,9 +147,14 @@
         }
     }
 
-    /// Buckets that have changed since they were last written.
+    /// Notes that a bucket's stored value cannot be read: it is never written.
+    pub fn keep_unreadable(&mut self, bucket: u32) {
+        self.unreadable.insert(bucket);
+    }
+
+    /// Buckets to write: they have changed since they were last written.
     pub fn dirty(&self) -> impl Iterator<Item = u32> + '_ {
-        self.dirty.iter().copied()
+        self.dirty.difference(&self.unreadable).copied()
     }
 
     /// The state store's revision of a bucket; 0 if none is known.
--- a/src/leadership/rebuild.rs
+++ b/src/leadership/rebuild.rs
@@ -129,7 +129,12 @@
 /// Loads a packed bucket of history records.
 fn load_history_bucket(fleet: &mut Fleet, bucket: &str, key: &str, value: Value, mod_revision: u64) {
     let decoded = decode_packed::<Vec<HistoryRecord>>(fleet, UnreadableRecord::Other, key, bucket, value);
-    let Some((bucket, records)) = decoded else { return };
+    let Some((bucket, records)) = decoded else {
+        if let Ok(bucket) = bucket.parse() {
+            fleet.history.keep_unreadable(bucket);
+        }
+        return;
+    };
     for record in records {
         fleet.history.load(record);
     }
