A row that cannot be read holds up no writes of other jobs

Symptom: with a done range, its copy or the copied start mark of a lent job that cannot be read, the write that replaces it is refused in each round, and with it all others in the same transaction: done ranges of other jobs are not recorded; with the start mark, which is urgent, no other job ends and no machine is written.

Cause: the row's version is not known, so that it is guarded as absent; after the refusal it is read back, cannot be read, and the same write is composed again.

Change: such a write is not composed. Its results stay with the workers, as they did before.

--- a/src/fleet/loan_results.rs
+++ b/src/fleet/loan_results.rs
@@ -44,6 +44,7 @@
         for job in self.jobs_with_unrecorded_loans() {
             add_due_chunks(job, chunk, &mut writes);
         }
+        writes.retain(|write| !self.replaces_unreadable(write));
         writes
     }
 
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -223,6 +223,7 @@
                 add_due_chunks(job, chunk, &mut writes);
             }
         }
+        writes.retain(|write| !self.replaces_unreadable(write));
         writes
     }
 
--- a/src/fleet/unreadable.rs
+++ b/src/fleet/unreadable.rs
@@ -10,8 +10,8 @@
 use serde::Serialize;
 
 use super::machine::TaskKey;
-use super::Fleet;
-use crate::keys::job_key;
+use super::{Fleet, PendingWrite};
+use crate::keys::{job_key, lent_done_key, lent_start_mark_key};
 use crate::time::Steady;
 
 /// Most keys of unreadable records that the status names.
@@ -119,6 +119,23 @@
         self.unreadable.holds_job(id)
     }
 
+    /// Whether a write of a job's progress replaces a row that cannot be read: it would be refused each time, and
+    /// hold up those in the same transaction.
+    pub(super) fn replaces_unreadable(&self, write: &PendingWrite) -> bool {
+        if self.unreadable.keys.is_empty() {
+            return false;
+        }
+        let is_unreadable = |key: &str| self.unreadable.keys.contains(key);
+        match write {
+            PendingWrite::LentStartMark(id) => is_unreadable(&lent_start_mark_key(id)),
+            PendingWrite::Done(id, chunk) => self.jobs.get(id).is_some_and(|job| {
+                is_unreadable(&job.done_chunk_key(*chunk))
+                    || job.copy.is_kept && is_unreadable(&lent_done_key(id, *chunk))
+            }),
+            _ => false,
+        }
+    }
+
     /// Whether the record of an own job could not be read, and the job is not known.
     pub fn is_unread_job(&self, id: &str) -> bool {
         self.unreadable.jobs.contains(id) && !self.jobs.contains_key(id)
