Reported versions are forgotten as a term ends, not as one begins

Cause: what the leader that died announced is as recent as its death; only what was reported in an earlier term of this controller is out of date.

Change: the versions are forgotten as a term of this controller ends.

tests/held_record_bounds.rs: the_version_of_the_leader_that_died_allows_loans fails with the versions forgotten at the election ("nothing is lent"), and passes; versions_of_an_earlier_term_allow_no_loan still does.

--- a/src/controller/failover.rs
+++ b/src/controller/failover.rs
@@ -118,8 +118,6 @@
             lease: term.lease,
         });
         shared.last_peer_contact = now;
-        // Any of them may have been replaced by an older one while another controller led.
-        shared.peer_versions.clear();
         // As old as the election: cancellations since then may not have been read.
         let store_contact = StoreContact::new(begun, self.config.max_staleness());
         shared.leadership = Some(Leadership { fleet, term, store_contact, last_heartbeat: now });
--- a/src/controller/shared_state.rs
+++ b/src/controller/shared_state.rs
@@ -37,7 +37,8 @@
     pub(super) leader: Option<LeaderRecord>,
     /// The highest fencing token seen.
     pub(super) highest_fencing_token: u64,
-    /// Versions of the other controllers, by label, as each last reported it; on a leader, in its own term.
+    /// Versions of the other controllers, by label, as each last reported it. They are forgotten as a term of this
+    /// controller ends.
     pub(super) peer_versions: BTreeMap<String, String>,
     /// The other cells, by name.
     pub(super) other_cells: BTreeMap<String, OtherCellState>,
--- a/src/controller/step_down.rs
+++ b/src/controller/step_down.rs
@@ -82,6 +82,8 @@
                 "stepped down"
             );
             shared.leader = None;
+            // Any of the others may be replaced by an older one before this controller leads again.
+            shared.peer_versions.clear();
             self.wake.notify_all();
         }
     }
--- a/tests/held_record_bounds.rs
+++ b/tests/held_record_bounds.rs
@@ -89,3 +89,14 @@
     leader.controller.announce_once();
     leader.lend_some(&mut machine);
 }
+
+/// Guards against lending that stops with a failover until the leader that died is back.
+#[test]
+fn the_version_of_the_leader_that_died_allows_loans() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    world.leader().submit();
+    let mut leader = world.follower();
+    leader.hears_of_leader("0.3.3");
+    leader.fail_over();
+    leader.lend_some(&mut machine);
+}
