--- a/tests/held_job_writes.rs
+++ b/tests/held_job_writes.rs
@@ -9,8 +9,8 @@
 use common::production_api::{read_final_record, CancelAnswer, ProductionApi};
 use common::production_leader::ProductionLeader;
 use common::store_faults::Fate;
-use milletlock::wire::Txn;
-use serde_json::Value;
+use milletlock::wire::{Change, Txn};
+use serde_json::{json, Value};
 
 /// Writes of a job's record, in the order of a job's life.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -222,6 +222,27 @@
     }
 }
 
+/// Guards against a write that replaces how a job has ended: each is guarded by what stands under `final/`.
+#[test]
+fn no_write_replaces_a_final_record() {
+    let ended = json!({ "stage": "done", "tasks": TASKS });
+    let put = || Change::put(format!("final/{JOB}"), ended.clone());
+    for step in STEPS {
+        let (world, mut machine) = world_before(step);
+        let mut leader = leader_before(step, &world, &mut machine);
+        world.store().txn(&Txn { guards: Vec::new(), then: vec![put()] }).expect("written");
+        take(step, &world, &mut leader, &mut machine);
+        leader.steps(&mut machine, SETTLED);
+        assert_eq!(final_row(&world).as_ref(), Some(&ended), "{step:?}");
+    }
+    // Of a job of which nothing is lent.
+    let (world, _) = world_before(Step::Lend);
+    let leader = world.leader();
+    world.store().txn(&Txn { guards: Vec::new(), then: vec![put()] }).expect("written");
+    assert_eq!(cancel(&leader), 503);
+    assert_eq!(final_row(&world), Some(ended));
+}
+
 /// Guards against a cancellation of the earlier version that comes late, once the loans are closed.
 #[test]
 fn a_refused_cancellation_of_the_earlier_version_does_not_apply_later() {
