Tests: questions about a job whose record 0.3.2 wrote back (failing)

A follower of this version beside a leader of 0.3.2 takes the stripped record for unreadable, so that status requests and repeated submissions get 503 until this version leads.

--- a/tests/held_job_forms.rs
+++ b/tests/held_job_forms.rs
@@ -156,3 +156,18 @@
     assert!(most_lent[0] > 0, "few types: {most_lent:?}");
     assert!(most_lent.contains(&0), "many types: {most_lent:?}");
 }
+
+/// Guards against questions about a job that get 503 while 0.3.2 leads and has written its record back.
+#[test]
+fn a_follower_answers_about_a_job_whose_record_0_3_2_wrote_back() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    leader.begin_and_lend(&mut machine);
+    drop(leader);
+    world.store().rewrite_as_0_3_2(JOB, |_| ());
+    let follower = world.follower();
+    let status = follower.ask("GET", &format!("/api/jobs/{JOB}"), &Value::Null);
+    assert_eq!((status.0, &status.1["stage"]), (200, &json!("queued")), "a status request");
+    let again = follower.ask("POST", "/api/jobs", &json!(spec(1, TASKS, "batch")));
+    assert_eq!(again.0, 200, "a repeated submission: {again:?}");
+}
