Tests: a restoring write is sent again, with and without a cells block (failing)

On both fail: a_restoring_write_without_an_answer_does_no_harm as before (AnswerLost), and a_restoring_write_is_sent_again_by_a_leader_without_cells (Lost: the placeholder is still there, since only the lending duty sends writes again). The first now has rounds of messages before it looks, since they send writes again.

--- a/tests/held_job_writes.rs
+++ b/tests/held_job_writes.rs
@@ -244,7 +244,10 @@
                 if is_replaced {
                     leader = world.leader();
                 }
-                leader.steps(&mut machine, SETTLED);
+                for _ in 0..SETTLED {
+                    leader.lend();
+                    leader.step(&mut machine);
+                }
                 assert_consistent(&world, &context);
                 play_to_the_end(&world, &mut leader, &mut machine, &context);
                 assert_none_ran_twice(&machine, &context);
@@ -254,6 +257,24 @@
     }
 }
 
+/// Guards against a restoring write that is never sent again where no `cells` block has messages sent.
+#[test]
+fn a_restoring_write_is_sent_again_by_a_leader_without_cells() {
+    for fate in FATES {
+        let context = format!("{fate:?}");
+        let (world, mut machine) = world_before(Step::Settle);
+        world.borrower().held.clear();
+        world.store().rewrite_as_0_3_2(JOB, |lending| lending.loans.clear());
+        world.faults().next = [fate].into();
+        let mut leader = world.leader_without_cells();
+        leader.steps(&mut machine, SETTLED);
+        assert!(world.faults().next.is_empty(), "{context}: nothing was written");
+        assert_consistent(&world, &context);
+        play_to_the_end(&world, &mut leader, &mut machine, &context);
+        assert_none_ran_twice(&machine, &context);
+    }
+}
+
 /// Guards against a write that replaces how a job has ended: each is guarded by what stands under `final/`.
 #[test]
 fn no_write_replaces_a_final_record() {
