--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -86,7 +86,7 @@
     /// Tasks of borrowed jobs that are withheld for a write in flight, by job.
     pub(super) returning_in_flight: BTreeMap<JobId, TaskSet>,
     /// Revisions of placeholders that 0.3.0 to 0.3.2 left behind when they wrote the records back, by job.
-    left_placeholders: BTreeMap<JobId, u64>,
+    pub(super) left_placeholders: BTreeMap<JobId, u64>,
     /// Writes whose outcome is unknown, which are sent again until it is known.
     unresolved: Vec<LoanWrite>,
     /// Loans on which their borrowers have decided.
