Restoring writes are sent again without a cells block as well

Symptom: without a cells block a restoring write that is lost is never sent again; the job can't be cancelled. Cause: only the lending duty sends writes of loans again that had no answer, and it does not run without the block. Change: the writer does where there is none. tests/held_job_writes.rs: a_restoring_write_is_sent_again_by_a_leader_without_cells failed before.

--- a/src/controller/loan_writes.rs
+++ b/src/controller/loan_writes.rs
@@ -38,6 +38,10 @@
             Some(leadership) => (leadership.term.fencing_token, leadership.fleet.begin_restores()),
             None => return,
         };
+        if self.config.operator.cells.is_none() {
+            // No lending duty sends those again that had no answer.
+            self.retry_loan_writes(fencing_token);
+        }
         for write in writes {
             self.write_loan(fencing_token, write);
         }
