Questions about a job whose record 0.3.2 wrote back are answered

Symptom: beside a leader of 0.3.0 to 0.3.2 a controller of this version answers 503 for a held job whose record that leader has written back, until this version leads. Cause: the record cannot be decoded without the placeholder, and was taken for unreadable. Change: where the placeholder has what is missing, the job is live: status requests and repeated submissions get its status, cancellations 503 until the record is restored. tests/held_job_forms.rs: a_follower_answers_about_a_job_whose_record_0_3_2_wrote_back failed before.

--- a/src/api/cancellation.rs
+++ b/src/api/cancellation.rs
@@ -20,6 +20,7 @@
     for _ in 0..CANCEL_ATTEMPTS {
         let attempt = match look_up(backend, id)? {
             JobLookup::Unknown => Some(no_such_job()),
+            JobLookup::Stripped => Some(retry_later("the job's record is to be restored first")),
             JobLookup::Unreadable => Some(record_unreadable()),
             JobLookup::Final(known) => Some(confirm_final(backend, id, known)),
             JobLookup::Live { record, mod_revision } if record.lending.loans.is_empty() => {
--- a/src/api/lookup.rs
+++ b/src/api/lookup.rs
@@ -1,5 +1,8 @@
 //! The status of jobs: looks up what the state store holds of a job, and answers status requests.
 
+use serde::Deserialize;
+use serde_json::Value;
+
 use super::responses::{no_such_job, record_unreadable};
 use super::{JobsBackend, StoredFinal};
 use crate::http::{status, Response};
@@ -13,6 +16,8 @@
 pub(super) enum JobLookup {
     /// A live job: its record and the record's `mod_revision`.
     Live { record: Box<JobRecord>, mod_revision: u64 },
+    /// A live job whose record 0.3.0 to 0.3.2 wrote back; the next leader of this version restores it.
+    Stripped,
     /// A live job whose record this version cannot read.
     Unreadable,
     /// A finished or cancelled job.
@@ -30,14 +35,25 @@
     // two reads finds it.
     if let Some(row) = backend.state().get(&job_key(id), RequestPriority::User)? {
         let mod_revision = row.mod_revision;
-        return Ok(match serde_json::from_value(row.value) {
+        return Ok(match JobRecord::deserialize(&row.value) {
             Ok(record) => JobLookup::Live { record: Box::new(record), mod_revision },
+            Err(_) if can_be_restored(backend, id, row.value)? => JobLookup::Stripped,
             Err(_) => JobLookup::Unreadable,
         });
     }
     Ok(read_final(backend, id)?.map_or(JobLookup::Unknown, JobLookup::Final))
 }
 
+/// Whether a record is one that 0.3.0 to 0.3.2 wrote back, and its placeholder has what they dropped.
+fn can_be_restored(backend: &dyn JobsBackend, id: &str, record: Value) -> Result<bool, StateStoreError> {
+    if !JobRecord::is_stripped(&record) {
+        return Ok(false);
+    }
+    let placeholder = backend.state().get(&final_key(id), RequestPriority::User)?;
+    let placeholder = placeholder.and_then(|row| serde_json::from_value(row.value).ok());
+    Ok(placeholder.is_some_and(|placeholder| JobRecord::restore(record, placeholder).is_ok()))
+}
+
 /// Reads a job's final record, and remembers it; none if the job has not ended or was never accepted.
 fn read_final(backend: &dyn JobsBackend, id: &str) -> Result<Option<StoredFinal>, StateStoreError> {
     let key = final_key(id);
@@ -89,7 +105,7 @@
 ) -> Result<Option<Response>, StateStoreError> {
     let ok = |status: &JobStatus| Some(Response::json(status::OK, status));
     Ok(match look_up(backend, id)? {
-        JobLookup::Live { .. } => ok(&live_status(backend, id)),
+        JobLookup::Live { .. } | JobLookup::Stripped => ok(&live_status(backend, id)),
         JobLookup::Unreadable => Some(record_unreadable()),
         JobLookup::Final(known) => ok(&final_status(id, known.record)),
         JobLookup::Unknown => None,
@@ -106,7 +122,7 @@
     }
     match backend.live_jobs().presence(id, backend.state())? {
         Presence::Live => return Ok(Response::json(status::OK, &live_status(backend, id))),
-        Presence::Unreadable => return Ok(record_unreadable()),
+        Presence::Unreadable => return Ok(stored_status(backend, id)?.unwrap_or_else(record_unreadable)),
         Presence::Absent => {}
     }
     // If it ever was a live job, the transaction that removed it wrote its final record.
