--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -416,6 +416,13 @@
         (response.status, serde_json::from_slice(&response.body).unwrap_or(Value::Null))
     }
 
+    /// What operators see of it.
+    pub fn status(&self) -> Value {
+        let request = Request { method: "GET".into(), path: "/status".into(), body: Vec::new() };
+        let response = self.controller.answer(&request, RequestOrigin::Peer);
+        serde_json::from_slice(&response.body).expect("a status")
+    }
+
     /// An operator has the loans of the other cell written off; the status code.
     pub fn write_off(&self) -> u16 {
         let request =
--- a/tests/common/production_leader.rs
+++ b/tests/common/production_leader.rs
@@ -1,6 +1,6 @@
-//! A leader of the version in production at work: what it reads, starts, halts, forgets, records and ends. How
-//! it takes records over is in `production`, what it writes in `production_writes`. It starts all that the checks of that version let it
-//! start, at once, where the real one plans first. Line numbers are of that version's sources.
+//! A leader of the version in production at work: what it reads, starts, halts, forgets, records and ends. How it takes
+//! records over is in `production`, what it writes in `production_writes`. It starts at once whatever passes the real
+//! one's checks, where that plans first. Line numbers are of its sources.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/held_job_writes.rs
+++ b/tests/held_job_writes.rs
@@ -148,8 +148,8 @@
     }
     let store = world.store();
     let of_job = |txn: &&&Txn| txn.then.iter().any(|change| change.key().contains(JOB));
-    let repeatable: Vec<_> = store.repeatable();
-    let repeatable: Vec<_> = repeatable.iter().filter(of_job).collect();
+    let executed = store.repeatable();
+    let repeatable: Vec<_> = executed.iter().filter(of_job).collect();
     assert!(repeatable.is_empty(), "{context}: a late copy is carried out: {repeatable:?}");
 }
 
--- a/tests/lent_records.rs
+++ b/tests/lent_records.rs
@@ -9,8 +9,6 @@
 use common::production_api::read_final_record;
 use common::records_of_0_3_2::RecordOf0_3_2;
 use common::{record, spec};
-use milletlock::api::RequestOrigin;
-use milletlock::http::Request;
 use milletlock::records::{FinalPlaceholder, JobRecord, LentForm};
 use milletlock::wire::{Change, Txn};
 use milletlock_cells::{Lending, Loan, LoanNumber};
@@ -177,13 +175,6 @@
     world.store().row(key).map(|row| row.value)
 }
 
-/// What the leader's status says.
-fn status(leader: &Leader<'_>) -> Value {
-    let request = Request { method: "GET".into(), path: "/status".into(), body: Vec::new() };
-    let response = leader.controller.answer(&request, RequestOrigin::Peer);
-    serde_json::from_slice(&response.body).expect("a status")
-}
-
 /// A job with an open loan, of which nothing else happens any more.
 fn lent_job(world: &World, machine: &mut Machine) {
     let mut leader = world.leader();
@@ -218,7 +209,7 @@
         assert_eq!(record.lending.tasks().len(), held.len() - 1, "{version}: a task is given back");
         assert!(is_hidden(&world), "{version}");
         assert_eq!(value(&world, &final_key()), None, "{version}");
-        assert_eq!(status(&leader)["lent_progress"]["hidden_records"], 1, "{version}");
+        assert_eq!(leader.status()["lent_progress"]["hidden_records"], 1, "{version}");
         let cancelled = leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null);
         assert_eq!(cancelled.0, 503, "{version}: the borrower holds tasks");
         assert!(is_hidden(&world) && value(&world, &final_key()).is_none(), "{version}: cancelling");
@@ -262,7 +253,7 @@
     let placeholder = world.store().row(&final_key()).expect("a placeholder");
     let own_fields = json!({ "held": { "breeds": null, "kernels": TASKS } });
     assert_eq!((placeholder.value, placeholder.mod_revision), (own_fields, record.mod_revision));
-    assert_eq!(status(&leader)["lent_progress"]["hidden_records"], 0);
+    assert_eq!(leader.status()["lent_progress"]["hidden_records"], 0);
     leader.lend();
     assert_eq!(world.store().mod_revision(&job_key()), record.mod_revision, "it is written once");
 }
@@ -279,7 +270,7 @@
     let mut leader = world.leader_beside("0.3.3");
     (0..SETTLED).for_each(|_| leader.lend());
     assert!(is_hidden(&world));
-    assert_eq!(status(&leader)["lent_progress"]["hidden_records"], 1);
+    assert_eq!(leader.status()["lent_progress"]["hidden_records"], 1);
 }
 
 /// Guards against a start or an answer on a guess where a placeholder has no job.
@@ -292,7 +283,7 @@
     assert_eq!(leader.ask("POST", "/api/jobs", &submission).0, 503);
     assert_eq!(leader.ask("GET", &format!("/api/jobs/{JOB}"), &Value::Null).0, 503);
     assert_eq!(leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0, 503);
-    assert_eq!(status(&leader)["owner"]["unreadable"], json!({ "count": 1, "keys": [final_key()] }));
+    assert_eq!(leader.status()["owner"]["unreadable"], json!({ "count": 1, "keys": [final_key()] }));
     assert_eq!(value(&world, &final_key()), Some(json!({ "held": true })));
     assert_eq!(value(&world, &job_key()), None);
 }
@@ -319,7 +310,7 @@
         assert_eq!(ended, Some(json!({ "stage": "done", "tasks": 2 })), "{strange:?}: the other job");
         assert!(value(&world, &job_key()).is_some(), "{strange:?}: the job is kept");
         assert_eq!(value(&world, &final_key()), strange, "nothing is removed");
-        let keys = status(&leader)["owner"]["unreadable"]["keys"].clone();
+        let keys = leader.status()["owner"]["unreadable"]["keys"].clone();
         assert_eq!(keys, json!([final_key()]), "{strange:?}");
         assert_eq!(leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0, 503);
     }
--- a/tests/progress_keeper.rs
+++ b/tests/progress_keeper.rs
@@ -7,11 +7,9 @@
 use common::lending_world::{Leader, Machine, World, SETTLED};
 use common::spec;
 use common::worker::Task;
-use milletlock::api::RequestOrigin;
-use milletlock::http::Request;
 use milletlock::time::{Micros, Steady};
 use milletlock::wire::{Change, ExitReason, TaskStage, Txn};
-use serde_json::{json, Value};
+use serde_json::json;
 
 /// Records of jobs of which tasks 0 and 1 are borrowed: `wk-000100` and following.
 fn borrow_jobs(world: &World, jobs: usize) {
@@ -25,9 +23,7 @@
 
 /// Jobs with loans and those without copies, as a controller's status shows them to operators.
 fn lent_progress(controller: &Leader) -> Option<(u64, u64)> {
-    let request = Request { method: "GET".into(), path: "/status".into(), body: Vec::new() };
-    let response = controller.controller.answer(&request, RequestOrigin::Peer);
-    let status: Value = serde_json::from_slice(&response.body).expect("a status");
+    let status = controller.status();
     let progress = status.get("lent_progress")?;
     Some((progress["jobs"].as_u64()?, progress["without_copies"].as_u64()?))
 }
--- a/tests/unreadable_records.rs
+++ b/tests/unreadable_records.rs
@@ -73,10 +73,7 @@
 }
 
 fn unreadable(leader: &Leader<'_>) -> Value {
-    let request = Request { method: "GET".into(), path: "/status".into(), body: Vec::new() };
-    let response = leader.controller.answer(&request, RequestOrigin::Peer);
-    let status: Value = serde_json::from_slice(&response.body).expect("a status");
-    status["owner"]["unreadable"].clone()
+    leader.status()["owner"]["unreadable"].clone()
 }
 
 /// Users get 503 for the job, never 404 and never a stage.
