--- a/tests/lent_records.rs
+++ b/tests/lent_records.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::lending_scenario::tasks;
-use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
+use common::lending_world::{Machine, World, JOB, SETTLED, TASKS};
 use common::production::{self, ranges_text};
 use common::production_api::read_final_record;
 use common::records_of_0_3_2::RecordOf0_3_2;
