A held job takes no part of its team's guarantee under earlier versions

Cause: that version gives a team's guaranteed part out by age; an older held job of many open tasks leaves nothing, though nothing of it can start.

Change: a held job counts as accepted in 2100, so that it comes last there and in the queue, and never counts as waiting. Its own time stands with the other values in `held` and in the placeholder.

--- a/src/job_changes.rs
+++ b/src/job_changes.rs
@@ -36,7 +36,7 @@
     pub fn replace(&self, record: &JobRecord) -> Txn {
         let mut then = vec![Change::put(job_key(self.id), json!(record))];
         if record.has_placeholder() {
-            then.push(Change::put(final_key(self.id), json!(FinalPlaceholder::new(&record.spec))));
+            then.push(Change::put(final_key(self.id), json!(FinalPlaceholder::new(record))));
         } else if self.placeholder_revision > 0 {
             then.push(Change::drop(final_key(self.id)));
         }
--- a/src/records/job.rs
+++ b/src/records/job.rs
@@ -70,9 +70,10 @@
     pub fn restore(value: Value, placeholder: FinalPlaceholder) -> Result<JobRecord, JobRecordError> {
         let stored: StoredJobRecord = serde_json::from_value(value)?;
         let description = stored.spec.or(stored.spec_of_lent).ok_or(JobRecordError::NoSpec)?;
+        let submitted_us = placeholder.held.submitted_us;
         Ok(JobRecord {
             spec: placeholder.held.apply_to(description)?,
-            submitted_us: stored.submitted_us,
+            submitted_us,
             start_mark: stored.start_mark,
             lending: stored.lending,
             lent_form: LentForm::Hidden,
@@ -89,23 +90,25 @@
 
 impl FinalPlaceholder {
     /// The placeholder of a job.
-    pub fn new(spec: &JobSpec) -> FinalPlaceholder {
-        FinalPlaceholder { held: OwnFields::of(spec) }
+    pub fn new(record: &JobRecord) -> FinalPlaceholder {
+        FinalPlaceholder { held: OwnFields::of(record) }
     }
 }
 
-/// The fields of a job's own description in which the held one differs.
+/// The fields of a job's own record in which the held one differs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct OwnFields {
     #[serde(rename = "breeds")]
     types: Option<Vec<String>>,
     #[serde(rename = "kernels")]
     tasks: u32,
+    submitted_us: i64,
 }
 
 impl OwnFields {
-    fn of(spec: &JobSpec) -> OwnFields {
-        OwnFields { types: spec.types.clone(), tasks: spec.tasks }
+    fn of(record: &JobRecord) -> OwnFields {
+        let JobSpec { types, tasks, .. } = &record.spec;
+        OwnFields { types: types.clone(), tasks: *tasks, submitted_us: record.submitted_us }
     }
 
     /// The job's own description, from the held one.
@@ -117,6 +120,10 @@
     }
 }
 
+/// When a held job counts as accepted, in microseconds since 1970: in 2100, later than any other. Teams' guaranteed
+/// parts are given out by age, and one that starts nothing must not take its team's from jobs that could start.
+const HELD_SUBMITTED_US: i64 = 4_102_444_800_000_000;
+
 /// The description of a job with loans for versions before 0.3. No machine type is allowed, so that no task
 /// starts. The job has one task more than there is, so that it is never complete: a refused end would hold up
 /// the urgent writes that such a version puts into the same transaction.
@@ -180,13 +187,14 @@
 
 impl From<JobRecord> for StoredJobRecord {
     fn from(record: JobRecord) -> StoredJobRecord {
+        let own = record.has_placeholder().then(|| OwnFields::of(&record));
         let JobRecord { spec, submitted_us, start_mark, lending, lent_form } = record;
         let mut stored =
-            StoredJobRecord { spec: None, spec_of_lent: None, submitted_us, start_mark, lending, held: None };
+            StoredJobRecord { spec: None, spec_of_lent: None, submitted_us, start_mark, lending, held: own };
         match lent_form {
             _ if stored.lending.is_empty() => stored.spec = Some(spec),
             LentForm::Held => {
-                stored.held = Some(OwnFields::of(&spec));
+                stored.submitted_us = HELD_SUBMITTED_US;
                 stored.spec = Some(held_spec(spec));
             }
             LentForm::Hidden => stored.spec_of_lent = Some(spec),
@@ -205,12 +213,15 @@
             (Some(_), Some(_)) => return Err(JobRecordError::TwoSpecs),
             (Some(spec), None) | (None, Some(spec)) => spec,
         };
-        let (spec, lent_form) = match held {
+        let (spec, submitted_us, lent_form) = match held {
             Some(_) if lending.is_empty() => return Err(JobRecordError::NoLoans),
-            Some(own) => (own.apply_to(description)?, LentForm::Held),
+            Some(own) => {
+                let submitted_us = own.submitted_us;
+                (own.apply_to(description)?, submitted_us, LentForm::Held)
+            }
             None if is_held(&description) => return Err(JobRecordError::Stripped),
-            None if lending.is_empty() => (description, LentForm::default()),
-            None => (description, LentForm::Hidden),
+            None if lending.is_empty() => (description, submitted_us, LentForm::default()),
+            None => (description, submitted_us, LentForm::Hidden),
         };
         Ok(JobRecord { spec, submitted_us, start_mark, lending, lent_form })
     }
--- a/tests/held_jobs_before_0_3_3.rs
+++ b/tests/held_jobs_before_0_3_3.rs
@@ -67,12 +67,13 @@
         let world = World::new();
         let mut machine = lent_job(&world);
         let user_spec = json!(common::spec(1, TASKS, "batch"));
+        let submitted = value(&world, &job_key()).expect("the job")["held"]["submitted_us"].clone();
         written_by_0_3_2(&world, loans);
         let mut leader = world.leader();
         leader.steps(&mut machine, 1);
         let record = value(&world, &job_key()).expect("the job");
         let name = if loans == Loans::Kept { "spec_of_lent" } else { "spec" };
-        assert_eq!(record[name], user_spec, "{loans:?}: {record}");
+        assert_eq!((&record[name], &record["submitted_us"]), (&user_spec, &submitted), "{loans:?}: {record}");
         assert_eq!(value(&world, &final_key()), None, "{loans:?}: the placeholder is gone");
         assert_eq!(leader.stage(), "running", "{loans:?}");
         run_to_the_end(&world, &mut leader, &mut machine);
--- a/tests/lent_records.rs
+++ b/tests/lent_records.rs
@@ -16,6 +16,9 @@
 
 /// Tasks of the job in the fixtures.
 const FIXTURE_TASKS: u64 = 50;
+/// When it was accepted, and when it counts as accepted while it is held.
+const FIXTURE_SUBMITTED_US: i64 = 1_700_000_000_000_000;
+const HELD_SUBMITTED_US: i64 = 4_102_444_800_000_000;
 
 /// The description of the job in the fixtures, as its user sent it.
 fn description() -> Value {
@@ -40,18 +43,19 @@
 }
 
 fn plain() -> Value {
-    json!({ "spec": description(), "submitted_us": 1_700_000_000_000_000_i64, "high": 30 })
+    json!({ "spec": description(), "submitted_us": FIXTURE_SUBMITTED_US, "high": 30 })
 }
 
 /// The fields in which the job's own description differs from the held one.
 fn own_fields() -> Value {
-    json!({ "breeds": ["small"], "kernels": FIXTURE_TASKS })
+    json!({ "breeds": ["small"], "kernels": FIXTURE_TASKS, "submitted_us": FIXTURE_SUBMITTED_US })
 }
 
 fn held(cancelling: bool) -> Value {
     let mut held = plain();
     held["spec"] = held_description();
     held["held"] = own_fields();
+    held["submitted_us"] = json!(HELD_SUBMITTED_US);
     held["lending"] = lending(cancelling);
     held
 }
@@ -80,7 +84,7 @@
     for value in forms {
         let record = read(&value);
         assert_eq!(json!(record.spec), description(), "{value}");
-        assert_eq!(record.start_mark, 30, "{value}");
+        assert_eq!((record.start_mark, record.submitted_us), (30, FIXTURE_SUBMITTED_US), "{value}");
         assert_eq!(json!(record), value);
     }
     assert_eq!(read(&held(false)).lent_form, LentForm::Held);
@@ -126,7 +130,7 @@
 /// Guards against a placeholder that some version takes for the end of the job.
 #[test]
 fn the_placeholder_is_no_final_record() {
-    let placeholder = json!(FinalPlaceholder::new(&read(&plain()).spec));
+    let placeholder = json!(FinalPlaceholder::new(&read(&plain())));
     assert_eq!(placeholder, json!({ "held": own_fields() }));
     assert!(read_final_record(&placeholder).is_none());
     assert!(serde_json::from_value::<milletlock::records::FinalRecord>(placeholder).is_err());
@@ -249,9 +253,11 @@
     let record = world.store().row(&job_key()).expect("the job");
     assert!(read_by_production(&record.value).is_some(), "{}", record.value);
     let after = read(&record.value);
+    assert_eq!(after.submitted_us, before.submitted_us);
     assert_eq!((after.spec, after.lending), (before.spec, before.lending));
     let placeholder = world.store().row(&final_key()).expect("a placeholder");
-    let own_fields = json!({ "held": { "breeds": null, "kernels": TASKS } });
+    let own = json!({ "breeds": null, "kernels": TASKS, "submitted_us": before.submitted_us });
+    let own_fields = json!({ "held": own });
     assert_eq!((placeholder.value, placeholder.mod_revision), (own_fields, record.mod_revision));
     assert_eq!(leader.status()["lent_progress"]["hidden_records"], 0);
     leader.lend();
