--- a/tests/common/leader_without_copies.rs
+++ b/tests/common/leader_without_copies.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::lending_world::{Leader, Machine, World};
+use super::lending_world::{Leader, Machine, World, JOB, SETTLED};
 
 /// What a version before 0.2 says of itself.
 pub const NO_VERSION: &str = "";
@@ -13,11 +13,7 @@
 /// A leader of this version plays on until the job is done.
 pub fn run_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
     for _ in 0..TO_THE_END {
-        machine.finish_all();
-        let held = world.borrower().tasks();
-        world.borrower().done = held;
-        leader.lend();
-        leader.step(machine);
+        finish_and_step(world, leader, machine);
         if leader.stage() == "done" {
             return;
         }
@@ -25,6 +21,38 @@
     panic!("the job is not done");
 }
 
+/// A leader of this version plays on until the job has no record any more; `check` is called after each step.
+/// Nothing but the final record is left of the job.
+pub fn run_until_ended(
+    world: &World,
+    leader: &mut Leader<'_>,
+    machine: &mut Machine,
+    context: &str,
+    check: impl Fn(&World),
+) {
+    world.borrower().is_cut_off = false;
+    for _ in 0..TO_THE_END {
+        finish_and_step(world, leader, machine);
+        check(world);
+        if world.store().row(&format!("job/{JOB}")).is_none() {
+            break;
+        }
+    }
+    leader.steps(machine, 2 * SETTLED);
+    let store = world.store();
+    let left: Vec<&String> = store.keys.keys().filter(|key| key.contains(JOB)).collect();
+    assert_eq!(left, [&format!("final/{JOB}")], "{context}");
+}
+
+/// All that runs in either cell ends, and the leader hears of it.
+fn finish_and_step(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
+    machine.finish_all();
+    let held = world.borrower().tasks();
+    world.borrower().done = held;
+    leader.lend();
+    leader.step(machine);
+}
+
 /// Plays on until the job is done; asserts that none of the tasks that had finished starts again.
 pub fn assert_none_runs_again(world: &World, machine: &mut Machine, finished: &BTreeSet<u32>) {
     run_to_the_end(world, &mut world.leader(), machine);
--- a/tests/held_job_forms.rs
+++ b/tests/held_job_forms.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::leader_without_copies::TO_THE_END;
+use common::leader_without_copies::run_until_ended;
 use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS, VALUE_BYTES};
 use common::production_leader::ProductionLeader;
 use common::spec;
@@ -58,22 +58,7 @@
 
 /// Plays on until the job has ended; nothing but its final record is left.
 fn play_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine) {
-    world.borrower().is_cut_off = false;
-    for _ in 0..TO_THE_END {
-        machine.finish_all();
-        let held = world.borrower().tasks();
-        world.borrower().done = held;
-        leader.lend();
-        leader.step(machine);
-        assert_values_fit(world);
-        if job_row(world).is_none() {
-            break;
-        }
-    }
-    leader.steps(machine, 2 * SETTLED);
-    let store = world.store();
-    let left: Vec<&String> = store.keys.keys().filter(|key| key.contains(JOB)).collect();
-    assert_eq!(left, [&format!("final/{JOB}")]);
+    run_until_ended(world, leader, machine, "", assert_values_fit);
     let twice: Vec<_> = machine.started.iter().filter(|(_, count)| **count > 1).collect();
     assert!(twice.is_empty(), "started more than once: {twice:?}");
 }
--- a/tests/held_job_writes.rs
+++ b/tests/held_job_writes.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::leader_without_copies::TO_THE_END;
+use common::leader_without_copies::{run_until_ended, TO_THE_END};
 use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
 use common::production_api::{read_final_record, CancelAnswer, ProductionApi};
 use common::production_leader::ProductionLeader;
@@ -155,22 +155,7 @@
 
 /// Plays on until the job has ended, by a leader that goes on or by the next one.
 fn play_to_the_end(world: &World, leader: &mut Leader<'_>, machine: &mut Machine, context: &str) {
-    world.borrower().is_cut_off = false;
-    for _ in 0..TO_THE_END {
-        machine.finish_all();
-        let held = world.borrower().tasks();
-        world.borrower().done = held;
-        leader.lend();
-        leader.step(machine);
-        assert_consistent(world, context);
-        if job_row(world).is_none() {
-            break;
-        }
-    }
-    leader.steps(machine, 2 * SETTLED);
-    let store = world.store();
-    let left: Vec<&String> = store.keys.keys().filter(|key| key.contains(JOB)).collect();
-    assert_eq!(left, [&format!("final/{JOB}")], "{context}");
+    run_until_ended(world, leader, machine, context, |world| assert_consistent(world, context));
 }
 
 fn assert_none_ran_twice(machine: &Machine, context: &str) {
