--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -324,6 +324,16 @@
         self.clock.fetch_add(time.0, Ordering::SeqCst);
     }
 
+    /// The job's record as it is stored.
+    pub fn job_row(&self) -> Option<Value> {
+        self.store().row(&format!("job/{JOB}")).map(|row| row.value)
+    }
+
+    /// What stands under the key of the job's final record.
+    pub fn final_row(&self) -> Option<Value> {
+        self.store().row(&format!("final/{JOB}")).map(|row| row.value)
+    }
+
     /// The copy of the job's start mark.
     pub fn copied_mark(&self) -> u64 {
         let row = self.store().row(&format!("lent/marks/{JOB}"));
@@ -434,6 +444,11 @@
         assert_eq!(self.ask("POST", "/api/jobs", &json!(spec(1, TASKS, "batch"))).0, 201);
     }
 
+    /// A user cancels the job; the status code.
+    pub fn cancel(&self) -> u16 {
+        self.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0
+    }
+
     pub fn stage(&self) -> String {
         self.ask("GET", &format!("/api/jobs/{JOB}"), &Value::Null).1["stage"].as_str().unwrap_or("").into()
     }
--- a/tests/held_job_forms.rs
+++ b/tests/held_job_forms.rs
@@ -12,18 +12,6 @@
 /// Machine types in a description that takes more than half of a value.
 const MANY_TYPES: usize = 22;
 
-fn job_row(world: &World) -> Option<Value> {
-    world.store().row(&format!("job/{JOB}")).map(|row| row.value)
-}
-
-fn final_row(world: &World) -> Option<Value> {
-    world.store().row(&format!("final/{JOB}")).map(|row| row.value)
-}
-
-fn cancel(leader: &Leader<'_>) -> u16 {
-    leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0
-}
-
 /// A long description in a record of the form of 0.3.2.
 fn with_long_description(world: &World) {
     let mut store = world.store();
@@ -98,17 +86,17 @@
                 leader.lend();
                 let given_back = world.borrower().tasks().iter().take(2).collect();
                 world.borrower().gives_back = given_back;
-                let before = job_row(&world);
+                let before = world.job_row();
                 leader.lend();
-                assert_ne!(job_row(&world), before, "settled");
+                assert_ne!(world.job_row(), before, "settled");
                 if is_cancelled {
                     world.borrower().is_cut_off = true;
-                    assert_eq!(cancel(&leader), 503);
-                    assert_eq!(job_row(&world).expect("live")["lending"]["cancelling"], true);
+                    assert_eq!(leader.cancel(), 503);
+                    assert_eq!(world.job_row().expect("live")["lending"]["cancelling"], true);
                 }
                 play_to_the_end(&world, &mut leader, &mut machine);
                 let stage = if is_cancelled { "cancelled" } else { "done" };
-                assert_eq!(final_row(&world), Some(json!({ "stage": stage, "tasks": TASKS })));
+                assert_eq!(world.final_row(), Some(json!({ "stage": stage, "tasks": TASKS })));
             }
         }
     }
--- a/tests/held_job_writes.rs
+++ b/tests/held_job_writes.rs
@@ -10,7 +10,7 @@
 use common::production_leader::ProductionLeader;
 use common::store_faults::Fate;
 use milletlock::wire::{Change, Txn};
-use serde_json::{json, Value};
+use serde_json::json;
 
 /// Writes of a job's record, in the order of a job's life.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,10 +36,6 @@
 
 const FATES: [Fate; 3] = [Fate::AnswerLost, Fate::Lost, Fate::Late];
 
-fn cancel(leader: &Leader<'_>) -> u16 {
-    leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0
-}
-
 /// The borrower holds all that is lent to it, and takes nothing more.
 fn borrow_no_more(world: &World, leader: &mut Leader<'_>) {
     world.borrower().is_full = true;
@@ -62,7 +58,7 @@
     }
     if step == Step::EndCancelled {
         world.borrower().is_cut_off = true;
-        assert_eq!(cancel(&leader), 503);
+        assert_eq!(leader.cancel(), 503);
         world.borrower().is_cut_off = false;
     }
     if step == Step::EndDone {
@@ -117,31 +113,23 @@
         }
         Step::Cancel => {
             world.borrower().is_cut_off = true;
-            cancel(leader);
+            leader.cancel();
         }
         Step::EndCancelled => leader.lend(),
         Step::EndDone => leader.steps(machine, 1),
     }
 }
 
-fn job_row(world: &World) -> Option<Value> {
-    world.store().row(&format!("job/{JOB}")).map(|row| row.value)
-}
-
-fn final_row(world: &World) -> Option<Value> {
-    world.store().row(&format!("final/{JOB}")).map(|row| row.value)
-}
-
 fn has_loans(world: &World) -> bool {
-    job_row(world).is_some_and(|record| record.get("lending").is_some())
+    world.job_row().is_some_and(|record| record.get("lending").is_some())
 }
 
 /// A job that is live has no final record, one without loans nothing under `final/`, and one that has ended nothing
 /// else. No late copy of a write would be carried out.
 fn assert_consistent(world: &World, context: &str) {
-    let over = final_row(world);
+    let over = world.final_row();
     let is_final = over.as_ref().is_some_and(|value| read_final_record(value).is_some());
-    match job_row(world) {
+    match world.job_row() {
         Some(_) if has_loans(world) => assert!(!is_final, "{context}: {over:?}"),
         Some(_) => assert_eq!(over, None, "{context}: without loans"),
         None => assert!(over.is_none() || is_final, "{context}: {over:?} of no live job"),
@@ -182,7 +170,7 @@
                 play_to_the_end(&world, &mut leader, &mut machine, &context);
                 assert_none_ran_twice(&machine, &context);
                 let is_cancelled = matches!(step, Step::Cancel | Step::EndCancelled);
-                let stage = final_row(&world).expect("ended")["stage"].clone();
+                let stage = world.final_row().expect("ended")["stage"].clone();
                 assert_eq!(stage == "cancelled", is_cancelled, "{context}: {stage}");
             }
         }
@@ -200,7 +188,7 @@
         take(step, &world, &mut leader, &mut machine);
         assert_consistent(&world, &context);
         let is_held = matches!(step, Step::Lend | Step::Settle | Step::Cancel);
-        assert_eq!(has_loans(&world), is_held, "{context}: {:?}", job_row(&world));
+        assert_eq!(has_loans(&world), is_held, "{context}: {:?}", world.job_row());
         let answer = ProductionApi::default().cancel(&mut world.store(), JOB);
         let is_refused = answer == CancelAnswer::Refused;
         assert_eq!(is_refused, is_held, "{context}: the earlier version answers {answer:?}");
@@ -236,7 +224,7 @@
                 assert_consistent(&world, &context);
                 play_to_the_end(&world, &mut leader, &mut machine, &context);
                 assert_none_ran_twice(&machine, &context);
-                assert_eq!(final_row(&world).expect("ended")["stage"], "done", "{context}");
+                assert_eq!(world.final_row().expect("ended")["stage"], "done", "{context}");
             }
         }
     }
@@ -271,14 +259,14 @@
         world.store().txn(&Txn { guards: Vec::new(), then: vec![put()] }).expect("written");
         take(step, &world, &mut leader, &mut machine);
         leader.steps(&mut machine, SETTLED);
-        assert_eq!(final_row(&world).as_ref(), Some(&ended), "{step:?}");
+        assert_eq!(world.final_row().as_ref(), Some(&ended), "{step:?}");
     }
     // Of a job of which nothing is lent.
     let (world, _) = world_before(Step::Lend);
     let leader = world.leader();
     world.store().txn(&Txn { guards: Vec::new(), then: vec![put()] }).expect("written");
-    assert_eq!(cancel(&leader), 503);
-    assert_eq!(final_row(&world), Some(ended));
+    assert_eq!(leader.cancel(), 503);
+    assert_eq!(world.final_row(), Some(ended));
 }
 
 /// Guards against a cancellation of the earlier version that comes late, once the loans are closed.
@@ -307,8 +295,8 @@
     let mut users = ProductionApi::default();
     assert_eq!(users.cancel(&mut world.store(), JOB), CancelAnswer::Refused);
     world.borrower().is_cut_off = true;
-    assert_eq!(cancel(&follower), 503);
-    assert_eq!(job_row(&world).expect("live")["lending"]["cancelling"], true);
+    assert_eq!(follower.cancel(), 503);
+    assert_eq!(world.job_row().expect("live")["lending"]["cancelling"], true);
     earlier.steps(&mut machine, SETTLED);
     assert_eq!(users.cancel(&mut world.store(), JOB), CancelAnswer::Refused);
     assert_eq!(machine.running(), running, "it runs on, since nothing was confirmed");
@@ -318,8 +306,8 @@
         leader.lend();
         leader.step(&mut machine);
     }
-    assert_eq!(cancel(&leader), 200);
-    assert_eq!(final_row(&world).expect("ended")["stage"], "cancelled");
+    assert_eq!(leader.cancel(), 200);
+    assert_eq!(world.final_row().expect("ended")["stage"], "cancelled");
     leader.steps(&mut machine, SETTLED);
     assert!(machine.running().is_empty() && machine.started == started);
     assert_eq!(users.cancel(&mut world.store(), JOB), CancelAnswer::AlreadyOver("cancelled".into()));
@@ -329,11 +317,11 @@
 #[test]
 fn a_leader_without_the_cells_block_ends_the_job_with_its_placeholder() {
     let (world, mut machine) = world_before(Step::EndDone);
-    assert!(has_loans(&world) && final_row(&world).is_some());
+    assert!(has_loans(&world) && world.final_row().is_some());
     let mut leader = world.leader_without_cells();
     leader.steps(&mut machine, 2 * SETTLED);
     assert_consistent(&world, "without the block");
-    assert_eq!(final_row(&world).expect("ended")["stage"], "done");
+    assert_eq!(world.final_row().expect("ended")["stage"], "done");
     let store = world.store();
     let left: Vec<&String> = store.keys.keys().filter(|key| key.contains(JOB)).collect();
     assert_eq!(left, [&format!("final/{JOB}")]);
--- a/tests/held_jobs_before_0_3_3.rs
+++ b/tests/held_jobs_before_0_3_3.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::leader_without_copies::run_to_the_end;
-use common::lending_world::{Leader, Machine, World, JOB, SETTLED, TASKS};
+use common::lending_world::{Machine, World, JOB, SETTLED, TASKS};
 use common::production_api::{CancelAnswer, ProductionApi};
 use common::production_leader::ProductionLeader;
 use milletlock::wire::{Change, Txn};
@@ -18,18 +18,10 @@
     Closed,
 }
 
-fn job_key() -> String {
-    format!("job/{JOB}")
-}
-
 fn final_key() -> String {
     format!("final/{JOB}")
 }
 
-fn value(world: &World, key: &str) -> Option<Value> {
-    world.store().row(key).map(|row| row.value)
-}
-
 /// A job with an open loan; some of its tasks are done, some run.
 fn lent_job(world: &World) -> Machine {
     let mut machine = Machine::new("i-000001");
@@ -56,10 +48,6 @@
     });
 }
 
-fn cancel(leader: &Leader<'_>) -> u16 {
-    leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0
-}
-
 /// Guards against a job that goes on with the description for versions before 0.3, or waits for ever.
 #[test]
 fn a_held_record_that_0_3_2_wrote_back_is_restored() {
@@ -67,18 +55,18 @@
         let world = World::new();
         let mut machine = lent_job(&world);
         let user_spec = json!(common::spec(1, TASKS, "batch"));
-        let submitted = value(&world, &job_key()).expect("the job")["held"]["submitted_us"].clone();
+        let submitted = world.job_row().expect("the job")["held"]["submitted_us"].clone();
         written_by_0_3_2(&world, loans);
         let mut leader = world.leader();
         leader.steps(&mut machine, 1);
-        let record = value(&world, &job_key()).expect("the job");
+        let record = world.job_row().expect("the job");
         let name = if loans == Loans::Kept { "spec_of_lent" } else { "spec" };
         assert_eq!((&record[name], &record["submitted_us"]), (&user_spec, &submitted), "{loans:?}: {record}");
-        assert_eq!(value(&world, &final_key()), None, "{loans:?}: the placeholder is gone");
+        assert_eq!(world.final_row(), None, "{loans:?}: the placeholder is gone");
         assert_eq!(leader.stage(), "running", "{loans:?}");
         run_to_the_end(&world, &mut leader, &mut machine);
         let ended = json!({ "stage": "done", "tasks": TASKS });
-        assert_eq!(value(&world, &final_key()), Some(ended), "{loans:?}");
+        assert_eq!(world.final_row(), Some(ended), "{loans:?}");
         let twice: Vec<_> = machine.started.iter().filter(|(_, count)| **count > 1).collect();
         assert!(twice.is_empty(), "{loans:?}: started more than once: {twice:?}");
     }
@@ -92,15 +80,15 @@
         let mut machine = lent_job(&world);
         written_by_0_3_2(&world, loans);
         let follower = world.follower();
-        assert_eq!(cancel(&follower), 503, "{loans:?}: nobody has restored the record");
+        assert_eq!(follower.cancel(), 503, "{loans:?}: nobody has restored the record");
         let mut leader = world.leader();
         leader.steps(&mut machine, 1);
-        cancel(&leader);
+        leader.cancel();
         leader.lend();
         leader.lend();
-        assert_eq!(cancel(&leader), 200, "{loans:?}");
+        assert_eq!(leader.cancel(), 200, "{loans:?}");
         let ended = json!({ "stage": "cancelled", "tasks": TASKS });
-        assert_eq!(value(&world, &final_key()), Some(ended), "{loans:?}");
+        assert_eq!(world.final_row(), Some(ended), "{loans:?}");
         leader.steps(&mut machine, SETTLED);
         assert!(machine.running().is_empty(), "{loans:?}");
     }
@@ -143,17 +131,17 @@
                 world.store().txn(&Txn { guards: Vec::new(), then }).expect("written");
             }
         }
-        let (record, started) = (value(&world, &job_key()), machine.started.clone());
+        let (record, started) = (world.job_row(), machine.started.clone());
         let done = world.recorded_done();
         let mut leader = world.leader();
         for _ in 0..SETTLED {
             leader.step(&mut machine);
             leader.lend();
         }
-        assert_eq!(cancel(&leader), 503, "{placeholder:?}");
+        assert_eq!(leader.cancel(), 503, "{placeholder:?}");
         assert_eq!(leader.ask("GET", &format!("/api/jobs/{JOB}"), &Value::Null).0, 503, "{placeholder:?}");
-        assert_eq!(value(&world, &job_key()), record, "{placeholder:?}");
-        assert_eq!(value(&world, &final_key()), placeholder);
+        assert_eq!(world.job_row(), record, "{placeholder:?}");
+        assert_eq!(world.final_row(), placeholder);
         assert_eq!((machine.started, world.recorded_done()), (started, done), "{placeholder:?}");
         assert!(!world.borrower().tasks().is_empty(), "{placeholder:?}: the loan is open");
     }
--- a/tests/lent_records.rs
+++ b/tests/lent_records.rs
@@ -194,7 +194,7 @@
 }
 
 fn is_hidden(world: &World) -> bool {
-    let record = value(world, &job_key()).expect("the job");
+    let record = world.job_row().expect("the job");
     record.get("spec").is_none() && record.get("spec_of_lent").is_some()
 }
 
@@ -209,16 +209,16 @@
         let held = world.borrower().tasks();
         world.borrower().gives_back = held.iter().take(1).collect();
         (0..SETTLED).for_each(|_| leader.lend());
-        let record = read(&value(&world, &job_key()).expect("the job"));
+        let record = read(&world.job_row().expect("the job"));
         assert_eq!(record.lending.tasks().len(), held.len() - 1, "{version}: a task is given back");
         assert!(is_hidden(&world), "{version}");
-        assert_eq!(value(&world, &final_key()), None, "{version}");
+        assert_eq!(world.final_row(), None, "{version}");
         assert_eq!(leader.status()["lent_progress"]["hidden_records"], 1, "{version}");
         let cancelled = leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null);
         assert_eq!(cancelled.0, 503, "{version}: the borrower holds tasks");
-        assert!(is_hidden(&world) && value(&world, &final_key()).is_none(), "{version}: cancelling");
+        assert!(is_hidden(&world) && world.final_row().is_none(), "{version}: cancelling");
         leader.lend();
-        assert_eq!(value(&world, &final_key()).expect("ended")["stage"], "cancelled", "{version}");
+        assert_eq!(world.final_row().expect("ended")["stage"], "cancelled", "{version}");
     }
 }
 
@@ -247,7 +247,7 @@
 fn records_of_0_3_2_are_rewritten_once_all_controllers_read_the_held_form() {
     let (world, mut machine) = (World::new(), Machine::new("i-000001"));
     lent_by_0_3_2(&world, &mut machine);
-    let before = read(&value(&world, &job_key()).expect("the job"));
+    let before = read(&world.job_row().expect("the job"));
     let mut leader = world.leader_beside("0.3.3");
     leader.lend();
     let record = world.store().row(&job_key()).expect("the job");
@@ -269,7 +269,7 @@
 fn a_record_that_would_not_fit_a_value_keeps_its_form() {
     let (world, mut machine) = (World::new(), Machine::new("i-000001"));
     lent_by_0_3_2(&world, &mut machine);
-    let mut large = value(&world, &job_key()).expect("the job");
+    let mut large = world.job_row().expect("the job");
     let types: Vec<String> = (0..36).map(|n| format!("{n:0100}")).chain(["small".to_string()]).collect();
     large["spec_of_lent"]["breeds"] = json!(types);
     put(&world, &job_key(), large);
@@ -290,8 +290,8 @@
     assert_eq!(leader.ask("GET", &format!("/api/jobs/{JOB}"), &Value::Null).0, 503);
     assert_eq!(leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0, 503);
     assert_eq!(leader.status()["owner"]["unreadable"], json!({ "count": 1, "keys": [final_key()] }));
-    assert_eq!(value(&world, &final_key()), Some(json!({ "held": true })));
-    assert_eq!(value(&world, &job_key()), None);
+    assert_eq!(world.final_row(), Some(json!({ "held": true })));
+    assert_eq!(world.job_row(), None);
 }
 
 /// Guards against a job without its placeholder whose end is refused again and again, with the writes of others.
@@ -314,8 +314,8 @@
         }
         let ended = value(&world, "final/wk-000002");
         assert_eq!(ended, Some(json!({ "stage": "done", "tasks": 2 })), "{strange:?}: the other job");
-        assert!(value(&world, &job_key()).is_some(), "{strange:?}: the job is kept");
-        assert_eq!(value(&world, &final_key()), strange, "nothing is removed");
+        assert!(world.job_row().is_some(), "{strange:?}: the job is kept");
+        assert_eq!(world.final_row(), strange, "nothing is removed");
         let keys = leader.status()["owner"]["unreadable"]["keys"].clone();
         assert_eq!(keys, json!([final_key()]), "{strange:?}");
         assert_eq!(leader.ask("POST", &format!("/api/jobs/{JOB}/withdraw"), &Value::Null).0, 503);
@@ -333,5 +333,5 @@
     }
     submission["breeds"] = json!([]);
     assert_eq!(leader.ask("POST", "/api/jobs", &submission).0, 400);
-    assert_eq!(value(&world, &job_key()), None);
+    assert_eq!(world.job_row(), None);
 }
