--- a/review/standins/src/cases/lent_twice.rs
+++ b/review/standins/src/cases/lent_twice.rs
@@ -56,6 +56,7 @@
         settings: roamco_settings(),
         breeds: roamco_breeds(),
         operator,
+        links: false,
     };
     let north_plan = plan("north", operator("north", "south", &south_internal));
     let south_plan = plan("south", operator("south", "north", &north_internal));
@@ -68,6 +69,9 @@
             team: "settle-desk".into(),
             fetch: Duration::from_secs(1),
             runs,
+            gang: 0,
+            one_zone: false,
+            spread: 0,
         };
         world.lock().jobs.insert(id.into(), facts);
     }
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases' runs.
 
+mod chaos;
 mod lent_twice;
 
 use std::path::Path;
@@ -13,6 +14,7 @@
 
 pub fn run(case: &str, trouble: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
     match case {
+        "chaos" => chaos::run(folder, record),
         "lent-twice" => lent_twice::run(trouble, folder, record),
         _ => Outcome::NotRun(format!("no case {case}")),
     }
--- a/review/standins/src/cell.rs
+++ b/review/standins/src/cell.rs
@@ -1,19 +1,31 @@
 //! One installation: a state service, a cloud, machines and the controllers, which are processes of the project's
 //! program started with the command of the deploy file.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::{json, Value};
 
 use crate::http::call;
+use crate::link::Link;
 use crate::record::Record;
 use crate::store::Store;
 use crate::world::World;
 
+/// The processes that were started and not ended yet.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started and not ended yet.
+pub fn end_all() {
+    for id in STARTED.lock().unwrap().drain(..) {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
+}
+
 /// What differs between installations.
 pub struct Plan {
     pub name: &'static str,
@@ -24,6 +36,8 @@
     pub breeds: Value,
     /// The operators' own settings (HCL).
     pub operator: String,
+    /// Whether the connections to the state service and between the controllers go over links that can be cut.
+    pub links: bool,
 }
 
 pub struct Cell {
@@ -38,13 +52,26 @@
     program: Vec<String>,
     operator: Option<PathBuf>,
     record: Arc<Record>,
+    /// By node, if there are links.
+    pub store_links: Vec<Link>,
+    /// By the indices of the sending and the receiving node, if there are links.
+    pub peer_links: BTreeMap<(usize, usize), Link>,
 }
 
-/// Free loopback addresses, kept free of each other by holding all listeners until the last is found.
+/// Free loopback addresses below the range from which the operating system takes the ports of clients, so that no
+/// client has taken one of them when a controller listens on it, at first or after a restart.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-    listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
+    static NEXT: Mutex<u32> = Mutex::new(0);
+    let mut next = NEXT.lock().unwrap();
+    let mut found = Vec::new();
+    while found.len() < count {
+        let port = 10_000 + (std::process::id().wrapping_mul(97) + *next) % 20_000;
+        *next += 1;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            found.push(listener.local_addr().expect("an address"));
+        }
+    }
+    found
 }
 
 impl Cell {
@@ -62,16 +89,28 @@
         let store = Store::new();
         let cloud = world.cloud(index, plan.breeds.clone());
         let label = |node: usize| format!("husk-{node}");
+        let mut store_links = Vec::new();
+        let mut peer_links = BTreeMap::new();
         for node in 0..plan.controllers {
+            let mut state_address = store.open(node);
+            if plan.links {
+                let link = Link::start(state_address);
+                state_address = link.address;
+                store_links.push(link);
+                for other in (0..plan.controllers).filter(|other| *other != node) {
+                    peer_links.insert((node, other), Link::start(internal[other]));
+                }
+            }
+            let address = |other: usize| peer_links.get(&(node, other)).map_or(internal[other], |link| link.address);
             let members: Vec<Value> = (0..plan.controllers)
                 .filter(|other| *other != node)
                 .map(|other| {
-                    json!({"label": label(other), "location": plan.zones[other % 2], "addr": internal[other]})
+                    json!({"label": label(other), "location": plan.zones[other % 2], "addr": address(other)})
                 })
                 .collect();
             let settings = json!({"label": label(node), "location": plan.zones[node % 2], "serve_on": users[node],
                 "internal_addr": internal[node], "members": members,
-                "services": {"cloud": cloud, "state": store.open(node)}, "settings": plan.settings});
+                "services": {"cloud": cloud, "state": state_address}, "settings": plan.settings});
             let path = folder.join(format!("{}-{node}.json", plan.name));
             std::fs::write(path, settings.to_string()).expect("a settings file");
         }
@@ -93,6 +132,8 @@
             program: run.split_whitespace().map(str::to_string).collect(),
             operator,
             record: record.clone(),
+            store_links,
+            peer_links,
         }
     }
 
@@ -116,6 +157,7 @@
         }
         let child = command.spawn().expect("the program");
         self.record.line(&format!("{} husk-{node} started", self.name));
+        STARTED.lock().unwrap().push(child.id());
         self.processes[node] = Some(child);
     }
 
@@ -128,6 +170,7 @@
         if let Some(mut child) = self.processes[node].take() {
             let _ = child.kill();
             let _ = child.wait();
+            STARTED.lock().unwrap().retain(|id| *id != child.id());
             self.record.line(&format!("{} husk-{node} killed", self.name));
         }
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod cell;
 mod http;
+mod link;
 mod record;
 mod store;
 mod world;
@@ -28,6 +29,7 @@
     std::thread::spawn(|| {
         std::thread::sleep(std::time::Duration::from_secs(118));
         eprintln!("the case took too long");
+        cell::end_all();
         std::process::exit(2);
     });
     let folder = std::env::temp_dir().join(format!("review-{}-{case}", std::process::id()));
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -42,6 +42,8 @@
     Normal,
     /// It gets no answer and is carried out when the run says so.
     Late,
+    /// It gets no answer; the judge has it carried out, or not.
+    Lost,
 }
 
 type Judge = dyn Fn(usize, &Value) -> Fate + Send + Sync;
@@ -64,7 +66,7 @@
         let ticker = store.clone();
         std::thread::spawn(move || loop {
             std::thread::sleep(Duration::from_millis(10));
-            ticker.lock();
+            drop(ticker.lock());
             ticker.changed.notify_all();
         });
         store
@@ -115,6 +117,13 @@
         statuses
     }
 
+    /// Carries out a transaction; returns its status.
+    pub fn carry_out(&self, txn: &Value) -> u16 {
+        let status = self.lock().txn(txn).0;
+        self.changed.notify_all();
+        status
+    }
+
     /// The value under a key.
     pub fn value(&self, key: &str) -> Option<Value> {
         self.lock().rows.get(key).map(|row| row.value.clone())
@@ -136,9 +145,13 @@
         let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
         if request.path == "/txn" {
             let fate = self.judge.lock().unwrap().as_ref().map_or(Fate::Normal, |judge| judge(node, &body));
-            if let Fate::Late = fate {
-                self.held.lock().unwrap().push(body);
-                return Answer::Silence;
+            match fate {
+                Fate::Normal => {}
+                Fate::Late => {
+                    self.held.lock().unwrap().push(body);
+                    return Answer::Silence;
+                }
+                Fate::Lost => return Answer::Silence,
             }
         }
         if request.path == "/watch" {
