--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -89,6 +89,8 @@
     pub broken: Vec<Broken>,
     /// How often each task completed.
     pub completed: BTreeMap<String, u32>,
+    /// The cells in which each task completed.
+    pub completed_in: BTreeMap<String, BTreeSet<usize>>,
     /// How often each task got its image and so was on a machine.
     pub started: BTreeMap<String, u32>,
     /// When a user was told that a job is cancelled.
@@ -115,6 +117,7 @@
             finish: BTreeSet::new(),
             broken: Vec::new(),
             completed: BTreeMap::new(),
+            completed_in: BTreeMap::new(),
             started: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             limits: BTreeMap::new(),
@@ -268,6 +271,8 @@
                     machine.changed = true;
                     let name = machine.name.clone();
                     *state.completed.entry(key.0.clone()).or_default() += 1;
+                    let cell = state.machines[index].cell;
+                    state.completed_in.entry(key.0.clone()).or_default().insert(cell);
                     self.record.line(&format!("{name}: {} attempt {} is done", key.0, key.1));
                 }
                 _ => {}
