--- a/review/standins/src/cases/lent_twice.rs
+++ b/review/standins/src/cases/lent_twice.rs
@@ -62,7 +62,7 @@
     let mut north = Cell::prepare(0, &north_plan, (north_users, north_internal), &world, folder, record);
     let mut south = Cell::prepare(1, &south_plan, (south_users, south_internal), &world, folder, record);
     for (id, runs) in [(FIRST, None), (SECOND, Some(Duration::from_secs(35)))] {
-        let facts = JobFacts { cpus: 2.0, ram_gb: 2.3, fetch: Duration::from_secs(1), runs };
+        let facts = JobFacts { cpus: 2.0, ram_gb: 2.3, image: "img-cdr", fetch: Duration::from_secs(5), runs };
         world.lock().jobs.insert(id.into(), facts);
     }
     let loan_seen = Arc::new(AtomicBool::new(false));
@@ -86,8 +86,8 @@
     if !until(20.0, || north.leader().is_some() && south.leader().is_some()) {
         return Outcome::NotRun("a cell has no leader".into());
     }
-    north.add_machines(&world, 2, KOS);
-    south.add_machines(&world, 4, KOS);
+    north.add_machines(&world, 2, KOS, "morava-dc");
+    south.add_machines(&world, 4, KOS, "morava-dc");
     let submit = |cell: &Cell, id: &str, tasks| {
         let accepted = |node: usize| {
             let answer = cell.ask(node, "POST", "/api/jobs", &cdr_rate(id, tasks).to_string());
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -52,7 +52,7 @@
 pub fn roamco_breeds() -> Value {
     json!([
         {"sku": "kos-4", "cpus": 4.0, "cards": 0.0, "ramGb": 16.0, "localGb": 35.0, "pullGbPerS": 0.1,
-         "rate": 0.23, "marketPrice": 0.05, "readyS": 20.0, "fields": ["morava-dc", "praha-dc"]},
+         "rate": 0.23, "marketPrice": 0.05, "readyS": 20.0, "fields": ["morava-dc"]},
         {"sku": "sokol-32", "cpus": 32.0, "cards": 0.0, "ramGb": 64.0, "localGb": 30.0, "pullGbPerS": 0.12,
          "rate": 1.58, "marketPrice": 0.36, "readyS": 35.0, "fields": ["praha-dc"]}])
 }
@@ -60,7 +60,7 @@
 /// A submission of the class `cdr-rate`.
 pub fn cdr_rate(id: &str, tasks: u32) -> Value {
     json!({"nameId": id, "grain": "cdr-rate", "owner": "settle-desk", "shape": "batch", "rank": "normal",
-        "kernels": tasks, "cpus": 2.0, "cards": 0.0, "ramGb": 2.3, "seed": "img-cdr", "pullGb": 0.3,
+        "kernels": tasks, "cpus": 2.0, "cards": 0.0, "ramGb": 2.3, "seed": "img-cdr", "pullGb": 0.5,
         "breeds": null, "field": null, "oneZone": false, "spread": false, "gleanings": true,
         "expectS": 35.0, "stashEveryS": 0.0, "stashS": 0.0, "dueS": 300.0})
 }
--- a/review/standins/src/cell.rs
+++ b/review/standins/src/cell.rs
@@ -41,7 +41,6 @@
     pub name: &'static str,
     pub store: Arc<Store>,
     pub users: Vec<SocketAddr>,
-    zones: [&'static str; 2],
     processes: Vec<Option<Child>>,
     folder: PathBuf,
     program: Vec<String>,
@@ -104,7 +103,6 @@
             name: plan.name,
             store,
             users,
-            zones: plan.zones,
             processes: (0..plan.controllers).map(|_| None).collect(),
             folder: folder.to_path_buf(),
             program: run.split_whitespace().map(str::to_string).collect(),
@@ -172,11 +170,17 @@
         self.users.iter().enumerate().map(|(node, address)| (format!("husk-{node}"), *address)).collect()
     }
 
-    /// Adds machines that are up, half of them in each zone.
-    pub fn add_machines(&self, world: &Arc<World>, count: usize, kind: (&'static str, f64, f64)) {
+    /// Adds machines of a zone that are up.
+    pub fn add_machines(
+        &self,
+        world: &Arc<World>,
+        count: usize,
+        kind: (&'static str, f64, f64),
+        zone: &'static str,
+    ) {
         for number in 0..count {
             let name = format!("i-{}{number:05}", self.index + 1);
-            world.add_machine(&name, self.index, kind, self.zones[number % 2], self.labels());
+            world.add_machine(&name, self.index, kind, zone, self.labels());
         }
     }
 
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -16,7 +16,9 @@
 pub struct JobFacts {
     pub cpus: f64,
     pub ram_gb: f64,
-    /// How long the image fetch takes.
+    /// The image that a machine must have.
+    pub image: &'static str,
+    /// How long a machine fetches the image.
     pub fetch: Duration,
     /// How long a task runs; none if it runs until `World::finish` is called.
     pub runs: Option<Duration>,
@@ -50,6 +52,8 @@
     /// When the last answered report was sent, or the session began.
     renewed: Instant,
     tasks: BTreeMap<Attempt, Task>,
+    /// The images that the machine has.
+    images: BTreeSet<&'static str>,
     changed: bool,
     gone: bool,
 }
@@ -159,7 +163,8 @@
             let machine = &mut state.machines[index];
             let Some(task) = machine.tasks.get_mut(&key) else { continue };
             match task.stage {
-                Stage::Fetching if now - task.since >= facts.fetch => {
+                Stage::Fetching if machine.images.contains(facts.image) || now - task.since >= facts.fetch => {
+                    machine.images.insert(facts.image);
                     task.stage = Stage::Running;
                     task.since = now;
                     machine.changed = true;
@@ -220,6 +225,7 @@
             sickle: 0,
             renewed: now,
             tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
             changed: true,
             gone: false,
         };
