--- a/review/standins-2/src/random.rs
+++ b/review/standins-2/src/random.rs
@@ -56,6 +56,7 @@
     let teams = json!([
         {"name": "albums-core-00", "cpus": 8.0, "cpus_max": 24.0, "gpus": 0.0, "gpus_max": 0.0},
         {"name": "albums-core-01", "cpus": 8.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}]);
+    let nodes = std::env::var("NODES").ok().and_then(|text| text.parse().ok()).unwrap_or(3);
     let pace: u64 = std::env::var("PACE").ok().and_then(|text| text.parse().ok()).unwrap_or(9000);
     let zones = ["irbid-hall", "zarqa-hall"];
     let settings = amman_settings(&zones, teams);
@@ -86,7 +87,7 @@
     let mut cell = Cell::start(
         "amman",
         settings,
-        &Addresses::choose(3),
+        &Addresses::choose(nodes),
         offers,
         &[1, 1],
         operator,
@@ -102,7 +103,7 @@
     let hook_platform = cell.platform.clone();
     if run.trouble {
         cell.store.answer_late(0.06);
-            cell.store.set_hook(move |_, _| {
+        cell.store.set_hook(move |_, _| {
             if hook_platform.chance(share_lost) {
                 Fate::ExecutedWithoutAnswer
             } else if hook_platform.chance(share_late) {
@@ -128,7 +129,7 @@
     while began.elapsed() < limit && run.record.broken_rules().is_empty() {
         std::thread::sleep(Duration::from_millis(50));
         run.record.check_cancelled();
-        for index in 0..3 {
+        for index in 0..cell.controllers.len() {
             if cell.controllers[index].has_ended() {
                 run.record.broken(&format!("{} has ended by itself", cell.controllers[index].label));
             }
@@ -194,7 +195,7 @@
             continue;
         }
         let job = known.get_mut(&id).unwrap();
-        let node = cell.platform.number(3) as usize;
+        let node = cell.platform.number(cell.controllers.len() as u64) as usize;
         let address = cell.controllers[node].serve_on;
         let what = if !job.accepted || cell.platform.chance(0.05) {
             "submit"
@@ -257,7 +258,7 @@
 pub fn fault(cell: &mut Cell, undo: &mut Undo, now: Instant, refuse: bool) {
     let node = match cell.leader() {
         Some(leader) if cell.platform.chance(0.7) => leader,
-        _ => cell.platform.number(3) as usize,
+        _ => cell.platform.number(cell.controllers.len() as u64) as usize,
     };
     let label = cell.controllers[node].label.clone();
     let seconds = |cell: &Cell, least: u64, most: u64| {
--- a/review/standins-2/src/random2.rs
+++ b/review/standins-2/src/random2.rs
@@ -2,6 +2,7 @@
 //! the state service.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,19 +38,26 @@
         spot: 0,
         boot: Duration::from_secs(2),
     };
-    let at = [Addresses::choose(3), Addresses::choose(3)];
+    let count = number("CELLS", 2) as usize;
+    let at: Vec<Addresses> = (0..count).map(|_| Addresses::choose(3)).collect();
     let mut cells = Vec::new();
     let mut between: Vec<Arc<Link>> = Vec::new();
-    let (shared, names) = (Arc::new(Jobs::default()), ["north", "south"]);
-    for index in 0..2 {
-        let links: Vec<Arc<Link>> =
-            at[1 - index].nodes.iter().map(|(_, internal)| Link::start(*internal)).collect();
-        let list: Vec<String> = links.iter().map(|link| format!("\"{}\"", link.address)).collect();
-        between.extend(links);
+    let (shared, names) = (Arc::new(Jobs::default()), ["north", "south", "west"]);
+    for index in 0..count {
+        let mut others = Vec::new();
+        for other in (0..count).filter(|other| *other != index) {
+            let links: Vec<Arc<Link>> =
+                at[other].nodes.iter().map(|(_, internal)| Link::start(*internal)).collect();
+            let list: Vec<String> = links.iter().map(|link| format!("\"{}\"", link.address)).collect();
+            others.push(format!("{{ name = \"{}\", controllers = [{}] }}", names[other], list.join(", ")));
+            between.extend(links);
+        }
         let operator = format!(
-            "cells {{\n name = \"{}\"\n others = [{{ name = \"{}\", controllers = [{}] }}]\n lend = [\"*\"]\n borrow = [\"*\"]\n \
+            "cells {{\n name = \"{}\"\n others = [{}]\n lend = [\"*\"]\n borrow = [\"*\"]\n \
              borrow_cpus = 30\n lend_after_s = 2\n}}\ndrain_s = 12\n",
-            names[index], names[1 - index], list.join(", "));
+            names[index],
+            others.join(", ")
+        );
         let cell = Cell::start(
             names[index],
             settings.clone(),
@@ -61,12 +69,11 @@
             run.record.clone(),
             &run.dir,
         );
-        cell.set_seed(seed * 2 + index as u64);
+        cell.set_seed(seed * 3 + index as u64);
         cells.push(cell);
     }
     let began = Instant::now();
-    let trips =
-        Arc::new([std::sync::atomic::AtomicBool::new(false), std::sync::atomic::AtomicBool::new(false)]);
+    let trips: Arc<Vec<AtomicBool>> = Arc::new((0..count).map(|_| AtomicBool::new(false)).collect());
     for cell in &cells {
         if !cell.wait_until_up(Duration::from_secs(20)) {
             return Outcome::CouldNotRun("no leader".into());
@@ -74,7 +81,8 @@
         let platform = cell.platform.clone();
         if run.trouble {
             let trip = trips.clone();
-            let (index, trips_on) = (usize::from(platform.name == "south"), refuse);
+            let index = names.iter().position(|name| *name == platform.name).unwrap_or(0);
+            let trips_on = refuse;
             cell.store.answer_late(0.06);
             cell.store.set_hook(move |_, txn| {
                 if began.elapsed() + Duration::from_secs(70) > limit {
@@ -84,13 +92,13 @@
                 let share = if trips_on && is_loan { 0.15 } else { 0.04 };
                 let bad = platform.chance(share);
                 if trips_on && bad {
-                    trip[index].store(true, std::sync::atomic::Ordering::Relaxed);
+                    trip[index].store(true, Ordering::Relaxed);
                 }
                 if bad {
                     Fate::ExecutedWithoutAnswer
                 } else if platform.chance(0.04) {
                     if trips_on {
-                        trip[index].store(true, std::sync::atomic::Ordering::Relaxed);
+                        trip[index].store(true, Ordering::Relaxed);
                     }
                     Fate::Late(Duration::from_millis(200 + platform.number(20_000)))
                 } else {
@@ -105,11 +113,11 @@
             };
         }
     }
-    let mut known: [BTreeMap<String, Known>; 2] = Default::default();
+    let mut known: Vec<BTreeMap<String, Known>> = (0..count).map(|_| BTreeMap::new()).collect();
     let mut next_job = Instant::now();
     let mut next_poll = Instant::now();
     let mut next_fault = Instant::now() + Duration::from_secs(8);
-    let mut undo: [Undo; 2] = Default::default();
+    let mut undo: Vec<Undo> = (0..count).map(|_| Vec::new()).collect();
     let mut id = 100 * seed;
     let mut cut_until = None;
     let drain = Duration::from_secs(number("DRAIN", 0));
@@ -122,7 +130,7 @@
         run.record.check_cancelled();
         let now = Instant::now();
         let quiet = began.elapsed() + Duration::from_secs(70) > limit;
-        for index in 0..2 {
+        for index in 0..count {
             for controller in cells[index].controllers.iter_mut() {
                 if controller.has_ended() {
                     run.record.broken(&format!("{} has ended by itself", controller.label));
@@ -137,21 +145,20 @@
             run.record.line("fault the cells reach each other again");
             cut_until = None;
         }
-        for index in 0..2 {
-            if trips[index].swap(false, std::sync::atomic::Ordering::Relaxed)
-                && !quiet
-                && undo[index].len() < 6
-            {
+        for index in 0..count {
+            if trips[index].swap(false, Ordering::Relaxed) && !quiet && undo[index].len() < 6 {
                 let time = Duration::from_millis(500 + cells[index].platform.number(8000));
                 cells[index].store.begin_outage();
                 undo[index].push((now + time, Box::new(|cell| cell.store.end_outage())));
             }
         }
         if now >= next_job && began.elapsed() + Duration::from_secs(100) < limit {
-            next_job = now + Duration::from_millis(1500 + cells[0].platform.number(5000));
+            // Jobs come in waves, so that cells have nothing to do in between and recall what they lent.
+            let is_wave = began.elapsed().as_secs() % 60 < 15;
+            next_job = now + Duration::from_millis(if is_wave { 1500 } else { 8000 });
             id += 1;
             let name = format!("wk-{id:06}");
-            let index = usize::from(cells[0].platform.chance(0.25));
+            let index = if cells[0].platform.chance(0.25) { count - 1 } else { 0 };
             let kernels = 4 + cells[0].platform.number(40);
             let spec = json!({"nameId": name, "grain": "cdr-rate", "owner": "settle-desk", "shape": "batch", "rank": "normal",
                 "kernels": kernels, "cpus": 1.0, "cards": 0.0, "ramGb": 1.0, "seed": "cdr", "pullGb": 0.2,
@@ -165,7 +172,7 @@
         }
         if now >= next_poll {
             next_poll = now + Duration::from_millis(300);
-            for index in 0..2 {
+            for index in 0..count {
                 poll(run, &cells[index], &shared, &mut known[index]);
             }
         }
@@ -176,12 +183,12 @@
                 run.record.line("fault the cells do not reach each other");
                 cut_until = Some(now + Duration::from_millis(1000 + cells[0].platform.number(25_000)));
             } else {
-                let index = cells[0].platform.number(2) as usize;
+                let index = cells[0].platform.number(count as u64) as usize;
                 fault(&mut cells[index], &mut undo[index], now, refuse);
             }
         }
     }
-    for index in 0..2 {
+    for index in 0..count {
         let open: Vec<&String> = known[index]
             .iter()
             .filter(|(_, job)| job.accepted && job.last.is_none())
