--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -11,6 +11,7 @@
 mod recall;
 mod record;
 mod store;
+mod withdraw;
 mod worker;
 
 use std::process::ExitCode;
@@ -47,6 +48,7 @@
     let outcome = match case.as_str() {
         "random2" => random2::run(&run),
         "random" => random::run(&run),
+        "withdraw" => withdraw::run(&run),
         "recall" => recall::run(&run),
         _ => Outcome::CouldNotRun("no such case".into()),
     };
--- a/review/standins-2/src/random2.rs
+++ b/review/standins-2/src/random2.rs
@@ -26,6 +26,9 @@
     let teams = json!([{"name": "settle-desk", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}]);
     let zones = ["morava-dc", "praha-dc"];
     let mut settings = brno_settings(&zones, teams);
+    if number("BIG", 0) == 1 {
+        settings["state"] = json!({"rps": 120.0, "write_rps": 15.0, "value_kb": 4.0, "txn_ops": 8});
+    }
     settings["workers"]["lease_s"] = json!(15.0);
     settings["workers"]["cancel_s"] = json!(35.0);
     run.record.set_limits(Limits { cancel_s: 35.0, cpus_max: BTreeMap::new() });
@@ -159,12 +162,13 @@
             id += 1;
             let name = format!("wk-{id:06}");
             let index = if cells[0].platform.chance(0.25) { count - 1 } else { 0 };
-            let kernels = 4 + cells[0].platform.number(40);
+            let kernels = 4 + cells[0].platform.number(if number("BIG", 0) == 1 { 250 } else { 40 });
             let spec = json!({"nameId": name, "grain": "cdr-rate", "owner": "settle-desk", "shape": "batch", "rank": "normal",
                 "kernels": kernels, "cpus": 1.0, "cards": 0.0, "ramGb": 1.0, "seed": "cdr", "pullGb": 0.2,
                 "breeds": null, "field": null, "oneZone": false, "spread": false, "gleanings": false,
                 "expectS": 5.0, "stashEveryS": 0.0, "stashS": 0.0, "dueS": null});
-            shared.add(&spec, 2.0 + cells[0].platform.number(8) as f64, false);
+            let fails = number("BIG", 0) == 1 && cells[0].platform.chance(0.1);
+            shared.add(&spec, 1.0 + cells[0].platform.number(if number("BIG", 0) == 1 { 3 } else { 9 }) as f64, fails);
             known[index].insert(
                 name,
                 Known { spec, accepted: false, asked_to_cancel: false, last: None, failed_since: None },
--- a/review/standins-2/src/recall.rs
+++ b/review/standins-2/src/recall.rs
@@ -18,7 +18,7 @@
 /// How long a task runs. Its owner has stated 8 s.
 const RUN_S: f64 = 12.0;
 
-fn boxes(count: usize) -> Vec<Offer> {
+pub fn boxes(count: usize) -> Vec<Offer> {
     vec![Offer {
         sku: "kos-4",
         cpus: 4.0,
@@ -30,11 +30,11 @@
     }]
 }
 
-fn operator(own: &str, other: &str, addresses: &Addresses, lends: bool) -> String {
+pub fn operator(own: &str, other: &str, addresses: &Addresses, lends: bool, lend_after_s: u32) -> String {
     let (lend, borrow) = if lends { ("\"*\"", "") } else { ("", "\"*\"") };
     format!(
         "cells {{\n  name = \"{own}\"\n  others = [{{ name = \"{other}\", controllers = [{}] }}]\n  \
-         lend = [{lend}]\n  borrow = [{borrow}]\n  borrow_cpus = 64\n  lend_after_s = 2\n}}\n",
+         lend = [{lend}]\n  borrow = [{borrow}]\n  borrow_cpus = 64\n  lend_after_s = {lend_after_s}\n}}\n",
         addresses.internal_list()
     )
 }
@@ -69,7 +69,7 @@
         &north_at,
         boxes(2),
         &[2],
-        Some(operator("north", "south", &south_at, true)),
+        Some(operator("north", "south", &south_at, true, 2)),
         jobs.clone(),
         run.record.clone(),
         &run.dir,
@@ -80,7 +80,7 @@
         &south_at,
         boxes(2),
         &[2],
-        Some(operator("south", "north", &north_at, false)),
+        Some(operator("south", "north", &north_at, false, 2)),
         jobs_there.clone(),
         run.record.clone(),
         &run.dir,
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -17,6 +17,8 @@
     Normal,
     /// It is executed, and the connection is closed without an answer.
     ExecutedWithoutAnswer,
+    /// It is executed at once, and answered after this time.
+    AnsweredAfter(Duration),
     /// There is no answer. It is executed only after this time.
     Late(Duration),
 }
@@ -73,6 +75,8 @@
     changed: Condvar,
     /// The share of late answers, and the state of the random numbers that choose them.
     late: Mutex<(f64, u64)>,
+    /// The controller whose watches are answered late, and by how much.
+    watch_pause: Mutex<Option<(String, Duration)>>,
     record: Arc<Record>,
     txn_ops: usize,
     value_bytes: usize,
@@ -98,6 +102,7 @@
             }),
             changed: Condvar::new(),
             late: Mutex::new((0.0, 1)),
+            watch_pause: Mutex::new(None),
             record,
             txn_ops: number("txn_ops") as usize,
             value_bytes: (number("value_kb") * 1024.0) as usize,
@@ -114,12 +119,24 @@
     pub fn listen(self: &Arc<Store>, client: &str) -> SocketAddr {
         let (store, client) = (self.clone(), client.to_string());
         serve(Arc::new(move |request| {
+            let is_watch = request.path == "/watch";
             let reply = store.answer(&client, &request);
+            if is_watch {
+                let pause = store.watch_pause.lock().unwrap().clone();
+                if let Some((_, pause)) = pause.filter(|(slow, _)| *slow == client) {
+                    std::thread::sleep(pause);
+                }
+            }
             store.pause();
             reply
         }))
     }
 
+    /// From now on (or no longer) each answer to a watch of this controller is late by this time.
+    pub fn slow_watches(&self, slow: Option<(String, Duration)>) {
+        *self.watch_pause.lock().unwrap() = slow;
+    }
+
     /// Makes a share of the answers a few hundred milliseconds late.
     pub fn answer_late(&self, share: f64) {
         *self.late.lock().unwrap() = (share, 1);
@@ -305,6 +322,19 @@
                 ));
                 Reply::Close
             }
+            Fate::AnsweredAfter(after) => {
+                let (status, answer) = self.execute(&mut inner, body);
+                drop(inner);
+                self.changed.notify_all();
+                self.record.line(&format!(
+                    "fault {}: transaction of {client} executed ({status}), answered {} ms later: {body}",
+                    self.name,
+                    after.as_millis()
+                ));
+                std::thread::sleep(after);
+                self.record.line(&format!("fault {}: it is answered now", self.name));
+                Reply::Answer(status, answer)
+            }
             Fate::Late(after) => {
                 drop(inner);
                 self.record.line(&format!("fault {}: transaction of {client} held: {body}", self.name));
