--- a/review/standins-2/src/cell.rs
+++ b/review/standins-2/src/cell.rs
@@ -28,6 +28,8 @@
     specs: BTreeMap<String, Value>,
     run_s: BTreeMap<String, f64>,
     failing: BTreeSet<String>,
+    /// Jobs whose tasks run for up to a third less or more than their run time.
+    varied: BTreeSet<String>,
     done: BTreeMap<String, u64>,
     gathered: BTreeMap<(String, u64), BTreeSet<String>>,
     /// Attempts of gangs that have started, and since when one of their tasks is gone.
@@ -46,6 +48,11 @@
         inner.run_s.insert(id, run_s);
     }
 
+    /// Lets the tasks of a job run for up to a third less or more than its run time.
+    pub fn vary(&self, job: &str) {
+        self.inner.lock().unwrap().varied.insert(job.to_string());
+    }
+
     pub fn spec(&self, job: &str) -> Option<Value> {
         self.inner.lock().unwrap().specs.get(job).cloned()
     }
@@ -57,7 +64,11 @@
             return Duration::ZERO;
         }
         let job = task.split('/').next().unwrap_or("");
-        Duration::from_secs_f64(inner.run_s.get(job).copied().unwrap_or(1.0))
+        let run_s = inner.run_s.get(job).copied().unwrap_or(1.0);
+        let number = task.split('/').nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let share =
+            if inner.varied.contains(job) { ((number * 37) % 21) as f64 / 30.0 - 1.0 / 3.0 } else { 0.0 };
+        Duration::from_secs_f64(run_s * (1.0 + share))
     }
 
     pub fn fails(&self, job: &str) -> bool {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod link;
 mod random;
 mod random2;
+mod readback;
 mod recall;
 mod record;
 mod store;
@@ -49,6 +50,7 @@
         "random2" => random2::run(&run),
         "random" => random::run(&run),
         "withdraw" => withdraw::run(&run),
+        "readback" => readback::run(&run),
         "recall" => recall::run(&run),
         _ => Outcome::CouldNotRun("no such case".into()),
     };
--- a/review/standins-2/src/random2.rs
+++ b/review/standins-2/src/random2.rs
@@ -168,7 +168,11 @@
                 "breeds": null, "field": null, "oneZone": false, "spread": false, "gleanings": false,
                 "expectS": 5.0, "stashEveryS": 0.0, "stashS": 0.0, "dueS": null});
             let fails = number("BIG", 0) == 1 && cells[0].platform.chance(0.1);
-            shared.add(&spec, 1.0 + cells[0].platform.number(if number("BIG", 0) == 1 { 3 } else { 9 }) as f64, fails);
+            shared.add(
+                &spec,
+                1.0 + cells[0].platform.number(if number("BIG", 0) == 1 { 3 } else { 9 }) as f64,
+                fails,
+            );
             known[index].insert(
                 name,
                 Known { spec, accepted: false, asked_to_cancel: false, last: None, failed_since: None },
--- a/review/standins-2/src/recall.rs
+++ b/review/standins-2/src/recall.rs
@@ -30,11 +30,18 @@
     }]
 }
 
-pub fn operator(own: &str, other: &str, addresses: &Addresses, lends: bool, lend_after_s: u32) -> String {
+pub fn operator(
+    own: &str,
+    other: &str,
+    addresses: &Addresses,
+    lends: bool,
+    lend_after_s: u32,
+    borrow_cpus: u32,
+) -> String {
     let (lend, borrow) = if lends { ("\"*\"", "") } else { ("", "\"*\"") };
     format!(
         "cells {{\n  name = \"{own}\"\n  others = [{{ name = \"{other}\", controllers = [{}] }}]\n  \
-         lend = [{lend}]\n  borrow = [{borrow}]\n  borrow_cpus = 64\n  lend_after_s = {lend_after_s}\n}}\n",
+         lend = [{lend}]\n  borrow = [{borrow}]\n  borrow_cpus = {borrow_cpus}\n  lend_after_s = {lend_after_s}\n}}\n",
         addresses.internal_list()
     )
 }
@@ -47,7 +54,7 @@
 }
 
 /// Whether a transaction takes tasks out of a loan that stays open, which only a recall does.
-fn returns_tasks(txn: &Value, known: &mut Value, key: &str) -> bool {
+pub fn returns_tasks(txn: &Value, known: &mut Value, key: &str) -> bool {
     let changes = txn["then"].as_array().into_iter().flatten();
     let Some(change) = changes.into_iter().find(|change| change["put"] == key) else { return false };
     let before = std::mem::replace(known, change["value"]["loans"].clone());
@@ -69,7 +76,7 @@
         &north_at,
         boxes(2),
         &[2],
-        Some(operator("north", "south", &south_at, true, 2)),
+        Some(operator("north", "south", &south_at, true, 2, 64)),
         jobs.clone(),
         run.record.clone(),
         &run.dir,
@@ -80,7 +87,7 @@
         &south_at,
         boxes(2),
         &[2],
-        Some(operator("south", "north", &north_at, false, 2)),
+        Some(operator("south", "north", &north_at, false, 2, 64)),
         jobs_there.clone(),
         run.record.clone(),
         &run.dir,
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -19,6 +19,8 @@
     ExecutedWithoutAnswer,
     /// It is executed at once, and answered after this time.
     AnsweredAfter(Duration),
+    /// It is not executed, and not answered.
+    Lost,
     /// There is no answer. It is executed only after this time.
     Late(Duration),
 }
@@ -77,6 +79,8 @@
     late: Mutex<(f64, u64)>,
     /// The controller whose watches are answered late, and by how much.
     watch_pause: Mutex<Option<(String, Duration)>>,
+    /// The key whose reads are answered late, and by how much.
+    slow_key: Mutex<Option<(String, Duration)>>,
     record: Arc<Record>,
     txn_ops: usize,
     value_bytes: usize,
@@ -103,6 +107,7 @@
             changed: Condvar::new(),
             late: Mutex::new((0.0, 1)),
             watch_pause: Mutex::new(None),
+            slow_key: Mutex::new(None),
             record,
             txn_ops: number("txn_ops") as usize,
             value_bytes: (number("value_kb") * 1024.0) as usize,
@@ -120,6 +125,9 @@
         let (store, client) = (self.clone(), client.to_string());
         serve(Arc::new(move |request| {
             let is_watch = request.path == "/watch";
+            let slow_key = store.slow_key.lock().unwrap().clone();
+            let late =
+                slow_key.filter(|(key, _)| request.path == format!("/keys/{key}")).map(|(_, late)| late);
             let reply = store.answer(&client, &request);
             if is_watch {
                 let pause = store.watch_pause.lock().unwrap().clone();
@@ -127,6 +135,14 @@
                     std::thread::sleep(pause);
                 }
             }
+            if let Some(late) = late {
+                store.record.line(&format!(
+                    "fault {}: GET {} of {client} is answered late",
+                    store.name, request.path
+                ));
+                std::thread::sleep(late);
+                store.record.line(&format!("fault {}: the GET is answered now", store.name));
+            }
             store.pause();
             reply
         }))
@@ -137,6 +153,11 @@
         *self.watch_pause.lock().unwrap() = slow;
     }
 
+    /// From now on (or no longer) each answer to a read of this key is late by this time.
+    pub fn slow_reads(&self, slow: Option<(String, Duration)>) {
+        *self.slow_key.lock().unwrap() = slow;
+    }
+
     /// Makes a share of the answers a few hundred milliseconds late.
     pub fn answer_late(&self, share: f64) {
         *self.late.lock().unwrap() = (share, 1);
@@ -335,6 +356,11 @@
                 self.record.line(&format!("fault {}: it is answered now", self.name));
                 Reply::Answer(status, answer)
             }
+            Fate::Lost => {
+                drop(inner);
+                self.record.line(&format!("fault {}: transaction of {client} is lost: {body}", self.name));
+                Reply::Close
+            }
             Fate::Late(after) => {
                 drop(inner);
                 self.record.line(&format!("fault {}: transaction of {client} held: {body}", self.name));
--- a/review/standins-2/src/withdraw.rs
+++ b/review/standins-2/src/withdraw.rs
@@ -27,7 +27,8 @@
     let key = format!("job/{JOB}");
     let changes = txn["then"].as_array().into_iter().flatten();
     let mut records = changes.filter(|change| change["put"] == key.as_str());
-    records.any(|change| change["value"]["lending"]["loans"].as_array().is_some_and(|loans| !loans.is_empty()))
+    records
+        .any(|change| change["value"]["lending"]["loans"].as_array().is_some_and(|loans| !loans.is_empty()))
 }
 
 /// Withdraws a job, again and again as users do, until the answer is 200. Returns after how long.
@@ -63,8 +64,8 @@
             &run.dir,
         )
     };
-    let north = cell("north", &north_at, operator("north", "south", &south_at, true, 15), &jobs);
-    let south = cell("south", &south_at, operator("south", "north", &north_at, false, 15), &jobs_there);
+    let north = cell("north", &north_at, operator("north", "south", &south_at, true, 15, 64), &jobs);
+    let south = cell("south", &south_at, operator("south", "north", &north_at, false, 15, 64), &jobs_there);
     if !north.wait_until_up(Duration::from_secs(20)) || !south.wait_until_up(Duration::from_secs(20)) {
         return Outcome::CouldNotRun("no leader".into());
     }
