Ignore late answers to reads of borrowed jobs' records

Cause: the writer reads the record of a borrowed job back without the lock. The answer may be a few hundred milliseconds late, and meanwhile another thread writes, applies and reports a newer record. Fleet::apply_borrowed_record then applied the older row whatever its revision. A late answer could also bring a dropped loan back, and one that found no record ended a loan that had been accepted after it; the lender was then told that the loan is closed.

Fix: RecordRevisions keeps the revision of each record of borrowed jobs and of lenders. What is read back carries a revision that it is at least as new as: the row's own, that of a 404 answer, or what was known when the read was sent. State that is older than what is known is ignored, whichever thread brings it, so the order in which answers arrive no longer matters. Records that are read back together after a conflict are applied together or read again.

--- a/src/controller/loan_writes.rs
+++ b/src/controller/loan_writes.rs
@@ -4,7 +4,7 @@
 use super::Controller;
 use crate::fleet::LoanWrite;
 use crate::keys::{final_key, job_key};
-use crate::leadership::{self, KeyState, SHARD_KEY};
+use crate::leadership::{self, SHARD_KEY};
 use crate::state::{RequestPriority, StateStoreError, TxnOutcome};
 use crate::time::wall;
 
@@ -86,6 +86,12 @@
         LoanOutcome::Written
     }
 
+    /// The fleet's latest known revision of the records of borrowed jobs and of lenders; none if this
+    /// controller no longer leads in the term.
+    pub(super) fn known_revision(&self, fencing_token: u64) -> Option<u64> {
+        Some(self.lock().leadership_with(fencing_token)?.fleet.loans.known_revision())
+    }
+
     /// Keeps a write with unknown outcome in the fleet, to be sent again.
     fn keep_unresolved_loan(&self, fencing_token: u64, write: LoanWrite) -> LoanOutcome {
         if let Some(leadership) = self.lock().leadership_with(fencing_token) {
@@ -102,7 +108,8 @@
             self.step_down_from(fencing_token, StepDownReason::ShardTaken);
             return LoanOutcome::Unknown;
         }
-        let records = match leadership::read_loan_records(&self.state, &write) {
+        let Some(known_revision) = self.known_revision(fencing_token) else { return LoanOutcome::Unknown };
+        let records = match leadership::read_loan_records(&self.state, &write, known_revision) {
             Ok(records) => records,
             Err(error) => {
                 tracing::debug!(job = write.job(), %error, "loan record read-back failed");
@@ -112,11 +119,17 @@
         let mut shared = self.lock();
         let Some(leadership) = shared.leadership_with(fencing_token) else { return LoanOutcome::Unknown };
         let fleet = &mut leadership.fleet;
-        for KeyState { key, row } in records {
-            leadership::update_from_store(fleet, &key, row, self.now());
+        let is_borrowing = matches!(write, LoanWrite::Borrower { .. });
+        if is_borrowing && records.iter().any(|state| fleet.loans.is_outdated(&state.key, state.as_of)) {
+            // The records changed during the read. They belong together, so none of them is applied: the
+            // write is sent again, conflicts again, and the records are read once more.
+            fleet.queue_unresolved_loan_write(write);
+            return LoanOutcome::Unknown;
+        }
+        for state in records {
+            leadership::update_from_store(fleet, state, self.now());
         }
         let job = write.job();
-        let is_borrowing = matches!(write, LoanWrite::Borrower { .. });
         if !is_borrowing {
             leadership::mark_unreadable_finals(fleet, keys);
         }
--- a/src/controller/writer.rs
+++ b/src/controller/writer.rs
@@ -152,12 +152,13 @@
     /// this controller no longer leads in the term.
     fn read_back(&self, term: &LeadershipTerm, keys: &[String]) -> bool {
         for key in keys {
-            let Ok(row) = self.state.get(key, RequestPriority::User) else { return false };
+            let Some(known_revision) = self.known_revision(term.fencing_token) else { return false };
+            let Ok(state) = leadership::read_key(&self.state, key, known_revision) else { return false };
             let mut shared = self.lock();
             let Some(leadership) = shared.leadership_with(term.fencing_token) else {
                 return false;
             };
-            leadership::update_from_store(&mut leadership.fleet, key, row, self.now());
+            leadership::update_from_store(&mut leadership.fleet, state, self.now());
         }
         true
     }
--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -2,22 +2,24 @@
 
 use milletlock_cells::{BorrowedJob, BorrowerChange, TaskSet};
 
-use super::loans::{KnownLender, MAX_REMEMBERED};
+use super::loans::MAX_REMEMBERED;
 use super::{task_resources, Fleet, LoanWrite, TaskKey, UnreadableRecord};
 use crate::jobs::{Job, JobId};
-use crate::keys::{borrowed_done_prefix, borrowed_key};
+use crate::keys::{borrowed_done_prefix, borrowed_key, lender_key};
 use crate::records::{JobRecord, LenderRecord};
 use crate::time::{Steady, Wall};
 use crate::wire::{JobSpec, Priority};
 
 impl Fleet {
-    /// Loads the record of a cell from which tasks are borrowed.
-    pub fn load_lender(&mut self, cell: &str, record: LenderRecord, mod_revision: u64) {
-        self.loans.borrower_ledger.load_high_water(cell, record.high_water);
-        self.loans.lenders.insert(cell.to_string(), KnownLender { record, mod_revision });
+    /// Applies the record of a cell from which tasks are borrowed, unless a newer one is known.
+    pub fn apply_lender_record(&mut self, cell: &str, record: LenderRecord, mod_revision: u64) {
+        if self.loans.revisions.record_stored(&lender_key(cell), mod_revision) {
+            self.loans.borrower_ledger.load_high_water(cell, record.high_water);
+            self.loans.lenders.insert(cell.to_string(), record);
+        }
     }
 
-    /// Applies a new or changed record of a borrowed job.
+    /// Applies a new or changed record of a borrowed job, unless a newer one is known.
     pub fn apply_borrowed_record(
         &mut self,
         id: &str,
@@ -28,10 +30,12 @@
     ) {
         let known_revision = self.borrowed_record_revision(id);
         tracing::debug!(job = id, mod_revision, known_revision, tasks = %record.tasks(), "borrowed record applied");
+        if !self.loans.revisions.record_stored(&borrowed_key(id), mod_revision) {
+            return;
+        }
         let lender = record.lender.clone();
         let spec = JobSpec::parse(record.description.to_string().as_bytes());
         self.loans.borrower_ledger.load(id, record);
-        self.loans.borrowed.insert(id.to_string(), mod_revision);
         if let Some(job) = self.jobs.get_mut(id) {
             if job.borrowed_from.is_some() {
                 job.mod_revision = mod_revision;
@@ -91,13 +95,14 @@
         taken
     }
 
-    /// Ends the loans of a job from a lender. If the job has no other loan, its remaining tasks are stopped.
-    pub(super) fn end_borrowing(&mut self, id: &str, lender: &str) {
+    /// Ends the loans of a job from a lender, which have no record as of a revision. If the job has no other
+    /// loan, its remaining tasks are stopped.
+    pub(super) fn end_borrowing(&mut self, id: &str, lender: &str, as_of: u64) {
         self.loans.borrower_ledger.remove(lender, id);
         if self.loans.borrower_ledger.job(id).is_some() {
             return;
         }
-        self.loans.borrowed.remove(id);
+        self.loans.revisions.record_deleted(&borrowed_key(id), as_of);
         if self.jobs.get(id).is_some_and(|job| job.borrowed_from.is_some()) {
             self.end_job(id);
         }
@@ -107,13 +112,13 @@
     /// start.
     pub fn begin_borrower_change(&mut self, change: BorrowerChange) -> LoanWrite {
         let id: JobId = change.job.as_str().into();
-        let KnownLender { record: mut lender, mod_revision: lender_revision } =
-            self.loans.lender(&change.lender);
+        let mut lender = self.loans.lender(&change.lender);
+        let lender_revision = self.loans.revisions.get(&lender_key(&change.lender));
         lender.high_water = lender.high_water.max(change.high_water.unwrap_or_default());
         let done = self.recorded_done_of_borrowed(&id);
         lender.finished += u64::from(change.withdrawn.intersection(&done).len());
         let has_record = self.loans.borrower_ledger.job(&id).is_some_and(|job| job.lender == change.lender);
-        let job_revision = self.loans.borrowed.get(&change.job).filter(|_| has_record).copied().unwrap_or(0);
+        let job_revision = if has_record { self.borrowed_record_revision(&id) } else { 0 };
         self.loans.returning_in_flight.insert(id.clone(), change.withdrawn.clone());
         self.update_withheld(&id);
         LoanWrite::Borrower { change: Box::new(change), job_revision, lender, lender_revision }
@@ -129,10 +134,10 @@
         self.loans.own_job_ids.insert(id.to_string());
     }
 
-    /// Ends a borrowed job whose record was found deleted when it was read back.
-    pub fn end_deleted_borrowed_job(&mut self, id: &str) {
+    /// Ends a borrowed job whose record was found deleted, as of a revision, when it was read back.
+    pub fn end_deleted_borrowed_job(&mut self, id: &str, as_of: u64) {
         if let Some(lender) = self.loans.borrower_ledger.job(id).map(|record| record.lender.clone()) {
-            self.end_borrowing(id, &lender);
+            self.end_borrowing(id, &lender, as_of);
         }
     }
 
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -7,8 +7,10 @@
     BorrowerChange, BorrowerLedger, LenderLedger, Lending, LoanNumber, LoanOffer, TaskSet,
 };
 
+use super::record_revisions::RecordRevisions;
 use super::Fleet;
 use crate::jobs::{Job, JobId};
+use crate::keys::borrowed_key;
 use crate::records::{JobRecord, LenderRecord};
 use crate::time::{Steady, Wall};
 
@@ -63,14 +65,6 @@
     pub(super) mod_revision: u64,
 }
 
-/// The record of a cell from which tasks are borrowed, with its revision. The revision is 0 if no record is
-/// stored yet.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct KnownLender {
-    pub(super) record: LenderRecord,
-    pub(super) mod_revision: u64,
-}
-
 /// The loans that this cell has made and those that it has accepted, according to the stored records.
 #[derive(Debug)]
 pub struct Loans {
@@ -80,10 +74,10 @@
     pub borrower_ledger: BorrowerLedger,
     /// Jobs of this cell whose records have loans or a cancellation in progress.
     pub(super) lent: BTreeMap<JobId, LentJob>,
-    /// The cells from which tasks are or were borrowed, by name.
-    pub(super) lenders: BTreeMap<String, KnownLender>,
-    /// The revisions of the records of borrowed jobs, by job id.
-    pub(super) borrowed: BTreeMap<String, u64>,
+    /// The records of the cells from which tasks are or were borrowed, by name.
+    pub(super) lenders: BTreeMap<String, LenderRecord>,
+    /// The revisions of the records of borrowed jobs and of the cells from which tasks are borrowed.
+    pub(super) revisions: RecordRevisions,
     /// Own jobs with a loan write in flight, each with the tasks that are withheld because of the write.
     pub(super) lending_in_flight: BTreeMap<JobId, TaskSet>,
     /// Borrowed jobs with a loan write in flight, each with the tasks that are withheld because of the write.
@@ -107,7 +101,7 @@
             borrower_ledger: BorrowerLedger::default(),
             lent: BTreeMap::new(),
             lenders: BTreeMap::new(),
-            borrowed: BTreeMap::new(),
+            revisions: RecordRevisions::default(),
             lending_in_flight: BTreeMap::new(),
             returning_in_flight: BTreeMap::new(),
             leftover_placeholders: BTreeMap::new(),
@@ -167,13 +161,25 @@
 
     /// The names and records of the cells from which tasks are or were borrowed.
     pub fn lenders(&self) -> impl Iterator<Item = (&String, &LenderRecord)> {
-        self.lenders.iter().map(|(cell, lender)| (cell, &lender.record))
+        self.lenders.iter()
     }
 
     /// The record of a cell from which tasks are borrowed; an empty record if none is stored yet.
-    pub(super) fn lender(&self, cell: &str) -> KnownLender {
+    pub(super) fn lender(&self, cell: &str) -> LenderRecord {
         self.lenders.get(cell).copied().unwrap_or_default()
     }
+
+    /// The latest known revision of the records of borrowed jobs and of lenders. A read of such a record that
+    /// is sent from now on returns a state that is at least this new.
+    pub fn known_revision(&self) -> u64 {
+        self.revisions.latest()
+    }
+
+    /// Whether the state of the record of a borrowed job or of a lender, as of a revision, may be older than
+    /// what is known of it.
+    pub fn is_outdated(&self, key: &str, as_of: u64) -> bool {
+        self.revisions.is_outdated(key, as_of)
+    }
 }
 
 impl Fleet {
@@ -260,13 +266,13 @@
                 }
             }
             LoanWrite::Borrower { change, lender, .. } => {
-                self.load_lender(&change.lender, *lender, revision);
+                self.apply_lender_record(&change.lender, *lender, revision);
                 match &change.record {
                     Some(record) => {
                         self.apply_borrowed_record(&change.job, record.clone(), revision, now, wall);
                         self.stop_withdrawn(&change.job, &change.withdrawn);
                     }
-                    None => self.end_borrowing(&change.job, &change.lender),
+                    None => self.end_borrowing(&change.job, &change.lender, revision),
                 }
             }
         }
@@ -318,6 +324,6 @@
 
     /// The revision of the record of a borrowed job; 0 if there is no record.
     pub fn borrowed_record_revision(&self, id: &str) -> u64 {
-        self.loans.borrowed.get(id).copied().unwrap_or(0)
+        self.loans.revisions.get(&borrowed_key(id))
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod recent_jobs;
 mod reconciliation;
 mod record_loading;
+mod record_revisions;
 mod records;
 mod recovery;
 mod replica_moves;
--- a/src/leadership/loan_records.rs
+++ b/src/leadership/loan_records.rs
@@ -4,14 +4,15 @@
 use serde_json::{json, Value};
 
 use super::keys::SHARD_KEY;
+use super::read_back::{read_key, KeyState};
 use super::rebuild::{decode, mark_unreadable_done_chunk};
 use super::record_keys::{BorrowedKey, LentKey};
 use crate::fleet::{Fleet, LoanWrite, UnreadableRecord};
 use crate::job_changes::StoredJob;
 use crate::keys::{borrowed_key, final_key, job_key, lender_key, BORROWED_PREFIX};
 use crate::records::{FinalRecord, JobRecord, LenderRecord};
-use crate::state::{RequestPriority, StateStoreClient, StateStoreError};
-use crate::time::{Steady, Wall};
+use crate::state::{StateStoreClient, StateStoreError};
+use crate::time::{wall, Steady, Wall};
 use crate::wire::{Change, Guard, Row, Stage, Txn};
 
 /// Creates a guard that a key still has this `mod_revision`, or with 0 that the key does not exist.
@@ -100,7 +101,7 @@
         }
         BorrowedKey::Lender(cell) => {
             if let Some(record) = decode::<LenderRecord>(fleet, UnreadableRecord::Lender(cell), key, value) {
-                fleet.load_lender(cell, record, mod_revision);
+                fleet.apply_lender_record(cell, record, mod_revision);
             }
         }
         BorrowedKey::DoneChunk { job, chunk } => match (chunk.parse(), value.as_str()) {
@@ -145,14 +146,14 @@
 }
 
 /// Updates the fleet with a record of borrowed tasks that was read back; `row` is `None` if the key does not
-/// exist.
+/// exist as of the revision `as_of`.
 pub(super) fn update_borrowed(
     fleet: &mut Fleet,
     borrowed: BorrowedKey,
     key: &str,
     row: Option<Row>,
+    as_of: u64,
     now: Steady,
-    wall: Wall,
 ) {
     let mod_revision = row.as_ref().map_or(0, |row| row.mod_revision);
     match (borrowed, row) {
@@ -163,37 +164,27 @@
                 fleet.load_borrowed_done(job, chunk, text, mod_revision);
             }
         }
-        (BorrowedKey::Job(id), None) => fleet.end_deleted_borrowed_job(id),
+        (BorrowedKey::Job(id), None) => fleet.end_deleted_borrowed_job(id, as_of),
         (borrowed, Some(row)) => {
-            load_borrowed(fleet, borrowed, &row.key, row.value, mod_revision, now, wall);
+            load_borrowed(fleet, borrowed, &row.key, row.value, mod_revision, now, wall());
         }
         (BorrowedKey::Lender(_) | BorrowedKey::Other, None) => {}
     }
 }
 
-/// A key that was read back, with its row.
-pub struct KeyState {
-    /// The key.
-    pub key: String,
-    /// The row; `None` if the key does not exist.
-    pub row: Option<Row>,
-}
-
 /// Reads back the records by whose revisions a write of loans is guarded, after the write met a conflict.
+/// `known_revision` is the fleet's [`known_revision`](crate::fleet::Loans::known_revision) before the read.
 ///
 /// # Errors
 /// As any read from the state store; the first error ends the read.
 pub fn read_loan_records(
     state: &StateStoreClient,
     write: &LoanWrite,
+    known_revision: u64,
 ) -> Result<Vec<KeyState>, StateStoreError> {
     let keys = match write {
         LoanWrite::Lender { job, .. } => vec![job_key(job)],
         LoanWrite::Borrower { change, .. } => vec![borrowed_key(&change.job), lender_key(&change.lender)],
     };
-    let read = |key: String| {
-        let row = state.get(&key, RequestPriority::User)?;
-        Ok(KeyState { key, row })
-    };
-    keys.into_iter().map(read).collect()
+    keys.iter().map(|key| read_key(state, key, known_revision)).collect()
 }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -25,8 +25,8 @@
 
 pub use election::{try_become_leader, FormatRecord, LeaderRecord, LeadershipTerm};
 pub use keys::{FORMAT_KEY, FORMAT_VERSION, LEADER_KEY, MACHINE_TYPES_KEY, SHARD_KEY, TERM_KEY};
-pub use loan_records::{loan_txn, read_loan_records, KeyState};
-pub use read_back::{mark_unreadable_finals, update_from_store};
+pub use loan_records::{loan_txn, read_loan_records};
+pub use read_back::{mark_unreadable_finals, read_key, update_from_store, KeyState};
 pub use rebuild::{load_records, read_machine_types, rebuild};
 pub use stored_progress::{
     read_jobs_with_loans, read_start_marks, JobWithLoans, ProgressError, StoredProgress,
--- a/src/leadership/read_back.rs
+++ b/src/leadership/read_back.rs
@@ -3,22 +3,54 @@
 
 use serde_json::json;
 
-use super::record_keys::RecordKey;
+use super::record_keys::{BorrowedKey, RecordKey};
 use super::{loan_records, rebuild};
 use crate::fleet::{Fleet, UnreadableRecord};
 use crate::keys::job_key;
 use crate::records::JobRecord;
-use crate::time::{wall, Steady};
+use crate::state::{RequestPriority, StateStoreClient, StateStoreError};
+use crate::time::Steady;
 use crate::wire::Row;
 
-/// Updates the fleet with the present state of a key in the state store; `row` is `None` if the key does not
-/// exist.
-pub fn update_from_store(fleet: &mut Fleet, key: &str, row: Option<Row>, now: Steady) {
+/// The state of a key as it was read back.
+pub struct KeyState {
+    /// The key.
+    pub key: String,
+    /// The row; `None` if the key does not exist.
+    pub row: Option<Row>,
+    /// A revision of the state store: the state is at least as new.
+    pub as_of: u64,
+}
+
+/// Reads a key back. `known_revision` is the fleet's
+/// [`known_revision`](crate::fleet::Loans::known_revision) before the read.
+///
+/// # Errors
+/// As any read from the state store.
+pub fn read_key(
+    state: &StateStoreClient,
+    key: &str,
+    known_revision: u64,
+) -> Result<KeyState, StateStoreError> {
+    let read = state.read(key, RequestPriority::User)?;
+    Ok(KeyState { key: key.to_string(), as_of: read.revision.max(known_revision), row: read.row })
+}
+
+/// Updates the fleet with the state of a key that was read back. The record of a borrowed job or of a lender
+/// is ignored if the answer to the read came so late that a newer state of the record may be known.
+pub fn update_from_store(fleet: &mut Fleet, state: KeyState, now: Steady) {
+    let KeyState { key, row, as_of } = state;
+    let key = key.as_str();
     let mod_revision = row.as_ref().map_or(0, |row| row.mod_revision);
     match RecordKey::parse(key) {
         RecordKey::Job(id) => update_job(fleet, id, row, now),
+        RecordKey::Borrowed(BorrowedKey::Job(_) | BorrowedKey::Lender(_))
+            if fleet.loans.is_outdated(key, as_of) =>
+        {
+            tracing::debug!(key, as_of, "late answer to a read ignored");
+        }
         RecordKey::Borrowed(borrowed) => {
-            loan_records::update_borrowed(fleet, borrowed, key, row, now, wall());
+            loan_records::update_borrowed(fleet, borrowed, key, row, as_of, now);
         }
         RecordKey::Lent(lent) => loan_records::update_lent(fleet, lent, key, row),
         RecordKey::Machine(id) => fleet.update_machine_record_revision(id, mod_revision),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -12,7 +12,9 @@
 
 use crate::http::{status, CallError, Client, ClientResponse};
 use crate::time::{steady, Micros, Steady};
-use crate::wire::{LeaseGranted, LeaseRequest, Row, RowPage, Txn, TxnCommitted, TxnConflict, WatchEvents};
+use crate::wire::{
+    KeyNotFound, LeaseGranted, LeaseRequest, Row, RowPage, Txn, TxnCommitted, TxnConflict, WatchEvents,
+};
 
 use budget::RateBudget;
 pub use budget::{AllowedRates, NextRates, RateShares, RequestPriority, TokenBucket};
@@ -39,6 +41,15 @@
     pub revision: u64,
 }
 
+/// The answer to a read of a key.
+#[derive(Clone, Debug)]
+pub struct KeyRead {
+    /// The row; `None` if the key does not exist.
+    pub row: Option<Row>,
+    /// The revision of the row, or the state store's revision at which the key did not exist.
+    pub revision: u64,
+}
+
 /// Timeout of a call.
 const CALL_TIMEOUT: Micros = Micros::from_millis(2000);
 /// Timeout of calls that renew or end a lease.
@@ -148,11 +159,25 @@
     /// # Errors
     /// As any call.
     pub fn get(&self, key: &str, priority: RequestPriority) -> Result<Option<Row>, StateStoreError> {
+        self.read(key, priority).map(|read| read.row)
+    }
+
+    /// Reads a key, with the revision of what was found.
+    ///
+    /// # Errors
+    /// As any call.
+    pub fn read(&self, key: &str, priority: RequestPriority) -> Result<KeyRead, StateStoreError> {
         self.wait_for_budget(0, priority, BUDGET_TIMEOUT)?;
         let response = self.call(&self.calls, "GET", &format!("/keys/{key}"), None, CALL_TIMEOUT)?;
         match response.status {
-            status::OK => parse(&response.body).map(Some),
-            status::NOT_FOUND => Ok(None),
+            status::OK => {
+                let row: Row = parse(&response.body)?;
+                Ok(KeyRead { revision: row.mod_revision, row: Some(row) })
+            }
+            status::NOT_FOUND => {
+                let KeyNotFound { revision } = parse(&response.body)?;
+                Ok(KeyRead { row: None, revision })
+            }
             other => Err(StateStoreError::Refused(other)),
         }
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -72,8 +72,8 @@
 pub use jobs::{JobSpec, JobStage, JobStatus, Priority, Shape, Stage};
 pub use replies::{ControllerStatus, Health, Redirect, ShardStatus, HEALTH_PATH};
 pub use state::{
-    Change, Guard, LeaseGranted, LeaseRequest, Row, RowPage, Txn, TxnCommitted, TxnConflict, WatchEvent,
-    WatchEvents,
+    Change, Guard, KeyNotFound, LeaseGranted, LeaseRequest, Row, RowPage, Txn, TxnCommitted, TxnConflict,
+    WatchEvent, WatchEvents,
 };
 pub use submissions::{is_job_id, submitted_id, SubmissionError, MAX_TASKS, REQUIRED_FIELDS};
 pub use workers::{
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -17,6 +17,14 @@
     pub mod_revision: u64,
 }
 
+/// Reply to the read of a key that does not exist.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct KeyNotFound {
+    /// Revision of the state store at which the key did not exist.
+    #[serde(rename = "harvest")]
+    pub revision: u64,
+}
+
 /// A page of the list of keys with a prefix.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RowPage {
--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::JoinHandle;
 
 use milletlock::api::RequestOrigin;
 use milletlock::config::{Config, OperatorConfig, PlatformConfig};
@@ -20,6 +21,7 @@
 use milletlock_cells::{LoanAction, LoanItem, LoanNumber, LoanReport, LoanState, LoanSyncRequest, TaskSet};
 use serde_json::{json, Value};
 
+use super::gate::Gate;
 use super::servers::{cloud, serve_opt};
 use super::state_store_server::{read_response, transaction, transaction_response};
 use super::store::Store;
@@ -183,6 +185,11 @@
     /// Whether the state store refuses each transaction that writes a copy of lent jobs' progress (`lent/`).
     pub refuses_copies: Arc<AtomicBool>,
     faults: Arc<Mutex<StoreFaults>>,
+    /// Holds the answers to reads of single keys, by key. The read has been executed when its answer is held.
+    pub reads: Arc<Gate>,
+    /// Holds the answers to transactions, by the first key that they change. The transaction has been executed
+    /// or lost when its answer is held.
+    pub transactions: Arc<Gate>,
 }
 
 impl World {
@@ -194,6 +201,8 @@
         let refuses = refuses_copies.clone();
         let faults: Arc<Mutex<StoreFaults>> = Arc::default();
         let served_faults = faults.clone();
+        let (reads, transactions): (Arc<Gate>, Arc<Gate>) = Default::default();
+        let (read_gate, transaction_gate) = (reads.clone(), transactions.clone());
         let state = serve_opt(move |request| {
             let mut store = served.lock().expect("the store");
             Some(match (request.method.as_str(), request.path.split('?').next().unwrap_or("")) {
@@ -204,10 +213,18 @@
                     if writes_copy && refuses.load(Ordering::SeqCst) {
                         return Some(Response::error(503, "refused"));
                     }
-                    let result = served_faults.lock().expect("the faults").execute(&mut store, &txn)?;
-                    transaction_response(&store, result)
+                    let result = served_faults.lock().expect("the faults").execute(&mut store, &txn);
+                    let response = result.map(|result| transaction_response(&store, result));
+                    drop(store);
+                    transaction_gate.pass(txn.then.first().map_or("", Change::key));
+                    response?
+                }
+                ("GET", path) => {
+                    let response = read_response(&store, &request);
+                    drop(store);
+                    read_gate.pass(path.trim_start_matches("/keys/"));
+                    response
                 }
-                ("GET", _) => read_response(&store, &request),
                 _ => Response::json(200, &json!({})),
             })
         });
@@ -219,6 +236,8 @@
             borrower: Arc::default(),
             refuses_copies,
             faults,
+            reads,
+            transactions,
         }
     }
 
@@ -410,7 +429,12 @@
     keeper: ProgressKeeper,
 }
 
-impl Leader<'_> {
+impl<'a> Leader<'a> {
+    /// The cell that the controller belongs to.
+    pub fn world(&self) -> &'a World {
+        self.world
+    }
+
     /// Delivers an announcement of the leader that the stored records name, with `version` as its version.
     pub fn receive_leader_announcement(&self, version: &str) {
         let token = self.world.store().row(TERM_KEY).expect("a term").value["n"].as_u64().expect("a number");
@@ -477,6 +501,15 @@
         }
     }
 
+    /// Exchanges one round of messages between the cells in another thread. Later calls of `lend` do nothing.
+    pub fn lend_in_background(&mut self) -> JoinHandle<()> {
+        let mut policy = self.policy.take().expect("settings with cells");
+        let controller = self.controller.clone();
+        std::thread::spawn(move || {
+            controller.lend_once(&mut policy);
+        })
+    }
+
     /// Submits the job, lends some of its tasks, and starts others on the machine.
     pub fn submit_and_lend(&mut self, machine: &mut Machine) {
         self.submit();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod fleet_scenario;
 pub mod fleet_writes;
+pub mod gate;
 pub mod leader_without_copies;
 pub mod lending_scenario;
 pub mod lending_world;
--- a/tests/common/simulated_controller.rs
+++ b/tests/common/simulated_controller.rs
@@ -94,7 +94,7 @@
     /// Reads keys back, except the shard's key.
     pub fn read_back(&mut self, keys: &[String], store: &Store, now: Steady) {
         for key in keys.iter().filter(|k| *k != leadership::SHARD_KEY) {
-            leadership::update_from_store(&mut self.fleet, key, store.row(key), now);
+            leadership::update_from_store(&mut self.fleet, store.key_state(key), now);
         }
     }
 }
--- a/tests/common/store.rs
+++ b/tests/common/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use milletlock::keys::{final_key, job_key};
+use milletlock::leadership::KeyState;
 use milletlock::records::{FinalRecord, JobRecord};
 use milletlock::time::Steady;
 use milletlock::wire::{Change, Guard, JobSpec, Row, Stage, Txn};
@@ -71,6 +72,11 @@
         self.keys.get(key).map(|k| Row { key: key.into(), value: k.0.clone(), mod_revision: k.1 })
     }
 
+    /// The present state of a key, as a controller reads it back.
+    pub fn key_state(&self, key: &str) -> KeyState {
+        KeyState { key: key.into(), row: self.row(key), as_of: self.revision }
+    }
+
     /// The rows of all keys with a prefix.
     pub fn rows(&self, prefix: &str) -> Vec<Row> {
         self.keys.keys().filter(|k| k.starts_with(prefix)).filter_map(|k| self.row(k)).collect()
--- a/tests/common/store_faults.rs
+++ b/tests/common/store_faults.rs
@@ -19,13 +19,16 @@
     Late,
 }
 
-/// The faults of transactions that write a job's live or final record. Other transactions have no faults.
+/// The faults of transactions that write a job's live or final record. Other transactions have no faults,
+/// except those that `by_prefix` names.
 #[derive(Default)]
 pub struct StoreFaults {
     /// The faults of the next transactions, in order.
     pub next: VecDeque<TxnFault>,
     /// Once `next` is empty: the random generator, and the fraction of transactions that have a fault.
     pub random: Option<(StdRng, f64)>,
+    /// The fault of all transactions that change a key with this prefix.
+    pub by_prefix: Option<(&'static str, TxnFault)>,
     /// Transactions that are still to be executed late.
     late: Vec<Txn>,
 }
@@ -37,7 +40,7 @@
             .then
             .iter()
             .any(|change| change.key().starts_with("job/") || change.key().starts_with("final/"));
-        let fault = if is_of_job { self.next_fault() } else { None };
+        let fault = self.fault_by_prefix(txn).or_else(|| if is_of_job { self.next_fault() } else { None });
         if fault == Some(TxnFault::Late) {
             self.late.push(txn.clone());
             return None;
@@ -49,6 +52,12 @@
         result.filter(|_| fault.is_none())
     }
 
+    /// The fault of a transaction that changes a key with the prefix of `by_prefix`; `None` if it changes none.
+    fn fault_by_prefix(&self, txn: &Txn) -> Option<TxnFault> {
+        let (prefix, fault) = self.by_prefix?;
+        txn.then.iter().any(|change| change.key().starts_with(prefix)).then_some(fault)
+    }
+
     /// The fault of the next transaction that writes a job's record; `None` if it has none.
     fn next_fault(&mut self) -> Option<TxnFault> {
         if let Some(fault) = self.next.pop_front() {
--- a/tests/refused_writes.rs
+++ b/tests/refused_writes.rs
@@ -35,7 +35,7 @@
             Err(keys) => {
                 refused += 1;
                 for key in keys {
-                    leadership::update_from_store(fleet, &key, store.row(&key), now);
+                    leadership::update_from_store(fleet, store.key_state(&key), now);
                 }
             }
         }
--- a/tests/unreadable_records.rs
+++ b/tests/unreadable_records.rs
@@ -412,7 +412,7 @@
         }
         for batch in leadership::compose_batches(&mut fleet, shard, pending, 8, now, Wall(now.0)) {
             for key in store.txn(&batch.txn).err().unwrap_or_default() {
-                leadership::update_from_store(&mut fleet, &key, store.row(&key), now);
+                leadership::update_from_store(&mut fleet, store.key_state(&key), now);
             }
         }
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -125,7 +125,7 @@
                 Ok(revision) => acknowledge(fleet, &batch, revision, now),
                 Err(failed) => failed
                     .iter()
-                    .for_each(|key| leadership::update_from_store(fleet, key, store.row(key), now)),
+                    .for_each(|key| leadership::update_from_store(fleet, store.key_state(key), now)),
             }
             all.push(batch.txn);
         }
--- a/tests/upgrade_failovers/simulation/writes.rs
+++ b/tests/upgrade_failovers/simulation/writes.rs
@@ -92,7 +92,7 @@
     fn read_back<'a>(&mut self, keys: impl Iterator<Item = &'a String>) {
         let SimulatedLeader::Current(fleet) = &mut self.leader else { return };
         for key in keys.filter(|key| *key != SHARD_KEY) {
-            leadership::update_from_store(fleet, key, self.store.row(key), self.now);
+            leadership::update_from_store(fleet, self.store.key_state(key), self.now);
         }
     }
 
