Report no loan as closed while its acceptance is unknown

Callers would see a task run in two cells.

Cause: a borrower accepts a loan by writing the job's record and the lender's high-water mark in one transaction. Without an answer it knows neither. A write about another job of the same lender then meets a conflict and reads the lender's record back, so that the mark is known and the job's record is not, and the loan counts as closed. The lender starts its tasks; the borrower finds the record later.

Fix: no loan is reported as closed while a write about its job is in flight.

Test: a_loan_whose_acceptance_is_unknown_is_not_reported_as_closed plays the order through the real controller.

--- a/src/controller/borrowing.rs
+++ b/src/controller/borrowing.rs
@@ -127,11 +127,7 @@
     request: Option<&LoanSyncRequest>,
 ) -> LoanReply {
     let fleet = &leadership.fleet;
-    let reports = request
-        .map(|request| {
-            fleet.loans.borrower_ledger.reports(request, |job| fleet.recorded_done_of_borrowed(job))
-        })
-        .unwrap_or_default();
+    let reports = request.map(|request| fleet.loan_reports(request)).unwrap_or_default();
     LoanReply {
         from: cells.name.clone(),
         term: leadership.term.fencing_token,
--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -1,6 +1,10 @@
 //! The borrower's side of loans: the borrowed jobs in this cell, and the writes that change their records.
 
-use milletlock_cells::{BorrowedJob, BorrowerChange, TaskSet};
+use std::collections::BTreeSet;
+
+use milletlock_cells::{
+    BorrowedJob, BorrowerChange, LoanItem, LoanNumber, LoanReport, LoanState, LoanSyncRequest, TaskSet,
+};
 
 use super::loans::MAX_REMEMBERED;
 use super::{task_resources, Fleet, LoanWrite, TaskKey, UnreadableRecord};
@@ -108,6 +112,19 @@
         }
     }
 
+    /// The reports on the loans that a lender's message lists. While a write about a job is in flight, no loan
+    /// of the job is reported as closed: the write may have accepted the loan, and another write may have shown
+    /// its high-water mark already.
+    pub fn loan_reports(&self, request: &LoanSyncRequest) -> Vec<LoanReport> {
+        let in_flight = |item: &&LoanItem| self.loans.has_borrower_write_in_flight(&item.job);
+        let undecided: BTreeSet<LoanNumber> =
+            request.loans.iter().filter(in_flight).map(|item| item.number).collect();
+        let done = |job: &str| self.recorded_done_of_borrowed(job);
+        let mut reports = self.loans.borrower_ledger.reports(request, done);
+        reports.retain(|report| report.state != LoanState::Closed || !undecided.contains(&report.number));
+        reports
+    }
+
     /// Begins a change of the borrowed tasks. From now on none of the tasks that the change withdraws may
     /// start.
     pub fn begin_borrower_change(&mut self, change: BorrowerChange) -> LoanWrite {
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -192,3 +192,29 @@
     let reports = deliver(&leader, vec![second_loan()], FIRST_LOAN);
     assert_eq!(accepted(&reports[0]), tasks(SECOND_TASKS));
 }
+
+/// Guards against tasks that run in two cells: after a loan was accepted with a write whose outcome was unknown,
+/// the lender's record alone was read back, and its high-water mark had the loan reported as closed.
+#[test]
+fn a_loan_whose_acceptance_is_unknown_is_not_reported_as_closed() {
+    let world = World::new();
+    let leader = world.leader();
+    let other = loan_of_other_job();
+    let reports = deliver(&leader, vec![other.clone()], LoanNumber::default());
+    assert_eq!(accepted(&reports[0]), tasks("36-39"));
+    // The acceptance of the second loan is executed but not answered. Then it is sent again without success.
+    for fault in [TxnFault::AnswerLost, TxnFault::Lost] {
+        world.faults().by_prefix = Some((BORROWED_RECORD, fault));
+        // In the second message the first loan is closed, which needs a write of the lender's record too.
+        let (loans, horizon) = match fault {
+            TxnFault::AnswerLost => (vec![other.clone(), second_loan()], LoanNumber::default()),
+            _ => (vec![second_loan()], FIRST_LOAN),
+        };
+        let reports = deliver(&leader, loans, horizon);
+        let closed: Vec<_> = reports.iter().filter(|report| report.state == LoanState::Closed).collect();
+        assert!(closed.is_empty(), "after {fault:?}: {closed:?}");
+    }
+    world.faults().by_prefix = None;
+    let reports = deliver(&leader, vec![second_loan()], FIRST_LOAN);
+    assert_eq!(accepted(&reports[0]), tasks(SECOND_TASKS));
+}
