Set no start mark of a borrowed job from an earlier loan's write

Callers would see a task run twice after a failover of the borrower.

Cause: start marks of several jobs share a value. While the answer to its write is on the way, the last loan of a job may be closed and other tasks of the same job be borrowed. The late answer then raised the mark of the new loan's job by its id. It was not stored again, and the next write of the value removed it, so that tasks ran which no stored mark covers.

Fix: a written mark counts only if the marks kept in memory have it, or a higher one, for the job. Then the next write of the value contains it as well.

--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -289,7 +289,10 @@
         let WriteContents::StartMarks(marks, version) = contents else { return };
         self.start_marks.mark_written(slot, *version, revision);
         for (id, mark) in marks {
-            if let Some(job) = self.jobs.get_mut(id) {
+            // The mark may be of an earlier loan of a job that was borrowed anew during the write. It is then
+            // no longer among the marks that are kept, and the next write of the slot removes it.
+            let is_kept = self.start_marks.get(id).is_some_and(|kept| kept >= mark);
+            if let Some(job) = self.jobs.get_mut(id).filter(|_| is_kept) {
                 job.start_mark = job.start_mark.max(*mark);
             }
         }
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -9,6 +9,7 @@
 use common::store_faults::TxnFault;
 use milletlock::loan_messages::{report_from_proto, request_to_proto};
 use milletlock::peer::{PeerMessage, PeerReply};
+use milletlock::time::Micros;
 use milletlock_cells::{
     LoanAction, LoanItem, LoanNumber, LoanOffer, LoanReport, LoanState, LoanSyncRequest, TaskSet,
 };
@@ -24,6 +25,9 @@
 const OTHER_JOB: &str = "wk-000002";
 /// The key of the record of the borrowed job with the id `JOB`.
 const BORROWED_RECORD: &str = "borrowed/job/wk-000001";
+/// More than the interval between two writes that remove start marks of ended jobs.
+const DEFERRED_WRITE_INTERVAL: Micros = Micros(4_000_000);
+
 /// An offer with the description of the job with this number.
 fn offer(job: u32) -> LoanOffer {
     LoanOffer { description: json!(spec(job, TASKS, "batch")), job_tasks: TASKS }
@@ -218,3 +222,40 @@
     let reports = deliver(&leader, vec![second_loan()], FIRST_LOAN);
     assert_eq!(accepted(&reports[0]), tasks(SECOND_TASKS));
 }
+
+/// Guards against tasks that a new leader returns although they run: the late answer to a write of start marks
+/// counted for a job that had been borrowed anew meanwhile, and its mark was removed from the state store.
+#[test]
+fn a_late_answer_sets_no_start_mark_of_a_job_that_was_borrowed_anew() {
+    let (world, mut machine) = (World::new(), Machine::new("i-000001"));
+    let mut leader = world.leader();
+    deliver(&leader, vec![item(FIRST_LOAN, "36-39", LoanAction::Run)], LoanNumber::default());
+    run_to_rest(&mut leader, &mut machine);
+    assert_eq!(machine.started.len(), 4);
+    // A start of another job has the value written that contains the start marks of both.
+    let other = LoanItem { job: OTHER_JOB.into(), offer: Some(offer(2)), ..second_loan() };
+    deliver(&leader, vec![item(FIRST_LOAN, "36-39", LoanAction::Run), other.clone()], LoanNumber::default());
+    leader.heartbeat(&mut machine);
+    world.wait(STEP);
+    leader.controller.plan_once();
+    world.transactions.close("marks/");
+    let controller = leader.controller.clone();
+    let writer = std::thread::spawn(move || controller.write_once());
+    world.transactions.wait_until_held();
+    let anew = item(LoanNumber(7), SECOND_TASKS, LoanAction::Run);
+    let reports = deliver(&leader, vec![other, anew], FIRST_LOAN);
+    assert_eq!(accepted(&reports[1]), tasks(SECOND_TASKS));
+    world.transactions.open();
+    writer.join().expect("the writer");
+    machine.started.clear();
+    for _ in 0..2 * SETTLE_STEPS {
+        leader.step(&mut machine);
+        machine.finish_all();
+        leader.world().wait(DEFERRED_WRITE_INTERVAL);
+    }
+    let first = tasks(SECOND_TASKS).iter().next().expect("a task");
+    assert!(machine.started.contains_key(&first), "{:?}", machine.started);
+    let marks = world.store().row("marks/0").expect("start marks").value;
+    let mark = marks[JOB].as_u64().unwrap_or(0);
+    assert!(mark > u64::from(first), "tasks have started and the stored start marks are {marks}");
+}
