Keep a loan write in flight when its retry is refused

Cause: a write of loans that is not answered is sent again. When the retry got 503 or 429, found the rate budget used up or was rejected, write_loan took the write for never executed and discarded it, so that its tasks could start. Only the retry was refused; the first copy was executed later.

Fix: an UnresolvedLoanWrite is sent by retry_loan_write only and leaves flight by a commit or by a conflict, which shows that its guards have moved for good.

--- a/src/controller/loan_writes.rs
+++ b/src/controller/loan_writes.rs
@@ -2,7 +2,7 @@
 
 use super::step_down::StepDownReason;
 use super::Controller;
-use crate::fleet::LoanWrite;
+use crate::fleet::{LoanWrite, UnresolvedLoanWrite};
 use crate::keys::{final_key, job_key};
 use crate::leadership::{self, SHARD_KEY};
 use crate::state::{RequestPriority, StateStoreError, TxnOutcome};
@@ -28,7 +28,23 @@
             None => return,
         };
         for write in unresolved {
-            self.write_loan(fencing_token, write);
+            self.retry_loan_write(fencing_token, &write);
+        }
+    }
+
+    /// Sends a write with unknown outcome again. It stays in flight until it is committed, or until a conflict
+    /// shows that no copy of it can be committed any more. A refused retry shows neither.
+    fn retry_loan_write(&self, fencing_token: u64, unresolved: &UnresolvedLoanWrite) {
+        let write = unresolved.write().clone();
+        match self.send_loan_write(fencing_token, &write) {
+            Some(Ok(outcome)) => {
+                self.handle_loan_outcome(fencing_token, write, outcome);
+            }
+            Some(Err(error)) => {
+                tracing::debug!(job = write.job(), %error, "loan write still unresolved");
+                self.keep_unresolved_loan(fencing_token, write);
+            }
+            None => {}
         }
     }
 
@@ -49,34 +65,48 @@
         }
     }
 
-    /// Sends a write of loan records to the state store and records its outcome.
+    /// Sends a new write of loan records to the state store and records its outcome.
     pub(super) fn write_loan(&self, fencing_token: u64, write: LoanWrite) -> LoanOutcome {
-        let shard_revision = match self.lock().leadership_with(fencing_token) {
-            Some(leadership) => leadership.term.shard_revision,
-            None => return LoanOutcome::Unknown,
-        };
-        let txn = leadership::loan_txn(&write, shard_revision);
-        match self.state.txn(&txn, RequestPriority::Leader) {
-            Ok(TxnOutcome::Committed(revision)) => self.apply_written_loan(fencing_token, &write, revision),
-            Ok(TxnOutcome::Conflict(keys)) => self.handle_loan_conflict(fencing_token, write, &keys),
-            // The write was refused before it was executed.
-            Err(
+        match self.send_loan_write(fencing_token, &write) {
+            None => LoanOutcome::Unknown,
+            Some(Ok(outcome)) => self.handle_loan_outcome(fencing_token, write, outcome),
+            // The only copy of the write was refused before it was executed.
+            Some(Err(
                 StateStoreError::Refused(_)
                 | StateStoreError::RateBudgetExceeded
                 | StateStoreError::Rejected(_),
-            ) => {
+            )) => {
                 if let Some(leadership) = self.lock().leadership_with(fencing_token) {
                     leadership.fleet.discard_loan_write(&write);
                 }
                 LoanOutcome::NotWritten
             }
-            Err(error) => {
+            Some(Err(error)) => {
                 tracing::info!(job = write.job(), %error, "loan write outcome unknown");
                 self.keep_unresolved_loan(fencing_token, write)
             }
         }
     }
 
+    /// Sends a write of loan records to the state store; none if this controller no longer leads in the term.
+    fn send_loan_write(
+        &self,
+        fencing_token: u64,
+        write: &LoanWrite,
+    ) -> Option<Result<TxnOutcome, StateStoreError>> {
+        let shard_revision = self.lock().leadership_with(fencing_token)?.term.shard_revision;
+        let txn = leadership::loan_txn(write, shard_revision);
+        Some(self.state.txn(&txn, RequestPriority::Leader))
+    }
+
+    /// Handles the state store's answer to a write of loan records.
+    fn handle_loan_outcome(&self, fencing_token: u64, write: LoanWrite, outcome: TxnOutcome) -> LoanOutcome {
+        match outcome {
+            TxnOutcome::Committed(revision) => self.apply_written_loan(fencing_token, &write, revision),
+            TxnOutcome::Conflict(keys) => self.handle_loan_conflict(fencing_token, write, &keys),
+        }
+    }
+
     /// Applies a committed write to the fleet.
     fn apply_written_loan(&self, fencing_token: u64, write: &LoanWrite, revision: u64) -> LoanOutcome {
         let mut shared = self.lock();
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -58,6 +58,18 @@
     }
 }
 
+/// A loan write that was sent and whose outcome is unknown: the state store may have executed it, or may still
+/// do so. That a retry is refused says nothing of the copies that were sent before.
+#[derive(Clone, Debug)]
+pub struct UnresolvedLoanWrite(LoanWrite);
+
+impl UnresolvedLoanWrite {
+    /// The write to send again.
+    pub fn write(&self) -> &LoanWrite {
+        &self.0
+    }
+}
+
 /// The record of a job with loans to other cells, with its revision.
 #[derive(Debug)]
 pub(super) struct LentJob {
@@ -86,7 +98,7 @@
     /// in the held form without the field `held`, and leave its placeholder in the state store.
     pub(super) leftover_placeholders: BTreeMap<JobId, u64>,
     /// Loan writes whose outcome is unknown. They are sent again until the outcome is known.
-    unresolved: Vec<LoanWrite>,
+    unresolved: Vec<UnresolvedLoanWrite>,
     /// Loans that their borrowers have accepted or closed.
     decided: BTreeSet<LoanNumber>,
     /// Ids of jobs that were accepted in this cell and may not be in the model. A failed write has shown each
@@ -131,7 +143,7 @@
     }
 
     /// Takes the writes whose outcome is unknown, so that the caller sends them again.
-    pub fn take_unresolved(&mut self) -> Vec<LoanWrite> {
+    pub fn take_unresolved(&mut self) -> Vec<UnresolvedLoanWrite> {
         std::mem::take(&mut self.unresolved)
     }
 
@@ -290,7 +302,7 @@
 
     /// Queues a loan write whose outcome is unknown. It stays in flight and is sent again.
     pub fn queue_unresolved_loan_write(&mut self, write: LoanWrite) {
-        self.loans.unresolved.push(write);
+        self.loans.unresolved.push(UnresolvedLoanWrite(write));
     }
 
     /// The revision of the record of an own job, live or being cancelled while it has loans; 0 if there is no
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -47,7 +47,7 @@
 pub use heartbeats::HeartbeatOutcome;
 pub use lending::LendingCandidate;
 pub use loan_results::UnrecordedResults;
-pub use loans::{LoanWrite, Loans};
+pub use loans::{LoanWrite, Loans, UnresolvedLoanWrite};
 pub use machine::{CachedImage, HeartbeatPosition, Machine, TaskEntry, TaskKey};
 pub use records::{PackKind, PendingWrite, WriteContents};
 pub use status::{FactorView, JobView, MachineState, MachineView, StatusView};
--- a/tests/common/lending_world.rs
+++ b/tests/common/lending_world.rs
@@ -14,7 +14,9 @@
 use milletlock::http::{Request, Response};
 use milletlock::leadership::{LEADER_KEY, SHARD_KEY, TERM_KEY};
 use milletlock::loan_messages::{report_to_proto, request_from_proto};
-use milletlock::peer::{proto, Ack, LoanReply, OutboundMessage, PeerHub, PeerMessage, PeerReply, Summary};
+use milletlock::peer::{
+    proto, Ack, JobNews, LoanReply, OutboundMessage, PeerHub, PeerMessage, PeerReply, Summary,
+};
 use milletlock::state::{AllowedRates, RateShares, StateStoreClient};
 use milletlock::time::{wall, Clock, Micros, Steady};
 use milletlock::wire::{Change, ExitReason, Guard, HeartbeatReply, TaskStage, Txn, WorkerCommand};
@@ -210,10 +212,12 @@
                 ("POST", "/txn") => {
                     let txn = transaction(&request);
                     let writes_copy = txn.then.iter().any(|change| change.key().starts_with("lent/"));
-                    if writes_copy && refuses.load(Ordering::SeqCst) {
+                    let mut faults = served_faults.lock().expect("the faults");
+                    if writes_copy && refuses.load(Ordering::SeqCst) || faults.refuses(&txn) {
                         return Some(Response::error(503, "refused"));
                     }
-                    let result = served_faults.lock().expect("the faults").execute(&mut store, &txn);
+                    let result = faults.execute(&mut store, &txn);
+                    drop(faults);
                     let response = result.map(|result| transaction_response(&store, result));
                     drop(store);
                     transaction_gate.pass(txn.then.first().map_or("", Change::key));
@@ -348,6 +352,12 @@
         earlier_election(&mut self.store())
     }
 
+    /// Executes the transactions that are late.
+    pub fn execute_late_transactions(&self) {
+        let mut store = self.store();
+        self.faults().execute_late(&mut store);
+    }
+
     /// The present time of the controllers' clock.
     pub fn now(&self) -> Steady {
         Steady(self.clock.load(Ordering::SeqCst))
@@ -506,15 +516,30 @@
         }
     }
 
-    /// Exchanges one round of messages between the cells in another thread. Later calls of `lend` do nothing.
-    pub fn lend_in_background(&mut self) -> JoinHandle<()> {
+    /// Exchanges one round of messages between the cells in another thread. `lend` does nothing until the round
+    /// has been passed to `finish_lending`.
+    pub fn lend_in_background(&mut self) -> JoinHandle<LendingPolicy> {
         let mut policy = self.policy.take().expect("settings with cells");
         let controller = self.controller.clone();
         std::thread::spawn(move || {
             controller.lend_once(&mut policy);
+            policy
         })
     }
 
+    /// Waits for the end of a round of messages.
+    pub fn finish_lending(&mut self, round: JoinHandle<LendingPolicy>) {
+        self.policy = Some(round.join().expect("the lending duty"));
+    }
+
+    /// Delivers the message of the controller that has written the job's present record.
+    pub fn receive_job_record(&self) {
+        let row = self.world.store().row(&format!("job/{JOB}")).expect("the job");
+        let record = serde_json::to_vec(&row.value).expect("a record");
+        let news = JobNews { id: JOB.into(), record, revision: row.mod_revision };
+        self.controller.handle_peer_message(&PeerMessage::Notify(news));
+    }
+
     /// Submits the job, lends some of its tasks, and starts others on the machine.
     pub fn submit_and_lend(&mut self, machine: &mut Machine) {
         self.submit();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet_writes;
 pub mod gate;
 pub mod leader_without_copies;
+pub mod lender_messages;
 pub mod lending_scenario;
 pub mod lending_world;
 pub mod planner;
--- a/tests/common/store_faults.rs
+++ b/tests/common/store_faults.rs
@@ -29,6 +29,8 @@
     pub random: Option<(StdRng, f64)>,
     /// The fault of all transactions that change a key with this prefix.
     pub by_prefix: Option<(&'static str, TxnFault)>,
+    /// Transactions that change a key with this prefix are refused with status 503.
+    pub refused_prefix: Option<&'static str>,
     /// Transactions that are still to be executed late.
     late: Vec<Txn>,
 }
@@ -47,11 +49,22 @@
         }
         let result = (fault != Some(TxnFault::Lost)).then(|| store.txn(txn));
         if is_of_job {
-            self.late.drain(..).for_each(|late| drop(store.txn(&late)));
+            self.execute_late(store);
         }
         result.filter(|_| fault.is_none())
     }
 
+    /// Whether a transaction is refused with status 503.
+    pub fn refuses(&self, txn: &Txn) -> bool {
+        let is_refused = |prefix| txn.then.iter().any(|change| change.key().starts_with(prefix));
+        self.refused_prefix.is_some_and(is_refused)
+    }
+
+    /// Executes the late transactions now.
+    pub fn execute_late(&mut self, store: &mut Store) {
+        self.late.drain(..).for_each(|late| drop(store.txn(&late)));
+    }
+
     /// The fault of a transaction that changes a key with the prefix of `by_prefix`; `None` if it changes none.
     fn fault_by_prefix(&self, txn: &Txn) -> Option<TxnFault> {
         let (prefix, fault) = self.by_prefix?;
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -3,17 +3,12 @@
 
 mod common;
 
+use common::lender_messages::{accepted, deliver, item, offer};
 use common::lending_scenario::tasks;
-use common::lending_world::{Leader, Machine, World, JOB, SETTLE_STEPS, STEP, TASKS};
-use common::spec;
+use common::lending_world::{Leader, Machine, World, JOB, SETTLE_STEPS, STEP};
 use common::store_faults::TxnFault;
-use milletlock::loan_messages::{report_from_proto, request_to_proto};
-use milletlock::peer::{PeerMessage, PeerReply};
 use milletlock::time::Micros;
-use milletlock_cells::{
-    LoanAction, LoanItem, LoanNumber, LoanOffer, LoanReport, LoanState, LoanSyncRequest, TaskSet,
-};
-use serde_json::json;
+use milletlock_cells::{LoanAction, LoanItem, LoanNumber, LoanState, TaskSet};
 
 const FIRST_LOAN: LoanNumber = LoanNumber(5);
 const SECOND_LOAN: LoanNumber = LoanNumber(6);
@@ -28,16 +23,6 @@
 /// More than the interval between two writes that remove start marks of ended jobs.
 const DEFERRED_WRITE_INTERVAL: Micros = Micros(4_000_000);
 
-/// An offer with the description of the job with this number.
-fn offer(job: u32) -> LoanOffer {
-    LoanOffer { description: json!(spec(job, TASKS, "batch")), job_tasks: TASKS }
-}
-
-/// A loan of the job with the id `JOB` in a message of the lender.
-fn item(number: LoanNumber, lent: &str, action: LoanAction) -> LoanItem {
-    LoanItem { number, job: JOB.into(), tasks: tasks(lent), action, offer: Some(offer(1)) }
-}
-
 fn first_loan(action: LoanAction) -> LoanItem {
     item(FIRST_LOAN, FIRST_TASKS, action)
 }
@@ -52,23 +37,6 @@
     LoanItem { job: OTHER_JOB.into(), offer: Some(offer(2)), ..few }
 }
 
-/// Delivers the lender's message about these open loans; loans up to `horizon` that are not listed are closed.
-/// Returns the reports in the reply.
-fn deliver(leader: &Leader<'_>, loans: Vec<LoanItem>, horizon: LoanNumber) -> Vec<LoanReport> {
-    let request = LoanSyncRequest { from: "there".into(), to: "here".into(), term: 1, horizon, loans };
-    let reply = leader.controller.handle_peer_message(&PeerMessage::Lend(request_to_proto(&request)));
-    let PeerReply::Loans(reply) = reply else { panic!("no reports") };
-    reply.reports.iter().map(|report| report_from_proto(report).expect("a report")).collect()
-}
-
-/// The tasks that a report lists as borrowed; empty if the loan is closed.
-fn accepted(report: &LoanReport) -> TaskSet {
-    match &report.state {
-        LoanState::Accepted { tasks, .. } => tasks.clone(),
-        LoanState::Closed => TaskSet::new(),
-    }
-}
-
 /// Accepts the first loan, starts as many of its tasks as the machine can run, and ends one of them.
 fn borrow(leader: &mut Leader<'_>, machine: &mut Machine) {
     let reports = deliver(leader, vec![first_loan(LoanAction::Run)], LoanNumber::default());
@@ -192,7 +160,7 @@
     world.reads.wait_until_held();
     deliver(&leader, Vec::new(), FIRST_LOAN);
     world.reads.open();
-    lending.join().expect("the lending duty");
+    leader.finish_lending(lending);
     let reports = deliver(&leader, vec![second_loan()], FIRST_LOAN);
     assert_eq!(accepted(&reports[0]), tasks(SECOND_TASKS));
 }
