Let no late answer undo a cancellation

Cause: the answer to a write of a loan came after the leader had ended the job by another controller's message and read past that revision. The job was still in the model, since machines had tasks of it, and its revision was not raised by the cancellation, so that the older record was applied to the lender's ledger.

Fix: Fleet::known_job_revision is the one place that knows how new an own job's record is, its cancellation or removal included; apply_job_record ignores what is no newer, whatever brought it. A read that found no record removes the job as of the answer's revision instead of a made-up one, and late reads are ignored.

--- a/src/controller/loan_writes.rs
+++ b/src/controller/loan_writes.rs
@@ -116,10 +116,10 @@
         LoanOutcome::Written
     }
 
-    /// The fleet's latest known revision of the records of borrowed jobs and of lenders; none if this
-    /// controller no longer leads in the term.
+    /// The fleet's latest known revision of the records of jobs and of lenders; none if this controller no longer
+    /// leads in the term.
     pub(super) fn known_revision(&self, fencing_token: u64) -> Option<u64> {
-        Some(self.lock().leadership_with(fencing_token)?.fleet.loans.known_revision())
+        Some(self.lock().leadership_with(fencing_token)?.fleet.known_revision())
     }
 
     /// Keeps a write with unknown outcome in the fleet, to be sent again.
--- a/src/fleet/loans.rs
+++ b/src/fleet/loans.rs
@@ -181,12 +181,6 @@
         self.lenders.get(cell).copied().unwrap_or_default()
     }
 
-    /// The latest known revision of the records of borrowed jobs and of lenders. A read of such a record that
-    /// is sent from now on returns a state that is at least this new.
-    pub fn known_revision(&self) -> u64 {
-        self.revisions.latest()
-    }
-
     /// Whether the state of the record of a borrowed job or of a lender, as of a revision, may be older than
     /// what is known of it.
     pub fn is_outdated(&self, key: &str, as_of: u64) -> bool {
@@ -195,6 +189,12 @@
 }
 
 impl Fleet {
+    /// The latest known revision of the records of jobs, own and borrowed, and of lenders. A read of such a record
+    /// that is sent from now on returns a state that is at least this new.
+    pub fn known_revision(&self) -> u64 {
+        self.jobs_revision().max(self.loans.revisions.latest())
+    }
+
     /// Applies the loans in a job's record. The caller ends a job that is being cancelled before this call,
     /// since none of its tasks may run.
     pub(super) fn apply_lending(&mut self, record: &JobRecord, mod_revision: u64) {
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -60,20 +60,27 @@
         self.ended_jobs.retain(|_, ended_at| *ended_at > applied);
     }
 
-    /// Applies a new or changed job record. A late copy of the record of an ended job is ignored: if all
-    /// changes up to the record's revision have been applied and the job is not known, the job has ended.
-    /// Otherwise a message of another controller could start a cancelled job, if it were delayed until after
-    /// a failover to a leader that never knew the job.
+    /// The latest known revision of the record of an own job, its cancellation or removal included. If the job
+    /// is not known, all changes up to `jobs_revision` have been applied, so a record up to there is of a job
+    /// that has ended.
+    pub fn known_job_revision(&self, id: &str) -> u64 {
+        let own = self.jobs.get(id).filter(|job| job.borrowed_from.is_none());
+        let live = own.map(|job| job.mod_revision);
+        live.max(self.ended_jobs.get(id).copied()).unwrap_or(self.jobs_revision)
+    }
+
+    /// Applies a new or changed job record, whatever brought it. A late copy of a record is ignored: it must not
+    /// undo a cancellation, nor restore a job that has ended. Otherwise a message of another controller could
+    /// start a cancelled job, if it were delayed until after a failover to a leader that never knew the job.
     pub fn apply_job_record(&mut self, record: JobRecord, mod_revision: u64, now: Steady) {
         let id: JobId = record.spec.id.as_str().into();
-        let is_late = mod_revision <= self.jobs_revision && !self.jobs.contains_key(&id);
         if self.is_unreadable_job(&id) {
             // This leader does not know which of the job's tasks are done. The next leader loads all records
             // again and may start the job.
             return;
         }
         self.mark_job_readable(&id);
-        if is_late || self.ended_jobs.get(&id).is_some_and(|&ended_at| ended_at >= mod_revision) {
+        if mod_revision <= self.known_job_revision(&id) {
             return;
         }
         if record.lending.cancelling {
@@ -95,14 +102,12 @@
             tracing::error!(job = %id, "job accepted in this cell has the id of a borrowed job");
             return;
         }
-        if mod_revision > job.mod_revision {
-            // The transaction that wrote the newer record also replaced or deleted a leftover placeholder.
-            self.loans.leftover_placeholders.remove(id);
-            job.mod_revision = mod_revision;
-            job.start_mark = job.start_mark.max(record.start_mark);
-            job.wanted_start_mark = job.wanted_start_mark.max(job.start_mark);
-            self.apply_lending(record, mod_revision);
-        }
+        // The transaction that wrote the newer record also replaced or deleted a leftover placeholder.
+        self.loans.leftover_placeholders.remove(id);
+        job.mod_revision = mod_revision;
+        job.start_mark = job.start_mark.max(record.start_mark);
+        job.wanted_start_mark = job.wanted_start_mark.max(job.start_mark);
+        self.apply_lending(record, mod_revision);
     }
 
     /// Adds a job from its record.
@@ -150,6 +155,10 @@
         if self.jobs.get(&id).is_some_and(is_other) {
             return;
         }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            // The job stays in the model while machines have tasks of it.
+            job.mod_revision = revision;
+        }
         self.end_lending(&id);
         self.end_job(&id);
     }
--- a/src/leadership/loan_records.rs
+++ b/src/leadership/loan_records.rs
@@ -173,7 +173,7 @@
 }
 
 /// Reads back the records by whose revisions a write of loans is guarded, after the write met a conflict.
-/// `known_revision` is the fleet's [`known_revision`](crate::fleet::Loans::known_revision) before the read.
+/// `known_revision` is the fleet's [`known_revision`](crate::fleet::Fleet::known_revision) before the read.
 ///
 /// # Errors
 /// As any read from the state store; the first error ends the read.
--- a/src/leadership/read_back.rs
+++ b/src/leadership/read_back.rs
@@ -23,7 +23,7 @@
 }
 
 /// Reads a key back. `known_revision` is the fleet's
-/// [`known_revision`](crate::fleet::Loans::known_revision) before the read.
+/// [`known_revision`](crate::fleet::Fleet::known_revision) before the read.
 ///
 /// # Errors
 /// As any read from the state store.
@@ -43,7 +43,7 @@
     let key = key.as_str();
     let mod_revision = row.as_ref().map_or(0, |row| row.mod_revision);
     match RecordKey::parse(key) {
-        RecordKey::Job(id) => update_job(fleet, id, row, now),
+        RecordKey::Job(id) => update_job(fleet, id, row, as_of, now),
         RecordKey::Borrowed(BorrowedKey::Job(_) | BorrowedKey::Lender(_))
             if fleet.loans.is_outdated(key, as_of) =>
         {
@@ -99,11 +99,15 @@
 }
 
 /// Updates a job with its record as it was read back. A job has ended only if it has no record. A job whose
-/// record cannot be decoded is live, but blocked by the unreadable record.
-fn update_job(fleet: &mut Fleet, id: &str, row: Option<Row>, now: Steady) {
+/// record cannot be decoded is live, but blocked by the unreadable record. The answer to the read is ignored if
+/// it came so late that a newer state of the record may be known.
+fn update_job(fleet: &mut Fleet, id: &str, row: Option<Row>, as_of: u64, now: Steady) {
+    if as_of < fleet.known_job_revision(id) {
+        tracing::debug!(job = id, as_of, "late answer to a read ignored");
+        return;
+    }
     let Some(row) = row else {
-        let known = fleet.jobs.get(id).map_or(0, |job| job.mod_revision);
-        fleet.apply_job_removal(id, fleet.jobs_revision().max(known) + 1);
+        fleet.apply_job_removal(id, as_of);
         return;
     };
     match serde_json::from_value::<JobRecord>(row.value) {
