--- a/tests/common/gate.rs
+++ b/tests/common/gate.rs
@@ -52,6 +52,11 @@
         drop(self.changed.wait_while(state, |state| state.held == 0).expect("the gate"));
     }
 
+    /// Whether a request is held.
+    pub fn is_holding(&self) -> bool {
+        self.state.lock().expect("the gate").held > 0
+    }
+
     /// Holds a request with this name while the gate is closed for it.
     pub fn pass(&self, name: &str) {
         let mut state = self.state.lock().expect("the gate");
