--- a/src/fleet/borrowing.rs
+++ b/src/fleet/borrowing.rs
@@ -33,10 +33,10 @@
         wall: Wall,
     ) {
         let known_revision = self.borrowed_record_revision(id);
-        tracing::debug!(job = id, mod_revision, known_revision, tasks = %record.tasks(), "borrowed record applied");
         if !self.loans.revisions.record_stored(&borrowed_key(id), mod_revision) {
             return;
         }
+        tracing::debug!(job = id, mod_revision, known_revision, tasks = %record.tasks(), "borrowed record applied");
         let lender = record.lender.clone();
         let spec = JobSpec::parse(record.description.to_string().as_bytes());
         self.loans.borrower_ledger.load(id, record);
